--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call.py
@@ -0,0 +1,39 @@
+"""A caller's request on its way through the system."""
+
+from dataclasses import dataclass
+
+from sapphireway_state import Policy
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One request of a caller, as its entry node sees it.
+
+    Attributes
+    ----------
+    call_id : str
+        Unique id given by the entry node.
+    service, kind : str
+    method, target : str
+        HTTP request line; the target includes the query.
+    headers : tuple of (str, str)
+        End-to-end headers.
+    body : bytes
+    deadline_s : float
+        Reading of the event loop's clock by which the caller wants its answer.
+    key : str or None
+        Idempotency key.
+    policy : Policy
+        Settings in force for the service and kind when the call arrived.
+    """
+
+    call_id: str
+    service: str
+    kind: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_s: float
+    key: str | None
+    policy: Policy
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_members.py
@@ -0,0 +1,46 @@
+"""What a node knows of the servers of a service."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A server and the node beside it.
+
+    Attributes
+    ----------
+    server : str
+        Server id, unique in the system.
+    service : str
+    node : str
+        Address of the node beside the server, ``host:port``.
+    domain : str
+        Failure domain.
+    region : str
+    incarnation : str
+        Changes whenever the node's process starts.
+    start_id : str
+        Changes whenever the server's process starts.
+    slots : int
+        Requests that the server announced it can run at once.
+    leaving : bool
+        True once the server or its node has begun to stop.
+    out : bool
+        True while operators have the server or its failure domain out.
+    """
+
+    server: str
+    service: str
+    node: str
+    domain: str
+    region: str
+    incarnation: str
+    start_id: str
+    slots: int
+    leaving: bool = False
+    out: bool = False
+
+
+GetMembers = Callable[[str], Sequence[Member]]
+"""Returns the live members of a service."""
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -0,0 +1,44 @@
+"""Typed messages between nodes, the outcomes of a call, and their codec."""
+
+from sapphireway_protocol._calls import (
+    Cancel,
+    LoadReport,
+    Probe,
+    ProbeReply,
+    Reply,
+    Revoke,
+    Revoked,
+    Run,
+    ServerState,
+)
+from sapphireway_protocol._codec import Codec, Envelope
+from sapphireway_protocol._outcomes import (
+    Answered,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+)
+from sapphireway_protocol._peers import Peers
+
+__all__ = [
+    "Answered",
+    "Cancel",
+    "Codec",
+    "Envelope",
+    "Failed",
+    "LoadReport",
+    "NotRun",
+    "NotRunReason",
+    "Outcome",
+    "Peers",
+    "Probe",
+    "ProbeReply",
+    "Reply",
+    "Revoke",
+    "Revoked",
+    "Run",
+    "ServerState",
+    "Unknown",
+]
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_claims.py
@@ -0,0 +1,3 @@
+"""Messages between holders of idempotency claims."""
+
+MESSAGES = ()
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -0,0 +1,108 @@
+"""Encoding of messages between nodes as msgpack frames."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Union
+
+import msgspec
+
+from sapphireway_protocol import (
+    _calls,
+    _claims,
+    _membership,
+    _quorum,
+    _settings,
+    _suspects,
+)
+
+MESSAGES = (
+    *_calls.MESSAGES,
+    *_claims.MESSAGES,
+    *_membership.MESSAGES,
+    *_quorum.MESSAGES,
+    *_settings.MESSAGES,
+    *_suspects.MESSAGES,
+)
+
+
+class _Header(msgspec.Struct, frozen=True, array_like=True):
+    request_id: int
+    reply_to: int
+    incarnation: str
+    clock_s: float
+    settings_version: int
+    message: Union[MESSAGES]  # noqa: UP007 (the union is computed)
+
+
+@dataclass(slots=True, frozen=True)
+class Envelope:
+    """A message with what every message carries.
+
+    Attributes
+    ----------
+    message : msgspec.Struct
+        One of the registered message types.
+    body : bytes
+        Uninterpreted payload; empty for most messages.
+    request_id : int
+        Nonzero if the sender waits for a reply.
+    reply_to : int
+        Request id that this message answers, or zero.
+    incarnation : str
+        Changes whenever the sending process starts.
+    clock_s : float
+        Sender's monotonic clock when it sent the message.
+    settings_version : int
+        Version of the settings tree in force at the sender.
+    """
+
+    message: Any
+    body: bytes = b""
+    request_id: int = 0
+    reply_to: int = 0
+    incarnation: str = ""
+    clock_s: float = 0.0
+    settings_version: int = 0
+
+
+class Codec:
+    """Turns envelopes into frames and back."""
+
+    __slots__ = ("_decoder", "_encoder")
+
+    def __init__(self):
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(_Header)
+
+    def encode(self, envelope: Envelope) -> list[bytes]:
+        """Return one frame, or two if there is a body."""
+        header = _Header(
+            envelope.request_id,
+            envelope.reply_to,
+            envelope.incarnation,
+            envelope.clock_s,
+            envelope.settings_version,
+            envelope.message,
+        )
+        frame = self._encoder.encode(header)
+        if envelope.body:
+            return [frame, envelope.body]
+        return [frame]
+
+    def decode(self, frames: Sequence[bytes]) -> Envelope | None:
+        """Return the envelope, or None if the frames are not a valid message."""
+        if not 1 <= len(frames) <= 2:
+            return None
+        try:
+            header = self._decoder.decode(frames[0])
+        except msgspec.MsgspecError:
+            return None
+        return Envelope(
+            header.message,
+            frames[1] if len(frames) == 2 else b"",
+            header.request_id,
+            header.reply_to,
+            header.incarnation,
+            header.clock_s,
+            header.settings_version,
+        )
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -0,0 +1,3 @@
+"""Messages between nodes and the membership directory."""
+
+MESSAGES = ()
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -0,0 +1,153 @@
+"""Typed messages and request-reply exchanges over an endpoint."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from sapphireway_protocol._codec import Codec, Envelope
+from sapphireway_transport import Endpoint
+
+Handler = Callable[[str, Envelope], None]
+"""Called with the sender's address and the envelope; must not block."""
+
+
+class Peers:
+    """Sends typed messages to other nodes and dispatches those that arrive.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    incarnation : str
+        Id of this start of the process.
+    get_settings_version : callable
+        Returns the version of the settings tree in force.
+
+    Attributes
+    ----------
+    observe : callable
+        Called with the sender's address and each envelope before its handler.
+    """
+
+    __slots__ = (
+        "_codec",
+        "_endpoint",
+        "_get_settings_version",
+        "_handlers",
+        "_request_ids",
+        "_waiting",
+        "bytes_sent",
+        "incarnation",
+        "malformed",
+        "messages_sent",
+        "observe",
+    )
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        incarnation: str,
+        get_settings_version: Callable[[], int] = lambda: 0,
+    ):
+        self._codec = Codec()
+        self._endpoint = endpoint
+        self._get_settings_version = get_settings_version
+        self._handlers = {}
+        self._request_ids = itertools.count(1)
+        self._waiting = {}
+        self.bytes_sent = 0
+        self.incarnation = incarnation
+        self.malformed = 0
+        self.messages_sent = 0
+        self.observe = lambda sender, envelope: None
+
+    @property
+    def address(self) -> str:
+        """Address of this node."""
+        return self._endpoint.address
+
+    def start(self) -> None:
+        """Begin to receive."""
+        self._endpoint.start(self._receive)
+
+    def close(self) -> None:
+        """Stop receiving; every waiting request gets no reply."""
+        self._endpoint.close()
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def connect(self, peer: str) -> None:
+        """Prepare a connection to `peer`."""
+        self._endpoint.connect(peer)
+
+    def disconnect(self, peer: str) -> None:
+        """Drop the connection to `peer`."""
+        self._endpoint.disconnect(peer)
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Pass messages of one type that are not replies to `handler`."""
+        self._handlers[message_type] = handler
+
+    def send(
+        self,
+        peer: str,
+        message: Any,
+        body: bytes = b"",
+        *,
+        request_id: int = 0,
+        reply_to: int = 0,
+    ) -> bool:
+        """Send one message; False if it certainly did not leave this process."""
+        frames = self._codec.encode(
+            Envelope(
+                message,
+                body,
+                request_id,
+                reply_to,
+                self.incarnation,
+                asyncio.get_running_loop().time(),
+                self._get_settings_version(),
+            )
+        )
+        self.messages_sent += 1
+        self.bytes_sent += sum(map(len, frames))
+        return self._endpoint.send(peer, frames)
+
+    def reply(
+        self, peer: str, request: Envelope, message: Any, body: bytes = b""
+    ) -> bool:
+        """Answer a request that carried a request id."""
+        return self.send(peer, message, body, reply_to=request.request_id)
+
+    async def request(
+        self, peer: str, message: Any, timeout_s: float, body: bytes = b""
+    ) -> Envelope | None:
+        """Send a message and wait for the reply; None on timeout or failure."""
+        request_id = next(self._request_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = future
+        try:
+            if not self.send(peer, message, body, request_id=request_id):
+                return None
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._waiting[request_id]
+
+    def _receive(self, sender, frames):
+        envelope = self._codec.decode(frames)
+        if envelope is None:
+            self.malformed += 1
+            return
+        self.observe(sender, envelope)
+        if envelope.reply_to:
+            future = self._waiting.get(envelope.reply_to)
+            if future is not None and not future.done():
+                future.set_result(envelope)
+            return
+        handler = self._handlers.get(type(envelope.message))
+        if handler is not None:
+            handler(sender, envelope)
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_quorum.py
@@ -0,0 +1,3 @@
+"""Messages between control hosts that replicate the settings journal."""
+
+MESSAGES = ()
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -0,0 +1,3 @@
+"""Messages between nodes that follow the settings tree."""
+
+MESSAGES = ()
--- /dev/null
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_suspects.py
@@ -0,0 +1,3 @@
+"""Messages between nodes that share digests of requests that crash servers."""
+
+MESSAGES = ()
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -0,0 +1,71 @@
+"""Effective settings of one service and request kind in one failure domain."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Policy:
+    """Settings after inheritance; the tree's schema bounds each value.
+
+    Attributes
+    ----------
+    out : bool
+        True while operators have the failure domain or server out of service.
+    idempotent : bool
+        Whether the request may run more than once.
+    weight : int
+        Importance of the kind, 1 to 100; light kinds are shed first.
+    deadline_ms : int
+        Time allowed if the caller names no deadline.
+    deadline_max_ms : int
+        Longest deadline that a caller may ask for.
+    body_max_bytes : int
+        Largest body in either direction.
+    attempts_max : int
+        Most attempts of one call.
+    retry_budget_percent : float
+        Retries and hedges as a share of a service's calls.
+    hedge_percentile : float
+        Latency percentile after which an idempotent call is hedged; 0 turns
+        hedging off.
+    panic_percent : float
+        Share of bad servers above which none is ejected any more.
+    probe_rate_per_s : float
+        Most load probes that one node sends a second.
+    load_stale_ms : int
+        Age after which a load report is worth a probe.
+    cold_limit : int
+        Requests in flight allowed to a server that has just started.
+    queue_limit : int
+        Requests that may wait beside one server.
+    drain_timeout_ms : int
+        Longest wait for requests in flight when a process stops.
+    claim_ttl_s : int
+        How long the claim of an idempotency key is kept.
+    claim_answer_max_bytes : int
+        Largest answer that is kept for a resend.
+    suspect_ttl_s : int
+        How long a request that crashed a server is remembered.
+    trace_percent : float
+        Share of calls that are traced.
+    """
+
+    out: bool = False
+    idempotent: bool = False
+    weight: int = 10
+    deadline_ms: int = 2_000
+    deadline_max_ms: int = 60_000
+    body_max_bytes: int = 32 * 1024 * 1024
+    attempts_max: int = 3
+    retry_budget_percent: float = 10.0
+    hedge_percentile: float = 95.0
+    panic_percent: float = 50.0
+    probe_rate_per_s: float = 20.0
+    load_stale_ms: int = 200
+    cold_limit: int = 1
+    queue_limit: int = 64
+    drain_timeout_ms: int = 30_000
+    claim_ttl_s: int = 3_600
+    claim_answer_max_bytes: int = 65_536
+    suspect_ttl_s: int = 600
+    trace_percent: float = 1.0
--- /dev/null
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -0,0 +1,66 @@
+"""The seam between a node and the server beside it."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(slots=True, frozen=True)
+class ServerRequest:
+    """One HTTP request to the server.
+
+    Attributes
+    ----------
+    url : str
+        Absolute URL of the server with path and query.
+    method : str
+    headers : tuple of (str, str)
+    body : bytes
+    timeout_s : float
+        Longest time until the whole answer must have arrived.
+    body_max_bytes : int
+        Largest answer that is accepted.
+    """
+
+    url: str
+    method: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+    body_max_bytes: int
+
+
+@dataclass(slots=True, frozen=True)
+class Responded:
+    """The server's whole answer arrived."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class NotSent:
+    """Nothing of the request was sent: no connection could be made."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """The request was sent, wholly or in part, and no whole answer arrived."""
+
+    detail: str
+    timed_out: bool = False
+
+
+ServerResult = Responded | NotSent | Broken
+
+
+class ServerClient(Protocol):
+    """Sends requests to servers; each at most once on the wire."""
+
+    async def send(self, request: ServerRequest) -> ServerResult:
+        """Send one request; cancelling the task closes its connection."""
+
+    def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_network.py
@@ -0,0 +1,151 @@
+"""A network of in-memory endpoints with faults."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from sapphireway_transport._endpoint import Receiver
+
+DEFAULT_DELAY_S = 0.0005
+
+
+def _delay_by_default(sender, receiver):
+    return DEFAULT_DELAY_S
+
+
+class MemoryNetwork:
+    """Connects `MemoryEndpoint` objects on one event loop.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of every random decision.
+    delay : callable, default=0.5 ms for all pairs
+        ``delay(sender, receiver)`` gives the one-way delay in seconds.
+    """
+
+    __slots__ = (
+        "_cuts",
+        "_delay",
+        "_endpoints",
+        "_frozen",
+        "_held",
+        "_rng",
+        "bytes_sent",
+        "drop_rate",
+        "duplicate_rate",
+        "jitter_s",
+        "messages_sent",
+    )
+
+    def __init__(
+        self,
+        rng: random.Random,
+        delay: Callable[[str, str], float] = _delay_by_default,
+    ):
+        self._rng = rng
+        self._delay = delay
+        self._endpoints = {}
+        self._cuts = set()
+        self._frozen = set()
+        self._held = {}
+        self.drop_rate = 0.0
+        self.duplicate_rate = 0.0
+        self.jitter_s = 0.0
+        self.messages_sent = 0
+        self.bytes_sent = 0
+
+    def open_endpoint(self, address: str) -> "MemoryEndpoint":
+        """Return an endpoint that replaces any earlier one at `address`."""
+        endpoint = MemoryEndpoint(self, address)
+        self._endpoints[address] = endpoint
+        self._held.pop(address, None)
+        self._frozen.discard(address)
+        return endpoint
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Lose every message from `sender` to `receiver` (this direction only)."""
+        self._cuts.add((sender, receiver))
+
+    def heal(self, sender: str, receiver: str) -> None:
+        """Undo `cut` for one direction."""
+        self._cuts.discard((sender, receiver))
+
+    def heal_all(self) -> None:
+        """Undo every cut."""
+        self._cuts.clear()
+
+    def freeze(self, address: str) -> None:
+        """Hold back whatever arrives at `address` until `thaw`."""
+        self._frozen.add(address)
+
+    def thaw(self, address: str) -> None:
+        """Deliver what was held back since `freeze`."""
+        self._frozen.discard(address)
+        for sender, frames in self._held.pop(address, ()):
+            self._deliver(sender, address, frames)
+
+    def carry(self, sender: str, receiver: str, frames: Sequence[bytes]) -> bool:
+        """Schedule delivery of one message, subject to the faults in force."""
+        if receiver not in self._endpoints:
+            return False
+        self.messages_sent += 1
+        self.bytes_sent += sum(map(len, frames))
+        if (sender, receiver) in self._cuts or self._rng.random() < self.drop_rate:
+            return True
+        copies = 2 if self._rng.random() < self.duplicate_rate else 1
+        for _ in range(copies):
+            delay_s = self._delay(sender, receiver)
+            delay_s += self._rng.random() * self.jitter_s
+            asyncio.get_running_loop().call_later(
+                delay_s, self._deliver, sender, receiver, frames
+            )
+        return True
+
+    def remove(self, endpoint: "MemoryEndpoint") -> None:
+        """Forget a closed endpoint."""
+        if self._endpoints.get(endpoint.address) is endpoint:
+            del self._endpoints[endpoint.address]
+
+    def _deliver(self, sender, receiver, frames):
+        if receiver in self._frozen:
+            self._held.setdefault(receiver, []).append((sender, frames))
+            return
+        endpoint = self._endpoints.get(receiver)
+        if endpoint is not None and (sender, receiver) not in self._cuts:
+            endpoint.receive(sender, frames)
+
+
+class MemoryEndpoint:
+    """One address on a `MemoryNetwork`."""
+
+    __slots__ = ("_network", "_receiver", "address")
+
+    def __init__(self, network, address):
+        self.address = address
+        self._network = network
+        self._receiver = None
+
+    def start(self, receiver: Receiver) -> None:
+        """Begin to pass arriving messages to `receiver`."""
+        self._receiver = receiver
+
+    def connect(self, peer: str) -> None:
+        """Do nothing: in-memory links need no connection."""
+
+    def disconnect(self, peer: str) -> None:
+        """Do nothing: in-memory links need no connection."""
+
+    def send(self, peer: str, frames: Sequence[bytes]) -> bool:
+        """Hand `frames` to the network; False if nobody listens at `peer`."""
+        return self._network.carry(self.address, peer, tuple(frames))
+
+    def receive(self, sender: str, frames: Sequence[bytes]) -> None:
+        """Pass one message to the receiver, if it was started."""
+        if self._receiver is not None:
+            self._receiver(sender, frames)
+
+    def close(self) -> None:
+        """Stop receiving."""
+        self._receiver = None
+        self._network.remove(self)
