Add the membership directory, settings following and the callers' listener

Cause: nodes need members and settings without a list of servers. Weighed: gossip against a directory with leases on the control hosts; the directory costs a node five small messages a second and detects a death in two seconds. Found by the tests: a directory that heard its first neighbour again after an isolation ended the leases of the neighbours it had not heard yet (2 of 12 members hidden for 0.4 s); the grace now begins anew.

--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -0,0 +1,272 @@
+"""The membership directory that a control host keeps for all nodes."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sapphireway_protocol import (
+    LeaseEntry,
+    ListNodes,
+    NodeEntry,
+    NodeList,
+    NodeStatus,
+    Peers,
+    Renew,
+    Renewed,
+    SyncedLeases,
+    SyncLeases,
+)
+from sapphireway_state import LeaseTable, is_newer_entry
+
+LEASE_S = 1.3
+CHECK_INTERVAL_S = 0.1
+SYNC_INTERVAL_S = 0.1
+HEARTBEAT_INTERVAL_S = 0.5
+SYNC_TIMEOUT_S = 0.5
+SYNC_BATCH_LEASES = 200
+DIRECTORY_TIMEOUT_S = 1.5
+ADOPTION_GRACE_S = 3.0
+FORGET_AFTER_S = 600.0
+WARM_UP_S = 1.5
+WARM_UP_MAX_S = 5.0
+
+
+@dataclass(slots=True)
+class _Neighbour:
+    """Another control host's directory.
+
+    ``received`` and ``sent`` are positions in the sequences of changes of the
+    neighbour and of this directory.
+    """
+
+    address: str
+    incarnation: str = ""
+    received: int = 0
+    complete: bool = False
+    acked_incarnation: str = ""
+    sent: int = 0
+    heard_s: float = float("-inf")
+
+
+class Directory:
+    """Grants leases to nodes and shares them with the other control hosts.
+
+    The directories hold soft state: a node's lease is owned by the one that it
+    renews with, and every directory learns all leases from the others.
+
+    Parameters
+    ----------
+    peers : Peers
+    others : sequence of str
+        Addresses of the other control hosts.
+    """
+
+    __slots__ = ("_neighbours", "_peers", "_started_s", "_table")
+
+    def __init__(self, peers: Peers, others: Sequence[str]):
+        self._neighbours = {address: _Neighbour(address) for address in others}
+        self._peers = peers
+        self._started_s = asyncio.get_running_loop().time()
+        self._table = LeaseTable(peers.address)
+        peers.handle(Renew, self._renew)
+        peers.handle(SyncLeases, self._receive)
+        peers.handle(ListNodes, self._list_nodes)
+
+    def list_entries(self) -> list[NodeEntry]:
+        """Return the entries of all live nodes."""
+        return [lease.entry for lease in self._table.list_all() if lease.alive]
+
+    async def run(self) -> None:
+        """Expire leases and follow the other directories until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._expire())
+            for neighbour in self._neighbours.values():
+                group.create_task(self._share(neighbour))
+
+    def _renew(self, sender, envelope):
+        message = envelope.message
+        lease = self._table.get(sender)
+        now_s = asyncio.get_running_loop().time()
+        if _presents_newer(sender, message.entry, lease):
+            lease = self._table.admit(message.entry, now_s + LEASE_S)
+        if not _is_held(lease, envelope.incarnation, message.revision):
+            self._peers.reply(sender, envelope, _hold(message, wants_entry=True))
+            return
+        if not lease.alive or lease.owner != self._peers.address:
+            self._table.adopt(lease)
+        lease.expires_s = now_s + LEASE_S
+        lease.settings_version = envelope.settings_version
+        lease.in_force_since_s = message.in_force_since_s
+        if message.services is not None:
+            lease.services = frozenset(message.services)
+        self._peers.reply(sender, envelope, self._answer(message, lease, now_s))
+
+    def _answer(self, message, lease, now_s):
+        if lease.services is None:
+            return _hold(message, wants_services=True)
+        if not self._is_warm(now_s):
+            return _hold(message)
+        incarnation = self._peers.incarnation
+        version = self._table.version
+        if message.directory != incarnation or message.services is not None:
+            nodes = self._list_followed(lease.services)
+            return Renewed(incarnation, version, True, nodes, [], False, False)
+        nodes, gone = [], []
+        for changed in self._table.list_changed(message.version):
+            if changed.alive and _serves(changed.entry, lease.services):
+                nodes.append(_narrow(changed.entry, lease.services))
+            else:
+                gone.append(changed.entry.node)
+        return Renewed(incarnation, version, False, nodes, gone, False, False)
+
+    def _list_followed(self, services):
+        return [
+            _narrow(lease.entry, services)
+            for lease in self._table.list_all()
+            if lease.alive and _serves(lease.entry, services)
+        ]
+
+    def _is_warm(self, now_s):
+        # Until the others' leases are here and nodes had time to renew, a view
+        # from this directory would lack live members.
+        age_s = now_s - self._started_s
+        if age_s < WARM_UP_S:
+            return False
+        complete = 1 + sum(n.complete for n in self._neighbours.values())
+        return 2 * complete > len(self._neighbours) + 1 or age_s >= WARM_UP_MAX_S
+
+    async def _expire(self):
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now_s = asyncio.get_running_loop().time()
+            for lease in self._table.list_all():
+                self._check(lease, now_s)
+
+    def _check(self, lease, now_s):
+        if not lease.alive:
+            if now_s > lease.expires_s + FORGET_AFTER_S:
+                self._table.forget(lease)
+        elif lease.owner == self._peers.address:
+            if now_s > lease.expires_s:
+                self._table.end(lease)
+        elif self._is_reachable(lease.owner, now_s) or not self._has_majority(now_s):
+            # The grace begins anew after an isolation: the first neighbour heard
+            # again must not end the leases of those not heard yet.
+            lease.expires_s = now_s + ADOPTION_GRACE_S
+        elif now_s > lease.expires_s:
+            # Its owner is gone and the node has renewed with no other directory.
+            self._table.end(lease)
+
+    def _is_reachable(self, address, now_s):
+        neighbour = self._neighbours.get(address)
+        return neighbour is not None and now_s < neighbour.heard_s + DIRECTORY_TIMEOUT_S
+
+    def _has_majority(self, now_s):
+        reachable = sum(self._is_reachable(a, now_s) for a in self._neighbours)
+        return 2 * (reachable + 1) > len(self._neighbours) + 1
+
+    async def _share(self, neighbour):
+        idle_s = 0.0
+        while True:
+            await asyncio.sleep(SYNC_INTERVAL_S)
+            idle_s += SYNC_INTERVAL_S
+            if neighbour.sent < self._table.version or idle_s >= HEARTBEAT_INTERVAL_S:
+                idle_s = 0.0
+                await self._push(neighbour)
+
+    async def _push(self, neighbour):
+        message = self._collect(neighbour.sent)
+        reply = await self._peers.request(neighbour.address, message, SYNC_TIMEOUT_S)
+        if reply is None or not isinstance(reply.message, SyncedLeases):
+            return
+        if neighbour.acked_incarnation != reply.incarnation:
+            # A restarted directory has forgotten all that it was told.
+            neighbour.acked_incarnation = reply.incarnation
+            neighbour.sent = 0
+            return
+        neighbour.sent = reply.message.version
+
+    def _collect(self, since):
+        changed = list(self._table.list_changed(since))
+        changed.reverse()
+        complete = len(changed) <= SYNC_BATCH_LEASES
+        changed = changed[:SYNC_BATCH_LEASES]
+        version = self._table.version if complete else changed[-1].version
+        leases = [
+            LeaseEntry(lease.entry, lease.counter, lease.owner, lease.alive)
+            for lease in changed
+        ]
+        return SyncLeases(self._peers.incarnation, since, version, complete, leases)
+
+    def _receive(self, sender, envelope):
+        neighbour = self._neighbours.get(sender)
+        if neighbour is None:
+            return
+        message = envelope.message
+        now_s = asyncio.get_running_loop().time()
+        neighbour.heard_s = now_s
+        if neighbour.incarnation != message.directory:
+            neighbour.incarnation = message.directory
+            neighbour.received = 0
+            neighbour.complete = False
+        if message.since <= neighbour.received:
+            for told in message.leases:
+                self._table.merge(told, now_s, now_s + ADOPTION_GRACE_S)
+            neighbour.received = max(neighbour.received, message.version)
+            neighbour.complete |= message.complete
+        reply = SyncedLeases(self._peers.incarnation, neighbour.received)
+        self._peers.reply(sender, envelope, reply)
+
+    def _list_nodes(self, sender, envelope):
+        nodes = [
+            NodeStatus(
+                lease.entry, lease.alive, lease.settings_version, lease.in_force_since_s
+            )
+            for lease in self._table.list_all()
+            if lease.owner == self._peers.address
+        ]
+        self._peers.reply(sender, envelope, NodeList(nodes))
+
+
+def _presents_newer(sender, entry, lease):
+    if entry is None or entry.node != sender:
+        return False
+    return is_newer_entry(entry, lease.entry if lease else None)
+
+
+def _is_held(lease, incarnation, revision):
+    return (
+        lease is not None
+        and lease.entry.incarnation == incarnation
+        and lease.entry.revision == revision
+    )
+
+
+def _hold(message, wants_entry=False, wants_services=False):
+    # The node keeps its position and its view.
+    return Renewed(
+        message.directory,
+        message.version,
+        False,
+        [],
+        [],
+        wants_entry,
+        wants_entry or wants_services,
+    )
+
+
+def _serves(entry, services):
+    return any(server.service in services for server in entry.servers)
+
+
+def _narrow(entry, services):
+    servers = [server for server in entry.servers if server.service in services]
+    return NodeEntry(
+        entry.node,
+        entry.domain,
+        entry.region,
+        entry.incarnation,
+        entry.started_s,
+        entry.revision,
+        servers,
+    )
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -0,0 +1,228 @@
+"""A node's own lease and its view of the members of the services that it calls."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from sapphireway_coordination._members import Member
+from sapphireway_protocol import NodeEntry, Peers, Renew, Renewed, ServerEntry
+
+RENEW_INTERVAL_S = 0.4
+RENEW_RESEND_S = 0.1
+RENEW_TIMEOUT_S = 0.4
+RENEW_SPACING_S = 0.01
+RENEWALS_UNTIL_MOVE = 2
+
+
+class Membership:
+    """Renews this node's lease with a directory and follows its changes.
+
+    Parameters
+    ----------
+    peers : Peers
+    directories : sequence of str
+        Addresses of the control hosts.
+    entry : NodeEntry
+        This node without servers.
+    rng : random.Random
+    get_in_force_since : callable
+        Wall-clock time at which the settings in force were applied.
+
+    Attributes
+    ----------
+    directory : str
+        Address of the directory in use.
+    last_renewed_s : float
+        Reading of the loop's clock at the last answer of a directory.
+    revision : int
+        Grows whenever the members change.
+    """
+
+    __slots__ = (
+        "_directories",
+        "_directory_incarnation",
+        "_entry",
+        "_get_in_force_since",
+        "_members",
+        "_nodes",
+        "_peers",
+        "_rng",
+        "_send_entry",
+        "_send_services",
+        "_services",
+        "_version",
+        "_view_changed",
+        "_viewed",
+        "_wake",
+        "directory",
+        "last_renewed_s",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        directories: Sequence[str],
+        entry: NodeEntry,
+        rng: random.Random,
+        get_in_force_since: Callable[[], float] = lambda: 0.0,
+    ):
+        self._directories = list(directories)
+        self._directory_incarnation = ""
+        self._entry = entry
+        self._get_in_force_since = get_in_force_since
+        self._members = {}
+        self._nodes = {}
+        self._peers = peers
+        self._rng = rng
+        self._send_entry = True
+        self._send_services = True
+        self._services = set()
+        self._version = 0
+        self._view_changed = asyncio.Event()
+        self._viewed = frozenset()
+        self._wake = asyncio.Event()
+        self.directory = rng.choice(self._directories)
+        self.last_renewed_s = float("-inf")
+        self.revision = 0
+
+    def get_members(self, service: str) -> Sequence[Member]:
+        """Return the live members of `service` and follow it from now on."""
+        if service not in self._services:
+            self._services.add(service)
+            self._send_services = True
+            self._wake.set()
+        return self._members.get(service, ())
+
+    async def follow(self, service: str, timeout_s: float) -> bool:
+        """Wait until the members of `service` are known; False on timeout."""
+        self.get_members(service)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while service not in self._viewed:
+                    await self._view_changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def set_servers(self, servers: Sequence[ServerEntry]) -> None:
+        """Present these servers as the ones beside this node."""
+        self._entry = _replace_servers(self._entry, servers)
+        self._nodes[self._entry.node] = self._entry
+        self._rebuild()
+        self._send_entry = True
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        failures = 0
+        while True:
+            renewed = await self._renew()
+            failures = 0 if renewed else failures + 1
+            if failures >= RENEWALS_UNTIL_MOVE:
+                self._move()
+                failures = 0
+            if renewed:
+                await self._pause()
+
+    async def _pause(self):
+        await asyncio.sleep(RENEW_SPACING_S)
+        if self._send_entry or self._send_services:
+            return
+        # Spread keeps the renewals of nodes that start together apart.
+        pause_s = RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.1)
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    def _move(self):
+        others = [d for d in self._directories if d != self.directory]
+        if others:
+            self.directory = self._rng.choice(others)
+        self._send_entry = True
+        self._send_services = True
+
+    async def _renew(self):
+        started_s = asyncio.get_running_loop().time()
+        message = Renew(
+            self._entry.revision,
+            self._entry if self._send_entry else None,
+            sorted(self._services) if self._send_services else None,
+            self._directory_incarnation,
+            self._version,
+            self._get_in_force_since(),
+        )
+        revision, services = self._entry.revision, frozenset(self._services)
+        reply = await self._peers.request(
+            self.directory, message, RENEW_TIMEOUT_S, resend_s=RENEW_RESEND_S
+        )
+        if reply is None or not isinstance(reply.message, Renewed):
+            waited_s = asyncio.get_running_loop().time() - started_s
+            await asyncio.sleep(max(0.0, RENEW_TIMEOUT_S - waited_s))
+            return False
+        self._send_entry = reply.message.wants_entry or (
+            revision != self._entry.revision
+        )
+        self._send_services = reply.message.wants_services or (
+            services != self._services
+        )
+        self._accept(reply.message)
+        if reply.message.whole:
+            self._viewed = services
+            self._view_changed.set()
+            self._view_changed = asyncio.Event()
+        self.last_renewed_s = asyncio.get_running_loop().time()
+        return True
+
+    def _accept(self, renewed):
+        self._directory_incarnation = renewed.directory
+        self._version = renewed.version
+        if not (renewed.whole or renewed.gone or renewed.nodes):
+            return
+        if renewed.whole:
+            self._nodes = {}
+        for node in renewed.gone:
+            self._nodes.pop(node, None)
+        for entry in renewed.nodes:
+            self._nodes[entry.node] = entry
+        self._nodes[self._entry.node] = self._entry
+        self._rebuild()
+
+    def _rebuild(self):
+        members = {}
+        for entry in self._nodes.values():
+            for server in entry.servers:
+                members.setdefault(server.service, []).append(
+                    _make_member(entry, server)
+                )
+        self._members = members
+        self.revision += 1
+
+
+def _replace_servers(entry, servers):
+    return NodeEntry(
+        entry.node,
+        entry.domain,
+        entry.region,
+        entry.incarnation,
+        entry.started_s,
+        entry.revision + 1,
+        list(servers),
+    )
+
+
+def _make_member(entry, server):
+    return Member(
+        server=server.server,
+        service=server.service,
+        node=entry.node,
+        domain=entry.domain,
+        region=entry.region,
+        incarnation=entry.incarnation,
+        start_id=server.start_id,
+        slots=server.slots,
+        leaving=server.leaving,
+    )
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -0,0 +1,222 @@
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from sapphireway_coordination import Directory, Membership
+from sapphireway_protocol import NodeEntry, Peers, ServerEntry
+from sapphireway_transport.memory import MemoryNetwork, run_paused
+
+CONTROL = ("c0", "c1", "c2")
+DEAD_WITHIN_S = 2.0
+
+
+@dataclass
+class Fleet:
+    """Control hosts and nodes that a test starts, kills and cuts."""
+
+    network: MemoryNetwork
+    rng: random.Random
+    starts: int = 0
+    nodes: dict = field(default_factory=dict)
+    tasks: dict = field(default_factory=dict)
+    peers: dict = field(default_factory=dict)
+
+    def open_peers(self, address):
+        self.starts += 1
+        endpoint = self.network.open_endpoint(address)
+        peers = Peers(endpoint, f"{address}#{self.starts}")
+        peers.start()
+        self.peers[address] = peers
+        return peers
+
+    def start_control(self, address):
+        others = [a for a in CONTROL if a != address]
+        directory = Directory(self.open_peers(address), others)
+        self.tasks[address] = asyncio.ensure_future(directory.run())
+        return directory
+
+    def start_node(self, address, service="matching"):
+        peers = self.open_peers(address)
+        entry = NodeEntry(
+            address, "bxl-a", "be", peers.incarnation, float(self.starts), 0, []
+        )
+        membership = Membership(peers, CONTROL, entry, self.rng)
+        server = ServerEntry(f"s-{address}", service, peers.incarnation, 6)
+        membership.set_servers([server])
+        membership.get_members("matching")
+        self.nodes[address] = membership
+        self.tasks[address] = asyncio.ensure_future(membership.run())
+        return membership
+
+    def kill(self, address):
+        self.tasks.pop(address).cancel()
+        self.peers.pop(address).close()
+        self.nodes.pop(address, None)
+
+    def isolate(self, address, others):
+        for other in others:
+            self.network.cut(address, other)
+            self.network.cut(other, address)
+
+    def view(self, address):
+        members = self.nodes[address].get_members("matching")
+        return {member.node for member in members}
+
+
+async def start_fleet(count, seed=1):
+    rng = random.Random(seed)
+    fleet = Fleet(MemoryNetwork(rng), rng)
+    for address in CONTROL:
+        fleet.start_control(address)
+    for i in range(count):
+        fleet.start_node(f"n{i}")
+    await asyncio.sleep(4)
+    return fleet
+
+
+def test_members_are_seen_by_all():
+    async def run():
+        fleet = await start_fleet(12)
+        return [fleet.view(node) for node in fleet.nodes]
+
+    views = run_paused(run())
+    assert all(view == {f"n{i}" for i in range(12)} for view in views)
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_dead_node_leaves_every_view_within_two_seconds(fault):
+    async def run():
+        fleet = await start_fleet(12)
+        if fault == "kill":
+            fleet.kill("n3")
+        else:
+            fleet.network.freeze("n3")
+            fleet.tasks.pop("n3").cancel()
+            fleet.nodes.pop("n3")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return [fleet.view(node) for node in fleet.nodes]
+
+    assert all("n3" not in view for view in run_paused(run()))
+
+
+def test_restarted_node_returns_with_new_incarnation():
+    async def run():
+        fleet = await start_fleet(6)
+        before = fleet.peers["n3"].incarnation
+        fleet.kill("n3")
+        fleet.start_node("n3")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        (member,) = (
+            m for m in fleet.nodes["n0"].get_members("matching") if m.node == "n3"
+        )
+        return before, member.incarnation
+
+    before, after = run_paused(run())
+    assert before != after
+
+
+def test_node_that_leaves_service_is_dropped():
+    async def run():
+        fleet = await start_fleet(4)
+        fleet.nodes["n1"].set_servers([ServerEntry("s", "ledger", "x", 6)])
+        await asyncio.sleep(1)
+        return fleet.view("n0")
+
+    assert run_paused(run()) == {"n0", "n2", "n3"}
+
+
+@pytest.mark.parametrize("killed", [("c0",), ("c0", "c1"), CONTROL])
+def test_views_outlast_lost_control_hosts(killed):
+    async def run():
+        fleet = await start_fleet(12)
+        for address in killed:
+            fleet.kill(address)
+        smallest = 12
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        return smallest
+
+    assert run_paused(run()) == 12
+
+
+def test_views_outlast_restart_of_all_control_hosts():
+    async def run():
+        fleet = await start_fleet(12)
+        for address in CONTROL:
+            fleet.kill(address)
+        for address in CONTROL:
+            fleet.start_control(address)
+        smallest = 12
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        fleet.kill("n5")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return smallest, fleet.view("n0")
+
+    smallest, view = run_paused(run())
+    assert smallest == 12
+    assert "n5" not in view
+
+
+def test_isolated_control_host_hides_nobody_and_heals():
+    async def run():
+        fleet = await start_fleet(12)
+        others = [*CONTROL[1:], *fleet.nodes]
+        fleet.isolate("c0", others)
+        smallest = 12
+        for moment in range(600):
+            await asyncio.sleep(0.1)
+            if moment == 400:
+                fleet.network.heal_all()
+            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        return smallest
+
+    assert run_paused(run()) == 12
+
+
+def test_node_isolated_from_all_is_dropped_and_returns():
+    async def run():
+        fleet = await start_fleet(6)
+        fleet.isolate("n2", CONTROL)
+        await asyncio.sleep(DEAD_WITHIN_S)
+        during = fleet.view("n0")
+        fleet.network.heal_all()
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return during, fleet.view("n0"), fleet.view("n2")
+
+    during, after, own = run_paused(run())
+    assert "n2" not in during
+    assert "n2" in after
+    assert len(own) == 6
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lossy_links_of_one_member_hide_nobody(seed):
+    async def run():
+        fleet = await start_fleet(12, seed)
+        carry = fleet.network.carry
+
+        def lose(sender, receiver, frames):
+            if "n4" in (sender, receiver) and fleet.rng.random() < 0.3:
+                return True
+            return carry(sender, receiver, frames)
+
+        for peers in fleet.peers.values():
+            peers._endpoint._network = LossyNetwork(fleet.network, lose)
+        missing = 0
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            missing += sum("n4" not in fleet.view(n) for n in fleet.nodes)
+        return missing
+
+    assert run_paused(run()) == 0
+
+
+class LossyNetwork:
+    def __init__(self, network, carry):
+        self.carry = carry
+        self.remove = network.remove
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -12,6 +12,18 @@
     ServerState,
 )
 from sapphireway_protocol._codec import Codec, Envelope
+from sapphireway_protocol._membership import (
+    LeaseEntry,
+    ListNodes,
+    NodeEntry,
+    NodeList,
+    NodeStatus,
+    Renew,
+    Renewed,
+    ServerEntry,
+    SyncedLeases,
+    SyncLeases,
+)
 from sapphireway_protocol._outcomes import (
     Answered,
     Failed,
@@ -21,6 +33,7 @@
     Unknown,
 )
 from sapphireway_protocol._peers import Peers
+from sapphireway_protocol._settings import FetchSettings, SettingsInForce
 
 __all__ = [
     "Answered",
@@ -28,17 +41,29 @@
     "Codec",
     "Envelope",
     "Failed",
+    "FetchSettings",
+    "LeaseEntry",
+    "ListNodes",
     "LoadReport",
+    "NodeEntry",
+    "NodeList",
+    "NodeStatus",
     "NotRun",
     "NotRunReason",
     "Outcome",
     "Peers",
     "Probe",
     "ProbeReply",
+    "Renew",
+    "Renewed",
     "Reply",
     "Revoke",
     "Revoked",
     "Run",
+    "ServerEntry",
     "ServerState",
+    "SettingsInForce",
+    "SyncLeases",
+    "SyncedLeases",
     "Unknown",
 ]
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -1,3 +1,185 @@
-"""Messages between nodes and the membership directory."""
+"""Messages between nodes and the membership directory on the control hosts."""
 
-MESSAGES = ()
+import msgspec
+
+
+class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A server as the node beside it presents it.
+
+    Attributes
+    ----------
+    server, service : str
+    start_id : str
+        Changes whenever the server's process starts.
+    slots : int
+        Requests that the server can run at once.
+    leaving : bool
+        True once the server or its node has begun to stop.
+    """
+
+    server: str
+    service: str
+    start_id: str
+    slots: int
+    leaving: bool = False
+
+
+class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A node and its servers.
+
+    Attributes
+    ----------
+    node : str
+        Address of the node, ``host:port``.
+    domain, region : str
+    incarnation : str
+        Changes whenever the node's process starts.
+    started_s : float
+        Wall-clock start of the process; orders incarnations of one address.
+    revision : int
+        Grows with every change of the entry during one incarnation.
+    servers : list of ServerEntry
+    """
+
+    node: str
+    domain: str
+    region: str
+    incarnation: str
+    started_s: float
+    revision: int
+    servers: list[ServerEntry]
+
+
+class Renew(msgspec.Struct, frozen=True, tag="renew", array_like=True):
+    """Renew a node's lease and ask for changes of membership.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the node's own entry.
+    entry : NodeEntry or None
+        The entry itself, if the directory may not hold this revision.
+    services : list of str or None
+        Services whose members the node wants; None if unchanged.
+    directory : str
+        Incarnation of the directory that ``version`` belongs to.
+    version : int
+        Last change that the node has seen.
+    in_force_since_s : float
+        Wall-clock time at which the node's settings came into force.
+    """
+
+    revision: int
+    entry: NodeEntry | None
+    services: list[str] | None
+    directory: str
+    version: int
+    in_force_since_s: float = 0.0
+
+
+class Renewed(msgspec.Struct, frozen=True, tag="renewed", array_like=True):
+    """Answer to `Renew`.
+
+    Attributes
+    ----------
+    directory : str
+        Incarnation of the directory.
+    version : int
+        Last change that the answer includes.
+    whole : bool
+        True if ``nodes`` replaces all that the node knew of its services.
+    nodes : list of NodeEntry
+        Live nodes that changed, with their servers of the node's services.
+    gone : list of str
+        Addresses that have no live server of the node's services any more.
+    wants_entry : bool
+        True if the directory does not hold the node's entry.
+    wants_services : bool
+        True if the directory does not know the node's services.
+    """
+
+    directory: str
+    version: int
+    whole: bool
+    nodes: list[NodeEntry]
+    gone: list[str]
+    wants_entry: bool
+    wants_services: bool
+
+
+class LeaseEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A node's lease as one directory tells it to another.
+
+    Attributes
+    ----------
+    entry : NodeEntry
+    counter : int
+        Grows whenever the lease changes hands, ends or begins again.
+    owner : str
+        Address of the directory that the node renews with.
+    alive : bool
+    """
+
+    entry: NodeEntry
+    counter: int
+    owner: str
+    alive: bool
+
+
+class SyncLeases(msgspec.Struct, frozen=True, tag="sync_leases", array_like=True):
+    """Leases that changed at a directory; also its sign of life.
+
+    Attributes
+    ----------
+    directory : str
+        Incarnation of the sender.
+    since, version : int
+        The message holds the sender's changes in the range (since, version].
+    complete : bool
+        True if the sender has no later changes.
+    leases : list of LeaseEntry
+    """
+
+    directory: str
+    since: int
+    version: int
+    complete: bool
+    leases: list[LeaseEntry]
+
+
+class SyncedLeases(msgspec.Struct, frozen=True, tag="synced_leases", array_like=True):
+    """How far a directory has followed another's changes."""
+
+    directory: str
+    version: int
+
+
+class NodeStatus(msgspec.Struct, frozen=True, array_like=True):
+    """What operators see of one node.
+
+    Attributes
+    ----------
+    entry : NodeEntry
+    alive : bool
+    settings_version : int
+    in_force_since_s : float
+        Wall-clock time at which that version came into force at the node.
+    """
+
+    entry: NodeEntry
+    alive: bool
+    settings_version: int
+    in_force_since_s: float
+
+
+class ListNodes(msgspec.Struct, frozen=True, tag="list_nodes", array_like=True):
+    """Ask a directory for the nodes that renew with it."""
+
+
+class NodeList(msgspec.Struct, frozen=True, tag="node_list", array_like=True):
+    """Answer to `ListNodes`."""
+
+    nodes: list[NodeStatus]
+
+
+MESSAGES = (Renew, Renewed, SyncLeases, SyncedLeases, ListNodes, NodeList)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -121,17 +121,31 @@
         return self.send(peer, message, body, reply_to=request.request_id)
 
     async def request(
-        self, peer: str, message: Any, timeout_s: float, body: bytes = b""
+        self,
+        peer: str,
+        message: Any,
+        timeout_s: float,
+        body: bytes = b"",
+        resend_s: float | None = None,
     ) -> Envelope | None:
-        """Send a message and wait for the reply; None on timeout or failure."""
+        """Send a message and wait for the reply; None on timeout or failure.
+
+        Parameters
+        ----------
+        resend_s : float, optional
+            Interval at which an unanswered request is sent again; the receiver
+            must treat repeated requests as one.
+        """
         request_id = next(self._request_ids)
         future = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = future
         try:
-            if not self.send(peer, message, body, request_id=request_id):
-                return None
             async with asyncio.timeout(timeout_s):
-                return await future
+                while self.send(peer, message, body, request_id=request_id):
+                    done, _ = await asyncio.wait([future], timeout=resend_s)
+                    if done:
+                        return future.result()
+            return None
         except TimeoutError:
             return None
         finally:
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -5,6 +5,12 @@
 """
 
 from sapphireway_transport._endpoint import Endpoint, Receiver
+from sapphireway_transport._http import (
+    HttpAnswer,
+    HttpListener,
+    HttpRequest,
+    RejectedRequest,
+)
 from sapphireway_transport._server import (
     Broken,
     NotSent,
@@ -18,8 +24,12 @@
 __all__ = [
     "Broken",
     "Endpoint",
+    "HttpAnswer",
+    "HttpListener",
+    "HttpRequest",
     "NotSent",
     "Receiver",
+    "RejectedRequest",
     "Responded",
     "ServerClient",
     "ServerRequest",
--- /dev/null
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -0,0 +1,250 @@
+"""HTTP/1.1 from callers, through tornado's server without its application layer."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+HEADER_MAX_BYTES = 32 * 1024
+HEADER_READ_MAX_BYTES = 1024 * 1024
+BODY_READ_MAX_BYTES = 2**40
+IDLE_TIMEOUT_S = 120.0
+CHUNK_BYTES = 256 * 1024
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """One request of a caller, read whole.
+
+    Attributes
+    ----------
+    method : str
+    target : str
+        Path and query as sent.
+    headers : tuple of (str, str)
+    body : bytes
+    remote : str
+        Address of the caller.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    remote: str
+
+    def get_header(self, name: str) -> str | None:
+        """Return the first header called `name`, in any case, or None."""
+        name = name.lower()
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+@dataclass(slots=True, frozen=True)
+class HttpAnswer:
+    """What is sent back to a caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class RejectedRequest:
+    """A request that was refused while it was read.
+
+    Attributes
+    ----------
+    status : int
+        413 for a body and 431 for headers that are too large.
+    detail : str
+        One line for people.
+    remote : str
+    """
+
+    status: int
+    detail: str
+    remote: str
+
+
+Handle = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+GetBodyLimit = Callable[[HttpRequest], int]
+Reject = Callable[[RejectedRequest], HttpAnswer]
+
+
+@dataclass(slots=True)
+class _Hooks:
+    handle: Handle
+    get_body_limit: GetBodyLimit
+    reject: Reject
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+
+class HttpListener:
+    """Listens for callers and answers each request through `handle`.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function from request to answer; cancelled if the caller goes away.
+    get_body_limit : callable
+        Largest body in bytes for a request whose headers arrived.
+    reject : callable
+        Makes the answer for a request that is too large.
+    """
+
+    __slots__ = ("_hooks", "_server")
+
+    def __init__(self, handle: Handle, get_body_limit: GetBodyLimit, reject: Reject):
+        self._hooks = _Hooks(handle, get_body_limit, reject)
+        self._server = _Server(self._hooks)
+
+    def listen(self, host: str, port: int) -> None:
+        """Bind the address and accept connections."""
+        self._server.listen(port, host)
+
+    def stop_accepting(self) -> None:
+        """Accept no new connections; established ones are still served."""
+        self._server.stop()
+
+    async def finish_requests(self) -> None:
+        """Wait until every request that was read is answered."""
+        while self._hooks.tasks:
+            await asyncio.wait(self._hooks.tasks)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._server.close_all_connections()
+
+
+class _Server(HTTPServer):
+    # tornado's Configurable hands the constructor's arguments to `initialize`.
+    def initialize(self, hooks):
+        self._hooks = hooks
+        super().initialize(
+            lambda request: None,
+            max_header_size=HEADER_READ_MAX_BYTES,
+            max_body_size=BODY_READ_MAX_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            chunk_size=CHUNK_BYTES,
+        )
+
+    def start_request(self, server_conn, request_conn):
+        return _Exchange(self._hooks, request_conn)
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    """One request and its answer on a connection."""
+
+    __slots__ = (
+        "_body",
+        "_body_limit",
+        "_connection",
+        "_finished",
+        "_hooks",
+        "_request",
+        "_size",
+        "_task",
+    )
+
+    def __init__(self, hooks, connection):
+        self._hooks = hooks
+        self._connection = connection
+        self._request = None
+        self._body = []
+        self._size = 0
+        self._body_limit = 0
+        self._finished = False
+        self._task = None
+
+    def headers_received(self, start_line, headers):
+        self._request = HttpRequest(
+            start_line.method,
+            start_line.path,
+            tuple(headers.get_all()),
+            b"",
+            str(self._connection.context.remote_ip),
+        )
+        header_bytes = sum(len(k) + len(v) + 4 for k, v in self._request.headers)
+        if header_bytes + len(start_line.path) > HEADER_MAX_BYTES:
+            self._refuse(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f"headers are larger than {HEADER_MAX_BYTES} bytes",
+            )
+            return
+        self._body_limit = self._hooks.get_body_limit(self._request)
+        declared = headers.get("Content-Length", "0")
+        if declared.isdigit() and int(declared) > self._body_limit:
+            self._refuse_body()
+
+    def data_received(self, chunk):
+        if self._finished:
+            return
+        self._size += len(chunk)
+        if self._size > self._body_limit:
+            self._refuse_body()
+            return
+        self._body.append(chunk)
+
+    def finish(self):
+        if self._finished:
+            return
+        self._request.body = b"".join(self._body)
+        self._body.clear()
+        task = asyncio.get_running_loop().create_task(self._respond())
+        self._task = task
+        self._hooks.tasks.add(task)
+        task.add_done_callback(self._hooks.tasks.discard)
+        self._connection.set_close_callback(self._cancel)
+
+    def on_connection_close(self):
+        self._finished = True
+        self._cancel()
+
+    def _cancel(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _respond(self):
+        self._send(await self._hooks.handle(self._request))
+
+    def _refuse_body(self):
+        self._refuse(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            f"body is larger than {self._body_limit} bytes",
+        )
+
+    def _refuse(self, status, detail):
+        self._body.clear()
+        rejected = RejectedRequest(status, detail, self._request.remote)
+        self._send(self._hooks.reject(rejected))
+
+    def _send(self, answer):
+        self._finished = True
+        headers = httputil.HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        if "Content-Length" not in headers and answer.status not in (204, 304):
+            headers["Content-Length"] = str(len(answer.body))
+        line = httputil.ResponseStartLine("", answer.status, _get_reason(answer.status))
+        body = b"" if self._request.method == "HEAD" else answer.body
+        future = self._connection.write_headers(line, headers, body or None)
+        future.add_done_callback(_ignore_closed)
+        self._connection.finish()
+
+
+def _ignore_closed(future):
+    # A caller that went away while its answer was written needs no answer.
+    future.exception()
+
+
+def _get_reason(status):
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
