Read checked settings trees and process settings from YAML

The node's composition root needs effective settings per failure domain, service and kind before anything else.

A tree has the levels root, domain, service and kind; a value nearer to the kind wins, and within a level the one below the domain. YAML is composed to nodes first, so that every problem has file, line and path; duplicate keys, self-containing aliases, tags and non-string keys are refused. Rejected: loading with the safe loader and checking after, which loses the lines and lets the last of two equal keys win.

--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,5 +1,47 @@
 """What processes keep: the settings tree, the journal and their tables."""
 
+from sapphireway_state._check import check_file
 from sapphireway_state._policy import Policy
+from sapphireway_state._problems import Invalid, Problem, format_problem
+from sapphireway_state._process import (
+    PROCESS_RULES,
+    ProcessSettings,
+    check_process,
+    load_process,
+    parse_process,
+)
+from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._tree import OTHER_KIND, check_tree
+from sapphireway_state._view import SettingsView, Source
+from sapphireway_state._yaml import (
+    Document,
+    dump_yaml,
+    load_tree,
+    parse_tree,
+    parse_yaml,
+)
 
-__all__ = ["Policy"]
+__all__ = [
+    "OTHER_KIND",
+    "PROCESS_RULES",
+    "SETTINGS",
+    "Document",
+    "Invalid",
+    "Policy",
+    "Problem",
+    "ProcessSettings",
+    "Scope",
+    "Setting",
+    "SettingsView",
+    "Source",
+    "check_file",
+    "check_process",
+    "check_tree",
+    "dump_yaml",
+    "format_problem",
+    "load_process",
+    "load_tree",
+    "parse_process",
+    "parse_tree",
+    "parse_yaml",
+]
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -0,0 +1,213 @@
+"""Settings of one process: addresses, place, data folder and roles."""
+
+from dataclasses import MISSING, dataclass, fields
+from pathlib import Path
+from typing import Any
+
+from sapphireway_state._problems import Invalid, Problem
+from sapphireway_state._rules import (
+    Rule,
+    find_fault,
+    make_address,
+    make_boolean,
+    make_choice,
+    make_integer,
+    make_list,
+    make_name,
+    make_pattern,
+    show_value,
+)
+from sapphireway_state._yaml import parse_yaml, read_text
+
+MIB = 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class ProcessSettings:
+    """Settings of one process.
+
+    Attributes
+    ----------
+    address : str
+        Where other nodes reach this one, ``host:port``.
+    http_address : str
+        Where callers and servers reach this node.
+    admin_address : str
+        Where operators and metric collectors reach this node.
+    domain : str
+        Failure domain.
+    region : str
+    data_folder : str
+        Folder of everything that this process keeps.
+    control_hosts : tuple of str
+        Node addresses of the control hosts.
+    contacts : tuple of str
+        Further node addresses to find the others by.
+    control : bool
+        Whether this process is a control host.
+    bootstrap : bool
+        Whether this control host may found a new quorum with `control_hosts`.
+    initial_tree : str or None
+        File with the tree that a new quorum begins with.
+    seed : int or None
+        Seed of the process's random numbers; drawn at the start if None.
+    log_format : str
+        ``json`` or ``text``.
+    log_level : str
+    token_file : str or None
+        File of mode 0600 with the operator's token.
+    trace_file : str or None
+        File that spans are written to.
+    header_max_bytes : int
+        Largest header section of a caller's request.
+    journal_segment_max_bytes : int
+        Size after which the journal begins a new file.
+    snapshot_interval : int
+        Journal entries between snapshots.
+    """
+
+    address: str
+    http_address: str
+    admin_address: str
+    domain: str
+    region: str
+    data_folder: str
+    control_hosts: tuple[str, ...] = ()
+    contacts: tuple[str, ...] = ()
+    control: bool = False
+    bootstrap: bool = False
+    initial_tree: str | None = None
+    seed: int | None = None
+    log_format: str = "json"
+    log_level: str = "info"
+    token_file: str | None = None
+    trace_file: str | None = None
+    header_max_bytes: int = 65_536
+    journal_segment_max_bytes: int = 4 * MIB
+    snapshot_interval: int = 1_000
+
+
+_PATH = make_pattern(
+    r"[^\x00]{1,4096}", "path; a relative one begins at this file's folder"
+)
+
+PROCESS_RULES: dict[str, Rule] = {
+    "address": make_address(),
+    "http_address": make_address(),
+    "admin_address": make_address(),
+    "domain": make_name(),
+    "region": make_name(),
+    "data_folder": _PATH,
+    "control_hosts": make_list(make_address(), 0, 7),
+    "contacts": make_list(make_address(), 0, 32),
+    "control": make_boolean(),
+    "bootstrap": make_boolean(),
+    "initial_tree": _PATH,
+    "seed": make_integer(0, 2**63 - 1),
+    "log_format": make_choice(("json", "text")),
+    "log_level": make_choice(("debug", "info", "warning", "error")),
+    "token_file": _PATH,
+    "trace_file": _PATH,
+    "header_max_bytes": make_integer(1_024, MIB, "bytes"),
+    "journal_segment_max_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
+    "snapshot_interval": make_integer(10, 1_000_000, "journal entries"),
+}
+"""Rule of every process setting by name."""
+
+PROCESS_PATHS = ("data_folder", "initial_tree", "token_file", "trace_file")
+
+REQUIRED = tuple(
+    field.name for field in fields(ProcessSettings) if field.default is MISSING
+)
+
+
+def check_process(value: Any) -> list[Problem]:
+    """Return everything that is wrong with a process's settings as plain data."""
+    if not isinstance(value, dict):
+        wrong = f"{show_value(value)} is not a mapping"
+        return [Problem("", wrong, "a mapping with " + ", ".join(REQUIRED))]
+    problems = []
+    for name, given in value.items():
+        problems.extend(_check_given(name, given))
+    for name in REQUIRED:
+        if name not in value:
+            allowed = PROCESS_RULES[name].allowed
+            problems.append(Problem(name, "is missing", allowed))
+    if not problems:
+        problems.extend(_check_together(value))
+    return problems
+
+
+def parse_process(
+    text: str, file: str = "", folder: Path | None = None
+) -> ProcessSettings | Invalid:
+    """Return checked process settings.
+
+    Parameters
+    ----------
+    text : str
+    file : str
+        Name for messages.
+    folder : Path, default=current folder
+        Where relative paths begin.
+    """
+    document = parse_yaml(text, file)
+    if isinstance(document, Invalid):
+        return document
+    problems = check_process(document.value)
+    if problems:
+        return document.locate(problems)
+    return _build_settings(document.value, folder or Path())
+
+
+def load_process(path: Path | str) -> ProcessSettings | Invalid:
+    """Return the process settings in a YAML file."""
+    text = read_text(path)
+    if isinstance(text, Invalid):
+        return text
+    return parse_process(text, str(path), Path(path).parent)
+
+
+def _build_settings(value, folder):
+    values = dict(value)
+    for name in PROCESS_PATHS:
+        if name in values:
+            values[name] = str(folder / values[name])
+    for name in ("control_hosts", "contacts"):
+        values[name] = tuple(values.get(name, ()))
+    return ProcessSettings(**values)
+
+
+def _check_given(name, given):
+    rule = PROCESS_RULES.get(name)
+    if rule is None:
+        allowed = "any of " + ", ".join(PROCESS_RULES)
+        yield Problem(str(name), f"unknown key {show_value(name)}", allowed)
+        return
+    fault = find_fault(rule, given)
+    if fault is not None:
+        yield Problem(name, fault, rule.allowed)
+
+
+def _check_together(value):
+    addresses = [value[name] for name in REQUIRED[:3]]
+    for index, name in enumerate(REQUIRED[:3]):
+        if value[name] in addresses[:index]:
+            yield Problem(
+                name, f"{value[name]!r} is in use above", "an address of its own"
+            )
+    hosts = value.get("control_hosts", [])
+    if value.get("control") and value["address"] not in hosts:
+        yield Problem(
+            "control_hosts",
+            f"lacks this control host's own address {value['address']!r}",
+            "the addresses of all control hosts, this one's too",
+        )
+    if value.get("bootstrap") and not value.get("control"):
+        yield Problem("bootstrap", "is set on a node that is no control host", "false")
+    if not hosts and not value.get("contacts"):
+        yield Problem(
+            "control_hosts",
+            "neither control_hosts nor contacts names an address",
+            "at least one address in either",
+        )
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_tree.py
@@ -0,0 +1,240 @@
+"""Checks a settings tree: which nodes it may have, and every value in them."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from sapphireway_state._problems import Path, Problem, join_path
+from sapphireway_state._rules import (
+    NAME_ALLOWED,
+    NAME_PATTERN,
+    Rule,
+    find_fault,
+    show_value,
+)
+from sapphireway_state._schema import (
+    KIND_MATCH,
+    SERVICE_MATCH,
+    SETTINGS,
+    Scope,
+)
+
+OTHER_KIND = "other"
+"""Kind of the requests that no declared kind matches."""
+
+NODES_MAX = 100_000
+"""Most named nodes in one tree."""
+
+
+def check_tree(tree: Any) -> list[Problem]:
+    """Return everything that is wrong with a tree of plain data."""
+    problems = list(_check_root(tree))
+    if not problems:
+        problems.extend(_check_conflicts(tree))
+    return problems
+
+
+def list_names(scope: Scope) -> list[str]:
+    """Return the settings that may be given at one level."""
+    return [name for name, setting in SETTINGS.items() if scope in setting.scopes]
+
+
+def _check_root(tree):
+    children = {
+        "domains": _check_domain,
+        "services": _check_service,
+        "servers": _check_server,
+    }
+    yield from _check_node((), tree, frozenset({Scope.ROOT}), children, {})
+
+
+def _check_domain(path, node):
+    scopes = frozenset({Scope.DOMAIN})
+    children = {"services": _check_service_of_domain}
+    yield from _check_node(path, node, scopes, children, {})
+
+
+def _check_service(path, node):
+    scopes = frozenset({Scope.SERVICE})
+    children = {"kinds": _check_kind}
+    yield from _check_node(path, node, scopes, children, SERVICE_MATCH)
+
+
+def _check_kind(path, node):
+    scopes = frozenset({Scope.KIND})
+    if path[-1] == OTHER_KIND:
+        yield Problem(
+            join_path(path),
+            f"the kind name {OTHER_KIND!r} is taken",
+            "another name; requests of no declared kind get the service's settings",
+        )
+    yield from _check_node(path, node, scopes, {}, KIND_MATCH)
+
+
+def _check_service_of_domain(path, node):
+    scopes = frozenset({Scope.DOMAIN, Scope.SERVICE})
+    children = {"kinds": _check_kind_of_domain}
+    yield from _check_node(path, node, scopes, children, {})
+
+
+def _check_kind_of_domain(path, node):
+    scopes = frozenset({Scope.DOMAIN, Scope.KIND})
+    yield from _check_node(path, node, scopes, {}, {})
+
+
+def _check_server(path, node):
+    yield from _check_node(path, node, frozenset({Scope.SERVER}), {}, {})
+
+
+def _check_node(
+    path: Path,
+    node: Any,
+    scopes: frozenset[Scope],
+    children: dict[str, Any],
+    match: dict[str, Rule],
+) -> Iterator[Problem]:
+    names = [
+        name
+        for name, setting in SETTINGS.items()
+        if scopes <= setting.scopes and (name != "out" or len(path) == 2)
+    ]
+    allowed = [*names, *children, *(["match"] if match else [])]
+    if not isinstance(node, dict):
+        yield Problem(
+            join_path(path),
+            f"{show_value(node)} is not a mapping",
+            "a mapping with any of " + ", ".join(allowed),
+        )
+        return
+    for key, value in node.items():
+        here = (*path, str(key))
+        if key in names:
+            yield from _check_value(here, SETTINGS[key].rule, value)
+        elif key in children:
+            yield from _check_children(here, value, children[key])
+        elif key == "match" and match:
+            yield from _check_match(here, value, match)
+        else:
+            yield _report_unknown(here, key, allowed)
+
+
+def _report_unknown(path, key, allowed):
+    if key in SETTINGS:
+        scopes = ", ".join(scope for scope in Scope if scope in SETTINGS[key].scopes)
+        wrong = f"{key!r} cannot be set here, only at: {scopes}"
+    else:
+        wrong = f"unknown key {show_value(key)}"
+    return Problem(join_path(path), wrong, "any of " + ", ".join(allowed))
+
+
+def _check_value(path, rule, value):
+    fault = find_fault(rule, value)
+    if fault is not None:
+        yield Problem(join_path(path), fault, rule.allowed)
+
+
+def _check_children(path, nodes, check):
+    if not isinstance(nodes, dict):
+        yield Problem(
+            join_path(path),
+            f"{show_value(nodes)} is not a mapping",
+            f"a mapping from names to nodes; a name: {NAME_ALLOWED}",
+        )
+        return
+    if len(nodes) > NODES_MAX:
+        yield Problem(
+            join_path(path), f"{len(nodes)} nodes", f"at most {NODES_MAX} nodes"
+        )
+        return
+    for name, node in nodes.items():
+        here = (*path, str(name))
+        if not isinstance(name, str) or not NAME_PATTERN.fullmatch(name):
+            yield Problem(
+                join_path(here), f"{show_value(name)} is not a name", NAME_ALLOWED
+            )
+        else:
+            yield from check(here, node)
+
+
+def _check_match(path, node, rules):
+    if not isinstance(node, dict):
+        yield Problem(
+            join_path(path),
+            f"{show_value(node)} is not a mapping",
+            "a mapping with any of " + ", ".join(rules),
+        )
+        return
+    for key, value in node.items():
+        here = (*path, str(key))
+        if key in rules:
+            yield from _check_value(here, rules[key], value)
+        else:
+            yield Problem(
+                join_path(here),
+                f"unknown key {show_value(key)}",
+                "any of " + ", ".join(rules),
+            )
+
+
+def _check_conflicts(tree):
+    services = tree.get("services", {})
+    yield from _check_service_matches(services)
+    for service, node in services.items():
+        yield from _check_kind_matches(service, node.get("kinds", {}))
+    yield from _check_declared(tree.get("domains", {}), services)
+
+
+def _check_service_matches(services):
+    owners = {}
+    for service, node in services.items():
+        for key, values in node.get("match", {}).items():
+            for value in values:
+                owner = owners.setdefault((key, value), service)
+                if owner != service:
+                    yield Problem(
+                        f"services/{service}/match/{key}",
+                        f"{value!r} is that of service {owner!r} too",
+                        "values that no other service has",
+                    )
+
+
+def _check_kind_matches(service, kinds):
+    owners = {}
+    for kind, node in kinds.items():
+        match = node.get("match", {})
+        for path in match.get("paths", ["/**"] if match else []):
+            for method in match.get("methods", ["*"]):
+                for pair in _list_overlaps(owners, method, path):
+                    if owners[pair] != kind:
+                        yield Problem(
+                            f"services/{service}/kinds/{kind}/match",
+                            f"{method} {path} is matched by kind {owners[pair]!r} too",
+                            "a method and path that no other kind has",
+                        )
+                owners[method, path] = kind
+
+
+def _list_overlaps(owners, method, path):
+    if method == "*":
+        return [pair for pair in owners if pair[1] == path]
+    return [pair for pair in ((method, path), ("*", path)) if pair in owners]
+
+
+def _check_declared(domains, services):
+    for domain, node in domains.items():
+        for service, override in node.get("services", {}).items():
+            path = f"domains/{domain}/services/{service}"
+            if service not in services:
+                yield Problem(
+                    path,
+                    f"service {service!r} is not declared",
+                    "a service that is declared under services",
+                )
+                continue
+            declared = services[service].get("kinds", {})
+            for kind in override.get("kinds", {}):
+                if kind not in declared:
+                    yield Problem(
+                        f"{path}/kinds/{kind}",
+                        f"kind {kind!r} is not declared",
+                        f"a kind that is declared under services/{service}/kinds",
+                    )
