--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,6 +1,51 @@
 """What processes keep: the settings tree, the journal and their tables."""
 
+from sapphireway_state._check import check_file
 from sapphireway_state._leases import Lease, LeaseTable, is_newer_entry
 from sapphireway_state._policy import Policy
+from sapphireway_state._problems import Invalid, Problem, format_problem
+from sapphireway_state._process import (
+    PROCESS_RULES,
+    ProcessSettings,
+    check_process,
+    load_process,
+    parse_process,
+)
+from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._tree import OTHER_KIND, check_tree
+from sapphireway_state._view import SettingsView, Source
+from sapphireway_state._yaml import (
+    Document,
+    dump_yaml,
+    load_tree,
+    parse_tree,
+    parse_yaml,
+)
 
-__all__ = ["Lease", "LeaseTable", "Policy", "is_newer_entry"]
+__all__ = [
+    "OTHER_KIND",
+    "PROCESS_RULES",
+    "SETTINGS",
+    "Document",
+    "Invalid",
+    "Lease",
+    "LeaseTable",
+    "Policy",
+    "Problem",
+    "ProcessSettings",
+    "Scope",
+    "Setting",
+    "SettingsView",
+    "Source",
+    "check_file",
+    "check_process",
+    "check_tree",
+    "dump_yaml",
+    "format_problem",
+    "is_newer_entry",
+    "load_process",
+    "load_tree",
+    "parse_process",
+    "parse_tree",
+    "parse_yaml",
+]
