Dispatch calls with at-most-once retries

Cause: the entry node had message types but no conduct of a call. Change: Dispatcher conducts one task a call; a non-idempotent call goes to another server only after Reply(not_run) or Revoked(never_runs) from the incarnation of the node that its Run named. Peers keeps the clock and the incarnation of every peer it hears; envelopes carry when their sender's process started, so a refusal by a newer incarnation is trusted only if that incarnation already ran when the attempt was sent.

--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_budgets.py
@@ -0,0 +1,96 @@
+"""Token budgets that bound retries, hedges and probes."""
+
+from sapphireway_coordination._invariant import require
+
+RETRY_RESERVE = 10.0
+RETRY_TOKENS_MAX = 100.0
+PROBE_BURST_S = 0.25
+
+
+class RetryBudget:
+    """Bounds the retries and hedges of one service to a share of its calls.
+
+    Every call deposits its share; every further attempt withdraws a whole token.
+    The reserve lets a service that is called seldom retry at all.
+
+    Attributes
+    ----------
+    calls : int
+        Calls that deposited.
+    spent : int
+        Tokens withdrawn.
+    """
+
+    __slots__ = ("_allowed", "_tokens", "calls", "spent")
+
+    def __init__(self):
+        self._tokens = RETRY_RESERVE
+        self._allowed = RETRY_RESERVE
+        self.calls = 0
+        self.spent = 0
+
+    def deposit(self, percent: float) -> None:
+        """Add the share of one call."""
+        self.calls += 1
+        self._allowed += percent / 100.0
+        self._tokens = min(self._tokens + percent / 100.0, RETRY_TOKENS_MAX)
+
+    def can_withdraw(self) -> bool:
+        """Tell whether a token is left."""
+        return self._tokens >= 1.0
+
+    def withdraw(self) -> bool:
+        """Take one token; False if there is none."""
+        if not self.can_withdraw():
+            return False
+        self._tokens -= 1.0
+        self.spent += 1
+        require(self.spent <= self._allowed + 1e-6, "retry budget exceeded")
+        return True
+
+
+class RateBudget:
+    """Bounds messages and bytes a second.
+
+    A window never sees more than the rate times its length plus the burst.
+
+    Attributes
+    ----------
+    spent : int
+        Messages sent.
+    bytes_spent : int
+    """
+
+    __slots__ = ("_allowed", "_refilled_s", "_tokens", "bytes_spent", "spent")
+
+    def __init__(self):
+        self._tokens = None
+        self._allowed = 0.0
+        self._refilled_s = 0.0
+        self.spent = 0
+        self.bytes_spent = 0
+
+    def withdraw(self, rate_per_s: float, now_s: float) -> bool:
+        """Take one message's token at `now_s`; False if there is none.
+
+        Parameters
+        ----------
+        rate_per_s : float
+            Most messages a second, averaged over a burst of `PROBE_BURST_S`.
+        now_s : float
+            The event loop's clock.
+        """
+        burst = max(1.0, rate_per_s * PROBE_BURST_S)
+        if self._tokens is None:
+            self._tokens = self._allowed = burst
+        else:
+            gained = (now_s - self._refilled_s) * rate_per_s
+            self._allowed += gained
+            self._tokens = min(self._tokens + gained, burst)
+        self._refilled_s = now_s
+        if rate_per_s <= 0 or self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        self.spent += 1
+        require(self.spent <= self._allowed + 1e-6, "probe budget exceeded")
+        return True
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -0,0 +1,321 @@
+"""One call's way to its outcome: attempts, retries, hedges and the deadline."""
+
+import asyncio
+import math
+
+from sapphireway_coordination._attempts import Attempt, Mailbox, Progress
+from sapphireway_coordination._call import Call
+from sapphireway_coordination._call_events import (
+    AttemptCause,
+    AttemptEnded,
+    AttemptSent,
+    DenyReason,
+    RetryDenied,
+    RevokeSent,
+)
+from sapphireway_coordination._invariant import require
+from sapphireway_protocol import (
+    Answered,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Run,
+    Unknown,
+)
+
+REVOKE_MIN_S = 0.01
+REVOKE_MAX_S = 0.25
+REVOKE_DOUBLINGS = 10
+REVOKE_ROUND_TRIPS = 4
+FINAL_REVOKE_SHARE = 0.25
+FINAL_REVOKE_S = 0.005
+SILENCE_DEFAULT_S = 0.1
+RETRY_AFTER_MIN_S = 0.5
+STATUS_FAILURE_MIN = 500
+
+
+class CallRun:
+    """State of one call while its task conducts it.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    call : Call
+
+    Attributes
+    ----------
+    attempts_sent : int
+    """
+
+    __slots__ = (
+        "_budget",
+        "_call",
+        "_dispatcher",
+        "_ended",
+        "_hedge_denied",
+        "_latencies",
+        "_loop",
+        "_mailbox",
+        "_open",
+        "_tried",
+        "attempts_sent",
+    )
+
+    def __init__(self, dispatcher, call: Call):
+        self._budget = dispatcher.get_budget(call.service)
+        self._call = call
+        self._dispatcher = dispatcher
+        self._ended = []
+        self._hedge_denied = False
+        self._latencies = dispatcher.get_latencies(call)
+        self._loop = asyncio.get_running_loop()
+        self._mailbox = Mailbox()
+        self._open = []
+        self._tried = []
+        self.attempts_sent = 0
+
+    async def conduct(self) -> Outcome:
+        """Return the call's outcome."""
+        self._budget.deposit(self._call.policy.retry_budget_percent)
+        if self._loop.time() >= self._call.deadline_s:
+            return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
+        if not self._send_attempt(AttemptCause.FIRST):
+            return self._conclude()
+        while True:
+            attempt = await self._mailbox.take(self._get_next_timer())
+            if attempt is None:
+                outcome = self._take_timer()
+            else:
+                outcome = self._take_change(attempt)
+            if outcome is not None:
+                return outcome
+
+    def close(self) -> None:
+        """Cancel the attempts that are still under way."""
+        for attempt in self._open:
+            self._dispatcher.attempts.drop(attempt, cancel=True)
+        self._open.clear()
+
+    def _take_change(self, attempt):
+        if attempt.result is None:
+            return None
+        self._open.remove(attempt)
+        self._report_end(attempt)
+        result = attempt.result
+        if isinstance(result, Answered) and not self._is_failure(result):
+            return result
+        if isinstance(result, Answered) and not self._call.policy.idempotent:
+            return result
+        self._ended.append(result)
+        if self._may_repeat(result) and self._try_retry():
+            return None
+        if self._open:
+            return None
+        return self._conclude()
+
+    def _may_repeat(self, result):
+        return self._call.policy.idempotent or isinstance(result, NotRun)
+
+    def _try_retry(self):
+        if not self._allows_another(AttemptCause.RETRY):
+            return False
+        return self._send_attempt(AttemptCause.RETRY)
+
+    def _allows_another(self, cause):
+        reason = self._find_denial()
+        if reason is None:
+            return True
+        self._observe(
+            RetryDenied(self._call.call_id, self._call.service, cause, reason)
+        )
+        return False
+
+    def _find_denial(self):
+        if self.attempts_sent >= self._call.policy.attempts_max:
+            return DenyReason.ATTEMPTS
+        expected_s = self._latencies.get_percentile(50) or 0.0
+        if self._loop.time() + expected_s >= self._call.deadline_s:
+            return DenyReason.DEADLINE
+        if not self._budget.can_withdraw():
+            return DenyReason.BUDGET
+        return None
+
+    def _send_attempt(self, cause):
+        """Send an attempt to the best server that takes it; False if none does."""
+        while True:
+            candidates = self._list_candidates()
+            if not candidates:
+                return False
+            now_s = self._loop.time()
+            load = self._dispatcher.choose(candidates, self._dispatcher.rng, now_s)
+            self._tried.append(load)
+            attempt, run = self._create_attempt(load, cause, now_s)
+            if self._dispatcher.attempts.send(attempt, run, self._call.body):
+                self._note_sent(attempt, len(candidates))
+                return True
+            load.take_failure(now_s)
+            self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
+
+    def _list_candidates(self):
+        service = self._call.service
+        members = self._dispatcher.get_members(service)
+        loads = self._dispatcher.loads.list_loads(service, members)
+        serving = [x for x in loads if x.is_serving() and x not in self._tried]
+        domains = {x.member.domain for x in self._tried}
+        elsewhere = [x for x in serving if x.member.domain not in domains]
+        return elsewhere or serving
+
+    def _create_attempt(self, load, cause, now_s):
+        call = self._call
+        dispatcher = self._dispatcher
+        incarnation, clock_s = dispatcher.choose_incarnation(load.member, now_s)
+        remaining_s = call.deadline_s - now_s
+        attempt = Attempt(
+            dispatcher.create_attempt_id(),
+            load,
+            cause,
+            incarnation,
+            now_s,
+            self._mailbox.post,
+        )
+        run = Run(
+            attempt.attempt_id,
+            call.call_id,
+            call.service,
+            call.kind,
+            call.method,
+            call.target,
+            list(call.headers),
+            call.policy.idempotent,
+            call.policy.weight,
+            "",
+            remaining_s * 1000.0,
+            clock_s + remaining_s if clock_s else 0.0,
+            incarnation,
+        )
+        return attempt, run
+
+    def _note_sent(self, attempt, candidates):
+        if attempt.cause is not AttemptCause.FIRST:
+            require(self._budget.withdraw(), "attempt sent outside of the budget")
+        if not self._call.policy.idempotent:
+            require(not self._open, "a non-idempotent call has two attempts open")
+            require(
+                all(isinstance(x, NotRun) for x in self._ended),
+                "a non-idempotent call is repeated after it may have run",
+            )
+        self._open.append(attempt)
+        self.attempts_sent += 1
+        member = attempt.load.member
+        self._observe(
+            AttemptSent(
+                self._call.call_id,
+                attempt.attempt_id,
+                self._call.service,
+                member.server,
+                member.domain,
+                attempt.cause,
+                attempt.load.latency_s,
+                candidates,
+            )
+        )
+
+    def _report_end(self, attempt):
+        now_s = self._loop.time()
+        elapsed_s = now_s - attempt.sent_s
+        result = attempt.result
+        load = attempt.load
+        if attempt.server_s:
+            load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
+        if isinstance(result, Answered) and not self._is_failure(result):
+            load.take_success(now_s)
+            load.take_latency(elapsed_s, now_s)
+            self._latencies.add(elapsed_s)
+        elif not isinstance(result, NotRun):
+            load.take_failure(now_s)
+        self._observe(
+            AttemptEnded(
+                self._call.call_id,
+                attempt.attempt_id,
+                self._call.service,
+                load.member.server,
+                type(result).__name__,
+                elapsed_s,
+                getattr(result, "detail", ""),
+            )
+        )
+
+    def _get_next_timer(self):
+        timer_s = self._call.deadline_s
+        for attempt in self._open:
+            timer_s = min(timer_s, self._get_revoke_time(attempt))
+        return timer_s
+
+    def _take_timer(self):
+        now_s = self._loop.time()
+        if now_s >= self._call.deadline_s:
+            return self._conclude()
+        for attempt in self._open:
+            if now_s >= self._get_revoke_time(attempt):
+                self._revoke(attempt, now_s)
+        return None
+
+    def _get_revoke_time(self, attempt):
+        """Return when to ask (again) that a silent attempt never starts."""
+        if attempt.progress is not Progress.SENT:
+            return math.inf
+        if attempt.revokes:
+            round_trips_s = REVOKE_ROUND_TRIPS * attempt.load.round_trip_s
+            pause_s = max(REVOKE_MIN_S, round_trips_s)
+            pause_s *= 2 ** min(attempt.revokes - 1, REVOKE_DOUBLINGS)
+            return attempt.revoked_s + min(pause_s, REVOKE_MAX_S)
+        final_s = self._get_final_revoke_time(attempt)
+        if self._call.policy.idempotent or self._find_denial() is not None:
+            return final_s
+        silence_s = self._latencies.get_percentile(95) or SILENCE_DEFAULT_S
+        return min(attempt.sent_s + silence_s, final_s)
+
+    def _get_final_revoke_time(self, attempt):
+        total_s = self._call.deadline_s - attempt.sent_s
+        margin_s = FINAL_REVOKE_S + 2 * attempt.load.round_trip_s
+        return self._call.deadline_s - min(margin_s, FINAL_REVOKE_SHARE * total_s)
+
+    def _revoke(self, attempt, now_s):
+        self._dispatcher.attempts.send_revoke(attempt, now_s)
+        self._observe(
+            RevokeSent(
+                self._call.call_id,
+                attempt.attempt_id,
+                attempt.load.member.server,
+                now_s - attempt.sent_s,
+            )
+        )
+
+    def _conclude(self):
+        """Return the outcome that the ends so far amount to."""
+        if self._open:
+            return Unknown("no answer by the deadline")
+        for kind in (Answered, Failed, Unknown):
+            for result in reversed(self._ended):
+                if isinstance(result, kind):
+                    return self._correct_failed(result)
+        if not self._ended:
+            return self._refuse(NotRunReason.NO_SERVER, "no server of the service")
+        last = self._ended[-1]
+        return self._refuse(last.reason, last.detail, last.retry_after_s)
+
+    def _correct_failed(self, result):
+        if isinstance(result, Failed) and not self._call.policy.idempotent:
+            return Unknown(result.detail)
+        return result
+
+    def _refuse(self, reason, detail, retry_after_s=0.0):
+        spread = self._dispatcher.rng.uniform(0.5, 1.5)
+        return NotRun(reason, max(retry_after_s, RETRY_AFTER_MIN_S) * spread, detail)
+
+    def _is_failure(self, answered):
+        return answered.status >= STATUS_FAILURE_MIN
+
+    def _observe(self, event):
+        self._dispatcher.observe(event)
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -0,0 +1,136 @@
+"""The entry node's conduct of calls: one task a call, written straight down."""
+
+import asyncio
+import itertools
+import random
+
+from sapphireway_coordination._attempts import AttemptTable
+from sapphireway_coordination._budgets import RetryBudget
+from sapphireway_coordination._call import Call
+from sapphireway_coordination._call_events import CallEnded, ObserveCall
+from sapphireway_coordination._call_run import CallRun
+from sapphireway_coordination._latencies import RecentLatencies
+from sapphireway_coordination._loads import LoadTable
+from sapphireway_coordination._members import GetMembers, Member
+from sapphireway_coordination._routing import Choose, choose_two
+from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
+
+
+def _ignore_event(event):
+    pass
+
+
+class Dispatcher:
+    """Gives each call to servers until it has exactly one outcome.
+
+    Parameters
+    ----------
+    peers : Peers
+    get_members : callable
+        Returns the live members of a service.
+    rng : random.Random
+    observe : callable
+        Called with each `CallEvent`.
+    choose : callable
+        Chooses the server of an attempt.
+    """
+
+    __slots__ = (
+        "_attempt_ids",
+        "_peers",
+        "attempts",
+        "budgets",
+        "choose",
+        "get_members",
+        "latencies",
+        "loads",
+        "observe",
+        "rng",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        get_members: GetMembers,
+        rng: random.Random,
+        observe: ObserveCall = _ignore_event,
+        choose: Choose = choose_two,
+    ):
+        self._attempt_ids = itertools.count(1)
+        self._peers = peers
+        self.get_members = get_members
+        self.rng = rng
+        self.observe = observe
+        self.choose = choose
+        self.attempts = AttemptTable(peers, self._take_report)
+        self.budgets = {}
+        self.latencies = {}
+        self.loads = LoadTable()
+        peers.handle(ProbeReply, self._take_probe_reply)
+
+    async def dispatch(self, call: Call) -> Outcome:
+        """Conduct one call to its outcome, by its deadline.
+
+        Cancelling the task cancels the call's attempts.
+        """
+        run = CallRun(self, call)
+        started_s = asyncio.get_running_loop().time()
+        try:
+            outcome = await run.conduct()
+        finally:
+            run.close()
+        self.observe(
+            CallEnded(
+                call.call_id,
+                call.service,
+                call.kind,
+                type(outcome).__name__,
+                run.attempts_sent,
+                asyncio.get_running_loop().time() - started_s,
+                getattr(outcome, "detail", ""),
+            )
+        )
+        return outcome
+
+    def create_attempt_id(self) -> str:
+        """Return an id that no other attempt of any node has."""
+        return f"{self._peers.incarnation}-{next(self._attempt_ids):x}"
+
+    def get_budget(self, service: str) -> RetryBudget:
+        """Return the budget of retries and hedges of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RetryBudget()
+        return budget
+
+    def get_latencies(self, call: Call) -> RecentLatencies:
+        """Return the recent latencies of the call's service and kind."""
+        key = (call.service, call.kind)
+        latencies = self.latencies.get(key)
+        if latencies is None:
+            latencies = self.latencies[key] = RecentLatencies()
+        return latencies
+
+    def choose_incarnation(self, member: Member, now_s: float) -> tuple[str, float]:
+        """Return the incarnation of a member's node and the least its clock reads.
+
+        The reading is 0 if nothing was heard of that incarnation.
+        """
+        clocks = self._peers.clocks
+        clock = clocks.get(member.node)
+        if clock is None:
+            return member.incarnation, 0.0
+        if clock.incarnation == member.incarnation or clocks.is_superseded(
+            member.node, member.incarnation
+        ):
+            return clock.incarnation, clock.read_earliest(now_s)
+        return member.incarnation, 0.0
+
+    def _take_report(self, report: LoadReport):
+        load = self.loads.get(report.server)
+        if load is not None:
+            load.take_report(report, asyncio.get_running_loop().time())
+
+    def _take_probe_reply(self, sender, envelope):
+        if envelope.message.load is not None:
+            self._take_report(envelope.message.load)
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -0,0 +1,210 @@
+import asyncio
+import random
+
+import pytest
+
+from sapphireway_coordination import Call, Dispatcher, Member
+from sapphireway_protocol import (
+    Answered,
+    Cancel,
+    NotRun,
+    Peers,
+    Reply,
+    Revoke,
+    Revoked,
+    Run,
+    Unknown,
+)
+from sapphireway_state import Policy
+from sapphireway_transport.memory import MemoryNetwork, run_paused
+
+POLICY = Policy(hedge_percentile=0.0)
+
+
+class ScriptedNode:
+    """A server's node that handles each message by a function of the test."""
+
+    def __init__(self, network, address, on_run, on_revoke=None, incarnation="1"):
+        self.peers = Peers(network.open_endpoint(address), incarnation)
+        self.peers.start()
+        self.runs, self.revokes, self.cancels = [], [], []
+        self._on_run, self._on_revoke = on_run, on_revoke
+        self.peers.handle(Run, self._take_run)
+        self.peers.handle(Revoke, self._take_revoke)
+        self.peers.handle(Cancel, lambda sender, e: self.cancels.append(e.message))
+
+    def _take_run(self, sender, envelope):
+        self.runs.append(envelope.message)
+        for reply, body in self._on_run(envelope.message):
+            self.peers.send(sender, reply, body)
+
+    def _take_revoke(self, sender, envelope):
+        self.revokes.append(envelope.message)
+        if self._on_revoke is not None:
+            self.peers.send(sender, self._on_revoke(envelope.message))
+
+
+def answer(run):
+    return [(Reply(run.attempt, "answered", 200), run.call.encode())]
+
+
+def answer_twice_and_for_another(run):
+    return [(Reply("other", "answered", 200), b"wrong"), *answer(run), *answer(run)]
+
+
+def refuse(run):
+    return [(Reply(run.attempt, "not_run", reason="overloaded"), b"")]
+
+
+def fail(run):
+    return [(Reply(run.attempt, "failed", detail="cut"), b"")]
+
+
+def keep_silent(run):
+    return []
+
+
+def revoke_in_time(revoke):
+    return Revoked(revoke.attempt, never_runs=True, finished=False)
+
+
+def say_started(revoke):
+    return Revoked(revoke.attempt, never_runs=False, finished=False)
+
+
+def make_member(address, **changes):
+    return Member(address, "s", address, address, "r", "1", "1", 6, **changes)
+
+
+def make_call(idempotent=False, deadline_s=2.0, call_id="call-1"):
+    policy = Policy(hedge_percentile=0.0, idempotent=idempotent)
+    return Call(call_id, "s", "k", "GET", "/", (), b"", deadline_s, None, policy)
+
+
+def choose_first(candidates, rng, now_s):
+    return candidates[0]
+
+
+@pytest.fixture
+def network():
+    return MemoryNetwork(random.Random(1))
+
+
+def dispatch(network, on_runs, call=None, **node_options):
+    """Run one call against nodes n0, n1, ... tried in order; return both."""
+
+    async def exchange():
+        nodes = [
+            ScriptedNode(network, f"n{i}", on_run, **node_options)
+            for i, on_run in enumerate(on_runs)
+        ]
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member(f"n{i}") for i in range(len(nodes))]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_first
+        )
+        outcome = await dispatcher.dispatch(call or make_call())
+        await asyncio.sleep(1.0)
+        assert len(dispatcher.attempts) == 0
+        return outcome, nodes
+
+    return run_paused(exchange())
+
+
+def test_answer_reaches_its_call_once(network):
+    outcome, _ = dispatch(network, [answer_twice_and_for_another])
+    assert outcome == Answered(200, (), b"call-1")
+
+
+def test_no_member_is_not_run(network):
+    outcome, _ = dispatch(network, [])
+    assert isinstance(outcome, NotRun)
+    assert outcome.retry_after_s > 0
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_refused_call_goes_elsewhere(network, idempotent):
+    outcome, nodes = dispatch(network, [refuse, answer], make_call(idempotent))
+    assert isinstance(outcome, Answered)
+    assert [len(node.runs) for node in nodes] == [1, 1]
+
+
+def test_failed_idempotent_call_goes_elsewhere(network):
+    outcome, _ = dispatch(network, [fail, answer], make_call(idempotent=True))
+    assert isinstance(outcome, Answered)
+
+
+def test_failed_call_is_unknown_and_not_repeated(network):
+    outcome, nodes = dispatch(network, [fail, answer])
+    assert isinstance(outcome, Unknown)
+    assert nodes[1].runs == []
+
+
+def test_silent_call_is_unknown_at_deadline(network):
+    outcome, nodes = dispatch(network, [keep_silent, answer])
+    assert isinstance(outcome, Unknown)
+    assert nodes[1].runs == []
+    assert len(nodes[0].revokes) > 1
+    assert len(nodes[0].cancels) == 1
+
+
+def test_started_call_is_not_repeated(network):
+    outcome, nodes = dispatch(network, [keep_silent, answer], on_revoke=say_started)
+    assert isinstance(outcome, Unknown)
+    assert len(nodes[0].revokes) == 1
+
+
+def test_revoked_call_goes_elsewhere(network):
+    outcome, nodes = dispatch(network, [keep_silent, answer], on_revoke=revoke_in_time)
+    assert isinstance(outcome, Answered)
+    assert nodes[1].runs[0].attempt != nodes[0].runs[0].attempt
+
+
+def test_unsent_call_goes_elsewhere(network):
+    async def exchange():
+        ScriptedNode(network, "n1", answer)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0"), make_member("n1")]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_first
+        )
+        return await dispatcher.dispatch(make_call())
+
+    assert isinstance(run_paused(exchange()), Answered)
+
+
+def test_cancelled_call_cancels_its_attempt(network):
+    async def exchange():
+        node = ScriptedNode(network, "n0", keep_silent)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0")]
+        dispatcher = Dispatcher(peers, lambda service: members, random.Random(2))
+        task = asyncio.create_task(dispatcher.dispatch(make_call()))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.sleep(0.05)
+        return node
+
+    node = run_paused(exchange())
+    assert [m.attempt for m in node.cancels] == [m.attempt for m in node.runs]
+
+
+def test_restarted_node_ends_its_attempts_unknown(network):
+    async def exchange():
+        ScriptedNode(network, "n0", keep_silent)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0")]
+        dispatcher = Dispatcher(peers, lambda service: members, random.Random(2))
+        task = asyncio.create_task(dispatcher.dispatch(make_call(deadline_s=60.0)))
+        await asyncio.sleep(0.05)
+        ScriptedNode(network, "n0", keep_silent, say_started, incarnation="2")
+        outcome = await task
+        return outcome, asyncio.get_running_loop().time()
+
+    outcome, ended_s = run_paused(exchange())
+    assert isinstance(outcome, Unknown)
+    assert ended_s < 1.0
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -11,6 +11,7 @@
     Run,
     ServerState,
 )
+from sapphireway_protocol._clocks import PeerClock, PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_protocol._outcomes import (
     Answered,
@@ -32,6 +33,8 @@
     "NotRun",
     "NotRunReason",
     "Outcome",
+    "PeerClock",
+    "PeerClocks",
     "Peers",
     "Probe",
     "ProbeReply",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -31,6 +31,7 @@
     incarnation: str
     clock_s: float
     settings_version: int
+    started_s: float
     message: Union[MESSAGES]  # noqa: UP007 (the union is computed)
 
 
@@ -54,6 +55,8 @@
         Sender's monotonic clock when it sent the message.
     settings_version : int
         Version of the settings tree in force at the sender.
+    started_s : float
+        Sender's monotonic clock when its process started.
     """
 
     message: Any
@@ -63,6 +66,7 @@
     incarnation: str = ""
     clock_s: float = 0.0
     settings_version: int = 0
+    started_s: float = 0.0
 
 
 class Codec:
@@ -82,6 +86,7 @@
             envelope.incarnation,
             envelope.clock_s,
             envelope.settings_version,
+            envelope.started_s,
             envelope.message,
         )
         frame = self._encoder.encode(header)
@@ -105,4 +110,5 @@
             header.incarnation,
             header.clock_s,
             header.settings_version,
+            header.started_s,
         )
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from sapphireway_protocol._clocks import PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_transport import Endpoint
 
@@ -27,6 +28,8 @@
     ----------
     observe : callable
         Called with the sender's address and each envelope before its handler.
+    clocks : PeerClocks
+        Clocks and incarnations of the peers that were heard.
     """
 
     __slots__ = (
@@ -35,8 +38,10 @@
         "_get_settings_version",
         "_handlers",
         "_request_ids",
+        "_started_s",
         "_waiting",
         "bytes_sent",
+        "clocks",
         "incarnation",
         "malformed",
         "messages_sent",
@@ -55,7 +60,9 @@
         self._handlers = {}
         self._request_ids = itertools.count(1)
         self._waiting = {}
+        self._started_s = None
         self.bytes_sent = 0
+        self.clocks = PeerClocks()
         self.incarnation = incarnation
         self.malformed = 0
         self.messages_sent = 0
@@ -68,6 +75,7 @@
 
     def start(self) -> None:
         """Begin to receive."""
+        self._started_s = asyncio.get_running_loop().time()
         self._endpoint.start(self._receive)
 
     def close(self) -> None:
@@ -82,7 +90,8 @@
         self._endpoint.connect(peer)
 
     def disconnect(self, peer: str) -> None:
-        """Drop the connection to `peer`."""
+        """Drop the connection to `peer` and what is known of its clock."""
+        self.clocks.forget(peer)
         self._endpoint.disconnect(peer)
 
     def handle(self, message_type: type, handler: Handler) -> None:
@@ -99,6 +108,7 @@
         reply_to: int = 0,
     ) -> bool:
         """Send one message; False if it certainly did not leave this process."""
+        now_s = asyncio.get_running_loop().time()
         frames = self._codec.encode(
             Envelope(
                 message,
@@ -106,8 +116,10 @@
                 request_id,
                 reply_to,
                 self.incarnation,
-                asyncio.get_running_loop().time(),
+                now_s,
                 self._get_settings_version(),
+                # A process that has not started to receive has run nothing yet.
+                now_s if self._started_s is None else self._started_s,
             )
         )
         self.messages_sent += 1
@@ -142,6 +154,7 @@
         if envelope is None:
             self.malformed += 1
             return
+        self.clocks.hear(sender, envelope, asyncio.get_running_loop().time())
         self.observe(sender, envelope)
         if envelope.reply_to:
             future = self._waiting.get(envelope.reply_to)
