--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Any
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -28,6 +29,8 @@
     body : bytes
     remote : str
         Address of the caller.
+    route : object
+        Whatever `prepare` found out from the headers; None if it set nothing.
     """
 
     method: str
@@ -35,6 +38,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     remote: str
+    route: Any = None
 
     def get_header(self, name: str) -> str | None:
         """Return the first header called `name`, in any case, or None."""
@@ -73,14 +77,14 @@
 
 
 Handle = Callable[[HttpRequest], Awaitable[HttpAnswer]]
-GetBodyLimit = Callable[[HttpRequest], int]
+Prepare = Callable[[HttpRequest], int]
 Reject = Callable[[RejectedRequest], HttpAnswer]
 
 
 @dataclass(slots=True)
 class _Hooks:
     handle: Handle
-    get_body_limit: GetBodyLimit
+    prepare: Prepare
     reject: Reject
     tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -92,16 +96,16 @@
     ----------
     handle : callable
         Coroutine function from request to answer; cancelled if the caller goes away.
-    get_body_limit : callable
-        Largest body in bytes for a request whose headers arrived.
+    prepare : callable
+        Called when the headers arrived; returns the largest body in bytes.
     reject : callable
         Makes the answer for a request that is too large.
     """
 
     __slots__ = ("_hooks", "_server")
 
-    def __init__(self, handle: Handle, get_body_limit: GetBodyLimit, reject: Reject):
-        self._hooks = _Hooks(handle, get_body_limit, reject)
+    def __init__(self, handle: Handle, prepare: Prepare, reject: Reject):
+        self._hooks = _Hooks(handle, prepare, reject)
         self._server = _Server(self._hooks)
 
     def listen(self, host: str, port: int) -> None:
@@ -177,7 +181,7 @@
                 f"headers are larger than {HEADER_MAX_BYTES} bytes",
             )
             return
-        self._body_limit = self._hooks.get_body_limit(self._request)
+        self._body_limit = self._hooks.prepare(self._request)
         declared = headers.get("Content-Length", "0")
         if declared.isdigit() and int(declared) > self._body_limit:
             self._refuse_body()
--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -14,6 +14,7 @@
 CONNECT_WAIT_S = 0.5
 DRAIN_BATCH_MESSAGES = 64
 PENDING_MESSAGES = 64
+CLOSE_LINGER_MS = 300
 
 
 class _Connection:
@@ -86,15 +87,15 @@
         return self._defer(connection, frames)
 
     def close(self) -> None:
-        """Close all sockets."""
+        """Close all sockets; waits up to `CLOSE_LINGER_MS` for queued messages."""
         for connection in self._connections.values():
-            self._close_connection(connection)
+            self._close_connection(connection, CLOSE_LINGER_MS)
         self._connections.clear()
         if self._router is not None:
             self._loop.remove_reader(self._router.getsockopt(zmq.FD))
             self._router.close(0)
             self._router = None
-        self._context.destroy(0)
+        self._context.term()
 
     def _open(self, peer):
         socket = self._context.socket(zmq.DEALER)
@@ -113,11 +114,11 @@
         )
         return connection
 
-    def _close_connection(self, connection):
+    def _close_connection(self, connection, linger_ms=0):
         if connection.waiting is not None:
             connection.waiting.cancel()
         self._loop.remove_reader(connection.socket.getsockopt(zmq.FD))
-        connection.socket.close(0)
+        connection.socket.close(linger_ms)
 
     def _defer(self, connection, frames):
         if len(connection.pending) >= PENDING_MESSAGES:
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/__main__.py
@@ -0,0 +1,5 @@
+"""Entry of ``python -m sapphireway``."""
+
+from sapphireway._cli import main
+
+main()
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -0,0 +1,215 @@
+"""The callers' interface: HTTP requests in, outcomes of calls out."""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+
+from sapphireway._logs import EventLog
+from sapphireway._metrics import Metrics
+from sapphireway_coordination import Call
+from sapphireway_protocol import (
+    Answered,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+)
+from sapphireway_state import Policy, SettingsView
+from sapphireway_transport import HttpAnswer, HttpRequest, RejectedRequest
+
+OUTCOME_HEADER = "Sapphireway-Outcome"
+REASON_HEADER = "Sapphireway-Reason"
+TIMEOUT_HEADER = "Request-Timeout-Ms"
+KEY_HEADER = "Idempotency-Key"
+KEY_MAX_CHARACTERS = 255
+MS_PER_S = 1000
+UNMATCHED_BODY_MAX_BYTES = 64 * 1024
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
+
+Dispatch = Callable[[Call], Awaitable[Outcome]]
+
+
+class CallerApi:
+    """Turns a caller's HTTP request into a call and its outcome into an answer.
+
+    Parameters
+    ----------
+    get_settings : callable
+        Returns the `SettingsView` in force, or None before the first one.
+    domain : str
+        Failure domain of this node.
+    create_call_id : callable
+    dispatch : callable
+        Coroutine function that conducts a call.
+    metrics : Metrics
+    log : EventLog
+
+    Attributes
+    ----------
+    stopping : bool
+        True once the node refuses new calls.
+    """
+
+    __slots__ = (
+        "_create_call_id",
+        "_dispatch",
+        "_domain",
+        "_get_settings",
+        "_log",
+        "_metrics",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        get_settings: Callable[[], SettingsView | None],
+        domain: str,
+        create_call_id: Callable[[], str],
+        dispatch: Dispatch,
+        metrics: Metrics,
+        log: EventLog,
+    ):
+        self._create_call_id = create_call_id
+        self._dispatch = dispatch
+        self._domain = domain
+        self._get_settings = get_settings
+        self._log = log
+        self._metrics = metrics
+        self.stopping = False
+
+    def prepare(self, request: HttpRequest) -> int:
+        """Find the request's policy and return its largest body in bytes."""
+        settings = self._get_settings()
+        if settings is None:
+            return UNMATCHED_BODY_MAX_BYTES
+        matched = settings.match(request.method, request.target, request.headers)
+        if matched is None:
+            return UNMATCHED_BODY_MAX_BYTES
+        policy = settings.resolve(self._domain, *matched)
+        request.route = (*matched, policy)
+        return policy.body_max_bytes
+
+    def reject(self, rejected: RejectedRequest) -> HttpAnswer:
+        """Answer a request that was too large to be read."""
+        return self._refuse(rejected.status, rejected.detail, rejected.remote)
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Conduct one request."""
+        if self.stopping:
+            return _render_not_run(NotRun(NotRunReason.STOPPING), close=True)
+        if request.route is None:
+            return self._handle_unmatched(request)
+        call = self._make_call(request, *request.route)
+        if isinstance(call, str):
+            return self._refuse(400, call, request.remote)
+        outcome = await self._dispatch(call)
+        return render_outcome(outcome)
+
+    def _handle_unmatched(self, request):
+        if self._get_settings() is None:
+            detail = "no settings are in force at this node yet"
+            return _render_not_run(NotRun(NotRunReason.NO_SERVER, 1.0, detail))
+        return self._refuse(404, "no service has this path", request.remote)
+
+    def _make_call(self, request, service, kind, policy) -> Call | str:
+        """Return the call, or one line that says why it is unreadable."""
+        timeout_s = parse_timeout(request.get_header(TIMEOUT_HEADER), policy)
+        if timeout_s is None:
+            return f"{TIMEOUT_HEADER} is not a positive whole number"
+        key = request.get_header(KEY_HEADER)
+        if key is not None and not 1 <= len(key) <= KEY_MAX_CHARACTERS:
+            return f"{KEY_HEADER} is not 1 to {KEY_MAX_CHARACTERS} characters long"
+        return Call(
+            call_id=self._create_call_id(),
+            service=service,
+            kind=kind,
+            method=request.method,
+            target=request.target,
+            headers=filter_headers(request.headers),
+            body=request.body,
+            deadline_s=asyncio.get_running_loop().time() + timeout_s,
+            key=key,
+            policy=policy,
+        )
+
+    def _refuse(self, status, detail, remote):
+        self._metrics.count("sapphireway_bad_requests_total", status=str(status))
+        self._log.warning("bad_request", status=status, detail=detail, remote=remote)
+        headers = (
+            ("Content-Type", "text/plain; charset=utf-8"),
+            (OUTCOME_HEADER, "not-run"),
+            (REASON_HEADER, "bad_request"),
+        )
+        return HttpAnswer(status, headers, f"{detail}\n".encode())
+
+
+def parse_timeout(text: str | None, policy: Policy) -> float | None:
+    """Return the time allowed for a call in seconds, or None if unreadable."""
+    if text is None:
+        return policy.deadline_ms / MS_PER_S
+    text = text.strip()
+    if not (text.isascii() and text.isdigit()) or int(text) == 0:
+        return None
+    return min(int(text), policy.deadline_max_ms) / MS_PER_S
+
+
+def filter_headers(headers) -> tuple[tuple[str, str], ...]:
+    """Return the end-to-end headers, without the body's length."""
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    dropped = NOT_FORWARDED | named
+    return tuple((key, value) for key, value in headers if key.lower() not in dropped)
+
+
+def render_outcome(outcome: Outcome) -> HttpAnswer:
+    """Return the HTTP answer that tells the four outcomes apart."""
+    match outcome:
+        case Answered(status, headers, body):
+            kept = filter_headers(headers)
+            return HttpAnswer(status, (*kept, (OUTCOME_HEADER, "answered")), body)
+        case NotRun():
+            return _render_not_run(outcome)
+        case Failed(detail):
+            return _render_text(502, "failed", detail)
+        case Unknown(detail):
+            return _render_text(504, "unknown", detail)
+
+
+def _render_not_run(outcome, close=False):
+    extra = [
+        (REASON_HEADER, str(outcome.reason)),
+        ("Retry-After", str(max(1, math.ceil(outcome.retry_after_s)))),
+        ("Retry-After-Ms", str(math.ceil(outcome.retry_after_s * MS_PER_S))),
+    ]
+    if close:
+        extra.append(("Connection", "close"))
+    detail = outcome.detail or f"not run: {outcome.reason}"
+    return _render_text(503, "not-run", detail, extra)
+
+
+def _render_text(status, outcome, detail, extra=()):
+    headers = (
+        ("Content-Type", "text/plain; charset=utf-8"),
+        (OUTCOME_HEADER, outcome),
+        *extra,
+    )
+    return HttpAnswer(status, headers, f"{detail}\n".encode())
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -0,0 +1,118 @@
+"""Structured logs: one event a line, limited per event name."""
+
+import json
+import logging as standard_logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from absl import logging
+
+EVENT_BURST = 20
+EVENTS_PER_S = 5.0
+
+
+@dataclass(slots=True)
+class _Allowance:
+    tokens: float
+    refilled_s: float
+    suppressed: int = 0
+
+
+class EventLog:
+    """Writes named events with fields to the process's log.
+
+    A name that repeats faster than `EVENTS_PER_S` is suppressed and the number of
+    lost lines is written with the next one, so that a fault can't fill a disk.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic seconds.
+    """
+
+    __slots__ = ("_allowances", "_clock")
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self._allowances = {}
+        self._clock = clock
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Write an event of ordinary operation."""
+        self._write(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write an event that an operator should know of."""
+        self._write(logging.WARNING, event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Write an event that needs an operator."""
+        self._write(logging.ERROR, event, fields)
+
+    def _write(self, level, event, fields):
+        if level > logging.get_verbosity():
+            return
+        allowance = self._refill(event)
+        if allowance.tokens < 1.0:
+            allowance.suppressed += 1
+            return
+        allowance.tokens -= 1.0
+        if allowance.suppressed:
+            fields = fields | {"suppressed": allowance.suppressed}
+            allowance.suppressed = 0
+        extra = {"event": event, "fields": fields}
+        logging.get_absl_logger().log(
+            logging.converter.absl_to_standard(level), event, extra=extra
+        )
+
+    def _refill(self, event):
+        now_s = self._clock()
+        allowance = self._allowances.get(event)
+        if allowance is None:
+            allowance = self._allowances[event] = _Allowance(EVENT_BURST, now_s)
+        earned = (now_s - allowance.refilled_s) * EVENTS_PER_S
+        allowance.tokens = min(EVENT_BURST, allowance.tokens + earned)
+        allowance.refilled_s = now_s
+        return allowance
+
+
+def configure_logs(form: str, level: str) -> None:
+    """Send the process's log to standard error.
+
+    Parameters
+    ----------
+    form : {"json", "text"}
+    level : {"debug", "info", "warning", "error"}
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(level)
+    logging.set_stderrthreshold(level)
+    formatter = _JsonFormatter() if form == "json" else _TextFormatter()
+    logging.get_absl_handler().setFormatter(formatter)
+
+
+class _JsonFormatter(standard_logging.Formatter):
+    def format(self, record):
+        line = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname.lower(),
+            "event": getattr(record, "event", "message"),
+        }
+        if line["event"] == "message":
+            line["message"] = record.getMessage()
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+class _TextFormatter(standard_logging.Formatter):
+    def format(self, record):
+        head = f"{self.formatTime(record)} {record.levelname.lower()}"
+        fields = getattr(record, "fields", {})
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        line = f"{head} {record.getMessage()} {text}".rstrip()
+        if record.exc_info:
+            line += "\n" + self.formatException(record.exc_info)
+        return line
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -0,0 +1,41 @@
+"""Start and stop of the node's process."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from sapphireway._logs import EventLog, configure_logs
+from sapphireway._node import Node
+from sapphireway_state import Invalid, format_problem, load_process
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+
+def run_process(file: Path) -> int:
+    """Run a node with the settings in `file` until a signal stops it."""
+    settings = load_process(file)
+    if isinstance(settings, Invalid):
+        for problem in settings.problems:
+            print(format_problem(problem), file=sys.stderr)
+        return EXIT_INVALID
+    configure_logs(settings.log_format, settings.log_level)
+    return asyncio.run(_run_until_signal(settings, EventLog()))
+
+
+async def _run_until_signal(settings, log):
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(settings, log)
+    try:
+        await node.start()
+    except OSError as error:
+        log.error("start_failed", detail=str(error))
+        return EXIT_FAILED
+    await stop.wait()
+    drained = await node.stop()
+    return EXIT_OK if drained else EXIT_FAILED
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_member_view.py
@@ -0,0 +1,43 @@
+"""Members of a service with the operators' settings applied."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from sapphireway_coordination import GetMembers, Member, Membership
+from sapphireway_state import SettingsView
+
+
+def make_get_members(
+    membership: Membership, get_settings: Callable[[], SettingsView | None]
+) -> GetMembers:
+    """Return a function that lists members and marks those taken out.
+
+    The lists are kept until membership or settings change.
+    """
+    cached = {}
+    cached_for = None
+
+    def get_members(service: str) -> Sequence[Member]:
+        nonlocal cached_for
+        settings = get_settings()
+        members = membership.get_members(service)
+        current = (membership.revision, settings.version if settings else 0)
+        if current != cached_for:
+            cached.clear()
+            cached_for = current
+        if service not in cached:
+            cached[service] = _mark_out(members, settings)
+        return cached[service]
+
+    return get_members
+
+
+def _mark_out(members, settings):
+    if settings is None:
+        return tuple(members)
+    return tuple(
+        replace(member, out=True)
+        if settings.is_out(member.domain, member.server)
+        else member
+        for member in members
+    )
