Add the gate beside a server, its curl client and the stand-in server

The gate admits attempts to one server: a limit learnt from answers, a short queue by weight and deadline, a memory of attempts so that none runs twice, drain, leave and out, and digests of requests suspected of crashing servers.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in servers and the demonstration."""
--- /dev/null
+++ b/demo/server.py
@@ -0,0 +1,325 @@
+"""Stand-in server, a process that announces itself to the node beside it.
+
+Run it with ``python -m demo.server --help``. Its behaviour is read with
+``GET /control/behaviour`` and changed with ``PATCH /control/behaviour``;
+``GET /control/runs`` shows which requests it ran.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import uuid
+
+import defopt
+import msgspec
+import tornado.httpclient
+import tornado.httpserver
+import tornado.iostream
+import tornado.web
+
+from demo._stand_in import Behaviour, StandIn
+from sapphireway_coordination import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+)
+
+BODY_MAX_BYTES = 64 * 1024 * 1024
+CRASH_EXIT_STATUS = 70
+DRAIN_MAX_S = 30.0
+RENEW_S = 2.0
+RETRY_ANNOUNCE_S = 0.2
+
+
+class JsonHandler(tornado.web.RequestHandler):
+    """A handler that answers in JSON."""
+
+    def initialize(self, stand_in: StandIn) -> None:
+        """Take the state of the server."""
+        self._stand_in = stand_in
+
+    def send(self, content: object) -> None:
+        """Answer with `content`."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(content))
+
+
+class HealthHandler(JsonHandler):
+    """Tells that the server lives."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.send({"ok": True})
+
+
+class LoadHandler(JsonHandler):
+    """Tells the load, or a lie."""
+
+    def get(self) -> None:
+        """Answer with the requests in flight."""
+        stand_in = self._stand_in
+        lie = stand_in.behaviour.lie_in_flight
+        self.send({"in_flight": stand_in.in_flight if lie is None else lie})
+
+
+class BehaviourHandler(JsonHandler):
+    """Shows and changes the switches."""
+
+    def get(self) -> None:
+        """Answer with all switches."""
+        self.send(self._stand_in.behaviour)
+
+    def patch(self) -> None:
+        """Change the switches that the JSON body names."""
+        changed = msgspec.structs.asdict(self._stand_in.behaviour)
+        try:
+            changed |= msgspec.json.decode(self.request.body, type=dict)
+            self._stand_in.behaviour = msgspec.convert(changed, Behaviour)
+        except msgspec.MsgspecError as error:
+            self.set_status(400)
+            self.send({"error": str(error)})
+            return
+        self.send(self._stand_in.behaviour)
+
+
+class RunsHandler(JsonHandler):
+    """Shows what the server has run."""
+
+    def get(self) -> None:
+        """Answer with the record."""
+        stand_in = self._stand_in
+        self.send(
+            {
+                "runs": stand_in.list_runs(),
+                "in_flight_max": stand_in.in_flight_max,
+                "overloads": stand_in.overloads,
+                "cancelled": stand_in.cancelled,
+            }
+        )
+
+
+class WorkHandler(tornado.web.RequestHandler):
+    """Runs requests."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+    def initialize(self, stand_in: StandIn) -> None:
+        """Take the state of the server."""
+        self._stand_in = stand_in
+        self._task = None
+
+    def on_connection_close(self) -> None:
+        """Take a closed connection as a cancellation."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def run(self, *path: str) -> None:
+        """Run one request as the switches say."""
+        behaviour = self._stand_in.behaviour
+        if behaviour.shed or behaviour.draining:
+            self.set_header(NOT_RUN_HEADER, "shedding")
+            self._finish_with(503)
+        elif behaviour.shed_plain:
+            self._finish_with(503)
+        elif behaviour.fail:
+            self._finish_with(500)
+        else:
+            await self._work()
+
+    get = head = post = put = patch = delete = options = run
+
+    async def _work(self):
+        stand_in = self._stand_in
+        headers = self.request.headers
+        stand_in.begin(
+            headers.get(REQUEST_ID_HEADER, ""), headers.get(ATTEMPT_ID_HEADER, "")
+        )
+        cancelled = True
+        try:
+            if stand_in.overwhelmed or self._names(stand_in.behaviour.crash_path):
+                os._exit(CRASH_EXIT_STATUS)
+            self._task = asyncio.create_task(stand_in.work())
+            async with asyncio.timeout(self._get_budget_s()):
+                await self._task
+            cancelled = False
+        except (asyncio.CancelledError, TimeoutError):
+            self._finish_with(504)
+            return
+        finally:
+            stand_in.end(cancelled)
+        self._answer()
+
+    def _answer(self):
+        body = self.request.body or b"x" * self._stand_in.behaviour.answer_bytes
+        if self._names(self._stand_in.behaviour.truncate_path):
+            stream = self.detach()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) + 1}\r\n\r\n"
+            stream.write(head.encode() + body)
+            stream.close()
+            return
+        self.set_header("Content-Type", "application/octet-stream")
+        self.set_header(REQUEST_ID_HEADER, self.request.headers[REQUEST_ID_HEADER])
+        self.finish(body)
+
+    def _finish_with(self, status):
+        self.set_status(status)
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            self.finish()
+
+    def _get_budget_s(self):
+        try:
+            return float(self.request.headers.get(DEADLINE_HEADER, "")) / 1000
+        except ValueError:
+            return None
+
+    def _names(self, text):
+        return bool(text) and text in self.request.uri
+
+
+def make_application(stand_in: StandIn) -> tornado.web.Application:
+    """Return the server's routes."""
+    arguments = {"stand_in": stand_in}
+    return tornado.web.Application(
+        [
+            ("/health", HealthHandler, arguments),
+            ("/load", LoadHandler, arguments),
+            ("/control/behaviour", BehaviourHandler, arguments),
+            ("/control/runs", RunsHandler, arguments),
+            ("/.*", WorkHandler, arguments),
+        ],
+        compress_response=False,
+        log_function=lambda handler: None,
+    )
+
+
+async def keep_announced(node: str, server: str, announce) -> None:
+    """Announce the server to its node again and again.
+
+    Parameters
+    ----------
+    node : str
+        URL of the node's interface for servers.
+    server : str
+    announce : callable
+        Returns the announcement's content.
+    """
+    client = tornado.httpclient.AsyncHTTPClient()
+    while True:
+        wait_s = RETRY_ANNOUNCE_S
+        try:
+            answer = await client.fetch(
+                f"{node}/server/{server}",
+                method="PUT",
+                body=msgspec.json.encode(announce()),
+                request_timeout=RENEW_S,
+            )
+            wait_s = msgspec.json.decode(answer.body)["renew_s"]
+        except (tornado.httpclient.HTTPError, OSError):
+            # The node may not have started yet.
+            pass
+        await asyncio.sleep(wait_s)
+
+
+async def leave(node: str, server: str) -> None:
+    """Tell the node that the server stops."""
+    client = tornado.httpclient.AsyncHTTPClient()
+    with contextlib.suppress(tornado.httpclient.HTTPError, OSError):
+        await client.fetch(f"{node}/server/{server}", method="DELETE")
+
+
+async def serve(
+    node: str,
+    *,
+    server: str,
+    service: str,
+    host: str,
+    port: int,
+    slots: int,
+    connections: int,
+    seed: int,
+) -> None:
+    """Serve until SIGTERM, then leave and let requests in flight end."""
+    stand_in = StandIn(slots, random.Random(seed))
+    http = tornado.httpserver.HTTPServer(
+        make_application(stand_in), max_body_size=BODY_MAX_BYTES
+    )
+    http.listen(port, host)
+    start_id = uuid.uuid4().hex
+
+    def announce():
+        return {
+            "service": service,
+            "url": f"http://{host}:{port}",
+            "slots": slots,
+            "connections_max": connections,
+            "start_id": start_id,
+            "in_flight": stand_in.in_flight,
+        }
+
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    announcing = asyncio.create_task(keep_announced(node, server, announce))
+    await stopping.wait()
+    announcing.cancel()
+    await leave(node, server)
+    http.stop()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DRAIN_MAX_S):
+            while stand_in.in_flight:
+                await asyncio.sleep(0.02)
+    await http.close_all_connections()
+
+
+def run(
+    node: str,
+    *,
+    server: str = "server-1",
+    service: str = "matching",
+    host: str = "127.0.0.1",
+    port: int = 9001,
+    slots: int = 6,
+    connections: int = 200,
+    seed: int = 1,
+) -> None:
+    """Run a stand-in server beside a node.
+
+    Parameters
+    ----------
+    node : str
+        URL of the node's interface for servers, such as http://127.0.0.1:8081.
+    server : str
+        Id of the server, unique in the system.
+    service : str
+    host : str
+    port : int
+    slots : int
+        Requests that it runs at once.
+    connections : int
+        Connections that it accepts at once.
+    seed : int
+        Seed of the spread of its service times.
+    """
+    asyncio.run(
+        serve(
+            node,
+            server=server,
+            service=service,
+            host=host,
+            port=port,
+            slots=slots,
+            connections=connections,
+            seed=seed,
+        )
+    )
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -1,6 +1,66 @@
 """Decisions of the nodes: routing, admission, claims, quorum and membership."""
 
+from sapphireway_coordination._announcement import (
+    AnnounceAccepted,
+    Announcement,
+    AnnounceRefused,
+    AnnounceResult,
+)
 from sapphireway_coordination._call import Call
+from sapphireway_coordination._exchange import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+)
+from sapphireway_coordination._gate import Gate, GateState
+from sapphireway_coordination._gate_events import (
+    AttemptRefused,
+    AttemptRepeated,
+    AttemptServed,
+    AttemptStarted,
+    GateChanged,
+    GateEvent,
+    LimitChanged,
+    RelapseCause,
+    RelapseSeen,
+    ServerAnnounced,
+    ServerLeft,
+    ServerWarmed,
+    SuspectChange,
+    SuspectMarked,
+)
+from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member
 
-__all__ = ["Call", "GetMembers", "Member"]
+__all__ = [
+    "ATTEMPT_ID_HEADER",
+    "DEADLINE_HEADER",
+    "NOT_RUN_HEADER",
+    "REQUEST_ID_HEADER",
+    "AnnounceAccepted",
+    "AnnounceRefused",
+    "AnnounceResult",
+    "Announcement",
+    "AttemptRefused",
+    "AttemptRepeated",
+    "AttemptServed",
+    "AttemptStarted",
+    "Call",
+    "Gate",
+    "GateChanged",
+    "GateEvent",
+    "GateState",
+    "GetMembers",
+    "InvariantError",
+    "LimitChanged",
+    "Member",
+    "RelapseCause",
+    "RelapseSeen",
+    "ServerAnnounced",
+    "ServerLeft",
+    "ServerWarmed",
+    "SuspectChange",
+    "SuspectMarked",
+    "require",
+]
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
@@ -0,0 +1,68 @@
+"""What a server says of itself to the node beside it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Announcement:
+    """One announcement or renewal of a server.
+
+    Attributes
+    ----------
+    server : str
+        Server id, unique in the system.
+    service : str
+    url : str
+        Base URL, ``http://host:port``.
+    slots : int
+        Requests that the server can run at once.
+    connections_max : int
+        Connections that it accepts at once.
+    start_id : str
+        Changes whenever the server's process starts.
+    health_path : str
+        Path that answers 200 while the server lives.
+    in_flight : int or None
+        Requests that the server runs now by its own count.
+    """
+
+    server: str
+    service: str
+    url: str
+    slots: int
+    connections_max: int
+    start_id: str
+    health_path: str = "/health"
+    in_flight: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class AnnounceAccepted:
+    """The node speaks for the server.
+
+    Attributes
+    ----------
+    renew_s : float
+        Time by which the server must announce itself again.
+    limit : int
+        Requests that it will be given at once for now.
+    """
+
+    renew_s: float
+    limit: int
+
+
+@dataclass(slots=True, frozen=True)
+class AnnounceRefused:
+    """The node does not speak for the server.
+
+    Attributes
+    ----------
+    detail : str
+        One line for people.
+    """
+
+    detail: str
+
+
+AnnounceResult = AnnounceAccepted | AnnounceRefused
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_attempt_memory.py
@@ -0,0 +1,158 @@
+"""Memory of the attempts that a node was asked to run, so that none runs twice.
+
+An attempt names a reading of this node's clock after which it must not start. Its
+record is kept until `RETENTION_S` after that reading, so a repeated message finds
+either the record or a reading that has passed.
+"""
+
+import collections
+import enum
+import heapq
+from dataclasses import dataclass
+
+from sapphireway_protocol import Reply
+
+START_HORIZON_S = 120.0
+RETENTION_S = 60.0
+RECORDS_MAX = 50_000
+REPLIES_MAX_BYTES = 8 * 1024 * 1024
+REPLY_KEPT_S = 15.0
+
+
+class AttemptState(enum.StrEnum):
+    """How far an attempt has got."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FINISHED = "finished"
+    REVOKED = "revoked"
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """What is remembered of one attempt.
+
+    Attributes
+    ----------
+    attempt : str
+    state : AttemptState
+    forget_at_s : float
+        Reading of the loop's clock after which the record may go.
+    reply : Reply or None
+        How it ended.
+    body : bytes or None
+        Body of the reply; None once it was dropped to save memory.
+    """
+
+    attempt: str
+    state: AttemptState
+    forget_at_s: float
+    reply: Reply | None = None
+    body: bytes | None = b""
+
+
+class AttemptMemory:
+    """Records of attempts, bounded in number, bytes and time.
+
+    Parameters
+    ----------
+    records_max : int, default=50_000
+    replies_max_bytes : int, default=8 MiB
+    """
+
+    __slots__ = (
+        "_expiries",
+        "_kept_bytes",
+        "_kept_replies",
+        "_records",
+        "_records_max",
+        "_replies_max_bytes",
+    )
+
+    def __init__(
+        self,
+        records_max: int = RECORDS_MAX,
+        replies_max_bytes: int = REPLIES_MAX_BYTES,
+    ):
+        self._records = {}
+        self._records_max = records_max
+        self._expiries = []
+        self._kept_replies = collections.OrderedDict()
+        self._kept_bytes = 0
+        self._replies_max_bytes = replies_max_bytes
+
+    def __len__(self):
+        return len(self._records)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the reply bodies that are kept."""
+        return self._kept_bytes
+
+    def get(self, attempt: str) -> AttemptRecord | None:
+        """Return the record of an attempt, or None if it never came here."""
+        return self._records.get(attempt)
+
+    def open(
+        self, attempt: str, latest_start_s: float, now_s: float
+    ) -> AttemptRecord | None:
+        """Return a new record in state WAITING, or None if there is no room.
+
+        Parameters
+        ----------
+        attempt : str
+        latest_start_s : float
+            Reading of the loop's clock after which the attempt must not start.
+        now_s : float
+        """
+        self._expire(now_s)
+        if len(self._records) >= self._records_max:
+            return None
+        record = AttemptRecord(
+            attempt, AttemptState.WAITING, max(latest_start_s, now_s) + RETENTION_S
+        )
+        self._records[attempt] = record
+        heapq.heappush(self._expiries, (record.forget_at_s, attempt))
+        return record
+
+    def revoke(self, attempt: str, now_s: float) -> AttemptRecord | None:
+        """Remember that an attempt that has not come must never start."""
+        record = self.open(attempt, now_s + START_HORIZON_S, now_s)
+        if record is not None:
+            record.state = AttemptState.REVOKED
+        return record
+
+    def finish(
+        self, record: AttemptRecord, reply: Reply, body: bytes, now_s: float
+    ) -> None:
+        """Keep how an attempt ended, to be sent again."""
+        record.state = AttemptState.FINISHED
+        record.reply = reply
+        record.body = body
+        record.forget_at_s = max(record.forget_at_s, now_s + RETENTION_S)
+        if body:
+            self._kept_replies[record.attempt] = (now_s, record)
+            self._kept_bytes += len(body)
+        self._drop_bodies(now_s)
+
+    def _drop_bodies(self, now_s):
+        while self._kept_replies:
+            finished_s, record = next(iter(self._kept_replies.values()))
+            aged = now_s - finished_s > REPLY_KEPT_S
+            if not aged and self._kept_bytes <= self._replies_max_bytes:
+                return
+            self._kept_replies.popitem(last=False)
+            self._kept_bytes -= len(record.body)
+            record.body = None
+
+    def _expire(self, now_s):
+        self._drop_bodies(now_s)
+        while self._expiries and self._expiries[0][0] < now_s:
+            _, attempt = heapq.heappop(self._expiries)
+            record = self._records[attempt]
+            unfinished = record.state in (AttemptState.WAITING, AttemptState.RUNNING)
+            if unfinished or record.forget_at_s > now_s:
+                again_s = max(record.forget_at_s, now_s + RETENTION_S)
+                heapq.heappush(self._expiries, (again_s, attempt))
+                continue
+            del self._records[attempt]
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -0,0 +1,286 @@
+"""What one server is given now, and how much it is known to bear."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sapphireway_coordination._announcement import Announcement
+from sapphireway_coordination._coldstart import (
+    SHED_STATUSES,
+    STALL_CHECK_S,
+    LatencyBaseline,
+    RelapseDetector,
+    is_stalled,
+)
+from sapphireway_coordination._gate_events import (
+    LimitChanged,
+    ObserveGate,
+    RelapseCause,
+    RelapseSeen,
+    ServerWarmed,
+)
+from sapphireway_coordination._invariant import require
+from sapphireway_coordination._limit import ConcurrencyLimit, Sample
+from sapphireway_transport import Broken, NotSent, Responded, ServerResult
+
+ABORT_LINGER_S = 0.02
+CRASH_MIN_DISCONNECTED = 2
+INHERITED_WAIT_S = 1.0
+INHERITED_MAX_S = 10.0
+REFUSED_PAUSE_S = 0.1
+FAILED_LATENCY_RATIO = 10.0
+
+
+@dataclass(slots=True)
+class Running:
+    """A request that the server has been given.
+
+    Attributes
+    ----------
+    attempt, kind, digest : str
+    started_s : float
+    saturated : bool
+        The limit was reached when it started.
+    alone : bool
+        Nothing else may be in flight with it.
+    """
+
+    attempt: str
+    kind: str
+    digest: str
+    started_s: float
+    saturated: bool
+    alone: bool
+
+
+class ServerCapacity:
+    """Counts what is in flight at one server and bounds it.
+
+    Parameters
+    ----------
+    announcement : Announcement
+    cold_limit : int
+    get_time : callable
+        Returns the loop's clock.
+    observe : callable
+    wake : callable
+        Called without arguments whenever a slot may have become free.
+    inherited : int or None
+        Requests that a former process of this node may have left in flight; None
+        if nobody can tell.
+    """
+
+    __slots__ = (
+        "_cold_limit",
+        "_detector",
+        "_disconnected",
+        "_get_time",
+        "_inherited",
+        "_inherited_until_s",
+        "_limit",
+        "_lingering",
+        "_observe",
+        "_refused_s",
+        "_running",
+        "_stall_timer",
+        "_wake",
+        "announcement",
+        "baseline",
+        "reserved",
+    )
+
+    def __init__(
+        self,
+        announcement: Announcement,
+        cold_limit: int,
+        get_time: Callable[[], float],
+        observe: ObserveGate,
+        wake: Callable[[], None],
+        inherited: int | None = 0,
+    ):
+        self.announcement = announcement
+        self.baseline = LatencyBaseline()
+        self.reserved = None
+        self._disconnected = 0
+        self._cold_limit = cold_limit
+        self._detector = RelapseDetector()
+        self._get_time = get_time
+        self._inherited = announcement.slots if inherited is None else inherited
+        wait_s = INHERITED_WAIT_S if inherited is None else INHERITED_MAX_S
+        self._inherited_until_s = get_time() + wait_s
+        self._limit = ConcurrencyLimit()
+        self._lingering = 0
+        self._observe = observe
+        self._refused_s = None
+        self._running = {}
+        self._stall_timer = None
+        self._wake = wake
+        self._limit.set_ceiling(self._get_ceiling())
+        self.relapse(RelapseCause.ANNOUNCED)
+        if self._inherited:
+            self._schedule(wait_s, wake)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that the server may be running for this node."""
+        return len(self._running) + self._lingering
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight."""
+        if self._inherited and self._get_time() >= self._inherited_until_s:
+            self._inherited = 0
+        return max(0, min(self._limit.value, self._limit.ceiling - self._inherited))
+
+    @property
+    def cold(self) -> bool:
+        """True until the server has shown that it bears its slots."""
+        return self._limit.cold
+
+    @property
+    def down(self) -> bool:
+        """True if the last connection was refused."""
+        return self._refused_s is not None
+
+    @property
+    def paused(self) -> bool:
+        """True shortly after a refused connection: do not try again yet."""
+        if self._refused_s is None:
+            return False
+        return self._get_time() < self._refused_s + REFUSED_PAUSE_S
+
+    def has_room(self) -> bool:
+        """Tell whether one more request may be given to the server."""
+        return self.reserved is None and self.in_flight < self.limit
+
+    def has_room_alone(self) -> bool:
+        """Tell whether a request that must run alone may be given to the server."""
+        return self.in_flight == 0 and self.limit > 0
+
+    def expect_slot_s(self) -> float:
+        """Return the expected time until a slot gets free."""
+        return self.baseline.mean_s / max(1, self.in_flight)
+
+    def renew(self, announcement: Announcement, cold_limit: int) -> None:
+        """Take over an announcement; a new start id means a cold start."""
+        restarted = announcement.start_id != self.announcement.start_id
+        self.announcement = announcement
+        self._cold_limit = cold_limit
+        self._refused_s = None
+        self._limit.set_ceiling(self._get_ceiling())
+        if restarted:
+            self._inherited = 0
+            self.relapse(RelapseCause.RESTARTED)
+        elif self._inherited and announcement.in_flight is not None:
+            left = announcement.in_flight - len(self._running)
+            self._inherited = min(self._inherited, max(0, left))
+        self._wake()
+
+    def relapse(self, cause: RelapseCause) -> None:
+        """Go back to the cold limit."""
+        self._detector.reset()
+        self._disconnected = 0
+        before = self._limit.value
+        seen = not self._limit.cold or before != self._cold_limit
+        self._limit.start_cold(self._cold_limit)
+        if seen:
+            server = self.announcement.server
+            self._observe(RelapseSeen(server, cause, self._limit.value))
+            self._report(before, cause.value)
+
+    def start(self, running: Running) -> None:
+        """Count a request that is being given to the server."""
+        running.saturated = self.in_flight + 1 >= self.limit
+        self._running[running.attempt] = running
+        require(self.in_flight <= self.limit, "more in flight than the limit")
+        require(not running.alone or self.in_flight == 1, "a suspect is not alone")
+        if self._stall_timer is None:
+            self._stall_timer = self._schedule(STALL_CHECK_S, self._check_stall)
+
+    def end(self, attempt: str, result: ServerResult | None) -> None:
+        """Take the end of a request into account; None if it was aborted here."""
+        running = self._running.pop(attempt)
+        elapsed_s = self._get_time() - running.started_s
+        match result:
+            case Responded():
+                self._end_answered(running, result.status, elapsed_s)
+            case NotSent():
+                self._refused_s = self._get_time()
+                self.relapse(RelapseCause.REFUSED)
+                self._schedule(REFUSED_PAUSE_S, self._wake)
+            case Broken(disconnected=True):
+                self._end_disconnected()
+            case Broken():
+                self._record(Sample(False, FAILED_LATENCY_RATIO, running.saturated))
+                self._linger()
+            case None:
+                self._linger()
+        self._wake()
+
+    def close(self) -> None:
+        """Stop watching."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _get_ceiling(self):
+        announcement = self.announcement
+        return max(1, min(announcement.slots, announcement.connections_max))
+
+    def _end_answered(self, running, status, elapsed_s):
+        self._refused_s = None
+        self._disconnected = 0
+        shed = status in SHED_STATUSES
+        ratio = 1.0
+        if not shed:
+            ratio = self.baseline.record(running.kind, elapsed_s)
+        cause = self._detector.record(ratio, shed)
+        if cause is not None:
+            self.relapse(cause)
+            return
+        self._record(Sample(not shed, ratio, running.saturated))
+
+    def _end_disconnected(self):
+        self._disconnected += 1
+        if not self._running or self._disconnected >= CRASH_MIN_DISCONNECTED:
+            self.relapse(RelapseCause.CRASHED)
+        else:
+            self._record(Sample(False, FAILED_LATENCY_RATIO, True))
+
+    def _record(self, sample):
+        before, was_cold = self._limit.value, self._limit.cold
+        self._limit.record(sample)
+        self._report(before, "answers")
+        if was_cold and not self._limit.cold:
+            self._observe(ServerWarmed(self.announcement.server, self._limit.value))
+
+    def _report(self, before, cause):
+        after = self._limit.value
+        if after != before:
+            server = self.announcement.server
+            self._observe(LimitChanged(server, before, after, cause))
+
+    def _linger(self):
+        # The server needs a moment to notice that the connection was closed.
+        self._lingering += 1
+        self._schedule(ABORT_LINGER_S, self._end_linger)
+
+    def _end_linger(self):
+        self._lingering -= 1
+        self._wake()
+
+    def _check_stall(self):
+        self._stall_timer = None
+        if not self._running:
+            return
+        now_s = self._get_time()
+        ages = (
+            (now_s - running.started_s, self.baseline.get(running.kind))
+            for running in self._running.values()
+        )
+        if is_stalled(ages) and self._limit.value > self._cold_limit:
+            self.relapse(RelapseCause.STALLED)
+        self._stall_timer = self._schedule(STALL_CHECK_S, self._check_stall)
+
+    def _schedule(self, delay_s, callback):
+        return asyncio.get_running_loop().call_later(delay_s, callback)
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_coldstart.py
@@ -0,0 +1,99 @@
+"""Signs that a server fell back into a cold start without notice."""
+
+import collections
+import statistics
+from collections.abc import Iterable
+
+from sapphireway_coordination._gate_events import RelapseCause
+
+SHED_STATUSES = frozenset({429, 503})
+ANSWERS_WINDOW = 20
+SHED_ANSWERS_MIN = 3
+LATENCY_WINDOW = 5
+LATENCY_JUMP_RATIO = 4.0
+STALL_MIN_S = 0.05
+STALL_MIN_REQUESTS = 2
+STALL_CHECK_S = 0.02
+KINDS_MAX = 256
+BASELINE_RISE = 0.02
+BASELINE_FALL = 0.1
+BASELINE_STEP_MAX = 2.0
+LATENCY_SMOOTHING = 0.1
+
+
+class LatencyBaseline:
+    """Usual response time of each request kind.
+
+    It moves slowly and by bounded steps, so that a burst of slow answers stands out
+    and a lasting change is taken over within about a hundred answers.
+    """
+
+    __slots__ = ("_usual_s", "mean_s")
+
+    def __init__(self):
+        self._usual_s = {}
+        self.mean_s = 0.0
+
+    def get(self, kind: str) -> float:
+        """Return the usual response time of `kind` in seconds, 0 if not known."""
+        return self._usual_s.get(kind, 0.0)
+
+    def record(self, kind: str, latency_s: float) -> float:
+        """Take a response time into account and return its ratio to the usual."""
+        latency_s = max(latency_s, 1e-6)
+        rate = LATENCY_SMOOTHING if self.mean_s else 1.0
+        self.mean_s += rate * (latency_s - self.mean_s)
+        usual_s = self._usual_s.get(kind)
+        if usual_s is None:
+            if len(self._usual_s) < KINDS_MAX:
+                self._usual_s[kind] = latency_s
+            return 1.0
+        ratio = latency_s / usual_s
+        rate = BASELINE_RISE if ratio > 1.0 else BASELINE_FALL
+        self._usual_s[kind] += rate * usual_s * (min(ratio, BASELINE_STEP_MAX) - 1.0)
+        return ratio
+
+
+class RelapseDetector:
+    """Looks for a relapse in the latest answers and in the requests in flight."""
+
+    __slots__ = ("_ratios", "_sheds")
+
+    def __init__(self):
+        self._sheds = collections.deque(maxlen=ANSWERS_WINDOW)
+        self._ratios = collections.deque(maxlen=LATENCY_WINDOW)
+
+    def reset(self) -> None:
+        """Forget all answers, after a relapse was seen."""
+        self._sheds.clear()
+        self._ratios.clear()
+
+    def record(self, latency_ratio: float, shed: bool) -> RelapseCause | None:
+        """Take one answer into account; return what it shows, if anything."""
+        self._sheds.append(shed)
+        if sum(self._sheds) >= SHED_ANSWERS_MIN:
+            return RelapseCause.SHEDDING
+        if shed:
+            return None
+        self._ratios.append(latency_ratio)
+        if len(self._ratios) < LATENCY_WINDOW:
+            return None
+        if statistics.median(self._ratios) > LATENCY_JUMP_RATIO:
+            return RelapseCause.LATENCY
+        return None
+
+
+def is_stalled(ages: Iterable[tuple[float, float]]) -> bool:
+    """Tell whether most requests in flight take far longer than usual.
+
+    Parameters
+    ----------
+    ages : iterable of (float, float)
+        Age and usual response time of each request in flight, in seconds.
+    """
+    ages = list(ages)
+    late = sum(
+        age_s > max(STALL_MIN_S, LATENCY_JUMP_RATIO * usual_s) and usual_s > 0.0
+        for age_s, usual_s in ages
+    )
+    return late >= STALL_MIN_REQUESTS and 2 * late > len(ages)
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
@@ -0,0 +1,126 @@
+"""Limit of the requests in flight at one server, learnt from its answers."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+INCREASE_PER_ROUND = 0.5
+DECREASE_FACTOR = 0.7
+SLOW_RATIO = 3.0
+GRADIENT_TOLERANCE = 1.5
+GRADIENT_MIN = 0.5
+GRADIENT_SMOOTHING = 0.2
+LIMIT_MIN = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """What one finished attempt tells of the server.
+
+    Attributes
+    ----------
+    ok : bool
+        The server answered, and did not shed.
+    latency_ratio : float
+        Response time relative to the usual one of its kind.
+    saturated : bool
+        As many requests as allowed were in flight when it started.
+    """
+
+    ok: bool
+    latency_ratio: float
+    saturated: bool
+
+
+UpdateLimit = Callable[[float, Sample], float]
+"""Returns the new limit, given the current one and a sample."""
+
+
+def make_additive_update() -> UpdateLimit:
+    """Return an additive increase, multiplicative decrease update (AIMD).
+
+    A round is as many samples as the limit; at most one decrease happens in each,
+    because all requests of a round saw the same overload.
+    """
+    samples_to_wait = 0
+
+    def update(limit, sample):
+        nonlocal samples_to_wait
+        samples_to_wait = max(0, samples_to_wait - 1)
+        if not sample.ok or sample.latency_ratio > SLOW_RATIO:
+            if samples_to_wait:
+                return limit
+            samples_to_wait = math.ceil(limit)
+            return limit * DECREASE_FACTOR
+        if sample.saturated:
+            return limit + INCREASE_PER_ROUND / limit
+        return limit
+
+    return update
+
+
+def make_gradient_update() -> UpdateLimit:
+    """Return an update that follows the ratio of usual to present response time."""
+    smoothed_ratio = 1.0
+
+    def update(limit, sample):
+        nonlocal smoothed_ratio
+        if not sample.ok:
+            return limit * DECREASE_FACTOR ** (1.0 / limit)
+        smoothed_ratio += GRADIENT_SMOOTHING * (sample.latency_ratio - smoothed_ratio)
+        gradient = GRADIENT_TOLERANCE / max(smoothed_ratio, GRADIENT_TOLERANCE)
+        gradient = max(GRADIENT_MIN, gradient)
+        headroom = math.sqrt(limit) if sample.saturated else 0.0
+        target = limit * gradient + headroom
+        return limit + (target - limit) * GRADIENT_SMOOTHING / limit
+
+    return update
+
+
+class ConcurrencyLimit:
+    """The limit in force, between one and a ceiling.
+
+    Parameters
+    ----------
+    make_update : callable
+        Makes the rule by which the limit follows the samples.
+
+    Attributes
+    ----------
+    ceiling : int
+        The server's slots or connections, whichever are fewer.
+    cold : bool
+        True until the limit has climbed from the cold limit to the ceiling.
+    """
+
+    __slots__ = ("_make_update", "_update", "_value", "ceiling", "cold")
+
+    def __init__(self, make_update: Callable[[], UpdateLimit] = make_additive_update):
+        self._make_update = make_update
+        self._update = make_update()
+        self._value = 0.0
+        self.ceiling = 0
+        self.cold = True
+
+    @property
+    def value(self) -> int:
+        """Requests that may be in flight."""
+        return int(self._value)
+
+    def set_ceiling(self, ceiling: int) -> None:
+        """Change the upper bound."""
+        self.ceiling = ceiling
+        self._value = min(self._value, float(ceiling))
+
+    def start_cold(self, cold_limit: int) -> None:
+        """Begin again at the cold limit, or lower if the limit is lower."""
+        self._update = self._make_update()
+        self._value = float(min(cold_limit, self.ceiling))
+        self.cold = True
+
+    def record(self, sample: Sample) -> None:
+        """Take one finished attempt into account."""
+        moved = self._update(self._value, sample)
+        self._value = min(max(moved, LIMIT_MIN), float(self.ceiling))
+        if self._value >= self.ceiling:
+            self.cold = False
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -0,0 +1,192 @@
+"""The server that a node speaks for, from its announcement until it leaves."""
+
+import asyncio
+from collections.abc import Callable
+
+from sapphireway_coordination._announcement import (
+    AnnounceAccepted,
+    Announcement,
+    AnnounceRefused,
+    AnnounceResult,
+)
+from sapphireway_coordination._capacity import ServerCapacity
+from sapphireway_coordination._gate_events import (
+    ObserveGate,
+    RelapseCause,
+    ServerAnnounced,
+    ServerLeft,
+)
+from sapphireway_protocol import NotRunReason
+
+RENEW_S = 2.0
+LEASE_S = 7.0
+
+
+class Registration:
+    """Announcements of one server and the lease that they renew.
+
+    Parameters
+    ----------
+    observe : callable
+    wake : callable
+        Called without arguments when a slot may have become free.
+    refuse_waiting : callable
+        Called with a `NotRunReason` when what waits must be refused.
+
+    Attributes
+    ----------
+    capacity : ServerCapacity or None
+        None until the first announcement.
+    """
+
+    __slots__ = (
+        "_lapsed",
+        "_lease_timer",
+        "_lease_until_s",
+        "_left_start_id",
+        "_loop",
+        "_observe",
+        "_refuse_waiting",
+        "_wake",
+        "capacity",
+    )
+
+    def __init__(
+        self,
+        observe: ObserveGate,
+        wake: Callable[[], None],
+        refuse_waiting: Callable[[NotRunReason], None],
+    ):
+        self._lapsed = False
+        self._lease_timer = None
+        self._lease_until_s = 0.0
+        self._left_start_id = None
+        self._loop = asyncio.get_running_loop()
+        self._observe = observe
+        self._refuse_waiting = refuse_waiting
+        self._wake = wake
+        self.capacity = None
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """The last announcement, or None if there was none."""
+        return None if self.capacity is None else self.capacity.announcement
+
+    @property
+    def leaving(self) -> bool:
+        """True once the server has said that it stops."""
+        return self._left_start_id is not None
+
+    @property
+    def lapsed(self) -> bool:
+        """True if the server no longer renews its announcement."""
+        return self._lapsed
+
+    def judge(self, service: str) -> NotRunReason | None:
+        """Return why no request of `service` can run, or None."""
+        if self.announcement is None or self.announcement.service != service:
+            return NotRunReason.NO_SERVER
+        if self.leaving:
+            return NotRunReason.DRAINING
+        if self._lapsed:
+            return NotRunReason.NO_SERVER
+        if self.capacity.paused:
+            return NotRunReason.UNREACHABLE
+        return None
+
+    def announce(self, announcement: Announcement, cold_limit: int) -> AnnounceResult:
+        """Take a first announcement, or a renewal."""
+        if announcement.start_id == self._left_start_id:
+            return AnnounceRefused("this start of the server has left")
+        known = self.announcement
+        if known is not None and known.server != announcement.server:
+            if not self._is_replaceable():
+                return AnnounceRefused(f"this node speaks for server {known.server}")
+            self.close()
+            known = None
+        if known is None:
+            self._admit(announcement, cold_limit)
+        elif known.service != announcement.service:
+            return AnnounceRefused("a server cannot change its service")
+        else:
+            self._renew(announcement, cold_limit)
+        self._left_start_id = None
+        self._lapsed = False
+        self._extend_lease()
+        return AnnounceAccepted(RENEW_S, self.capacity.limit)
+
+    def leave(self, server: str) -> bool:
+        """Begin to stop; False if the server is not known."""
+        known = self.announcement
+        if known is None or known.server != server:
+            return False
+        if not self.leaving:
+            self._left_start_id = known.start_id
+            self._refuse_waiting(NotRunReason.DRAINING)
+            self._observe(ServerLeft(server, known.service, False))
+        return True
+
+    def note_answer(self) -> None:
+        """Extend the lease: a server that answers is there."""
+        self._lease_until_s = self._loop.time() + LEASE_S
+
+    def close(self) -> None:
+        """Forget the server."""
+        if self._lease_timer is not None:
+            self._lease_timer.cancel()
+            self._lease_timer = None
+        if self.capacity is not None:
+            self.capacity.close()
+            self.capacity = None
+
+    def _is_replaceable(self):
+        gone = self._lapsed or self.leaving
+        return gone and self.capacity.in_flight == 0
+
+    def _admit(self, announcement, cold_limit):
+        self.capacity = ServerCapacity(
+            announcement,
+            cold_limit,
+            self._loop.time,
+            self._observe,
+            self._wake,
+            announcement.in_flight,
+        )
+        self._report(announcement)
+
+    def _renew(self, announcement, cold_limit):
+        restarted = self.announcement.start_id != announcement.start_id
+        self.capacity.renew(announcement, cold_limit)
+        if restarted:
+            self._report(announcement)
+        elif self._lapsed:
+            self.capacity.relapse(RelapseCause.ANNOUNCED)
+            self._report(announcement)
+
+    def _report(self, announcement):
+        self._observe(
+            ServerAnnounced(
+                announcement.server,
+                announcement.service,
+                announcement.start_id,
+                announcement.slots,
+            )
+        )
+
+    def _extend_lease(self):
+        self.note_answer()
+        if self._lease_timer is None:
+            self._lease_timer = self._loop.call_later(LEASE_S, self._check_lease)
+
+    def _check_lease(self):
+        if self._loop.time() < self._lease_until_s:
+            self._lease_timer = self._loop.call_at(
+                self._lease_until_s, self._check_lease
+            )
+            return
+        self._lease_timer = None
+        self._lapsed = True
+        self._refuse_waiting(NotRunReason.NO_SERVER)
+        if not self.leaving:
+            known = self.announcement
+            self._observe(ServerLeft(known.server, known.service, True))
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_suspects.py
@@ -0,0 +1,206 @@
+"""Digests of requests that may crash the servers that run them."""
+
+import collections
+import enum
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from sapphireway_coordination._gate_events import (
+    ObserveGate,
+    SuspectChange,
+    SuspectMarked,
+)
+from sapphireway_protocol import MarkSuspect
+
+SUSPECTS_MAX = 1024
+PROVEN_MAX = 4096
+PROVEN_TTL_S = 60.0
+
+
+class Verdict(enum.StrEnum):
+    """How a request of a digest may run."""
+
+    FREE = "free"
+    ALONE = "alone"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class Suspect:
+    """What is known of one suspect digest.
+
+    Attributes
+    ----------
+    digest : str
+    origin : str
+        Address of the node that grants reruns.
+    condemned : bool
+    ttl_s, expires_s : float
+    siblings : tuple of str
+        Digests that were in flight in the same crash, at the origin only.
+    granted : bool
+        True while a rerun that the origin allowed has no verdict.
+    """
+
+    digest: str
+    origin: str
+    condemned: bool
+    ttl_s: float
+    expires_s: float
+    siblings: tuple[str, ...] = ()
+    granted: bool = False
+
+
+class SuspectTable:
+    """Suspect digests of one service, bounded in number and time.
+
+    Parameters
+    ----------
+    address : str
+        Address of this node.
+    get_time : callable
+        Returns the loop's clock.
+    observe : callable
+    """
+
+    __slots__ = ("_address", "_get_time", "_observe", "_proven", "_suspects")
+
+    def __init__(
+        self, address: str, get_time: Callable[[], float], observe: ObserveGate
+    ):
+        self._address = address
+        self._get_time = get_time
+        self._observe = observe
+        self._proven = collections.OrderedDict()
+        self._suspects = {}
+
+    def __len__(self):
+        return len(self._suspects)
+
+    def get(self, digest: str) -> Suspect | None:
+        """Return the suspect of a digest, or None."""
+        suspect = self._suspects.get(digest)
+        if suspect is not None and suspect.expires_s <= self._get_time():
+            del self._suspects[digest]
+            return None
+        return suspect
+
+    def judge(self, digest: str) -> Verdict:
+        """Tell how a request of `digest` may run."""
+        suspect = self.get(digest) if digest else None
+        if suspect is None:
+            return Verdict.FREE
+        return Verdict.REFUSED if suspect.condemned else Verdict.ALONE
+
+    def note_success(self, digest: str) -> None:
+        """Remember that a request of `digest` was answered."""
+        if not digest:
+            return
+        self._proven[digest] = self._get_time()
+        self._proven.move_to_end(digest)
+        if len(self._proven) > PROVEN_MAX:
+            self._proven.popitem(last=False)
+
+    def pick_suspects(self, digests: Iterable[str]) -> tuple[str, ...]:
+        """Return which of the digests in flight at a crash to suspect.
+
+        Digests that were answered lately are left out, unless all were.
+        """
+        digests = {digest for digest in digests if digest}
+        earliest_s = self._get_time() - PROVEN_TTL_S
+        unproven = {d for d in digests if self._proven.get(d, -math.inf) < earliest_s}
+        return tuple(sorted(unproven or digests))
+
+    def mark(self, digest: str, ttl_s: float, siblings: Sequence[str] = ()) -> Suspect:
+        """Note a crash of the server beside this node."""
+        known = self.get(digest)
+        if known is None:
+            return self._add(digest, self._address, False, ttl_s, tuple(siblings))
+        return self._condemn(known, ttl_s)
+
+    def learn(self, mark: MarkSuspect) -> Suspect:
+        """Take over what another node found out."""
+        known = self.get(mark.digest)
+        if known is None:
+            return self._add(mark.digest, mark.origin, mark.condemned, mark.ttl_s)
+        # Two origins mean that two servers went down.
+        if mark.condemned or mark.origin != known.origin:
+            return self._condemn(known, mark.ttl_s)
+        self._extend(known, mark.ttl_s)
+        return known
+
+    def clear(self, digest: str) -> bool:
+        """Forget a digest that was found harmless; False if it was not suspect."""
+        suspect = self.get(digest)
+        if suspect is None or suspect.condemned:
+            return False
+        del self._suspects[digest]
+        self._observe(SuspectMarked(digest, SuspectChange.CLEARED, suspect.origin))
+        return True
+
+    def is_cleared(self, digest: str) -> bool:
+        """Tell whether a digest was answered lately and is not suspect."""
+        answered_s = self._proven.get(digest, -math.inf)
+        recent = answered_s >= self._get_time() - PROVEN_TTL_S
+        return recent and self.get(digest) is None
+
+    def grant(self, digest: str) -> bool:
+        """Allow one rerun alone; only the origin may, and one at a time."""
+        suspect = self.get(digest)
+        if suspect is None or suspect.condemned or suspect.granted:
+            return False
+        if suspect.origin != self._address:
+            return False
+        suspect.granted = True
+        return True
+
+    def take_back(self, digest: str) -> None:
+        """End a grant that brought no verdict."""
+        suspect = self.get(digest)
+        if suspect is not None:
+            suspect.granted = False
+
+    def renew(self, digest: str) -> Suspect | None:
+        """Extend a condemned digest that is still being sent.
+
+        Returns
+        -------
+        Suspect or None
+            The suspect if more than half of its time was over, to be shared.
+        """
+        suspect = self.get(digest)
+        if suspect is None or not suspect.condemned:
+            return None
+        if suspect.expires_s - self._get_time() > suspect.ttl_s / 2:
+            return None
+        self._extend(suspect, suspect.ttl_s)
+        return suspect
+
+    def list_all(self) -> list[Suspect]:
+        """Return every suspect that has not expired."""
+        return [s for d in list(self._suspects) if (s := self.get(d)) is not None]
+
+    def _add(self, digest, origin, condemned, ttl_s, siblings=()):
+        if len(self._suspects) >= SUSPECTS_MAX:
+            earliest = min(self._suspects.values(), key=lambda s: s.expires_s)
+            del self._suspects[earliest.digest]
+        expires_s = self._get_time() + ttl_s
+        suspect = Suspect(digest, origin, condemned, ttl_s, expires_s, siblings)
+        self._suspects[digest] = suspect
+        change = SuspectChange.CONDEMNED if condemned else SuspectChange.MARKED
+        self._observe(SuspectMarked(digest, change, origin))
+        return suspect
+
+    def _condemn(self, suspect, ttl_s):
+        self._extend(suspect, ttl_s)
+        if not suspect.condemned:
+            suspect.condemned = True
+            self._observe(
+                SuspectMarked(suspect.digest, SuspectChange.CONDEMNED, suspect.origin)
+            )
+        return suspect
+
+    def _extend(self, suspect, ttl_s):
+        suspect.ttl_s = ttl_s
+        suspect.expires_s = max(suspect.expires_s, self._get_time() + ttl_s)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -21,14 +21,29 @@
     Unknown,
 )
 from sapphireway_protocol._peers import Peers
+from sapphireway_protocol._suspects import (
+    AskRerun,
+    ClearSuspect,
+    GrantRerun,
+    ListSuspects,
+    MarkSuspect,
+    ReturnRerun,
+    SuspectAck,
+    SuspectList,
+)
 
 __all__ = [
     "Answered",
+    "AskRerun",
     "Cancel",
+    "ClearSuspect",
     "Codec",
     "Envelope",
     "Failed",
+    "GrantRerun",
+    "ListSuspects",
     "LoadReport",
+    "MarkSuspect",
     "NotRun",
     "NotRunReason",
     "Outcome",
@@ -36,9 +51,12 @@
     "Probe",
     "ProbeReply",
     "Reply",
+    "ReturnRerun",
     "Revoke",
     "Revoked",
     "Run",
     "ServerState",
+    "SuspectAck",
+    "SuspectList",
     "Unknown",
 ]
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -104,6 +104,9 @@
     retry_after_s : float
     detail : str
     load : LoadReport or None
+    server_ms : float
+        Time from the arrival of `Run` to this reply, waiting included; 0 if not
+        known. The rest of the entry node's elapsed time is the network's.
     """
 
     attempt: str
@@ -114,6 +117,7 @@
     retry_after_s: float = 0.0
     detail: str = ""
     load: LoadReport | None = None
+    server_ms: float = 0.0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -4,6 +4,7 @@
 ``sapphireway_transport.memory``.
 """
 
+from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._server import (
     Broken,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Broken",
+    "CurlServerClient",
     "Endpoint",
     "NotSent",
     "Receiver",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -47,10 +47,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Broken:
-    """The request was sent, wholly or in part, and no whole answer arrived."""
+    """The request was sent, wholly or in part, and no whole answer arrived.
+
+    Attributes
+    ----------
+    detail : str
+        One line for people.
+    timed_out : bool
+        True if the answer was not there in time.
+    disconnected : bool
+        True if the server closed the connection, as it does when it crashes.
+    """
 
     detail: str
     timed_out: bool = False
+    disconnected: bool = False
 
 
 ServerResult = Responded | NotSent | Broken
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_server_api.py
@@ -0,0 +1,93 @@
+"""HTTP interface through which a server speaks to the node beside it."""
+
+from typing import Annotated
+
+import msgspec
+import tornado.web
+
+from sapphireway_coordination import AnnounceAccepted, Announcement, Gate
+
+SERVER_PATH = r"/server/([A-Za-z0-9._-]{1,64})"
+BODY_MAX_BYTES = 4096
+
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+_Url = Annotated[str, msgspec.Meta(pattern=r"^http://[^/?#\s]+$", max_length=256)]
+_Path = Annotated[str, msgspec.Meta(pattern=r"^/[!-~]*$", max_length=256)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+_PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+
+
+class AnnounceBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """JSON body of an announcement.
+
+    Attributes
+    ----------
+    service : str
+    url : str
+        ``http://host:port`` on which the server takes requests.
+    slots : int
+        Requests that it can run at once.
+    start_id : str
+        Changes whenever the server's process starts.
+    connections_max : int
+        Connections that it accepts at once.
+    health_path : str
+        Path that answers 200 while the server lives.
+    in_flight : int or None
+        Requests that it runs now by its own count.
+    """
+
+    service: _Name
+    url: _Url
+    slots: _PositiveCount
+    start_id: _Name
+    connections_max: _PositiveCount = 200
+    health_path: _Path = "/health"
+    in_flight: _Count | None = None
+
+
+class ServerHandler(tornado.web.RequestHandler):
+    """Takes announcements (PUT) and departures (DELETE) of one server."""
+
+    def initialize(self, gate: Gate) -> None:
+        """Take the gate that the server stands behind."""
+        self._gate = gate
+
+    def put(self, server: str) -> None:
+        """Announce the server, or renew its announcement."""
+        if len(self.request.body) > BODY_MAX_BYTES:
+            self._send_error(413, f"an announcement has at most {BODY_MAX_BYTES} bytes")
+            return
+        try:
+            body = msgspec.json.decode(self.request.body, type=AnnounceBody)
+        except msgspec.MsgspecError as error:
+            self._send_error(400, str(error))
+            return
+        result = self._gate.announce(
+            Announcement(server, **msgspec.structs.asdict(body))
+        )
+        if isinstance(result, AnnounceAccepted):
+            self._send_json(200, {"renew_s": result.renew_s, "limit": result.limit})
+        else:
+            self._send_error(409, result.detail)
+
+    def delete(self, server: str) -> None:
+        """Give the server no new work; what it runs ends undisturbed."""
+        if not self._gate.leave(server):
+            self._send_error(404, f"server {server} is not known here")
+            return
+        load = self._gate.get_load()
+        self._send_json(200, {"in_flight": load.in_flight})
+
+    def _send_error(self, status, detail):
+        self._send_json(status, {"error": detail})
+
+    def _send_json(self, status, content):
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(content))
+
+
+def make_server_routes(gate: Gate) -> list[tuple[str, type, dict]]:
+    """Return the routes of the server's interface for a tornado application."""
+    return [(SERVER_PATH, ServerHandler, {"gate": gate})]
