--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -1,5 +1,11 @@
 """Decisions of the nodes: routing, admission, claims, quorum and membership."""
 
+from sapphireway_coordination._announcement import (
+    AnnounceAccepted,
+    Announcement,
+    AnnounceRefused,
+    AnnounceResult,
+)
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import (
     AttemptCause,
@@ -17,7 +23,30 @@
 )
 from sapphireway_coordination._directory import Directory
 from sapphireway_coordination._dispatch import Dispatcher
+from sapphireway_coordination._exchange import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+)
 from sapphireway_coordination._follower import SettingsFollower
+from sapphireway_coordination._gate import Gate, GateState
+from sapphireway_coordination._gate_events import (
+    AttemptRefused,
+    AttemptRepeated,
+    AttemptServed,
+    AttemptStarted,
+    GateChanged,
+    GateEvent,
+    LimitChanged,
+    RelapseCause,
+    RelapseSeen,
+    ServerAnnounced,
+    ServerLeft,
+    ServerWarmed,
+    SuspectChange,
+    SuspectMarked,
+)
 from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._membership import Membership
@@ -30,9 +59,21 @@
 )
 
 __all__ = [
+    "ATTEMPT_ID_HEADER",
+    "DEADLINE_HEADER",
+    "NOT_RUN_HEADER",
+    "REQUEST_ID_HEADER",
+    "AnnounceAccepted",
+    "AnnounceRefused",
+    "AnnounceResult",
+    "Announcement",
     "AttemptCause",
     "AttemptEnded",
+    "AttemptRefused",
+    "AttemptRepeated",
     "AttemptSent",
+    "AttemptServed",
+    "AttemptStarted",
     "Call",
     "CallEnded",
     "CallEvent",
@@ -40,17 +81,29 @@
     "DenyReason",
     "Directory",
     "Dispatcher",
+    "Gate",
+    "GateChanged",
+    "GateEvent",
+    "GateState",
     "GetMembers",
     "InvariantError",
+    "LimitChanged",
     "Member",
     "MemberEjected",
     "MemberRestored",
     "Membership",
     "ObserveCall",
     "ProbeSent",
+    "RelapseCause",
+    "RelapseSeen",
     "RetryDenied",
     "RevokeSent",
+    "ServerAnnounced",
+    "ServerLeft",
+    "ServerWarmed",
     "SettingsFollower",
+    "SuspectChange",
+    "SuspectMarked",
     "choose_least_in_flight",
     "choose_random",
     "choose_two",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -35,17 +35,32 @@
 )
 from sapphireway_protocol._peers import Peers
 from sapphireway_protocol._settings import FetchSettings, SettingsInForce
+from sapphireway_protocol._suspects import (
+    AskRerun,
+    ClearSuspect,
+    GrantRerun,
+    ListSuspects,
+    MarkSuspect,
+    ReturnRerun,
+    SuspectAck,
+    SuspectList,
+)
 
 __all__ = [
     "Answered",
+    "AskRerun",
     "Cancel",
+    "ClearSuspect",
     "Codec",
     "Envelope",
     "Failed",
     "FetchSettings",
+    "GrantRerun",
     "LeaseEntry",
     "ListNodes",
+    "ListSuspects",
     "LoadReport",
+    "MarkSuspect",
     "NodeEntry",
     "NodeList",
     "NodeStatus",
@@ -60,12 +75,15 @@
     "Renew",
     "Renewed",
     "Reply",
+    "ReturnRerun",
     "Revoke",
     "Revoked",
     "Run",
     "ServerEntry",
     "ServerState",
     "SettingsInForce",
+    "SuspectAck",
+    "SuspectList",
     "SyncLeases",
     "SyncedLeases",
     "Unknown",
