--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,191 @@
+"""Routing against its baselines on the paused clock, paired by seed."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+import defopt
+
+from benchmarks._fleet import (
+    BASE_POLICY,
+    CAPACITY_PER_S,
+    SERVERS,
+    Fleet,
+    Scenario,
+    make_plain,
+)
+from benchmarks._server import ServerFaults, SlowWindow, find_percentile
+from sapphireway_coordination import (
+    Dispatcher,
+    choose_least_in_flight,
+    choose_random,
+    choose_two,
+    make_choose_round_robin,
+)
+from sapphireway_state import Policy
+from sapphireway_transport.memory import run_paused
+
+DURATION_S = 6.0
+
+
+def draw_windows(rng, duration_s, span_s, gap_s, factor):
+    """Return slow windows of random lengths with random gaps."""
+    windows, now_s = [], 0.5
+    while now_s < duration_s:
+        now_s += rng.uniform(*gap_s)
+        end_s = now_s + rng.uniform(*span_s)
+        windows.append(SlowWindow(now_s, end_s, factor))
+        now_s = end_s
+    return windows
+
+
+def slow_one(rng):
+    """Make one server at a time ten times slower for 50 to 500 ms."""
+    faults = [[] for _ in range(SERVERS)]
+    for window in draw_windows(rng, DURATION_S, (0.05, 0.5), (0.1, 0.5), 10.0):
+        faults[rng.randrange(SERVERS)].append(window)
+    return [ServerFaults(slow=tuple(windows)) for windows in faults]
+
+
+def disturb_two(rng):
+    """Make two servers three times slower for about a second, again and again."""
+    faults = [ServerFaults() for _ in range(SERVERS)]
+    for index in (0, 1):
+        windows = draw_windows(rng, DURATION_S, (0.5, 1.5), (0.3, 1.0), 3.0)
+        faults[index] = ServerFaults(slow=tuple(windows))
+    return faults
+
+
+def delay_reports(rng):
+    """Add a report delay of 10 to 500 ms to `slow_one`."""
+    faults = slow_one(rng)
+    for one in faults:
+        one.report_delay_s = rng.uniform(0.01, 0.5)
+    return faults
+
+
+def fail_fast_one(rng):
+    """Let one server answer 500 at once for one to two seconds, again and again."""
+    faults = [ServerFaults() for _ in range(SERVERS)]
+    windows = draw_windows(rng, DURATION_S, (1.0, 2.0), (0.5, 1.0), 1.0)
+    faults[2] = ServerFaults(failing=tuple(windows))
+    return faults
+
+
+async def restart_cold(fleet):
+    """Restart a server cold, without notice, every 1.5 s."""
+    for name in ("s0", "s1", "s2"):
+        await asyncio.sleep(1.5)
+        fleet.servers[name].start_cold()
+
+
+async def announce_domain(fleet):
+    """Take a domain out with notice, and bring it back cold."""
+    await asyncio.sleep(2.0)
+    fleet.take_domain_out("bxl-a")
+    await asyncio.sleep(0.3)
+    fleet.publish_out("bxl-a")
+    await asyncio.sleep(1.7)
+    fleet.return_domain("bxl-a")
+
+
+async def lose_domain(fleet):
+    """Lose a domain without notice; directories hear after 2 s; it returns cold."""
+    await asyncio.sleep(2.0)
+    fleet.lose_domain("bxl-b")
+    await asyncio.sleep(2.0)
+    fleet.remove_lost("bxl-b")
+    await asyncio.sleep(1.0)
+    fleet.return_domain("bxl-b")
+
+
+def surge(now_s):
+    """Return twice the capacity from 1 s to 3 s."""
+    return 2.0 if 1.0 <= now_s < 3.0 else 0.6
+
+
+SCENARIOS = {
+    x.name: x
+    for x in (
+        Scenario("calm", DURATION_S),
+        Scenario("slow", DURATION_S, faults=slow_one),
+        Scenario("noisy", DURATION_S, lambda now_s: 0.5, faults=disturb_two),
+        Scenario("stale", DURATION_S, faults=delay_reports),
+        Scenario("failing", DURATION_S, faults=fail_fast_one),
+        Scenario("cold", DURATION_S, conduct=restart_cold),
+        Scenario("overload", DURATION_S, surge),
+        Scenario("out", DURATION_S, lambda now_s: 0.4, conduct=announce_domain),
+        Scenario("lost", DURATION_S, lambda now_s: 0.4, conduct=lose_domain),
+    )
+}
+
+BASELINES = {
+    "random": make_plain(lambda: choose_random),
+    "round_robin": make_plain(make_choose_round_robin),
+    "least_in_flight": make_plain(lambda: choose_least_in_flight),
+    "two_choices": make_plain(lambda: choose_two),
+}
+
+
+def measure(name, variant, seeds):
+    """Run one variant in one scenario over `seeds` and print a row."""
+    scenario = SCENARIOS[name]
+    calls, probes, messages, retries = [], 0, 0, 0
+    started_s = time.perf_counter()
+    for seed in seeds:
+        fleet_result = run_paused(run_fleet(seed, scenario, variant))
+        calls += fleet_result.calls
+        probes += fleet_result.probes
+        messages += fleet_result.messages
+        retries += fleet_result.retries
+    cpu_s = time.perf_counter() - started_s
+    print_row(name, variant, calls, probes, messages, retries, cpu_s)
+
+
+async def run_fleet(seed, scenario, variant):
+    """Run one fleet."""
+    if variant in BASELINES:
+        fleet = Fleet(seed, scenario, BASELINES[variant], BASE_POLICY)
+    else:
+        fleet = Fleet(seed, scenario, Dispatcher, Policy(deadline_ms=1000))
+    return await fleet.run()
+
+
+def print_row(name, variant, calls, probes, messages, retries, cpu_s):
+    """Print the figures of one variant in one scenario."""
+    row = [f"{name:9}", f"{variant:15}"]
+    for kind in ("read", "booking"):
+        times = sorted(x.took_s for x in calls if x.kind == kind)
+        row += [f"{find_percentile(times, p) * 1000:7.1f}" for p in (50, 99, 99.9)]
+        good = sum(x.good for x in calls if x.kind == kind)
+        row.append(f"{100 * good / len(times):6.2f}%")
+    count = len(calls)
+    row.append(f"{messages / count:5.2f}")
+    row.append(f"{probes / count:6.3f}")
+    row.append(f"{100 * retries / count:5.2f}%")
+    row.append(f"{cpu_s / count * 1e6:5.0f}us")
+    print(" ".join(row), flush=True)
+
+
+def main(
+    *, scenarios: list[str] | None = None, variants: list[str] | None = None, seeds: int = 2
+):
+    """Compare routing variants.
+
+    Parameters
+    ----------
+    scenarios
+        Names of scenarios; all by default.
+    variants
+        Names of baselines, or ``sapphireway``; all by default.
+    seeds
+        Paired runs of each.
+    """
+    for name in scenarios or SCENARIOS:
+        for variant in variants or [*BASELINES, "sapphireway"]:
+            measure(name, variant, range(1, seeds + 1))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
