--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -169,7 +169,10 @@
 
 
 def main(
-    *, scenarios: list[str] | None = None, variants: list[str] | None = None, seeds: int = 2
+    *,
+    scenarios: list[str] | None = None,
+    variants: list[str] | None = None,
+    seeds: int = 2,
 ):
     """Compare routing variants.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -21,6 +21,7 @@
 from sapphireway_coordination._routing import (
     Choose,
     choose_least_in_flight,
+    choose_predicted,
     choose_random,
     choose_two,
     make_choose_round_robin,
@@ -46,6 +47,7 @@
     "RetryDenied",
     "RevokeSent",
     "choose_least_in_flight",
+    "choose_predicted",
     "choose_random",
     "choose_two",
     "make_choose_round_robin",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -53,7 +53,7 @@
         "_call",
         "_dispatcher",
         "_ended",
-        "_hedge_denied",
+        "_hedged",
         "_latencies",
         "_loop",
         "_mailbox",
@@ -67,7 +67,7 @@
         self._call = call
         self._dispatcher = dispatcher
         self._ended = []
-        self._hedge_denied = False
+        self._hedged = False
         self._latencies = dispatcher.get_latencies(call)
         self._loop = asyncio.get_running_loop()
         self._mailbox = Mailbox()
@@ -93,7 +93,10 @@
 
     def close(self) -> None:
         """Cancel the attempts that are still under way."""
+        now_s = self._loop.time()
         for attempt in self._open:
+            # The true latency is at least this long.
+            attempt.load.take_least_latency(now_s - attempt.sent_s, now_s)
             self._dispatcher.attempts.drop(attempt, cancel=True)
         self._open.clear()
 
@@ -148,7 +151,9 @@
             if not candidates:
                 return False
             now_s = self._loop.time()
-            load = self._dispatcher.choose(candidates, self._dispatcher.rng, now_s)
+            load = self._dispatcher.choose(
+                candidates, self._call, self._dispatcher.rng, now_s
+            )
             self._tried.append(load)
             attempt, run = self._create_attempt(load, cause, now_s)
             if self._dispatcher.attempts.send(attempt, run, self._call.body):
@@ -250,7 +255,22 @@
         timer_s = self._call.deadline_s
         for attempt in self._open:
             timer_s = min(timer_s, self._get_revoke_time(attempt))
-        return timer_s
+        return min(timer_s, self._get_hedge_time())
+
+    def _get_hedge_time(self):
+        """Return when to send a second attempt of an idempotent call."""
+        policy = self._call.policy
+        if not policy.idempotent or not policy.hedge_percentile or self._hedged:
+            return math.inf
+        if len(self._open) != 1:
+            return math.inf
+        wait_s = self._latencies.get_percentile(policy.hedge_percentile)
+        return math.inf if wait_s is None else self._open[0].sent_s + wait_s
+
+    def _send_hedge(self):
+        self._hedged = True
+        if self._allows_another(AttemptCause.HEDGE):
+            self._send_attempt(AttemptCause.HEDGE)
 
     def _take_timer(self):
         now_s = self._loop.time()
@@ -259,6 +279,8 @@
         for attempt in self._open:
             if now_s >= self._get_revoke_time(attempt):
                 self._revoke(attempt, now_s)
+        if now_s >= self._get_hedge_time():
+            self._send_hedge()
         return None
 
     def _get_revoke_time(self, attempt):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -12,7 +12,7 @@
 from sapphireway_coordination._latencies import RecentLatencies
 from sapphireway_coordination._loads import LoadTable
 from sapphireway_coordination._members import GetMembers, Member
-from sapphireway_coordination._routing import Choose, choose_two
+from sapphireway_coordination._routing import Choose, choose_predicted
 from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
 
 
@@ -54,7 +54,7 @@
         get_members: GetMembers,
         rng: random.Random,
         observe: ObserveCall = _ignore_event,
-        choose: Choose = choose_two,
+        choose: Choose = choose_predicted,
     ):
         self._attempt_ids = itertools.count(1)
         self._peers = peers
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
@@ -94,9 +94,20 @@
         gap_s = now_s - self._latency_at_s
         keep = math.exp(-gap_s / LATENCY_DECAY_S)
         keep = min(keep, 0.9)
+        if self.latency_s == 0.0:
+            keep = 0.0
         self.latency_s = latency_s + keep * (self.latency_s - latency_s)
         self._latency_at_s = now_s
 
+    def take_least_latency(self, latency_s: float, now_s: float) -> None:
+        """Learn that an attempt given up on would have taken longer than this."""
+        if latency_s > self.latency_s:
+            self.take_latency(latency_s, now_s)
+
+    def get_latency_trust(self, now_s: float, trust_s: float) -> float:
+        """Return how far the average still holds: 1 when fresh, fading to 0."""
+        return math.exp((self._latency_at_s - now_s) / trust_s)
+
     def take_success(self, now_s: float) -> None:
         """Count an attempt that the server answered well."""
         self._take_result(0.0, now_s)
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -81,7 +81,7 @@
     return Call(call_id, "s", "k", "GET", "/", (), b"", deadline_s, None, policy)
 
 
-def choose_first(candidates, rng, now_s):
+def choose_first(candidates, call, rng, now_s):
     return candidates[0]
 
 
