--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -53,6 +53,7 @@
 from sapphireway_coordination._routing import (
     Choose,
     choose_least_in_flight,
+    choose_predicted,
     choose_random,
     choose_two,
     make_choose_round_robin,
@@ -105,6 +106,7 @@
     "SuspectChange",
     "SuspectMarked",
     "choose_least_in_flight",
+    "choose_predicted",
     "choose_random",
     "choose_two",
     "make_choose_round_robin",
