--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,15 +1,12 @@
 """Routing against its baselines on the paused clock, paired by seed."""
 
 import asyncio
-import dataclasses
-import random
 import time
 
 import defopt
 
 from benchmarks._fleet import (
     BASE_POLICY,
-    CAPACITY_PER_S,
     SERVERS,
     Fleet,
     Scenario,
