Repeat an attempt that was refused for want of a clock reading

The refusal carries the reading; the attempt is sent again once, outside of the budget. Requests get a digest for the recognition of crashing ones.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call.py
@@ -25,6 +25,9 @@
         Idempotency key.
     policy : Policy
         Settings in force for the service and kind when the call arrived.
+    digest : str
+        The same for every request with the same content; recognises one that
+        crashes servers.
     """
 
     call_id: str
@@ -37,3 +40,4 @@
     deadline_s: float
     key: str | None
     policy: Policy
+    digest: str = ""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
@@ -11,6 +11,7 @@
     FIRST = "first"
     RETRY = "retry"
     HEDGE = "hedge"
+    RESYNC = "resync"
 
 
 class DenyReason(enum.StrEnum):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -33,6 +33,7 @@
 SILENCE_DEFAULT_S = 0.1
 RETRY_AFTER_MIN_S = 0.5
 STATUS_FAILURE_MIN = 500
+BUDGETED = (AttemptCause.RETRY, AttemptCause.HEDGE)
 
 
 class CallRun:
@@ -58,6 +59,7 @@
         "_loop",
         "_mailbox",
         "_open",
+        "_resent",
         "_tried",
         "attempts_sent",
     )
@@ -72,6 +74,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox = Mailbox()
         self._open = []
+        self._resent = False
         self._tried = []
         self.attempts_sent = 0
 
@@ -111,6 +114,8 @@
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
         self._ended.append(result)
+        if self._is_stale(result) and self._resend_stale(attempt):
+            return None
         if self._may_repeat(result) and self._try_retry():
             return None
         if self._open:
@@ -120,6 +125,21 @@
     def _may_repeat(self, result):
         return self._call.policy.idempotent or isinstance(result, NotRun)
 
+    def _is_stale(self, result):
+        return isinstance(result, NotRun) and result.reason is NotRunReason.STALE
+
+    def _resend_stale(self, attempt):
+        """Repeat an attempt that its receiver refused for want of a clock reading.
+
+        The refusal carried the reading. It costs the server nothing, so that no
+        budget is spent.
+        """
+        if self._resent:
+            return False
+        self._resent = True
+        self._tried.remove(attempt.load)
+        return self._send_attempt(AttemptCause.RESYNC)
+
     def _try_retry(self):
         if not self._allows_another(AttemptCause.RETRY):
             return False
@@ -194,7 +214,7 @@
             list(call.headers),
             call.policy.idempotent,
             call.policy.weight,
-            "",
+            call.digest,
             remaining_s * 1000.0,
             clock_s + remaining_s if clock_s else 0.0,
             incarnation,
@@ -202,7 +222,7 @@
         return attempt, run
 
     def _note_sent(self, attempt, candidates):
-        if attempt.cause is not AttemptCause.FIRST:
+        if attempt.cause in BUDGETED:
             require(self._budget.withdraw(), "attempt sent outside of the budget")
         if not self._call.policy.idempotent:
             require(not self._open, "a non-idempotent call has two attempts open")
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -1,6 +1,7 @@
 """The callers' interface: HTTP requests in, outcomes of calls out."""
 
 import asyncio
+import hashlib
 import math
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,8 @@
 KEY_HEADER = "Idempotency-Key"
 KEY_MAX_CHARACTERS = 255
 MS_PER_S = 1000
+DIGEST_BYTES = 12
+DIGESTED_END_BYTES = 4096
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 
 HOP_BY_HOP = frozenset(
@@ -145,6 +148,7 @@
             deadline_s=asyncio.get_running_loop().time() + timeout_s,
             key=key,
             policy=policy,
+            digest=digest_request(request),
         )
 
     def _refuse(self, status, detail, remote):
@@ -158,6 +162,16 @@
         return HttpAnswer(status, headers, f"{detail}\n".encode())
 
 
+def digest_request(request: HttpRequest) -> str:
+    """Return a name that is the same for requests with the same content."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(f"{request.method} {request.target} {len(request.body)}\n".encode())
+    # The ends tell bodies apart; hashing a whole upload would stall other calls.
+    digest.update(request.body[:DIGESTED_END_BYTES])
+    digest.update(request.body[-DIGESTED_END_BYTES:])
+    return digest.hexdigest()
+
+
 def parse_timeout(text: str | None, policy: Policy) -> float | None:
     """Return the time allowed for a call in seconds, or None if unreadable."""
     if text is None:
