--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,151 @@
+"""Runs the demonstration: ``make demo``."""
+
+import asyncio
+import random
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import defopt
+import tornado.httpclient
+
+from demo._fleet import ADMIN_PORT, HTTP_PORT, TOKEN, Fleet
+from demo._kinds import KINDS
+from demo._load import Callers
+from demo._report import count_doubled, list_violations, read_runs, render_table
+
+START_TIMEOUT_S = 60.0
+OUT_AT_S, IN_AT_S, KILL_AT_S, RESTART_AT_S = 5.0, 10.0, 13.0, 16.0
+OUT_DOMAIN = "bxl-b"
+
+
+async def wait_until_served(fleet: Fleet) -> None:
+    """Wait until every kind is answered."""
+    client = tornado.httpclient.AsyncHTTPClient()
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for place in fleet.places:
+            for kind in KINDS:
+                if kind.idempotent:
+                    url = f"http://{place.host}:{HTTP_PORT}{kind.path}"
+                    await _wait_for(client, url)
+
+
+async def _wait_for(client, url):
+    while True:
+        try:
+            await client.fetch(url)
+            return
+        except (tornado.httpclient.HTTPError, OSError):
+            await asyncio.sleep(0.2)
+
+
+async def operate(fleet: Fleet, messages: list[str]) -> None:
+    """Take a domain out and back, then kill a server and start it again."""
+    await asyncio.sleep(OUT_AT_S)
+    messages.append(await run_command(fleet, "domain", "out", OUT_DOMAIN))
+    await asyncio.sleep(IN_AT_S - OUT_AT_S)
+    messages.append(await run_command(fleet, "domain", "in", OUT_DOMAIN))
+    await asyncio.sleep(KILL_AT_S - IN_AT_S)
+    victim = fleet.places[0]
+    fleet.kill(victim.name)
+    messages.append(f"killed {victim.name}")
+    await asyncio.sleep(RESTART_AT_S - KILL_AT_S)
+    fleet.start_server(victim)
+    messages.append(f"restarted {victim.name}")
+
+
+async def run_command(fleet: Fleet, *arguments: str) -> str:
+    """Run sapphirectl and return the command and its output in one line."""
+    nodes = [f"--node={address}" for address in fleet.admin_addresses]
+    token = fleet.folder / "operator.token"
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "sapphirectl",
+        *arguments,
+        *nodes,
+        f"--token-file={token}",
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    line = " ".join(output.decode().split())
+    return f"sapphirectl {' '.join(arguments)}: {line} (exit {process.returncode})"
+
+
+async def read_costs(fleet: Fleet) -> str:
+    """Return the measuring cost that the nodes counted, in one line."""
+    client = tornado.httpclient.AsyncHTTPClient()
+    totals = {}
+    for place in fleet.places:
+        url = f"http://{place.host}:{ADMIN_PORT}/metrics"
+        answer = await client.fetch(
+            url, headers={"Authorization": f"Bearer {TOKEN}"}, raise_error=False
+        )
+        for line in answer.body.decode().splitlines():
+            name, _, value = line.rpartition(" ")
+            if name.startswith("sapphireway_events_total"):
+                totals[name] = totals.get(name, 0.0) + float(value)
+    probes = totals.get('sapphireway_events_total{event="ProbeSent"}', 0.0)
+    calls = totals.get('sapphireway_events_total{event="CallEnded"}', 0.0)
+    share = probes / calls if calls else 0.0
+    return f"measuring: {probes:.0f} probes for {calls:.0f} calls ({share:.3f} a call)"
+
+
+async def demonstrate(duration_s: float, seed: int, folder: Path) -> int:
+    """Run everything; return the exit status."""
+    folder = folder.resolve()
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    fleet = Fleet(folder)
+    callers = Callers(KINDS, fleet.places, random.Random(seed))
+    messages = []
+    try:
+        fleet.start()
+        print(f"started {len(fleet.places)} servers, their nodes, 3 control hosts")
+        await wait_until_served(fleet)
+        print(f"sending for {duration_s:g} s", flush=True)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(callers.run(duration_s))
+            group.create_task(operate(fleet, messages))
+        costs = await read_costs(fleet)
+        crashed = fleet.list_exited()
+    finally:
+        callers.close()
+        failed = fleet.stop()
+    runs = read_runs(folder / "runs.jsonl")
+    doubled = count_doubled(runs)
+    print(*messages, sep="\n")
+    print(render_table(callers.tallies, doubled))
+    print(costs)
+    violations = list_violations(callers.tallies, runs)
+    violations += [f"{name} ended on its own" for name in crashed]
+    violations += [f"{name} did not stop gracefully" for name in failed]
+    print(*violations or ["every promise held"], sep="\n")
+    return 1 if violations else 0
+
+
+def run(
+    *, seconds: float = 20.0, seed: int = 1, folder: Path = Path("run/demo")
+) -> int:
+    """Show the system under load while a domain leaves and a server is killed.
+
+    Parameters
+    ----------
+    seconds : float
+        How long callers send.
+    seed : int
+    folder : Path
+        Gets settings, logs and records; what it held before is deleted.
+
+    Returns
+    -------
+    int
+        0 if every promise held, 1 otherwise.
+    """
+    return asyncio.run(demonstrate(seconds, seed, folder))
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run))
--- /dev/null
+++ b/demo/_report.py
@@ -0,0 +1,102 @@
+"""The demonstration's table and its verdict."""
+
+import collections
+import json
+from collections.abc import Iterable
+from pathlib import Path
+
+from demo._kinds import KINDS
+from demo._load import Tally
+
+MS_PER_S = 1000
+HEADINGS = (
+    "kind",
+    "sent",
+    "answered",
+    "not run",
+    "failed",
+    "unknown",
+    "lost",
+    "doubled",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "direct p50",
+    "added p50",
+)
+
+
+def read_runs(path: Path) -> dict[str, collections.Counter]:
+    """Return by kind how often the servers ran each idempotency key."""
+    counts = {kind.name: collections.Counter() for kind in KINDS}
+    names = {kind.path: kind.name for kind in KINDS}
+    with path.open() as lines:
+        for line in lines:
+            run = json.loads(line)
+            counts[names[run["path"]]][run["key"]] += 1
+    return counts
+
+
+def count_doubled(runs: dict[str, collections.Counter]) -> dict[str, int]:
+    """Return by kind how many keys of non-idempotent requests ran repeatedly."""
+    return {
+        kind.name: 0
+        if kind.idempotent
+        else sum(count > 1 for count in runs[kind.name].values())
+        for kind in KINDS
+    }
+
+
+def list_violations(
+    tallies: dict[str, Tally], runs: dict[str, collections.Counter]
+) -> list[str]:
+    """Return a line for each promise that was broken."""
+    violations = []
+    for kind in KINDS:
+        tally = tallies[kind.name]
+        ran = [key for key in tally.not_run_keys if runs[kind.name][key]]
+        if ran:
+            violations.append(f"{kind.name}: {len(ran)} answered not-run, but ran")
+        if tally.crossed:
+            violations.append(f"{kind.name}: {tally.crossed} got another's answer")
+        if tally.resends_differing:
+            differing = tally.resends_differing
+            violations.append(f"{kind.name}: {differing} resends got another answer")
+        if not tally.outcomes.get("answered"):
+            violations.append(f"{kind.name}: nothing was answered")
+    for name, doubled in count_doubled(runs).items():
+        if doubled:
+            violations.append(f"{name}: {doubled} requests ran more than once")
+    return violations
+
+
+def render_table(tallies: dict[str, Tally], doubled: dict[str, int]) -> str:
+    """Return the table of all kinds."""
+    rows = [HEADINGS]
+    for kind in KINDS:
+        rows.append(_make_row(kind.name, tallies[kind.name], doubled[kind.name]))
+    widths = [max(len(row[i]) for row in rows) for i in range(len(HEADINGS))]
+    return "\n".join(
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    )
+
+
+def find_percentile(values: Iterable[float], percent: float) -> float:
+    """Return a percentile by nearest rank; 0 if there is no value."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
+def _make_row(name, tally, doubled):
+    counts = [tally.outcomes.get(o, 0) for o in ("answered", "not-run", "failed")]
+    rest = [tally.outcomes.get(o, 0) for o in ("unknown", "lost")]
+    p50, p99, p999 = (
+        find_percentile(tally.latencies_s, p) * MS_PER_S for p in (50, 99, 99.9)
+    )
+    direct = find_percentile(tally.direct_s, 50) * MS_PER_S
+    times = [f"{value:.1f}" for value in (p50, p99, p999, direct, p50 - direct)]
+    sent = sum(tally.outcomes.values())
+    return (name, *map(str, (sent, *counts, *rest, doubled)), *times)
--- a/demo/_stand_in.py
+++ b/demo/_stand_in.py
@@ -74,6 +74,8 @@
         Requests that came while every slot was taken.
     cancelled : int
         Requests whose connection was closed before the answer.
+    record_file : binary file or None
+        Gets a line for each request when it begins to run.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         "in_flight",
         "in_flight_max",
         "overloads",
+        "record_file",
     )
 
     def __init__(self, slots: int, rng: random.Random):
@@ -98,6 +101,7 @@
         self.in_flight = 0
         self.in_flight_max = 0
         self.overloads = 0
+        self.record_file = None
 
     @property
     def cold(self) -> bool:
--- a/demo/server.py
+++ b/demo/server.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import uuid
+from pathlib import Path
 
 import defopt
 import msgspec
@@ -27,6 +28,7 @@
     REQUEST_ID_HEADER,
 )
 
+KEY_HEADER = "Idempotency-Key"
 BODY_MAX_BYTES = 64 * 1024 * 1024
 CRASH_EXIT_STATUS = 70
 DRAIN_MAX_S = 30.0
@@ -131,12 +133,19 @@
 
     get = head = post = put = patch = delete = options = run
 
+    def _record(self, key):
+        record_file = self._stand_in.record_file
+        if record_file is not None:
+            line = {"key": key, "path": self.request.path}
+            record_file.write(msgspec.json.encode(line) + b"\n")
+
     async def _work(self):
         stand_in = self._stand_in
         headers = self.request.headers
         stand_in.begin(
             headers.get(REQUEST_ID_HEADER, ""), headers.get(ATTEMPT_ID_HEADER, "")
         )
+        self._record(headers.get(KEY_HEADER, ""))
         cancelled = True
         try:
             if stand_in.overwhelmed or self._names(stand_in.behaviour.crash_path):
@@ -240,9 +249,13 @@
     slots: int,
     connections: int,
     seed: int,
+    record: Path | None,
 ) -> None:
     """Serve until SIGTERM, then leave and let requests in flight end."""
     stand_in = StandIn(slots, random.Random(seed))
+    if record is not None:
+        # Unbuffered, so that a killed server leaves a whole record.
+        stand_in.record_file = record.open("ab", buffering=0)
     http = tornado.httpserver.HTTPServer(
         make_application(stand_in), max_body_size=BODY_MAX_BYTES
     )
@@ -283,6 +296,7 @@
     slots: int = 6,
     connections: int = 200,
     seed: int = 1,
+    record: Path | None = None,
 ) -> None:
     """Run a stand-in server beside a node.
 
@@ -301,6 +315,8 @@
         Connections that it accepts at once.
     seed : int
         Seed of the spread of its service times.
+    record
+        File that gets a line for each request when it begins to run.
     """
     asyncio.run(
         serve(
@@ -312,6 +328,7 @@
             slots=slots,
             connections=connections,
             seed=seed,
+            record=record,
         )
     )
 
--- a/packages/sapphireway/src/sapphireway/_logs.py
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 EVENT_BURST = 20
 EVENTS_PER_S = 5.0
@@ -85,6 +85,9 @@
     form : {"json", "text"}
     level : {"debug", "info", "warning", "error"}
     """
+    # The settings file takes the place of absl's own command-line flags.
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS.logtostderr = True
     logging.use_absl_handler()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
