--- a/demo/server.py
+++ b/demo/server.py
@@ -20,7 +20,7 @@
 import tornado.web
 
 from demo._stand_in import Behaviour, StandIn
-from sapphireway_coordination import (
+from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
     NOT_RUN_HEADER,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -7,12 +7,6 @@
     AnnounceResult,
 )
 from sapphireway_coordination._call import Call
-from sapphireway_coordination._exchange import (
-    ATTEMPT_ID_HEADER,
-    DEADLINE_HEADER,
-    NOT_RUN_HEADER,
-    REQUEST_ID_HEADER,
-)
 from sapphireway_coordination._gate import Gate, GateState
 from sapphireway_coordination._gate_events import (
     AttemptRefused,
@@ -34,10 +28,6 @@
 from sapphireway_coordination._members import GetMembers, Member
 
 __all__ = [
-    "ATTEMPT_ID_HEADER",
-    "DEADLINE_HEADER",
-    "NOT_RUN_HEADER",
-    "REQUEST_ID_HEADER",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_exchange.py
@@ -2,6 +2,10 @@
 
 from sapphireway_protocol import NotRunReason, Reply, Run
 from sapphireway_transport import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
     Broken,
     NotSent,
     Responded,
@@ -9,10 +13,6 @@
     ServerResult,
 )
 
-REQUEST_ID_HEADER = "Sapphireway-Request-Id"
-ATTEMPT_ID_HEADER = "Sapphireway-Attempt-Id"
-DEADLINE_HEADER = "Sapphireway-Deadline-Ms"
-NOT_RUN_HEADER = "Sapphireway-Not-Run"
 NOT_RUN_STATUS = 503
 
 _SET_HERE = frozenset(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
@@ -11,6 +11,7 @@
 GRADIENT_MIN = 0.5
 GRADIENT_SMOOTHING = 0.2
 LIMIT_MIN = 1.0
+COLD_ANSWERS_MIN = 20
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,9 +94,17 @@
         True until the limit has climbed from the cold limit to the ceiling.
     """
 
-    __slots__ = ("_make_update", "_update", "_value", "ceiling", "cold")
+    __slots__ = (
+        "_answers_to_prove",
+        "_make_update",
+        "_update",
+        "_value",
+        "ceiling",
+        "cold",
+    )
 
     def __init__(self, make_update: Callable[[], UpdateLimit] = make_additive_update):
+        self._answers_to_prove = 0
         self._make_update = make_update
         self._update = make_update()
         self._value = 0.0
@@ -113,13 +122,22 @@
         self._value = min(self._value, float(ceiling))
 
     def start_cold(self, cold_limit: int) -> None:
-        """Begin again at the cold limit, or lower if the limit is lower."""
+        """Begin again at the cold limit.
+
+        It does not climb before `COLD_ANSWERS_MIN` good answers in a row.
+        """
+        self._answers_to_prove = COLD_ANSWERS_MIN
         self._update = self._make_update()
         self._value = float(min(cold_limit, self.ceiling))
         self.cold = True
 
     def record(self, sample: Sample) -> None:
         """Take one finished attempt into account."""
+        if self._answers_to_prove:
+            good = sample.ok and sample.latency_ratio <= SLOW_RATIO
+            left = self._answers_to_prove - 1
+            self._answers_to_prove = left if good else COLD_ANSWERS_MIN
+            return
         moved = self._update(self._value, sample)
         self._value = min(max(moved, LIMIT_MIN), float(self.ceiling))
         if self._value >= self.ceiling:
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_order.py
@@ -0,0 +1,56 @@
+"""An attempt on its way through the node beside its server."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sapphireway_coordination._admission import Waiter
+from sapphireway_coordination._attempt_memory import AttemptRecord
+from sapphireway_coordination._capacity import Running, ServerCapacity
+from sapphireway_protocol import NotRunReason, Reply, Run
+from sapphireway_state import Policy
+
+
+@dataclass(slots=True)
+class Order:
+    """An attempt that this node was asked to run.
+
+    Attributes
+    ----------
+    sender : str
+        Address of the entry node.
+    run : Run
+    body : bytes
+    policy : Policy
+    record : AttemptRecord
+    arrived_s, deadline_s : float
+        Readings of the loop's clock.
+    task : Task or None
+    waiter : Waiter or None
+        Set while it waits for a slot.
+    refusal : NotRunReason or None
+        Set if it must not start although it was not refused yet.
+    capacity : ServerCapacity or None
+    running : Running or None
+        Set once it has started.
+    sending : bool
+        True while its exchange with the server is under way.
+    """
+
+    sender: str
+    run: Run
+    body: bytes
+    policy: Policy
+    record: AttemptRecord
+    arrived_s: float
+    deadline_s: float
+    task: asyncio.Task | None = None
+    waiter: Waiter | None = None
+    refusal: NotRunReason | None = None
+    capacity: ServerCapacity | None = None
+    running: Running | None = None
+    sending: bool = False
+
+
+FinishOrder = Callable[[Order, Reply, bytes], None]
+"""Takes the end of an attempt, with the body of its answer."""
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -0,0 +1,484 @@
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from sapphireway_coordination import (
+    AnnounceAccepted,
+    Announcement,
+    AnnounceRefused,
+    AttemptStarted,
+    Gate,
+    GateState,
+    RelapseCause,
+    RelapseSeen,
+)
+from sapphireway_protocol import (
+    Cancel,
+    NotRunReason,
+    Peers,
+    Probe,
+    Reply,
+    Revoke,
+    Revoked,
+    Run,
+    ServerState,
+)
+from sapphireway_state import Policy
+from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
+
+NODE = "node"
+ENTRY = "entry"
+
+
+class Bench:
+    """A gate with an in-memory server, and an entry node that speaks to it."""
+
+    def __init__(self, seed=1, slots=6, policy=None):
+        self.rng = random.Random(seed)
+        self.network = MemoryNetwork(self.rng)
+        self.server = MemoryServer(self.rng, slots)
+        self.policy = policy or Policy()
+        self.events = []
+        self.sent = {}
+        self.replies = {}
+        self.revoked = {}
+        self.entry = Peers(self.network.open_endpoint(ENTRY), "e1")
+        self.entry.handle(Reply, self._take(self.replies))
+        self.entry.handle(Revoked, self._take(self.revoked))
+        self.entry.start()
+        self.open_gate("n1")
+
+    def _take(self, store):
+        def take(sender, envelope):
+            # What another start of the node says of an attempt does not count.
+            run = self.sent.get(envelope.message.attempt)
+            if run is None or run.incarnation in (envelope.incarnation, "earlier", ""):
+                attempt = envelope.message.attempt
+                store.setdefault(attempt, []).append(envelope.message)
+
+        return take
+
+    def open_gate(self, incarnation):
+        self.incarnation = incarnation
+        self.peers = Peers(self.network.open_endpoint(NODE), incarnation)
+        self.gate = Gate(
+            self.peers,
+            self.server,
+            self.rng,
+            lambda service, kind: self.policy,
+            self.events.append,
+        )
+        self.peers.start()
+        self.announce()
+
+    def announce(self, **changes):
+        announcement = Announcement(
+            "s1", "ledger", "http://s1", self.server.slots, 200, self.server.start_id
+        )
+        changes = {"in_flight": self.server.reported_in_flight} | changes
+        return self.gate.announce(dataclasses.replace(announcement, **changes))
+
+    def send(self, attempt, **changes):
+        now_s = asyncio.get_running_loop().time()
+        fields = {
+            "call": attempt,
+            "service": "ledger",
+            "kind": "balance",
+            "method": "GET",
+            "target": "/",
+            "headers": [],
+            "idempotent": False,
+            "weight": 10,
+            "digest": "",
+            "budget_ms": 1000.0,
+            "latest_start_s": now_s + 0.5,
+            "incarnation": self.incarnation,
+        }
+        body = changes.pop("body", b"")
+        self.sent[attempt] = Run(attempt, **(fields | changes))
+        self.entry.send(NODE, self.sent[attempt], body)
+
+    async def call(self, attempt, **changes):
+        self.send(attempt, **changes)
+        while attempt not in self.replies:
+            await asyncio.sleep(0.001)
+        return self.replies[attempt][-1]
+
+    async def warm(self):
+        count = 0
+        while self.gate.get_load().state is ServerState.COLD:
+            batch = [self.call(f"warm{count}-{i}") for i in range(self.server.slots)]
+            await asyncio.gather(*batch)
+            count += 1
+
+    def has_run(self, call):
+        return len(self.server.runs.get(call, ()))
+
+    def list_events(self, event_type):
+        return [event for event in self.events if isinstance(event, event_type)]
+
+
+def paused(test):
+    def run():
+        async def main():
+            await test(Bench())
+
+        run_paused(main())
+
+    run.__name__ = test.__name__
+    return run
+
+
+@paused
+async def test_run_is_answered_with_load(bench):
+    reply = await bench.call("a", method="POST", body=b"hours")
+    assert (reply.outcome, reply.status) == ("answered", 200)
+    assert reply.load.server == "s1" and reply.server_ms > 4
+    assert bench.has_run("a") == 1
+
+
+@paused
+async def test_duplicate_run_gets_first_reply(bench):
+    bench.send("a")
+    bench.send("a")
+    await bench.call("a")
+    bench.send("a")
+    await asyncio.sleep(0.1)
+    assert [reply.outcome for reply in bench.replies["a"]] == ["answered"] * 2
+    assert bench.has_run("a") == 1
+
+
+@pytest.mark.parametrize("message", [Revoke, Cancel])
+def test_run_after_revoke_or_cancel_never_starts(message):
+    async def check(bench):
+        bench.entry.send(NODE, message("a"))
+        await asyncio.sleep(0.01)
+        reply = await bench.call("a")
+        assert (reply.outcome, bench.has_run("a")) == ("not_run", 0)
+        if message is Revoke:
+            assert bench.revoked["a"][0].never_runs
+
+    paused(check)()
+
+
+@paused
+async def test_revoke_of_running_attempt_is_refused(bench):
+    bench.send("a")
+    await asyncio.sleep(0.002)
+    bench.entry.send(NODE, Revoke("a"))
+    await asyncio.sleep(0.05)
+    assert not bench.revoked["a"][0].never_runs
+    assert bench.replies["a"][0].outcome == "answered"
+    bench.entry.send(NODE, Revoke("a"))
+    await asyncio.sleep(0.05)
+    assert bench.revoked["a"][1].finished
+    assert len(bench.replies["a"]) == 2
+
+
+@paused
+async def test_revoke_of_waiting_attempt_holds(bench):
+    bench.send("a")
+    bench.send("b")
+    await asyncio.sleep(0.002)
+    bench.entry.send(NODE, Revoke("b"))
+    await asyncio.sleep(0.05)
+    assert bench.revoked["b"][0].never_runs
+    assert bench.replies["b"][0].reason == NotRunReason.REVOKED
+    assert (bench.has_run("a"), bench.has_run("b")) == (1, 0)
+
+
+@paused
+async def test_refused_attempt_does_not_start_when_repeated(bench):
+    bench.gate.set_out(True)
+    assert (await bench.call("a")).reason == NotRunReason.DOMAIN_OUT
+    bench.gate.set_out(False)
+    bench.send("a")
+    await asyncio.sleep(0.1)
+    assert bench.has_run("a") == 0
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"latest_start_s": 0.0001},
+        {"latest_start_s": 1000.0},
+        {"latest_start_s": 0.0},
+        {"incarnation": "earlier"},
+        {"incarnation": ""},
+    ],
+)
+def test_run_is_refused_when_stale(fields):
+    async def check(bench):
+        reply = await bench.call("a", **fields)
+        assert (reply.outcome, reply.reason) == ("not_run", NotRunReason.STALE)
+        bench.send("a")
+        await asyncio.sleep(0.1)
+        assert bench.has_run("a") == (0 if fields == {"latest_start_s": 1000.0} else 1)
+
+    paused(check)()
+
+
+@paused
+async def test_run_says_nothing_when_it_may_have_been_forgotten(bench):
+    await bench.call("a", latest_start_s=0.5)
+    await asyncio.sleep(200)
+    for other in range(3):
+        bench.announce()
+        await bench.call(f"other{other}")
+    bench.send("a", latest_start_s=0.5)
+    await asyncio.sleep(1)
+    assert len(bench.replies["a"]) == 1 and bench.has_run("a") == 1
+
+
+@paused
+async def test_cancel_closes_running_attempt(bench):
+    bench.server.freeze()
+    bench.send("a")
+    bench.send("b", idempotent=True)
+    await asyncio.sleep(0.01)
+    bench.entry.send(NODE, Cancel("a"))
+    await asyncio.sleep(0.1)
+    bench.entry.send(NODE, Cancel("b"))
+    await asyncio.sleep(0.1)
+    assert bench.replies["a"][0].outcome == "unknown"
+    assert bench.replies["b"][0].outcome == "failed"
+    assert bench.server.in_flight == 0
+
+
+@paused
+async def test_refused_connection_is_not_run(bench):
+    bench.server.refuse = True
+    reply = await bench.call("a")
+    assert (reply.outcome, reply.reason) == ("not_run", NotRunReason.UNREACHABLE)
+    assert reply.load.state is ServerState.DOWN and bench.has_run("a") == 0
+
+
+@paused
+async def test_server_says_not_run(bench):
+    bench.server.shed = True
+    assert (await bench.call("a")).outcome == "not_run"
+    bench.server.shed, bench.server.shed_plain = False, True
+    assert (await bench.call("b")).status == 503
+
+
+@paused
+async def test_drain_during_leave_and_out_cuts_nothing(bench):
+    await bench.warm()
+    for i in range(6):
+        bench.send(f"a{i}")
+    await asyncio.sleep(0.002)
+    bench.send("late")
+    bench.gate.leave("s1")
+    bench.gate.set_out(True)
+    now_s = asyncio.get_running_loop().time()
+    drains = [bench.gate.drain(now_s + 1.0), bench.gate.drain(now_s + 0.001)]
+    assert await asyncio.gather(*drains) == [True, False]
+    await asyncio.sleep(0.01)
+    assert all(bench.replies[f"a{i}"][0].outcome == "answered" for i in range(6))
+    assert bench.replies["late"][0].outcome == "not_run"
+    assert (await bench.call("b")).reason == NotRunReason.DRAINING
+    assert bench.gate.state is GateState.DRAINING
+
+
+@paused
+async def test_left_server_comes_back_only_with_new_start(bench):
+    assert bench.gate.leave("s1") and not bench.gate.leave("other")
+    assert isinstance(bench.announce(), AnnounceRefused)
+    assert isinstance(bench.announce(start_id="next"), AnnounceAccepted)
+    assert (await bench.call("a")).outcome == "answered"
+
+
+@paused
+async def test_silent_server_lapses_and_returns_cold(bench):
+    await bench.warm()
+    await asyncio.sleep(20)
+    assert (await bench.call("a")).reason == NotRunReason.NO_SERVER
+    bench.announce()
+    assert bench.gate.get_load().limit == 1
+    assert (await bench.call("b")).outcome == "answered"
+
+
+@paused
+async def test_other_server_is_refused(bench):
+    assert isinstance(bench.announce(server="s2"), AnnounceRefused)
+    assert isinstance(bench.announce(service="matching"), AnnounceRefused)
+
+
+@paused
+async def test_restarted_node_takes_server_as_cold_and_busy(bench):
+    await bench.warm()
+    bench.server.freeze()
+    for i in range(6):
+        bench.send(f"a{i}")
+    await asyncio.sleep(0.01)
+    assert bench.server.in_flight == 6
+    bench.open_gate("n2")
+    bench.send("b")
+    await asyncio.sleep(0.1)
+    assert bench.gate.get_load().limit == 0 and bench.has_run("b") == 0
+    bench.server.thaw()
+    await asyncio.sleep(0.05)
+    bench.announce()
+    await asyncio.sleep(0.05)
+    assert bench.has_run("b") == 1 and bench.server.overloads == 0
+
+
+@paused
+async def test_probe_names_server(bench):
+    for server, known in (("s1", True), ("s2", False)):
+        reply = await bench.entry.request(NODE, Probe(server), 1.0)
+        assert (reply.message.load is not None) == known
+
+
+@paused
+async def test_cold_server_is_not_overloaded(bench):
+    bench.server.cold_requests, bench.server.cold_slots = 15, 1
+    bench.server.falls_over = True
+    await asyncio.gather(*(bench.call(f"a{i}") for i in range(60)))
+    assert bench.server.crashes == 0 and bench.server.overloads == 0
+
+
+def cool(bench):
+    bench.server.cool()
+    bench.server.slow_factor = 10.0
+
+
+def shed(bench):
+    bench.server.shed_plain = True
+
+
+def refuse(bench):
+    bench.server.refuse = True
+
+
+@pytest.mark.parametrize(
+    ("relapse", "cause"),
+    [
+        (cool, RelapseCause.LATENCY),
+        (shed, RelapseCause.SHEDDING),
+        (refuse, RelapseCause.REFUSED),
+        (lambda bench: bench.server.freeze(), RelapseCause.STALLED),
+        (lambda bench: bench.server.crash(), RelapseCause.CRASHED),
+        (lambda bench: bench.announce(start_id="next"), RelapseCause.RESTARTED),
+    ],
+)
+def test_relapse_is_seen_within_100_ms_or_20_answers(relapse, cause):
+    async def check(bench):
+        await bench.warm()
+        for i in range(6):
+            bench.send(f"a{i}")
+        await asyncio.sleep(0.002)
+        bench.events.clear()
+        relapse(bench)
+        start_s = asyncio.get_running_loop().time()
+        for i in range(20):
+            bench.send(f"b{i}")
+            await asyncio.sleep(0.005)
+            if bench.list_events(RelapseSeen):
+                break
+        assert bench.list_events(RelapseSeen)[0].cause in (cause, RelapseCause.STALLED)
+        assert asyncio.get_running_loop().time() - start_s <= 0.1
+        assert bench.gate.get_load().limit == 1
+
+    paused(check)()
+
+
+@paused
+async def test_heavy_kinds_go_first_in_overload(bench):
+    await bench.warm()
+    for i in range(80):
+        bench.send(f"light{i}", weight=1)
+    for i in range(30):
+        bench.send(f"heavy{i}", weight=50)
+    await asyncio.sleep(1)
+    assert all(bench.has_run(f"heavy{i}") == 1 for i in range(30))
+    refused = [r[0] for a, r in bench.replies.items() if r[0].outcome == "not_run"]
+    assert refused and len({reply.retry_after_s for reply in refused}) > 5
+
+
+@paused
+async def test_deadline_that_cannot_be_met_is_refused_at_once(bench):
+    await bench.warm()
+    for i in range(40):
+        bench.send(f"a{i}", budget_ms=5000.0)
+    await asyncio.sleep(0.001)
+    start_s = asyncio.get_running_loop().time()
+    reply = await bench.call("b", budget_ms=10.0, weight=1)
+    assert reply.reason == NotRunReason.DEADLINE
+    assert asyncio.get_running_loop().time() - start_s < 0.005
+
+
+def run_randomly(seed, steps=400):
+    """Drive a gate through random faults and check the server's own record."""
+
+    async def main():
+        bench = Bench(seed)
+        rng, server, network = bench.rng, bench.server, bench.network
+        network.drop_rate, network.duplicate_rate = 0.05, 0.1
+        network.jitter_s = 0.02
+        server.cold_requests, server.cold_slots = 5, 1
+        server.restart_s = 0.05
+        out = False
+        gates = [bench.gate]
+        for step in range(steps):
+            attempt = f"{seed}-{step}"
+            bench.send(
+                attempt,
+                weight=rng.choice([1, 10, 50]),
+                idempotent=rng.random() < 0.5,
+                digest=f"d{rng.randrange(200)}",
+                budget_ms=rng.choice([5.0, 50.0, 500.0]),
+            )
+            roll = rng.random()
+            earlier = f"{seed}-{rng.randrange(step + 1)}"
+            if roll < 0.05:
+                bench.entry.send(NODE, Revoke(attempt))
+            elif roll < 0.1:
+                bench.entry.send(NODE, Cancel(earlier))
+            elif roll < 0.15:
+                bench.entry.send(NODE, bench.sent[earlier])
+            elif roll < 0.16:
+                server.crash()
+            elif roll < 0.17:
+                network.freeze(NODE)
+                asyncio.get_running_loop().call_later(0.3, network.thaw, NODE)
+            elif roll < 0.18:
+                out = not out
+                bench.gate.set_out(out)
+            elif roll < 0.19:
+                bench.gate.close()
+                bench.peers.close()
+                bench.open_gate(f"n{step}")
+                gates.append(bench.gate)
+            elif roll < 0.22:
+                server.shed = not server.shed
+            elif roll < 0.25:
+                server.slow_factor = rng.choice([1.0, 1.0, 10.0])
+            elif roll < 0.27:
+                server.freeze()
+                asyncio.get_running_loop().call_later(0.05, server.thaw)
+            if rng.random() < 0.1:
+                bench.announce()
+            await asyncio.sleep(rng.expovariate(1.0) * 0.005)
+        await asyncio.sleep(3)
+        return bench
+
+    return run_paused(main())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_random_faults_keep_invariants(seed):
+    bench = run_randomly(seed)
+    started = len(bench.list_events(AttemptStarted))
+    assert started > 50, f"seed {seed}: too little ran"
+    for call, attempts in bench.server.runs.items():
+        assert len(attempts) == 1, f"seed {seed}: {call} ran {len(attempts)} times"
+    for attempt, replies in bench.replies.items():
+        if any(reply.outcome == "not_run" for reply in replies):
+            assert not bench.has_run(attempt), f"seed {seed}: {attempt} did run"
+    for attempt, revoked in bench.revoked.items():
+        if any(answer.never_runs for answer in revoked):
+            assert not bench.has_run(attempt), f"seed {seed}: {attempt} did run"
+    assert bench.server.in_flight_max <= bench.server.slots, f"seed {seed}"
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -7,6 +7,10 @@
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._server import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
     Broken,
     NotSent,
     Responded,
@@ -17,6 +21,10 @@
 from sapphireway_transport._zmq import ZmqEndpoint
 
 __all__ = [
+    "ATTEMPT_ID_HEADER",
+    "DEADLINE_HEADER",
+    "NOT_RUN_HEADER",
+    "REQUEST_ID_HEADER",
     "Broken",
     "CurlServerClient",
     "Endpoint",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+REQUEST_ID_HEADER = "Sapphireway-Request-Id"
+ATTEMPT_ID_HEADER = "Sapphireway-Attempt-Id"
+DEADLINE_HEADER = "Sapphireway-Deadline-Ms"
+NOT_RUN_HEADER = "Sapphireway-Not-Run"
+
 
 @dataclass(slots=True, frozen=True)
 class ServerRequest:
--- a/packages/sapphireway-transport/src/sapphireway_transport/memory/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/__init__.py
@@ -2,5 +2,12 @@
 
 from sapphireway_transport.memory._clock import PausedLoop, run_paused
 from sapphireway_transport.memory._network import MemoryEndpoint, MemoryNetwork
+from sapphireway_transport.memory._server import MemoryServer
 
-__all__ = ["MemoryEndpoint", "MemoryNetwork", "PausedLoop", "run_paused"]
+__all__ = [
+    "MemoryEndpoint",
+    "MemoryNetwork",
+    "MemoryServer",
+    "PausedLoop",
+    "run_paused",
+]
--- /dev/null
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_server.py
@@ -0,0 +1,261 @@
+"""An in-memory server that keeps its own record of what it ran."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from sapphireway_transport._server import (
+    ATTEMPT_ID_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    Broken,
+    NotSent,
+    Responded,
+    ServerRequest,
+    ServerResult,
+)
+
+CONNECT_S = 0.001
+SHED_S = 0.0005
+CRASH_S = 0.001
+CANCEL_NOTICE_S = 0.001
+CANCEL_MEAN_S = 0.005
+
+DrawLatency = Callable[[random.Random, ServerRequest], float]
+"""Returns the service time of a request in seconds."""
+
+
+def _draw_default_latency(rng, request):
+    return 0.004 + rng.expovariate(1.0) * 0.001
+
+
+def _match_nothing(request):
+    return False
+
+
+class MemoryServer:
+    """A server and the client of it, with switches for its faults.
+
+    Parameters
+    ----------
+    rng : random.Random
+    slots : int, default=6
+    draw_latency : callable, default=4 ms and an exponential spread of 1 ms
+
+    Attributes
+    ----------
+    bears : float
+        Requests in flight above which each takes proportionally longer.
+    slow_factor : float
+        Multiplies every service time.
+    cold_requests, cold_slots : int
+        After a start the server bears `cold_slots` requests at once until it has
+        answered `cold_requests`.
+    falls_over : bool
+        Crash when a cold server gets more than it bears.
+    shed, shed_plain : bool
+        Answer 503, with and without saying that the request was not run.
+    refuse : bool
+        Refuse connections.
+    crash_on : callable
+        Tells whether a request crashes the server.
+    restart_s : float
+        Time from a crash until connections are accepted again.
+    lie_in_flight : int or None
+        What the load report tells instead of the truth.
+    runs : dict of str to list of str
+        Attempt ids that ran, by request id.
+    overloads : int
+        Requests that came when the server already ran as many as it bears.
+    crashes : int
+    start_id : str
+    """
+
+    __slots__ = (
+        "_answered",
+        "_crashed",
+        "_draw_latency",
+        "_idle_connections",
+        "_rng",
+        "_starts",
+        "_thawed",
+        "bears",
+        "cold_requests",
+        "cold_slots",
+        "crash_on",
+        "crashes",
+        "falls_over",
+        "in_flight",
+        "in_flight_max",
+        "lie_in_flight",
+        "overloads",
+        "refuse",
+        "restart_s",
+        "runs",
+        "shed",
+        "shed_plain",
+        "slots",
+        "slow_factor",
+    )
+
+    def __init__(
+        self,
+        rng: random.Random,
+        slots: int = 6,
+        draw_latency: DrawLatency = _draw_default_latency,
+    ):
+        self._answered = 0
+        self._crashed = asyncio.Event()
+        self._draw_latency = draw_latency
+        self._idle_connections = 0
+        self._rng = rng
+        self._starts = 1
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self.bears = float(slots)
+        self.cold_requests = 0
+        self.cold_slots = 1
+        self.crash_on = _match_nothing
+        self.crashes = 0
+        self.falls_over = False
+        self.in_flight = 0
+        self.in_flight_max = 0
+        self.lie_in_flight = None
+        self.overloads = 0
+        self.refuse = False
+        self.restart_s = 0.2
+        self.runs = {}
+        self.shed = False
+        self.shed_plain = False
+        self.slots = slots
+        self.slow_factor = 1.0
+
+    @property
+    def start_id(self) -> str:
+        """Changes whenever the server starts."""
+        return f"start-{self._starts}"
+
+    @property
+    def reported_in_flight(self) -> int:
+        """What the server says it runs."""
+        return self.in_flight if self.lie_in_flight is None else self.lie_in_flight
+
+    @property
+    def bearable(self) -> int:
+        """Requests that the server bears at once now."""
+        cold = self._answered < self.cold_requests
+        return min(self.cold_slots, self.slots) if cold else self.slots
+
+    def freeze(self) -> None:
+        """Accept requests, but answer none until `thaw`."""
+        self._thawed.clear()
+
+    def thaw(self) -> None:
+        """Go on after `freeze`."""
+        self._thawed.set()
+
+    def cool(self) -> None:
+        """Fall back into a cold start without notice."""
+        self._answered = 0
+
+    def crash(self) -> None:
+        """Drop every connection and refuse new ones for `restart_s`."""
+        self.crashes += 1
+        self._idle_connections = 0
+        self._answered = 0
+        self._crashed.set()
+        self._crashed = asyncio.Event()
+        self._starts += 1
+        self.in_flight = 0
+        if not self.refuse:
+            self.refuse = True
+            asyncio.get_running_loop().call_later(self.restart_s, self._restart)
+
+    async def send(self, request: ServerRequest) -> ServerResult:
+        """Run one request."""
+        if self.refuse:
+            return NotSent("connection refused")
+        crashed = self._crashed
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                await self._connect()
+                if crashed.is_set() or self.refuse:
+                    return NotSent("connection refused")
+                result = await self._answer(request, crashed)
+        except TimeoutError:
+            return Broken("no answer in time", timed_out=True)
+        if isinstance(result, Responded):
+            self._idle_connections += 1
+        return result
+
+    def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+    def _restart(self):
+        self.refuse = False
+
+    async def _connect(self):
+        if self._idle_connections:
+            self._idle_connections -= 1
+        else:
+            await asyncio.sleep(CONNECT_S)
+
+    async def _answer(self, request, crashed):
+        if self.shed or self.shed_plain:
+            await asyncio.sleep(SHED_S)
+            said = ((NOT_RUN_HEADER, "shedding"),) if self.shed else ()
+            return Responded(503, said, b"")
+        self._begin(request)
+        if self.falls_over and self.in_flight > self.bearable:
+            self.crash()
+        elif self.crash_on(request):
+            asyncio.get_running_loop().call_later(CRASH_S, self._crash_once, crashed)
+        return await self._work(request, crashed)
+
+    def _begin(self, request):
+        headers = {name.lower(): value for name, value in request.headers}
+        request_id = headers.get(REQUEST_ID_HEADER.lower(), "")
+        attempt = headers.get(ATTEMPT_ID_HEADER.lower(), "")
+        self.runs.setdefault(request_id, []).append(attempt)
+        if self.in_flight >= self.bearable:
+            self.overloads += 1
+        self.in_flight += 1
+        self.in_flight_max = max(self.in_flight_max, self.in_flight)
+
+    def _crash_once(self, crashed):
+        if not crashed.is_set():
+            self.crash()
+
+    async def _work(self, request, crashed):
+        latency_s = self._draw_latency(self._rng, request) * self.slow_factor
+        latency_s *= max(1.0, self.in_flight / self.bears)
+        try:
+            async with asyncio.timeout(latency_s):
+                await crashed.wait()
+            return Broken("connection closed", disconnected=True)
+        except TimeoutError:
+            pass
+        except asyncio.CancelledError:
+            self._end_later(crashed)
+            raise
+        try:
+            await self._thawed.wait()
+        except asyncio.CancelledError:
+            self._end_later(crashed)
+            raise
+        if crashed.is_set():
+            return Broken("connection closed", disconnected=True)
+        self.in_flight -= 1
+        self._answered += 1
+        return Responded(200, (), request.body)
+
+    def _end_later(self, crashed):
+        # It takes the server a moment to see that the connection was closed.
+        notice_s = CANCEL_NOTICE_S + self._rng.expovariate(1.0) * CANCEL_MEAN_S
+        notice_s = min(notice_s, 3 * CANCEL_MEAN_S)
+
+        def end():
+            if not crashed.is_set():
+                self.in_flight -= 1
+
+        asyncio.get_running_loop().call_later(notice_s, end)
--- /dev/null
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -0,0 +1,196 @@
+import asyncio
+import contextlib
+
+import pytest
+
+from sapphireway_transport import (
+    Broken,
+    CurlServerClient,
+    NotSent,
+    Responded,
+    ServerRequest,
+)
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class RawServer:
+    """Answers the requests of each connection from a list of raw answers.
+
+    An answer of None closes the connection; an empty one never comes.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.requests = []
+        self.closed = asyncio.Event()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.client = CurlServerClient()
+        return self
+
+    async def __aexit__(self, *error):
+        self.client.close()
+        self._server.close()
+
+    async def send(self, method="GET", body=b"", headers=(), *, timeout_s=2.0):
+        url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
+        return await self.client.send(
+            ServerRequest(url, method, headers, body, timeout_s, 1000)
+        )
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                self.requests.append((head, await reader.readexactly(length)))
+                answer = self.answers.pop(0) if self.answers else ANSWER
+                if answer is None:
+                    break
+                writer.write(answer)
+                if answer.startswith(b"HTTP") and not answer.endswith(b"ok"):
+                    break
+        writer.close()
+        self.closed.set()
+
+
+def run_against(*answers):
+    def decorate(test):
+        def run():
+            async def main():
+                async with RawServer(*answers) as server:
+                    await test(server)
+
+            asyncio.run(main())
+
+        run.__name__ = test.__name__
+        return run
+
+    return decorate
+
+
+@run_against()
+async def test_send_passes_request_unchanged(server):
+    headers = (("X-A", "1"), ("X-Empty", ""), ("Content-Length", "9"))
+    result = await server.send("POST", b"body", headers)
+    assert result == Responded(200, (), b"ok")
+    head, body = server.requests[0]
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "POST /a/../b?c=%20d HTTP/1.1"
+    assert "X-A: 1" in lines and "X-Empty:" in lines and "Content-Length: 4" in lines
+    names = {line.split(":")[0].lower() for line in lines[1:]}
+    assert not names & {"expect", "accept", "user-agent", "content-type"}
+    assert body == b"body"
+
+
+@run_against()
+async def test_connection_and_handle_are_used_again(server):
+    for method, body in (("POST", b"x"), ("GET", b""), ("DELETE", b""), ("PUT", b"")):
+        assert isinstance(await server.send(method, body), Responded)
+    assert server.connections == 1
+    assert [head.split(b" ")[0] for head, _ in server.requests] == [
+        b"POST",
+        b"GET",
+        b"DELETE",
+        b"PUT",
+    ]
+
+
+@run_against(ANSWER, None)
+async def test_request_is_not_sent_again_when_kept_connection_closes(server):
+    assert isinstance(await server.send("POST", b"1"), Responded)
+    result = await server.send("POST", b"2")
+    assert isinstance(result, Broken) and result.disconnected
+    assert [body for _, body in server.requests] == [b"1", b"2"]
+    # The handle still works for the next request.
+    assert isinstance(await server.send("POST", b"3"), Responded)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000,
+        None,
+    ],
+    ids=["length", "chunks", "chunk", "unframed", "head", "too_large", "nothing"],
+)
+def test_incomplete_answer_is_broken(answer):
+    @run_against(answer)
+    async def send(server):
+        assert isinstance(await server.send("POST", b"1"), Broken)
+
+    send()
+
+
+@run_against(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    b"X-A: 1\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: 2\r\n\r\n"
+)
+async def test_chunked_answer_is_whole(server):
+    assert await server.send() == Responded(200, (("X-A", "1"),), b"ok")
+
+
+@run_against(b"HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n")
+async def test_bodiless_answer_is_whole(server):
+    assert await server.send() == Responded(204, (("X-A", "1"),), b"")
+
+
+@run_against(b"HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n")
+async def test_redirect_is_not_followed(server):
+    assert (await server.send()).status == 302
+    assert len(server.requests) == 1
+
+
+@run_against(b"")
+async def test_silence_times_out(server):
+    result = await server.send(timeout_s=0.05)
+    assert isinstance(result, Broken) and result.timed_out
+
+
+@run_against(b"")
+async def test_cancel_closes_connection(server):
+    sending = asyncio.create_task(server.send(timeout_s=30))
+    while not server.requests:
+        await asyncio.sleep(0.001)
+    sending.cancel()
+    async with asyncio.timeout(2):
+        await server.closed.wait()
+    assert isinstance(await server.send(), Responded)
+
+
+@run_against()
+async def test_refused_connection_is_not_sent(server):
+    server._server.close()
+    assert isinstance(await server.send("POST", b"1"), NotSent)
+
+
+@run_against()
+async def test_malformed_header_is_not_sent(server):
+    assert isinstance(await server.send(headers=(("a", "b\r\nc: d"),)), NotSent)
+    assert not server.requests
+
+
+@run_against(b"")
+async def test_connections_stay_below_cap(server):
+    server.client.set_connections_max(1)
+    waiting = asyncio.create_task(server.send(timeout_s=0.3))
+    while not server.requests:
+        await asyncio.sleep(0.001)
+    result = await server.send(timeout_s=0.1)
+    # Waiting for a connection is not sending.
+    assert isinstance(result, NotSent)
+    assert server.connections == 1
+    await waiting
