--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -13,6 +13,10 @@
     RejectedRequest,
 )
 from sapphireway_transport._server import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
     Broken,
     NotSent,
     Responded,
@@ -23,6 +27,10 @@
 from sapphireway_transport._zmq import ZmqEndpoint
 
 __all__ = [
+    "ATTEMPT_ID_HEADER",
+    "DEADLINE_HEADER",
+    "NOT_RUN_HEADER",
+    "REQUEST_ID_HEADER",
     "Broken",
     "CurlServerClient",
     "Endpoint",
