--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
@@ -0,0 +1,96 @@
+"""Access to the replicated journal from any node."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from sapphireway_coordination._quorum_types import Answer, Committed, Unavailable
+from sapphireway_protocol import ControlReply, Peers, Propose, Query
+
+ATTEMPT_TIMEOUT_S = 1.0
+RETRY_WAIT_S = 0.1
+
+
+class ControlClient:
+    """Sends commands and reads to whichever control host leads.
+
+    Parameters
+    ----------
+    peers : Peers
+    control_hosts : sequence of str
+    rng : random.Random
+    """
+
+    __slots__ = ("_control_hosts", "_leader", "_peers", "_rng")
+
+    def __init__(self, peers: Peers, control_hosts: Sequence[str], rng: random.Random):
+        self._control_hosts = tuple(control_hosts)
+        self._leader = None
+        self._peers = peers
+        self._rng = rng
+
+    async def propose(
+        self, command: bytes, timeout_s: float, *, resend: bool = True
+    ) -> Committed | Unavailable:
+        """Commit a command.
+
+        Parameters
+        ----------
+        command : bytes
+            Unless `resend` is False it must be idempotent: the state machine has to
+            recognise a second copy.
+        timeout_s : float
+        resend : bool, default=True
+            Whether to send the command again after an answer was lost.
+        """
+        reply, body, maybe_applied = await self._send(
+            Propose, command, timeout_s, resend
+        )
+        if reply is not None and reply.done:
+            return Committed(reply.index, body)
+        detail = reply.detail if reply is not None else "no control host answered"
+        return Unavailable(detail, maybe_applied)
+
+    async def read(self, query: bytes, timeout_s: float) -> Answer | Unavailable:
+        """Return a current read: it reflects all that was committed before."""
+        reply, body, _ = await self._send(Query, query, timeout_s, resend=True)
+        if reply is not None and reply.done:
+            return Answer(reply.index, body)
+        return Unavailable(
+            reply.detail if reply is not None else "no control host answered"
+        )
+
+    async def _send(self, request_type, body, timeout_s, resend):
+        """Return the last reply, its body, and whether the request may have acted."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        maybe_applied = False
+        last = None
+        hosts = self._order_hosts()
+        while (left_s := deadline_s - loop.time()) > 0:
+            host = hosts.pop(0)
+            wait_s = min(left_s, ATTEMPT_TIMEOUT_S)
+            reply = await self._peers.request(host, request_type(wait_s), wait_s, body)
+            if reply is not None and isinstance(reply.message, ControlReply):
+                last = reply.message
+                self._leader = last.leader or None
+                if last.done:
+                    return last, reply.body, False
+                maybe_applied |= last.maybe_applied
+            else:
+                maybe_applied = True
+                self._leader = None
+            if maybe_applied and not resend:
+                break
+            if not hosts:
+                hosts = self._order_hosts()
+                await asyncio.sleep(RETRY_WAIT_S * self._rng.uniform(0.5, 1.5))
+        return last, b"", maybe_applied
+
+    def _order_hosts(self):
+        hosts = list(self._control_hosts)
+        self._rng.shuffle(hosts)
+        if self._leader in hosts:
+            hosts.remove(self._leader)
+            hosts.insert(0, self._leader)
+        return hosts
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_election.py
@@ -0,0 +1,148 @@
+"""Elections with pre-vote."""
+
+import asyncio
+
+from sapphireway_coordination._quorum_replica import Replica
+from sapphireway_coordination._quorum_types import Role
+from sapphireway_protocol import Envelope, Vote, VoteReply
+
+
+async def run_elections(replica: Replica, lead) -> None:
+    """Ask for votes whenever no leader is heard, and run `lead` after a win.
+
+    Parameters
+    ----------
+    replica : Replica
+    lead : callable
+        Leads in the current term; returns once this host has stepped down.
+    """
+    while True:
+        await _wait_for_timeout(replica)
+        if _may_campaign(replica) and await _campaign(replica):
+            await lead(replica)
+
+
+async def _wait_for_timeout(replica):
+    settings = replica.settings
+    timeout_s = replica.rng.uniform(settings.election_min_s, settings.election_max_s)
+    waiting_since_s = replica.now()
+    while True:
+        heard_s = max(replica.leader_contact_s, waiting_since_s)
+        left_s = heard_s + timeout_s - replica.now()
+        if left_s <= 0:
+            return
+        await asyncio.sleep(left_s)
+
+
+def _may_campaign(replica):
+    # An empty journal means that the cluster is being founded: only the founder,
+    # once everybody has accepted, may begin.
+    is_founded = replica.journal.last_index > 0 or (
+        replica.disk_id == _get_founder(replica) and not replica.vote.founding
+    )
+    return replica.may_act and replica.is_voter and is_founded
+
+
+def _get_founder(replica):
+    first = min(replica.vote.initial, key=lambda m: m.address, default=None)
+    return first.disk_id if first else ""
+
+
+async def _campaign(replica):
+    """Return whether this host has become the leader."""
+    if not await _collect_votes(replica, replica.term + 1, pre=True):
+        return False
+    async with replica.lock:
+        if replica.hears_leader() or not _may_campaign(replica):
+            return False
+        term = replica.term + 1
+        if not await replica.adopt_term(term, replica.disk_id):
+            return False
+        replica.role = Role.CANDIDATE
+    won = await _collect_votes(replica, term, pre=False)
+    async with replica.lock:
+        if replica.role != Role.CANDIDATE or replica.term != term:
+            return False
+        replica.role = Role.LEADER if won else Role.FOLLOWER
+    return won
+
+
+async def _collect_votes(replica, term, pre):
+    """Ask every other voter; return as soon as a quorum has granted."""
+    granted = {replica.disk_id}
+    if replica.is_quorum(granted):
+        return True
+    others = [m for m in replica.voters if m.disk_id != replica.disk_id]
+    tasks = [
+        asyncio.create_task(_ask_vote(replica, member, term, pre)) for member in others
+    ]
+    try:
+        for next_reply in asyncio.as_completed(tasks):
+            voter = await next_reply
+            granted.add(voter)
+            if replica.is_quorum(granted):
+                return True
+    finally:
+        await replica.cancel(tasks)
+    return False
+
+
+async def _ask_vote(replica, member, term, pre):
+    """Return the member's disk id if it grants its vote, else an empty string."""
+    journal = replica.journal
+    vote = Vote(
+        replica.vote.cluster_id,
+        term,
+        replica.disk_id,
+        member.disk_id,
+        journal.last_term,
+        journal.last_index,
+        pre,
+    )
+    reply = await replica.peers.request(
+        member.address, vote, replica.settings.election_min_s
+    )
+    if reply is None or not isinstance(reply.message, VoteReply):
+        return ""
+    if reply.message.disk_id != member.disk_id:
+        return ""
+    if reply.message.term > replica.term and not reply.message.granted:
+        async with replica.lock:
+            if reply.message.term > replica.term:
+                await replica.adopt_term(reply.message.term)
+        return ""
+    return member.disk_id if reply.message.granted else ""
+
+
+async def answer_vote(replica: Replica, sender: str, envelope: Envelope) -> None:
+    """Answer a `Vote`; a promise is durable before it is given."""
+    vote = envelope.message
+    async with replica.lock:
+        granted = await _decide_vote(replica, vote)
+        if granted is not None and replica.may_act:
+            reply = VoteReply(replica.term, granted, replica.disk_id)
+            replica.peers.reply(sender, envelope, reply)
+
+
+async def _decide_vote(replica, vote):
+    """Return whether the vote is granted, or None if no answer can be given."""
+    if not replica.may_act:
+        return None
+    if replica.hears_leader() or vote.term < replica.term:
+        return False
+    journal = replica.journal
+    ours = (journal.last_term, journal.last_index)
+    up_to_date = (vote.last_term, vote.last_index) >= ours
+    if vote.pre:
+        return up_to_date and vote.term > replica.term
+    if vote.term > replica.term:
+        voted_for = vote.candidate if up_to_date else ""
+        saved = await replica.adopt_term(vote.term, voted_for)
+        return up_to_date if saved else None
+    if replica.vote.voted_for == vote.candidate:
+        return True
+    if replica.vote.voted_for or not up_to_date:
+        return False
+    if not await replica.save_vote(voted_for=vote.candidate):
+        return None
+    return True
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replica.py
@@ -0,0 +1,314 @@
+"""State that the tasks of one control host share."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from sapphireway_coordination._quorum_types import (
+    Committed,
+    QuorumSettings,
+    Role,
+    StateMachine,
+)
+from sapphireway_protocol import EntryKind, JournalEntry, Peers, QuorumMember
+from sapphireway_state import (
+    Journal,
+    Snapshot,
+    VoteRecord,
+    check_invariant,
+    decode_members,
+    save_vote,
+)
+from sapphireway_transport import Disk, DiskFailed
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one other member.
+
+    Attributes
+    ----------
+    next_index : int
+        First entry to send.
+    match_index : int
+        Last entry that the member durably holds.
+    acked_round : int
+        Latest read round that the member confirmed.
+    acked_sent_s : float
+        When the latest confirmed message was sent.
+    acked_version : int
+        Version of the table of acked positions that the member has.
+    probing : bool
+        True while the last message is unanswered; only heartbeats are sent.
+    wake : asyncio.Event
+        Set when there is something to send.
+    """
+
+    next_index: int
+    acked_sent_s: float
+    match_index: int = 0
+    acked_round: int = -1
+    acked_version: int = -1
+    probing: bool = False
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    """Members of the quorum from a journal index on."""
+
+    index: int
+    members: tuple[QuorumMember, ...]
+
+
+class Replica:
+    """One control host's part of the quorum.
+
+    The journal, the term and the vote change only while `lock` is held.
+    """
+
+    __slots__ = (
+        "_changed",
+        "acked",
+        "acked_version",
+        "applied_index",
+        "bootstrap",
+        "cleared",
+        "commit_index",
+        "configurations",
+        "control_hosts",
+        "detail",
+        "disk",
+        "disk_problem",
+        "incoming",
+        "journal",
+        "leader",
+        "leader_contact_s",
+        "lock",
+        "machine",
+        "members_change",
+        "peers",
+        "progress",
+        "proposals",
+        "read_round",
+        "rng",
+        "role",
+        "settings",
+        "start_id",
+        "vote",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        disk: Disk,
+        machine: StateMachine,
+        control_hosts: Sequence[str],
+        rng: random.Random,
+        settings: QuorumSettings,
+        bootstrap: bool,
+    ):
+        self._changed = asyncio.Event()
+        self.acked = {}
+        self.acked_version = 0
+        self.applied_index = 0
+        self.bootstrap = bootstrap
+        self.cleared = False
+        self.commit_index = 0
+        self.configurations = [Configuration(0, ())]
+        self.control_hosts = tuple(control_hosts)
+        self.detail = ""
+        self.disk = disk
+        self.disk_problem = ""
+        self.incoming = None
+        self.journal = Journal(disk, settings.limits)
+        self.leader = None
+        self.leader_contact_s = float("-inf")
+        self.lock = asyncio.Lock()
+        self.machine = machine
+        self.members_change = None
+        self.peers = peers
+        self.progress = {}
+        self.proposals = asyncio.Queue()
+        self.read_round = 0
+        self.rng = rng
+        self.role = Role.STARTING
+        self.settings = settings
+        self.start_id = f"{rng.getrandbits(64):016x}"
+        self.vote = VoteRecord("")
+        self.waiting = {}
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.vote.term
+
+    @property
+    def disk_id(self) -> str:
+        """Identity of this host's data folder."""
+        return self.vote.disk_id
+
+    @property
+    def members(self) -> tuple[QuorumMember, ...]:
+        """Members by the latest entry that sets them, committed or not."""
+        return self.configurations[-1].members
+
+    @property
+    def voters(self) -> tuple[QuorumMember, ...]:
+        """Members that vote."""
+        return tuple(member for member in self.members if member.voter)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this host's data folder votes."""
+        return any(member.disk_id == self.disk_id for member in self.voters)
+
+    @property
+    def may_act(self) -> bool:
+        """Whether this host may answer for its data folder."""
+        return self.cleared and not self.disk_problem and self.role != Role.STOPPED
+
+    def now(self) -> float:
+        """Return the event loop's clock."""
+        return asyncio.get_running_loop().time()
+
+    def notify(self) -> None:
+        """Let every `wait_until` look again."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def wait_until(self, predicate: Callable[[], bool]) -> None:
+        """Wait until `predicate` holds."""
+        while not predicate():
+            await self._changed.wait()
+
+    def is_leading(self, term: int) -> bool:
+        """Whether this host leads in `term`."""
+        return self.role == Role.LEADER and self.term == term
+
+    def hears_leader(self) -> bool:
+        """Whether a leader was heard within the shortest election timeout."""
+        if self.role == Role.LEADER:
+            return True
+        return self.now() - self.leader_contact_s < self.settings.election_min_s
+
+    def is_quorum(self, disk_ids) -> bool:
+        """Whether the data folders include a majority of the voters."""
+        voters = {member.disk_id for member in self.voters}
+        return len(voters.intersection(disk_ids)) > len(voters) // 2
+
+    async def cancel(self, tasks) -> None:
+        """Cancel tasks, none in the middle of a change, and raise their errors."""
+        tasks = list(tasks)
+        async with self.lock:
+            for task in tasks:
+                task.cancel()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+
+    async def save_vote(self, **changes) -> bool:
+        """Durably change the vote record; False if the disk fails."""
+        record = msgspec.structs.replace(self.vote, **changes)
+        check_invariant(record.term >= self.vote.term, "the term went back")
+        failure = await save_vote(self.disk, record)
+        if failure is not None:
+            self.fail_disk(failure)
+            return False
+        self.vote = record
+        return True
+
+    async def adopt_term(self, term: int, voted_for: str = "") -> bool:
+        """Enter a later term as a follower; False if the disk fails."""
+        if not await self.save_vote(term=term, voted_for=voted_for):
+            return False
+        self.step_down()
+        self.leader = None
+        return True
+
+    def step_down(self) -> None:
+        """Stop to lead or to ask for votes."""
+        if self.role in (Role.LEADER, Role.CANDIDATE):
+            if self.role == Role.LEADER:
+                self.leader = None
+            self.role = Role.FOLLOWER
+        self.notify()
+
+    def fail_disk(self, failure: DiskFailed) -> None:
+        """Take no further part: the data folder cannot be trusted."""
+        if not self.disk_problem:
+            name = f" {failure.name}" if failure.name else ""
+            self.disk_problem = f"{failure.operation}{name}: {failure.detail}"
+        self.step_down()
+
+    async def append(self, first: int, entries: Sequence[JournalEntry]) -> bool:
+        """Durably replace the journal's end; False if the disk fails."""
+        check_invariant(
+            first > self.commit_index, f"committed entry {first} would be replaced"
+        )
+        failure = await self.journal.append(first, entries)
+        if failure is not None:
+            if self.journal.failure is not None:
+                self.fail_disk(failure)
+            return False
+        kept = [c for c in self.configurations if c.index < first]
+        self.configurations = kept
+        for index, entry in enumerate(entries, first):
+            if entry.kind == EntryKind.MEMBERS:
+                members = decode_members(entry.data)
+                self.configurations.append(Configuration(index, members))
+        self.notify()
+        return True
+
+    def commit(self, index: int) -> None:
+        """Take everything up to `index` as committed and apply it."""
+        check_invariant(
+            index <= self.journal.last_index, "commit beyond the journal's end"
+        )
+        if index <= self.commit_index:
+            return
+        self.commit_index = index
+        while self.applied_index < index:
+            self._apply(self.applied_index + 1)
+        while len(self.configurations) > 1 and self.configurations[1].index <= index:
+            del self.configurations[0]
+        self.notify()
+
+    def _apply(self, index):
+        entry = self.journal.get_entry(index)
+        result = b""
+        if entry.kind == EntryKind.COMMAND:
+            result = self.machine.apply(index, entry.data)
+        self.applied_index = index
+        term, future = self.waiting.pop(index, (0, None))
+        if future is not None and term == entry.term and not future.done():
+            future.set_result(Committed(index, result))
+
+    def record_acked(self, disk_id: str, term: int, index: int) -> None:
+        """Remember what another data folder durably holds."""
+        if (term, index) > self.acked.get(disk_id, (0, 0)):
+            self.acked[disk_id] = (term, index)
+            self.acked_version += 1
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Set the state machine and the members to a durable snapshot."""
+        self.machine.restore(snapshot.data)
+        self.applied_index = snapshot.index
+        self.commit_index = max(self.commit_index, snapshot.index)
+        self.load_configurations()
+        self.notify()
+
+    def load_configurations(self) -> None:
+        """Work out the members from the vote record, snapshot and journal."""
+        snapshot = self.journal.snapshot
+        base = snapshot.members if snapshot.index else self.vote.initial
+        self.configurations = [Configuration(snapshot.index, tuple(base))]
+        for index in range(snapshot.index + 1, self.journal.last_index + 1):
+            entry = self.journal.get_entry(index)
+            if entry.kind == EntryKind.MEMBERS:
+                members = decode_members(entry.data)
+                self.configurations.append(Configuration(index, members))
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_requests.py
@@ -0,0 +1,85 @@
+"""Requests of nodes to a control host, and their way to the leader."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from sapphireway_coordination._quorum_replica import Replica
+from sapphireway_coordination._quorum_types import (
+    Committed,
+    Current,
+    NotLeader,
+    Unavailable,
+)
+from sapphireway_protocol import ControlReply, Envelope, Propose
+
+Outcome = Committed | Current | NotLeader | Unavailable
+
+
+async def answer_propose(
+    replica: Replica,
+    propose: Callable[[bytes], Awaitable[Outcome]],
+    sender: str,
+    envelope: Envelope,
+) -> None:
+    """Commit a command here, or have the leader commit it."""
+    outcome = await _run(propose(envelope.body), envelope)
+    if isinstance(outcome, Committed):
+        reply = ControlReply(True, outcome.index, replica.peers.address)
+        replica.peers.reply(sender, envelope, reply, outcome.result)
+    else:
+        await _refuse_or_forward(replica, sender, envelope, outcome)
+
+
+async def answer_query(
+    replica: Replica,
+    read_barrier: Callable[[], Awaitable[Outcome]],
+    query: Callable[[bytes], bytes],
+    sender: str,
+    envelope: Envelope,
+) -> None:
+    """Answer a current read here, or have the leader answer it."""
+    outcome = await _run(read_barrier(), envelope)
+    if isinstance(outcome, Current):
+        data = query(envelope.body)
+        reply = ControlReply(True, replica.applied_index, replica.peers.address)
+        replica.peers.reply(sender, envelope, reply, data)
+    else:
+        await _refuse_or_forward(replica, sender, envelope, outcome)
+
+
+async def _run(outcome, envelope):
+    try:
+        async with asyncio.timeout(envelope.message.timeout_s):
+            return await outcome
+    except TimeoutError:
+        return Unavailable("no quorum answered in time", maybe_applied=True)
+
+
+async def _refuse_or_forward(replica, sender, envelope, outcome):
+    request = envelope.message
+    if isinstance(outcome, Unavailable):
+        reply = ControlReply(
+            False, detail=outcome.detail, maybe_applied=outcome.maybe_applied
+        )
+        replica.peers.reply(sender, envelope, reply)
+        return
+    if outcome.leader is None or request.forwarded:
+        reply = ControlReply(
+            False, leader=outcome.leader or "", detail="no leader is known"
+        )
+        replica.peers.reply(sender, envelope, reply)
+        return
+    forwarded = type(request)(request.timeout_s, forwarded=True)
+    answer = await replica.peers.request(
+        outcome.leader, forwarded, request.timeout_s, envelope.body
+    )
+    if answer is not None and isinstance(answer.message, ControlReply):
+        replica.peers.reply(sender, envelope, answer.message, answer.body)
+        return
+    reply = ControlReply(
+        False,
+        leader=outcome.leader,
+        detail="the leader did not answer",
+        maybe_applied=isinstance(request, Propose),
+    )
+    replica.peers.reply(sender, envelope, reply)
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
@@ -0,0 +1,283 @@
+"""How a control host starts: as a new cluster, a known member or a learner."""
+
+import asyncio
+
+from sapphireway_coordination._quorum_replica import Replica
+from sapphireway_coordination._quorum_types import Role
+from sapphireway_protocol import (
+    Envelope,
+    Found,
+    FoundReply,
+    Hello,
+    HelloReply,
+    Join,
+    JoinReply,
+    QuorumMember,
+)
+from sapphireway_state import (
+    JournalDamaged,
+    VoteRecord,
+    Witness,
+    load_vote,
+)
+from sapphireway_transport import DiskFailed
+
+
+async def open_disk(replica: Replica) -> None:
+    """Read the data folder and durably count the start."""
+    problem = await _read_disk(replica)
+    if isinstance(problem, DiskFailed):
+        replica.fail_disk(problem)
+    elif isinstance(problem, JournalDamaged):
+        replica.disk_problem = (
+            f"{problem.name} is damaged at byte {problem.offset}: {problem.detail}"
+        )
+
+
+async def _read_disk(replica):
+    record = await load_vote(replica.disk)
+    if isinstance(record, DiskFailed | JournalDamaged):
+        return record
+    if record is None:
+        replica.vote = VoteRecord("")
+        await replica.save_vote(disk_id=_make_id(replica))
+        return None
+    replica.vote = record
+    if record.wiping:
+        await _finish_wipe(replica)
+    problem = await replica.journal.open()
+    if problem is not None:
+        return problem
+    replica.load_configurations()
+    await replica.save_vote(start_count=record.start_count + 1)
+    return None
+
+
+def _make_id(replica):
+    return f"{replica.rng.getrandbits(128):032x}"
+
+
+async def run_start(replica: Replica) -> None:
+    """Do what it takes until this host may act, then keep it a member."""
+    if replica.disk_problem:
+        return
+    while not replica.vote.cluster_id and not await _try_form(replica):
+        await _pause(replica)
+    while replica.members and not await _try_clear(replica):
+        await _pause(replica)
+    if replica.journal.snapshot.index:
+        replica.restore(replica.journal.snapshot)
+    replica.cleared = True
+    replica.role = Role.FOLLOWER
+    replica.notify()
+    while replica.vote.founding and not await _try_found(replica):
+        await _pause(replica)
+    while True:
+        await _pause(replica)
+        is_member = any(m.disk_id == replica.disk_id for m in replica.members)
+        if not is_member and not replica.hears_leader():
+            await _try_join(replica)
+
+
+async def _pause(replica):
+    factor = replica.rng.uniform(0.8, 1.2)
+    await asyncio.sleep(replica.settings.start_retry_s * factor)
+
+
+async def _ask_all(replica, addresses):
+    """Return the answers to `Hello` of all addresses but our own."""
+    hello = Hello(
+        replica.vote.cluster_id,
+        replica.disk_id,
+        replica.vote.start_count,
+        replica.start_id,
+    )
+    others = sorted({*addresses} - {replica.peers.address})
+    timeout_s = replica.settings.start_retry_s
+    requests = (replica.peers.request(o, hello, timeout_s) for o in others)
+    envelopes = await asyncio.gather(*requests)
+    return {
+        address: envelope.message
+        for address, envelope in zip(others, envelopes, strict=True)
+        if envelope is not None and isinstance(envelope.message, HelloReply)
+    }
+
+
+async def _try_form(replica):
+    """Become a first member or a learner of a cluster; False if none is found."""
+    replies = await _ask_all(replica, replica.control_hosts)
+    clusters = {reply.cluster_id for reply in replies.values()} - {""}
+    if len(clusters) > 1:
+        replica.detail = "the control hosts belong to different clusters"
+        return False
+    if clusters:
+        known = next(reply for reply in replies.values() if reply.cluster_id)
+        return await _enter_cluster(replica, known.cluster_id, known.initial)
+    if not _may_found(replica, replies):
+        return False
+    members = [QuorumMember(a, r.disk_id, True) for a, r in replies.items()]
+    members.append(QuorumMember(replica.peers.address, replica.disk_id, True))
+    async with replica.lock:
+        if replica.vote.cluster_id:
+            return True
+        saved = await replica.save_vote(
+            cluster_id=_make_id(replica), initial=members, founding=True
+        )
+        replica.load_configurations()
+        return saved
+
+
+def _may_found(replica, replies):
+    hosts = sorted(replica.control_hosts)
+    others = set(hosts) - {replica.peers.address}
+    if not replica.bootstrap:
+        replica.detail = "the data folder is empty and bootstrap is off"
+        return False
+    if set(replies) != others:
+        silent = ", ".join(sorted(others - set(replies)))
+        replica.detail = f"a new cluster waits for {silent}"
+        return False
+    if any(
+        not r.bootstrap or sorted(r.control_hosts) != hosts for r in replies.values()
+    ):
+        replica.detail = "the control hosts are configured differently"
+        return False
+    replica.detail = f"a new cluster waits for its founder {hosts[0]}"
+    return replica.peers.address == hosts[0]
+
+
+async def _enter_cluster(replica, cluster_id, initial):
+    """Durably take the cluster's id; False if this host has another or none can be."""
+    async with replica.lock:
+        if replica.vote.cluster_id:
+            return replica.vote.cluster_id == cluster_id
+        is_first = any(m.disk_id == replica.disk_id for m in initial)
+        saved = await replica.save_vote(
+            cluster_id=cluster_id, initial=list(initial) if is_first else []
+        )
+        replica.load_configurations()
+        replica.detail = ""
+        return saved
+
+
+async def _try_found(replica):
+    """Ask all first members to accept; True once everybody has."""
+    found = Found(replica.vote.cluster_id, replica.vote.initial)
+    others = [m for m in replica.vote.initial if m.disk_id != replica.disk_id]
+    timeout_s = replica.settings.start_retry_s
+    requests = (replica.peers.request(m.address, found, timeout_s) for m in others)
+    envelopes = await asyncio.gather(*requests)
+    for member, envelope in zip(others, envelopes, strict=True):
+        accepted = FoundReply(replica.vote.cluster_id, member.disk_id)
+        if envelope is None or envelope.message != accepted:
+            replica.detail = f"a new cluster waits for {member.address}"
+            return False
+    replica.detail = ""
+    async with replica.lock:
+        return await replica.save_vote(founding=False)
+
+
+async def _try_clear(replica):
+    """Ask whether others have seen a newer state of this data folder."""
+    replies = await _ask_all(replica, [m.address for m in replica.members])
+    if replica.disk_problem:
+        return False
+    if any(_knows_newer(replica, reply) for reply in replies.values()):
+        await _take_new_identity(replica)
+        return not replica.disk_problem
+    witnesses = {reply.disk_id for reply in replies.values()}
+    if replica.is_quorum({*witnesses, replica.disk_id}):
+        replica.detail = ""
+        return True
+    replica.detail = "too few members answer to tell whether the disk is up to date"
+    return False
+
+
+def _knows_newer(replica, reply):
+    if reply.cluster_id != replica.vote.cluster_id:
+        return False
+    vote = replica.vote
+    if reply.seen_start_count > vote.start_count:
+        return True
+    if reply.seen_start_count == vote.start_count:
+        if reply.seen_start_id != replica.start_id:
+            return True
+    held = (replica.journal.last_term, replica.journal.last_index)
+    return (reply.seen_term, reply.seen_index) > held
+
+
+async def _take_new_identity(replica):
+    """Give up a data folder that is older than what others saw of it."""
+    async with replica.lock:
+        saved = await replica.save_vote(
+            disk_id=_make_id(replica), start_count=1, initial=[], wiping=True
+        )
+        if saved:
+            await _finish_wipe(replica)
+            replica.load_configurations()
+
+
+async def _finish_wipe(replica):
+    failure = await replica.journal.remove_all()
+    if failure is not None:
+        replica.fail_disk(failure)
+        return
+    await replica.save_vote(wiping=False)
+
+
+async def _try_join(replica):
+    """Ask the leader, wherever it is, to take this host as a learner."""
+    addresses = {*replica.control_hosts, *(m.address for m in replica.members)}
+    replies = await _ask_all(replica, addresses)
+    leaders = sorted({r.leader for r in replies.values() if r.leader})
+    join = Join(replica.vote.cluster_id, replica.disk_id)
+    for leader in leaders:
+        reply = await replica.peers.request(
+            leader, join, replica.settings.start_retry_s
+        )
+        if reply is not None and isinstance(reply.message, JoinReply):
+            replica.detail = "" if reply.message.accepted else reply.message.detail
+
+
+async def answer_hello(replica: Replica, sender: str, envelope: Envelope) -> None:
+    """Say what this host knows, after recording the sender's start durably."""
+    hello = envelope.message
+    if replica.disk_problem or not replica.disk_id:
+        return
+    seen = replica.vote.witnesses.get(hello.disk_id, Witness(0, ""))
+    if _must_record(replica, hello, seen):
+        async with replica.lock:
+            witness = Witness(hello.start_count, hello.start_id)
+            witnesses = {**replica.vote.witnesses, hello.disk_id: witness}
+            if not await replica.save_vote(witnesses=witnesses):
+                return
+    acked_term, acked_index = replica.acked.get(hello.disk_id, (0, 0))
+    reply = HelloReply(
+        replica.vote.cluster_id,
+        replica.disk_id,
+        replica.bootstrap,
+        list(replica.control_hosts),
+        replica.vote.initial,
+        replica.leader.address if replica.leader else "",
+        seen.start_count,
+        seen.start_id,
+        acked_term,
+        acked_index,
+    )
+    replica.peers.reply(sender, envelope, reply)
+
+
+def _must_record(replica, hello, seen):
+    is_known = any(m.disk_id == hello.disk_id for m in replica.members)
+    return is_known and hello.start_count > seen.start_count
+
+
+async def answer_found(replica: Replica, sender: str, envelope: Envelope) -> None:
+    """Accept to be a first member, unless this host already is in a cluster."""
+    found = envelope.message
+    if replica.disk_problem or not replica.disk_id:
+        return
+    if any(member.disk_id == replica.disk_id for member in found.members):
+        await _enter_cluster(replica, found.cluster_id, found.members)
+    reply = FoundReply(replica.vote.cluster_id, replica.disk_id)
+    replica.peers.reply(sender, envelope, reply)
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_journal.py
@@ -0,0 +1,315 @@
+"""The durable journal of one control host."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from sapphireway_protocol import JournalEntry, QuorumMember
+from sapphireway_state._frame import encode_frame, scan_frames
+from sapphireway_state._invariants import check_invariant
+from sapphireway_state._snapshot import (
+    SNAPSHOT_NAME,
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
+from sapphireway_transport import Disk, DiskFailed
+
+SEGMENT_PREFIX = "journal-"
+WAY_ON = "re-seed this host from the others (docs/operate/replace-a-control-host.md)"
+
+
+@dataclass(slots=True, frozen=True)
+class JournalLimits:
+    """Bounds on the journal's size.
+
+    Attributes
+    ----------
+    segment_bytes : int
+        Size at which the next segment file begins.
+    compact_bytes : int
+        Size of all segments at which a snapshot is due.
+    journal_max_bytes : int
+        Size of all segments above which nothing more is accepted.
+    command_max_bytes : int
+        Largest command.
+    snapshot_max_bytes : int
+        Largest snapshot that is accepted from another host.
+    """
+
+    segment_bytes: int = 1 << 20
+    compact_bytes: int = 4 << 20
+    journal_max_bytes: int = 64 << 20
+    command_max_bytes: int = 1 << 20
+    snapshot_max_bytes: int = 64 << 20
+
+
+@dataclass(slots=True, frozen=True)
+class JournalDamaged:
+    """A file holds bytes that no interrupted write explains.
+
+    Attributes
+    ----------
+    name : str
+    offset : int
+        First byte that cannot be trusted.
+    detail : str
+        What to do, in one line.
+    """
+
+    name: str
+    offset: int
+    detail: str = WAY_ON
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    """Entries from `first` on; whatever stood there before is dropped."""
+
+    first: int
+    entries: list[JournalEntry]
+
+
+@dataclass(slots=True)
+class _Segment:
+    name: str
+    size: int = 0
+    last_index: int = 0
+
+
+class Journal:
+    """Entries after the latest snapshot, in memory and in segment files.
+
+    An entry is visible only once it is durable. After the first failure of the disk
+    nothing more is written: what a failed fsync left in the page cache cannot be
+    told from what is on the disk.
+
+    Parameters
+    ----------
+    disk : Disk
+    limits : JournalLimits
+
+    Attributes
+    ----------
+    failure : DiskFailed or None
+    snapshot : Snapshot
+        The latest; of index 0 if there is none.
+    torn_bytes : int
+        Bytes of an interrupted write that `open` took off.
+    """
+
+    __slots__ = (
+        "_disk",
+        "_encoder",
+        "_entries",
+        "_segments",
+        "failure",
+        "limits",
+        "snapshot",
+        "torn_bytes",
+    )
+
+    def __init__(self, disk: Disk, limits: JournalLimits):
+        self._disk = disk
+        self._encoder = msgspec.msgpack.Encoder()
+        self._entries = []
+        self._segments = []
+        self.failure = None
+        self.limits = limits
+        self.snapshot = Snapshot(0, 0, [], b"")
+        self.torn_bytes = 0
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all segments."""
+        return sum(segment.size for segment in self._segments)
+
+    async def open(self) -> JournalDamaged | DiskFailed | None:
+        """Read everything; take off the rest of an interrupted write."""
+        names = await self._disk.list()
+        if isinstance(names, DiskFailed):
+            return names
+        if SNAPSHOT_NAME in names:
+            problem = await self._read_snapshot()
+            if problem is not None:
+                return problem
+        segments = [name for name in names if name.startswith(SEGMENT_PREFIX)]
+        for name in segments:
+            problem = await self._read_segment(name, is_last=name == segments[-1])
+            if problem is not None:
+                return problem
+        return None
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not at hand."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if not self.snapshot.index < index <= self.last_index:
+            return None
+        return self._entries[index - self.snapshot.index - 1].term
+
+    def get_entry(self, index: int) -> JournalEntry:
+        """Return one entry after the snapshot."""
+        return self._entries[index - self.snapshot.index - 1]
+
+    def list_entries(self, first: int, max_bytes: int) -> list[JournalEntry]:
+        """Return entries from `first` on: one at least, if there is one."""
+        entries = []
+        size = 0
+        for entry in self._entries[first - self.snapshot.index - 1 :]:
+            size += len(entry.data)
+            if entries and size > max_bytes:
+                break
+            entries.append(entry)
+        return entries
+
+    async def append(
+        self, first: int, entries: Sequence[JournalEntry]
+    ) -> DiskFailed | None:
+        """Durably replace everything from index `first` on by `entries`."""
+        check_invariant(
+            self.snapshot.index < first <= self.last_index + 1,
+            f"append at {first} after {self.last_index}",
+        )
+        if self.failure is not None:
+            return self.failure
+        payload = self._encoder.encode(_Frame(first, list(entries)))
+        failure = await self._write(encode_frame(payload))
+        if failure is not None:
+            return failure
+        segment = self._segments[-1]
+        segment.last_index = max(segment.last_index, first + len(entries) - 1)
+        del self._entries[first - self.snapshot.index - 1 :]
+        self._entries.extend(entries)
+        return None
+
+    async def save_snapshot(self, snapshot: Snapshot) -> DiskFailed | None:
+        """Durably replace the snapshot, then drop what it covers."""
+        if self.failure is not None:
+            return self.failure
+        if snapshot.index <= self.snapshot.index:
+            return None
+        known_term = self.get_term(snapshot.index)
+        if known_term is not None and known_term != snapshot.term:
+            # Entries from there on contradict what is committed. They must not
+            # come back behind the snapshot.
+            failure = await self.append(snapshot.index, [])
+            if failure is not None:
+                return failure
+        failure = await self._disk.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
+        if failure is not None:
+            return self._fail(failure)
+        covered = snapshot.index - self.snapshot.index
+        self.snapshot = snapshot
+        del self._entries[:covered]
+        return await self._remove_covered_segments()
+
+    async def remove_all(self) -> DiskFailed | None:
+        """Remove the snapshot and all segments."""
+        names = await self._disk.list()
+        if isinstance(names, DiskFailed):
+            return self._fail(names)
+        for name in names:
+            if name.startswith(SEGMENT_PREFIX) or name == SNAPSHOT_NAME:
+                failure = await self._disk.remove(name)
+                if failure is not None:
+                    return self._fail(failure)
+        self._entries.clear()
+        self._segments.clear()
+        self.snapshot = Snapshot(0, 0, [], b"")
+        return None
+
+    async def _read_snapshot(self):
+        data = await self._disk.read(SNAPSHOT_NAME)
+        if isinstance(data, DiskFailed):
+            return data
+        snapshot = decode_snapshot(data)
+        if snapshot is None:
+            return JournalDamaged(SNAPSHOT_NAME, 0)
+        self.snapshot = snapshot
+        return None
+
+    async def _read_segment(self, name, is_last):
+        data = await self._disk.read(name)
+        if isinstance(data, DiskFailed):
+            return data
+        scan = scan_frames(data)
+        if scan.damaged or (scan.end < len(data) and not is_last):
+            return JournalDamaged(name, scan.end)
+        segment = _Segment(name, scan.end)
+        for payload in scan.payloads:
+            if not self._replay(payload, segment):
+                return JournalDamaged(name, 0, f"entries are missing; {WAY_ON}")
+        self._segments.append(segment)
+        if not is_last:
+            return None
+        self.torn_bytes = len(data) - scan.end
+        # After a failed fsync the page cache may show what the disk does not hold;
+        # writing the tail anew makes sure of it.
+        return await self._disk.replace(name, data[: scan.end])
+
+    def _replay(self, payload, segment):
+        frame = msgspec.msgpack.decode(payload, type=_Frame)
+        base = self.snapshot.index
+        segment.last_index = max(
+            segment.last_index, frame.first + len(frame.entries) - 1
+        )
+        if frame.first > self.last_index + 1:
+            return False
+        del self._entries[max(0, frame.first - base - 1) :]
+        self._entries.extend(frame.entries[max(0, base + 1 - frame.first) :])
+        return True
+
+    async def _write(self, frame):
+        if self.size_bytes + len(frame) > self.limits.journal_max_bytes:
+            return DiskFailed("append", "", "the journal has reached its largest size")
+        if not self._segments or self._segments[-1].size >= self.limits.segment_bytes:
+            self._segments.append(_Segment(self._name_next_segment()))
+        segment = self._segments[-1]
+        failure = await self._disk.append(segment.name, frame)
+        if failure is None:
+            failure = await self._disk.sync(segment.name)
+        if failure is not None:
+            return self._fail(failure)
+        segment.size += len(frame)
+        return None
+
+    def _name_next_segment(self):
+        if not self._segments:
+            return f"{SEGMENT_PREFIX}{1:016x}"
+        number = int(self._segments[-1].name.removeprefix(SEGMENT_PREFIX), 16)
+        return f"{SEGMENT_PREFIX}{number + 1:016x}"
+
+    async def _remove_covered_segments(self):
+        while len(self._segments) > 1:
+            if self._segments[0].last_index > self.snapshot.index:
+                return None
+            failure = await self._disk.remove(self._segments[0].name)
+            if failure is not None:
+                return self._fail(failure)
+            self._segments.pop(0)
+        return None
+
+    def _fail(self, failure):
+        self.failure = failure
+        return failure
+
+
+def encode_members(members: Sequence[QuorumMember]) -> bytes:
+    """Return the data of an entry that sets the members."""
+    return msgspec.msgpack.encode(list(members))
+
+
+def decode_members(data: bytes) -> tuple[QuorumMember, ...]:
+    """Return the members that an entry sets."""
+    return tuple(msgspec.msgpack.decode(data, type=list[QuorumMember]))
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_vote.py
@@ -0,0 +1,75 @@
+"""What a control host must not forget besides its journal."""
+
+import msgspec
+
+from sapphireway_protocol import QuorumMember
+from sapphireway_state._frame import encode_frame, scan_frames
+from sapphireway_state._journal import JournalDamaged
+from sapphireway_transport import Disk, DiskFailed
+
+VOTE_NAME = "vote"
+
+
+class Witness(msgspec.Struct, frozen=True, array_like=True):
+    """A start of another host's data folder that this host has recorded."""
+
+    start_count: int
+    start_id: str
+
+
+class VoteRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Identity of a data folder, and the vote it gave.
+
+    Attributes
+    ----------
+    disk_id : str
+        Identity of the data folder; never used again once it is lost.
+    start_count : int
+        How often the folder was opened.
+    cluster_id : str
+        Empty while the host belongs to no cluster.
+    initial : list of QuorumMember
+        First members of the cluster, if this host was one of them.
+    founding : bool
+        True while not every first member is known to have accepted.
+    term : int
+    voted_for : str
+        Disk id of the candidate that got the vote of `term`, or empty.
+    witnesses : dict of str to Witness
+        Latest known start of each other data folder.
+    wiping : bool
+        True while the journal of an earlier identity is being removed.
+    """
+
+    disk_id: str
+    start_count: int = 1
+    cluster_id: str = ""
+    initial: list[QuorumMember] = []
+    founding: bool = False
+    term: int = 0
+    voted_for: str = ""
+    witnesses: dict[str, Witness] = {}
+    wiping: bool = False
+
+
+async def load_vote(disk: Disk) -> VoteRecord | JournalDamaged | DiskFailed | None:
+    """Return the record, or None if the data folder is empty."""
+    names = await disk.list()
+    if isinstance(names, DiskFailed):
+        return names
+    if VOTE_NAME not in names:
+        # The record is the first file that is ever written.
+        return JournalDamaged(VOTE_NAME, 0) if names else None
+    data = await disk.read(VOTE_NAME)
+    if isinstance(data, DiskFailed):
+        return data
+    scan = scan_frames(data)
+    if scan.end < len(data) or len(scan.payloads) != 1:
+        return JournalDamaged(VOTE_NAME, scan.end)
+    return msgspec.msgpack.decode(scan.payloads[0], type=VoteRecord)
+
+
+async def save_vote(disk: Disk, record: VoteRecord) -> DiskFailed | None:
+    """Durably replace the record."""
+    payload = msgspec.msgpack.encode(record)
+    return await disk.replace(VOTE_NAME, encode_frame(payload))
--- /dev/null
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
@@ -0,0 +1,184 @@
+"""The seam between a control host and its data folder."""
+
+import asyncio
+import fcntl
+import os
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".tmp"
+
+
+@dataclass(slots=True, frozen=True)
+class DiskFailed:
+    """An operation on the data folder failed; its effect is unknown.
+
+    Attributes
+    ----------
+    operation : str
+    name : str
+        File, relative to the data folder; empty for the folder itself.
+    detail : str
+        The operating system's message.
+    """
+
+    operation: str
+    name: str
+    detail: str
+
+
+class Disk(Protocol):
+    """Files under one data folder; nothing is durable until it is synced.
+
+    No operation blocks the event loop. Callers run one operation at a time.
+    """
+
+    async def list(self) -> Sequence[str] | DiskFailed:
+        """Return the names of all files, sorted, without temporary ones."""
+
+    async def read(self, name: str) -> bytes | DiskFailed:
+        """Return the whole content of a file."""
+
+    async def append(self, name: str, data: bytes) -> DiskFailed | None:
+        """Write at the end of a file, which is created if there is none."""
+
+    async def sync(self, name: str) -> DiskFailed | None:
+        """Make a file's content and its entry in the folder durable."""
+
+    async def truncate(self, name: str, size: int) -> DiskFailed | None:
+        """Cut a file to `size` bytes."""
+
+    async def replace(self, name: str, data: bytes) -> DiskFailed | None:
+        """Atomically and durably give a file a new content."""
+
+    async def remove(self, name: str) -> DiskFailed | None:
+        """Durably remove a file."""
+
+    def close(self) -> None:
+        """Release the folder."""
+
+
+class FileDisk:
+    """A data folder of the file system, locked against a second process.
+
+    All operations run on one thread of their own, so that a slow fsync does not
+    stop the event loop.
+
+    Parameters
+    ----------
+    folder : Path
+        Created if it does not exist.
+    """
+
+    __slots__ = ("_executor", "_folder", "_folder_fd", "_lock_fd", "_new")
+
+    def __init__(self, folder: Path):
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="disk")
+        self._folder = Path(folder)
+        self._folder_fd = None
+        self._lock_fd = None
+        self._new = set()
+
+    async def list(self) -> Sequence[str] | DiskFailed:
+        """Return the names of all files; locks the folder on first use."""
+        return await self._run("list", "", self._list)
+
+    async def read(self, name: str) -> bytes | DiskFailed:
+        """Return the whole content of a file."""
+        return await self._run("read", name, (self._folder / name).read_bytes)
+
+    async def append(self, name: str, data: bytes) -> DiskFailed | None:
+        """Write at the end of a file, which is created if there is none."""
+        return await self._run("append", name, lambda: self._append(name, data))
+
+    async def sync(self, name: str) -> DiskFailed | None:
+        """Sync a file, and the folder if the file is new."""
+        return await self._run("sync", name, lambda: self._sync(name))
+
+    async def truncate(self, name: str, size: int) -> DiskFailed | None:
+        """Cut a file to `size` bytes."""
+        path = self._folder / name
+        return await self._run("truncate", name, lambda: os.truncate(path, size))
+
+    async def replace(self, name: str, data: bytes) -> DiskFailed | None:
+        """Write a temporary file, sync it, rename it and sync the folder."""
+        return await self._run("replace", name, lambda: self._replace(name, data))
+
+    async def remove(self, name: str) -> DiskFailed | None:
+        """Remove a file and sync the folder."""
+        return await self._run("remove", name, lambda: self._remove(name))
+
+    def close(self) -> None:
+        """Wait for the operation under way and release the folder."""
+        self._executor.shutdown(wait=True)
+        for fd in (self._folder_fd, self._lock_fd):
+            if fd is not None:
+                os.close(fd)
+        self._folder_fd = self._lock_fd = None
+
+    async def _run(self, operation: str, name: str, function: Callable[[], Any]):
+        loop = asyncio.get_running_loop()
+        try:
+            return await loop.run_in_executor(self._executor, function)
+        except OSError as error:
+            return DiskFailed(operation, name, str(error))
+
+    def _list(self):
+        self._open()
+        names = (entry.name for entry in self._folder.iterdir() if entry.is_file())
+        return sorted(
+            name
+            for name in names
+            if name != LOCK_NAME and not name.endswith(TEMPORARY_SUFFIX)
+        )
+
+    def _open(self):
+        if self._lock_fd is not None:
+            return
+        self._folder.mkdir(parents=True, exist_ok=True)
+        lock_fd = os.open(self._folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._folder_fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        except OSError:
+            os.close(lock_fd)
+            raise
+        self._lock_fd = lock_fd
+
+    def _append(self, name, data):
+        path = self._folder / name
+        if not path.exists():
+            self._new.add(name)
+        with open(path, "ab", buffering=0) as file:
+            _write_all(file, data)
+
+    def _sync(self, name):
+        with open(self._folder / name, "rb") as file:
+            os.fsync(file.fileno())
+        if name in self._new:
+            os.fsync(self._folder_fd)
+            self._new.discard(name)
+
+    def _replace(self, name, data):
+        temporary = self._folder / (name + TEMPORARY_SUFFIX)
+        with open(temporary, "wb", buffering=0) as file:
+            _write_all(file, data)
+            os.fsync(file.fileno())
+        os.replace(temporary, self._folder / name)
+        os.fsync(self._folder_fd)
+        self._new.discard(name)
+
+    def _remove(self, name):
+        os.unlink(self._folder / name)
+        os.fsync(self._folder_fd)
+        self._new.discard(name)
+
+
+def _write_all(file, data):
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
--- /dev/null
+++ b/tests/quorum_cluster.py
@@ -0,0 +1,182 @@
+"""Control hosts on one paused event loop, with faults and checks."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+from sapphireway_coordination import ControlClient, Quorum, QuorumSettings, Role
+from sapphireway_protocol import Peers
+from sapphireway_state import JournalLimits
+from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, PowerCutError
+
+SETTINGS = QuorumSettings(
+    limits=JournalLimits(segment_bytes=600, compact_bytes=1_800, command_max_bytes=500)
+)
+
+
+class ListMachine:
+    """Appends each command once and checks that all hosts apply the same ones."""
+
+    def __init__(self, applied, seed):
+        self.applied = applied
+        self.seed = seed
+        self.commands = []
+        self.last_index = 0
+
+    def apply(self, index, command):
+        known = self.applied.setdefault(index, command)
+        assert known == command, f"seed {self.seed}: committed entry {index} changed"
+        assert index > self.last_index, f"seed {self.seed}: applied out of order"
+        self.last_index = index
+        if command not in self.commands:
+            self.commands.append(command)
+        return str(self.commands.index(command)).encode()
+
+    def snapshot(self):
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore(self, data):
+        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+
+    def query(self, _):
+        return self.snapshot()
+
+
+@dataclass(slots=True)
+class Host:
+    disk: MemoryDisk
+    peers: Peers | None = None
+    quorum: Quorum | None = None
+    machine: ListMachine | None = None
+
+
+class Cluster:
+    """Control hosts ``c0``, ``c1``, ... and whatever happens to them."""
+
+    def __init__(self, size, seed=0, settings=SETTINGS, sync_delay_s=0.002):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.settings = settings
+        self.sync_delay_s = sync_delay_s
+        self.network = MemoryNetwork(random.Random(seed + 1))
+        self.addresses = [f"c{i}" for i in range(size)]
+        self.hosts = {a: Host(MemoryDisk(sync_delay_s)) for a in self.addresses}
+        self.applied = {}
+        self.leaders = {}
+        self.stopped = []
+        self.clients = 0
+
+    async def start(self, *addresses, bootstrap=True):
+        asyncio.get_running_loop().set_exception_handler(ignore_power_cut)
+        for address in addresses or self.addresses:
+            host = self.hosts.setdefault(address, Host(MemoryDisk(self.sync_delay_s)))
+            rng = random.Random(self.rng.random())
+            incarnation = f"{self.rng.random()}"
+            host.peers = Peers(self.network.open_endpoint(address), incarnation)
+            host.machine = ListMachine(self.applied, self.seed)
+            host.quorum = Quorum(
+                host.peers,
+                host.disk,
+                host.machine,
+                self.addresses,
+                rng,
+                self.settings,
+                bootstrap,
+            )
+            host.quorum.serve_queries(host.machine.query)
+            host.peers.start()
+            await host.quorum.start()
+
+    def crash(self, address):
+        """Cut the power of a host."""
+        host = self.hosts[address]
+        if host.quorum is None:
+            return
+        self.check()
+        self.stopped.append(host.quorum)
+        host.peers.close()
+        for task in list(host.quorum._tasks):
+            task.cancel()
+        host.disk = host.disk.cut_power(self.rng)
+        host.quorum = None
+
+    async def restart(self, address, disk=None, **kwargs):
+        self.crash(address)
+        if disk is not None:
+            self.hosts[address].disk = disk
+        await self.start(address, **kwargs)
+
+    def isolate(self, address):
+        for other in [*self.hosts, "client0", "client1", "client2"]:
+            self.network.cut(address, other)
+            self.network.cut(other, address)
+
+    def open_client(self):
+        address = f"client{self.clients}"
+        self.clients += 1
+        peers = Peers(self.network.open_endpoint(address), address)
+        peers.start()
+        return ControlClient(peers, self.addresses, random.Random(self.rng.random()))
+
+    def status(self, address):
+        return self.hosts[address].quorum.get_status()
+
+    def running(self):
+        return [h.quorum for h in self.hosts.values() if h.quorum is not None]
+
+    def check(self):
+        """Check that each term has one leader and that no invariant broke."""
+        for quorum in [*self.running(), *self.stopped]:
+            failure = quorum.failure
+            assert failure is None or isinstance(failure, PowerCutError), (
+                f"seed {self.seed}: {failure!r}"
+            )
+        for quorum in self.running():
+            status = quorum.get_status()
+            if status.role == Role.LEADER:
+                known = self.leaders.setdefault(status.term, status.disk_id)
+                assert known == status.disk_id, (
+                    f"seed {self.seed}: two leaders in term {status.term}"
+                )
+
+    def leader(self):
+        """Return the address of the leader of the latest term, or None."""
+        leading = [
+            (status.term, address)
+            for address, host in self.hosts.items()
+            if host.quorum is not None
+            and (status := host.quorum.get_status()).role == Role.LEADER
+        ]
+        return max(leading)[1] if leading else None
+
+    def is_whole(self):
+        """Whether every running host's disk votes and holds what is committed."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        known = self.status(leader)
+        if known.learners or {v.address for v in known.voters} != set(self.hosts):
+            return False
+        disks = {q.get_status().disk_id for q in self.running()}
+        return {v.disk_id for v in known.voters} == disks
+
+    async def wait_until(self, predicate, timeout_s=60.0):
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while not predicate():
+            self.check()
+            assert loop.time() < deadline_s, f"seed {self.seed}: {self.describe()}"
+            await asyncio.sleep(0.05)
+
+    def describe(self):
+        return [
+            (address, host.quorum and host.quorum.get_status())
+            for address, host in self.hosts.items()
+        ]
+
+
+def ignore_power_cut(loop, context):
+    if not isinstance(context.get("exception"), PowerCutError):
+        loop.default_exception_handler(context)
