--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
@@ -99,8 +99,10 @@
         disk_id
         for disk_id in voters
         if disk_id == replica.disk_id
-        or ((disk_id in replica.progress)
-        and _is_fresh(replica, replica.progress[disk_id]))
+        or (
+            (disk_id in replica.progress)
+            and _is_fresh(replica, replica.progress[disk_id])
+        )
     ]
     return bool(voters) and len(answering) > len(voters) // 2
 
--- a/packages/sapphireway-coordination/tests/test_quorum_runs.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_runs.py
@@ -6,10 +6,10 @@
 
 import msgspec
 import pytest
+from tests.quorum_cluster import Cluster
 
 from sapphireway_coordination import Answer, Committed
 from sapphireway_transport.memory import MemoryDisk, run_paused
-from tests.quorum_cluster import Cluster
 
 SEEDS = int(os.environ.get("SAPPHIREWAY_SEEDS", "4"))
 RUN_S = 60.0
--- /dev/null
+++ b/packages/sapphireway-transport/tests/test_disk.py
@@ -0,0 +1,98 @@
+import asyncio
+import os
+import random
+import time
+
+import pytest
+
+from sapphireway_transport import DiskFailed, FileDisk
+from sapphireway_transport.memory import MemoryDisk, PowerCutError, run_paused
+
+
+async def use(disk):
+    """Do one of each operation and return the files."""
+    assert await disk.list() == []
+    assert await disk.append("a", b"one") is None
+    assert await disk.sync("a") is None
+    assert await disk.append("a", b"two") is None
+    assert await disk.truncate("a", 4) is None
+    assert await disk.replace("b", b"old") is None
+    assert await disk.replace("b", b"new") is None
+    assert await disk.replace("c", b"") is None
+    assert await disk.remove("c") is None
+    return {name: await disk.read(name) for name in await disk.list()}
+
+
+@pytest.fixture(params=["file", "memory"])
+def disk(request, tmp_path):
+    disk = FileDisk(tmp_path / "data") if request.param == "file" else MemoryDisk()
+    yield disk
+    disk.close()
+
+
+def test_disk_operations(disk):
+    assert asyncio.run(use(disk)) == {"a": b"onet", "b": b"new"}
+
+
+def test_missing_file_is_a_failure(disk):
+    async def read():
+        await disk.list()
+        return await disk.read("none")
+
+    failure = asyncio.run(read())
+    assert isinstance(failure, DiskFailed)
+    assert (failure.operation, failure.name) == ("read", "none")
+
+
+def test_folder_is_locked_against_a_second_process(tmp_path):
+    first, second = FileDisk(tmp_path), FileDisk(tmp_path)
+    assert asyncio.run(first.list()) == []
+    assert isinstance(asyncio.run(second.list()), DiskFailed)
+    first.close()
+    assert asyncio.run(second.list()) == []
+    second.close()
+
+
+def test_slow_fsync_does_not_stall_the_event_loop(tmp_path, monkeypatch):
+    monkeypatch.setattr(os, "fsync", lambda fd: time.sleep(0.1))
+
+    async def count_turns():
+        disk = FileDisk(tmp_path)
+        await disk.list()
+        replacing = asyncio.create_task(disk.replace("a", b"x"))
+        turns = 0
+        while not replacing.done():
+            await asyncio.sleep(0.001)
+            turns += 1
+        disk.close()
+        return turns
+
+    assert asyncio.run(count_turns()) > 20
+
+
+def test_unsynced_bytes_may_be_lost_synced_ones_not():
+    async def write(disk):
+        await disk.append("a", b"kept")
+        await disk.sync("a")
+        await disk.append("a", b"tail")
+
+    left = set()
+    for seed in range(50):
+        disk = MemoryDisk()
+        run_paused(write(disk))
+        data = run_paused(disk.cut_power(random.Random(seed)).read("a"))
+        assert data.startswith(b"kept")
+        left.add(data)
+    assert {b"kept", b"kepttail"} < left
+
+
+@pytest.mark.parametrize("boundary", range(4))
+def test_replace_is_atomic_at_every_boundary(boundary):
+    disk = MemoryDisk()
+    run_paused(disk.replace("a", b"old"))
+    disk.cut_at = disk.boundaries + boundary
+    with pytest.raises(PowerCutError):
+        run_paused(disk.replace("a", b"new"))
+    for seed in range(10):
+        left = disk.cut_power(random.Random(seed))
+        assert run_paused(left.read("a")) in (b"old", b"new")
