--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
@@ -66,10 +66,11 @@
         deadline_s = loop.time() + timeout_s
         maybe_applied = False
         last = None
+        attempt_s = ATTEMPT_TIMEOUT_S
         hosts = self._order_hosts()
         while (left_s := deadline_s - loop.time()) > 0:
             host = hosts.pop(0)
-            wait_s = min(left_s, ATTEMPT_TIMEOUT_S)
+            wait_s = min(left_s, attempt_s)
             reply = await self._peers.request(host, request_type(wait_s), wait_s, body)
             if reply is not None and isinstance(reply.message, ControlReply):
                 last = reply.message
@@ -84,6 +85,7 @@
                 break
             if not hosts:
                 hosts = self._order_hosts()
+                attempt_s *= 2
                 await asyncio.sleep(RETRY_WAIT_S * self._rng.uniform(0.5, 1.5))
         return last, b"", maybe_applied
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
@@ -84,6 +84,7 @@
                 replica.waiting.pop(index, None)
             maybe_applied = replica.journal.failure is not None
             _resolve(known, Unavailable("the journal failed", maybe_applied))
+            replica.notify()
             return
         index = replica.journal.last_index
         replica.record_acked(replica.disk_id, term, index)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
@@ -119,10 +119,12 @@
 
 
 async def _propose_members(replica, members):
-    if not replica.is_leading(replica.term):
+    term = replica.term
+    await replica.wait_until(
+        lambda: not replica.is_leading(term) or not _is_change_pending(replica)
+    )
+    if not replica.is_leading(term):
         return NotLeader(replica.leader.address if replica.leader else None)
-    if _is_change_pending(replica):
-        return Unavailable("another change of the members is under way")
     return await _enqueue(replica, members)
 
 
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -0,0 +1,361 @@
+import asyncio
+import random
+
+import msgspec
+import pytest
+from tests.quorum_cluster import Cluster
+
+from sapphireway_coordination import (
+    Answer,
+    Committed,
+    Current,
+    NotLeader,
+    Role,
+    Unavailable,
+)
+from sapphireway_protocol import Append, Vote
+from sapphireway_transport.memory import MemoryDisk, run_paused
+
+LONG_S = 600.0
+
+
+async def open_cluster(size, **kwargs):
+    cluster = Cluster(size, **kwargs)
+    await cluster.start()
+    await cluster.wait_until(cluster.is_whole)
+    return cluster
+
+
+async def propose_many(cluster, count, prefix="x"):
+    client = cluster.open_client()
+    commands = [f"{prefix}{i}".encode() for i in range(count)]
+    for command in commands:
+        assert isinstance(await client.propose(command, 30.0), Committed)
+    return commands
+
+
+async def read_commands(cluster):
+    answer = await cluster.open_client().read(b"", 15.0)
+    assert isinstance(answer, Answer), answer
+    return msgspec.msgpack.decode(answer.data, type=list[bytes])
+
+
+def lose_disk(cluster, address):
+    cluster.crash(address)
+    cluster.hosts[address].disk = MemoryDisk(cluster.sync_delay_s)
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 7])
+def test_empty_hosts_form_one_cluster(size):
+    async def run():
+        cluster = await open_cluster(size)
+        await propose_many(cluster, 3)
+        return {q.get_status().cluster_id for q in cluster.running()}
+
+    assert len(run_paused(run())) == 1
+
+
+def test_bootstrap_waits_for_every_host():
+    async def run():
+        cluster = Cluster(3)
+        await cluster.start("c0", "c1")
+        await asyncio.sleep(60)
+        assert cluster.leader() is None
+        assert cluster.status("c0").detail == "a new cluster waits for c2"
+        await cluster.start("c2")
+        await cluster.wait_until(cluster.is_whole)
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("boundary", range(22))
+@pytest.mark.parametrize("address", ["c0", "c1"])
+def test_cluster_forms_once_despite_a_crash_while_founding(address, boundary):
+    async def run():
+        cluster = Cluster(3, seed=boundary)
+        cluster.hosts[address].disk.cut_at = boundary
+        await cluster.start()
+        await asyncio.sleep(5)
+        await cluster.restart(address)
+        await cluster.wait_until(cluster.is_whole)
+        await propose_many(cluster, 2)
+        assert len({q.get_status().cluster_id for q in cluster.running()}) == 1
+
+    run_paused(run())
+
+
+def test_empty_host_never_founds_a_second_cluster():
+    async def run():
+        cluster = await open_cluster(3)
+        await propose_many(cluster, 3)
+        cluster.crash("c1")
+        lose_disk(cluster, "c0")
+        lose_disk(cluster, "c2")
+        await cluster.start("c0", "c2")
+        await asyncio.sleep(LONG_S)
+        assert cluster.leader() is None
+        assert cluster.status("c0").cluster_id == ""
+        await cluster.start("c1")
+        await asyncio.sleep(60)
+        assert cluster.leader() is None
+
+    run_paused(run())
+
+
+def test_isolated_leader_neither_accepts_nor_serves():
+    async def run():
+        cluster = await open_cluster(3)
+        await propose_many(cluster, 2)
+        old = cluster.leader()
+        quorum = cluster.hosts[old].quorum
+        cluster.isolate(old)
+        outcomes = await asyncio.gather(quorum.propose(b"lost"), quorum.read_barrier())
+        assert [type(outcome) for outcome in outcomes] == [Unavailable, Unavailable]
+        assert outcomes[0].maybe_applied
+        for _ in range(10):
+            await asyncio.sleep(LONG_S / 10)
+            assert await quorum.propose(b"no") == NotLeader(None)
+            assert await quorum.read_barrier() == NotLeader(None)
+        cluster.open_client()
+        commands = await propose_many(cluster, 3, "y")
+        before = cluster.status(cluster.leader())
+        cluster.network.heal_all()
+        await asyncio.sleep(10)
+        after = cluster.status(cluster.leader())
+        assert (after.leader, after.term) == (before.leader, before.term)
+        assert cluster.status(old).commit_index == after.commit_index
+        assert set(commands) < set(await read_commands(cluster))
+
+    run_paused(run())
+
+
+def test_leader_steps_down_within_its_lease():
+    async def run():
+        cluster = await open_cluster(3)
+        old = cluster.leader()
+        cluster.isolate(old)
+        settings = cluster.settings
+        await asyncio.sleep(settings.election_min_s + 2 * settings.heartbeat_s)
+        assert cluster.status(old).role != Role.LEADER
+
+    run_paused(run())
+
+
+def test_isolated_follower_rejoins_without_a_disturbance():
+    async def run():
+        cluster = await open_cluster(3)
+        before = cluster.status(cluster.leader())
+        follower = next(a for a in cluster.addresses if a != before.leader)
+        cluster.isolate(follower)
+        await asyncio.sleep(LONG_S)
+        cluster.network.heal_all()
+        await asyncio.sleep(10)
+        after = cluster.status(cluster.leader())
+        assert (after.leader, after.term) == (before.leader, before.term)
+        assert cluster.status(follower).term == before.term
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_second_loss_right_after_a_repair_loses_nothing(seed):
+    async def run():
+        cluster = await open_cluster(3, seed=seed)
+        commands = await propose_many(cluster, 40)
+        for address in random.Random(seed).sample(cluster.addresses, 3):
+            lose_disk(cluster, address)
+            await cluster.start(address)
+            await cluster.wait_until(cluster.is_whole)
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
+def test_host_with_an_empty_disk_is_a_learner_without_a_vote():
+    async def run():
+        cluster = await open_cluster(3)
+        await propose_many(cluster, 5)
+        leader = cluster.leader()
+        lost, other = [a for a in cluster.addresses if a != leader]
+        identity = cluster.status(lost).disk_id
+        cluster.network.cut(leader, lost)
+        cluster.network.cut(other, lost)
+        lose_disk(cluster, lost)
+        cluster.crash(leader)
+        await cluster.start(lost)
+        cluster.network.heal_all()
+        await asyncio.sleep(60)
+        assert cluster.leader() is None
+        assert cluster.status(lost).role == Role.LEARNER
+        assert cluster.status(lost).disk_id != identity
+        await cluster.start(leader)
+        await cluster.wait_until(cluster.is_whole)
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("copied_after", [0, 20])
+def test_older_disk_gets_a_new_identity(copied_after):
+    async def run():
+        cluster = await open_cluster(3)
+        commands = await propose_many(cluster, copied_after)
+        address = next(a for a in cluster.addresses if a != cluster.leader())
+        identity = cluster.status(address).disk_id
+        backup = cluster.hosts[address].disk.copy()
+        commands += await propose_many(cluster, 5, "y")
+        await cluster.restart(address, disk=backup)
+        await cluster.wait_until(cluster.is_whole)
+        assert cluster.status(address).disk_id != identity
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
+def break_disk(cluster, address, fault):
+    disk = cluster.hosts[address].disk
+    if fault == "full":
+        disk.capacity_bytes = 0
+    elif fault == "fsync":
+        disk.sync_fails = True
+    elif fault == "unreadable":
+        disk.unreadable = True
+    else:
+        disk.corrupt("vote", 20)
+
+
+@pytest.mark.parametrize("fault", ["full", "fsync", "unreadable", "damaged"])
+def test_host_with_a_failing_disk_stops_voting_and_says_so(fault):
+    async def run():
+        cluster = await open_cluster(3)
+        commands = await propose_many(cluster, 5)
+        address = cluster.leader()
+        break_disk(cluster, address, fault)
+        if fault in ("unreadable", "damaged"):
+            disk = cluster.hosts[address].disk
+            cluster.crash(address)
+            cluster.hosts[address].disk = disk
+            disk.cut_at = None
+            await cluster.start(address)
+        commands += await propose_many(cluster, 5, "y")
+        await asyncio.sleep(5)
+        status = cluster.status(address)
+        assert status.role != Role.LEADER
+        assert status.disk != "ok"
+        assert await cluster.hosts[address].quorum.propose(b"z") == Unavailable(
+            status.disk
+        )
+        others = [a for a in cluster.addresses if a != address]
+        cluster.crash(others[0])
+        await asyncio.sleep(30)
+        assert cluster.leader() is None, "the broken host has voted"
+        await cluster.start(others[0])
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
+def test_slow_fsync_costs_no_leadership():
+    async def run():
+        cluster = await open_cluster(3)
+        before = cluster.status(cluster.leader())
+        for host in cluster.hosts.values():
+            host.disk.sync_delay_s = 1.5
+        await propose_many(cluster, 2)
+        after = cluster.status(cluster.leader())
+        assert (after.leader, after.term) == (before.leader, before.term)
+
+    run_paused(run())
+
+
+def test_added_host_becomes_a_voter():
+    async def run():
+        cluster = await open_cluster(3)
+        commands = await propose_many(cluster, 40)
+        await cluster.start("c3", bootstrap=False)
+        await asyncio.sleep(20)
+        assert cluster.status("c3").detail.startswith("c3 is no control host")
+        leader = cluster.hosts[cluster.leader()].quorum
+        assert isinstance(await leader.change_members(add=["c3"]), Committed)
+        await cluster.wait_until(cluster.is_whole)
+        assert cluster.hosts["c3"].machine.commands == commands
+
+    run_paused(run())
+
+
+def test_removed_leader_steps_down_and_stays_quiet():
+    async def run():
+        cluster = await open_cluster(5)
+        old = cluster.leader()
+        outcome = await cluster.hosts[old].quorum.change_members(remove=[old])
+        assert isinstance(outcome, Committed)
+        await asyncio.sleep(5)
+        before = cluster.status(cluster.leader())
+        assert len(before.voters) == 4
+        await asyncio.sleep(60)
+        after = cluster.status(cluster.leader())
+        assert (after.leader, after.term) == (before.leader, before.term)
+
+    run_paused(run())
+
+
+def test_removal_that_leaves_no_quorum_is_refused():
+    async def run():
+        cluster = await open_cluster(3)
+        leader, gone, other = sorted(
+            cluster.addresses, key=lambda a: a != cluster.leader()
+        )
+        cluster.crash(gone)
+        await asyncio.sleep(2)
+        quorum = cluster.hosts[leader].quorum
+        refused = await quorum.change_members(remove=[other])
+        assert refused == Unavailable(f"without {other} no quorum would be reachable")
+        accepted = await quorum.change_members(remove=[gone])
+        assert isinstance(accepted, Committed)
+
+    run_paused(run())
+
+
+def test_current_read_needs_a_confirmation_after_the_question():
+    async def run():
+        cluster = await open_cluster(3)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        assert isinstance(await quorum.read_barrier(), Current)
+        cluster.isolate(leader)
+        # The lease still runs, but nobody confirms.
+        assert isinstance(await quorum.read_barrier(), Unavailable)
+
+    run_paused(run())
+
+
+def test_messages_of_other_clusters_are_ignored():
+    async def run():
+        cluster = await open_cluster(3)
+        leader = cluster.leader()
+        peers = cluster.hosts[leader].peers
+        before = cluster.status(leader)
+        identity = before.disk_id
+        stranger = cluster.open_client()._peers
+        vote = Vote("other", 99, "d", identity, 99, 99, False)
+        assert await stranger.request(peers.address, vote, 1.0) is None
+        append = Append("other", 99, "d", identity, 0, 0, 0)
+        assert await stranger.request(peers.address, append, 1.0) is None
+        assert cluster.status(leader).term == before.term
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("size", [3, 7])
+def test_few_messages_at_rest(size):
+    async def run():
+        cluster = await open_cluster(size)
+        await propose_many(cluster, 1)
+        await asyncio.sleep(5)
+        network = cluster.network
+        before = (network.messages_sent, network.bytes_sent)
+        await asyncio.sleep(100)
+        return (network.messages_sent - before[0], network.bytes_sent - before[1])
+
+    messages, sent_bytes = run_paused(run())
+    assert messages / 100 <= 2 * 4 * (size - 1) + 1
+    assert sent_bytes / 100 <= 200 * 2 * 4 * (size - 1)
