Merge branch 'quorum'

# Conflicts: # packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py # packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py # packages/sapphireway-state/src/sapphireway_state/__init__.py # packages/sapphireway-transport/src/sapphireway_transport/__init__.py # packages/sapphireway-transport/src/sapphireway_transport/memory/__init__.py

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -21,6 +21,7 @@
     RetryDenied,
     RevokeSent,
 )
+from sapphireway_coordination._control_client import ControlClient
 from sapphireway_coordination._directory import Directory
 from sapphireway_coordination._dispatch import Dispatcher
 from sapphireway_coordination._exchange import (
@@ -50,6 +51,18 @@
 from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._membership import Membership
+from sapphireway_coordination._quorum import Quorum
+from sapphireway_coordination._quorum_types import (
+    Answer,
+    Committed,
+    Current,
+    NotLeader,
+    QuorumSettings,
+    QuorumStatus,
+    Role,
+    StateMachine,
+    Unavailable,
+)
 from sapphireway_coordination._routing import (
     Choose,
     choose_least_in_flight,
@@ -68,6 +81,7 @@
     "AnnounceRefused",
     "AnnounceResult",
     "Announcement",
+    "Answer",
     "AttemptCause",
     "AttemptEnded",
     "AttemptRefused",
@@ -79,6 +93,9 @@
     "CallEnded",
     "CallEvent",
     "Choose",
+    "Committed",
+    "ControlClient",
+    "Current",
     "DenyReason",
     "Directory",
     "Dispatcher",
@@ -93,18 +110,25 @@
     "MemberEjected",
     "MemberRestored",
     "Membership",
+    "NotLeader",
     "ObserveCall",
     "ProbeSent",
+    "Quorum",
+    "QuorumSettings",
+    "QuorumStatus",
     "RelapseCause",
     "RelapseSeen",
     "RetryDenied",
     "RevokeSent",
+    "Role",
     "ServerAnnounced",
     "ServerLeft",
     "ServerWarmed",
     "SettingsFollower",
+    "StateMachine",
     "SuspectChange",
     "SuspectMarked",
+    "Unavailable",
     "choose_least_in_flight",
     "choose_predicted",
     "choose_random",
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from sapphireway_transport._curl import CurlServerClient
+from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._http import (
     HttpAnswer,
@@ -33,7 +34,10 @@
     "REQUEST_ID_HEADER",
     "Broken",
     "CurlServerClient",
+    "Disk",
+    "DiskFailed",
     "Endpoint",
+    "FileDisk",
     "HttpAnswer",
     "HttpListener",
     "HttpRequest",
