--- a/packages/sapphireway-state/src/sapphireway_state/_tree.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_tree.py
@@ -120,7 +120,8 @@
 def _report_unknown(path, key, allowed):
     if key in SETTINGS:
         scopes = ", ".join(scope for scope in Scope if scope in SETTINGS[key].scopes)
-        wrong = f"{key!r} cannot be set here, only at: {scopes}"
+        below = " (not below a domain)" if path[0] == "domains" else ""
+        wrong = f"{key!r} cannot be set here, only at: {scopes}{below}"
     else:
         wrong = f"unknown key {show_value(key)}"
     return Problem(join_path(path), wrong, "any of " + ", ".join(allowed))
