--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,6 +1,26 @@
 """What processes keep: the settings tree, the journal and their tables."""
 
 from sapphireway_state._check import check_file
+from sapphireway_state._edits import (
+    Accepted,
+    Answer,
+    Change,
+    Conflict,
+    Edit,
+    ForceNeeded,
+    LiveServers,
+    LostService,
+    Operation,
+    Refused,
+    SetValue,
+    TooOld,
+    UnsetValue,
+    decode_answer,
+    decode_edit,
+    encode_answer,
+    encode_edit,
+)
+from sapphireway_state._follower import Applied, SettingsFollower
 from sapphireway_state._invariants import InvariantError, check_invariant
 from sapphireway_state._journal import (
     Journal,
@@ -10,6 +30,8 @@
     encode_members,
 )
 from sapphireway_state._leases import Lease, LeaseTable, is_newer_entry
+from sapphireway_state._machine import SettingsMachine
+from sapphireway_state._operations import apply_operations, compare_trees
 from sapphireway_state._policy import Policy
 from sapphireway_state._problems import Invalid, Problem, format_problem
 from sapphireway_state._process import (
@@ -19,7 +41,19 @@
     load_process,
     parse_process,
 )
+from sapphireway_state._queries import (
+    Changes,
+    CurrentTree,
+    History,
+    HistoryEntry,
+    ReadChanges,
+    ReadHistory,
+    ReadTree,
+    decode_result,
+    encode_query,
+)
 from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
@@ -36,7 +70,18 @@
     "OTHER_KIND",
     "PROCESS_RULES",
     "SETTINGS",
+    "Accepted",
+    "Answer",
+    "Applied",
+    "Change",
+    "Changes",
+    "Conflict",
+    "CurrentTree",
     "Document",
+    "Edit",
+    "ForceNeeded",
+    "History",
+    "HistoryEntry",
     "Invalid",
     "InvariantError",
     "Journal",
@@ -44,27 +89,48 @@
     "JournalLimits",
     "Lease",
     "LeaseTable",
+    "LiveServers",
+    "LostService",
+    "Operation",
     "Policy",
     "Problem",
     "ProcessSettings",
+    "ReadChanges",
+    "ReadHistory",
+    "ReadTree",
+    "Refused",
     "Scope",
+    "SetValue",
     "Setting",
+    "SettingsFollower",
+    "SettingsMachine",
     "SettingsView",
     "Snapshot",
     "Source",
+    "TooOld",
+    "UnsetValue",
     "VoteRecord",
     "Witness",
+    "apply_operations",
     "check_file",
     "check_invariant",
     "check_process",
     "check_tree",
+    "compare_trees",
+    "decode_answer",
+    "decode_edit",
     "decode_members",
+    "decode_result",
     "decode_snapshot",
     "dump_yaml",
+    "encode_answer",
+    "encode_edit",
     "encode_members",
+    "encode_query",
     "encode_snapshot",
     "format_problem",
     "is_newer_entry",
+    "list_left",
     "load_process",
     "load_tree",
     "load_vote",
@@ -72,4 +138,5 @@
     "parse_tree",
     "parse_yaml",
     "save_vote",
+    "takes_out",
 ]
