--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
@@ -0,0 +1,378 @@
+"""Holding idempotency claims for the services whose groups name this node."""
+
+import asyncio
+import enum
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from sapphireway_protocol import (
+    ClaimAck,
+    ClaimGroup,
+    ClaimGroupNews,
+    ClaimPage,
+    ClaimPull,
+    ClaimRecord,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    ClaimStatusReply,
+    ClaimStatusRequest,
+    OutcomeKind,
+    Peers,
+)
+from sapphireway_state import ClaimSpace, ClaimTable
+
+PAGE_BYTES = 128 * 1024
+PULL_TIMEOUT_S = 0.5
+PULL_RETRY_S = 0.05
+RENEWALS_PER_LEASE = 6
+RENEW_RETRY_S = 1.0
+RETAIN_S = 600.0  # for holders of the next epoch that are late to take over
+
+ReadGroup = Callable[[str], Awaitable[ClaimGroup | None]]
+"""Reads the group in force through the control quorum; None if it can't be read."""
+
+
+class HolderState(enum.StrEnum):
+    """Whether a node votes on a service's claims."""
+
+    SYNCING = "syncing"
+    ACTIVE = "active"
+    RETIRED = "retired"
+
+
+@dataclass(slots=True, frozen=True)
+class HolderChanged:
+    """Event: the node's part in a claim group has changed."""
+
+    service: str
+    epoch: int
+    state: HolderState
+    keys: int
+
+
+@dataclass(slots=True, frozen=True)
+class HolderSettings:
+    """Settings of a holder.
+
+    Attributes
+    ----------
+    limit_bytes : int
+        Memory above which no new key may run.
+    reserve_bytes : int
+        Memory beyond the limit for refusals.
+    lease_s : float
+        How long the holder votes without having read its group from the control
+        quorum; a loss is followed by at least as long an unsure time.
+    run_when_unsure : bool
+        True to run absent keys after a loss, at the risk of a second run.
+    """
+
+    limit_bytes: int = 8 * 1024 * 1024
+    reserve_bytes: int = 1024 * 1024
+    lease_s: float = 3_600.0
+    run_when_unsure: bool = False
+
+
+@dataclass(slots=True)
+class _Holding:
+    """What this node holds for one service."""
+
+    group: ClaimGroup
+    table: ClaimTable
+    state: HolderState = HolderState.SYNCING
+    active_epoch: int = 0  # the newest epoch whose claims are complete here
+    sealed: bool = False  # a later epoch has begun to take them over
+    lease_until_s: float = 0.0
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+
+class ClaimHolder:
+    """Votes on claims for all services that this node holds.
+
+    Parameters
+    ----------
+    peers : Peers
+    read_group : ReadGroup
+    rng : random.Random
+    settings : HolderSettings
+    observe : callable
+        Called with each event.
+    """
+
+    __slots__ = (
+        "_holdings",
+        "_observe",
+        "_peers",
+        "_read_group",
+        "_rng",
+        "_settings",
+        "_space",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        read_group: ReadGroup,
+        rng: random.Random,
+        settings: HolderSettings,
+        observe: Callable[[Any], None] = lambda event: None,
+    ):
+        self._holdings = {}
+        self._observe = observe
+        self._peers = peers
+        self._read_group = read_group
+        self._rng = rng
+        self._settings = settings
+        self._space = ClaimSpace(settings.limit_bytes, settings.reserve_bytes)
+        peers.handle(ClaimRequest, self._answer_claim)
+        peers.handle(ClaimRelease, self._answer_release)
+        peers.handle(ClaimRecord, self._answer_record)
+        peers.handle(ClaimPull, self._answer_pull)
+        peers.handle(ClaimStatusRequest, self._answer_status)
+        peers.handle(
+            ClaimGroupNews, lambda sender, envelope: self.follow(envelope.message.group)
+        )
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory that the claims take."""
+        return self._space.used_bytes
+
+    def get_state(self, service: str) -> HolderState | None:
+        """Return the node's part in the service's group; None if it has none."""
+        holding = self._holdings.get(service)
+        return None if holding is None else holding.state
+
+    def follow(self, group: ClaimGroup) -> None:
+        """Take part in `group` as it says; an older epoch changes nothing."""
+        holding = self._holdings.get(group.service)
+        if holding is None:
+            if not self._is_member(group.holders):
+                return
+            holding = _Holding(group, ClaimTable(self._space))
+            self._holdings[group.service] = holding
+        elif group.epoch <= holding.group.epoch:
+            return
+        self._stop_tasks(holding)
+        holding.group = group
+        holding.sealed = True
+        if self._is_member(group.holders):
+            self._change_state(holding, HolderState.SYNCING)
+            self._start_task(holding, self._take_over(holding, group))
+            self._start_task(holding, self._renew_lease(holding, group))
+        else:
+            self._change_state(holding, HolderState.RETIRED)
+            self._start_task(holding, self._forget_later(holding))
+
+    async def close(self) -> None:
+        """Stop taking over claims and renewing leases."""
+        tasks = [task for h in self._holdings.values() for task in h.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _answer_claim(self, sender, envelope):
+        request = envelope.message
+        holding, refusal = self._find_active(request)
+        if refusal is None:
+            refusal = holding.table.claim(
+                self._now(),
+                request.key,
+                request.digest,
+                request.claim,
+                request.round,
+                budget_s=request.budget_s,
+                ttl_s=request.ttl_s,
+                seen_fence=request.seen_fence,
+            )
+        self._peers.reply(sender, envelope, refusal)
+
+    def _answer_release(self, sender, envelope):
+        request = envelope.message
+        holding, refusal = self._find_active(request)
+        done = refusal is None and holding.table.release(
+            self._now(),
+            request.key,
+            request.claim,
+            request.round,
+            keep_s=request.keep_s,
+            fence=request.fence,
+        )
+        self._acknowledge(sender, envelope, done, holding, refusal)
+
+    def _answer_record(self, sender, envelope):
+        request = envelope.message
+        holding, refusal = self._find_active(request)
+        if refusal is None:
+            outcome = request.outcome
+            if not holding.table.has_room(len(outcome.body)):
+                outcome = msgspec.structs.replace(
+                    outcome, kind=OutcomeKind.ANSWER_DROPPED, headers=(), body=b""
+                )
+            holding.table.record(
+                self._now(),
+                request.key,
+                request.digest,
+                request.claim,
+                outcome,
+                request.ttl_s,
+            )
+        self._acknowledge(sender, envelope, refusal is None, holding, refusal)
+
+    def _acknowledge(self, sender, envelope, done, holding, refusal):
+        if not envelope.request_id:
+            return
+        group = refusal.group if refusal is not None else None
+        fence = holding.table.fence if holding is not None else 0
+        self._peers.reply(sender, envelope, ClaimAck(done, fence, group))
+
+    def _answer_pull(self, sender, envelope):
+        request = envelope.message
+        holding = self._holdings.get(request.service)
+        if request.incarnation != self._peers.incarnation or holding is None:
+            self._peers.reply(sender, envelope, ClaimPage(False))
+            return
+        if holding.active_epoch == request.epoch - 1:
+            # From here on nothing changes that the next epoch would not see.
+            holding.sealed = True
+        elif holding.active_epoch != request.epoch:
+            self._peers.reply(sender, envelope, ClaimPage(False))
+            return
+        now_s = self._now()
+        copies, last, more = holding.table.copy_page(now_s, request.after, PAGE_BYTES)
+        unsure_in_s = max(0.0, holding.table.unsure_until_s - now_s)
+        page = ClaimPage(True, tuple(copies), last, more, unsure_in_s)
+        self._peers.reply(sender, envelope, page)
+
+    def _answer_status(self, sender, envelope):
+        group = envelope.message.group
+        self.follow(group)
+        holding = self._holdings.get(group.service)
+        active = holding is not None and holding.state is HolderState.ACTIVE
+        epoch = holding.active_epoch if active else 0
+        self._peers.reply(sender, envelope, ClaimStatusReply(epoch))
+
+    def _find_active(self, request):
+        """Return what is held for the request's epoch, or a refusal."""
+        holding = self._holdings.get(request.service)
+        if holding is None or request.incarnation != self._peers.incarnation:
+            return None, ClaimReply(ClaimStatus.EPOCH)
+        fence = holding.table.fence
+        if request.epoch < holding.group.epoch:
+            reply = ClaimReply(ClaimStatus.EPOCH, fence, group=holding.group)
+            return holding, reply
+        if request.epoch > holding.group.epoch:
+            return holding, ClaimReply(ClaimStatus.EPOCH, fence)
+        if (
+            holding.state is not HolderState.ACTIVE
+            or holding.sealed
+            or self._now() >= holding.lease_until_s
+        ):
+            return holding, ClaimReply(ClaimStatus.SYNCING, fence)
+        assert holding.active_epoch == request.epoch, "votes in an incomplete epoch"
+        assert self._is_member(holding.group.holders), "votes outside its group"
+        return holding, None
+
+    async def _take_over(self, holding, group):
+        if holding.active_epoch != group.epoch - 1:
+            # This process missed an epoch, so what it has is no longer complete.
+            self._forget(holding)
+        if group.lost:
+            if not self._settings.run_when_unsure:
+                holding.table.unsure_until_s = self._now() + group.unsure_s
+        elif group.previous:
+            await self._pull_majority(holding, group)
+        assert holding.group is group, "took over for an epoch that has passed"
+        holding.active_epoch = group.epoch
+        holding.sealed = False
+        self._change_state(holding, HolderState.ACTIVE)
+
+    async def _pull_majority(self, holding, group):
+        done = set()
+        if holding.active_epoch == group.epoch - 1:
+            done |= {h for h in group.previous if self._is_self(h)}
+        majority = len(group.previous) // 2 + 1
+        while len(done) < majority:
+            sources = [h for h in group.previous if h not in done]
+            pulls = (self._pull(holding, group, source) for source in sources)
+            results = await asyncio.gather(*pulls)
+            done.update(s for s, pulled in zip(sources, results, strict=True) if pulled)
+            if len(done) < majority:
+                await asyncio.sleep(PULL_RETRY_S * (1 + self._rng.random()))
+
+    async def _pull(self, holding, group, source):
+        after = 0
+        while True:
+            request = ClaimPull(group.service, group.epoch, source.incarnation, after)
+            reply = await self._peers.request(source.node, request, PULL_TIMEOUT_S)
+            if reply is None or reply.incarnation != source.incarnation:
+                return False
+            page = reply.message
+            if not isinstance(page, ClaimPage) or not page.ready:
+                return False
+            now_s = self._now()
+            table = holding.table
+            table.merge(now_s, page.entries)
+            if not self._settings.run_when_unsure:
+                until_s = now_s + page.unsure_in_s
+                table.unsure_until_s = max(table.unsure_until_s, until_s)
+            if not page.more:
+                return True
+            after = page.last
+
+    async def _renew_lease(self, holding, group):
+        lease_s = self._settings.lease_s
+        while True:
+            asked_s = self._now()
+            current = await self._read_group(group.service)
+            if current is not None and current.epoch > group.epoch:
+                # Cancels this task.
+                self.follow(current)
+                return
+            if current is not None and current.epoch == group.epoch:
+                holding.lease_until_s = asked_s + lease_s
+                delay_s = lease_s / RENEWALS_PER_LEASE
+            else:
+                delay_s = RENEW_RETRY_S
+            await asyncio.sleep(delay_s * (1 - self._rng.random() / 4))
+
+    async def _forget_later(self, holding):
+        await asyncio.sleep(RETAIN_S)
+        self._forget(holding)
+
+    def _forget(self, holding):
+        # An empty table must never be handed out as a complete one.
+        holding.active_epoch = 0
+        holding.table.clear()
+
+    def _change_state(self, holding, state):
+        holding.state = state
+        group = holding.group
+        self._observe(
+            HolderChanged(group.service, group.epoch, state, len(holding.table))
+        )
+
+    def _start_task(self, holding, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        holding.tasks.add(task)
+        task.add_done_callback(holding.tasks.discard)
+
+    def _stop_tasks(self, holding):
+        for task in holding.tasks:
+            task.cancel()
+
+    def _is_self(self, holder):
+        peers = self._peers
+        return (holder.node, holder.incarnation) == (peers.address, peers.incarnation)
+
+    def _is_member(self, holders):
+        return any(map(self._is_self, holders))
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
@@ -0,0 +1,295 @@
+"""Keeping claim groups at their size while nodes come and go."""
+
+import asyncio
+import zlib
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from sapphireway_coordination._claim_group import (
+    GROUP_SIZE_MAX,
+    GroupChange,
+    GroupChangeResult,
+    list_nodes,
+)
+from sapphireway_coordination._members import GetMembers
+from sapphireway_protocol import (
+    ClaimGroup,
+    ClaimStatusReply,
+    ClaimStatusRequest,
+    GroupHolder,
+    Peers,
+)
+
+STATUS_TIMEOUT_S = 0.5
+
+Propose = Callable[[bytes], Awaitable[bytes | None]]
+"""Commits a command to the journal; None if it is not known to be committed."""
+
+
+@dataclass(slots=True, frozen=True)
+class KeeperSettings:
+    """Settings of the group keeper.
+
+    Attributes
+    ----------
+    size : int
+        Holders of a group, odd, at most 5.
+    interval_s : float
+        Time between two checks.
+    settle_s : float
+        How long a holder must be gone before it is replaced.
+    loss_s : float
+        How long a majority must be gone before their claims are given up.
+    rebalance_s : float
+        Shortest time between two changes that only improve the placement.
+    """
+
+    size: int = 3
+    interval_s: float = 0.5
+    settle_s: float = 2.0
+    loss_s: float = 30.0
+    rebalance_s: float = 60.0
+
+    def __post_init__(self):
+        assert self.size % 2 == 1, "an even group bears no more losses"
+        assert 1 <= self.size <= GROUP_SIZE_MAX, "group size out of bounds"
+
+
+@dataclass(slots=True, frozen=True)
+class GroupProposed:
+    """Event: the keeper proposed a change of a claim group."""
+
+    service: str
+    epoch: int
+    holders: tuple[GroupHolder, ...]
+    lost: bool
+    accepted: bool
+
+
+class ClaimKeeper:
+    """Proposes group changes; runs on the leader of the control quorum.
+
+    Two keepers that run at once, as during a change of leader, do no harm: each
+    change names the epoch that it is based on.
+
+    Parameters
+    ----------
+    peers : Peers
+    list_services : callable
+        Returns the names of the services.
+    get_members : GetMembers
+    get_group : callable
+        Returns the group in force as the journal has it, or None.
+    get_unsure_s : callable
+        Returns, for a service, how long an absent key proves nothing after a loss:
+        at least the longest time that keys are kept plus the holders' lease.
+    propose : Propose
+    is_leader : callable
+    settings : KeeperSettings
+    observe : callable
+        Called with each event.
+    """
+
+    __slots__ = (
+        "_changed_s",
+        "_get_group",
+        "_get_members",
+        "_get_unsure_s",
+        "_gone_since_s",
+        "_is_leader",
+        "_list_services",
+        "_observe",
+        "_peers",
+        "_propose",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        list_services: Callable[[], Iterable[str]],
+        get_members: GetMembers,
+        get_group: Callable[[str], ClaimGroup | None],
+        get_unsure_s: Callable[[str], float],
+        propose: Propose,
+        is_leader: Callable[[], bool],
+        settings: KeeperSettings,
+        observe: Callable[[Any], None] = lambda event: None,
+    ):
+        self._changed_s = {}
+        self._get_group = get_group
+        self._get_members = get_members
+        self._get_unsure_s = get_unsure_s
+        self._gone_since_s = {}
+        self._is_leader = is_leader
+        self._list_services = list_services
+        self._observe = observe
+        self._peers = peers
+        self._propose = propose
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Check all services again and again, while this host leads."""
+        while True:
+            if self._is_leader():
+                for service in list(self._list_services()):
+                    await self.check(service)
+            else:
+                self._gone_since_s.clear()
+            await asyncio.sleep(self._settings.interval_s)
+
+    async def check(self, service: str) -> None:
+        """Change the service's group by one step if it needs one."""
+        members = self._get_members(service)
+        live = [
+            GroupHolder(member.node, member.incarnation, member.domain)
+            for member in members
+            if not member.leaving and not member.out
+        ]
+        group = self._get_group(service)
+        if group is None:
+            size = _find_size(self._settings.size, len(live))
+            if size:
+                holders = choose_holders(service, live, size)
+                await self._change(GroupChange(service, 0, holders))
+            return
+        leaving = {m.node for m in members if m.leaving or m.out}
+        self._note_gone(group, live)
+        holders = self._plan(group, live, leaving)
+        if holders is not None and await self._is_active(group):
+            await self._change(GroupChange(service, group.epoch, holders))
+        elif self._is_lost(group, live) and not await self._is_active(group):
+            size = _find_size(self._settings.size, len(live))
+            holders = choose_holders(service, live, size)
+            unsure_s = self._get_unsure_s(service)
+            await self._change(
+                GroupChange(service, group.epoch, holders, True, unsure_s)
+            )
+
+    def _note_gone(self, group, live):
+        now_s = self._now()
+        known = self._gone_since_s.get(group.service, {})
+        self._gone_since_s[group.service] = {
+            holder: known.get(holder, now_s)
+            for holder in group.holders
+            if holder not in live
+        }
+
+    def _plan(self, group, live, leaving):
+        """Return the holders after one useful change, or None."""
+        now_s = self._now()
+        size = self._settings.size
+        gone = self._gone_since_s[group.service]
+        kept = [holder for holder in group.holders if holder not in gone]
+        for holder, since_s in gone.items():
+            if now_s - since_s >= self._settings.settle_s or holder.node in leaving:
+                return self._replace(group, live, holder)
+        if gone:
+            return None
+        if len(kept) > size:
+            return tuple(kept[:-1])
+        if len(kept) < _find_size(size, len(live)):
+            return choose_holders(group.service, live, len(kept) + 1, kept)
+        if now_s - self._changed_s.get(group.service, now_s) < (
+            self._settings.rebalance_s
+        ):
+            self._changed_s.setdefault(group.service, now_s)
+            return None
+        return self._spread(group, live)
+
+    def _replace(self, group, live, removed):
+        kept = [holder for holder in group.holders if holder != removed]
+        holders = choose_holders(group.service, live, len(group.holders), kept)
+        # Without a substitute the old group bears more losses than a smaller one.
+        return holders if len(holders) == len(group.holders) else None
+
+    def _spread(self, group, live):
+        """Move a holder out of a domain that has two, if another domain has none."""
+        domains = Counter(holder.domain for holder in group.holders)
+        free = [holder for holder in live if holder.domain not in domains]
+        crowded = [h for h in group.holders if domains[h.domain] > 1]
+        if not free or not crowded:
+            return None
+        return self._replace(group, free, crowded[-1])
+
+    def _is_lost(self, group, live):
+        gone = self._gone_since_s[group.service]
+        limit_s = self._now() - self._settings.loss_s
+        long_gone = sum(since_s <= limit_s for since_s in gone.values())
+        return bool(live) and len(group.holders) - long_gone < group.majority
+
+    async def _is_active(self, group):
+        """Whether a majority has taken over all claims of earlier epochs."""
+        request = ClaimStatusRequest(group)
+        replies = await asyncio.gather(
+            *(
+                self._peers.request(holder.node, request, STATUS_TIMEOUT_S)
+                for holder in group.holders
+            )
+        )
+        active = sum(
+            reply is not None
+            and reply.incarnation == holder.incarnation
+            and reply.message == ClaimStatusReply(group.epoch)
+            for holder, reply in zip(group.holders, replies, strict=True)
+        )
+        return active >= group.majority
+
+    async def _change(self, change):
+        command = msgspec.msgpack.encode(change)
+        encoded = await self._propose(command)
+        accepted = False
+        if encoded is not None:
+            result = msgspec.msgpack.decode(encoded, type=GroupChangeResult)
+            accepted = result.accepted
+        if accepted:
+            self._changed_s[change.service] = self._now()
+        self._observe(
+            GroupProposed(
+                change.service,
+                change.expected_epoch + 1,
+                change.holders,
+                change.lost,
+                accepted,
+            )
+        )
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+
+def choose_holders(
+    service: str,
+    live: Sequence[GroupHolder],
+    size: int,
+    kept: Sequence[GroupHolder] = (),
+) -> tuple[GroupHolder, ...]:
+    """Add nodes to `kept` up to `size`, in as many failure domains as there are."""
+    holders = list(kept)
+    while len(holders) < size:
+        nodes = list_nodes(holders)
+        candidates = [holder for holder in live if holder.node not in nodes]
+        if not candidates:
+            break
+        domains = Counter(holder.domain for holder in holders)
+        holders.append(
+            min(
+                candidates,
+                key=lambda holder, domains=domains: (
+                    domains[holder.domain],
+                    zlib.crc32(f"{service} {holder.node}".encode()),
+                    holder.node,
+                ),
+            )
+        )
+    return tuple(holders)
+
+
+def _find_size(size, available):
+    """Return the largest odd size that the available nodes allow."""
+    fitting = min(size, available)
+    return fitting if fitting % 2 else max(0, fitting - 1)
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/claim_fleet.py
@@ -0,0 +1,339 @@
+"""Several nodes, callers and a control quorum of one process, with faults."""
+
+import asyncio
+import contextlib
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from sapphireway_coordination import (
+    Call,
+    Claimant,
+    ClaimGroupMachine,
+    ClaimHolder,
+    ClaimKeeper,
+    HolderSettings,
+    KeeperSettings,
+    Member,
+)
+from sapphireway_protocol import Answered, NotRun, NotRunReason, Peers, Unknown
+from sapphireway_state import Policy
+from sapphireway_transport.memory import MemoryNetwork
+
+SERVICE = "ledger"
+CONTROL = "control"
+DOMAINS = ("bxl-a", "mech-a", "lvn-a")
+POLICY = Policy(claim_ttl_s=8, deadline_max_ms=2_000)
+LEASE_S = 4.0
+UNSURE_S = POLICY.claim_ttl_s + LEASE_S + 0.5
+RESEND_WITHIN_S = 5.5
+
+
+class MutableEndpoint:
+    """An endpoint that a killed process can't send from any more."""
+
+    def __init__(self, endpoint):
+        self.address = endpoint.address
+        self.start, self.connect = endpoint.start, endpoint.connect
+        self.disconnect, self.close = endpoint.disconnect, endpoint.close
+        self.is_dead = False
+        self._endpoint = endpoint
+
+    def send(self, peer, frames):
+        return not self.is_dead and self._endpoint.send(peer, frames)
+
+
+class Server:
+    """Records what it ran; whatever becomes of the entry node."""
+
+    def __init__(self, rng, refuse_rate=0.2, lose_rate=0.1):
+        self.rng = rng
+        self.refuse_rate = refuse_rate
+        self.lose_rate = lose_rate
+        self.runs = defaultdict(list)
+
+    async def run(self, call):
+        return await asyncio.shield(asyncio.ensure_future(self._run(call)))
+
+    async def _run(self, call):
+        await asyncio.sleep(self.rng.random() * 0.05)
+        if self.rng.random() < self.refuse_rate:
+            return NotRun(NotRunReason.OVERLOADED, 0.01)
+        self.runs[call.key].append(call.call_id)
+        await asyncio.sleep(self.rng.choice((0.005, 0.05, 0.5)))
+        if self.rng.random() < self.lose_rate:
+            return Unknown("answer lost")
+        return Answered(200, (), call.call_id.encode())
+
+
+class Node:
+    def __init__(self, fleet, name, start):
+        self.endpoint = MutableEndpoint(fleet.network.open_endpoint(name))
+        incarnation = f"{name}/{start}"
+        self.peers = Peers(self.endpoint, incarnation)
+        self.name = name
+        self.groups = {}
+        self.deaf_until_s = 0.0
+        self.calls = set()
+        rng = random.Random(fleet.rng.random())
+        self.holder = ClaimHolder(
+            self.peers, self.read_group, rng, fleet.holder_settings, fleet.observe
+        )
+        self.claimant = Claimant(self.peers, self.groups.get, rng, fleet.observe)
+        self.fleet = fleet
+        domain = DOMAINS[fleet.names.index(name) % len(DOMAINS)]
+        self.member = Member(
+            name, SERVICE, name, domain, "be", incarnation, incarnation, 6
+        )
+        self.peers.start()
+
+    async def read_group(self, service):
+        await asyncio.sleep(0.002)
+        if asyncio.get_running_loop().time() < self.deaf_until_s:
+            return None
+        return self.fleet.machine.get_group(service)
+
+    def hear(self, group):
+        if asyncio.get_running_loop().time() < self.deaf_until_s:
+            return
+        known = self.groups.get(group.service)
+        if known is None or known.epoch < group.epoch:
+            self.groups[group.service] = group
+        if not self.endpoint.is_dead:
+            self.holder.follow(group)
+
+    def kill(self):
+        self.endpoint.is_dead = True
+        self.endpoint.close()
+        for call in set(self.calls):
+            call.cancel()
+        self.fleet.spawn(self.claimant.close())
+        self.fleet.spawn(self.holder.close())
+
+
+@dataclass
+class Submission:
+    call: Call
+    started_s: float
+    outcome: object = None
+    ended_s: float = 0.0
+
+
+@dataclass
+class Fleet:
+    rng: random.Random
+    size: int = 5
+    server: Server = None
+    holder_settings: HolderSettings = field(
+        default_factory=lambda: HolderSettings(lease_s=LEASE_S)
+    )
+    policy: Policy = POLICY
+    group_size: int = 3
+    loses_majorities: bool = False
+    delay: object = None
+    events: list = field(default_factory=list)
+    submissions: dict = field(default_factory=lambda: defaultdict(list))
+
+    def __post_init__(self):
+        options = {} if self.delay is None else {"delay": self.delay}
+        self.network = MemoryNetwork(random.Random(self.rng.random()), **options)
+        self.names = [f"n{i}" for i in range(self.size)]
+        self.server = self.server or Server(random.Random(self.rng.random()))
+        self.machine = ClaimGroupMachine()
+        self.observe = self.events.append
+        self.nodes = {}
+        self.starts = 0
+        self.tasks = set()
+        self.last_crash_s = 0.0
+
+    def spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def start(self):
+        for name in self.names:
+            self.start_node(name)
+        peers = Peers(self.network.open_endpoint(CONTROL), CONTROL)
+        peers.start()
+        self.keeper = ClaimKeeper(
+            peers,
+            lambda: [SERVICE],
+            lambda service: [node.member for node in self.nodes.values()],
+            self.machine.get_group,
+            lambda service: UNSURE_S,
+            self.propose,
+            lambda: True,
+            KeeperSettings(
+                size=self.group_size, settle_s=1.0, loss_s=3.0, rebalance_s=10.0
+            ),
+            self.observe,
+        )
+        self.spawn(self.keeper.run())
+        self.spawn(self.spread_groups())
+
+    async def stop(self):
+        for node in list(self.nodes.values()):
+            node.kill()
+        tasks = set(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def start_node(self, name):
+        self.starts += 1
+        self.nodes[name] = Node(self, name, self.starts)
+
+    def kill_node(self, name):
+        node = self.nodes.pop(name, None)
+        if node is not None:
+            node.kill()
+
+    async def propose(self, command):
+        await asyncio.sleep(0.005)
+        return self.machine.apply(0, command)
+
+    async def spread_groups(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for group in self.machine.list_groups():
+                for node in self.nodes.values():
+                    if self.rng.random() < 0.5:
+                        node.hear(group)
+
+    def submit(self, key, name, deadline_s=1.0, body=b"x"):
+        """Send a request through a node, as a caller; None if it is down."""
+        node = self.nodes.get(name)
+        if node is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        call_id = f"c{self.rng.getrandbits(48):012x}"
+        call = Call(
+            call_id,
+            SERVICE,
+            "confirm",
+            "POST",
+            "/",
+            (),
+            body,
+            now_s + deadline_s,
+            key,
+            self.policy,
+        )
+        submission = Submission(call, now_s)
+        self.submissions[key].append(submission)
+        task = self.spawn(self._follow(node, submission))
+        node.calls.add(task)
+        task.add_done_callback(node.calls.discard)
+        return task
+
+    async def _follow(self, node, submission):
+        outcome = await node.claimant.run_claimed(submission.call, self.server.run)
+        if not node.endpoint.is_dead:
+            submission.outcome = outcome
+            submission.ended_s = asyncio.get_running_loop().time()
+        return outcome
+
+    async def send_keys(self, count, length_s):
+        """Send and resend keys at random times through random nodes."""
+        senders = [self.send_key(f"k{i}", length_s) for i in range(count)]
+        await asyncio.gather(*senders)
+
+    async def send_key(self, key, length_s):
+        await asyncio.sleep(self.rng.random() * length_s)
+        first_s = asyncio.get_running_loop().time()
+        for _ in range(self.rng.randint(2, 5)):
+            self.submit(key, self.rng.choice(self.names))
+            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.003, 0.1, 1.0, 3.0)))
+            if asyncio.get_running_loop().time() > first_s + RESEND_WITHIN_S:
+                break
+        await asyncio.sleep(1.5)
+
+    async def break_things(self, length_s):
+        """Cause one random fault after the other."""
+        loop = asyncio.get_running_loop()
+        faults = (
+            self.crash_one,
+            self.crash_one,
+            self.crash_two,
+            self.cut_one_way,
+            self.cut_one_way,
+            self.freeze_one,
+            self.deafen_one,
+            self.lose_messages,
+        )
+        while loop.time() < length_s:
+            await asyncio.sleep(self.rng.random() * 1.5)
+            self.spawn(self.rng.choice(faults)())
+
+    async def crash_one(self):
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.last_crash_s + 4.0 and not self.loses_majorities:
+            return
+        self.last_crash_s = now_s
+        name = self.rng.choice(self.names)
+        self.kill_node(name)
+        await asyncio.sleep(self.rng.choice((0.01, 0.5, 3.0)))
+        if name not in self.nodes:
+            self.start_node(name)
+
+    async def crash_two(self):
+        if self.loses_majorities and self.rng.random() < 0.3:
+            await asyncio.gather(self.crash_one(), self.crash_one())
+
+    async def cut_one_way(self):
+        sender, receiver = self.rng.sample([*self.names, CONTROL], 2)
+        self.network.cut(sender, receiver)
+        await asyncio.sleep(self.rng.random() * 3)
+        self.network.heal(sender, receiver)
+
+    async def freeze_one(self):
+        name = self.rng.choice(self.names)
+        self.network.freeze(name)
+        await asyncio.sleep(self.rng.random() * 2)
+        self.network.thaw(name)
+
+    async def deafen_one(self):
+        node = self.nodes.get(self.rng.choice(self.names))
+        if node is not None:
+            now_s = asyncio.get_running_loop().time()
+            node.deaf_until_s = now_s + self.rng.random() * 8
+
+    async def lose_messages(self):
+        network = self.network
+        network.drop_rate, network.duplicate_rate = 0.2, 0.2
+        network.jitter_s = 0.05
+        await asyncio.sleep(self.rng.random() * 2)
+        network.drop_rate = network.duplicate_rate = network.jitter_s = 0.0
+
+    def find_violations(self):
+        """Compare what callers were told with what the server ran."""
+        for key, submissions in self.submissions.items():
+            runs = self.server.runs[key]
+            if len(runs) > 1:
+                yield f"{key} ran {len(runs)} times"
+            started_s = {s.call.call_id: s.started_s for s in submissions}
+            for submission in submissions:
+                match submission.outcome:
+                    case NotRun():
+                        for run in runs:
+                            if started_s[run] <= submission.ended_s:
+                                yield f"{key} ran, but was told not run"
+                    case Answered(_, _, body):
+                        if body.decode() not in runs:
+                            yield f"{key} got the answer of another request"
+
+
+async def run_fleet(seed, length_s=40.0, keys=150, **options):
+    """Run one fleet through faults; return its violations and outcomes."""
+    fleet = Fleet(random.Random(seed), **options)
+    fleet.start()
+    await asyncio.sleep(1.0)
+    breaking = fleet.spawn(fleet.break_things(length_s))
+    await fleet.send_keys(keys, length_s)
+    breaking.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await breaking
+    await fleet.stop()
+    return fleet, list(fleet.find_violations())
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -17,6 +17,7 @@
     REVOKED = "revoked"
     STALE = "stale"
     CLAIM_CONFLICT = "claim_conflict"
+    CLAIM_MISMATCH = "claim_mismatch"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CANCELLED = "cancelled"
     STOPPING = "stopping"
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_claim_table.py
@@ -0,0 +1,354 @@
+"""The idempotency keys of one service at one holder."""
+
+import heapq
+from dataclasses import dataclass, field
+
+from sapphireway_protocol import ClaimReply, ClaimStatus, EntryCopy, StoredOutcome
+
+ENTRY_OVERHEAD_BYTES = 400
+CLAIM_OVERHEAD_BYTES = 100
+RELEASED_MAX = 16  # more only help to ignore late repeats of a claim's messages
+
+
+@dataclass(slots=True)
+class ClaimSpace:
+    """Memory that all tables of one process share.
+
+    Attributes
+    ----------
+    limit_bytes : int
+        New claims may run below this size.
+    reserve_bytes : int
+        Room beyond the limit, for refusals and for claims taken over.
+    used_bytes : int
+    """
+
+    limit_bytes: int = 8 * 1024 * 1024
+    reserve_bytes: int = 1024 * 1024
+    used_bytes: int = 0
+
+
+@dataclass(slots=True)
+class _Entry:
+    key: str
+    serial: int
+    digest: str = ""
+    claims: dict[str, int] = field(default_factory=dict)
+    released: dict[str, None] = field(default_factory=dict)
+    fence: int = 0
+    refuse_only: bool = False
+    outcome: StoredOutcome | None = None
+    expires_s: float = 0.0
+    kept_until_s: float = 0.0
+    due_s: float = 0.0
+    size_bytes: int = 0
+
+
+class ClaimTable:
+    """Keeps which call holds each key, and how it ended.
+
+    Unexpired entries are never evicted. Times are readings of one monotonic clock,
+    given by the caller.
+
+    Parameters
+    ----------
+    space : ClaimSpace
+
+    Attributes
+    ----------
+    fence : int
+        Counts the releases after which older calls must not run.
+    unsure_until_s : float
+        Until then an absent key does not prove that it never ran.
+    """
+
+    __slots__ = (
+        "_entries",
+        "_expiries",
+        "_serial",
+        "_space",
+        "fence",
+        "unsure_until_s",
+    )
+
+    def __init__(self, space: ClaimSpace):
+        self._entries = {}
+        self._expiries = []
+        self._serial = 0
+        self._space = space
+        self.fence = 0
+        self.unsure_until_s = 0.0
+
+    def __len__(self):
+        return len(self._entries)
+
+    def claim(
+        self,
+        now_s: float,
+        key: str,
+        digest: str,
+        claim: str,
+        round_: int,
+        *,
+        budget_s: float,
+        ttl_s: float,
+        seen_fence: int,
+    ) -> ClaimReply:
+        """Vote for `claim` if no other claim holds the key.
+
+        Returns
+        -------
+        ClaimReply
+        """
+        self.expire(now_s)
+        entry = self._entries.get(key)
+        if entry is None or not (entry.claims or entry.outcome):
+            refusal = self._refuse_new(now_s, entry, claim)
+            if refusal is not None:
+                return self._reply(refusal)
+            entry = entry or self._add(now_s, key)
+            entry.digest = digest
+            entry.due_s = now_s
+            entry.refuse_only = self._space.used_bytes >= self._space.limit_bytes
+        if entry.outcome is not None:
+            return self._reply(
+                ClaimStatus.DONE,
+                same_request=entry.digest == digest,
+                outcome=entry.outcome,
+            )
+        if entry.claims.keys() - {claim}:
+            return self._describe_holders(now_s, entry, digest, claim)
+        entry.claims[claim] = max(round_, entry.claims.get(claim, 0))
+        entry.due_s = max(entry.due_s, now_s + budget_s)
+        # A claim must outlive its call, whose deadline ends the right to run.
+        entry.expires_s = max(entry.expires_s, now_s + max(ttl_s, 2 * budget_s))
+        self._measure(entry)
+        if entry.refuse_only:
+            return self._reply(ClaimStatus.FULL)
+        if seen_fence < entry.fence:
+            return self._reply(ClaimStatus.FENCED)
+        return self._reply(ClaimStatus.GRANTED)
+
+    def release(
+        self,
+        now_s: float,
+        key: str,
+        claim: str,
+        round_: int,
+        *,
+        keep_s: float,
+        fence: bool,
+    ) -> bool:
+        """Take back the votes for `claim` up to `round_`.
+
+        Parameters
+        ----------
+        keep_s : float
+            How long to remember that the claim ended; 0 if it may come again.
+        fence : bool
+            Whether calls that arrived before now must not run any more.
+
+        Returns
+        -------
+        bool
+            False if there is no room to remember the release.
+        """
+        self.expire(now_s)
+        entry = self._entries.get(key)
+        if entry is None:
+            if not keep_s:
+                return True
+            if self._is_exhausted():
+                return False
+            entry = self._add(now_s, key)
+        if keep_s or entry.claims.get(claim, round_ + 1) <= round_:
+            entry.claims.pop(claim, None)
+        if keep_s:
+            _remember_release(entry, claim)
+        if fence:
+            self.fence += 1
+            entry.fence = self.fence
+        entry.kept_until_s = max(entry.kept_until_s, now_s + keep_s)
+        if entry.claims or entry.outcome is not None:
+            entry.expires_s = max(entry.expires_s, entry.kept_until_s)
+        else:
+            self._schedule_expiry(key, entry, entry.kept_until_s)
+        self._measure(entry)
+        self.expire(now_s)
+        return True
+
+    def record(
+        self,
+        now_s: float,
+        key: str,
+        digest: str,
+        claim: str,
+        outcome: StoredOutcome,
+        ttl_s: float,
+    ) -> None:
+        """Keep the outcome of the call that held the key at a quorum."""
+        self.expire(now_s)
+        entry = self._entries.get(key)
+        if entry is None:
+            entry = self._add(now_s, key)
+        if entry.outcome is not None:
+            return
+        assert claim not in entry.released, "a released claim ran"
+        entry.digest = digest
+        entry.claims.clear()
+        entry.outcome = outcome
+        entry.expires_s = max(entry.expires_s, now_s + ttl_s)
+        self._measure(entry)
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Whether `size_bytes` more fit under the limit."""
+        return self._space.used_bytes + size_bytes <= self._space.limit_bytes
+
+    def expire(self, now_s: float) -> None:
+        """Drop entries whose time is over."""
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, key, serial = heapq.heappop(self._expiries)
+            entry = self._entries.get(key)
+            if entry is None or entry.serial != serial:
+                continue
+            if entry.expires_s <= now_s:
+                self._remove(key)
+            else:
+                heapq.heappush(self._expiries, (entry.expires_s, key, serial))
+
+    def copy_page(
+        self, now_s: float, after: int, page_bytes: int
+    ) -> tuple[list[EntryCopy], int, bool]:
+        """Copy entries in the order of their serials.
+
+        Parameters
+        ----------
+        after : int
+            Serial of the last entry of the page before.
+
+        Returns
+        -------
+        copies : list of EntryCopy
+        last : int
+            Serial of the last entry copied.
+        more : bool
+        """
+        copies = []
+        size = 0
+        for key, entry in self._entries.items():
+            if entry.serial <= after:
+                continue
+            if copies and size + entry.size_bytes > page_bytes:
+                return copies, after, True
+            copies.append(_copy(now_s, key, entry))
+            size += entry.size_bytes
+            after = entry.serial
+        return copies, after, False
+
+    def merge(self, now_s: float, copies: list[EntryCopy]) -> None:
+        """Take over copies from another holder; nothing here is forgotten."""
+        self.fence += 1
+        for copy in copies:
+            entry = self._entries.get(copy.key)
+            if entry is None:
+                entry = self._add(now_s, copy.key)
+                entry.digest = copy.digest
+            self._merge_entry(now_s, entry, copy)
+            entry.expires_s = max(entry.expires_s, now_s + copy.expires_in_s)
+            entry.kept_until_s = max(entry.kept_until_s, now_s + copy.kept_in_s)
+            self._measure(entry)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        for key in list(self._entries):
+            self._remove(key)
+
+    def _merge_entry(self, now_s, entry, copy):
+        for claim in copy.released:
+            _remember_release(entry, claim)
+        if copy.fenced:
+            # Serials of fences differ between holders; the newest one is safe.
+            entry.fence = self.fence
+        if entry.outcome is None and copy.outcome is not None:
+            entry.outcome = copy.outcome
+            entry.digest = copy.digest
+        if entry.outcome is not None:
+            entry.claims.clear()
+            return
+        if copy.claims and not entry.claims:
+            entry.digest = copy.digest
+        for claim, round_ in copy.claims.items():
+            entry.claims[claim] = max(round_, entry.claims.get(claim, 0))
+        for claim in entry.released:
+            entry.claims.pop(claim, None)
+        entry.refuse_only |= copy.refuse_only
+        entry.due_s = max(entry.due_s, now_s + copy.due_in_s)
+
+    def _refuse_new(self, now_s, entry, claim):
+        if now_s < self.unsure_until_s:
+            return ClaimStatus.UNSURE
+        if entry is not None and claim in entry.released:
+            # A late repeat: the call has ended, nobody waits for this reply.
+            return ClaimStatus.EXHAUSTED
+        if self._is_exhausted():
+            return ClaimStatus.EXHAUSTED
+        return None
+
+    def _is_exhausted(self):
+        space = self._space
+        return space.used_bytes >= space.limit_bytes + space.reserve_bytes
+
+    def _add(self, now_s, key):
+        self._serial += 1
+        entry = self._entries[key] = _Entry(key, self._serial)
+        self._schedule_expiry(key, entry, now_s)
+        return entry
+
+    def _describe_holders(self, now_s, entry, digest, claim):
+        return self._reply(
+            ClaimStatus.HELD,
+            claims=tuple(entry.claims.keys() - {claim}),
+            same_request=entry.digest == digest,
+            overdue=now_s >= entry.due_s,
+        )
+
+    def _reply(self, status, **fields):
+        return ClaimReply(status, self.fence, **fields)
+
+    def _schedule_expiry(self, key, entry, expires_s):
+        entry.expires_s = expires_s
+        heapq.heappush(self._expiries, (expires_s, key, entry.serial))
+
+    def _measure(self, entry):
+        size = ENTRY_OVERHEAD_BYTES + len(entry.key) + len(entry.digest)
+        size += CLAIM_OVERHEAD_BYTES * (len(entry.claims) + len(entry.released))
+        if entry.outcome is not None:
+            size += len(entry.outcome.body) + len(entry.outcome.detail)
+            size += sum(len(n) + len(v) for n, v in entry.outcome.headers)
+        self._space.used_bytes += size - entry.size_bytes
+        entry.size_bytes = size
+        assert self._space.used_bytes >= 0, "claims take less than no room"
+
+    def _remove(self, key):
+        self._space.used_bytes -= self._entries.pop(key).size_bytes
+
+
+def _remember_release(entry, claim):
+    entry.released[claim] = None
+    if len(entry.released) > RELEASED_MAX:
+        del entry.released[next(iter(entry.released))]
+
+
+def _copy(now_s, key, entry):
+    return EntryCopy(
+        key,
+        entry.digest,
+        dict(entry.claims),
+        tuple(entry.released),
+        entry.fence > 0,
+        entry.refuse_only,
+        entry.outcome,
+        max(0.0, entry.expires_s - now_s),
+        max(0.0, entry.kept_until_s - now_s),
+        max(0.0, entry.due_s - now_s),
+    )
