--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
@@ -31,10 +31,9 @@
     Unknown,
 )
 
-ROUND_TIMEOUT_S = 0.1
+ROUND_TIMEOUT_S = 0.25
 RETRY_MIN_S = 0.005
 RETRY_MAX_S = 0.1
-RELEASE_WAIT_S = 0.5
 RELEASE_MARGIN_S = 5.0
 DELIVERY_LIMIT_S = 30.0
 DELIVERY_TRIES = 3  # to holders beyond the majority
@@ -184,7 +183,7 @@
             running = self._spawn(self._dispatch(attempt, dispatch))
             return await asyncio.shield(running)
         if end is ClaimEnd.REFUSED:
-            outcome = await self._refuse(attempt, outcome)
+            outcome = self._refuse(attempt, outcome)
         elif end is not ClaimEnd.REPEATED or attempt.votes.holds_any:
             self._spawn(self._deliver(attempt, self._build_final_release(attempt)))
         self._report_end(attempt, end, getattr(outcome, "detail", ""))
@@ -264,22 +263,19 @@
             if not isinstance(outcome, NotRun):
                 self._spawn(self._record(attempt, outcome))
         if isinstance(outcome, NotRun):
-            return await self._refuse(attempt, outcome)
+            return self._refuse(attempt, outcome)
         return outcome
 
-    async def _refuse(self, attempt, outcome):
-        """Release the key that is held; the refusal is true only if that is kept."""
+    def _refuse(self, attempt, outcome):
+        """Release the key that is held here, and say that the call did not run.
+
+        The caller need not wait for the release: until it arrives the holders refuse
+        everyone else, and from then on they fence off every call that was open.
+        """
         held_s = self._now() - attempt.started_s
         if held_s > attempt.call.policy.claim_ttl_s / 2:
             return Unknown("the claim may have expired before its release")
-        released = asyncio.Event()
-        build = self._build_final_release(attempt, fence=True)
-        self._spawn(self._deliver(attempt, build, released))
-        try:
-            async with asyncio.timeout(RELEASE_WAIT_S):
-                await released.wait()
-        except TimeoutError:
-            return Unknown(f"not run ({outcome.reason}), but its key is still claimed")
+        self._spawn(self._deliver(attempt, self._build_final_release(attempt, True)))
         return outcome
 
     async def _record(self, attempt, outcome):
@@ -301,7 +297,7 @@
 
         await self._deliver(attempt, build)
 
-    async def _deliver(self, attempt, build, at_majority=None):
+    async def _deliver(self, attempt, build):
         """Repeat a message until every holder of one epoch has confirmed it."""
         call = attempt.call
         end_s = self._now() + DELIVERY_LIMIT_S
@@ -317,19 +313,14 @@
                 epoch = group.epoch
                 confirmed = set()
 
-            def note(replies, group=group, confirmed=confirmed):
-                confirmed.update(h for h, r in replies.items() if _is_done(r))
-                if at_majority is not None and len(confirmed) >= group.majority:
-                    at_majority.set()
-                return False
-
-            await self._ask(
+            replies = await self._ask(
                 group,
                 [h for h in group.holders if h not in confirmed],
                 lambda holder, group=group: build(group, holder),
                 ROUND_TIMEOUT_S,
-                note,
+                lambda replies: False,
             )
+            confirmed.update(h for h, reply in replies.items() if _is_done(reply))
             tries += 1
             is_kept = len(confirmed) >= group.majority and tries >= DELIVERY_TRIES
             if is_kept or len(confirmed) == len(group.holders):
--- /dev/null
+++ b/tests/claims/faults.py
@@ -0,0 +1,73 @@
+"""Variants of claims that are broken on purpose, to prove that the checks see it."""
+
+from sapphireway_coordination import ClaimHolder
+from sapphireway_coordination import _claims as claims
+from sapphireway_protocol import ClaimGroup, NotRun, NotRunReason
+from sapphireway_state import ClaimTable
+
+
+def run_on_one_vote(monkeypatch):
+    monkeypatch.setattr(ClaimGroup, "majority", property(lambda group: 1))
+
+
+def take_over_nothing(monkeypatch):
+    async def pull_majority(holder, holding, group):
+        pass
+
+    monkeypatch.setattr(ClaimHolder, "_pull_majority", pull_majority)
+
+
+def leave_old_epoch_open(monkeypatch):
+    answer_pull = ClaimHolder._answer_pull
+
+    def answer(holder, sender, envelope):
+        answer_pull(holder, sender, envelope)
+        holding = holder._holdings.get(envelope.message.service)
+        if holding is not None and holding.active_epoch == holding.group.epoch:
+            holding.sealed = False
+
+    monkeypatch.setattr(ClaimHolder, "_answer_pull", answer)
+
+
+def release_without_fence(monkeypatch):
+    release = ClaimTable.release
+
+    def release_only(table, *args, keep_s, fence):
+        return release(table, *args, keep_s=keep_s, fence=False)
+
+    monkeypatch.setattr(ClaimTable, "release", release_only)
+
+
+def refuse_when_held(monkeypatch):
+    monkeypatch.setattr(
+        claims, "Unknown", lambda detail: NotRun(NotRunReason.CLAIM_CONFLICT)
+    )
+
+
+def ignore_rounds(monkeypatch):
+    release = ClaimTable.release
+
+    def release_any(table, now_s, key, claim, round_, **options):
+        return release(table, now_s, key, claim, 10**9, **options)
+
+    monkeypatch.setattr(ClaimTable, "release", release_any)
+
+
+def forget_outcomes(monkeypatch):
+    record = ClaimTable.record
+
+    def record_and_release(table, now_s, key, digest, claim, outcome, ttl_s):
+        record(table, now_s, key, digest, claim, outcome, 0.0)
+        table._schedule_expiry(key, table._entries[key], now_s)
+
+    monkeypatch.setattr(ClaimTable, "record", record_and_release)
+
+
+BROKEN = (
+    run_on_one_vote,
+    take_over_nothing,
+    release_without_fence,
+    refuse_when_held,
+    ignore_rounds,
+    forget_outcomes,
+)
