--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_claim_keeper.py
@@ -0,0 +1,120 @@
+import asyncio
+import random
+
+from tests.claims.fleet import SERVICE, Fleet, Server
+
+from sapphireway_coordination import GroupProposed
+from sapphireway_transport.memory import run_paused
+
+
+def run_kept(script, seed=1, **options):
+    """Run `script` on a fleet whose keeper has had time to form the group."""
+
+    async def run():
+        fleet = Fleet(random.Random(seed), **options)
+        fleet.start()
+        await asyncio.sleep(5.0)
+        try:
+            return await script(fleet)
+        finally:
+            await fleet.stop()
+
+    return run_paused(run())
+
+
+def list_proposed(fleet):
+    return [event for event in fleet.events if isinstance(event, GroupProposed)]
+
+
+def test_group_has_its_size_in_different_domains():
+    async def script(fleet):
+        return fleet.machine.get_group(SERVICE)
+
+    group = run_kept(script)
+    assert len(group.holders) == 3
+    assert len({holder.domain for holder in group.holders}) == 3
+
+
+def test_calm_group_does_not_change():
+    async def script(fleet):
+        before = len(list_proposed(fleet))
+        sent = fleet.network.messages_sent
+        await asyncio.sleep(300.0)
+        return len(list_proposed(fleet)) - before, fleet.network.messages_sent - sent
+
+    assert run_kept(script) == (0, 0)
+
+
+def test_group_grows_as_servers_announce_themselves():
+    async def script(fleet):
+        sizes = [len(fleet.machine.get_group(SERVICE).holders)]
+        for name in ("n1", "n2", "n3"):
+            fleet.start_node(name)
+            await asyncio.sleep(3.0)
+            sizes.append(len(fleet.machine.get_group(SERVICE).holders))
+        return sizes
+
+    class Young(Fleet):
+        def start_node(self, name):
+            if name == "n0" or self.tasks:
+                super().start_node(name)
+
+    async def run():
+        fleet = Young(random.Random(1))
+        fleet.start()
+        await asyncio.sleep(5.0)
+        sizes = await script(fleet)
+        await fleet.stop()
+        return sizes
+
+    assert run_paused(run()) == [1, 1, 3, 3]
+
+
+def test_dead_holder_is_replaced_once_and_its_claims_kept():
+    async def script(fleet):
+        first = await fleet.ask("k", "n3")
+        dead = fleet.machine.get_group(SERVICE).holders[0]
+        fleet.kill_node(dead.node)
+        before = len(list_proposed(fleet))
+        await asyncio.sleep(3.0)
+        group = fleet.machine.get_group(SERVICE)
+        entry = next(iter(fleet.nodes))
+        resent = await fleet.ask("k", entry)
+        return first, resent, dead, group, list_proposed(fleet)[before:]
+
+    server = Server(random.Random(1), refuse_rate=0.0)
+    first, resent, dead, group, proposed = run_kept(script, server=server)
+    assert first == resent
+    assert dead not in group.holders
+    assert len(group.holders) == 3
+    assert [event.accepted for event in proposed] == [True]
+
+
+def test_member_that_flickers_keeps_its_place():
+    async def script(fleet):
+        before = fleet.machine.get_group(SERVICE)
+        name = before.holders[0].node
+        for _ in range(10):
+            node = fleet.nodes.pop(name)
+            await asyncio.sleep(0.8)
+            fleet.nodes[name] = node
+            await asyncio.sleep(0.8)
+        return before, fleet.machine.get_group(SERVICE)
+
+    before, after = run_kept(script)
+    assert before == after
+
+
+def test_restarted_holder_comes_back_as_another():
+    async def script(fleet):
+        before = fleet.machine.get_group(SERVICE)
+        name = before.holders[0].node
+        fleet.kill_node(name)
+        fleet.start_node(name)
+        await asyncio.sleep(4.0)
+        return before, fleet.machine.get_group(SERVICE)
+
+    before, after = run_kept(script)
+    assert after.epoch == before.epoch + 1
+    assert before.holders[0] not in after.holders
+    assert len({holder.domain for holder in after.holders}) == 3
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_claim_votes.py
@@ -0,0 +1,52 @@
+import pytest
+
+from sapphireway_coordination._claim_votes import Decision, tally_votes
+from sapphireway_protocol import (
+    ClaimGroup,
+    ClaimReply,
+    ClaimStatus,
+    GroupHolder,
+    OutcomeKind,
+    StoredOutcome,
+)
+
+GROUP = ClaimGroup("s", 1, tuple(GroupHolder(n, n, n) for n in "abc"))
+DONE = ClaimReply(ClaimStatus.DONE, outcome=StoredOutcome(OutcomeKind.UNKNOWN))
+GRANTED, FENCED, FULL, UNSURE, EXHAUSTED, SYNCING = (
+    ClaimReply(ClaimStatus(status))
+    for status in ("granted", "fenced", "full", "unsure", "exhausted", "syncing")
+)
+HELD = ClaimReply(ClaimStatus.HELD, claims=("x",))
+OVERDUE = ClaimReply(ClaimStatus.HELD, claims=("x",), overdue=True)
+OTHER = ClaimReply(ClaimStatus.HELD, claims=("x",), same_request=False)
+OTHER_2 = ClaimReply(ClaimStatus.HELD, claims=("y",), same_request=False)
+
+
+@pytest.mark.parametrize(
+    ("replies", "decision", "is_settled"),
+    [
+        ([GRANTED, GRANTED], Decision.RUN, True),
+        ([GRANTED], Decision.RETRY, False),
+        ([GRANTED, None], Decision.RETRY, False),
+        ([GRANTED, None, None], Decision.RETRY, True),
+        ([GRANTED, FENCED], Decision.REFUSE, False),
+        ([GRANTED, FENCED, GRANTED], Decision.RUN, True),
+        ([FENCED, FULL], Decision.REFUSE, True),
+        ([HELD, FENCED, FULL], Decision.REFUSE, True),
+        ([FENCED, HELD, None], Decision.RETRY, True),
+        ([GRANTED, DONE], Decision.DONE, True),
+        ([HELD, HELD], Decision.RETRY, True),
+        ([OTHER, OTHER], Decision.MISMATCH, True),
+        ([OTHER, OTHER_2, None], Decision.RETRY, True),
+        ([OTHER, None, None], Decision.RETRY, True),
+        ([UNSURE, None, None], Decision.UNKNOWN, True),
+        ([EXHAUSTED, HELD], Decision.UNKNOWN, True),
+        ([OVERDUE, OVERDUE], Decision.UNKNOWN, True),
+        ([OVERDUE, GRANTED, GRANTED], Decision.RUN, True),
+        ([OVERDUE, None, None], Decision.RETRY, True),
+        ([SYNCING, SYNCING, SYNCING], Decision.RETRY, True),
+    ],
+)
+def test_tally_decides(replies, decision, is_settled):
+    votes = tally_votes(GROUP, dict(zip(GROUP.holders, replies, strict=False)))
+    assert (votes.decision, votes.is_settled) == (decision, is_settled)
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -392,3 +392,18 @@
         await breaking
     await fleet.stop()
     return fleet, list(fleet.find_violations())
+
+
+async def run_contended(seed, keys=40):
+    """Send each key through all nodes at once, over links that reorder."""
+    fleet = Fleet(random.Random(seed))
+    fleet.start(keeps_groups=False)
+    fleet.form_group("n0", "n1", "n2")
+    await asyncio.sleep(0.1)
+    fleet.network.jitter_s = 0.03
+    fleet.network.duplicate_rate = 0.2
+    await asyncio.gather(
+        *(fleet.ask(f"k{i}", name) for i in range(keys) for name in fleet.names)
+    )
+    await fleet.stop()
+    return list(fleet.find_violations())
