--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,6 +1,7 @@
 """What processes keep: the settings tree, the journal and their tables."""
 
 from sapphireway_state._check import check_file
+from sapphireway_state._claim_table import ClaimSpace, ClaimTable
 from sapphireway_state._edits import (
     Accepted,
     Answer,
@@ -75,6 +76,8 @@
     "Applied",
     "Change",
     "Changes",
+    "ClaimSpace",
+    "ClaimTable",
     "Conflict",
     "CurrentTree",
     "Document",
