--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -48,6 +48,11 @@
     Fences,
 )
 from sapphireway_coordination._control_client import ControlClient
+from sapphireway_coordination._control_machine import (
+    GROUP_PREFIX,
+    TREE_PREFIX,
+    ControlMachine,
+)
 from sapphireway_coordination._directory import Directory
 from sapphireway_coordination._dispatch import Dispatcher
 from sapphireway_coordination._exchange import (
@@ -56,7 +61,6 @@
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
 )
-from sapphireway_coordination._follower import SettingsFollower
 from sapphireway_coordination._gate import Gate, GateState
 from sapphireway_coordination._gate_events import (
     AttemptRefused,
@@ -74,6 +78,7 @@
     SuspectChange,
     SuspectMarked,
 )
+from sapphireway_coordination._in_force import StateInForce
 from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._membership import Membership
@@ -97,12 +102,15 @@
     choose_two,
     make_choose_round_robin,
 )
+from sapphireway_coordination._settings_channel import SettingsChannel
 
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
+    "GROUP_PREFIX",
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
+    "TREE_PREFIX",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
@@ -128,6 +136,7 @@
     "Claimant",
     "Committed",
     "ControlClient",
+    "ControlMachine",
     "Current",
     "DenyReason",
     "Directory",
@@ -168,7 +177,8 @@
     "ServerAnnounced",
     "ServerLeft",
     "ServerWarmed",
-    "SettingsFollower",
+    "SettingsChannel",
+    "StateInForce",
     "StateMachine",
     "SuspectChange",
     "SuspectMarked",
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
@@ -0,0 +1,97 @@
+"""What the journal's commands act on: the settings tree and the claim groups."""
+
+import msgspec
+
+from sapphireway_coordination._claim_group import ClaimGroupMachine
+from sapphireway_protocol import SettingsUpdate
+from sapphireway_state import SettingsMachine
+
+TREE_PREFIX = b"t"
+GROUP_PREFIX = b"g"
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    tree: bytes
+    groups: bytes
+    groups_version: int
+
+
+class ControlMachine:
+    """Applies the journal's commands to the part that each is meant for.
+
+    Attributes
+    ----------
+    settings : SettingsMachine
+    groups : ClaimGroupMachine
+    groups_version : int
+        Position in the journal of the last change of a claim group.
+    """
+
+    __slots__ = ("_on_change", "groups", "groups_version", "settings")
+
+    def __init__(self, on_change=lambda: None):
+        self._on_change = on_change
+        self.groups = ClaimGroupMachine()
+        self.groups_version = 0
+        self.settings = SettingsMachine()
+
+    @property
+    def version(self) -> int:
+        """Position in the journal of the last change of either part."""
+        return max(self.settings.version, self.groups_version)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a command with its prefix; empty if the prefix is unknown."""
+        before = self.version
+        prefix, content = command[:1], command[1:]
+        result = b""
+        if prefix == TREE_PREFIX:
+            result = self.settings.apply(index, content)
+        elif prefix == GROUP_PREFIX:
+            result = self._apply_group(index, content)
+        if self.version != before:
+            self._on_change()
+        return result
+
+    def read(self, query: bytes) -> bytes:
+        """Answer a query with its prefix: of the tree, or the group of a service."""
+        prefix, content = query[:1], query[1:]
+        if prefix == TREE_PREFIX:
+            return self.settings.read(content)
+        if prefix == GROUP_PREFIX:
+            group = self.groups.get_group(content.decode())
+            return msgspec.msgpack.encode(group)
+        return b""
+
+    def make_update(self, tree_version: int, groups_version: int) -> SettingsUpdate:
+        """Return what a node with these versions lacks."""
+        tree = b""
+        if tree_version != self.settings.version:
+            tree = self.settings.get_changes(tree_version)
+        groups = None
+        if groups_version != self.groups_version:
+            groups = self.groups.list_groups()
+        return SettingsUpdate(self.version, tree, self.groups_version, groups)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                self.settings.snapshot(), self.groups.snapshot(), self.groups_version
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.settings.restore(snapshot.tree)
+        self.groups.restore(snapshot.groups)
+        self.groups_version = snapshot.groups_version
+        self._on_change()
+
+    def _apply_group(self, index, content):
+        before = self.groups.list_groups()
+        result = self.groups.apply(index, content)
+        if self.groups.list_groups() != before:
+            self.groups_version = index
+        return result
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
@@ -0,0 +1,79 @@
+"""The journal's state that one node has in force."""
+
+from collections.abc import Callable
+
+from sapphireway_protocol import ClaimGroup, SettingsUpdate
+from sapphireway_state import Applied, SettingsFollower, SettingsView
+
+WHOLE_TREE = -1
+
+
+class StateInForce:
+    """Settings tree and claim groups as of one position of the journal.
+
+    Parameters
+    ----------
+    on_groups : callable
+        Called with each claim group whenever the groups change.
+
+    Attributes
+    ----------
+    version : int
+        Position in the journal; it never decreases.
+    groups_version : int
+    fault : str
+        Why the last update was refused.
+    """
+
+    __slots__ = (
+        "_groups",
+        "_on_groups",
+        "_tree",
+        "fault",
+        "groups_version",
+        "version",
+    )
+
+    def __init__(self, on_groups: Callable[[ClaimGroup], None] = lambda group: None):
+        self._groups = {}
+        self._on_groups = on_groups
+        self._tree = SettingsFollower()
+        self.fault = ""
+        self.groups_version = 0
+        self.version = 0
+
+    @property
+    def view(self) -> SettingsView:
+        """The settings tree in force."""
+        return self._tree.view
+
+    def get_group(self, service: str) -> ClaimGroup | None:
+        """Return the claim group of a service, if it has one."""
+        return self._groups.get(service)
+
+    def make_update(self, tree_version: int, groups_version: int) -> SettingsUpdate:
+        """Return what a node with these versions lacks."""
+        tree = b""
+        if tree_version != self.view.version:
+            tree = self._tree.get_changes(tree_version)
+        groups = None
+        if groups_version != self.groups_version:
+            groups = list(self._groups.values())
+        return SettingsUpdate(self.version, tree, self.groups_version, groups)
+
+    def apply(self, update: SettingsUpdate) -> Applied:
+        """Put an update in force as a whole, or change nothing."""
+        if update.version <= self.version:
+            return Applied.OLD
+        if update.tree:
+            applied = self._tree.apply_update(update.tree)
+            if applied in (Applied.NEEDS_WHOLE, Applied.BROKEN):
+                self.fault = self._tree.fault
+                return applied
+        if update.groups is not None:
+            self._groups = {group.service: group for group in update.groups}
+            self.groups_version = update.groups_version
+        self.version = update.version
+        for group in update.groups or ():
+            self._on_groups(group)
+        return Applied.NEW
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
@@ -0,0 +1,174 @@
+"""Keeps a node's settings at the newest version that any peer has in force."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from sapphireway_coordination._in_force import WHOLE_TREE, StateInForce
+from sapphireway_protocol import (
+    Envelope,
+    FetchSettings,
+    Peers,
+    SettingsInForce,
+    SettingsUpdate,
+)
+from sapphireway_state import Applied
+from sapphireway_transport import Disk, DiskFailed
+
+FETCH_TIMEOUT_S = 1.0
+COMPRESSION_LEVEL = 6
+UPDATE_MAX_BYTES = 16 * 1024 * 1024
+FILE = "settings"
+
+
+class SettingsChannel:
+    """Follows the settings by the version that every message carries.
+
+    Parameters
+    ----------
+    peers : Peers
+    state : StateInForce
+    on_change : callable
+        Called after a newer version came into force.
+    wall_clock : callable
+        Seconds since the epoch.
+    disk : Disk or None
+        Keeps the version in force over a restart.
+
+    Attributes
+    ----------
+    in_force_since_s : float
+        Reading of `wall_clock` when the version came into force.
+    refused : int
+        Updates that were damaged or not understood.
+    """
+
+    __slots__ = (
+        "_disk",
+        "_fetching",
+        "_on_change",
+        "_peers",
+        "_saving",
+        "_state",
+        "_wall_clock",
+        "in_force_since_s",
+        "refused",
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        state: StateInForce,
+        on_change: Callable[[], None],
+        wall_clock: Callable[[], float],
+        disk: Disk | None = None,
+    ):
+        self._disk = disk
+        self._fetching = None
+        self._on_change = on_change
+        self._peers = peers
+        self._saving = None
+        self._state = state
+        self._wall_clock = wall_clock
+        self.in_force_since_s = 0.0
+        self.refused = 0
+        peers.handle(FetchSettings, self._answer)
+
+    async def load(self) -> None:
+        """Put in force what the last start of this node had."""
+        if self._disk is None:
+            return
+        content = await self._disk.read(FILE)
+        if isinstance(content, DiskFailed) or not content:
+            return
+        update = _decode(content)
+        if update is not None:
+            self.put_in_force(update)
+
+    def observe(self, sender: str, envelope: Envelope) -> None:
+        """Fetch the settings of a peer whose version is newer."""
+        if envelope.settings_version <= self._state.version:
+            return
+        if self._fetching is None:
+            loop = asyncio.get_running_loop()
+            self._fetching = loop.create_task(self._fetch(sender))
+
+    def put_in_force(self, update: SettingsUpdate) -> Applied:
+        """Apply an update if it is newer."""
+        before = self._state.version
+        applied = self._state.apply(update)
+        if applied is Applied.BROKEN:
+            self.refused += 1
+        if applied is Applied.NEW:
+            if self._state.version <= before:
+                raise AssertionError(f"settings went back from version {before}")
+            self.in_force_since_s = self._wall_clock()
+            self._on_change()
+            self._save()
+        return applied
+
+    async def _fetch(self, sender):
+        try:
+            state = self._state
+            applied = await self._fetch_since(sender, state.view.version)
+            if applied is Applied.NEEDS_WHOLE:
+                await self._fetch_since(sender, WHOLE_TREE)
+        finally:
+            self._fetching = None
+
+    async def _fetch_since(self, sender, tree_version):
+        state = self._state
+        request = FetchSettings(state.version, tree_version, state.groups_version)
+        reply = await self._peers.request(sender, request, FETCH_TIMEOUT_S)
+        if reply is None or not reply.body:
+            return None
+        update = _decode(reply.body)
+        if update is None:
+            # Another peer's message starts the next attempt.
+            self.refused += 1
+            return None
+        return self.put_in_force(update)
+
+    def _answer(self, sender, envelope):
+        request = envelope.message
+        body = b""
+        if self._state.version > request.version:
+            body = _encode(
+                self._state.make_update(request.tree_version, request.groups_version)
+            )
+        self._peers.reply(sender, envelope, SettingsInForce(self._state.version), body)
+
+    def _save(self):
+        if self._disk is not None and self._saving is None:
+            loop = asyncio.get_running_loop()
+            self._saving = loop.create_task(self._save_until_current())
+
+    async def _save_until_current(self):
+        saved = -1
+        try:
+            while saved < self._state.version:
+                version = self._state.version
+                whole = self._state.make_update(WHOLE_TREE, WHOLE_TREE)
+                failed = await self._disk.replace(FILE, _encode(whole))
+                if failed is not None:
+                    # A node without a disk fetches the settings at its next start.
+                    return
+                saved = version
+        finally:
+            self._saving = None
+
+
+def _encode(update):
+    content = msgspec.msgpack.encode(update)
+    return zlib.compress(content, COMPRESSION_LEVEL)
+
+
+def _decode(body):
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(body, UPDATE_MAX_BYTES)
+        return msgspec.msgpack.decode(content, type=SettingsUpdate)
+    except (zlib.error, msgspec.MsgspecError):
+        return None
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -0,0 +1,132 @@
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from sapphireway_coordination import (
+    TREE_PREFIX,
+    ControlMachine,
+    SettingsChannel,
+    StateInForce,
+)
+from sapphireway_protocol import Peers, Probe, SettingsUpdate
+from sapphireway_state import Applied, Edit, SetValue
+from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, run_paused
+
+
+@pytest.fixture
+def network():
+    return MemoryNetwork(random.Random(1))
+
+
+@pytest.fixture
+def machine():
+    return ControlMachine()
+
+
+def set_deadline(machine, index, deadline_ms):
+    operations = [SetValue("deadline_ms", deadline_ms)]
+    edit = Edit(f"edit-{index}", machine.settings.version, operations, "operator")
+    machine.apply(index, TREE_PREFIX + msgspec.msgpack.encode(edit))
+
+
+class Node:
+    def __init__(self, network, address, disk=None):
+        self.changes = 0
+        self.state = StateInForce()
+        self.peers = Peers(
+            network.open_endpoint(address), address, lambda: self.state.version
+        )
+        self.channel = SettingsChannel(
+            self.peers, self.state, self.note_change, lambda: 5.0, disk
+        )
+        self.peers.observe = self.channel.observe
+        self.peers.start()
+
+    def note_change(self):
+        self.changes += 1
+
+    def follow(self, machine):
+        update = machine.make_update(
+            self.state.view.version, self.state.groups_version
+        )
+        return self.channel.put_in_force(update)
+
+    def read_deadline(self):
+        return self.state.view.resolve("domain", "service", "kind").deadline_ms
+
+
+def test_newer_version_spreads_along_any_message(network, machine):
+    async def run():
+        nodes = [Node(network, f"n{i}") for i in range(5)]
+        set_deadline(machine, 7, 1234)
+        nodes[0].follow(machine)
+        for i in range(4):
+            nodes[i].peers.send(f"n{i + 1}", Probe("s"))
+            await asyncio.sleep(0.1)
+        return [(node.state.version, node.read_deadline()) for node in nodes]
+
+    assert run_paused(run()) == [(7, 1234)] * 5
+
+
+def test_older_version_is_never_applied(network, machine):
+    async def run():
+        node = Node(network, "n0")
+        set_deadline(machine, 6, 600)
+        older = machine.make_update(0, 0)
+        set_deadline(machine, 7, 700)
+        node.follow(machine)
+        return node.channel.put_in_force(older), node.read_deadline()
+
+    assert run_paused(run()) == (Applied.OLD, 700)
+
+
+def test_gap_is_filled_by_whole_tree(network, machine):
+    async def run():
+        old, new = Node(network, "old"), Node(network, "new")
+        set_deadline(machine, 3, 300)
+        old.follow(machine)
+        set_deadline(machine, 5, 500)
+        # The new node never had version 3, so that it knows no way from there.
+        new.follow(machine)
+        new.peers.send("old", Probe("s"))
+        await asyncio.sleep(0.1)
+        return old.state.version, old.read_deadline()
+
+    assert run_paused(run()) == (5, 500)
+
+
+@pytest.mark.parametrize("tree", [b"\xc1", b"", msgspec.msgpack.encode(["tree", 1])])
+def test_unreadable_settings_change_nothing(network, machine, tree):
+    async def run():
+        node = Node(network, "n0")
+        set_deadline(machine, 3, 300)
+        node.follow(machine)
+        node.channel.put_in_force(SettingsUpdate(4, tree or b"\x00", 0, None))
+        return node.state.version, node.read_deadline(), node.channel.refused
+
+    assert run_paused(run()) == (3, 300, 1)
+
+
+def test_restarted_node_begins_with_what_it_had(network, machine):
+    async def run():
+        disk = MemoryDisk()
+        node = Node(network, "n0", disk)
+        for index in range(1, 301):
+            set_deadline(machine, index, 1000 + index)
+            node.follow(machine)
+        await asyncio.sleep(1.0)
+        restarted = Node(network, "n0", disk.cut_power(random.Random(1)))
+        await restarted.channel.load()
+        return restarted.state.version, restarted.read_deadline()
+
+    assert run_paused(run()) == (300, 1300)
+
+
+def test_control_machine_survives_snapshot(machine):
+    set_deadline(machine, 3, 300)
+    restored = ControlMachine()
+    restored.restore(machine.snapshot())
+    assert restored.version == 3
+    assert restored.snapshot() == machine.snapshot()
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -73,7 +73,11 @@
     Vote,
     VoteReply,
 )
-from sapphireway_protocol._settings import FetchSettings, SettingsInForce
+from sapphireway_protocol._settings import (
+    FetchSettings,
+    SettingsInForce,
+    SettingsUpdate,
+)
 from sapphireway_protocol._suspects import (
     AskRerun,
     ClearSuspect,
@@ -151,6 +155,7 @@
     "ServerEntry",
     "ServerState",
     "SettingsInForce",
+    "SettingsUpdate",
     "SnapshotChunk",
     "SnapshotReply",
     "StoredOutcome",
