--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,4 @@
 """Measurements of sapphireway; ``python -m benchmarks`` runs all of them."""
+
+
+__all__ = [,]
