Let only bad news of load reports count in routing

Change: own attempts count in full, reports only by their excess over the mean; latency differences within 1.5 are taken for chance.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,15 +1,12 @@
 """Routing against its baselines on the paused clock, paired by seed."""
 
 import asyncio
-import dataclasses
-import random
 import time
 
 import defopt
 
 from benchmarks._fleet import (
     BASE_POLICY,
-    CAPACITY_PER_S,
     SERVERS,
     Fleet,
     Scenario,
@@ -128,6 +125,12 @@
 }
 
 
+VARIANTS = {
+    "sapphireway": Policy(deadline_ms=1000),
+    "no_hedges": BASE_POLICY,
+}
+
+
 def measure(name, variant, seeds):
     """Run one variant in one scenario over `seeds` and print a row."""
     scenario = SCENARIOS[name]
@@ -148,7 +151,7 @@
     if variant in BASELINES:
         fleet = Fleet(seed, scenario, BASELINES[variant], BASE_POLICY)
     else:
-        fleet = Fleet(seed, scenario, Dispatcher, Policy(deadline_ms=1000))
+        fleet = Fleet(seed, scenario, Dispatcher, VARIANTS[variant])
     return await fleet.run()
 
 
@@ -186,7 +189,7 @@
         Paired runs of each.
     """
     for name in scenarios or SCENARIOS:
-        for variant in variants or [*BASELINES, "sapphireway"]:
+        for variant in variants or [*BASELINES, *VARIANTS]:
             measure(name, variant, range(1, seeds + 1))
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -235,7 +235,7 @@
             load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
         if isinstance(result, Answered) and not self._is_failure(result):
             load.take_success(now_s)
-            load.take_latency(elapsed_s, now_s)
+            load.take_latency(max(elapsed_s - load.round_trip_s, 0.0), now_s)
             self._latencies.add(elapsed_s)
         elif not isinstance(result, NotRun):
             load.take_failure(now_s)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
@@ -8,8 +8,9 @@
 from sapphireway_protocol import LoadReport, ServerState
 
 LATENCY_DECAY_S = 0.3
-LATENCY_PRIOR_S = 0.005
-FAILURE_DECAY_S = 1.0
+LATENCY_TRUST_S = 0.4
+REPORT_TRUST_S = 0.1
+FAILURE_TRUST_S = 5.0
 FAILURE_WEIGHT = 0.25
 ROUND_TRIP_GAIN = 0.2
 SERVICES_KEPT = 64
@@ -30,7 +31,7 @@
     own_at_report : int
         Our attempts under way when the last report arrived.
     latency_s : float
-        Moving average of the time of our attempts, failures charged.
+        Moving average of the server's part of our attempts' time.
     round_trip_s : float
         Network's part of an attempt's time.
     failure_rate : float
@@ -104,9 +105,20 @@
         if latency_s > self.latency_s:
             self.take_latency(latency_s, now_s)
 
-    def get_latency_trust(self, now_s: float, trust_s: float) -> float:
+    def get_latency_trust(self, now_s: float) -> float:
         """Return how far the average still holds: 1 when fresh, fading to 0."""
-        return math.exp((self._latency_at_s - now_s) / trust_s)
+        return math.exp((self._latency_at_s - now_s) / LATENCY_TRUST_S)
+
+    def get_report_trust(self, now_s: float) -> float:
+        """Return how far the last report still holds: 1 when fresh, fading to 0."""
+        return math.exp((self.heard_s - now_s) / REPORT_TRUST_S)
+
+    def count_others(self) -> int:
+        """Return the requests of other nodes when the last report was made."""
+        if self.report is None:
+            return 0
+        reported = self.report.in_flight + self.report.queued
+        return max(reported - self.own_at_report, 0)
 
     def take_success(self, now_s: float) -> None:
         """Count an attempt that the server answered well."""
@@ -121,7 +133,7 @@
 
     def get_failure_rate(self, now_s: float) -> float:
         """Return the failure rate, which fades while nothing is tried."""
-        return self.failure_rate * math.exp(-(now_s - self._failure_s) / 5.0)
+        return self.failure_rate * math.exp((self._failure_s - now_s) / FAILURE_TRUST_S)
 
     def _take_result(self, failed, now_s):
         self.failure_rate = self.get_failure_rate(now_s)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
@@ -1,8 +1,8 @@
 """Choice of a server for an attempt, and the baselines it is measured against."""
 
-import math
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._loads import ServerLoad
@@ -10,13 +10,14 @@
 Choose = Callable[[Sequence[ServerLoad], Call, random.Random, float], ServerLoad]
 """``choose(candidates, call, rng, now_s)`` returns one of the candidates."""
 
-SAMPLE_SHARE = 0.6
-SAMPLE_MIN = 2
-LATENCY_TRUST_S = 0.3
-REPORT_TRUST_S = 0.1
+SAMPLE_MAX = 8
+WEIGHT_MIN = 1e-6
+LATENCY_PRIOR_S = 0.01
+LATENCY_TOLERANCE = 1.5
+EXCESS_TOLERANCE = 1.5
+OWN_WEIGHT = 3.0
 UTILISATION_WEIGHT = 0.5
 FAILURE_PENALTY = 20.0
-PRIOR_S = 0.01
 
 
 def choose_random(candidates, call, rng, now_s):
@@ -54,34 +55,34 @@
 
 
 def choose_predicted(candidates, call, rng, now_s):
-    """Choose the sampled server with the least predicted response time."""
-    size = max(SAMPLE_MIN, math.ceil(SAMPLE_SHARE * len(candidates)))
-    if size >= len(candidates):
-        sample = list(candidates)
-        rng.shuffle(sample)
-    else:
-        sample = rng.sample(candidates, size)
-    if len(sample) == 1:
-        return sample[0]
-    prior = estimate_prior(candidates, now_s)
+    """Choose the server with the least predicted response time.
+
+    Of many candidates only a random sample is weighed. The attempts of this node
+    are known exactly and count in full. What the server's node reports is late,
+    and the same for all entry nodes, so only bad news of it counts: a server that
+    seems emptier than the rest attracts no calls by that.
+    """
+    if len(candidates) == 1:
+        return candidates[0]
+    sample = rng.sample(candidates, min(SAMPLE_MAX, len(candidates)))
+    prior = estimate_prior(sample, now_s)
     return min(sample, key=lambda load: predict(load, prior, now_s))
 
 
+@dataclass(slots=True)
 class Prior:
     """What to expect of a server of which nothing fresh is known.
 
     Attributes
     ----------
     latency_s : float
+        Server's time for an attempt.
     others : float
         Requests in flight or queued there that are not this node's.
     """
 
-    __slots__ = ("latency_s", "others")
-
-    def __init__(self, latency_s: float, others: float):
-        self.latency_s = latency_s
-        self.others = others
+    latency_s: float
+    others: float
 
 
 def estimate_prior(loads: Sequence[ServerLoad], now_s: float) -> Prior:
@@ -89,48 +90,55 @@
     latency_sum = latency_weight = others_sum = others_weight = 0.0
     for load in loads:
         if load.latency_s > 0.0:
-            weight = 1e-6 + load.get_latency_trust(now_s, LATENCY_TRUST_S)
+            weight = WEIGHT_MIN + load.get_latency_trust(now_s)
             latency_sum += weight * load.latency_s
             latency_weight += weight
         if load.report is not None:
-            weight = 1e-6 + math.exp((load.heard_s - now_s) / REPORT_TRUST_S)
-            others_sum += weight * count_others(load)
+            weight = WEIGHT_MIN + load.get_report_trust(now_s)
+            others_sum += weight * load.count_others()
             others_weight += weight
     return Prior(
-        latency_sum / latency_weight if latency_weight else PRIOR_S,
+        latency_sum / latency_weight if latency_weight else LATENCY_PRIOR_S,
         others_sum / others_weight if others_weight else 0.0,
     )
 
 
 def predict(load: ServerLoad, prior: Prior, now_s: float) -> float:
     """Return the response time to expect of one more attempt, in seconds."""
-    trust = load.get_latency_trust(now_s, LATENCY_TRUST_S)
-    latency_s = prior.latency_s + trust * (load.latency_s - prior.latency_s)
-    latency_s = max(latency_s, load.get_oldest_age(now_s))
-    queue = count_expected(load, prior, now_s) + 1.0
-    limit = load.report.limit if load.report is not None else load.member.slots
-    limit = max(limit, 1)
-    latency_s *= 1.0 + UTILISATION_WEIGHT * queue / limit + max(0.0, queue / limit - 1)
-    return latency_s * (1.0 + FAILURE_PENALTY * load.get_failure_rate(now_s))
+    demand = estimate_demand(load, prior, now_s)
+    slots = load.report.limit if load.report is not None else load.member.slots
+    utilisation = demand / max(slots, 1)
+    queueing = UTILISATION_WEIGHT * utilisation + max(0.0, utilisation - 1.0)
+    server_s = estimate_latency(load, prior, now_s) * (1.0 + queueing)
+    failing = 1.0 + FAILURE_PENALTY * load.get_failure_rate(now_s)
+    return (load.round_trip_s + server_s) * failing
 
 
-def count_expected(load: ServerLoad, prior: Prior, now_s: float) -> float:
-    """Return the requests expected at a server: this node's and, fading, others'."""
-    own = len(load.outstanding)
-    if load.report is None:
-        return own + prior.others
-    trust = math.exp((load.heard_s - now_s) / REPORT_TRUST_S)
-    return own + prior.others + trust * (count_others(load) - prior.others)
+def estimate_latency(load: ServerLoad, prior: Prior, now_s: float) -> float:
+    """Return the server's time for an attempt, without queueing.
+
+    Differences that chance may explain are taken for none. The age of an attempt
+    that is not answered yet is evidence too, long before its answer.
+    """
+    trust = load.get_latency_trust(now_s)
+    latency_s = prior.latency_s + trust * (load.latency_s - prior.latency_s)
+    latency_s = max(latency_s, load.get_oldest_age(now_s) - load.round_trip_s)
+    if latency_s <= LATENCY_TOLERANCE * prior.latency_s:
+        return prior.latency_s
+    return latency_s / LATENCY_TOLERANCE
 
 
-def count_others(load: ServerLoad) -> int:
-    """Return the requests of other nodes when the last report was made."""
-    reported = load.report.in_flight + load.report.queued
-    return max(reported - load.own_at_report, 0)
+def estimate_demand(load: ServerLoad, prior: Prior, now_s: float) -> float:
+    """Return the requests to expect at a server, this one included."""
+    demand = 1.0 + OWN_WEIGHT * len(load.outstanding)
+    if load.report is None:
+        return demand
+    excess = load.count_others() - EXCESS_TOLERANCE * prior.others
+    return demand + load.get_report_trust(now_s) * max(excess, 0.0)
 
 
 def _count_load(load):
     own = len(load.outstanding)
     if load.report is None:
         return own
-    return own + count_others(load)
+    return own + load.count_others()
