--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -241,7 +241,7 @@
         result = self.result
         for dispatcher in self.dispatchers.values():
             result.retries += sum(b.spent for b in dispatcher.budgets.values())
-            result.probes += getattr(dispatcher, "probes_sent", 0)
+            result.probes += dispatcher.prober.budget.spent
         result.messages = self.network.messages_sent
         return result
 
@@ -255,4 +255,6 @@
     return make_dispatcher
 
 
-BASE_POLICY = Policy(hedge_percentile=0.0, deadline_ms=1000)
+BASE_POLICY = Policy(
+    hedge_percentile=0.0, deadline_ms=1000, probe_rate_per_s=0.0, panic_percent=0.0
+)
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -45,6 +45,14 @@
     return [ServerFaults(slow=tuple(windows)) for windows in faults]
 
 
+def slow_one_rarely(rng):
+    """Make one server ten times slower for 50 to 500 ms every 1 to 2 s."""
+    faults = [[] for _ in range(SERVERS)]
+    for window in draw_windows(rng, DURATION_S, (0.05, 0.5), (1.0, 2.0), 10.0):
+        faults[rng.randrange(SERVERS)].append(window)
+    return [ServerFaults(slow=tuple(windows)) for windows in faults]
+
+
 def disturb_two(rng):
     """Make two servers three times slower for about a second, again and again."""
     faults = [ServerFaults() for _ in range(SERVERS)]
@@ -107,6 +115,7 @@
     for x in (
         Scenario("calm", DURATION_S),
         Scenario("slow", DURATION_S, faults=slow_one),
+        Scenario("slow_rare", DURATION_S, faults=slow_one_rarely),
         Scenario("noisy", DURATION_S, lambda now_s: 0.5, faults=disturb_two),
         Scenario("stale", DURATION_S, faults=delay_reports),
         Scenario("failing", DURATION_S, faults=fail_fast_one),
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -13,6 +13,7 @@
     RetryDenied,
     RevokeSent,
 )
+from sapphireway_coordination._ejection import list_usable
 from sapphireway_coordination._invariant import require
 from sapphireway_protocol import (
     Answered,
@@ -30,6 +31,7 @@
 REVOKE_ROUND_TRIPS = 4
 FINAL_REVOKE_SHARE = 0.25
 FINAL_REVOKE_S = 0.005
+SILENCE_SHARE = 0.25
 SILENCE_DEFAULT_S = 0.1
 RETRY_AFTER_MIN_S = 0.5
 STATUS_FAILURE_MIN = 500
@@ -80,6 +82,8 @@
         self._budget.deposit(self._call.policy.retry_budget_percent)
         if self._loop.time() >= self._call.deadline_s:
             return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
+        if not self._admit():
+            return self._refuse(NotRunReason.OVERLOADED, "the service is refusing")
         if not self._send_attempt(AttemptCause.FIRST):
             return self._conclude()
         while True:
@@ -91,12 +95,16 @@
             if outcome is not None:
                 return outcome
 
+    def _admit(self):
+        shedder = self._dispatcher.get_shedder(self._call.service)
+        weight = self._call.policy.weight
+        return shedder.admit(weight, self._dispatcher.rng, self._loop.time())
+
     def close(self) -> None:
         """Cancel the attempts that are still under way."""
         now_s = self._loop.time()
         for attempt in self._open:
-            # The true latency is at least this long.
-            attempt.load.take_least_latency(now_s - attempt.sent_s, now_s)
+            attempt.load.take_abandoned(attempt.sent_s, now_s)
             self._dispatcher.attempts.drop(attempt, cancel=True)
         self._open.clear()
 
@@ -159,17 +167,24 @@
             if self._dispatcher.attempts.send(attempt, run, self._call.body):
                 self._note_sent(attempt, len(candidates))
                 return True
-            load.take_failure(now_s)
+            self._dispatcher.ejector.take_failure(load, now_s, "not connected")
             self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
 
     def _list_candidates(self):
         service = self._call.service
         members = self._dispatcher.get_members(service)
         loads = self._dispatcher.loads.list_loads(service, members)
-        serving = [x for x in loads if x.is_serving() and x not in self._tried]
+        now_s = self._loop.time()
+        if loads and not self._tried:
+            self._dispatcher.prober.take_call(loads, self._call.policy, now_s)
+        serving = [x for x in loads if x.is_serving(now_s)]
+        usable = list_usable(serving, self._call, now_s)
+        if not self._tried:
+            return usable
+        untried = [x for x in usable if x not in self._tried]
         domains = {x.member.domain for x in self._tried}
-        elsewhere = [x for x in serving if x.member.domain not in domains]
-        return elsewhere or serving
+        elsewhere = [x for x in untried if x.member.domain not in domains]
+        return elsewhere or untried
 
     def _create_attempt(self, load, cause, now_s):
         call = self._call
@@ -234,11 +249,15 @@
         if attempt.server_s:
             load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
         if isinstance(result, Answered) and not self._is_failure(result):
-            load.take_success(now_s)
+            self._dispatcher.ejector.take_success(load, now_s)
+            shedder = self._dispatcher.get_shedder(self._call.service)
+            shedder.take_accept(now_s)
+            load.take_answer(attempt.sent_s)
             load.take_latency(max(elapsed_s - load.round_trip_s, 0.0), now_s)
             self._latencies.add(elapsed_s)
         elif not isinstance(result, NotRun):
-            load.take_failure(now_s)
+            detail = getattr(result, "detail", "") or "failed answer"
+            self._dispatcher.ejector.take_failure(load, now_s, detail)
         self._observe(
             AttemptEnded(
                 self._call.call_id,
@@ -267,8 +286,12 @@
         wait_s = self._latencies.get_percentile(policy.hedge_percentile)
         return math.inf if wait_s is None else self._open[0].sent_s + wait_s
 
-    def _send_hedge(self):
+    def _send_hedge(self, now_s):
         self._hedged = True
+        load = self._open[0].load
+        silence_s = self._call.policy.load_stale_ms / 1000.0 * SILENCE_SHARE
+        if now_s - load.heard_s > silence_s:
+            self._dispatcher.check_alive(load, self._call.policy)
         if self._allows_another(AttemptCause.HEDGE):
             self._send_attempt(AttemptCause.HEDGE)
 
@@ -280,7 +303,7 @@
             if now_s >= self._get_revoke_time(attempt):
                 self._revoke(attempt, now_s)
         if now_s >= self._get_hedge_time():
-            self._send_hedge()
+            self._send_hedge(now_s)
         return None
 
     def _get_revoke_time(self, attempt):
@@ -304,6 +327,8 @@
         return self._call.deadline_s - min(margin_s, FINAL_REVOKE_SHARE * total_s)
 
     def _revoke(self, attempt, now_s):
+        if attempt.revokes and attempt.load.heard_s < attempt.revoked_s:
+            self._dispatcher.ejector.take_silence(attempt.load, now_s)
         self._dispatcher.attempts.send_revoke(attempt, now_s)
         self._observe(
             RevokeSent(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -9,11 +9,18 @@
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import CallEnded, ObserveCall
 from sapphireway_coordination._call_run import CallRun
+from sapphireway_coordination._ejection import Ejector
 from sapphireway_coordination._latencies import RecentLatencies
-from sapphireway_coordination._loads import LoadTable
+from sapphireway_coordination._loads import LoadTable, ServerLoad
 from sapphireway_coordination._members import GetMembers, Member
+from sapphireway_coordination._probing import Prober
 from sapphireway_coordination._routing import Choose, choose_predicted
+from sapphireway_coordination._shedding import Shedder
 from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
+from sapphireway_state import Policy
+
+SILENCE_MIN_S = 0.01
+SILENCE_ROUND_TRIPS = 3
 
 
 def _ignore_event(event):
@@ -41,11 +48,14 @@
         "attempts",
         "budgets",
         "choose",
+        "ejector",
         "get_members",
         "latencies",
         "loads",
         "observe",
+        "prober",
         "rng",
+        "shedders",
     )
 
     def __init__(
@@ -64,8 +74,11 @@
         self.choose = choose
         self.attempts = AttemptTable(peers, self._take_report)
         self.budgets = {}
+        self.ejector = Ejector(rng, observe)
         self.latencies = {}
         self.loads = LoadTable()
+        self.prober = Prober(peers, observe)
+        self.shedders = {}
         peers.handle(ProbeReply, self._take_probe_reply)
 
     async def dispatch(self, call: Call) -> Outcome:
@@ -103,6 +116,21 @@
             budget = self.budgets[service] = RetryBudget()
         return budget
 
+    def get_shedder(self, service: str) -> Shedder:
+        """Return the throttle of a service."""
+        shedder = self.shedders.get(service)
+        if shedder is None:
+            shedder = self.shedders[service] = Shedder()
+        return shedder
+
+    def check_alive(self, load: ServerLoad, policy: Policy) -> None:
+        """Probe a server that has been silent; eject it if it stays so."""
+        loop = asyncio.get_running_loop()
+        if load.silent or not self.prober.probe(load, policy, loop.time()):
+            return
+        wait_s = SILENCE_MIN_S + SILENCE_ROUND_TRIPS * load.round_trip_s
+        loop.call_later(wait_s, self._judge_silence, load, load.probed_s)
+
     def get_latencies(self, call: Call) -> RecentLatencies:
         """Return the recent latencies of the call's service and kind."""
         key = (call.service, call.kind)
@@ -129,7 +157,13 @@
     def _take_report(self, report: LoadReport):
         load = self.loads.get(report.server)
         if load is not None:
-            load.take_report(report, asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            load.take_report(report, now_s)
+            self.ejector.take_sign_of_life(load, now_s)
+
+    def _judge_silence(self, load, probed_s):
+        if load.heard_s < probed_s:
+            self.ejector.take_silence(load, asyncio.get_running_loop().time())
 
     def _take_probe_reply(self, sender, envelope):
         if envelope.message.load is not None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
@@ -10,6 +10,8 @@
 LATENCY_DECAY_S = 0.3
 LATENCY_TRUST_S = 0.4
 REPORT_TRUST_S = 0.1
+STATE_EXPIRES_S = 2.0
+ABANDONED_TRUST_S = 0.25
 FAILURE_TRUST_S = 5.0
 FAILURE_WEIGHT = 0.25
 ROUND_TRIP_GAIN = 0.2
@@ -40,9 +42,15 @@
     ejected_until_s : float
     ejections : int
         Ejections since the last success.
+    silent : bool
+        True while the server's node does not answer.
+    probed_s : float
+        When the server was last probed.
     """
 
     __slots__ = (
+        "_abandoned_sent_s",
+        "_abandoned_until_s",
         "_failure_s",
         "_latency_at_s",
         "ejected_until_s",
@@ -54,8 +62,10 @@
         "member",
         "outstanding",
         "own_at_report",
+        "probed_s",
         "report",
         "round_trip_s",
+        "silent",
     )
 
     def __init__(self, member: Member):
@@ -76,6 +86,10 @@
         self.failures_in_row = 0
         self.ejected_until_s = -math.inf
         self.ejections = 0
+        self._abandoned_sent_s = -math.inf
+        self._abandoned_until_s = -math.inf
+        self.silent = False
+        self.probed_s = -math.inf
 
     def take_report(self, report: LoadReport, now_s: float) -> None:
         """Keep a load report that just arrived."""
@@ -100,10 +114,16 @@
         self.latency_s = latency_s + keep * (self.latency_s - latency_s)
         self._latency_at_s = now_s
 
-    def take_least_latency(self, latency_s: float, now_s: float) -> None:
-        """Learn that an attempt given up on would have taken longer than this."""
-        if latency_s > self.latency_s:
-            self.take_latency(latency_s, now_s)
+    def take_abandoned(self, sent_s: float, now_s: float) -> None:
+        """Keep in mind that an attempt was given up without an answer."""
+        if now_s >= self._abandoned_until_s:
+            self._abandoned_sent_s = sent_s
+        self._abandoned_until_s = now_s + ABANDONED_TRUST_S
+
+    def take_answer(self, sent_s: float) -> None:
+        """Note that an attempt sent at `sent_s` was answered."""
+        if sent_s >= self._abandoned_sent_s:
+            self._abandoned_until_s = -math.inf
 
     def get_latency_trust(self, now_s: float) -> float:
         """Return how far the average still holds: 1 when fresh, fading to 0."""
@@ -141,19 +161,29 @@
         self._failure_s = now_s
 
     def get_oldest_age(self, now_s: float) -> float:
-        """Return how long our oldest attempt there has been under way."""
+        """Return how long our oldest unanswered attempt there has been under way.
+
+        One that was given up counts for a while, until a later one is answered.
+        """
+        oldest_s = now_s
         for sent_s in self.outstanding.values():
-            return now_s - sent_s
-        return 0.0
+            oldest_s = sent_s
+            break
+        if now_s < self._abandoned_until_s:
+            oldest_s = min(oldest_s, self._abandoned_sent_s)
+        return now_s - oldest_s
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Tell whether the server is left out after failures or silence."""
+        return now_s < self.ejected_until_s
 
-    def is_serving(self) -> bool:
+    def is_serving(self, now_s: float) -> bool:
         """Tell whether neither membership nor the server's node rules it out."""
         if self.member.leaving or self.member.out:
             return False
-        return self.report is None or self.report.state in (
-            ServerState.SERVING,
-            ServerState.COLD,
-        )
+        if self.report is None or now_s - self.heard_s > STATE_EXPIRES_S:
+            return True
+        return self.report.state in (ServerState.SERVING, ServerState.COLD)
 
 
 class LoadTable:
