--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,4 +1,1 @@
 """Measurements of sapphireway; ``python -m benchmarks`` runs all of them."""
-
-
-__all__ = [,]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -80,7 +80,7 @@
 )
 from sapphireway_coordination._in_force import StateInForce
 from sapphireway_coordination._invariant import InvariantError, require
-from sapphireway_coordination._members import GetMembers, Member
+from sapphireway_coordination._members import GetMembers, Member, make_member
 from sapphireway_coordination._membership import Membership
 from sapphireway_coordination._quorum import Quorum
 from sapphireway_coordination._quorum_types import (
@@ -188,5 +188,6 @@
     "choose_random",
     "choose_two",
     "make_choose_round_robin",
+    "make_member",
     "require",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_members.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from sapphireway_protocol import NodeEntry, ServerEntry
+
 
 @dataclass(slots=True, frozen=True)
 class Member:
@@ -44,3 +46,18 @@
 
 GetMembers = Callable[[str], Sequence[Member]]
 """Returns the live members of a service."""
+
+
+def make_member(entry: NodeEntry, server: ServerEntry) -> Member:
+    """Return the member that a node's entry in the directory presents."""
+    return Member(
+        server=server.server,
+        service=server.service,
+        node=entry.node,
+        domain=entry.domain,
+        region=entry.region,
+        incarnation=entry.incarnation,
+        start_id=server.start_id,
+        slots=server.slots,
+        leaving=server.leaving,
+    )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from sapphireway_coordination._members import Member
+from sapphireway_coordination._members import Member, make_member
 from sapphireway_protocol import NodeEntry, Peers, Renew, Renewed, ServerEntry
 
 RENEW_INTERVAL_S = 0.4
@@ -196,7 +196,7 @@
         for entry in self._nodes.values():
             for server in entry.servers:
                 members.setdefault(server.service, []).append(
-                    _make_member(entry, server)
+                    make_member(entry, server)
                 )
         self._members = members
         self.revision += 1
@@ -212,17 +212,3 @@
         entry.revision + 1,
         list(servers),
     )
-
-
-def _make_member(entry, server):
-    return Member(
-        server=server.server,
-        service=server.service,
-        node=entry.node,
-        domain=entry.domain,
-        region=entry.region,
-        incarnation=entry.incarnation,
-        start_id=server.start_id,
-        slots=server.slots,
-        leaving=server.leaving,
-    )
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -48,9 +48,7 @@
         self.changes += 1
 
     def follow(self, machine):
-        update = machine.make_update(
-            self.state.view.version, self.state.groups_version
-        )
+        update = machine.make_update(self.state.view.version, self.state.groups_version)
         return self.channel.put_in_force(update)
 
     def read_deadline(self):
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -4,6 +4,8 @@
 import hashlib
 import math
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
 
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
@@ -44,7 +46,16 @@
 )
 NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
 
-Dispatch = Callable[[Call], Awaitable[Outcome]]
+Dispatch = Callable[[Call, Any], Awaitable[Outcome]]
+"""Conducts a call; gets what `note_arrival` returned for it."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Route:
+    service: str
+    kind: str
+    policy: Policy
+    arrival: Any
 
 
 class CallerApi:
@@ -53,12 +64,13 @@
     Parameters
     ----------
     get_settings : callable
-        Returns the `SettingsView` in force, or None before the first one.
+        Returns the `SettingsView` in force.
     domain : str
         Failure domain of this node.
     create_call_id : callable
-    dispatch : callable
-        Coroutine function that conducts a call.
+    note_arrival : callable
+        Called with the service when a request's headers arrived.
+    dispatch : Dispatch
     metrics : Metrics
     log : EventLog
 
@@ -75,14 +87,16 @@
         "_get_settings",
         "_log",
         "_metrics",
+        "_note_arrival",
         "stopping",
     )
 
     def __init__(
         self,
-        get_settings: Callable[[], SettingsView | None],
+        get_settings: Callable[[], SettingsView],
         domain: str,
         create_call_id: Callable[[], str],
+        note_arrival: Callable[[str], Any],
         dispatch: Dispatch,
         metrics: Metrics,
         log: EventLog,
@@ -93,18 +107,17 @@
         self._get_settings = get_settings
         self._log = log
         self._metrics = metrics
+        self._note_arrival = note_arrival
         self.stopping = False
 
     def prepare(self, request: HttpRequest) -> int:
         """Find the request's policy and return its largest body in bytes."""
         settings = self._get_settings()
-        if settings is None:
-            return UNMATCHED_BODY_MAX_BYTES
         matched = settings.match(request.method, request.target, request.headers)
         if matched is None:
             return UNMATCHED_BODY_MAX_BYTES
         policy = settings.resolve(self._domain, *matched)
-        request.route = (*matched, policy)
+        request.route = _Route(*matched, policy, self._note_arrival(matched[0]))
         return policy.body_max_bytes
 
     def reject(self, rejected: RejectedRequest) -> HttpAnswer:
@@ -117,21 +130,21 @@
             return _render_not_run(NotRun(NotRunReason.STOPPING), close=True)
         if request.route is None:
             return self._handle_unmatched(request)
-        call = self._make_call(request, *request.route)
+        call = self._make_call(request, request.route)
         if isinstance(call, str):
             return self._refuse(400, call, request.remote)
-        outcome = await self._dispatch(call)
+        outcome = await self._dispatch(call, request.route.arrival)
         return render_outcome(outcome)
 
     def _handle_unmatched(self, request):
-        if self._get_settings() is None:
+        if self._get_settings().version == 0:
             detail = "no settings are in force at this node yet"
             return _render_not_run(NotRun(NotRunReason.NO_SERVER, 1.0, detail))
         return self._refuse(404, "no service has this path", request.remote)
 
-    def _make_call(self, request, service, kind, policy) -> Call | str:
+    def _make_call(self, request, route) -> Call | str:
         """Return the call, or one line that says why it is unreadable."""
-        timeout_s = parse_timeout(request.get_header(TIMEOUT_HEADER), policy)
+        timeout_s = parse_timeout(request.get_header(TIMEOUT_HEADER), route.policy)
         if timeout_s is None:
             return f"{TIMEOUT_HEADER} is not a positive whole number"
         key = request.get_header(KEY_HEADER)
@@ -139,15 +152,15 @@
             return f"{KEY_HEADER} is not 1 to {KEY_MAX_CHARACTERS} characters long"
         return Call(
             call_id=self._create_call_id(),
-            service=service,
-            kind=kind,
+            service=route.service,
+            kind=route.kind,
             method=request.method,
             target=request.target,
             headers=filter_headers(request.headers),
             body=request.body,
             deadline_s=asyncio.get_running_loop().time() + timeout_s,
             key=key,
-            policy=policy,
+            policy=route.policy,
             digest=digest_request(request),
         )
 
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -0,0 +1,197 @@
+"""Parts of a control host: quorum, membership directory and claim keeper."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from sapphireway._logs import EventLog
+from sapphireway_coordination import (
+    GROUP_PREFIX,
+    TREE_PREFIX,
+    ClaimKeeper,
+    Committed,
+    ControlMachine,
+    Directory,
+    HolderSettings,
+    KeeperSettings,
+    Quorum,
+    QuorumStatus,
+    Role,
+    StateInForce,
+    make_member,
+)
+from sapphireway_protocol import Peers, SettingsUpdate
+from sapphireway_state import (
+    OTHER_KIND,
+    Edit,
+    Invalid,
+    ProcessSettings,
+    SetValue,
+    load_tree,
+)
+from sapphireway_transport import FileDisk
+
+JOURNAL_FOLDER = "journal"
+INITIAL_EDIT = "initial-tree"
+INITIAL_OPERATOR = "bootstrap"
+INITIAL_CHECK_INTERVAL_S = 0.2
+
+
+class ControlHost:
+    """What a process with the control role runs beside its node.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+    peers : Peers
+    rng : random.Random
+    put_in_force : callable
+        Called with a `SettingsUpdate` from the journal.
+    state : StateInForce
+        What this node has in force.
+    observe : callable
+        Takes every event.
+    log : EventLog
+    """
+
+    __slots__ = (
+        "_directory",
+        "_disk",
+        "_keeper",
+        "_log",
+        "_machine",
+        "_put_in_force",
+        "_quorum",
+        "_settings",
+        "_state",
+        "_update_due",
+    )
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        peers: Peers,
+        rng: random.Random,
+        put_in_force: Callable[[SettingsUpdate], Any],
+        state: StateInForce,
+        observe: Callable[[Any], None],
+        log: EventLog,
+    ):
+        self._log = log
+        self._put_in_force = put_in_force
+        self._settings = settings
+        self._state = state
+        self._update_due = False
+        others = [host for host in settings.control_hosts if host != settings.address]
+        self._directory = Directory(peers, others)
+        self._machine = ControlMachine(self._note_change)
+        self._disk = FileDisk(Path(settings.data_folder) / JOURNAL_FOLDER)
+        self._quorum = Quorum(
+            peers,
+            self._disk,
+            self._machine,
+            settings.control_hosts,
+            rng,
+            bootstrap=settings.bootstrap,
+        )
+        self._quorum.serve_queries(self._machine.read)
+        self._keeper = ClaimKeeper(
+            peers,
+            self._list_services,
+            self._get_members,
+            self._machine.groups.get_group,
+            self._get_unsure_s,
+            self._propose_group,
+            self._is_leader,
+            KeeperSettings(),
+            observe,
+        )
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        await self._quorum.start()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._directory.run())
+                group.create_task(self._keeper.run())
+                group.create_task(self._watch_quorum())
+                if self._settings.initial_tree is not None:
+                    group.create_task(self._propose_initial_tree())
+        finally:
+            await self._quorum.stop()
+            self._disk.close()
+
+    def get_status(self) -> QuorumStatus:
+        """Return what this host knows of the quorum."""
+        return self._quorum.get_status()
+
+    async def _watch_quorum(self):
+        status = None
+        while True:
+            current = self._quorum.get_status()
+            if self._quorum.failure is not None:
+                raise self._quorum.failure
+            if status is None or (current.role, current.term) != status:
+                status = (current.role, current.term)
+                self._log.info(
+                    "quorum", role=current.role, term=current.term, disk=current.disk
+                )
+            await asyncio.sleep(INITIAL_CHECK_INTERVAL_S)
+
+    def _note_change(self):
+        if not self._update_due:
+            self._update_due = True
+            asyncio.get_running_loop().call_soon(self._update)
+
+    def _update(self):
+        self._update_due = False
+        state = self._state
+        update = self._machine.make_update(state.view.version, state.groups_version)
+        self._put_in_force(update)
+
+    async def _propose_initial_tree(self):
+        view = load_tree(self._settings.initial_tree)
+        if isinstance(view, Invalid):
+            self._log.error("initial_tree_invalid", problems=len(view.problems))
+            return
+        operations = [SetValue("", view.tree)]
+        edit = Edit(INITIAL_EDIT, 0, operations, INITIAL_OPERATOR, "", time.time())
+        command = TREE_PREFIX + msgspec.msgpack.encode(edit)
+        while self._machine.settings.version == 0:
+            if self._is_leader():
+                await self._quorum.propose(command)
+            await asyncio.sleep(INITIAL_CHECK_INTERVAL_S)
+
+    async def _propose_group(self, command):
+        result = await self._quorum.propose(GROUP_PREFIX + command)
+        return result.result if isinstance(result, Committed) else None
+
+    def _is_leader(self):
+        return self._quorum.get_status().role is Role.LEADER
+
+    def _list_services(self):
+        return list(self._machine.settings.tree.get("services", {}))
+
+    def _get_members(self, service):
+        entries = self._directory.list_entries()
+        return [
+            make_member(entry, server)
+            for entry in entries
+            for server in entry.servers
+            if server.service == service
+        ]
+
+    def _get_unsure_s(self, service):
+        view = self._state.view
+        kinds = view.tree.get("services", {}).get(service, {}).get("kinds", {})
+        ttls = [
+            view.resolve(domain, service, kind).claim_ttl_s
+            for domain in (*view.list_domains(), "")
+            for kind in (*kinds, OTHER_KIND)
+        ]
+        return max(ttls) + HolderSettings().lease_s
--- a/packages/sapphireway/src/sapphireway/_member_view.py
+++ b/packages/sapphireway/src/sapphireway/_member_view.py
@@ -8,7 +8,7 @@
 
 
 def make_get_members(
-    membership: Membership, get_settings: Callable[[], SettingsView | None]
+    membership: Membership, get_settings: Callable[[], SettingsView]
 ) -> GetMembers:
     """Return a function that lists members and marks those taken out.
 
@@ -21,7 +21,7 @@
         nonlocal cached_for
         settings = get_settings()
         members = membership.get_members(service)
-        current = (membership.revision, settings.version if settings else 0)
+        current = (membership.revision, settings.version)
         if current != cached_for:
             cached.clear()
             cached_for = current
@@ -33,8 +33,6 @@
 
 
 def _mark_out(members, settings):
-    if settings is None:
-        return tuple(members)
     return tuple(
         replace(member, out=True)
         if settings.is_out(member.domain, member.server)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -1,43 +1,55 @@
 """Composition root of the node: builds its parts and wires them."""
 
 import asyncio
+import collections
+import dataclasses
 import itertools
 import random
 import secrets
 import time
+from pathlib import Path
 
 import msgspec
 import tornado.httpserver
 import tornado.web
 
 from sapphireway._callers import CallerApi
+from sapphireway._control import ControlHost
 from sapphireway._decisions import DecisionLog
 from sapphireway._logs import EventLog
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
+from sapphireway._observations import make_observe
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
-    Directory,
+    GROUP_PREFIX,
+    Answer,
+    Claimant,
+    ClaimHolder,
+    ControlClient,
     Dispatcher,
     Gate,
+    HolderSettings,
     Membership,
-    SettingsFollower,
+    SettingsChannel,
+    StateInForce,
 )
-from sapphireway_protocol import NodeEntry, Peers, ServerEntry
-from sapphireway_state import (
-    Invalid,
-    Policy,
-    ProcessSettings,
-    SettingsView,
-    format_problem,
-    load_tree,
+from sapphireway_protocol import ClaimGroup, NodeEntry, Peers, ServerEntry
+from sapphireway_state import ProcessSettings
+from sapphireway_transport import (
+    CurlServerClient,
+    FileDisk,
+    HttpListener,
+    ZmqEndpoint,
 )
-from sapphireway_transport import CurlServerClient, HttpListener, ZmqEndpoint
 
 INCARNATION_BYTES = 8
 SERVER_CHECK_INTERVAL_S = 0.1
 FIRST_MEMBERS_TIMEOUT_S = 1.0
-DEFAULT_POLICY = Policy()
+CONTROL_READ_TIMEOUT_S = 1.0
+SPANS_KEPT = 1000
+MS_PER_S = 1000
+STATE_FOLDER = "state"
 
 
 class Node:
@@ -52,56 +64,45 @@
     __slots__ = (
         "_admin",
         "_callers",
+        "_channel",
+        "_claimant",
         "_client",
         "_control",
+        "_control_client",
         "_decisions",
+        "_disk",
         "_dispatcher",
-        "_follower",
         "_gate",
+        "_get_members",
+        "_holder",
         "_listener",
         "_log",
         "_membership",
         "_metrics",
+        "_observe",
         "_peers",
         "_presented",
         "_settings",
+        "_spans",
+        "_state",
         "_tasks",
-        "_view",
+        "_tracer",
     )
 
     def __init__(self, settings: ProcessSettings, log: EventLog):
         self._settings = settings
         self._log = log
         self._tasks = []
-        self._view = None
         self._presented = []
         rng = random.Random(settings.seed)
         self._metrics = Metrics()
         self._decisions = DecisionLog()
-        self._peers = self._build_peers()
-        self._follower = SettingsFollower(self._peers, self._apply, time.time)
-        self._peers.observe = self._follower.observe
-        self._membership = self._build_membership(rng)
-        get_members = make_get_members(self._membership, lambda: self._view)
-        self._dispatcher = Dispatcher(self._peers, get_members, rng, self._observe)
-        self._client = CurlServerClient()
-        self._gate = Gate(
-            self._peers,
-            self._client,
-            rng,
-            self._get_policy,
-            self._observe,
-            lambda service: [member.node for member in get_members(service)],
-        )
-        self._control = self._build_control()
-        self._callers = CallerApi(
-            lambda: self._view,
-            settings.domain,
-            _make_call_ids(self._peers.incarnation),
-            self._dispatch,
-            self._metrics,
-            log,
-        )
+        self._observe = make_observe(self._decisions, self._metrics, log)
+        self._spans = collections.deque(maxlen=SPANS_KEPT)
+        self._tracer = self._build_tracer(rng)
+        self._build_shared_state(rng)
+        self._build_data_path(rng)
+        self._control = self._build_control(rng)
         self._listener = HttpListener(
             self._callers.handle, self._callers.prepare, self._callers.reject
         )
@@ -115,9 +116,8 @@
         OSError
             If an address can't be bound.
         """
+        await self._channel.load()
         self._peers.start()
-        if self._settings.initial_tree is not None:
-            self._load_initial_tree()
         self._spawn(self._membership.run())
         self._spawn(self._present_server())
         if self._control is not None:
@@ -131,7 +131,8 @@
         """Stop gracefully; True if nothing in flight was cut."""
         self._log.info("stopping", address=self._settings.address)
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + self._get_policy("", "").drain_timeout_ms / 1000
+        drain_s = self._get_policy("", "").drain_timeout_ms / MS_PER_S
+        deadline_s = loop.time() + drain_s
         self._callers.stopping = True
         self._listener.stop_accepting()
         drained = await self._gate.drain(deadline_s)
@@ -140,6 +141,8 @@
                 await self._listener.finish_requests()
         except TimeoutError:
             drained = False
+        left_s = max(0.0, deadline_s - loop.time())
+        drained = await self._claimant.drain(left_s) and drained
         await self._close()
         self._log.info("stopped", drained=drained)
         return drained
@@ -148,11 +151,16 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._claimant.close()
+        await self._holder.close()
         self._gate.close()
         self._client.close()
         await self._listener.close()
         self._admin.stop()
         self._peers.close()
+        self._disk.close()
+        if self._tracer is not None:
+            self._tracer.close()
 
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -166,84 +174,159 @@
             self._log.error("task_failed", detail=repr(task.exception()))
             raise SystemExit(1) from task.exception()
 
-    def _build_peers(self):
+    def _build_shared_state(self, rng):
+        settings = self._settings
         incarnation = secrets.token_hex(INCARNATION_BYTES)
-        endpoint = ZmqEndpoint(self._settings.address)
-        return Peers(endpoint, incarnation, lambda: self._follower.version)
+        endpoint = ZmqEndpoint(settings.address)
+        self._peers = Peers(endpoint, incarnation, lambda: self._state.version)
+        self._control_client = ControlClient(self._peers, settings.control_hosts, rng)
+        self._holder = ClaimHolder(
+            self._peers, self._read_group, rng, HolderSettings(), self._observe
+        )
+        self._state = StateInForce(self._holder.follow)
+        self._disk = FileDisk(Path(settings.data_folder) / STATE_FOLDER)
+        self._channel = SettingsChannel(
+            self._peers, self._state, self._note_settings, time.time, self._disk
+        )
+        self._peers.observe = self._channel.observe
+        self._membership = Membership(
+            self._peers,
+            settings.control_hosts,
+            _make_entry(settings, incarnation),
+            rng,
+            lambda: self._channel.in_force_since_s,
+        )
 
-    def _build_membership(self, rng):
-        entry = NodeEntry(
-            self._settings.address,
-            self._settings.domain,
-            self._settings.region,
-            self._peers.incarnation,
-            time.time(),
-            0,
-            [],
+    def _build_data_path(self, rng):
+        self._get_members = make_get_members(self._membership, self._get_view)
+        self._dispatcher = Dispatcher(
+            self._peers, self._get_members, rng, self._observe
+        )
+        self._claimant = Claimant(
+            self._peers, self._state.get_group, rng, self._observe
         )
-        return Membership(
+        self._client = self._build_client()
+        self._gate = Gate(
             self._peers,
-            self._settings.control_hosts,
-            entry,
+            self._client,
             rng,
-            lambda: self._follower.in_force_since_s,
+            self._get_policy,
+            self._observe,
+            lambda service: [member.node for member in self._get_members(service)],
+        )
+        self._callers = CallerApi(
+            self._get_view,
+            self._settings.domain,
+            _make_call_ids(self._peers.incarnation),
+            self._claimant.get_fences,
+            self._conduct,
+            self._metrics,
+            self._log,
         )
 
-    def _build_control(self):
+    def _build_client(self):
+        client = CurlServerClient()
+        if self._tracer is None:
+            return client
+        from sapphireway._traces import TracedServerClient
+
+        return TracedServerClient(client, self._tracer)
+
+    def _build_tracer(self, rng):
+        if self._settings.trace_file is None:
+            return None
+        # The SDK takes memory that a node without traces does not need.
+        from sapphireway._traces import CallTracer, JsonLinesExporter
+
+        exporter = JsonLinesExporter(self._settings.trace_file, self._spans.append)
+        return CallTracer(self._settings.address, exporter, rng)
+
+    def _build_control(self, rng):
         if not self._settings.control:
             return None
-        own = self._settings.address
-        others = [host for host in self._settings.control_hosts if host != own]
-        return Directory(self._peers, others)
+        return ControlHost(
+            self._settings,
+            self._peers,
+            rng,
+            self._channel.put_in_force,
+            self._state,
+            self._observe,
+            self._log,
+        )
 
     def _build_admin(self):
         return tornado.web.Application(
             make_server_routes(self._gate), log_function=lambda handler: None
         )
 
-    def _load_initial_tree(self):
-        view = load_tree(self._settings.initial_tree)
-        if isinstance(view, Invalid):
-            raise OSError(format_problem(view.problems[0]))
-        self._follower.put_in_force(1, msgspec.msgpack.encode(view.tree))
+    def _get_view(self):
+        return self._state.view
 
-    def _apply(self, version, data):
-        self._view = SettingsView(msgspec.msgpack.decode(data), version)
+    def _get_policy(self, service, kind):
+        return self._state.view.resolve(self._settings.domain, service, kind)
+
+    def _note_settings(self):
         self._update_out()
-        self._log.info("settings_in_force", version=version)
+        self._log.info("settings_in_force", version=self._state.version)
 
     def _update_out(self):
         announcement = self._gate.announcement
         server = announcement.server if announcement else ""
-        self._gate.set_out(self._view.is_out(self._settings.domain, server))
+        self._gate.set_out(self._state.view.is_out(self._settings.domain, server))
 
-    def _get_policy(self, service, kind):
-        if self._view is None:
-            return DEFAULT_POLICY
-        return self._view.resolve(self._settings.domain, service, kind)
+    async def _read_group(self, service):
+        query = GROUP_PREFIX + service.encode()
+        answer = await self._control_client.read(query, CONTROL_READ_TIMEOUT_S)
+        if not isinstance(answer, Answer):
+            return None
+        return msgspec.msgpack.decode(answer.data, type=ClaimGroup | None)
 
-    async def _dispatch(self, call):
+    async def _conduct(self, call, fences):
         await self._membership.follow(call.service, FIRST_MEMBERS_TIMEOUT_S)
         started_s = asyncio.get_running_loop().time()
-        outcome = await self._dispatcher.dispatch(call)
-        elapsed_s = asyncio.get_running_loop().time() - started_s
+        if self._tracer is None:
+            outcome = await self._run_call(call, fences)
+        else:
+            outcome = await self._run_traced(call, fences)
         self._metrics.record(
             "sapphireway_call_seconds",
-            elapsed_s,
+            asyncio.get_running_loop().time() - started_s,
             service=call.service,
             kind=call.kind,
             outcome=type(outcome).__name__,
         )
         return outcome
 
+    async def _run_traced(self, call, fences):
+        headers, span = self._tracer.start_call(
+            call.headers,
+            call.policy.trace_percent,
+            call=call.call_id,
+            service=call.service,
+            kind=call.kind,
+        )
+        if span is None:
+            return await self._run_call(call, fences)
+        try:
+            call = dataclasses.replace(call, headers=headers)
+            outcome = await self._run_call(call, fences)
+            span.set_attribute("outcome", type(outcome).__name__)
+            return outcome
+        finally:
+            span.end()
+
+    async def _run_call(self, call, fences):
+        if call.key is None or call.policy.idempotent:
+            return await self._dispatcher.dispatch(call)
+        return await self._claimant.run_claimed(call, self._dispatcher.dispatch, fences)
+
     async def _present_server(self):
         while True:
             servers = self._list_servers()
             if servers != self._presented:
                 self._presented = servers
                 self._membership.set_servers(servers)
-                if self._view is not None:
-                    self._update_out()
+                self._update_out()
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
     def _list_servers(self):
@@ -260,9 +343,17 @@
             )
         ]
 
-    def _observe(self, event):
-        self._decisions.record(event)
-        self._metrics.count("sapphireway_events_total", event=type(event).__name__)
+
+def _make_entry(settings, incarnation):
+    return NodeEntry(
+        settings.address,
+        settings.domain,
+        settings.region,
+        incarnation,
+        time.time(),
+        0,
+        [],
+    )
 
 
 def _make_call_ids(incarnation):
--- a/packages/sapphireway/src/sapphireway/_traces.py
+++ b/packages/sapphireway/src/sapphireway/_traces.py
@@ -5,6 +5,7 @@
 import logging.handlers
 import random
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from typing import Any
 
 from opentelemetry.sdk.resources import Resource
@@ -20,6 +21,8 @@
     TraceContextTextMapPropagator,
 )
 
+from sapphireway_transport import ServerClient, ServerRequest, ServerResult
+
 TRACE_HEADER = "traceparent"
 FILE_MAX_BYTES = 64 * 1024 * 1024
 FILES_KEPT = 2
@@ -199,3 +202,39 @@
         if key.lower() == TRACE_HEADER:
             return value.rpartition("-")[2] == "01"
     return False
+
+
+class TracedServerClient:
+    """A server client that records a span for each traced request.
+
+    Parameters
+    ----------
+    client : ServerClient
+    tracer : CallTracer
+    """
+
+    __slots__ = ("_client", "_tracer")
+
+    def __init__(self, client: ServerClient, tracer: CallTracer):
+        self._client = client
+        self._tracer = tracer
+
+    async def send(self, request: ServerRequest) -> ServerResult:
+        """Send one request inside of a span."""
+        headers, span = self._tracer.start_run(request.headers, url=request.url)
+        if span is None:
+            return await self._client.send(request)
+        try:
+            result = await self._client.send(replace(request, headers=headers))
+            span.set_attribute("result", type(result).__name__)
+            return result
+        finally:
+            span.end()
+
+    def set_connections_max(self, connections_max: int) -> None:
+        """Allow that many connections."""
+        self._client.set_connections_max(connections_max)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
