--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -20,6 +20,7 @@
     Propose,
 )
 from sapphireway_coordination._claims import (
+    KEY_MAX_BYTES,
     Claimant,
     ClaimDelivered,
     ClaimEnd,
@@ -30,6 +31,7 @@
 from sapphireway_coordination._members import GetMembers, Member
 
 __all__ = [
+    "KEY_MAX_BYTES",
     "Call",
     "ClaimDelivered",
     "ClaimEnd",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
@@ -144,6 +144,13 @@
         """Memory that the claims take."""
         return self._space.used_bytes
 
+    @property
+    def active_groups(self) -> int:
+        """Groups that still need this node; it stops at no cost once there are none."""
+        return sum(
+            holding.state is HolderState.ACTIVE for holding in self._holdings.values()
+        )
+
     def get_state(self, group_name: str) -> HolderState | None:
         """Return the node's part in a group; None if it has none."""
         holding = self._holdings.get(group_name)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
@@ -32,6 +32,7 @@
     Unknown,
 )
 
+KEY_MAX_BYTES = 256
 ROUND_TIMEOUT_S = 0.25
 RETRY_MIN_S = 0.005
 RETRY_MAX_S = 0.1
@@ -179,6 +180,7 @@
         """
         if call.key is None or call.policy.idempotent:
             return await dispatch(call)
+        assert len(call.key.encode()) <= KEY_MAX_BYTES, "the entry checks keys"
         if seen is None:
             seen = self.get_fences(call.service, call.key)
         name = name_group(call.service, call.key, self._shards)
--- a/packages/sapphireway-coordination/tests/test_claim_keeper.py
+++ b/packages/sapphireway-coordination/tests/test_claim_keeper.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 from tests.claims.fleet import SERVICE, Fleet, Server
@@ -93,6 +94,30 @@
     assert [event.accepted for event in proposed] == [True]
 
 
+def test_two_holders_that_leave_at_once_hand_over():
+    async def script(fleet):
+        first = await fleet.ask("k", "n3")
+        leaving = [h.node for h in fleet.machine.get_group(SERVICE).holders[:2]]
+        for name in leaving:
+            node = fleet.nodes[name]
+            node.member = dataclasses.replace(node.member, leaving=True)
+        started_s = asyncio.get_running_loop().time()
+        while any(fleet.nodes[name].holder.active_groups for name in leaving):
+            await asyncio.sleep(0.01)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        for name in leaving:
+            fleet.kill_node(name)
+        resent = await fleet.ask("k", next(iter(fleet.nodes)))
+        lost = any(event.lost for event in list_proposed(fleet))
+        return first, resent, lost, elapsed_s
+
+    server = Server(random.Random(1), refuse_rate=0.0)
+    first, resent, lost, elapsed_s = run_kept(script, server=server)
+    assert first == resent
+    assert not lost
+    assert elapsed_s < 2.0
+
+
 def test_member_that_flickers_keeps_its_place():
     async def script(fleet):
         before = fleet.machine.get_group(SERVICE)
--- a/packages/sapphireway-state/src/sapphireway_state/_claim_table.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_claim_table.py
@@ -163,11 +163,12 @@
             entry = self._add(now_s, key)
         if keep_s or entry.claims.get(claim, round_ + 1) <= round_:
             entry.claims.pop(claim, None)
-        if keep_s:
-            _remember_release(entry, claim)
-        if fence:
+        if fence and claim not in entry.released:
+            # A late repeat must not stop calls that came after the refusal.
             self.fence += 1
             entry.fence = self.fence
+        if keep_s:
+            _remember_release(entry, claim)
         entry.kept_until_s = max(entry.kept_until_s, now_s + keep_s)
         if entry.claims or entry.outcome is not None:
             entry.expires_s = max(entry.expires_s, entry.kept_until_s)
--- a/packages/sapphireway-state/tests/test_claim_table.py
+++ b/packages/sapphireway-state/tests/test_claim_table.py
@@ -66,6 +66,14 @@
     assert claim(table, "c", seen=table.fence).status is ClaimStatus.GRANTED
 
 
+def test_late_repeat_of_release_fences_nobody_new(table):
+    claim(table, "a")
+    end(table, "a")
+    seen = table.fence
+    end(table, "a")
+    assert claim(table, "b", seen=seen).status is ClaimStatus.GRANTED
+
+
 def test_fence_outlives_expiry_of_another_claim(table):
     claim(table, "a", now_s=TTL_S - 1)
     end(table, "a", now_s=TTL_S - 1)
