--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -40,6 +40,7 @@
     Propose,
 )
 from sapphireway_coordination._claims import (
+    KEY_MAX_BYTES,
     Claimant,
     ClaimDelivered,
     ClaimEnd,
@@ -108,6 +109,7 @@
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
     "GROUP_PREFIX",
+    "KEY_MAX_BYTES",
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
     "TREE_PREFIX",
--- a/packages/sapphireway-coordination/tests/test_claim_keeper.py
+++ b/packages/sapphireway-coordination/tests/test_claim_keeper.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 from tests.claims.fleet import SERVICE, Fleet, Server
@@ -14,10 +15,10 @@
         fleet = Fleet(random.Random(seed), **options)
         fleet.start()
         await asyncio.sleep(5.0)
-        try:
-            return await script(fleet)
-        finally:
-            await fleet.stop()
+        result = await script(fleet)
+        await fleet.stop()
+        assert not fleet.errors
+        return result
 
     return run_paused(run())
 
@@ -40,9 +41,11 @@
         before = len(list_proposed(fleet))
         sent = fleet.network.messages_sent
         await asyncio.sleep(300.0)
-        return len(list_proposed(fleet)) - before, fleet.network.messages_sent - sent
+        size = len(fleet.machine.get_group(SERVICE).holders)
+        proposed = len(list_proposed(fleet)) - before
+        return proposed, fleet.network.messages_sent - sent, size
 
-    assert run_kept(script) == (0, 0)
+    assert run_kept(script) == (0, 0, 3)
 
 
 def test_group_grows_as_servers_announce_themselves():
@@ -65,6 +68,7 @@
         await asyncio.sleep(5.0)
         sizes = await script(fleet)
         await fleet.stop()
+        assert not fleet.errors
         return sizes
 
     assert run_paused(run()) == [1, 1, 3, 3]
@@ -90,6 +94,30 @@
     assert [event.accepted for event in proposed] == [True]
 
 
+def test_two_holders_that_leave_at_once_hand_over():
+    async def script(fleet):
+        first = await fleet.ask("k", "n3")
+        leaving = [h.node for h in fleet.machine.get_group(SERVICE).holders[:2]]
+        for name in leaving:
+            node = fleet.nodes[name]
+            node.member = dataclasses.replace(node.member, leaving=True)
+        started_s = asyncio.get_running_loop().time()
+        while any(fleet.nodes[name].holder.active_groups for name in leaving):
+            await asyncio.sleep(0.01)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        for name in leaving:
+            fleet.kill_node(name)
+        resent = await fleet.ask("k", next(iter(fleet.nodes)))
+        lost = any(event.lost for event in list_proposed(fleet))
+        return first, resent, lost, elapsed_s
+
+    server = Server(random.Random(1), refuse_rate=0.0)
+    first, resent, lost, elapsed_s = run_kept(script, server=server)
+    assert first == resent
+    assert not lost
+    assert elapsed_s < 2.0
+
+
 def test_member_that_flickers_keeps_its_place():
     async def script(fleet):
         before = fleet.machine.get_group(SERVICE)
