--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -29,9 +29,10 @@
 REVOKE_MAX_S = 0.25
 REVOKE_DOUBLINGS = 10
 REVOKE_ROUND_TRIPS = 4
+HEDGES_BEFORE_REVOKE = 4
 FINAL_REVOKE_SHARE = 0.25
 FINAL_REVOKE_S = 0.005
-SILENCE_SHARE = 0.25
+SILENCE_SHARE = 0.5
 SILENCE_DEFAULT_S = 0.1
 RETRY_AFTER_MIN_S = 0.5
 STATUS_FAILURE_MIN = 500
@@ -154,6 +155,7 @@
 
     def _send_attempt(self, cause):
         """Send an attempt to the best server that takes it; False if none does."""
+        self._check_repeat()
         while True:
             candidates = self._list_candidates()
             if not candidates:
@@ -216,15 +218,18 @@
         )
         return attempt, run
 
+    def _check_repeat(self):
+        if self._call.policy.idempotent:
+            return
+        require(not self._open, "a non-idempotent call has two attempts open")
+        require(
+            all(isinstance(x, NotRun) for x in self._ended),
+            "a non-idempotent call is repeated after it may have run",
+        )
+
     def _note_sent(self, attempt, candidates):
         if attempt.cause is not AttemptCause.FIRST:
             require(self._budget.withdraw(), "attempt sent outside of the budget")
-        if not self._call.policy.idempotent:
-            require(not self._open, "a non-idempotent call has two attempts open")
-            require(
-                all(isinstance(x, NotRun) for x in self._ended),
-                "a non-idempotent call is repeated after it may have run",
-            )
         self._open.append(attempt)
         self.attempts_sent += 1
         member = attempt.load.member
@@ -308,17 +313,20 @@
 
     def _get_revoke_time(self, attempt):
         """Return when to ask (again) that a silent attempt never starts."""
-        if attempt.progress is not Progress.SENT:
-            return math.inf
+        if attempt.progress is Progress.STARTED:
+            # A lost reply is sent again, and a restart of the node is noticed.
+            return attempt.revoked_s + REVOKE_MAX_S
         if attempt.revokes:
             round_trips_s = REVOKE_ROUND_TRIPS * attempt.load.round_trip_s
             pause_s = max(REVOKE_MIN_S, round_trips_s)
             pause_s *= 2 ** min(attempt.revokes - 1, REVOKE_DOUBLINGS)
             return attempt.revoked_s + min(pause_s, REVOKE_MAX_S)
         final_s = self._get_final_revoke_time(attempt)
-        if self._call.policy.idempotent or self._find_denial() is not None:
+        if self._find_denial() is not None:
             return final_s
         silence_s = self._latencies.get_percentile(95) or SILENCE_DEFAULT_S
+        if self._call.policy.idempotent:
+            silence_s *= HEDGES_BEFORE_REVOKE
         return min(attempt.sent_s + silence_s, final_s)
 
     def _get_final_revoke_time(self, attempt):
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_budgets.py
@@ -0,0 +1,78 @@
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from sapphireway_coordination._budgets import (
+    PROBE_BURST_S,
+    RETRY_RESERVE,
+    RateBudget,
+    RetryBudget,
+)
+
+
+class RetryBudgetMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.budget = RetryBudget()
+        self.calls = 0
+        self.repeats = 0
+
+    @rule(calls=st.integers(1, 200))
+    def deposit(self, calls):
+        self.calls += calls
+        for _ in range(calls):
+            self.budget.deposit(10.0)
+
+    @rule(wanted=st.integers(1, 50))
+    def withdraw(self, wanted):
+        for _ in range(wanted):
+            could = self.budget.can_withdraw()
+            assert self.budget.withdraw() == could
+            self.repeats += could
+
+    @invariant()
+    def repeats_stay_inside_share(self):
+        assert self.repeats <= RETRY_RESERVE + 0.1 * self.calls + 1e-6
+        assert self.budget.spent == self.repeats
+
+
+class RateBudgetMachine(RuleBasedStateMachine):
+    RATE_PER_S = 20.0
+
+    def __init__(self):
+        super().__init__()
+        self.budget = RateBudget()
+        self.now_s = 100.0
+        self.sent = []
+
+    @rule(gap_s=st.floats(0.0, 3.0))
+    def wait(self, gap_s):
+        self.now_s += gap_s
+
+    @rule(wanted=st.integers(1, 40))
+    def withdraw(self, wanted):
+        for _ in range(wanted):
+            if self.budget.withdraw(self.RATE_PER_S, self.now_s):
+                self.sent.append(self.now_s)
+
+    @invariant()
+    def every_window_stays_inside_rate(self):
+        burst = self.RATE_PER_S * PROBE_BURST_S
+        for first, start_s in enumerate(self.sent):
+            for last in range(first, len(self.sent)):
+                allowed = burst + (self.sent[last] - start_s) * self.RATE_PER_S
+                assert last - first + 1 <= allowed + 1e-6
+
+
+for machine in (RetryBudgetMachine, RateBudgetMachine):
+    machine.TestCase.settings = settings(
+        max_examples=30, stateful_step_count=20, derandomize=True, deadline=None
+    )
+TestRetryBudget = RetryBudgetMachine.TestCase
+TestRateBudget = RateBudgetMachine.TestCase
+
+
+@pytest.mark.parametrize("rate_per_s", [0.0, -1.0])
+def test_rate_budget_without_rate_allows_nothing(rate_per_s):
+    assert not RateBudget().withdraw(rate_per_s, 0.0)
