--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -238,7 +238,8 @@
     def _finish(self):
         result = self.result
         for dispatcher in self.dispatchers.values():
-            result.retries += sum(b.spent for b in dispatcher.budgets.values())
+            states = dispatcher.services.list_states()
+            result.retries += sum(state.budget.spent for _, state in states)
             result.probes += dispatcher.prober.budget.spent
         result.messages = self.network.messages_sent
         return result
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
@@ -19,7 +19,7 @@
     BUDGET = "budget"
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
-    NO_MEMBER = "no_member"
+    SUSPECT = "suspect"
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -1,6 +1,7 @@
 """One call's way to its outcome: attempts, retries, hedges and the deadline."""
 
 import asyncio
+import hashlib
 import math
 
 from sapphireway_coordination._attempts import Attempt, Mailbox, Progress
@@ -33,9 +34,13 @@
 FINAL_REVOKE_SHARE = 0.25
 FINAL_REVOKE_S = 0.005
 SILENCE_SHARE = 0.5
+SILENCE_PERCENTILE = 95.0
 SILENCE_DEFAULT_S = 0.1
 RETRY_AFTER_MIN_S = 0.5
 STATUS_FAILURE_MIN = 500
+BROKEN_RUNS_MAX = 2
+DIGEST_BYTES = 16
+DIGEST_BODY_BYTES = 65_536
 
 
 class CallRun:
@@ -54,6 +59,7 @@
     __slots__ = (
         "_budget",
         "_call",
+        "_digest",
         "_dispatcher",
         "_ended",
         "_hedged",
@@ -61,17 +67,20 @@
         "_loop",
         "_mailbox",
         "_open",
+        "_service",
         "_tried",
         "attempts_sent",
     )
 
     def __init__(self, dispatcher, call: Call):
-        self._budget = dispatcher.get_budget(call.service)
+        self._service = dispatcher.services.get(call.service)
+        self._budget = self._service.budget
         self._call = call
         self._dispatcher = dispatcher
+        self._digest = compute_digest(call)
         self._ended = []
         self._hedged = False
-        self._latencies = dispatcher.get_latencies(call)
+        self._latencies = self._service.get_latencies(call.kind)
         self._loop = asyncio.get_running_loop()
         self._mailbox = Mailbox()
         self._open = []
@@ -97,9 +106,9 @@
                 return outcome
 
     def _admit(self):
-        shedder = self._dispatcher.get_shedder(self._call.service)
         weight = self._call.policy.weight
-        return shedder.admit(weight, self._dispatcher.rng, self._loop.time())
+        rng = self._dispatcher.rng
+        return self._service.shedder.admit(weight, rng, self._loop.time())
 
     def close(self) -> None:
         """Cancel the attempts that are still under way."""
@@ -115,6 +124,9 @@
         self._open.remove(attempt)
         self._report_end(attempt)
         result = attempt.result
+        if isinstance(result, NotRun) and result.reason is NotRunReason.STALE:
+            # The same server may run it under its new incarnation.
+            self._tried.remove(attempt.load)
         if isinstance(result, Answered) and not self._is_failure(result):
             return result
         if isinstance(result, Answered) and not self._call.policy.idempotent:
@@ -146,6 +158,8 @@
     def _find_denial(self):
         if self.attempts_sent >= self._call.policy.attempts_max:
             return DenyReason.ATTEMPTS
+        if self._may_crash_servers():
+            return DenyReason.SUSPECT
         expected_s = self._latencies.get_percentile(50) or 0.0
         if self._loop.time() + expected_s >= self._call.deadline_s:
             return DenyReason.DEADLINE
@@ -153,6 +167,11 @@
             return DenyReason.BUDGET
         return None
 
+    def _may_crash_servers(self):
+        """Tell whether enough servers may have failed by running this request."""
+        broken = sum(isinstance(x, Failed | Unknown) for x in self._ended)
+        return broken > 0 and broken + len(self._open) >= BROKEN_RUNS_MAX
+
     def _send_attempt(self, cause):
         """Send an attempt to the best server that takes it; False if none does."""
         self._check_repeat()
@@ -211,7 +230,7 @@
             list(call.headers),
             call.policy.idempotent,
             call.policy.weight,
-            "",
+            self._digest,
             remaining_s * 1000.0,
             clock_s + remaining_s if clock_s else 0.0,
             incarnation,
@@ -255,8 +274,7 @@
             load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
         if isinstance(result, Answered) and not self._is_failure(result):
             self._dispatcher.ejector.take_success(load, now_s)
-            shedder = self._dispatcher.get_shedder(self._call.service)
-            shedder.take_accept(now_s)
+            self._service.shedder.take_accept(now_s)
             load.take_answer(attempt.sent_s)
             load.take_latency(max(elapsed_s - load.round_trip_s, 0.0), now_s)
             self._latencies.add(elapsed_s)
@@ -324,7 +342,8 @@
         final_s = self._get_final_revoke_time(attempt)
         if self._find_denial() is not None:
             return final_s
-        silence_s = self._latencies.get_percentile(95) or SILENCE_DEFAULT_S
+        percentile = self._call.policy.hedge_percentile or SILENCE_PERCENTILE
+        silence_s = self._latencies.get_percentile(percentile) or SILENCE_DEFAULT_S
         if self._call.policy.idempotent:
             silence_s *= HEDGES_BEFORE_REVOKE
         return min(attempt.sent_s + silence_s, final_s)
@@ -374,3 +393,14 @@
 
     def _observe(self, event):
         self._dispatcher.observe(event)
+
+
+def compute_digest(call: Call) -> str:
+    """Return a name for requests that are alike; of long bodies only the start."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (call.service, call.kind, call.method, call.target):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(len(call.body).to_bytes(8, "big"))
+    digest.update(call.body[:DIGEST_BODY_BYTES])
+    return digest.hexdigest()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -5,17 +5,15 @@
 import random
 
 from sapphireway_coordination._attempts import AttemptTable
-from sapphireway_coordination._budgets import RetryBudget
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import CallEnded, ObserveCall
 from sapphireway_coordination._call_run import CallRun
 from sapphireway_coordination._ejection import Ejector
-from sapphireway_coordination._latencies import RecentLatencies
 from sapphireway_coordination._loads import LoadTable, ServerLoad
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._probing import Prober
 from sapphireway_coordination._routing import Choose, choose_predicted
-from sapphireway_coordination._shedding import Shedder
+from sapphireway_coordination._services import ServiceTable
 from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
 from sapphireway_state import Policy
 
@@ -46,16 +44,14 @@
         "_attempt_ids",
         "_peers",
         "attempts",
-        "budgets",
         "choose",
         "ejector",
         "get_members",
-        "latencies",
         "loads",
         "observe",
         "prober",
         "rng",
-        "shedders",
+        "services",
     )
 
     def __init__(
@@ -73,12 +69,10 @@
         self.observe = observe
         self.choose = choose
         self.attempts = AttemptTable(peers, self._take_report)
-        self.budgets = {}
         self.ejector = Ejector(rng, observe)
-        self.latencies = {}
         self.loads = LoadTable()
         self.prober = Prober(peers, observe)
-        self.shedders = {}
+        self.services = ServiceTable()
         peers.handle(ProbeReply, self._take_probe_reply)
 
     async def dispatch(self, call: Call) -> Outcome:
@@ -109,20 +103,6 @@
         """Return an id that no other attempt of any node has."""
         return f"{self._peers.incarnation}-{next(self._attempt_ids):x}"
 
-    def get_budget(self, service: str) -> RetryBudget:
-        """Return the budget of retries and hedges of a service."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = RetryBudget()
-        return budget
-
-    def get_shedder(self, service: str) -> Shedder:
-        """Return the throttle of a service."""
-        shedder = self.shedders.get(service)
-        if shedder is None:
-            shedder = self.shedders[service] = Shedder()
-        return shedder
-
     def check_alive(self, load: ServerLoad, policy: Policy) -> None:
         """Probe a server that has been silent; eject it if it stays so."""
         loop = asyncio.get_running_loop()
@@ -131,14 +111,6 @@
         wait_s = SILENCE_MIN_S + SILENCE_ROUND_TRIPS * load.round_trip_s
         loop.call_later(wait_s, self._judge_silence, load, load.probed_s)
 
-    def get_latencies(self, call: Call) -> RecentLatencies:
-        """Return the recent latencies of the call's service and kind."""
-        key = (call.service, call.kind)
-        latencies = self.latencies.get(key)
-        if latencies is None:
-            latencies = self.latencies[key] = RecentLatencies()
-        return latencies
-
     def choose_incarnation(self, member: Member, now_s: float) -> tuple[str, float]:
         """Return the incarnation of a member's node and the least its clock reads.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
@@ -66,7 +66,7 @@
     """
     if len(candidates) == 1:
         return candidates[0]
-    sample = rng.sample(candidates, min(SAMPLE_MAX, len(candidates)))
+    sample = sample_near(candidates, rng)
     prior = estimate_prior(sample, now_s)
     unheard_weight = 0.0 if call.policy.idempotent else UNHEARD_WEIGHT
 
@@ -77,6 +77,15 @@
     return min(sample, key=score)
 
 
+def sample_near(candidates, rng):
+    """Return the nearer half of a random sample if the candidates are many."""
+    if len(candidates) <= SAMPLE_MAX:
+        return rng.sample(candidates, len(candidates))
+    drawn = rng.sample(candidates, min(2 * SAMPLE_MAX, len(candidates)))
+    drawn.sort(key=lambda load: load.round_trip_s)
+    return drawn[:SAMPLE_MAX]
+
+
 @dataclass(slots=True)
 class Prior:
     """What to expect of a server of which nothing fresh is known.
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_services.py
@@ -0,0 +1,60 @@
+"""What an entry node keeps for each service that it calls, besides server loads."""
+
+import collections
+
+from sapphireway_coordination._budgets import RetryBudget
+from sapphireway_coordination._latencies import RecentLatencies
+from sapphireway_coordination._shedding import Shedder
+
+SERVICES_KEPT = 256
+KINDS_KEPT = 64
+
+
+class ServiceState:
+    """Budget, throttle and latencies of one service.
+
+    Attributes
+    ----------
+    budget : RetryBudget
+    shedder : Shedder
+    """
+
+    __slots__ = ("_latencies", "budget", "shedder")
+
+    def __init__(self):
+        self._latencies = collections.OrderedDict()
+        self.budget = RetryBudget()
+        self.shedder = Shedder()
+
+    def get_latencies(self, kind: str) -> RecentLatencies:
+        """Return the recent latencies of a kind."""
+        return fetch(self._latencies, kind, RecentLatencies, KINDS_KEPT)
+
+
+class ServiceTable:
+    """The states of the services that were called most recently."""
+
+    __slots__ = ("_states",)
+
+    def __init__(self):
+        self._states = collections.OrderedDict()
+
+    def get(self, service: str) -> ServiceState:
+        """Return the state of a service."""
+        return fetch(self._states, service, ServiceState, SERVICES_KEPT)
+
+    def list_states(self) -> list[tuple[str, ServiceState]]:
+        """Return the services kept and their states, for metrics."""
+        return list(self._states.items())
+
+
+def fetch(table, key, create, size_max):
+    """Return `table[key]`, created if missing; drop the least recently used."""
+    value = table.get(key)
+    if value is None:
+        value = table[key] = create()
+        if len(table) > size_max:
+            table.popitem(last=False)
+    else:
+        table.move_to_end(key)
+    return value
