--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -285,7 +285,7 @@
         attempt = envelope.message.attempt
         record = self._memory.get(attempt)
         if record is None:
-            record = self._memory.revoke(attempt, self._loop.time())
+            record = self._revoke_unseen(envelope.message)
         elif record.state is AttemptState.WAITING:
             self._runner.refuse(attempt, NotRunReason.REVOKED)
             self._send_revoked(sender, envelope, True, False)
@@ -298,6 +298,13 @@
         never_runs = record is not None and record.state is AttemptState.REVOKED
         self._send_revoked(sender, envelope, never_runs, False)
 
+    def _revoke_unseen(self, revoke):
+        now_s = self._loop.time()
+        if revoke.latest_start_s and now_s > revoke.latest_start_s + RETENTION_S:
+            # It may have run and been forgotten.
+            return None
+        return self._memory.revoke(revoke.attempt, now_s)
+
     def _take_probe(self, sender, envelope):
         load = self.get_load()
         if load is not None and load.server != envelope.message.server:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
@@ -137,7 +137,8 @@
             good = sample.ok and sample.latency_ratio <= SLOW_RATIO
             left = self._answers_to_prove - 1
             self._answers_to_prove = left if good else COLD_ANSWERS_MIN
-            return
+            if good:
+                return
         moved = self._update(self._value, sample)
         self._value = min(max(moved, LIMIT_MIN), float(self.ceiling))
         if self._value >= self.ceiling:
