--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_suspects.py
@@ -0,0 +1,300 @@
+import asyncio
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from sapphireway_coordination import Announcement, AttemptStarted, Gate
+from sapphireway_coordination._suspects import (
+    SUSPECTS_MAX,
+    SuspectTable,
+    Verdict,
+)
+from sapphireway_protocol import MarkSuspect, NotRunReason, Peers, Reply, Run
+from sapphireway_state import Policy
+from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
+
+BAD = "bad"
+
+
+class Fleet:
+    """Nodes with in-memory servers of one service, and a caller that insists."""
+
+    def __init__(self, seed=1, nodes=5):
+        self.rng = random.Random(seed)
+        self.network = MemoryNetwork(self.rng, lambda sender, receiver: 0.0015)
+        self.nodes = [f"n{i}" for i in range(nodes)]
+        self.events = []
+        self.replies = {}
+        self.attempts = 0
+        self.entry = Peers(self.network.open_endpoint("entry"), "e")
+        self.entry.handle(Reply, self.take_reply)
+        self.entry.start()
+        self.servers = {node: self.open_server() for node in self.nodes}
+        self.gates = {node: self.open_gate(node) for node in self.nodes}
+
+    def take_reply(self, sender, envelope):
+        future = self.replies[envelope.message.attempt]
+        if not future.done():
+            future.set_result(envelope.message)
+
+    def open_server(self):
+        server = MemoryServer(self.rng)
+        server.crash_on = lambda request: BAD in request.url
+        server.restart_s = 0.05
+        return server
+
+    def open_gate(self, node):
+        peers = Peers(self.network.open_endpoint(node), node)
+        gate = Gate(
+            peers,
+            self.servers[node],
+            self.rng,
+            lambda service, kind: Policy(),
+            self.events.append,
+            lambda service: self.nodes,
+        )
+        peers.start()
+        return gate
+
+    def announce(self):
+        for node, gate in self.gates.items():
+            server = self.servers[node]
+            gate.announce(
+                Announcement(
+                    node, "ledger", "http://s", 6, 200, server.start_id, in_flight=0
+                )
+            )
+
+    async def call(self, node, digest, *, idempotent=True):
+        self.attempts += 1
+        attempt = f"a{self.attempts}"
+        now_s = asyncio.get_running_loop().time()
+        run = Run(
+            attempt,
+            attempt,
+            "ledger",
+            "k",
+            "GET",
+            f"/{digest}",
+            [],
+            idempotent,
+            10,
+            digest,
+            500.0,
+            now_s + 0.4,
+            node,
+        )
+        self.replies[attempt] = asyncio.get_running_loop().create_future()
+        self.entry.send(node, run)
+        try:
+            async with asyncio.timeout(1.0):
+                return await self.replies[attempt]
+        except TimeoutError:
+            return Reply(attempt, "unknown")
+
+    async def insist(self, digest, nodes, **kwargs):
+        """Send to one node after the other, as a retry does."""
+        for node in nodes:
+            reply = await self.call(node, digest, **kwargs)
+        return reply
+
+    async def warm(self):
+        self.announce()
+        await asyncio.gather(
+            *(self.call(n, f"w{i}") for n in self.nodes for i in range(25))
+        )
+
+    def count_downed(self):
+        return sum(server.crashes > 0 for server in self.servers.values())
+
+
+def paused(test):
+    def run():
+        async def main():
+            fleet = Fleet()
+            await fleet.warm()
+            await test(fleet)
+
+        run_paused(main())
+
+    run.__name__ = test.__name__
+    return run
+
+
+@paused
+async def test_insistent_request_downs_two_servers(fleet):
+    for _ in range(4):
+        last = await fleet.insist(BAD, fleet.nodes)
+        await asyncio.sleep(0.3)
+        fleet.announce()
+    assert fleet.count_downed() <= 2
+    assert sum(server.crashes for server in fleet.servers.values()) == 2
+    assert last.reason == NotRunReason.SUSPECT
+
+
+@paused
+async def test_reruns_at_several_nodes_are_one_at_a_time(fleet):
+    await fleet.call("n0", BAD)
+    await asyncio.gather(*(fleet.call(node, BAD) for node in fleet.nodes[1:]))
+    assert fleet.count_downed() == 2
+
+
+@paused
+async def test_rerun_is_alone(fleet):
+    await fleet.call("n0", BAD)
+    fleet.events.clear()
+    rest = [fleet.call("n1", f"x{i}") for i in range(12)]
+    await asyncio.gather(*rest[:6], fleet.call("n1", BAD), *rest[6:])
+    alone = [e for e in fleet.events if isinstance(e, AttemptStarted) and e.alone]
+    assert [event.in_flight for event in alone] == [1]
+    assert fleet.servers["n1"].crashes == 1
+
+
+@paused
+async def test_innocent_request_is_cleared_by_condemnation(fleet):
+    calls = [fleet.call("n0", digest) for digest in ("innocent", BAD)]
+    await asyncio.gather(*calls)
+    assert fleet.servers["n0"].crashes == 1
+    await fleet.call("n1", BAD)
+    await asyncio.sleep(0.1)
+    fleet.events.clear()
+    assert (await fleet.call("n2", "innocent")).outcome == "answered"
+    assert not fleet.events[0].alone
+
+
+@paused
+async def test_innocent_request_is_cleared_by_success(fleet):
+    await asyncio.gather(*(fleet.call("n0", digest) for digest in ("innocent", BAD)))
+    replies = [await fleet.call("n1", "innocent") for _ in range(2)]
+    assert [reply.outcome for reply in replies] == ["answered"] * 2
+    assert fleet.count_downed() == 1
+
+
+@paused
+async def test_request_answered_lately_is_not_suspected(fleet):
+    await fleet.call("n0", "popular")
+    await asyncio.gather(*(fleet.call("n0", digest) for digest in ("popular", BAD)))
+    assert (await fleet.call("n1", "popular")).outcome == "answered"
+    assert not any(isinstance(e, AttemptStarted) and e.alone for e in fleet.events)
+
+
+@paused
+async def test_suspect_is_forgotten_in_time(fleet):
+    for node in ("n0", "n1"):
+        await fleet.call(node, BAD)
+    fleet.servers["n2"].crash_on = lambda request: False
+    assert (await fleet.call("n2", BAD)).reason == NotRunReason.SUSPECT
+    await asyncio.sleep(Policy().suspect_ttl_s + 1)
+    fleet.announce()
+    assert (await fleet.call("n2", BAD)).outcome == "answered"
+
+
+@paused
+async def test_restarted_node_learns_suspects(fleet):
+    for node in ("n0", "n1"):
+        await fleet.call(node, BAD)
+    fleet.gates["n2"].close()
+    fleet.gates["n2"] = fleet.open_gate("n2")
+    fleet.announce()
+    await asyncio.sleep(0.1)
+    assert (await fleet.call("n2", BAD)).reason == NotRunReason.SUSPECT
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_random_resends_down_two_servers(seed):
+    async def main():
+        fleet = Fleet(seed)
+        fleet.network.jitter_s, fleet.network.duplicate_rate = 0.003, 0.1
+        await fleet.warm()
+        rng = fleet.rng
+        for step in range(40):
+            others = [
+                fleet.call(rng.choice(fleet.nodes), f"o{step}-{i}") for i in range(4)
+            ]
+            bad = fleet.insist(
+                BAD, rng.sample(fleet.nodes, 3), idempotent=rng.random() < 0.5
+            )
+            await asyncio.gather(bad, *others)
+            await asyncio.sleep(rng.random() * 0.2)
+            fleet.announce()
+        return fleet
+
+    fleet = run_paused(main())
+    assert fleet.count_downed() <= 2, f"seed {seed}"
+
+
+class SuspectMachine(RuleBasedStateMachine):
+    """The table against a model: a condemned digest is refused until it expires."""
+
+    digests = st.sampled_from(["a", "b", "c"])
+    origins = st.sampled_from(["here", "there", "elsewhere"])
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.refused_until = {}
+        self.granted = set()
+        self.table = SuspectTable("here", lambda: self.now_s, lambda event: None)
+
+    @rule(digest=digests)
+    def mark(self, digest):
+        again = self.table.get(digest) is not None
+        self.table.mark(digest, 10.0)
+        self.note(digest, again)
+
+    @rule(digest=digests, origin=origins, condemned=st.booleans())
+    def learn(self, digest, origin, condemned):
+        known = self.table.get(digest)
+        second = known is not None and known.origin != origin
+        self.table.learn(MarkSuspect("s", digest, origin, condemned, 10.0))
+        self.note(digest, condemned or second)
+
+    def note(self, digest, condemned):
+        if condemned or digest in self.refused_until:
+            self.refused_until[digest] = self.now_s + 10.0
+
+    @rule(digest=digests)
+    def clear(self, digest):
+        if self.table.clear(digest):
+            self.granted.discard(digest)
+
+    @rule(digest=digests)
+    def grant(self, digest):
+        if self.table.grant(digest):
+            assert digest not in self.granted, "two reruns at a time"
+            assert self.table.get(digest).origin == "here"
+            self.granted.add(digest)
+
+    @rule(digest=digests)
+    def take_back(self, digest):
+        self.table.take_back(digest)
+        self.granted.discard(digest)
+
+    @rule(seconds=st.sampled_from([1.0, 6.0, 11.0]))
+    def wait(self, seconds):
+        self.now_s += seconds
+        self.granted = {d for d in self.granted if self.table.get(d) is not None}
+
+    @invariant()
+    def condemned_digests_are_refused(self):
+        for digest, until_s in list(self.refused_until.items()):
+            if self.now_s < until_s:
+                assert self.table.judge(digest) is Verdict.REFUSED
+            else:
+                del self.refused_until[digest]
+
+
+SuspectMachine.TestCase.settings = settings(
+    max_examples=80, stateful_step_count=30, derandomize=True, deadline=None
+)
+test_suspect_machine = SuspectMachine.TestCase
+
+
+def test_table_is_bounded():
+    table = SuspectTable("here", lambda: 0.0, lambda event: None)
+    for number in range(SUSPECTS_MAX + 10):
+        table.mark(f"d{number}", 10.0)
+    assert len(table) == SUSPECTS_MAX
