--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -53,6 +53,29 @@
     paused(check)()
 
 
+@paused
+async def test_revoked_attempt_stays_revoked_until_its_latest_start(bench):
+    bench.entry.send(NODE, Revoke("a", latest_start_s=100.1))
+    for other in range(4):
+        await asyncio.sleep(25)
+        bench.announce()
+        await bench.call(f"other{other}")
+    bench.send("a", latest_start_s=asyncio.get_running_loop().time() + 1)
+    await asyncio.sleep(0.1)
+    assert bench.has_run("a") == 0
+
+
+@paused
+async def test_revoke_of_forgotten_attempt_promises_nothing(bench):
+    await bench.call("a", latest_start_s=0.5)
+    await asyncio.sleep(200)
+    bench.announce()
+    await bench.call("other")
+    bench.entry.send(NODE, Revoke("a", latest_start_s=0.5))
+    await asyncio.sleep(0.1)
+    assert not bench.revoked["a"][0].never_runs
+
+
 @paused
 async def test_revoke_of_running_attempt_is_refused(bench):
     bench.send("a")
