--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
@@ -18,6 +18,7 @@
     check_invariant(
         replica.vote.voted_for == replica.disk_id, "leader without its own vote"
     )
+    check_invariant(replica.is_voter, "a learner leads")
     replica.leader = QuorumMember(replica.peers.address, replica.disk_id, True)
     replica.progress = {}
     replica.notify()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replication.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replication.py
@@ -78,7 +78,9 @@
 
 def _list_acked(replica):
     return [
-        Acked(disk_id, term, index) for disk_id, (term, index) in replica.acked.items()
+        Acked(member.disk_id, *replica.acked[member.disk_id])
+        for member in replica.members
+        if member.disk_id in replica.acked
     ]
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
@@ -247,9 +247,7 @@
     seen = replica.vote.witnesses.get(hello.disk_id, Witness(0, ""))
     if _must_record(replica, hello, seen):
         async with replica.lock:
-            witness = Witness(hello.start_count, hello.start_id)
-            witnesses = {**replica.vote.witnesses, hello.disk_id: witness}
-            if not await replica.save_vote(witnesses=witnesses):
+            if not await _record_start(replica, hello):
                 return
     acked_term, acked_index = replica.acked.get(hello.disk_id, (0, 0))
     reply = HelloReply(
@@ -272,6 +270,17 @@
     return is_known and hello.start_count > seen.start_count
 
 
+async def _record_start(replica, hello):
+    known = {member.disk_id for member in replica.members}
+    witnesses = {
+        disk_id: witness
+        for disk_id, witness in replica.vote.witnesses.items()
+        if disk_id in known
+    }
+    witnesses[hello.disk_id] = Witness(hello.start_count, hello.start_id)
+    return await replica.save_vote(witnesses=witnesses)
+
+
 async def answer_found(replica: Replica, sender: str, envelope: Envelope) -> None:
     """Accept to be a first member, unless this host already is in a cluster."""
     found = envelope.message
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from functools import partial
 
 import msgspec
 import pytest
@@ -13,7 +14,26 @@
     Role,
     Unavailable,
 )
-from sapphireway_protocol import Append, Vote
+from sapphireway_protocol import (
+    Append,
+    AppendReply,
+    EntryKind,
+    Hello,
+    HelloReply,
+    JournalEntry,
+    Peers,
+    QuorumMember,
+    Vote,
+    VoteReply,
+)
+from sapphireway_state import (
+    Journal,
+    JournalLimits,
+    Recovered,
+    VoteRecord,
+    recover_alone,
+    save_vote,
+)
 from sapphireway_transport.memory import MemoryDisk, run_paused
 
 LONG_S = 600.0
@@ -157,6 +177,77 @@
     run_paused(run())
 
 
+def test_follower_that_hears_no_leader_disturbs_nobody():
+    async def run():
+        cluster = await open_cluster(3)
+        before = cluster.status(cluster.leader())
+        follower = next(a for a in cluster.addresses if a != before.leader)
+        cluster.network.cut(before.leader, follower)
+        await asyncio.sleep(LONG_S)
+        after = cluster.status(cluster.leader())
+        assert (after.leader, after.term) == (before.leader, before.term)
+
+    run_paused(run())
+
+
+def test_entries_of_earlier_terms_are_not_committed_by_their_copies():
+    async def run():
+        cluster = Cluster(3)
+        members = [QuorumMember(a, a, True) for a in cluster.addresses]
+        disk = cluster.hosts["c0"].disk
+        vote = VoteRecord("c0", 1, "cluster", members, term=2)
+        await save_vote(disk, vote)
+        journal = Journal(disk, JournalLimits())
+        await journal.append(1, [JournalEntry(2, EntryKind.COMMAND, b"old")])
+
+        def answer(peers, sender, envelope):
+            message = envelope.message
+            own = peers.address
+            replies = {
+                Hello: HelloReply("cluster", own, False, [], members),
+                Vote: VoteReply(message.term, True, own)
+                if isinstance(message, Vote)
+                else None,
+                # The others hold the old entry but none of the new term.
+                Append: AppendReply(message.term, own, True, 1)
+                if isinstance(message, Append)
+                else None,
+            }
+            peers.reply(sender, envelope, replies[type(message)])
+
+        for address in ("c1", "c2"):
+            peers = Peers(cluster.network.open_endpoint(address), address)
+            for message_type in (Hello, Vote, Append):
+                peers.handle(message_type, partial(answer, peers))
+            peers.start()
+        await cluster.start("c0")
+        await asyncio.sleep(4)
+        assert cluster.status("c0").role == Role.LEADER
+        assert cluster.status("c0").last_index == 2
+        assert cluster.status("c0").commit_index == 0
+
+    run_paused(run())
+
+
+def test_learner_that_lags_is_not_promoted():
+    async def run():
+        cluster = await open_cluster(3)
+        await propose_many(cluster, 5)
+        lost = next(a for a in cluster.addresses if a != cluster.leader())
+        lose_disk(cluster, lost)
+        await cluster.start(lost)
+        await cluster.wait_until(
+            lambda: cluster.status(cluster.leader()).learners, poll_s=0.001
+        )
+        cluster.isolate(lost)
+        await asyncio.sleep(60)
+        status = cluster.status(cluster.leader())
+        assert [m.address for m in status.learners] == [lost]
+        assert cluster.status(lost).disk_id not in {m.disk_id for m in status.voters}
+
+    run_paused(run())
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_second_loss_right_after_a_repair_loses_nothing(seed):
     async def run():
@@ -211,6 +302,27 @@
     run_paused(run())
 
 
+def test_survivor_of_two_losses_is_recovered():
+    async def run():
+        cluster = await open_cluster(3)
+        commands = await propose_many(cluster, 40)
+        survivor = cluster.leader()
+        for address in cluster.addresses:
+            if address != survivor:
+                lose_disk(cluster, address)
+        cluster.crash(survivor)
+        disk = cluster.hosts[survivor].disk
+        outcome = await recover_alone(
+            disk, survivor, cluster.addresses, cluster.rng, cluster.settings.limits
+        )
+        assert isinstance(outcome, Recovered)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_whole)
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
 def break_disk(cluster, address, fault):
     disk = cluster.hosts[address].disk
     if fault == "full":
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -9,6 +9,11 @@
     encode_members,
 )
 from sapphireway_state._policy import Policy
+from sapphireway_state._recovery import (
+    NothingToRecover,
+    Recovered,
+    recover_alone,
+)
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
 from sapphireway_state._vote import VoteRecord, Witness, load_vote, save_vote
 
@@ -17,7 +22,9 @@
     "Journal",
     "JournalDamaged",
     "JournalLimits",
+    "NothingToRecover",
     "Policy",
+    "Recovered",
     "Snapshot",
     "VoteRecord",
     "Witness",
@@ -27,5 +34,6 @@
     "encode_members",
     "encode_snapshot",
     "load_vote",
+    "recover_alone",
     "save_vote",
 ]
--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -168,13 +168,13 @@
         disks = {status.disk_id for status in statuses}
         return {v.disk_id for v in known.voters} == disks
 
-    async def wait_until(self, predicate, timeout_s=60.0):
+    async def wait_until(self, predicate, timeout_s=60.0, poll_s=0.05):
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
         while not predicate():
             self.check()
             assert loop.time() < deadline_s, f"seed {self.seed}: {self.describe()}"
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(poll_s)
 
     def describe(self):
         return [
