--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -471,3 +471,26 @@
     messages, sent_bytes = run_paused(run())
     assert messages / 100 <= 2 * 4 * (size - 1) + 1
     assert sent_bytes / 100 <= 200 * 2 * 4 * (size - 1)
+
+
+@pytest.mark.parametrize("boundary", range(12, 140))
+def test_power_cut_at_every_boundary_keeps_what_was_acked(boundary):
+    async def run():
+        cluster = await open_cluster(1, seed=boundary)
+        disk = cluster.hosts["c0"].disk
+        disk.cut_at = disk.boundaries + boundary
+        quorum = cluster.hosts["c0"].quorum
+        acked = []
+        for number in range(60):
+            command = b"%d" % number
+            proposing = asyncio.create_task(quorum.propose(command))
+            await asyncio.wait([proposing], timeout=1.0)
+            if not proposing.done() or not isinstance(proposing.result(), Committed):
+                break
+            acked.append(command)
+        await cluster.restart("c0")
+        await cluster.wait_until(cluster.is_whole)
+        commands = await read_commands(cluster)
+        assert commands in (acked, [*acked, command])
+
+    run_paused(run())
--- /dev/null
+++ b/tests/control_process.py
@@ -0,0 +1,54 @@
+"""One control host as a process: ``python -m tests.control_process``.
+
+Arguments are the host's address, its data folder and all control hosts. The state
+machine keeps a list of commands, and a read returns it with the host's status.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+from tests.quorum_cluster import ListMachine
+
+from sapphireway_coordination import Quorum, QuorumSettings
+from sapphireway_protocol import Peers
+from sapphireway_state import JournalLimits
+from sapphireway_transport import FileDisk, ZmqEndpoint
+
+SETTINGS = QuorumSettings(
+    heartbeat_s=0.12,
+    election_min_s=0.5,
+    election_max_s=1.0,
+    start_retry_s=0.25,
+    limits=JournalLimits(segment_bytes=4_096, compact_bytes=12_288),
+)
+
+
+async def run(address, folder, hosts):
+    peers = Peers(ZmqEndpoint(address), address)
+    peers.start()
+    disk = FileDisk(Path(folder))
+    machine = ListMachine({}, 0)
+    rng = random.Random(f"{address}{random.SystemRandom().random()}")
+    quorum = Quorum(peers, disk, machine, hosts, rng, SETTINGS, bootstrap=True)
+
+    def query(_):
+        status = quorum.get_status()
+        voters = [voter.disk_id for voter in status.voters]
+        return msgspec.msgpack.encode((machine.commands, address, voters))
+
+    quorum.serve_queries(query)
+    await quorum.start()
+    stopping = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+    await stopping.wait()
+    await quorum.stop()
+    peers.close()
+    disk.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1], sys.argv[2], sys.argv[3:]))
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,123 @@
+"""Control hosts as real processes that are killed, frozen and lose their data."""
+
+import asyncio
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+from sapphireway_coordination import Answer, Committed, ControlClient
+from sapphireway_protocol import Peers
+from sapphireway_transport import ZmqEndpoint
+
+TIMEOUT_S = 20.0
+
+
+def find_free_addresses(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+    for free in sockets:
+        free.close()
+    return addresses
+
+
+class Processes:
+    def __init__(self, folder):
+        self.folder = folder
+        *self.hosts, self.client_address = find_free_addresses(4)
+        self.running = {}
+
+    def start(self, host):
+        arguments = [host, str(self.get_folder(host)), *self.hosts]
+        command = [sys.executable, "-m", "tests.control_process", *arguments]
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+        self.running[host] = subprocess.Popen(command, env=environment)
+
+    def get_folder(self, host):
+        return self.folder / host.rsplit(":")[-1]
+
+    def kill(self, host):
+        process = self.running.pop(host)
+        process.kill()
+        process.wait()
+
+    def signal(self, host, number):
+        self.running[host].send_signal(number)
+
+
+@pytest.fixture
+def processes(tmp_path):
+    processes = Processes(tmp_path)
+    for host in processes.hosts:
+        processes.start(host)
+    yield processes
+    for host in list(processes.running):
+        processes.kill(host)
+
+
+async def propose(client, *commands):
+    for command in commands:
+        outcome = await client.propose(command, TIMEOUT_S)
+        assert isinstance(outcome, Committed), outcome
+    return list(commands)
+
+
+async def read(client):
+    answer = await client.read(b"", TIMEOUT_S)
+    assert isinstance(answer, Answer), answer
+    return msgspec.msgpack.decode(answer.data, type=tuple[list[bytes], str, list[str]])
+
+
+async def exercise(processes, run):
+    peers = Peers(ZmqEndpoint(processes.client_address), "client")
+    peers.start()
+    try:
+        await run(ControlClient(peers, processes.hosts, random.Random(1)))
+    finally:
+        peers.close()
+
+
+def test_accepted_commands_survive_kill_freeze_and_loss_of_a_folder(processes):
+    async def run(client):
+        commands = await propose(client, *(b"a%d" % i for i in range(200)))
+
+        leader = (await read(client))[1]
+        processes.signal(leader, signal.SIGSTOP)
+        commands += await propose(client, b"while frozen")
+        processes.signal(leader, signal.SIGCONT)
+        only_woken = ControlClient(client._peers, [leader], random.Random(2))
+        assert (await read(only_woken))[0] == commands
+
+        for host in processes.hosts:
+            processes.kill(host)
+        for host in processes.hosts:
+            processes.start(host)
+        assert (await read(client))[0] == commands
+
+        _, leader, voters = await read(client)
+        lost, other = [host for host in processes.hosts if host != leader]
+        processes.kill(lost)
+        shutil.rmtree(processes.get_folder(lost))
+        commands += await propose(client, b"while lost")
+        processes.start(lost)
+        await wait_for_repair(client, voters)
+        processes.kill(other)
+        shutil.rmtree(processes.get_folder(other))
+        assert (await read(client))[0] == commands
+        await propose(client, b"after the second loss")
+
+    async def wait_for_repair(client, before):
+        async with asyncio.timeout(TIMEOUT_S):
+            while True:
+                voters = (await read(client))[2]
+                if len(voters) == 3 and set(voters) != set(before):
+                    return
+                await asyncio.sleep(0.05)
+
+    asyncio.run(exercise(processes, run))
