--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
@@ -63,6 +63,10 @@
         return
     while not replica.vote.cluster_id and not await _try_form(replica):
         await _pause(replica)
+    if not replica.members and replica.vote.start_count > 1:
+        # The folder names no members to ask whether it is up to date. It holds
+        # nothing, so a new identity costs nothing.
+        await _take_new_identity(replica)
     while replica.members and not await _try_clear(replica):
         await _pause(replica)
     if replica.journal.snapshot.index:
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -302,6 +302,27 @@
     run_paused(run())
 
 
+def test_older_disk_of_a_learner_without_entries_gets_a_new_identity():
+    async def run():
+        cluster = await open_cluster(3)
+        lost = next(a for a in cluster.addresses if a != cluster.leader())
+        lose_disk(cluster, lost)
+        await cluster.start(lost)
+        await cluster.wait_until(lambda: cluster.status(lost).cluster_id, poll_s=0.001)
+        assert cluster.status(lost).last_index == 0
+        identity = cluster.status(lost).disk_id
+        backup = cluster.hosts[lost].disk.copy()
+        await cluster.wait_until(cluster.is_whole)
+        assert cluster.status(lost).disk_id == identity
+        commands = await propose_many(cluster, 5)
+        await cluster.restart(lost, disk=backup)
+        await cluster.wait_until(cluster.is_whole)
+        assert cluster.status(lost).disk_id != identity
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
 def test_survivor_of_two_losses_is_recovered():
     async def run():
         cluster = await open_cluster(3)
