--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
@@ -54,7 +54,7 @@
 
 
 def _make_id(replica):
-    return f"{replica.rng.getrandbits(128):032x}"
+    return f"{replica.rng.getrandbits(64):016x}"
 
 
 async def run_start(replica: Replica) -> None:
--- a/packages/sapphireway-coordination/tests/test_quorum_runs.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_runs.py
@@ -61,7 +61,9 @@
 
 async def run_faults(cluster, rng):
     """Crash, cut and slow hosts at random; lose a disk whenever all are whole."""
-    while True:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + RUN_S
+    while loop.time() < end_s:
         await asyncio.sleep(rng.expovariate(1.2))
         address, other = rng.sample(cluster.addresses, 2)
         action = rng.randrange(9)
@@ -105,14 +107,15 @@
         run_client(cluster.open_client(), f"{i}", history, random.Random(rng.random()))
         for i in range(CLIENTS)
     ]
-    tasks = [asyncio.create_task(c) for c in [*clients, run_faults(cluster, rng)]]
-    end_s = asyncio.get_running_loop().time() + RUN_S
-    while asyncio.get_running_loop().time() < end_s:
+    tasks = [asyncio.create_task(client) for client in clients]
+    faults = asyncio.create_task(run_faults(cluster, rng))
+    while not faults.done():
         await asyncio.sleep(0.1)
         cluster.check()
         for task in tasks:
             if task.done():
                 task.result()
+    faults.result()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/sapphireway-state/src/sapphireway_state/_recovery.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_recovery.py
@@ -74,9 +74,9 @@
         return problem
     record = msgspec.structs.replace(
         record,
-        disk_id=f"{rng.getrandbits(128):032x}",
+        disk_id=f"{rng.getrandbits(64):016x}",
         start_count=1,
-        cluster_id=f"{rng.getrandbits(128):032x}",
+        cluster_id=f"{rng.getrandbits(64):016x}",
         initial=[],
         founding=False,
         term=record.term + 1,
