--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
@@ -4,8 +4,10 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
+
 from sapphireway_coordination._quorum_types import Answer, Committed, Unavailable
-from sapphireway_protocol import ControlReply, Peers, Propose, Query
+from sapphireway_protocol import ChangeMembers, ControlReply, Peers, Propose, Query
 
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_WAIT_S = 0.1
@@ -43,24 +45,34 @@
         resend : bool, default=True
             Whether to send the command again after an answer was lost.
         """
-        reply, body, maybe_applied = await self._send(
-            Propose, command, timeout_s, resend
-        )
-        if reply is not None and reply.done:
-            return Committed(reply.index, body)
-        detail = reply.detail if reply is not None else "no control host answered"
-        return Unavailable(detail, maybe_applied)
+        return await self._change(Propose(timeout_s), command, timeout_s, resend)
+
+    async def change_members(
+        self, add: Sequence[str], remove: Sequence[str], timeout_s: float
+    ) -> Committed | Unavailable:
+        """Add and remove control hosts; added ones vote once they have caught up."""
+        request = ChangeMembers(timeout_s, list(add), list(remove))
+        return await self._change(request, b"", timeout_s, resend=True)
 
     async def read(self, query: bytes, timeout_s: float) -> Answer | Unavailable:
         """Return a current read: it reflects all that was committed before."""
-        reply, body, _ = await self._send(Query, query, timeout_s, resend=True)
+        reply, body, _ = await self._send(Query(timeout_s), query, timeout_s, True)
         if reply is not None and reply.done:
             return Answer(reply.index, body)
         return Unavailable(
             reply.detail if reply is not None else "no control host answered"
         )
 
-    async def _send(self, request_type, body, timeout_s, resend):
+    async def _change(self, request, body, timeout_s, resend):
+        reply, result, maybe_applied = await self._send(
+            request, body, timeout_s, resend
+        )
+        if reply is not None and reply.done:
+            return Committed(reply.index, result)
+        detail = reply.detail if reply is not None else "no control host answered"
+        return Unavailable(detail, maybe_applied)
+
+    async def _send(self, request, body, timeout_s, resend):
         """Return the last reply, its body, and whether the request may have acted."""
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
@@ -71,7 +83,8 @@
         while (left_s := deadline_s - loop.time()) > 0:
             host = hosts.pop(0)
             wait_s = min(left_s, attempt_s)
-            reply = await self._peers.request(host, request_type(wait_s), wait_s, body)
+            attempt = msgspec.structs.replace(request, timeout_s=wait_s)
+            reply = await self._peers.request(host, attempt, wait_s, body)
             if reply is not None and isinstance(reply.message, ControlReply):
                 last = reply.message
                 self._leader = last.leader or None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
@@ -14,7 +14,7 @@
 from sapphireway_coordination._quorum_leader import confirm_leadership, lead
 from sapphireway_coordination._quorum_members import answer_join, change_members
 from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_requests import answer_propose, answer_query
+from sapphireway_coordination._quorum_requests import answer_change, answer_query
 from sapphireway_coordination._quorum_start import (
     answer_found,
     answer_hello,
@@ -33,6 +33,7 @@
 )
 from sapphireway_protocol import (
     Append,
+    ChangeMembers,
     EntryKind,
     Found,
     Hello,
@@ -118,8 +119,8 @@
         for message_type in _ANSWERS:
             replica.peers.handle(message_type, self._receive)
         replica.peers.handle(Join, self._receive_join)
-        replica.peers.handle(Propose, self._receive_request)
-        replica.peers.handle(Query, self._receive_request)
+        for message_type in (ChangeMembers, Propose, Query):
+            replica.peers.handle(message_type, self._receive_request)
         self._spawn(run_start(replica))
         self._spawn(run_elections(replica, lead))
         self._spawn(_run_compaction(replica))
@@ -163,7 +164,10 @@
         return await change_members(self._replica, add, remove)
 
     def serve_queries(self, query: Callable[[bytes], bytes]) -> None:
-        """Answer the current reads of `ControlClient` by `query`."""
+        """Answer the current reads of `ControlClient` by `query`.
+
+        An exception in `query` is taken for a broken invariant.
+        """
         self._query = query
 
     def get_status(self) -> QuorumStatus:
@@ -241,15 +245,22 @@
     async def _serve_request(self, sender, envelope):
         self._requests += 1
         try:
-            if isinstance(envelope.message, Propose):
-                await answer_propose(self._replica, self.propose, sender, envelope)
-            elif self._query is not None:
-                await answer_query(
-                    self._replica, self.read_barrier, self._query, sender, envelope
-                )
+            await self._answer_request(sender, envelope)
         finally:
             self._requests -= 1
 
+    async def _answer_request(self, sender, envelope):
+        replica, message = self._replica, envelope.message
+        if isinstance(message, Propose):
+            change = self.propose(envelope.body)
+            await answer_change(replica, change, sender, envelope)
+        elif isinstance(message, ChangeMembers):
+            change = self.change_members(message.add, message.remove)
+            await answer_change(replica, change, sender, envelope)
+        elif self._query is not None:
+            read = self.read_barrier()
+            await answer_query(replica, read, self._query, sender, envelope)
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_requests.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from sapphireway_coordination._quorum_replica import Replica
 from sapphireway_coordination._quorum_types import (
     Committed,
@@ -10,19 +12,19 @@
     NotLeader,
     Unavailable,
 )
-from sapphireway_protocol import ControlReply, Envelope, Propose
+from sapphireway_protocol import ControlReply, Envelope, Query
 
 Outcome = Committed | Current | NotLeader | Unavailable
 
 
-async def answer_propose(
+async def answer_change(
     replica: Replica,
-    propose: Callable[[bytes], Awaitable[Outcome]],
+    change: Awaitable[Outcome],
     sender: str,
     envelope: Envelope,
 ) -> None:
-    """Commit a command here, or have the leader commit it."""
-    outcome = await _run(propose(envelope.body), envelope)
+    """Answer with the outcome of a change, or have the leader make it."""
+    outcome = await _run(change, envelope)
     if isinstance(outcome, Committed):
         reply = ControlReply(True, outcome.index, replica.peers.address)
         replica.peers.reply(sender, envelope, reply, outcome.result)
@@ -32,13 +34,13 @@
 
 async def answer_query(
     replica: Replica,
-    read_barrier: Callable[[], Awaitable[Outcome]],
+    read_barrier: Awaitable[Outcome],
     query: Callable[[bytes], bytes],
     sender: str,
     envelope: Envelope,
 ) -> None:
     """Answer a current read here, or have the leader answer it."""
-    outcome = await _run(read_barrier(), envelope)
+    outcome = await _run(read_barrier, envelope)
     if isinstance(outcome, Current):
         data = query(envelope.body)
         reply = ControlReply(True, replica.applied_index, replica.peers.address)
@@ -69,7 +71,7 @@
         )
         replica.peers.reply(sender, envelope, reply)
         return
-    forwarded = type(request)(request.timeout_s, forwarded=True)
+    forwarded = msgspec.structs.replace(request, forwarded=True)
     answer = await replica.peers.request(
         outcome.leader, forwarded, request.timeout_s, envelope.body
     )
@@ -80,6 +82,6 @@
         False,
         leader=outcome.leader,
         detail="the leader did not answer",
-        maybe_applied=isinstance(request, Propose),
+        maybe_applied=not isinstance(request, Query),
     )
     replica.peers.reply(sender, envelope, reply)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
@@ -9,7 +9,11 @@
 
 
 class StateMachine(Protocol):
-    """What the journal's commands act on; it must be deterministic."""
+    """What the journal's commands act on; it must be deterministic.
+
+    A command that cannot be applied is answered by a result that says so. An
+    exception is taken for a broken invariant and stops the control host.
+    """
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply the command at a journal index and return its result."""
--- a/packages/sapphireway-coordination/tests/test_control_client.py
+++ b/packages/sapphireway-coordination/tests/test_control_client.py
@@ -71,3 +71,19 @@
         assert cluster.status(cluster.leader()).snapshot_index > 0
 
     run_paused(run())
+
+
+def test_members_are_changed_through_any_host():
+    async def run():
+        cluster = await open_cluster()
+        client = cluster.open_client()
+        cluster.network.cut("client0", cluster.leader())
+        await cluster.start("c3", bootstrap=False)
+        outcome = await client.change_members(["c3"], [], 20.0)
+        assert isinstance(outcome, Committed)
+        await cluster.wait_until(cluster.is_whole)
+        outcome = await client.change_members([], ["c3"], 20.0)
+        assert isinstance(outcome, Committed)
+        assert len(cluster.status(cluster.leader()).voters) == 3
+
+    run_paused(run())
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_quorum.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_quorum.py
@@ -250,8 +250,19 @@
     forwarded: bool = False
 
 
+class ChangeMembers(
+    msgspec.Struct, frozen=True, tag="q_change_members", array_like=True
+):
+    """Ask a control host to add and remove control hosts, given by address."""
+
+    timeout_s: float
+    add: list[str]
+    remove: list[str]
+    forwarded: bool = False
+
+
 class ControlReply(msgspec.Struct, frozen=True, tag="q_control_reply", array_like=True):
-    """Answer to `Propose` and `Query`; a result is the body.
+    """Answer to `Propose`, `Query` and `ChangeMembers`; a result is the body.
 
     Attributes
     ----------
@@ -275,6 +286,7 @@
 MESSAGES = (
     Append,
     AppendReply,
+    ChangeMembers,
     ControlReply,
     Found,
     FoundReply,
