--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -53,6 +53,7 @@
     decode_result,
     encode_query,
 )
+from sapphireway_state._recovery import NothingToRecover, Recovered, recover_alone
 from sapphireway_state._schema import SETTINGS, Scope, Setting
 from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
@@ -94,6 +95,7 @@
     "LeaseTable",
     "LiveServers",
     "LostService",
+    "NothingToRecover",
     "Operation",
     "Policy",
     "Problem",
@@ -101,6 +103,7 @@
     "ReadChanges",
     "ReadHistory",
     "ReadTree",
+    "Recovered",
     "Refused",
     "Scope",
     "SetValue",
@@ -140,6 +143,7 @@
     "parse_process",
     "parse_tree",
     "parse_yaml",
+    "recover_alone",
     "save_vote",
     "takes_out",
 ]
