Replicate edits of the settings tree by a deterministic machine

The version is the position of the last accepted edit, not a count, and an edit is accepted only on the version that it names, so an accepted edit can never be accepted again. Ruled out: remembering ids for a time (replicas have no common clock) and remembering TooOld itself (a flood of it would push real answers out).

SettingsFollower applies whole versions only, checked by a digest, never an older one; nodes can follow each other by its deltas.

--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,6 +1,28 @@
 """What processes keep: the settings tree, the journal and their tables."""
 
 from sapphireway_state._check import check_file
+from sapphireway_state._edits import (
+    Accepted,
+    Answer,
+    Change,
+    Conflict,
+    Edit,
+    ForceNeeded,
+    LiveServers,
+    LostService,
+    Operation,
+    Refused,
+    SetValue,
+    TooOld,
+    UnsetValue,
+    decode_answer,
+    decode_edit,
+    encode_answer,
+    encode_edit,
+)
+from sapphireway_state._follower import Applied, SettingsFollower
+from sapphireway_state._machine import SettingsMachine
+from sapphireway_state._operations import apply_operations, compare_trees
 from sapphireway_state._policy import Policy
 from sapphireway_state._problems import Invalid, Problem, format_problem
 from sapphireway_state._process import (
@@ -10,7 +32,19 @@
     load_process,
     parse_process,
 )
+from sapphireway_state._queries import (
+    Changes,
+    CurrentTree,
+    History,
+    HistoryEntry,
+    ReadChanges,
+    ReadHistory,
+    ReadTree,
+    decode_result,
+    encode_query,
+)
 from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
 from sapphireway_state._yaml import (
@@ -25,23 +59,56 @@
     "OTHER_KIND",
     "PROCESS_RULES",
     "SETTINGS",
+    "Accepted",
+    "Answer",
+    "Applied",
+    "Change",
+    "Changes",
+    "Conflict",
+    "CurrentTree",
     "Document",
+    "Edit",
+    "ForceNeeded",
+    "History",
+    "HistoryEntry",
     "Invalid",
+    "LiveServers",
+    "LostService",
+    "Operation",
     "Policy",
     "Problem",
     "ProcessSettings",
+    "ReadChanges",
+    "ReadHistory",
+    "ReadTree",
+    "Refused",
     "Scope",
+    "SetValue",
     "Setting",
+    "SettingsFollower",
+    "SettingsMachine",
     "SettingsView",
     "Source",
+    "TooOld",
+    "UnsetValue",
+    "apply_operations",
     "check_file",
     "check_process",
     "check_tree",
+    "compare_trees",
+    "decode_answer",
+    "decode_edit",
+    "decode_result",
     "dump_yaml",
+    "encode_answer",
+    "encode_edit",
+    "encode_query",
     "format_problem",
+    "list_left",
     "load_process",
     "load_tree",
     "parse_process",
     "parse_tree",
     "parse_yaml",
+    "takes_out",
 ]
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_machine.py
@@ -0,0 +1,303 @@
+"""The settings tree as a deterministic machine that a journal drives."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from sapphireway_state._answers import AnswerWindow, RememberedAnswer
+from sapphireway_state._edits import (
+    CHANGES_SHOWN,
+    Accepted,
+    Change,
+    Conflict,
+    ForceNeeded,
+    Refused,
+    SetValue,
+    TooOld,
+    UnsetValue,
+    decode_edit,
+    digest_edit,
+    encode_answer,
+)
+from sapphireway_state._operations import (
+    apply_operations,
+    compare_trees,
+    merge_changes,
+)
+from sapphireway_state._problems import Problem
+from sapphireway_state._queries import (
+    Changes,
+    CurrentTree,
+    History,
+    HistoryEntry,
+    ReadHistory,
+    ReadTree,
+    decode_query,
+)
+from sapphireway_state._service_loss import find_lost_services
+from sapphireway_state._tree import check_tree
+from sapphireway_state._updates import Step, digest_tree, encode_update
+
+HISTORY_MAX_EDITS = 5_000
+HISTORY_MAX_BYTES = 4 * 1024 * 1024
+TREE_MAX_BYTES = 4 * 1024 * 1024
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    since: int
+    entry: HistoryEntry
+    operations: list[SetValue | UnsetValue]
+    size: int
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    index: int
+    version: int
+    tree: dict[str, Any]
+    history: list[_Record]
+    answers: list[RememberedAnswer]
+    oldest_base: int
+    history_floor: int
+
+
+_snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
+
+
+@dataclass(slots=True, frozen=True)
+class _Next:
+    tree: dict[str, Any]
+    digest: bytes
+    changes: list[Change]
+
+
+class SettingsMachine:
+    """Applies edits one after another; equal on every host with equal journals.
+
+    The version of the tree is the journal position of its last edit. An edit
+    is accepted only if the version that it is based on is the current one, so
+    that an accepted edit can never be accepted again. Answers are remembered
+    for a bounded number of edits, those of accepted ones for as long as the
+    history has them; `TooOld` says that an answer may be forgotten.
+
+    Attributes
+    ----------
+    index : int
+        Journal position of the last command applied.
+    version : int
+        Journal position of the last accepted edit; 0 if there is none.
+    tree : dict
+        Current tree; not to be changed.
+    """
+
+    __slots__ = (
+        "_answers",
+        "_digest",
+        "_history",
+        "_history_bytes",
+        "_history_floor",
+        "index",
+        "tree",
+        "version",
+    )
+
+    def __init__(self):
+        self._load(_Snapshot(0, 0, {}, [], [], 0, 0))
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply the command at one journal position and return its answer.
+
+        Parameters
+        ----------
+        index : int
+            Greater than that of every earlier command.
+        command : bytes
+            An encoded `Edit`.
+
+        Returns
+        -------
+        bytes
+            An encoded `Answer`.
+        """
+        assert index > self.index, f"index {index} follows {self.index}"
+        self.index = index
+        edit = decode_edit(command)
+        if edit is None:
+            return encode_answer(self._refuse("", "is not an edit", "an edit"))
+        digest = digest_edit(edit)
+        remembered = self._answers.find(edit.edit_id)
+        if remembered is not None:
+            return self._answer_again(remembered, digest)
+        answer = self._apply_edit(edit)
+        content = encode_answer(answer)
+        if not isinstance(answer, TooOld):
+            self._answers.add(RememberedAnswer(edit.edit_id, index, digest, content))
+        return content
+
+    def read(self, query: bytes) -> bytes:
+        """Answer an encoded `Query` from the current state; empty if it is none."""
+        decoded = decode_query(query)
+        if decoded is None:
+            return b""
+        if isinstance(decoded, ReadTree):
+            result = CurrentTree(self.version, self.tree)
+        elif isinstance(decoded, ReadHistory):
+            result = self._read_history(decoded)
+        else:
+            until = min(decoded.until or self.version, self.version)
+            result = self._read_changes(decoded.since, until)
+        return msgspec.msgpack.encode(result)
+
+    def get_changes(self, since: int) -> bytes:
+        """Return an update for a node that has version `since` in force."""
+        steps = [
+            Step(record.since, record.entry.version, tuple(record.operations))
+            for record in self._history
+            if record.since >= since
+        ]
+        return encode_update(self.tree, self.version, self._digest, steps, since)
+
+    def get_tree(self) -> bytes:
+        """Return the current tree as an update for any node."""
+        return encode_update(self.tree, self.version, self._digest, (), -1)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                self.index,
+                self.version,
+                self.tree,
+                list(self._history),
+                self._answers.list_all(),
+                self._answers.oldest_base,
+                self._history_floor,
+            )
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state by that of a snapshot.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If `snapshot` did not come from `snapshot`; the state stays.
+        """
+        self._load(_snapshot_decoder.decode(snapshot))
+
+    def _load(self, state):
+        self.index = state.index
+        self.version = state.version
+        self.tree = state.tree
+        self._digest = digest_tree(state.tree)
+        self._history = deque(state.history)
+        self._history_bytes = sum(record.size for record in state.history)
+        self._history_floor = state.history_floor
+        self._answers = AnswerWindow(state.answers, state.oldest_base)
+
+    def _answer_again(self, remembered, digest):
+        if remembered.digest == digest:
+            return remembered.answer
+        wrong = "this edit id was used for another edit"
+        return encode_answer(self._refuse("", wrong, "a new id for each edit"))
+
+    def _refuse(self, path, wrong, allowed):
+        return Refused(self.version, [Problem(path, wrong, allowed)])
+
+    def _apply_edit(self, edit):
+        refusal = self._check_base(edit)
+        if refusal is not None:
+            return refusal
+        following = self._build_next(edit)
+        if isinstance(following, Refused):
+            return following
+        lost = find_lost_services(self.tree, following.tree, edit.live)
+        if lost is not None and not edit.force:
+            return ForceNeeded(self.version, lost)
+        self._accept(edit, following)
+        return Accepted(self.version)
+
+    def _check_base(self, edit):
+        if edit.base == self.version:
+            return None
+        if edit.base > self.version:
+            wrong = f"version {edit.base} does not exist"
+            allowed = f"the current version, {self.version}"
+            return self._refuse("", wrong, allowed)
+        accepted = self._find_accepted(edit)
+        if accepted is not None:
+            return accepted
+        if edit.base < self._answers.oldest_base:
+            return TooOld(self.version, self._answers.oldest_base)
+        difference = self._read_changes(edit.base, self.version)
+        shown = difference.changes[:CHANGES_SHOWN]
+        omitted = len(difference.changes) - len(shown) if difference.complete else -1
+        return Conflict(self.version, edit.base, shown, omitted)
+
+    def _find_accepted(self, edit):
+        # The history reaches further back than the remembered answers.
+        for record in self._history:
+            if record.entry.edit_id == edit.edit_id and record.since == edit.base:
+                return Accepted(record.entry.version)
+        return None
+
+    def _build_next(self, edit):
+        if not edit.edit_id or not edit.operations or not edit.operator:
+            wrong = "an edit lacks its id, operator or operations"
+            return self._refuse("", wrong, "an id, an operator and operations")
+        tree = apply_operations(self.tree, edit.operations)
+        if isinstance(tree, Problem):
+            return Refused(self.version, [tree])
+        problems = check_tree(tree, self.tree)
+        if problems:
+            return Refused(self.version, problems[:CHANGES_SHOWN])
+        if len(msgspec.msgpack.encode(tree)) > TREE_MAX_BYTES:
+            allowed = f"at most {TREE_MAX_BYTES} bytes"
+            return self._refuse("", "the tree is too large", allowed)
+        return _Next(tree, digest_tree(tree), compare_trees(self.tree, tree))
+
+    def _accept(self, edit, following):
+        entry = HistoryEntry(
+            self.index,
+            edit.edit_id,
+            edit.operator,
+            edit.reason,
+            edit.time_s,
+            edit.force,
+            following.changes,
+        )
+        size = len(msgspec.msgpack.encode((entry, edit.operations)))
+        self._history.append(_Record(self.version, entry, edit.operations, size))
+        self._history_bytes += size
+        self._trim_history()
+        self.version = self.index
+        self.tree = following.tree
+        self._digest = following.digest
+
+    def _trim_history(self):
+        while (
+            len(self._history) > HISTORY_MAX_EDITS
+            or self._history_bytes > HISTORY_MAX_BYTES
+        ):
+            record = self._history.popleft()
+            self._history_bytes -= record.size
+            self._history_floor = record.entry.version
+
+    def _read_history(self, query):
+        entries = [
+            record.entry
+            for record in reversed(self._history)
+            if not query.before or record.entry.version < query.before
+        ]
+        oldest = self._history[0].entry.version if self._history else 0
+        return History(self.version, entries[: max(0, query.limit)], oldest)
+
+    def _read_changes(self, since, until):
+        steps = [
+            record.entry.changes
+            for record in self._history
+            if since < record.entry.version <= until
+        ]
+        complete = since >= self._history_floor
+        return Changes(since, until, merge_changes(steps), complete)
--- a/packages/sapphireway-state/src/sapphireway_state/_matching.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_matching.py
@@ -26,17 +26,21 @@
     """
     services = tree.get("services", {})
     hosts = _map_hosts(services)
-    prefixes = _sort_prefixes(services)
-    kinds = {
-        name: _compile_kinds(node.get("kinds", {})) for name, node in services.items()
-    }
+    prefixes = _map_prefixes(services)
+    longest = max(map(len, prefixes), default=0)
+    compiled = {}
 
     def match(method, target, headers):
         path = target.partition("?")[0]
-        service = _find_service(path, headers, services, hosts, prefixes)
+        service = _find_service(path, headers, services, hosts, prefixes, longest)
         if service is None:
             return None
-        for methods, pattern, kind in kinds[service]:
+        entries = compiled.get(service)
+        if entries is None:
+            # Most nodes see requests of few services.
+            entries = _compile_kinds(services[service].get("kinds", {}))
+            compiled[service] = entries
+        for methods, pattern, kind in entries:
             if (methods is None or method in methods) and pattern.fullmatch(path):
                 return service, kind
         return service, OTHER_KIND
@@ -44,7 +48,7 @@
     return match
 
 
-def _find_service(path, headers, services, hosts, prefixes):
+def _find_service(path, headers, services, hosts, prefixes, longest):
     host = ""
     for name, value in headers:
         lowered = name.lower()
@@ -56,10 +60,16 @@
         service = hosts.get(_strip_port(host).lower())
         if service is not None:
             return service
-    for prefix, prefix_slash, service in prefixes:
-        if path == prefix or path.startswith(prefix_slash):
+    return _find_by_prefix(path, prefixes, longest)
+
+
+def _find_by_prefix(path, prefixes, longest):
+    prefix = path if len(path) <= longest else path[: longest + 1].rpartition("/")[0]
+    while True:
+        service = prefixes.get(prefix.rstrip("/"))
+        if service is not None or not prefix:
             return service
-    return None
+        prefix = prefix.rpartition("/")[0]
 
 
 def _strip_port(host):
@@ -76,13 +86,12 @@
     }
 
 
-def _sort_prefixes(services):
-    prefixes = [
-        (prefix.rstrip("/"), prefix.rstrip("/") + "/", service)
+def _map_prefixes(services):
+    return {
+        prefix.rstrip("/"): service
         for service, node in services.items()
         for prefix in node.get("match", {}).get("path_prefixes", ())
-    ]
-    return sorted(prefixes, key=lambda prefix: (-len(prefix[0]), prefix[0]))
+    }
 
 
 def _compile_kinds(kinds):
--- a/packages/sapphireway-state/src/sapphireway_state/_rules.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rules.py
@@ -48,8 +48,6 @@
     """Return a short form of a value for messages."""
     if isinstance(value, dict):
         return "a mapping"
-    if isinstance(value, list):
-        return "a list"
     text = repr(value)
     if len(text) > SHOWN_CHARACTERS:
         return text[:SHOWN_CHARACTERS] + "..."
--- a/packages/sapphireway-state/src/sapphireway_state/_tree.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_tree.py
@@ -1,5 +1,6 @@
 """Checks a settings tree: which nodes it may have, and every value in them."""
 
+import functools
 from collections.abc import Iterator
 from typing import Any
 
@@ -25,41 +26,44 @@
 """Most named nodes in one tree."""
 
 
-def check_tree(tree: Any) -> list[Problem]:
-    """Return everything that is wrong with a tree of plain data."""
-    problems = list(_check_root(tree))
+def check_tree(tree: Any, checked: Any = None) -> list[Problem]:
+    """Return everything that is wrong with a tree of plain data.
+
+    Parameters
+    ----------
+    tree : object
+    checked : dict, optional
+        Earlier tree that nothing was wrong with. Nodes that are the same
+        objects in both are not checked again, which keeps small edits cheap.
+    """
+    problems = list(_check_root(tree, checked))
     if not problems:
         problems.extend(_check_conflicts(tree))
     return problems
 
 
-def list_names(scope: Scope) -> list[str]:
-    """Return the settings that may be given at one level."""
-    return [name for name, setting in SETTINGS.items() if scope in setting.scopes]
-
-
-def _check_root(tree):
+def _check_root(tree, known):
     children = {
         "domains": _check_domain,
         "services": _check_service,
         "servers": _check_server,
     }
-    yield from _check_node((), tree, frozenset({Scope.ROOT}), children, {})
+    yield from _check_node((), tree, known, frozenset({Scope.ROOT}), children, {})
 
 
-def _check_domain(path, node):
+def _check_domain(path, node, known):
     scopes = frozenset({Scope.DOMAIN})
     children = {"services": _check_service_of_domain}
-    yield from _check_node(path, node, scopes, children, {})
+    yield from _check_node(path, node, known, scopes, children, {})
 
 
-def _check_service(path, node):
+def _check_service(path, node, known):
     scopes = frozenset({Scope.SERVICE})
     children = {"kinds": _check_kind}
-    yield from _check_node(path, node, scopes, children, SERVICE_MATCH)
+    yield from _check_node(path, node, known, scopes, children, SERVICE_MATCH)
 
 
-def _check_kind(path, node):
+def _check_kind(path, node, known):
     scopes = frozenset({Scope.KIND})
     if path[-1] == OTHER_KIND:
         yield Problem(
@@ -67,60 +71,69 @@
             f"the kind name {OTHER_KIND!r} is taken",
             "another name; requests of no declared kind get the service's settings",
         )
-    yield from _check_node(path, node, scopes, {}, KIND_MATCH)
+    yield from _check_node(path, node, known, scopes, {}, KIND_MATCH)
 
 
-def _check_service_of_domain(path, node):
+def _check_service_of_domain(path, node, known):
     scopes = frozenset({Scope.DOMAIN, Scope.SERVICE})
     children = {"kinds": _check_kind_of_domain}
-    yield from _check_node(path, node, scopes, children, {})
+    yield from _check_node(path, node, known, scopes, children, {})
 
 
-def _check_kind_of_domain(path, node):
+def _check_kind_of_domain(path, node, known):
     scopes = frozenset({Scope.DOMAIN, Scope.KIND})
-    yield from _check_node(path, node, scopes, {}, {})
+    yield from _check_node(path, node, known, scopes, {}, {})
 
 
-def _check_server(path, node):
-    yield from _check_node(path, node, frozenset({Scope.SERVER}), {}, {})
+def _check_server(path, node, known):
+    yield from _check_node(path, node, known, frozenset({Scope.SERVER}), {}, {})
 
 
 def _check_node(
     path: Path,
     node: Any,
+    known: Any,
     scopes: frozenset[Scope],
     children: dict[str, Any],
     match: dict[str, Rule],
 ) -> Iterator[Problem]:
-    names = [
-        name
-        for name, setting in SETTINGS.items()
-        if scopes <= setting.scopes and (name != "out" or len(path) == 2)
-    ]
+    names = _list_settings(scopes)
     allowed = [*names, *children, *(["match"] if match else [])]
     if not isinstance(node, dict):
-        yield Problem(
-            join_path(path),
-            f"{show_value(node)} is not a mapping",
-            "a mapping with any of " + ", ".join(allowed),
-        )
+        yield _report_other(path, node, allowed)
         return
     for key, value in node.items():
         here = (*path, str(key))
         if key in names:
             yield from _check_value(here, SETTINGS[key].rule, value)
         elif key in children:
-            yield from _check_children(here, value, children[key])
+            yield from _check_children(
+                here, value, _find_child(known, key), children[key]
+            )
         elif key == "match" and match:
             yield from _check_match(here, value, match)
         else:
             yield _report_unknown(here, key, allowed)
 
 
+@functools.cache
+def _list_settings(scopes):
+    return tuple(name for name, setting in SETTINGS.items() if scopes <= setting.scopes)
+
+
+def _report_other(path, node, allowed):
+    return Problem(
+        join_path(path),
+        f"{show_value(node)} is not a mapping",
+        "a mapping with any of " + ", ".join(allowed),
+    )
+
+
 def _report_unknown(path, key, allowed):
     if key in SETTINGS:
         scopes = ", ".join(scope for scope in Scope if scope in SETTINGS[key].scopes)
-        wrong = f"{key!r} cannot be set here, only at: {scopes}"
+        below = " (not below a domain)" if path[0] == "domains" else ""
+        wrong = f"{key!r} cannot be set here, only at: {scopes}{below}"
     else:
         wrong = f"unknown key {show_value(key)}"
     return Problem(join_path(path), wrong, "any of " + ", ".join(allowed))
@@ -132,7 +145,7 @@
         yield Problem(join_path(path), fault, rule.allowed)
 
 
-def _check_children(path, nodes, check):
+def _check_children(path, nodes, known, check):
     if not isinstance(nodes, dict):
         yield Problem(
             join_path(path),
@@ -152,16 +165,18 @@
                 join_path(here), f"{show_value(name)} is not a name", NAME_ALLOWED
             )
         else:
-            yield from check(here, node)
+            earlier = _find_child(known, name)
+            if earlier is not node:
+                yield from check(here, node, earlier)
+
+
+def _find_child(node, name):
+    return node.get(name) if isinstance(node, dict) else None
 
 
 def _check_match(path, node, rules):
     if not isinstance(node, dict):
-        yield Problem(
-            join_path(path),
-            f"{show_value(node)} is not a mapping",
-            "a mapping with any of " + ", ".join(rules),
-        )
+        yield _report_other(path, node, rules)
         return
     for key, value in node.items():
         here = (*path, str(key))
@@ -188,7 +203,7 @@
     for service, node in services.items():
         for key, values in node.get("match", {}).items():
             for value in values:
-                owner = owners.setdefault((key, value), service)
+                owner = owners.setdefault((key, value.rstrip("/")), service)
                 if owner != service:
                     yield Problem(
                         f"services/{service}/match/{key}",
@@ -202,21 +217,14 @@
     for kind, node in kinds.items():
         match = node.get("match", {})
         for path in match.get("paths", ["/**"] if match else []):
-            for method in match.get("methods", ["*"]):
-                for pair in _list_overlaps(owners, method, path):
-                    if owners[pair] != kind:
-                        yield Problem(
-                            f"services/{service}/kinds/{kind}/match",
-                            f"{method} {path} is matched by kind {owners[pair]!r} too",
-                            "a method and path that no other kind has",
-                        )
-                owners[method, path] = kind
-
-
-def _list_overlaps(owners, method, path):
-    if method == "*":
-        return [pair for pair in owners if pair[1] == path]
-    return [pair for pair in ((method, path), ("*", path)) if pair in owners]
+            for method in match.get("methods", ["any method"]):
+                owner = owners.setdefault((method, path), kind)
+                if owner != kind:
+                    yield Problem(
+                        f"services/{service}/kinds/{kind}/match",
+                        f"{method} {path} is matched by kind {owner!r} too",
+                        "a method and path that no other kind has",
+                    )
 
 
 def _check_declared(domains, services):
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_updates.py
@@ -0,0 +1,106 @@
+"""Forms in which versions of the tree travel to the nodes that follow it."""
+
+import hashlib
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from sapphireway_state._edits import SetValue, UnsetValue
+
+
+class WholeTree(msgspec.Struct, frozen=True, tag="tree", array_like=True):
+    """One version of the tree.
+
+    Attributes
+    ----------
+    version : int
+    tree : dict
+    digest : bytes
+        `digest_tree` of the tree.
+    """
+
+    version: int
+    tree: dict[str, Any]
+    digest: bytes
+
+
+class Delta(msgspec.Struct, frozen=True, tag="delta", array_like=True):
+    """The way from one version of the tree to a later one.
+
+    Attributes
+    ----------
+    since : int
+        Version that the operations are applied to.
+    version : int
+        Version that they lead to.
+    operations : list of SetValue or UnsetValue
+    digest : bytes
+        `digest_tree` of the tree at `version`.
+    """
+
+    since: int
+    version: int
+    operations: list[SetValue | UnsetValue]
+    digest: bytes
+
+
+Update = WholeTree | Delta
+
+_decoder = msgspec.msgpack.Decoder(Update)
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """The operations between two neighbouring versions."""
+
+    since: int
+    version: int
+    operations: tuple[SetValue | UnsetValue, ...]
+
+
+def digest_tree(tree: dict[str, Any]) -> bytes:
+    """Return 16 bytes that differ if two trees do."""
+    content = msgspec.msgpack.encode(tree, order="deterministic")
+    return hashlib.sha256(content).digest()[:16]
+
+
+def encode_update(
+    tree: dict[str, Any], version: int, digest: bytes, steps: Iterable[Step], since: int
+) -> bytes:
+    """Return the shorter of the whole tree and the way from `since` on.
+
+    Parameters
+    ----------
+    tree : dict
+    version : int
+        Version of `tree`.
+    digest : bytes
+        Digest of `tree`.
+    steps : iterable of Step
+        Known steps, oldest first; the last one leads to `version`.
+    since : int
+        Version that the receiver has.
+
+    Returns
+    -------
+    bytes
+        An encoded `Update`.
+    """
+    whole = msgspec.msgpack.encode(WholeTree(version, tree, digest))
+    way = list(itertools.dropwhile(lambda step: step.since != since, steps))
+    if not way:
+        return whole
+    operations = [operation for step in way for operation in step.operations]
+    delta = msgspec.msgpack.encode(Delta(since, version, operations, digest))
+    return min(delta, whole, key=len)
+
+
+def decode_update(content: bytes) -> Update | None:
+    """Return the update, or None if `content` is none."""
+    try:
+        return _decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError, ValueError, TypeError):
+        return None
--- a/packages/sapphireway-state/src/sapphireway_state/_yaml.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_yaml.py
@@ -11,13 +11,14 @@
 from sapphireway_state._view import SettingsView
 
 FILE_MAX_BYTES = 8 * 1024 * 1024
-VALUES_MAX = 1_000_000
+VALUES_MAX = 200_000
 DEPTH_MAX = 32
 
 ALLOWED_DOCUMENT = "one YAML document in UTF-8"
-ALLOWED_TAGS = frozenset(
+SCALAR_TAGS = frozenset(
     f"tag:yaml.org,2002:{name}" for name in ("bool", "float", "int", "null", "str")
 )
+COLLECTION_TAGS = frozenset(f"tag:yaml.org,2002:{name}" for name in ("map", "seq"))
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,6 +143,9 @@
             return None
         if isinstance(node, yaml.ScalarNode):
             return self._read_scalar(node, path)
+        if node.tag not in COLLECTION_TAGS:
+            self._report(path, f"unknown tag {node.tag!r}", "no tags")
+            return None
         self._open.add(id(node))
         try:
             if isinstance(node, yaml.MappingNode):
@@ -151,7 +155,7 @@
             self._open.discard(id(node))
 
     def _read_scalar(self, node, path):
-        if node.tag not in ALLOWED_TAGS:
+        if node.tag not in SCALAR_TAGS:
             name = node.tag.rpartition(":")[2]
             self._report(
                 path,
--- /dev/null
+++ b/packages/sapphireway-state/tests/test_follower.py
@@ -0,0 +1,84 @@
+import msgspec
+import pytest
+
+from sapphireway_state import (
+    Applied,
+    Edit,
+    SettingsFollower,
+    SettingsMachine,
+    SetValue,
+    encode_edit,
+)
+
+
+@pytest.fixture
+def machine():
+    machine = SettingsMachine()
+    for index in range(1, 6):
+        edit = Edit(f"e{index}", index - 1, [SetValue("weight", index)], "an")
+        machine.apply(index, encode_edit(edit))
+    return machine
+
+
+def test_older_version_is_never_applied(machine):
+    follower = SettingsFollower()
+    older = SettingsMachine()
+    older.apply(1, encode_edit(Edit("e1", 0, [SetValue("weight", 1)], "an")))
+    assert follower.apply_update(machine.get_tree()) is Applied.NEW
+    assert follower.apply_update(older.get_tree()) is Applied.OLD
+    assert follower.view.version == 5
+    assert follower.view.resolve("a", "b", "c").weight == 5
+
+
+def test_delta_from_another_version_needs_whole_tree(machine):
+    tree = {f"s{number}": {} for number in range(99)}
+    edit = Edit("e6", 5, [SetValue("servers", tree)], "an")
+    machine.apply(6, encode_edit(edit))
+    edit = Edit("e7", 6, [SetValue("weight", 9)], "an")
+    machine.apply(7, encode_edit(edit))
+    follower = SettingsFollower()
+    assert follower.apply_update(machine.get_changes(6)) is Applied.NEEDS_WHOLE
+    assert follower.view.version == 0
+    assert follower.apply_update(machine.get_changes(0)) is Applied.NEW
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda update: update[:-1],
+        lambda update: update.replace(b"weight", b"weihgt"),
+        lambda update: b"",
+    ],
+)
+def test_damaged_update_changes_nothing(machine, spoil):
+    follower = SettingsFollower()
+    assert follower.apply_update(spoil(machine.get_tree())) is Applied.BROKEN
+    assert follower.fault
+    assert follower.view.version == 0
+
+
+def test_tree_with_unknown_setting_is_refused_as_a_whole(machine):
+    follower = SettingsFollower()
+    follower.apply_update(machine.get_tree())
+    update = msgspec.msgpack.decode(machine.get_tree())
+    update[1] += 1
+    update[2] = {"weight": 9, "of_a_later_program": 1}
+    update[3] = _digest(update[2])
+    assert follower.apply_update(msgspec.msgpack.encode(update)) is Applied.BROKEN
+    assert "of_a_later_program" in follower.fault
+    assert follower.view.tree == {"weight": 5}
+
+
+def test_kept_tree_brings_a_restarted_node_to_its_version(machine):
+    follower = SettingsFollower()
+    follower.apply_update(machine.get_tree())
+    restarted = SettingsFollower()
+    restarted.apply_update(follower.get_tree())
+    assert restarted.view.version == 5
+    assert restarted.apply_update(machine.get_changes(5)) is Applied.OLD
+
+
+def _digest(tree):
+    from sapphireway_state._updates import digest_tree
+
+    return digest_tree(tree)
--- /dev/null
+++ b/packages/sapphireway-state/tests/test_process.py
@@ -0,0 +1,71 @@
+import pytest
+
+from sapphireway_state import Invalid, check_file, format_problem, load_process
+
+GOOD = """\
+address: 127.0.0.1:7100
+http_address: 127.0.0.1:8080
+admin_address: "[::1]:9090"
+domain: bxl-a
+region: be-central
+data_folder: data
+control_hosts: [127.0.0.1:7100]
+"""
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write(text):
+        path = tmp_path / "node.yaml"
+        path.write_text(text)
+        return path
+
+    return write
+
+
+def test_relative_paths_begin_at_the_folder_of_the_file(write):
+    path = write(GOOD + "token_file: /run/token\n")
+    settings = load_process(path)
+    assert settings.data_folder == str(path.parent / "data")
+    assert settings.token_file == "/run/token"
+    assert settings.control_hosts == ("127.0.0.1:7100",)
+    assert settings.control is False
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "wrong", "allowed"),
+    [
+        ("domain: bxl-a\n", "", ":1: domain: is missing", "1 to 128"),
+        ("domain: bxl-a", "domain: 5", ":4: domain: 5 is not a string", "1 to 128"),
+        (":8080", ":99999", "http_address: '127.0.0.1:99999' is out", "port 1 to"),
+        ("address: 127.0.0.1:7", "address: localhost:7", "'localhost:7100'", "IP num"),
+        ('"[::1]:9090"', "'::1:9090'", "admin_address: '::1:9090' is out", "[::1]"),
+        (":8080", ":7100", "http_address: '127.0.0.1:7100' is in use", "of its own"),
+        ("[127.0.0.1:7100]", "[]", "control_hosts: neither", "at least one"),
+        ("region", "regoin", ":5: regoin: unknown key", "any of address"),
+        (GOOD[-15:], GOOD[-15:] + "log_level: loud\n", "log_level: 'loud'", "debug"),
+        (GOOD[-15:], GOOD[-15:] + "bootstrap: true\n", "bootstrap: is set", "false"),
+        (
+            "[127.0.0.1:7100]",
+            "[127.0.0.2:7100]\ncontrol: true",
+            "lacks this control host's own address",
+            "this one's too",
+        ),
+    ],
+)
+def test_bad_file_says_where_what_and_what_is_allowed(
+    write, before, after, wrong, allowed
+):
+    path = write(GOOD.replace(before, after, 1))
+    result = load_process(path)
+    assert isinstance(result, Invalid)
+    lines = [format_problem(problem) for problem in result.problems]
+    found = [line for line in lines if wrong in line and allowed in line]
+    assert found, lines
+    assert found[0].startswith(str(path))
+    assert check_file(path) == list(result.problems)
+
+
+def test_check_takes_other_files_for_trees(write):
+    assert check_file(write("weight: 5\n")) == []
+    assert check_file(write("weight: 500\n"))[0].path == "weight"
