Serve the operator's HTTP interface on the admin address

Settings are read and changed, and status, explanations, spans, metrics and health are told, through a narrow backend, so that the handlers need neither a quorum nor a node: the same application runs over an in-memory backend.

All changes are edits by one path, POST /v1/edits; ruled out were paths for each kind of change, each of which would need its own base, id and force. Edits that may take a domain or server out carry the live servers that this node knows. Changes need the token of a file with mode 0600, compared in constant time; without it 401 and one log event.

--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -22,7 +22,22 @@
 )
 from sapphireway_state._follower import Applied, SettingsFollower
 from sapphireway_state._machine import SettingsMachine
-from sapphireway_state._operations import apply_operations, compare_trees
+from sapphireway_state._operations import (
+    apply_operations,
+    compare_trees,
+    list_operations,
+    list_out,
+)
+from sapphireway_state._operator_api import (
+    DomainStatus,
+    EditRequest,
+    ErrorReply,
+    NodeStatus,
+    ServerStatus,
+    SettingsReply,
+    StatusReport,
+    sum_domains,
+)
 from sapphireway_state._policy import Policy
 from sapphireway_state._problems import Invalid, Problem, format_problem
 from sapphireway_state._process import (
@@ -47,6 +62,7 @@
 from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
+from sapphireway_state._why import explain_path, get_value
 from sapphireway_state._yaml import (
     Document,
     dump_yaml,
@@ -67,13 +83,17 @@
     "Conflict",
     "CurrentTree",
     "Document",
+    "DomainStatus",
     "Edit",
+    "EditRequest",
+    "ErrorReply",
     "ForceNeeded",
     "History",
     "HistoryEntry",
     "Invalid",
     "LiveServers",
     "LostService",
+    "NodeStatus",
     "Operation",
     "Policy",
     "Problem",
@@ -83,12 +103,15 @@
     "ReadTree",
     "Refused",
     "Scope",
+    "ServerStatus",
     "SetValue",
     "Setting",
     "SettingsFollower",
     "SettingsMachine",
+    "SettingsReply",
     "SettingsView",
     "Source",
+    "StatusReport",
     "TooOld",
     "UnsetValue",
     "apply_operations",
@@ -103,12 +126,17 @@
     "encode_answer",
     "encode_edit",
     "encode_query",
+    "explain_path",
     "format_problem",
+    "get_value",
     "list_left",
+    "list_operations",
+    "list_out",
     "load_process",
     "load_tree",
     "parse_process",
     "parse_tree",
     "parse_yaml",
+    "sum_domains",
     "takes_out",
 ]
--- a/packages/sapphireway-state/src/sapphireway_state/_edits.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_edits.py
@@ -11,14 +11,14 @@
 """Most changes that the answer to a lost race carries."""
 
 
-class SetValue(msgspec.Struct, frozen=True, tag="set", array_like=True):
+class SetValue(msgspec.Struct, frozen=True, tag="set", tag_field="op"):
     """Put a value or a whole node at a path; the empty path is the whole tree."""
 
     path: str
     value: Any
 
 
-class UnsetValue(msgspec.Struct, frozen=True, tag="unset", array_like=True):
+class UnsetValue(msgspec.Struct, frozen=True, tag="unset", tag_field="op"):
     """Remove what is set at a path, so that it is inherited again."""
 
     path: str
@@ -65,7 +65,7 @@
     live: list[LiveServers] | None = None
 
 
-class Change(msgspec.Struct, frozen=True, array_like=True):
+class Change(msgspec.Struct, frozen=True):
     """One value before and after; None where nothing is set."""
 
     path: str
@@ -121,7 +121,7 @@
     oldest_base: int
 
 
-class LostService(msgspec.Struct, frozen=True, array_like=True):
+class LostService(msgspec.Struct, frozen=True):
     """A service that would have no failure domain left, and those it has now."""
 
     service: str
--- a/packages/sapphireway-state/src/sapphireway_state/_operations.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_operations.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from sapphireway_state._edits import Change, Operation, SetValue
+from sapphireway_state._edits import Change, Operation, SetValue, UnsetValue
 from sapphireway_state._problems import Problem
 
 DECLARED_DEPTHS = {"services": 2, "kinds": 4}
@@ -44,6 +44,22 @@
     return value if isinstance(value, dict) else None
 
 
+def list_operations(before: Any, after: Any, path: str = "") -> list[Operation]:
+    """Return the operations that lead from one tree to another."""
+    operations = []
+    for name in sorted(before.keys() | after.keys()):
+        here = f"{path}/{name}" if path else name
+        if name not in after:
+            operations.append(UnsetValue(here))
+        elif name not in before:
+            operations.append(SetValue(here, after[name]))
+        elif isinstance(before[name], dict) and isinstance(after[name], dict):
+            operations.extend(list_operations(before[name], after[name], here))
+        elif before[name] != after[name]:
+            operations.append(SetValue(here, after[name]))
+    return operations
+
+
 def list_out(tree: dict[str, Any], level: str) -> set[str]:
     """Return names of the ``domains`` or ``servers`` that are out of service."""
     return {name for name, node in tree.get(level, {}).items() if node.get("out")}
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/memory/__init__.py
@@ -0,0 +1,5 @@
+"""In-memory implementations of the node's seams, for tests."""
+
+from sapphireway.memory._operator import MemoryOperator
+
+__all__ = ["MemoryOperator"]
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -0,0 +1,100 @@
+"""An operator backend with one settings machine and no quorum."""
+
+from sapphireway._operator_backend import OperatorBackend, Unavailable
+from sapphireway_state import SettingsMachine, SettingsView, StatusReport
+
+
+class MemoryOperator:
+    """State behind an `OperatorBackend` that tests drive.
+
+    Attributes
+    ----------
+    machine : SettingsMachine
+    live : list of LiveServers
+    status : StatusReport
+    explanations, traces : list of dict
+    faults : list of str
+    token : str or None
+    events : list of (str, dict)
+        What was logged.
+    answers_to_lose : int
+        So many of the next edits are accepted, but their answers are lost.
+    unavailable : bool
+        Whether no quorum can be reached.
+    """
+
+    __slots__ = (
+        "answers_to_lose",
+        "events",
+        "explanations",
+        "faults",
+        "live",
+        "machine",
+        "status",
+        "time_s",
+        "token",
+        "traces",
+        "unavailable",
+    )
+
+    def __init__(self, token: str | None = None):
+        self.answers_to_lose = 0
+        self.events = []
+        self.explanations = []
+        self.faults = []
+        self.live = []
+        self.machine = SettingsMachine()
+        self.status = StatusReport(0, [], [])
+        self.time_s = 1_000_000.0
+        self.token = token
+        self.traces = []
+        self.unavailable = False
+
+    def make_backend(self) -> OperatorBackend:
+        """Return the seam to this state."""
+        return OperatorBackend(
+            propose=self._propose,
+            read=self._read,
+            get_view=self._get_view,
+            list_live=lambda: self.live,
+            get_status=self._get_status,
+            get_explanations=self._get_explanations,
+            get_traces=self._get_traces,
+            render_metrics=lambda: "sapphireway_calls_total 0\n",
+            get_faults=lambda: self.faults,
+            get_token=lambda: self.token,
+            read_time_s=lambda: self.time_s,
+            log_event=lambda name, **fields: self.events.append((name, fields)),
+        )
+
+    async def _propose(self, command):
+        if self.unavailable:
+            return Unavailable("no quorum")
+        answer = self.machine.apply(self.machine.index + 1, command)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            return Unavailable("the leader was lost", may_have_run=True)
+        return answer
+
+    async def _read(self, query):
+        if self.unavailable:
+            return Unavailable("no quorum")
+        return self.machine.read(query)
+
+    def _get_view(self):
+        return SettingsView(self.machine.tree, self.machine.version)
+
+    async def _get_status(self):
+        return self.status
+
+    def _get_explanations(self, service, server, call):
+        wanted = {"service": service, "server": server, "call": call}
+        return [
+            row
+            for row in self.explanations
+            if all(row.get(name) == value for name, value in wanted.items() if value)
+        ]
+
+    def _get_traces(self, trace, limit):
+        spans = [span for span in self.traces if trace in (None, span["trace"])]
+        return spans[:limit]
--- /dev/null
+++ b/packages/sapphireway/tests/test_operator.py
@@ -0,0 +1,144 @@
+import http.client
+import json
+
+import pytest
+
+from sapphireway_state import LiveServers, StatusReport
+
+WEIGHT = {"op": "set", "path": "weight", "value": 5}
+OUT = {"op": "set", "path": "domains/bxl-a/out", "value": True}
+
+
+@pytest.fixture
+def ask(operator_node):
+    def ask(method, path, body=None, token=None):
+        connection = http.client.HTTPConnection(operator_node.address, timeout=5)
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        content = body if isinstance(body, (str, type(None))) else json.dumps(body)
+        connection.request(method, path, content, headers)
+        response = connection.getresponse()
+        text = response.read()
+        connection.close()
+        is_json = response.headers["Content-Type"] == "application/json"
+        return response.status, json.loads(text) if is_json else text.decode()
+
+    return ask
+
+
+@pytest.fixture
+def post(ask, operator_node):
+    def post(edit_id, base, *operations, **more):
+        body = {
+            "edit_id": edit_id,
+            "base": base,
+            "operations": operations,
+            "operator": "an",
+            **more,
+        }
+        return ask("POST", "/v1/edits", body, operator_node.token)
+
+    return post
+
+
+def test_edit_is_accepted_and_read_back(post, ask):
+    assert post("a", 0, WEIGHT) == (200, {"type": "accepted", "version": 1})
+    status, reply = ask("GET", "/v1/settings?path=weight")
+    assert (status, reply["version"], reply["value"]) == (200, 1, 5)
+    assert reply["sources"] == [{"name": "weight", "value": 5, "node": ""}]
+    assert ask("GET", "/v1/history")[1]["entries"][0]["time_s"] == 1_000_000.0
+    changes = ask("GET", "/v1/changes?since=0")[1]["changes"]
+    assert changes == [{"path": "weight", "before": None, "after": 5}]
+
+
+def test_answers_are_told_apart_by_status(post, operator_node):
+    post("a", 0, WEIGHT)
+    status, reply = post("b", 0, WEIGHT)
+    assert (status, reply["type"], reply["version"]) == (409, "conflict", 1)
+    assert reply["changes"][0]["path"] == "weight"
+    status, reply = post("c", 1, {"op": "set", "path": "weight", "value": 0})
+    assert (status, reply["problems"][0]["allowed"]) == (422, "integer 1 to 100")
+    operator_node.state.live = [LiveServers("ledger", "bxl-a", ["l1"])]
+    status, reply = post("d", 1, OUT)
+    assert (status, reply["lost"]) == (
+        412,
+        [{"service": "ledger", "domains": ["bxl-a"]}],
+    )
+    assert post("e", 1, OUT, force=True)[0] == 200
+
+
+@pytest.mark.parametrize("token", [None, "wrong", "0123456789abcdef-tokem", "é"])
+def test_change_without_token_is_refused_and_logged(ask, operator_node, token):
+    body = {"edit_id": "a", "base": 0, "operations": [WEIGHT], "operator": "an"}
+    status, reply = ask("POST", "/v1/edits", body, token)
+    assert (status, reply["error"]) == (401, "unauthorized")
+    assert operator_node.state.machine.version == 0
+    [(name, fields)] = operator_node.state.events
+    assert (name, fields["path"]) == ("operator_unauthorized", "/v1/edits")
+
+
+def test_node_without_token_changes_nothing(ask, operator_node):
+    operator_node.state.token = None
+    assert ask("POST", "/v1/edits", {}, "None")[0] == 401
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "",
+        "{",
+        "[]",
+        '{"edit_id": "a", "base": 0, "operations": [], "operator": "x", "more": 1}',
+        '{"edit_id": "a", "base": "0", "operations": [], "operator": "x"}',
+        '{"edit_id": "a", "base": 0, "operations": [{"op": "add"}], "operator": "x"}',
+        '{"edit_id": "a", "base": 0, "operator": "x", "operations": '
+        '[{"op": "set", "path": "weight", "value": 1' + "0" * 40 + "}]}",
+        "[" * 100_000,
+    ],
+)
+def test_malformed_edit_is_refused(ask, operator_node, body):
+    status, reply = ask("POST", "/v1/edits", body, operator_node.token)
+    assert (status, reply["error"]) == (400, "bad_request")
+    assert operator_node.state.machine.index == 0
+
+
+def test_lost_quorum_is_told(post, ask, operator_node):
+    operator_node.state.answers_to_lose = 1
+    assert post("a", 0, WEIGHT)[1]["error"] == "unknown"
+    assert post("a", 0, WEIGHT) == (200, {"type": "accepted", "version": 1})
+    operator_node.state.unavailable = True
+    assert post("b", 1, WEIGHT)[1]["error"] == "unavailable"
+    assert ask("GET", "/v1/settings")[0] == 503
+    assert ask("GET", "/v1/settings?local=1")[1]["value"] == {"weight": 5}
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/v1/nothing", 404),
+        ("GET", "/v1/settings?path=weigth", 404),
+        ("GET", "/v1/settings?path=servers/s1", 404),
+        ("GET", "/v1/history?limit=x", 400),
+        ("GET", "/v1/changes?since=-1", 400),
+        ("DELETE", "/v1/settings", 405),
+        ("GET", "/v1/edits", 405),
+    ],
+)
+def test_bad_request_gets_a_reason(ask, method, path, status):
+    found, reply = ask(method, path)
+    assert found == status
+    assert reply["detail"]
+
+
+def test_node_tells_status_explanations_traces_metrics_health(ask, operator_node):
+    state = operator_node.state
+    state.status = StatusReport(4, [], [])
+    state.explanations = [{"service": "ledger", "reason": "x"}, {"service": "other"}]
+    state.traces = [{"trace": "t1"}, {"trace": "t2"}]
+    assert ask("GET", "/v1/status")[1]["version"] == 4
+    assert len(ask("GET", "/v1/explanations?service=ledger")[1]) == 1
+    assert ask("GET", "/v1/traces?trace=t2")[1] == [{"trace": "t2"}]
+    assert len(ask("GET", "/v1/traces?limit=1")[1]) == 1
+    assert ask("GET", "/metrics")[1].startswith("sapphireway_calls_total")
+    assert ask("GET", "/health") == (200, {"healthy": True, "faults": []})
+    state.faults = ["disk"]
+    assert ask("GET", "/health")[0] == 503
