--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -32,7 +32,22 @@
 )
 from sapphireway_state._leases import Lease, LeaseTable, is_newer_entry
 from sapphireway_state._machine import SettingsMachine
-from sapphireway_state._operations import apply_operations, compare_trees
+from sapphireway_state._operations import (
+    apply_operations,
+    compare_trees,
+    list_operations,
+    list_out,
+)
+from sapphireway_state._operator_api import (
+    DomainStatus,
+    EditRequest,
+    ErrorReply,
+    NodeStatus,
+    ServerStatus,
+    SettingsReply,
+    StatusReport,
+    sum_domains,
+)
 from sapphireway_state._policy import Policy
 from sapphireway_state._problems import Invalid, Problem, format_problem
 from sapphireway_state._process import (
@@ -60,6 +75,7 @@
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
 from sapphireway_state._vote import VoteRecord, Witness, load_vote, save_vote
+from sapphireway_state._why import explain_path, get_value
 from sapphireway_state._yaml import (
     Document,
     dump_yaml,
@@ -82,7 +98,10 @@
     "Conflict",
     "CurrentTree",
     "Document",
+    "DomainStatus",
     "Edit",
+    "EditRequest",
+    "ErrorReply",
     "ForceNeeded",
     "History",
     "HistoryEntry",
@@ -95,6 +114,7 @@
     "LeaseTable",
     "LiveServers",
     "LostService",
+    "NodeStatus",
     "NothingToRecover",
     "Operation",
     "Policy",
@@ -106,13 +126,16 @@
     "Recovered",
     "Refused",
     "Scope",
+    "ServerStatus",
     "SetValue",
     "Setting",
     "SettingsFollower",
     "SettingsMachine",
+    "SettingsReply",
     "SettingsView",
     "Snapshot",
     "Source",
+    "StatusReport",
     "TooOld",
     "UnsetValue",
     "VoteRecord",
@@ -134,9 +157,13 @@
     "encode_members",
     "encode_query",
     "encode_snapshot",
+    "explain_path",
     "format_problem",
+    "get_value",
     "is_newer_entry",
     "list_left",
+    "list_operations",
+    "list_out",
     "load_process",
     "load_tree",
     "load_vote",
@@ -145,5 +172,6 @@
     "parse_yaml",
     "recover_alone",
     "save_vote",
+    "sum_domains",
     "takes_out",
 ]
--- a/packages/sapphireway-state/src/sapphireway_state/_follower.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_follower.py
@@ -79,7 +79,7 @@
     def _check_and_adopt(self, update, tree, steps):
         if digest_tree(tree) != update.digest:
             return self._refuse("the digest does not fit the tree")
-        problems = check_tree(tree)
+        problems = check_tree(tree, self.view.tree)
         if problems:
             return self._refuse(format_problem(problems[0]))
         self._adopt(tree, update.version, update.digest)
--- a/packages/sapphireway-state/src/sapphireway_state/_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_machine.py
@@ -129,9 +129,11 @@
         remembered = self._answers.find(edit.edit_id)
         if remembered is not None:
             return self._answer_again(remembered, digest)
-        answer = encode_answer(self._apply_edit(edit))
-        self._answers.add(RememberedAnswer(edit.edit_id, index, digest, answer))
-        return answer
+        answer = self._apply_edit(edit)
+        content = encode_answer(answer)
+        if not isinstance(answer, TooOld):
+            self._answers.add(RememberedAnswer(edit.edit_id, index, digest, content))
+        return content
 
     def read(self, query: bytes) -> bytes:
         """Answer an encoded `Query` from the current state; empty if it is none."""
@@ -247,7 +249,7 @@
         tree = apply_operations(self.tree, edit.operations)
         if isinstance(tree, Problem):
             return Refused(self.version, [tree])
-        problems = check_tree(tree)
+        problems = check_tree(tree, self.tree)
         if problems:
             return Refused(self.version, problems[:CHANGES_SHOWN])
         if len(msgspec.msgpack.encode(tree)) > TREE_MAX_BYTES:
