--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -82,7 +82,7 @@
 from sapphireway_coordination._in_force import StateInForce
 from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member, make_member
-from sapphireway_coordination._membership import Membership
+from sapphireway_coordination._membership import Membership, NodeReport
 from sapphireway_coordination._quorum import Quorum
 from sapphireway_coordination._quorum_types import (
     Answer,
@@ -163,6 +163,7 @@
     "MemberEjected",
     "MemberRestored",
     "Membership",
+    "NodeReport",
     "NotLeader",
     "ObserveCall",
     "ProbeSent",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -135,7 +135,7 @@
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
         self._ended.append(result)
-        if self._is_stale(result) and self._resend_stale(attempt):
+        if self._is_stale(result) and self._resend_stale():
             return None
         if self._may_repeat(result) and self._try_retry():
             return None
@@ -149,7 +149,7 @@
     def _is_stale(self, result):
         return isinstance(result, NotRun) and result.reason is NotRunReason.STALE
 
-    def _resend_stale(self, attempt):
+    def _resend_stale(self):
         """Repeat an attempt that its receiver refused for want of a clock reading.
 
         The refusal carried the reading. It costs the server nothing, so that no
@@ -158,7 +158,6 @@
         if self._resent:
             return False
         self._resent = True
-        self._tried.remove(attempt.load)
         return self._send_attempt(AttemptCause.RESYNC)
 
     def _try_retry(self):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -1,7 +1,7 @@
 """The membership directory that a control host keeps for all nodes."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from sapphireway_protocol import (
@@ -59,11 +59,19 @@
     peers : Peers
     others : sequence of str
         Addresses of the other control hosts.
+    get_role : callable
+        Returns this host's role in the control quorum, for operators.
     """
 
-    __slots__ = ("_neighbours", "_peers", "_started_s", "_table")
+    __slots__ = ("_get_role", "_neighbours", "_peers", "_started_s", "_table")
 
-    def __init__(self, peers: Peers, others: Sequence[str]):
+    def __init__(
+        self,
+        peers: Peers,
+        others: Sequence[str],
+        get_role: Callable[[], str] = lambda: "",
+    ):
+        self._get_role = get_role
         self._neighbours = {address: _Neighbour(address) for address in others}
         self._peers = peers
         self._started_s = asyncio.get_running_loop().time()
@@ -97,6 +105,8 @@
         lease.expires_s = now_s + LEASE_S
         lease.settings_version = envelope.settings_version
         lease.in_force_since_s = message.in_force_since_s
+        lease.load = message.load
+        lease.started = message.started
         if message.services is not None:
             lease.services = frozenset(message.services)
         self._peers.reply(sender, envelope, self._answer(message, lease, now_s))
@@ -220,12 +230,17 @@
     def _list_nodes(self, sender, envelope):
         nodes = [
             NodeStatus(
-                lease.entry, lease.alive, lease.settings_version, lease.in_force_since_s
+                lease.entry,
+                lease.alive,
+                lease.settings_version,
+                lease.in_force_since_s,
+                lease.load,
+                lease.started,
             )
             for lease in self._table.list_all()
             if lease.owner == self._peers.address
         ]
-        self._peers.reply(sender, envelope, NodeList(nodes))
+        self._peers.reply(sender, envelope, NodeList(nodes, self._get_role()))
 
 
 def _presents_newer(sender, entry, lease):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from sapphireway_coordination._members import Member, make_member
-from sapphireway_protocol import NodeEntry, Peers, Renew, Renewed, ServerEntry
+from sapphireway_protocol import LoadReport, NodeEntry, Peers, Renew, Renewed, ServerEntry
 
 RENEW_INTERVAL_S = 0.4
 RENEW_RESEND_S = 0.1
@@ -14,6 +15,25 @@
 RENEWALS_UNTIL_MOVE = 2
 
 
+@dataclass(slots=True, frozen=True)
+class NodeReport:
+    """What operators see of a node.
+
+    Attributes
+    ----------
+    in_force_since_s : float
+        Wall-clock time at which the settings in force were applied.
+    load : LoadReport or None
+        Load of the server beside the node.
+    started : int
+        Requests handed to that server since the node started.
+    """
+
+    in_force_since_s: float = 0.0
+    load: LoadReport | None = None
+    started: int = 0
+
+
 class Membership:
     """Renews this node's lease with a directory and follows its changes.
 
@@ -25,8 +45,8 @@
     entry : NodeEntry
         This node without servers.
     rng : random.Random
-    get_in_force_since : callable
-        Wall-clock time at which the settings in force were applied.
+    get_report : callable
+        Returns what operators see of this node.
 
     Attributes
     ----------
@@ -42,7 +62,7 @@
         "_directories",
         "_directory_incarnation",
         "_entry",
-        "_get_in_force_since",
+        "_get_report",
         "_members",
         "_nodes",
         "_peers",
@@ -65,12 +85,12 @@
         directories: Sequence[str],
         entry: NodeEntry,
         rng: random.Random,
-        get_in_force_since: Callable[[], float] = lambda: 0.0,
+        get_report: Callable[[], NodeReport] = NodeReport,
     ):
         self._directories = list(directories)
         self._directory_incarnation = ""
         self._entry = entry
-        self._get_in_force_since = get_in_force_since
+        self._get_report = get_report
         self._members = {}
         self._nodes = {}
         self._peers = peers
@@ -147,13 +167,16 @@
 
     async def _renew(self):
         started_s = asyncio.get_running_loop().time()
+        report = self._get_report()
         message = Renew(
             self._entry.revision,
             self._entry if self._send_entry else None,
             sorted(self._services) if self._send_services else None,
             self._directory_incarnation,
             self._version,
-            self._get_in_force_since(),
+            report.in_force_since_s,
+            report.load,
+            report.started,
         )
         revision, services = self._entry.revision, frozenset(self._services)
         reply = await self._peers.request(
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from sapphireway_protocol._calls import LoadReport
+
 
 class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
     """A server as the node beside it presents it.
@@ -67,6 +69,10 @@
         Last change that the node has seen.
     in_force_since_s : float
         Wall-clock time at which the node's settings came into force.
+    load : LoadReport or None
+        Load of the server beside the node, for operators.
+    started : int
+        Requests handed to that server since the node started.
     """
 
     revision: int
@@ -75,6 +81,8 @@
     directory: str
     version: int
     in_force_since_s: float = 0.0
+    load: LoadReport | None = None
+    started: int = 0
 
 
 class Renewed(msgspec.Struct, frozen=True, tag="renewed", array_like=True):
@@ -164,12 +172,18 @@
     settings_version : int
     in_force_since_s : float
         Wall-clock time at which that version came into force at the node.
+    load : LoadReport or None
+        Load of the server beside the node at its last renewal.
+    started : int
+        Requests handed to that server since the node started.
     """
 
     entry: NodeEntry
     alive: bool
     settings_version: int
     in_force_since_s: float
+    load: LoadReport | None
+    started: int
 
 
 class ListNodes(msgspec.Struct, frozen=True, tag="list_nodes", array_like=True):
@@ -177,9 +191,17 @@
 
 
 class NodeList(msgspec.Struct, frozen=True, tag="node_list", array_like=True):
-    """Answer to `ListNodes`."""
+    """Answer to `ListNodes`.
+
+    Attributes
+    ----------
+    nodes : list of NodeStatus
+    role : str
+        Role of the directory's host in the control quorum.
+    """
 
     nodes: list[NodeStatus]
+    role: str
 
 
 MESSAGES = (Renew, Renewed, SyncLeases, SyncedLeases, ListNodes, NodeList)
--- a/packages/sapphireway-state/src/sapphireway_state/_leases.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_leases.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from sapphireway_protocol import LeaseEntry, NodeEntry
+from sapphireway_protocol import LeaseEntry, LoadReport, NodeEntry
 
 
 @dataclass(slots=True)
@@ -26,6 +26,10 @@
         Version in force at the node; only known at the owner.
     in_force_since_s : float
         Wall-clock time since when; only known at the owner.
+    load : LoadReport or None
+        Load of the server beside the node; only known at the owner.
+    started : int
+        Requests handed to that server; only known at the owner.
     services : frozenset of str or None
         Services that the node follows; only known at the owner.
     """
@@ -38,6 +42,8 @@
     version: int = 0
     settings_version: int = 0
     in_force_since_s: float = 0.0
+    load: LoadReport | None = None
+    started: int = 0
     services: frozenset | None = None
 
 
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -88,7 +88,7 @@
         self._state = state
         self._update_due = False
         others = [host for host in settings.control_hosts if host != settings.address]
-        self._directory = Directory(peers, others)
+        self._directory = Directory(peers, others, lambda: self._quorum.get_status().role)
         self._machine = ControlMachine(self._note_change)
         self._disk = FileDisk(Path(settings.data_folder) / JOURNAL_FOLDER)
         self._quorum = Quorum(
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -11,7 +11,6 @@
 
 import msgspec
 import tornado.httpserver
-import tornado.web
 
 from sapphireway._callers import CallerApi
 from sapphireway._control import ControlHost
@@ -20,10 +19,15 @@
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
 from sapphireway._observations import make_observe
+from sapphireway._operations import Operations
+from sapphireway._operator import OPERATOR_BODY_MAX_BYTES, make_operator_application
+from sapphireway._operator_backend import OperatorBackend
+from sapphireway._operator_token import make_token_reader
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
     GROUP_PREFIX,
     Answer,
+    AttemptStarted,
     Claimant,
     ClaimHolder,
     ControlClient,
@@ -31,6 +35,7 @@
     Gate,
     HolderSettings,
     Membership,
+    NodeReport,
     SettingsChannel,
     StateInForce,
 )
@@ -47,6 +52,7 @@
 SERVER_CHECK_INTERVAL_S = 0.1
 FIRST_MEMBERS_TIMEOUT_S = 1.0
 CONTROL_READ_TIMEOUT_S = 1.0
+CONTROL_SILENCE_MAX_S = 5.0
 SPANS_KEPT = 1000
 MS_PER_S = 1000
 STATE_FOLDER = "state"
@@ -84,6 +90,7 @@
         "_presented",
         "_settings",
         "_spans",
+        "_started",
         "_state",
         "_tasks",
         "_tracer",
@@ -94,6 +101,7 @@
         self._log = log
         self._tasks = []
         self._presented = []
+        self._started = 0
         rng = random.Random(settings.seed)
         self._metrics = Metrics()
         self._decisions = DecisionLog()
@@ -106,7 +114,8 @@
         self._listener = HttpListener(
             self._callers.handle, self._callers.prepare, self._callers.reject
         )
-        self._admin = tornado.httpserver.HTTPServer(self._build_admin())
+        self._admin = self._build_admin()
+        self._watch_gauges()
 
     async def start(self) -> None:
         """Bind the addresses and begin all tasks.
@@ -194,7 +203,7 @@
             settings.control_hosts,
             _make_entry(settings, incarnation),
             rng,
-            lambda: self._channel.in_force_since_s,
+            self._get_report,
         )
 
     def _build_data_path(self, rng):
@@ -211,7 +220,7 @@
             self._client,
             rng,
             self._get_policy,
-            self._observe,
+            self._count_event,
             lambda service: [member.node for member in self._get_members(service)],
         )
         self._callers = CallerApi(
@@ -255,8 +264,64 @@
         )
 
     def _build_admin(self):
-        return tornado.web.Application(
-            make_server_routes(self._gate), log_function=lambda handler: None
+        application = make_operator_application(self._build_backend())
+        application.add_handlers(".*", make_server_routes(self._gate))
+        return tornado.httpserver.HTTPServer(
+            application, max_body_size=OPERATOR_BODY_MAX_BYTES
+        )
+
+    def _build_backend(self):
+        operations = Operations(
+            self._peers, self._control_client, self._settings.control_hosts, self._state
+        )
+        return OperatorBackend(
+            propose=operations.propose,
+            read=operations.read,
+            get_view=self._get_view,
+            list_live=operations.list_live,
+            get_status=operations.get_status,
+            get_explanations=self._decisions.explain,
+            get_traces=self._list_spans,
+            render_metrics=self._metrics.render,
+            get_faults=self._list_faults,
+            get_token=make_token_reader(self._settings.token_file, self._log.warning),
+            read_time_s=time.time,
+            log_event=self._log.info,
+        )
+
+    def _list_spans(self, trace, limit):
+        spans = [s for s in self._spans if trace is None or s["traceId"] == trace]
+        return spans[-limit:]
+
+    def _list_faults(self):
+        faults = []
+        if self._state.version == 0:
+            faults.append("no settings are in force")
+        silent_s = asyncio.get_running_loop().time() - self._membership.last_renewed_s
+        if silent_s > CONTROL_SILENCE_MAX_S:
+            faults.append("no control host answers")
+        return faults
+
+    def _get_report(self):
+        return NodeReport(
+            self._channel.in_force_since_s, self._gate.get_load(), self._started
+        )
+
+    def _count_event(self, event):
+        if isinstance(event, AttemptStarted):
+            self._started += 1
+        self._observe(event)
+
+    def _watch_gauges(self):
+        self._metrics.watch("sapphireway_settings_version", lambda: self._state.version)
+        self._metrics.watch(
+            "sapphireway_peer_messages_sent", lambda: self._peers.messages_sent
+        )
+        self._metrics.watch(
+            "sapphireway_peer_bytes_sent", lambda: self._peers.bytes_sent
+        )
+        self._metrics.watch(
+            "sapphireway_claim_bytes", lambda: self._holder.used_bytes
         )
 
     def _get_view(self):
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_operations.py
@@ -0,0 +1,153 @@
+"""What the operator's address asks of the node, answered by its parts."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+
+from sapphireway._operator_backend import Unavailable
+from sapphireway_coordination import (
+    TREE_PREFIX,
+    Answer,
+    Committed,
+    ControlClient,
+    Role,
+    StateInForce,
+)
+from sapphireway_protocol import ListNodes, NodeList, Peers, ServerState
+from sapphireway_state import LiveServers, NodeStatus, ServerStatus, StatusReport
+
+PROPOSE_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 3.0
+LIST_TIMEOUT_S = 1.0
+
+
+class Operations:
+    """Edits, reads and status on behalf of operators.
+
+    Parameters
+    ----------
+    peers : Peers
+    control_client : ControlClient
+    control_hosts : sequence of str
+    state : StateInForce
+    wall_clock : callable
+        Seconds since the epoch.
+    """
+
+    __slots__ = ("_control_client", "_control_hosts", "_peers", "_state", "_wall_clock")
+
+    def __init__(
+        self,
+        peers: Peers,
+        control_client: ControlClient,
+        control_hosts: Sequence[str],
+        state: StateInForce,
+        wall_clock: Callable[[], float] = time.time,
+    ):
+        self._control_client = control_client
+        self._control_hosts = control_hosts
+        self._peers = peers
+        self._state = state
+        self._wall_clock = wall_clock
+
+    async def propose(self, command: bytes) -> bytes | Unavailable:
+        """Bring an edit through the quorum."""
+        result = await self._control_client.propose(
+            TREE_PREFIX + command, PROPOSE_TIMEOUT_S
+        )
+        if isinstance(result, Committed):
+            return result.result
+        return Unavailable(result.detail, result.maybe_applied)
+
+    async def read(self, query: bytes) -> bytes | Unavailable:
+        """Ask the current settings tree."""
+        result = await self._control_client.read(TREE_PREFIX + query, READ_TIMEOUT_S)
+        if isinstance(result, Answer):
+            return result.data
+        return Unavailable(result.detail)
+
+    async def get_status(self) -> StatusReport:
+        """Return every node that a reachable control host knows."""
+        lists = await self._list_nodes()
+        now_s = self._wall_clock()
+        roles = {host: answer.role for host, answer in lists.items()}
+        nodes, servers = {}, {}
+        for answer in lists.values():
+            for status in answer.nodes:
+                nodes[status.entry.node] = _describe_node(status, roles, now_s)
+                servers |= self._describe_servers(status)
+        leaders = [host for host, role in roles.items() if role == Role.LEADER]
+        return StatusReport(
+            self._state.view.version,
+            [nodes[name] for name in sorted(nodes)],
+            [servers[name] for name in sorted(servers)],
+            leaders[0] if leaders else "",
+        )
+
+    async def list_live(self) -> list[LiveServers]:
+        """Return the live servers of every service by failure domain."""
+        live = {}
+        for answer in (await self._list_nodes()).values():
+            for status in answer.nodes:
+                if not status.alive:
+                    continue
+                for server in status.entry.servers:
+                    if not server.leaving:
+                        key = (server.service, status.entry.domain)
+                        live.setdefault(key, set()).add(server.server)
+        return [
+            LiveServers(service, domain, sorted(names))
+            for (service, domain), names in sorted(live.items())
+        ]
+
+    async def _list_nodes(self) -> dict[str, NodeList]:
+        replies = await asyncio.gather(
+            *(
+                self._peers.request(host, ListNodes(), LIST_TIMEOUT_S)
+                for host in self._control_hosts
+            )
+        )
+        return {
+            host: reply.message
+            for host, reply in zip(self._control_hosts, replies, strict=True)
+            if reply is not None and isinstance(reply.message, NodeList)
+        }
+
+    def _describe_servers(self, status):
+        entry, load = status.entry, status.load
+        return {
+            server.server: ServerStatus(
+                server.server,
+                server.service,
+                entry.domain,
+                entry.node,
+                _describe_state(status, server),
+                self._state.view.is_out(entry.domain, server.server),
+                load.in_flight if load else 0,
+                load.queued if load else 0,
+                load.limit if load else 0,
+                status.started,
+            )
+            for server in entry.servers
+        }
+
+
+def _describe_node(status, roles, now_s):
+    entry = status.entry
+    return NodeStatus(
+        entry.node,
+        entry.domain,
+        entry.region,
+        status.settings_version,
+        max(0.0, now_s - status.in_force_since_s) if status.in_force_since_s else 0.0,
+        roles.get(entry.node, ""),
+        "" if status.alive else "lease has run out",
+    )
+
+
+def _describe_state(status, server):
+    if not status.alive:
+        return ServerState.DOWN
+    if status.load is not None and status.load.server == server.server:
+        return status.load.state
+    return ServerState.DRAINING if server.leaving else ServerState.SERVING
--- a/tests/control_process.py
+++ b/tests/control_process.py
@@ -11,12 +11,12 @@
 from pathlib import Path
 
 import msgspec
-from tests.quorum_cluster import ListMachine
 
 from sapphireway_coordination import Quorum, QuorumSettings
 from sapphireway_protocol import Peers
 from sapphireway_state import JournalLimits
 from sapphireway_transport import FileDisk, ZmqEndpoint
+from tests.quorum_cluster import ListMachine
 
 SETTINGS = QuorumSettings(
     heartbeat_s=0.12,
