Give operators a command line

sapphirectl reads and changes the tree, takes failure domains and servers out and in, and prints status, explanations and spans, as table, JSON or YAML. An edit is sent to one node after another with the same id until its answer is known; what stays unknown is told with the options that resend it.

Options that all commands share are added to each by a decorator, so that the help of every command is whole. Ruled out: options before the command, which defopt cannot parse; repeating them in each signature.

--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/_client.py
@@ -0,0 +1,203 @@
+"""Asks nodes, and sends an edit until its answer is known."""
+
+import time
+import urllib.parse
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import msgspec
+
+from sapphirectl._exits import ExitCode, Failure
+from sapphirectl._http import NoResponse, Response, send_request
+from sapphirectl._options import Connection, EditOptions
+from sapphireway_state import (
+    Accepted,
+    Answer,
+    Conflict,
+    EditRequest,
+    ErrorReply,
+    ForceNeeded,
+    Operation,
+    Problem,
+    Refused,
+    SettingsReply,
+    format_problem,
+    read_token,
+)
+
+ROUNDS = 3
+ROUND_PAUSE_S = 0.5
+
+Result = TypeVar("Result")
+
+
+def ask(
+    connection: Connection, path: str, result_type: type[Result], /, **arguments: Any
+) -> Result | Failure:
+    """Return the first answer of a node."""
+    given = {name: value for name, value in arguments.items() if value is not None}
+    if given:
+        path = f"{path}?{urllib.parse.urlencode(given)}"
+    faults = []
+    for node in connection.nodes:
+        response = send_request(node, "GET", path, None, None, connection.timeout_s)
+        if isinstance(response, NoResponse):
+            faults.append(response.detail)
+        elif response.status == 200:
+            return _decode(node, response, result_type)
+        elif response.status < 500:
+            return Failure(ExitCode.REFUSED, f"{node}: {_read_error(response).detail}")
+        else:
+            faults.append(f"{node}: {_read_error(response).detail}")
+    if not faults:
+        return _report_no_node()
+    return Failure(ExitCode.UNREACHABLE, "\n".join(faults))
+
+
+def read_tree(connection: Connection) -> SettingsReply | Failure:
+    """Return the current tree with its version."""
+    reply = ask(connection, "/v1/settings", SettingsReply)
+    if isinstance(reply, SettingsReply) and reply.value is None:
+        return msgspec.structs.replace(reply, value={})
+    return reply
+
+
+def submit_edit(
+    connection: Connection,
+    options: EditOptions,
+    base: int,
+    operations: Sequence[Operation],
+    *,
+    force: bool = False,
+) -> Accepted | Failure:
+    """Send an edit to one node after another until one tells its answer.
+
+    Every try carries the same edit id, so that the edit is accepted once at
+    most, and its first answer is told.
+    """
+    token = _load_token(options.token_file)
+    if isinstance(token, Failure):
+        return token
+    body = msgspec.json.encode(
+        EditRequest(
+            options.edit_id,
+            base,
+            list(operations),
+            options.operator,
+            options.reason,
+            force,
+        )
+    )
+    faults = []
+    may_have_run = False
+    for attempt in range(ROUNDS * len(connection.nodes)):
+        if attempt and attempt % len(connection.nodes) == 0:
+            time.sleep(ROUND_PAUSE_S)
+        node = connection.nodes[attempt % len(connection.nodes)]
+        response = send_request(
+            node, "POST", "/v1/edits", body, token, connection.timeout_s
+        )
+        if isinstance(response, NoResponse):
+            may_have_run |= response.sent
+            faults.append(response.detail)
+        elif response.status < 500:
+            return _judge_response(node, response)
+        else:
+            error = _read_error(response)
+            may_have_run |= error.error != "unavailable"
+            faults.append(f"{node}: {error.detail}")
+    return _give_up(faults, may_have_run, options, base)
+
+
+def _load_token(path):
+    if path is None:
+        detail = "no token: give --token-file or set SAPPHIREWAY_TOKEN_FILE"
+        return Failure(ExitCode.UNAUTHORIZED, detail)
+    token = read_token(path)
+    if isinstance(token, Problem):
+        return Failure(ExitCode.UNAUTHORIZED, format_problem(token))
+    return token
+
+
+def _judge_response(node: str, response: Response):
+    if response.status == 401:
+        detail = f"{node}: {_read_error(response).detail}"
+        return Failure(ExitCode.UNAUTHORIZED, detail)
+    try:
+        answer = msgspec.json.decode(response.body, type=Answer)
+    except msgspec.MsgspecError:
+        return Failure(ExitCode.REFUSED, f"{node}: {_read_error(response).detail}")
+    if isinstance(answer, Accepted):
+        return answer
+    return _describe_refusal(answer)
+
+
+def _describe_refusal(answer):
+    if isinstance(answer, Conflict):
+        lines = [
+            f"Version {answer.version} is current, not {answer.base}. Since then:",
+            *(format_change(change) for change in answer.changes),
+        ]
+        if answer.omitted:
+            count = answer.omitted if answer.omitted > 0 else "an unknown number of"
+            lines.append(f"  and {count} more")
+        return Failure(ExitCode.CONFLICT, "\n".join(lines))
+    if isinstance(answer, Refused):
+        return Failure(
+            ExitCode.REFUSED, "\n".join(map(format_problem, answer.problems))
+        )
+    if isinstance(answer, ForceNeeded):
+        return Failure(ExitCode.FORCE_NEEDED, _describe_lost(answer))
+    detail = (
+        f"The edit is based on a version before {answer.oldest_base}, so old that its "
+        "answer may be forgotten. Look for its id in the history."
+    )
+    return Failure(ExitCode.REFUSED, detail)
+
+
+def _describe_lost(answer):
+    if not answer.lost:
+        return "No live server is known, so that nobody can say what would be left."
+    lines = ["No failure domain would be left of:"]
+    for lost in answer.lost:
+        lines.append(f"  {lost.service}, now in {', '.join(lost.domains)}")
+    return "\n".join([*lines, "Repeat with --force to take it out all the same."])
+
+
+def format_change(change) -> str:
+    """Return one line that tells a change."""
+    before = "unset" if change.before is None else change.before
+    after = "unset" if change.after is None else change.after
+    return f"  {change.path}: {before} -> {after}"
+
+
+def _give_up(faults, may_have_run, options, base):
+    if not faults:
+        return _report_no_node()
+    seen = "\n".join(dict.fromkeys(faults))
+    if not may_have_run:
+        return Failure(ExitCode.UNREACHABLE, f"{seen}\nNothing was changed.")
+    detail = (
+        f"{seen}\nThe edit may have been accepted. To learn its answer, repeat the "
+        f"command with: --edit-id {options.edit_id} --base {base}"
+    )
+    return Failure(ExitCode.UNKNOWN, detail)
+
+
+def _report_no_node():
+    detail = "no node is given: use --node or set SAPPHIREWAY_NODES"
+    return Failure(ExitCode.USAGE, detail)
+
+
+def _decode(node, response, result_type):
+    try:
+        return msgspec.json.decode(response.body, type=result_type)
+    except msgspec.MsgspecError as error:
+        return Failure(ExitCode.ERROR, f"{node}: the answer is not understood: {error}")
+
+
+def _read_error(response):
+    try:
+        return msgspec.json.decode(response.body, type=ErrorReply)
+    except msgspec.MsgspecError:
+        return ErrorReply("unknown", f"HTTP status {response.status}")
--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -0,0 +1,73 @@
+"""One HTTP request to one node."""
+
+import http.client
+import ipaddress
+from dataclasses import dataclass
+
+ANSWER_MAX_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    """A whole answer of a node."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class NoResponse:
+    """No whole answer came.
+
+    Attributes
+    ----------
+    detail : str
+    sent : bool
+        Whether the node may have got the request.
+    """
+
+    detail: str
+    sent: bool
+
+
+def send_request(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    token: str | None,
+    timeout_s: float,
+) -> Response | NoResponse:
+    """Send one request to a node's admin address, without any proxy."""
+    host, _, port = address.rpartition(":")
+    if not port.isdigit():
+        return NoResponse(f"{address}: not host:port", sent=False)
+    connection = http.client.HTTPConnection(
+        _strip_brackets(host), int(port), timeout=timeout_s
+    )
+    sent = False
+    try:
+        connection.connect()
+        sent = True
+        connection.request(method, path, body, _make_headers(token))
+        response = connection.getresponse()
+        content = response.read(ANSWER_MAX_BYTES)
+    except (OSError, http.client.HTTPException) as error:
+        return NoResponse(f"{address}: {error or type(error).__name__}", sent)
+    finally:
+        connection.close()
+    return Response(response.status, content)
+
+
+def _make_headers(token):
+    headers = {"Accept": "application/json", "Content-Type": "application/json"}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
+    return headers
+
+
+def _strip_brackets(host):
+    try:
+        return str(ipaddress.ip_address(host.strip("[]")))
+    except ValueError:
+        return host
--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/_output.py
@@ -0,0 +1,65 @@
+"""Prints results as a table, JSON or YAML."""
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from sapphirectl._exits import ExitCode, Failure
+from sapphirectl._options import OutputFormat
+from sapphireway_state import dump_yaml
+
+
+def show(value: Any, output: OutputFormat) -> ExitCode:
+    """Print a result; lists of objects as a table if that is asked for."""
+    plain = msgspec.to_builtins(value)
+    if output == "json":
+        text = json.dumps(plain, indent=2, ensure_ascii=False)
+    elif output == "yaml" or isinstance(plain, dict):
+        text = dump_yaml(plain)
+    elif isinstance(plain, list) and all(isinstance(row, dict) for row in plain):
+        text = format_table(plain)
+    else:
+        text = _format_cell(plain)
+    print(text.rstrip("\n"))
+    return ExitCode.OK
+
+
+def fail(failure: Failure) -> ExitCode:
+    """Print why a command failed."""
+    print(failure.detail, file=sys.stderr)
+    return failure.code
+
+
+def tell(text: str) -> None:
+    """Print progress, apart from results."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def format_table(rows: Sequence[dict[str, Any]]) -> str:
+    """Return rows as aligned columns, one for each name that occurs."""
+    if not rows:
+        return "(none)"
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[name.upper() for name in names]]
+    cells += [[_format_cell(row.get(name)) for name in names] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _format_cell(value):
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:g}"
+    if isinstance(value, (list, dict)):
+        return json.dumps(value, ensure_ascii=False)
+    return str(value)
--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/_settings.py
@@ -0,0 +1,257 @@
+"""Commands that read and change the settings tree."""
+
+import os
+import shlex
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+
+from sapphirectl._client import ask, format_change, read_tree, submit_edit
+from sapphirectl._exits import ExitCode, Failure
+from sapphirectl._options import (
+    Connection,
+    EditOptions,
+    add_options,
+    connect,
+    identify,
+)
+from sapphirectl._output import fail, show
+from sapphireway_state import (
+    Changes,
+    History,
+    Invalid,
+    SettingsReply,
+    SetValue,
+    UnsetValue,
+    dump_yaml,
+    format_problem,
+    list_operations,
+    parse_tree,
+    parse_yaml,
+)
+
+
+@add_options(connect)
+def show_settings(connection: Connection, *, local: bool = False):
+    """Print the whole tree with its version.
+
+    Parameters
+    ----------
+    local : bool
+        Print the version in force at the node instead of the current one.
+    """
+    reply = ask(connection, "/v1/settings", SettingsReply, local=int(local))
+    if isinstance(reply, Failure):
+        return fail(reply)
+    tree = reply.value or {}
+    if connection.output == "table":
+        print(f"# version {reply.version}")
+        print(dump_yaml(tree).rstrip("\n"))
+        return ExitCode.OK
+    return show({"version": reply.version, "tree": tree}, connection.output)
+
+
+@add_options(connect)
+def get_setting(connection: Connection, path: str, *, why: bool = False):
+    """Print what is in force at a path of the tree.
+
+    Parameters
+    ----------
+    path : str
+        Path of a node or a setting, such as services/ledger/kinds/balance/weight
+        or domains/bxl-a/services/ledger.
+    why : bool
+        Tell which node of the tree each value came from.
+    """
+    reply = ask(connection, "/v1/settings", SettingsReply, path=path)
+    if isinstance(reply, Failure):
+        return fail(reply)
+    sources = msgspec.to_builtins(reply.sources)
+    if not sources:
+        return show(reply.value, connection.output)
+    for source in sources:
+        source["node"] = source["node"] or "(root)"
+        if not why:
+            del source["node"]
+    if len(sources) == 1 and not why:
+        return show(sources[0]["value"], connection.output)
+    return show(sources, connection.output)
+
+
+@add_options(connect, identify)
+def set_setting(
+    connection: Connection,
+    options: EditOptions,
+    path: str,
+    value: str,
+    *,
+    force: bool = False,
+):
+    """Set one value, or a whole node, of the tree.
+
+    Parameters
+    ----------
+    path : str
+        Path of the value or node.
+    value : str
+        The value as YAML, such as 5, true or '{match: {paths: [/a]}}'.
+    force : bool
+        Even if a service loses its last failure domain.
+    """
+    document = parse_yaml(value, "value")
+    if isinstance(document, Invalid):
+        return fail(_describe_problems(document))
+    return _edit(connection, options, [SetValue(path, document.value)], force)
+
+
+@add_options(connect, identify)
+def unset_setting(
+    connection: Connection, options: EditOptions, path: str, *, force: bool = False
+):
+    """Remove one value or node, so that it is inherited again.
+
+    Parameters
+    ----------
+    path : str
+        Path of the value or node.
+    force : bool
+        Even if a service loses its last failure domain.
+    """
+    return _edit(connection, options, [UnsetValue(path)], force)
+
+
+@add_options(connect, identify)
+def edit_settings(
+    connection: Connection,
+    options: EditOptions,
+    *,
+    file: str | None = None,
+    force: bool = False,
+):
+    """Edit the whole tree in $EDITOR, or put the tree of a file in its place.
+
+    Parameters
+    ----------
+    file : str
+        File with the new tree; default: open $EDITOR on the current one.
+    force : bool
+        Even if a service loses its last failure domain.
+    """
+    current = read_tree(connection)
+    if isinstance(current, Failure):
+        return fail(current)
+    path = file or _open_editor(current)
+    if isinstance(path, Failure):
+        return fail(path)
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return fail(Failure(ExitCode.REFUSED, f"{path}: {error}"))
+    document = parse_tree(text, path)
+    if isinstance(document, Invalid):
+        return fail(_describe_problems(document))
+    operations = list_operations(current.value, document.value)
+    if not operations:
+        return show("The tree has not changed.", "table")
+    code = _submit(connection, options, current.version, operations, force)
+    if code is ExitCode.OK and not file:
+        os.unlink(path)
+    return code
+
+
+@add_options(connect)
+def show_history(connection: Connection, *, limit: int = 20, before: int = 0):
+    """Print accepted edits, newest first: who, when, why and what.
+
+    Parameters
+    ----------
+    limit : int
+        Number of edits.
+    before : int
+        Only edits of earlier versions; 0 for all.
+    """
+    history = ask(connection, "/v1/history", History, limit=limit, before=before)
+    if isinstance(history, Failure):
+        return fail(history)
+    if connection.output != "table":
+        return show(history, connection.output)
+    rows = [
+        {
+            "version": entry.version,
+            "when": _format_time(entry.time_s),
+            "operator": entry.operator,
+            "what": "; ".join(format_change(item).strip() for item in entry.changes),
+            "reason": entry.reason,
+            "edit_id": entry.edit_id,
+        }
+        for entry in history.entries
+    ]
+    return show(rows, "table")
+
+
+@add_options(connect)
+def show_changes(connection: Connection, since: int, until: int = 0):
+    """Print what differs between two versions.
+
+    Parameters
+    ----------
+    since : int
+        Earlier version.
+    until : int
+        Later version; 0 for the current one.
+    """
+    changes = ask(connection, "/v1/changes", Changes, since=since, until=until)
+    if isinstance(changes, Failure):
+        return fail(changes)
+    if not changes.complete:
+        print(f"The history does not reach back to {since}.", file=sys.stderr)
+    return show(
+        changes.changes if connection.output == "table" else changes,
+        connection.output,
+    )
+
+
+def _edit(connection, options, operations, force):
+    base = options.base
+    if base is None:
+        current = read_tree(connection)
+        if isinstance(current, Failure):
+            return fail(current)
+        base = current.version
+    return _submit(connection, options, base, operations, force)
+
+
+def _submit(connection, options, base, operations, force):
+    answer = submit_edit(connection, options, base, operations, force=force)
+    if isinstance(answer, Failure):
+        return fail(answer)
+    result = {"version": answer.version, "edit_id": options.edit_id}
+    return show(result, connection.output)
+
+
+def _describe_problems(invalid):
+    lines = map(format_problem, invalid.problems)
+    return Failure(ExitCode.REFUSED, "\n".join(lines))
+
+
+def _open_editor(current):
+    editor = os.environ.get("VISUAL") or os.environ.get("EDITOR")
+    if not editor:
+        detail = "set $EDITOR, or give the new tree with --file"
+        return Failure(ExitCode.USAGE, detail)
+    handle, path = tempfile.mkstemp(f"-version-{current.version}.yaml", "settings-")
+    with open(handle, "w") as target:
+        target.write(dump_yaml(current.value))
+    result = subprocess.run([*shlex.split(editor), path], check=False)
+    if result.returncode:
+        detail = f"the editor ended with {result.returncode}; your text is in {path}"
+        return Failure(ExitCode.REFUSED, detail)
+    return path
+
+
+def _format_time(time_s):
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(time_s))
--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/_waiting.py
@@ -0,0 +1,110 @@
+"""Waits until an edit shows its effect, and tells the progress."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sapphirectl._client import ask
+from sapphirectl._exits import ExitCode, Failure
+from sapphirectl._options import Connection
+from sapphirectl._output import tell
+from sapphireway_state import StatusReport
+
+POLL_S = 1.0
+STILL_POLLS = 2
+"""Polls in a row without new work, after which a place counts as idle."""
+
+Pause = Callable[[float], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """A failure domain or a server.
+
+    Attributes
+    ----------
+    kind : str
+        ``domain`` or ``server``.
+    name : str
+    """
+
+    kind: str
+    name: str
+
+    @property
+    def level(self) -> str:
+        """Name of the level of the tree."""
+        return self.kind + "s"
+
+    def describe(self) -> str:
+        """Return the target for messages."""
+        return f"{self.kind} {self.name}"
+
+
+def wait_until_idle(
+    connection: Connection,
+    target: Target,
+    version: int,
+    timeout_s: float,
+    pause: Pause,
+) -> Failure | None:
+    """Wait until all nodes have a version and no new work reaches a target."""
+    started = {}
+    still_polls = 0
+
+    def is_idle(report):
+        nonlocal still_polls
+        servers = [
+            server
+            for server in report.servers
+            if getattr(server, target.kind) == target.name
+        ]
+        new = _count_new(servers, started)
+        behind = _list_behind(report, version)
+        in_flight = sum(server.in_flight for server in servers)
+        tell(
+            f"{target.describe()}: {new} new, {in_flight} in flight, "
+            f"{len(behind)} of {len(report.nodes)} nodes behind version {version}"
+        )
+        still_polls = 0 if new or behind else still_polls + 1
+        return still_polls > STILL_POLLS
+
+    return _poll(connection, is_idle, timeout_s, pause)
+
+
+def wait_until_in_force(
+    connection: Connection, version: int, timeout_s: float, pause: Pause
+) -> Failure | None:
+    """Wait until all nodes have a version in force."""
+
+    def is_in_force(report):
+        behind = _list_behind(report, version)
+        tell(f"{len(behind)} of {len(report.nodes)} nodes behind version {version}")
+        return not behind
+
+    return _poll(connection, is_in_force, timeout_s, pause)
+
+
+def _poll(connection, is_done, timeout_s, pause):
+    for _ in range(max(1, int(timeout_s / POLL_S))):
+        report = ask(connection, "/v1/status", StatusReport)
+        if isinstance(report, Failure):
+            tell(report.detail)
+        elif is_done(report):
+            return None
+        pause(POLL_S)
+    detail = f"not done after {timeout_s:g} s; the edit stays in force"
+    return Failure(ExitCode.WAIT_TIMEOUT, detail)
+
+
+def _count_new(servers, started):
+    new = 0
+    for server in servers:
+        # Another node may answer this poll and be behind; counts only grow.
+        before = started.get(server.server, server.started)
+        new += max(0, server.started - before)
+        started[server.server] = max(before, server.started)
+    return new
+
+
+def _list_behind(report, version):
+    return [node.node for node in report.nodes if node.version < version]
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -60,6 +60,7 @@
 )
 from sapphireway_state._schema import SETTINGS, Scope, Setting
 from sapphireway_state._service_loss import list_left, takes_out
+from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
 from sapphireway_state._why import explain_path, get_value
@@ -137,6 +138,7 @@
     "parse_process",
     "parse_tree",
     "parse_yaml",
+    "read_token",
     "sum_domains",
     "takes_out",
 ]
--- a/packages/sapphireway/tests/test_operator_token.py
+++ b/packages/sapphireway/tests/test_operator_token.py
@@ -1,6 +1,7 @@
 import pytest
 
-from sapphireway._operator_token import make_token_reader, read_token
+from sapphireway._operator_token import make_token_reader
+from sapphireway_state import read_token
 
 TOKEN = "0123456789abcdef"
 
