--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -72,6 +72,7 @@
 from sapphireway_state._schema import SETTINGS, Scope, Setting
 from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
+from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
 from sapphireway_state._vote import VoteRecord, Witness, load_vote, save_vote
@@ -170,6 +171,7 @@
     "parse_process",
     "parse_tree",
     "parse_yaml",
+    "read_token",
     "recover_alone",
     "save_vote",
     "sum_domains",
