Show only committed members in the status

Ruled out: a host that gave up its identity without need. Change: the status reads the committed configuration. test_status_shows_no_uncommitted_promotion is red without it.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
@@ -176,6 +176,8 @@
         role = replica.role
         if role == Role.FOLLOWER and not replica.is_voter:
             role = Role.LEARNER
+        # What is only proposed must not tell operators that a repair is done.
+        members = replica.configurations[0].members
         return QuorumStatus(
             role,
             replica.disk_id,
@@ -185,8 +187,8 @@
             replica.commit_index,
             replica.journal.last_index,
             replica.journal.snapshot.index,
-            replica.voters,
-            tuple(m for m in replica.members if not m.voter),
+            tuple(member for member in members if member.voter),
+            tuple(member for member in members if not member.voter),
             replica.disk_problem or "ok",
             str(self.failure) if self.failure else replica.detail,
         )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
@@ -144,6 +144,7 @@
         Address of the leader.
     commit_index, last_index, snapshot_index : int
     voters, learners : tuple of QuorumMember
+        By the latest committed change that this host knows.
     disk : str
         ``ok``, or what is wrong with it.
     detail : str
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -248,6 +248,25 @@
     run_paused(run())
 
 
+def test_status_shows_no_uncommitted_promotion():
+    async def run():
+        cluster = await open_cluster(3)
+        leader = cluster.leader()
+        lost = next(a for a in cluster.addresses if a != leader)
+        lose_disk(cluster, lost)
+        await cluster.start(lost)
+        replica = cluster.hosts[leader].quorum._replica
+        before = replica.voters
+        await cluster.wait_until(lambda: len(replica.voters) == 2, poll_s=0.001)
+        await cluster.wait_until(lambda: len(replica.voters) == 3, poll_s=0.001)
+        assert replica.voters != before
+        cluster.isolate(leader)
+        await asyncio.sleep(60)
+        assert len(cluster.status(leader).voters) == 2
+
+    run_paused(run())
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_second_loss_right_after_a_repair_loses_nothing(seed):
     async def run():
