--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
@@ -49,7 +49,10 @@
 def _decide_join(replica, address, disk_id):
     if not replica.is_leading(replica.term):
         return False, "this host does not lead"
-    if any(member.disk_id == disk_id for member in replica.members):
+    known = next((m for m in replica.members if m.disk_id == disk_id), None)
+    if known is not None and known.address != address:
+        return False, f"this disk is a member at {known.address}; start it there"
+    if known is not None:
         return True, "the host is a member"
     if all(member.address != address for member in replica.members):
         return False, f"{address} is no control host; operators add it first"
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
@@ -78,7 +78,8 @@
         await _pause(replica)
     while True:
         await _pause(replica)
-        is_member = any(m.disk_id == replica.disk_id for m in replica.members)
+        own = (replica.peers.address, replica.disk_id)
+        is_member = any((m.address, m.disk_id) == own for m in replica.members)
         if not is_member and not replica.hears_leader():
             await _try_join(replica)
 
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -434,6 +434,22 @@
     run_paused(run())
 
 
+def test_known_disk_at_another_address_says_where_it_belongs():
+    async def run():
+        cluster = await open_cluster(3)
+        moved = next(a for a in cluster.addresses if a != cluster.leader())
+        cluster.crash(moved)
+        disk = cluster.hosts.pop(moved).disk
+        await cluster.start("c9")
+        cluster.crash("c9")
+        await cluster.restart("c9", disk=disk)
+        await asyncio.sleep(20)
+        expected = f"this disk is a member at {moved}; start it there"
+        assert cluster.status("c9").detail == expected
+
+    run_paused(run())
+
+
 def test_removed_leader_steps_down_and_stays_quiet():
     async def run():
         cluster = await open_cluster(5)
