--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -248,6 +248,25 @@
     run_paused(run())
 
 
+def test_status_shows_no_uncommitted_promotion():
+    async def run():
+        cluster = await open_cluster(3)
+        leader = cluster.leader()
+        lost = next(a for a in cluster.addresses if a != leader)
+        lose_disk(cluster, lost)
+        await cluster.start(lost)
+        replica = cluster.hosts[leader].quorum._replica
+        before = replica.voters
+        await cluster.wait_until(lambda: len(replica.voters) == 2, poll_s=0.001)
+        await cluster.wait_until(lambda: len(replica.voters) == 3, poll_s=0.001)
+        assert replica.voters != before
+        cluster.isolate(leader)
+        await asyncio.sleep(60)
+        assert len(cluster.status(leader).voters) == 2
+
+    run_paused(run())
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_second_loss_right_after_a_repair_loses_nothing(seed):
     async def run():
@@ -415,6 +434,22 @@
     run_paused(run())
 
 
+def test_known_disk_at_another_address_says_where_it_belongs():
+    async def run():
+        cluster = await open_cluster(3)
+        moved = next(a for a in cluster.addresses if a != cluster.leader())
+        cluster.crash(moved)
+        disk = cluster.hosts.pop(moved).disk
+        await cluster.start("c9")
+        cluster.crash("c9")
+        await cluster.restart("c9", disk=disk)
+        await asyncio.sleep(20)
+        expected = f"this disk is a member at {moved}; start it there"
+        assert cluster.status("c9").detail == expected
+
+    run_paused(run())
+
+
 def test_removed_leader_steps_down_and_stays_quiet():
     async def run():
         cluster = await open_cluster(5)
