--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -29,10 +29,25 @@
 
 @dataclass(slots=True, frozen=True)
 class CallRecord:
-    """How one call of the benchmark ended."""
+    """How one call of the benchmark ended.
+
+    Attributes
+    ----------
+    arrived_s : float
+    took_s : float
+        Time to a good answer; the whole deadline for any other outcome.
+    ended_s : float
+        Time to the outcome.
+    kind : str
+    weight : int
+    good : bool
+        True if the server answered well and in time.
+    outcome : str
+    """
 
     arrived_s: float
     took_s: float
+    ended_s: float
     kind: str
     weight: int
     good: bool
@@ -53,6 +68,8 @@
         ``faults(rng)`` returns a `ServerFaults` for each server.
     conduct : callable or None
         Coroutine function that changes the fleet while it runs.
+    event_s : float or None
+        When the disturbance came (or ended, for an overload), to time the recovery.
     """
 
     name: str
@@ -60,6 +77,7 @@
     load: Callable[[float], float] = lambda now_s: 0.6
     faults: Callable = lambda rng: [ServerFaults() for _ in range(SERVERS)]
     conduct: Callable | None = None
+    event_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -228,6 +246,7 @@
             CallRecord(
                 arrived_s,
                 took_s if good else DEADLINE_S,
+                took_s,
                 kind,
                 policy.weight,
                 good,
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,12 +1,12 @@
 """Routing against its baselines on the paused clock, paired by seed."""
 
 import asyncio
-import time
 
 import defopt
 
 from benchmarks._fleet import (
     BASE_POLICY,
+    CAPACITY_PER_S,
     SERVERS,
     Fleet,
     Scenario,
@@ -24,6 +24,10 @@
 from sapphireway_transport.memory import run_paused
 
 DURATION_S = 6.0
+SURGE_START_S = 1.0
+SURGE_END_S = 3.0
+LEAVE_S = 2.0
+BIN_S = 0.1
 
 
 def draw_windows(rng, duration_s, span_s, gap_s, factor):
@@ -87,7 +91,7 @@
 
 async def announce_domain(fleet):
     """Take a domain out with notice, and bring it back cold."""
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(LEAVE_S)
     fleet.take_domain_out("bxl-a")
     await asyncio.sleep(0.3)
     fleet.publish_out("bxl-a")
@@ -97,7 +101,7 @@
 
 async def lose_domain(fleet):
     """Lose a domain without notice; directories hear after 2 s; it returns cold."""
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(LEAVE_S)
     fleet.lose_domain("bxl-b")
     await asyncio.sleep(2.0)
     fleet.remove_lost("bxl-b")
@@ -107,7 +111,12 @@
 
 def surge(now_s):
     """Return twice the capacity from 1 s to 3 s."""
-    return 2.0 if 1.0 <= now_s < 3.0 else 0.6
+    return 2.0 if SURGE_START_S <= now_s < SURGE_END_S else 0.6
+
+
+def fit_loss(now_s):
+    """Return a load that the rest bears when a domain is gone."""
+    return 0.4
 
 
 SCENARIOS = {
@@ -120,9 +129,9 @@
         Scenario("stale", DURATION_S, faults=delay_reports),
         Scenario("failing", DURATION_S, faults=fail_fast_one),
         Scenario("cold", DURATION_S, conduct=restart_cold),
-        Scenario("overload", DURATION_S, surge),
-        Scenario("out", DURATION_S, lambda now_s: 0.4, conduct=announce_domain),
-        Scenario("lost", DURATION_S, lambda now_s: 0.4, conduct=lose_domain),
+        Scenario("overload", DURATION_S, surge, event_s=SURGE_END_S),
+        Scenario("out", DURATION_S, fit_loss, conduct=announce_domain, event_s=LEAVE_S),
+        Scenario("lost", DURATION_S, fit_loss, conduct=lose_domain, event_s=LEAVE_S),
     )
 }
 
@@ -144,15 +153,13 @@
     """Run one variant in one scenario over `seeds` and print a row."""
     scenario = SCENARIOS[name]
     calls, probes, messages, retries = [], 0, 0, 0
-    started_s = time.perf_counter()
     for seed in seeds:
         fleet_result = run_paused(run_fleet(seed, scenario, variant))
         calls += fleet_result.calls
         probes += fleet_result.probes
         messages += fleet_result.messages
         retries += fleet_result.retries
-    cpu_s = time.perf_counter() - started_s
-    print_row(name, variant, calls, probes, messages, retries, cpu_s)
+    print_row(scenario, variant, calls, probes, messages, retries)
 
 
 async def run_fleet(seed, scenario, variant):
@@ -164,20 +171,76 @@
     return await fleet.run()
 
 
-def print_row(name, variant, calls, probes, messages, retries, cpu_s):
+def print_header():
+    """Print the names of the columns."""
+    print("times in ms; good: answered in time; msg, probe: per call")
+    columns = [f"{'scenario':9}", f"{'variant':15}"]
+    for kind in ("read", "booking"):
+        columns += [f"{kind} p50".rjust(11), "p99".rjust(7), "p99.9".rjust(7)]
+        columns.append("good".rjust(7))
+    columns += ["  msg", " probe", "repeats", "recovery"]
+    print(" ".join(columns), flush=True)
+
+
+def print_row(scenario, variant, calls, probes, messages, retries):
     """Print the figures of one variant in one scenario."""
-    row = [f"{name:9}", f"{variant:15}"]
+    row = [f"{scenario.name:9}", f"{variant:15}"]
     for kind in ("read", "booking"):
         times = sorted(x.took_s for x in calls if x.kind == kind)
-        row += [f"{find_percentile(times, p) * 1000:7.1f}" for p in (50, 99, 99.9)]
+        figures = [find_percentile(times, p) * 1000 for p in (50, 99, 99.9)]
+        row += [f"{figures[0]:11.1f}", f"{figures[1]:7.1f}", f"{figures[2]:7.1f}"]
         good = sum(x.good for x in calls if x.kind == kind)
         row.append(f"{100 * good / len(times):6.2f}%")
     count = len(calls)
     row.append(f"{messages / count:5.2f}")
     row.append(f"{probes / count:6.3f}")
-    row.append(f"{100 * retries / count:5.2f}%")
-    row.append(f"{cpu_s / count * 1e6:5.0f}us")
+    row.append(f"{100 * retries / count:6.2f}%")
+    if scenario.event_s is not None:
+        row.append(f"{find_recovery(scenario.event_s, calls):7.1f}s")
     print(" ".join(row), flush=True)
+    if scenario.name == "overload":
+        print_goodput(calls)
+
+
+def print_goodput(calls):
+    """Print the share of the capacity that was used well while overloaded."""
+    during = [x for x in calls if SURGE_START_S <= x.arrived_s < SURGE_END_S]
+    good = sum(x.good for x in during)
+    seeds = len(during) / (2 * CAPACITY_PER_S * (SURGE_END_S - SURGE_START_S))
+    capacity = seeds * CAPACITY_PER_S * (SURGE_END_S - SURGE_START_S)
+    weights = sum(x.weight for x in during if x.good) / sum(x.weight for x in during)
+    refused = sorted(x.ended_s for x in during if x.outcome == "NotRun")
+    line = f"{'':9} goodput {100 * good / capacity:.1f}% of the capacity, "
+    line += f"{100 * weights:.1f}% of the weight offered"
+    if refused:
+        p50_ms, p99_ms = (find_percentile(refused, p) * 1000 for p in (50, 99))
+        line += f"; refused after p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms"
+    print(line, flush=True)
+
+
+def find_recovery(event_s, calls):
+    """Return how long after an event calls were worse than before it.
+
+    A span of `BIN_S` is worse if under 99% of its calls were answered in time, or
+    if their 95th percentile is over one and a half times that before the event.
+    """
+    before = sorted(x.took_s for x in calls if 0.5 <= x.arrived_s < min(event_s, 1.0))
+    limit_s = 1.5 * find_percentile(before, 95)
+    bins = {}
+    for call in calls:
+        if call.arrived_s >= event_s:
+            bins.setdefault(int((call.arrived_s - event_s) / BIN_S), []).append(call)
+    worse = [number for number, x in bins.items() if is_worse(x, limit_s)]
+    return (max(worse) + 1) * BIN_S if worse else 0.0
+
+
+def is_worse(calls, limit_s):
+    """Tell whether calls of one span miss the level before."""
+    if len(calls) < 20:
+        return False
+    good = sum(x.good for x in calls)
+    times = sorted(x.took_s for x in calls)
+    return good < 0.99 * len(calls) or find_percentile(times, 95) > limit_s
 
 
 def main(
@@ -197,6 +260,7 @@
     seeds
         Paired runs of each.
     """
+    print_header()
     for name in scenarios or SCENARIOS:
         for variant in variants or [*BASELINES, *VARIANTS]:
             measure(name, variant, range(1, seeds + 1))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
@@ -10,6 +10,7 @@
 LATENCY_DECAY_S = 0.3
 LATENCY_TRUST_S = 0.4
 REPORT_TRUST_S = 0.1
+ANSWER_TRUST_S = 0.1
 STATE_EXPIRES_S = 2.0
 ABANDONED_TRUST_S = 0.25
 FAILURE_TRUST_S = 5.0
@@ -129,6 +130,10 @@
         """Return how far the average still holds: 1 when fresh, fading to 0."""
         return math.exp((self._latency_at_s - now_s) / LATENCY_TRUST_S)
 
+    def get_answer_trust(self, now_s: float) -> float:
+        """Return 1 right after an answer, fading to 0 fast."""
+        return math.exp((self._latency_at_s - now_s) / ANSWER_TRUST_S)
+
     def get_report_trust(self, now_s: float) -> float:
         """Return how far the last report still holds: 1 when fresh, fading to 0."""
         return math.exp((self.heard_s - now_s) / REPORT_TRUST_S)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_probing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_probing.py
@@ -9,7 +9,7 @@
 from sapphireway_protocol import Peers, Probe
 from sapphireway_state import Policy
 
-PROBES_PER_CALL = 0.05
+PROBES_PER_CALL = 0.02
 PROBE_CREDIT_MAX = 10.0
 PROBE_BYTES_MAX = 256
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
@@ -18,7 +18,7 @@
 OWN_WEIGHT = 3.0
 UTILISATION_WEIGHT = 0.5
 FAILURE_PENALTY = 20.0
-UNHEARD_WEIGHT = 2.0
+UNPROVEN_WEIGHT = 2.0
 
 
 def choose_random(candidates, call, rng, now_s):
@@ -62,17 +62,17 @@
     are known exactly and count in full. What the server's node reports is late,
     and the same for all entry nodes, so only bad news of it counts: a server that
     seems emptier than the rest attracts no calls by that. Calls that can't be
-    repeated prefer servers that were heard a moment ago; those that can explore.
+    repeated prefer servers that answered a moment ago; those that can explore.
     """
     if len(candidates) == 1:
         return candidates[0]
     sample = sample_near(candidates, rng)
     prior = estimate_prior(sample, now_s)
-    unheard_weight = 0.0 if call.policy.idempotent else UNHEARD_WEIGHT
+    unproven_weight = 0.0 if call.policy.idempotent else UNPROVEN_WEIGHT
 
     def score(load):
-        unheard = 1.0 - load.get_report_trust(now_s)
-        return predict(load, prior, now_s) * (1.0 + unheard_weight * unheard)
+        unproven = 1.0 - load.get_answer_trust(now_s)
+        return predict(load, prior, now_s) * (1.0 + unproven_weight * unproven)
 
     return min(sample, key=score)
 
