--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -1,10 +1,9 @@
 """One call's way to its outcome: attempts, retries, hedges and the deadline."""
 
 import asyncio
-import hashlib
 import math
 
-from sapphireway_coordination._attempts import Attempt, Mailbox, Progress
+from sapphireway_coordination._attempts import Attempt, Mailbox
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import (
     AttemptCause,
@@ -14,33 +13,27 @@
     RetryDenied,
     RevokeSent,
 )
+from sapphireway_coordination._conclusions import conclude, is_failure, refuse
 from sapphireway_coordination._ejection import list_usable
 from sapphireway_coordination._invariant import require
+from sapphireway_coordination._revocation import (
+    get_final_revoke,
+    get_first_revoke,
+    get_next_revoke,
+)
+from sapphireway_coordination._run_message import compute_digest, create_run
 from sapphireway_protocol import (
     Answered,
     Failed,
     NotRun,
     NotRunReason,
     Outcome,
-    Run,
     Unknown,
 )
 
-REVOKE_MIN_S = 0.01
-REVOKE_MAX_S = 0.25
-REVOKE_DOUBLINGS = 10
-REVOKE_ROUND_TRIPS = 4
-HEDGES_BEFORE_REVOKE = 4
-FINAL_REVOKE_SHARE = 0.25
-FINAL_REVOKE_S = 0.005
-SILENCE_SHARE = 0.5
 SILENCE_PERCENTILE = 95.0
-SILENCE_DEFAULT_S = 0.1
-RETRY_AFTER_MIN_S = 0.5
-STATUS_FAILURE_MIN = 500
+SILENCE_SHARE = 0.5
 BROKEN_RUNS_MAX = 2
-DIGEST_BYTES = 16
-DIGEST_BODY_BYTES = 65_536
 
 
 class CallRun:
@@ -127,7 +120,7 @@
         if isinstance(result, NotRun) and result.reason is NotRunReason.STALE:
             # The same server may run it under its new incarnation.
             self._tried.remove(attempt.load)
-        if isinstance(result, Answered) and not self._is_failure(result):
+        if isinstance(result, Answered) and not is_failure(result):
             return result
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
@@ -211,7 +204,6 @@
         call = self._call
         dispatcher = self._dispatcher
         incarnation, clock_s = dispatcher.choose_incarnation(load.member, now_s)
-        remaining_s = call.deadline_s - now_s
         attempt = Attempt(
             dispatcher.create_attempt_id(),
             load,
@@ -220,20 +212,8 @@
             now_s,
             self._mailbox.post,
         )
-        run = Run(
-            attempt.attempt_id,
-            call.call_id,
-            call.service,
-            call.kind,
-            call.method,
-            call.target,
-            list(call.headers),
-            call.policy.idempotent,
-            call.policy.weight,
-            self._digest,
-            remaining_s * 1000.0,
-            clock_s + remaining_s if clock_s else 0.0,
-            incarnation,
+        run = create_run(
+            call, attempt.attempt_id, self._digest, incarnation, clock_s, now_s
         )
         return attempt, run
 
@@ -272,7 +252,7 @@
         load = attempt.load
         if attempt.server_s:
             load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
-        if isinstance(result, Answered) and not self._is_failure(result):
+        if isinstance(result, Answered) and not is_failure(result):
             self._dispatcher.ejector.take_success(load, now_s)
             self._service.shedder.take_accept(now_s)
             load.take_answer(attempt.sent_s)
@@ -330,28 +310,16 @@
         return None
 
     def _get_revoke_time(self, attempt):
-        """Return when to ask (again) that a silent attempt never starts."""
-        if attempt.progress is Progress.STARTED:
-            # A lost reply is sent again, and a restart of the node is noticed.
-            return attempt.revoked_s + REVOKE_MAX_S
         if attempt.revokes:
-            round_trips_s = REVOKE_ROUND_TRIPS * attempt.load.round_trip_s
-            pause_s = max(REVOKE_MIN_S, round_trips_s)
-            pause_s *= 2 ** min(attempt.revokes - 1, REVOKE_DOUBLINGS)
-            return attempt.revoked_s + min(pause_s, REVOKE_MAX_S)
-        final_s = self._get_final_revoke_time(attempt)
+            return get_next_revoke(attempt)
+        final_s = get_final_revoke(attempt, self._call.deadline_s)
         if self._find_denial() is not None:
             return final_s
-        percentile = self._call.policy.hedge_percentile or SILENCE_PERCENTILE
-        silence_s = self._latencies.get_percentile(percentile) or SILENCE_DEFAULT_S
-        if self._call.policy.idempotent:
-            silence_s *= HEDGES_BEFORE_REVOKE
-        return min(attempt.sent_s + silence_s, final_s)
-
-    def _get_final_revoke_time(self, attempt):
-        total_s = self._call.deadline_s - attempt.sent_s
-        margin_s = FINAL_REVOKE_S + 2 * attempt.load.round_trip_s
-        return self._call.deadline_s - min(margin_s, FINAL_REVOKE_SHARE * total_s)
+        policy = self._call.policy
+        silence_s = self._latencies.get_percentile(
+            policy.hedge_percentile or SILENCE_PERCENTILE
+        )
+        return min(get_first_revoke(attempt, policy.idempotent, silence_s), final_s)
 
     def _revoke(self, attempt, now_s):
         if attempt.revokes and attempt.load.heard_s < attempt.revoked_s:
@@ -367,40 +335,12 @@
         )
 
     def _conclude(self):
-        """Return the outcome that the ends so far amount to."""
         if self._open:
             return Unknown("no answer by the deadline")
-        for kind in (Answered, Failed, Unknown):
-            for result in reversed(self._ended):
-                if isinstance(result, kind):
-                    return self._correct_failed(result)
-        if not self._ended:
-            return self._refuse(NotRunReason.NO_SERVER, "no server of the service")
-        last = self._ended[-1]
-        return self._refuse(last.reason, last.detail, last.retry_after_s)
-
-    def _correct_failed(self, result):
-        if isinstance(result, Failed) and not self._call.policy.idempotent:
-            return Unknown(result.detail)
-        return result
-
-    def _refuse(self, reason, detail, retry_after_s=0.0):
-        spread = self._dispatcher.rng.uniform(0.5, 1.5)
-        return NotRun(reason, max(retry_after_s, RETRY_AFTER_MIN_S) * spread, detail)
-
-    def _is_failure(self, answered):
-        return answered.status >= STATUS_FAILURE_MIN
+        return conclude(self._ended, self._call, self._dispatcher.rng)
+
+    def _refuse(self, reason, detail):
+        return refuse(reason, detail, 0.0, self._dispatcher.rng)
 
     def _observe(self, event):
         self._dispatcher.observe(event)
-
-
-def compute_digest(call: Call) -> str:
-    """Return a name for requests that are alike; of long bodies only the start."""
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (call.service, call.kind, call.method, call.target):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(len(call.body).to_bytes(8, "big"))
-    digest.update(call.body[:DIGEST_BODY_BYTES])
-    return digest.hexdigest()
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
@@ -0,0 +1,60 @@
+"""The message that asks a server's node to run an attempt."""
+
+import hashlib
+
+from sapphireway_coordination._call import Call
+from sapphireway_protocol import Run
+
+DIGEST_BYTES = 16
+DIGEST_BODY_BYTES = 65_536
+
+
+def create_run(
+    call: Call,
+    attempt_id: str,
+    digest: str,
+    incarnation: str,
+    clock_s: float,
+    now_s: float,
+) -> Run:
+    """Return the message for one attempt of `call`.
+
+    Parameters
+    ----------
+    call : Call
+    attempt_id : str
+    digest : str
+    incarnation : str
+        Incarnation of the server's node that may run it.
+    clock_s : float
+        The least that the node's clock reads now; 0 if not known.
+    now_s : float
+        This node's clock.
+    """
+    remaining_s = call.deadline_s - now_s
+    return Run(
+        attempt=attempt_id,
+        call=call.call_id,
+        service=call.service,
+        kind=call.kind,
+        method=call.method,
+        target=call.target,
+        headers=list(call.headers),
+        idempotent=call.policy.idempotent,
+        weight=call.policy.weight,
+        digest=digest,
+        budget_ms=remaining_s * 1000.0,
+        latest_start_s=clock_s + remaining_s if clock_s else 0.0,
+        incarnation=incarnation,
+    )
+
+
+def compute_digest(call: Call) -> str:
+    """Return a name for requests that are alike; of long bodies only the start."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (call.service, call.kind, call.method, call.target):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(len(call.body).to_bytes(8, "big"))
+    digest.update(call.body[:DIGEST_BODY_BYTES])
+    return digest.hexdigest()
