--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass
 
 from sapphireway_coordination._members import Member, make_member
-from sapphireway_protocol import LoadReport, NodeEntry, Peers, Renew, Renewed, ServerEntry
+from sapphireway_protocol import (
+    LoadReport,
+    NodeEntry,
+    Peers,
+    Renew,
+    Renewed,
+    ServerEntry,
+)
 
 RENEW_INTERVAL_S = 0.4
 RENEW_RESEND_S = 0.1
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -320,9 +320,7 @@
         self._metrics.watch(
             "sapphireway_peer_bytes_sent", lambda: self._peers.bytes_sent
         )
-        self._metrics.watch(
-            "sapphireway_claim_bytes", lambda: self._holder.used_bytes
-        )
+        self._metrics.watch("sapphireway_claim_bytes", lambda: self._holder.used_bytes)
 
     def _get_view(self):
         return self._state.view
