Attack the claim table with a state machine that finds its mutants

Rules now choose among open calls and live votes. Red after the change, each on the mutant alone: rival claims ignored, fence ignored, claims evicted at half their time, claims, fences or outcomes dropped in a takeover, space miscounted. Late give-backs and a fence beside another claim's expiry are red in direct tests.

--- a/packages/sapphireway-state/tests/test_claim_table.py
+++ b/packages/sapphireway-state/tests/test_claim_table.py
@@ -1,7 +1,13 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 
 from sapphireway_protocol import ClaimStatus, OutcomeKind, StoredOutcome
 from sapphireway_state import ClaimSpace, ClaimTable
@@ -75,9 +81,9 @@
 
 
 def test_fence_outlives_expiry_of_another_claim(table):
-    claim(table, "a", now_s=TTL_S - 1)
-    end(table, "a", now_s=TTL_S - 1)
-    assert claim(table, "b", TTL_S, seen=0).status is ClaimStatus.FENCED
+    claim(table, "a")
+    end(table, "b", now_s=TTL_S - 1)
+    assert claim(table, "c", TTL_S + 1, seen=0).status is ClaimStatus.FENCED
 
 
 def test_full_table_refuses_and_evicts_nothing(table):
@@ -122,85 +128,89 @@
 class TableMachine(RuleBasedStateMachine):
     """Compares a table, taken over again and again, with what it promised."""
 
-    keys = st.sampled_from("xyz")
-    claims = st.sampled_from("abcd")
-
     @initialize()
     def open(self):
         self.space = ClaimSpace(6_000, 2_000)
         self.table = ClaimTable(self.space)
         self.now_s = 0.0
-        self.votes = {}  # (key, claim) -> (round, expiry)
-        self.done = {}  # key -> (outcome, expiry)
-        self.fences = {}  # key -> (fence, expiry)
-        self.ended = set()
-        self.started = {}  # (key, claim) -> fence seen
+        self.calls = 0
         self.rounds = 0
+        self.open_calls = {}  # claim -> fence seen when the call arrived
+        self.votes = {}  # claim -> (round, expiry)
+        self.outcome = None
+        self.done_until_s = 0.0
+        self.fence = 0
+        self.fenced_until_s = 0.0
 
-    def is_voted(self, key, claim_id):
-        return self.votes.get((key, claim_id), (0, 0.0))[1] > self.now_s
+    def pick(self, claims, index):
+        claims = sorted(claims)
+        return claims[index % len(claims)]
 
-    @rule(key=keys, claim_id=claims)
-    def claim(self, key, claim_id):
-        if (key, claim_id) in self.ended:
-            return
-        self.rounds += 1
-        seen = self.started.setdefault((key, claim_id), self.table.fence)
-        reply = claim(self.table, claim_id, self.now_s, self.rounds, seen, key)
-        rivals = [c for c in "abcd" if c != claim_id and self.is_voted(key, c)]
-        outcome, until_s = self.done.get(key, (None, 0.0))
-        if until_s > self.now_s:
-            assert (reply.status, reply.outcome) == (ClaimStatus.DONE, outcome)
-            return
-        if reply.status is ClaimStatus.GRANTED:
-            assert not rivals
-            fence, until_s = self.fences.get(key, (0, 0.0))
-            assert seen >= fence or until_s <= self.now_s
-        if reply.status in (ClaimStatus.GRANTED, ClaimStatus.FENCED, ClaimStatus.FULL):
-            self.votes[key, claim_id] = (self.rounds, self.now_s + TTL_S)
-
-    @rule(key=keys, claim_id=claims, back=st.integers(0, 3))
-    def give_back(self, key, claim_id, back):
-        round_ = self.rounds - back
-        give_back(self.table, claim_id, round_, self.now_s, key)
-        if self.votes.get((key, claim_id), (round_ + 1, 0.0))[0] <= round_:
-            self.votes.pop((key, claim_id), None)
+    def list_voted(self):
+        return [c for c, (_, until_s) in self.votes.items() if until_s > self.now_s]
 
-    @rule(key=keys, claim_id=claims)
-    def refuse(self, key, claim_id):
-        if not self.is_voted(key, claim_id):
+    @rule()
+    @precondition(lambda self: len(self.open_calls) < 4)
+    def open_call(self):
+        self.calls += 1
+        self.open_calls[f"c{self.calls}"] = self.table.fence
+
+    @rule(index=st.integers(0, 3))
+    @precondition(lambda self: self.open_calls)
+    def claim(self, index):
+        claim_id = self.pick(self.open_calls, index)
+        seen = self.open_calls[claim_id]
+        self.rounds += 1
+        reply = claim(self.table, claim_id, self.now_s, self.rounds, seen)
+        if self.done_until_s > self.now_s:
+            assert (reply.status, reply.outcome) == (ClaimStatus.DONE, self.outcome)
             return
-        assert end(self.table, claim_id, self.now_s, key=key)
-        del self.votes[key, claim_id]
-        self.ended.add((key, claim_id))
-        self.fences[key] = (self.table.fence, self.now_s + KEEP_S)
-
-    @rule(key=keys, claim_id=claims)
-    def finish(self, key, claim_id):
-        if not self.is_voted(key, claim_id):
+        if self.list_voted() not in ([], [claim_id]):
+            assert reply.status is ClaimStatus.HELD
             return
-        self.table.record(self.now_s, key, "d", claim_id, ANSWER, TTL_S)
-        for known in [vote for vote in self.votes if vote[0] == key]:
-            del self.votes[known]
-        if self.done.get(key, (None, 0.0))[1] <= self.now_s:
-            self.done[key] = (ANSWER, self.now_s + TTL_S)
-        self.ended.add((key, claim_id))
-
-    @rule(seconds=st.sampled_from((0.5, 20.0, TTL_S)))
+        is_fenced = seen < self.fence and self.now_s < self.fenced_until_s
+        if is_fenced or reply.status is not ClaimStatus.GRANTED:
+            assert reply.status is ClaimStatus.FENCED
+        self.votes[claim_id] = (self.rounds, self.now_s + TTL_S)
+
+    @rule(index=st.integers(0, 3), back=st.integers(0, 3))
+    @precondition(lambda self: self.votes)
+    def give_back(self, index, back):
+        claim_id = self.pick(self.votes, index)
+        round_ = self.rounds - back
+        give_back(self.table, claim_id, round_, self.now_s)
+        if self.votes[claim_id][0] <= round_:
+            del self.votes[claim_id]
+
+    @rule(index=st.integers(0, 3))
+    @precondition(lambda self: self.list_voted())
+    def refuse(self, index):
+        claim_id = self.pick(self.list_voted(), index)
+        assert end(self.table, claim_id, self.now_s)
+        del self.votes[claim_id], self.open_calls[claim_id]
+        self.fence = self.table.fence
+        self.fenced_until_s = self.now_s + KEEP_S
+
+    @rule(index=st.integers(0, 3))
+    @precondition(lambda self: self.list_voted())
+    def finish(self, index):
+        claim_id = self.pick(self.list_voted(), index)
+        self.outcome = StoredOutcome(OutcomeKind.UNKNOWN, detail=claim_id)
+        self.table.record(self.now_s, "k", "d", claim_id, self.outcome, TTL_S)
+        self.done_until_s = self.now_s + TTL_S
+        self.votes.clear()
+        del self.open_calls[claim_id]
+
+    @rule(seconds=st.sampled_from((0.5, 20.0, 0.9 * TTL_S, TTL_S)))
     def wait(self, seconds):
         self.now_s += seconds
-        self.ended = {e for e in self.ended if seconds < TTL_S}
-        self.started = {} if seconds >= KEEP_S else self.started
 
     @rule()
     def take_over(self):
         copies, _, _ = self.table.copy_page(self.now_s, 0, 10**9)
         self.table.clear()
         self.table.merge(self.now_s, copies)
-        self.fences = {
-            key: (self.table.fence, until_s)
-            for key, (_, until_s) in self.fences.items()
-        }
+        self.fence = self.table.fence
 
     @invariant()
     def space_is_counted(self):
