--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -1,6 +1,7 @@
 """Decisions of the nodes: routing, admission, claims, quorum and membership."""
 
 from sapphireway_coordination._call import Call
+from sapphireway_coordination._claim_client import Fences
 from sapphireway_coordination._claim_group import (
     ClaimGroupMachine,
     GroupChange,
@@ -26,7 +27,6 @@
     ClaimEnd,
     ClaimEnded,
     Dispatch,
-    Fences,
 )
 from sapphireway_coordination._members import GetMembers, Member
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_votes.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_votes.py
@@ -43,8 +43,6 @@
     rivals : frozenset of str
         Other claims that hold the key somewhere.
     outcome : StoredOutcome or None
-    same_request : bool
-        Whether `outcome` belongs to the same request.
     detail : str
         One line for people.
     """
@@ -55,7 +53,6 @@
     held_at: frozenset[GroupHolder] = frozenset()
     rivals: frozenset[str] = frozenset()
     outcome: StoredOutcome | None = None
-    same_request: bool = True
     detail: str = ""
 
     @property
@@ -77,7 +74,9 @@
     decision, detail = _decide(group, said, statuses, done)
     return Votes(
         decision,
-        decision in (Decision.RUN, Decision.DONE) or is_all or not can_run,
+        decision in (Decision.RUN, Decision.DONE, Decision.MISMATCH)
+        or is_all
+        or not can_run,
         frozenset(statuses),
         frozenset(
             holder
@@ -86,14 +85,13 @@
         ),
         frozenset(claim for reply in said for claim in reply.claims),
         done.outcome if done is not None else None,
-        done.same_request if done is not None else True,
         detail,
     )
 
 
 def _decide(group, said, statuses, done):
     if done is not None:
-        return Decision.DONE, ""
+        return (Decision.DONE if done.same_request else Decision.MISMATCH), ""
     if statuses[ClaimStatus.GRANTED] >= group.majority:
         return Decision.RUN, ""
     if sum(statuses[status] for status in HOLDING) >= group.majority:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
@@ -2,52 +2,46 @@
 
 import asyncio
 import enum
-import hashlib
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from sapphireway_coordination._call import Call
+from sapphireway_coordination._claim_client import (
+    ROUND_TIMEOUT_S,
+    Fences,
+    HolderClient,
+)
 from sapphireway_coordination._claim_group import name_group
+from sapphireway_coordination._claim_outcomes import (
+    describe_mismatch,
+    digest_request,
+    explain_refusal,
+    load_outcome,
+    store_outcome,
+)
 from sapphireway_coordination._claim_votes import Decision, Votes, tally_votes
 from sapphireway_protocol import (
-    Answered,
-    ClaimAck,
     ClaimGroup,
-    ClaimGroupNews,
     ClaimRecord,
     ClaimRelease,
-    ClaimReply,
     ClaimRequest,
-    ClaimStatus,
-    Failed,
-    GroupHolder,
     NotRun,
     NotRunReason,
     Outcome,
-    OutcomeKind,
     Peers,
-    StoredOutcome,
     Unknown,
 )
 
 KEY_MAX_BYTES = 256
-ROUND_TIMEOUT_S = 0.25
 RETRY_MIN_S = 0.005
 RETRY_MAX_S = 0.1
 RELEASE_MARGIN_S = 5.0
-DELIVERY_LIMIT_S = 30.0
-DELIVERY_TRIES = 3  # to holders beyond the majority
-CONFLICT_RETRY_AFTER_S = 0.1
-FULL_RETRY_AFTER_S = 5.0
 
 Dispatch = Callable[[Call], Awaitable[Outcome]]
 """Runs a call at most once and returns how it ended."""
 
-Fences = Mapping[GroupHolder, int]
-"""The latest fence of each holder of a group that a claimant has heard of."""
-
 
 class ClaimEnd(enum.StrEnum):
     """How the claim of a call ended."""
@@ -130,16 +124,7 @@
         Called with each event.
     """
 
-    __slots__ = (
-        "_fences",
-        "_get_group",
-        "_learned",
-        "_observe",
-        "_peers",
-        "_rng",
-        "_shards",
-        "_tasks",
-    )
+    __slots__ = ("_client", "_observe", "_rng", "_shards")
 
     def __init__(
         self,
@@ -149,19 +134,15 @@
         shards: int = 1,
         observe: Callable[[Any], None] = lambda event: None,
     ):
-        self._fences = {}
-        self._get_group = get_group
-        self._learned = {}
+        self._client = HolderClient(peers, get_group, rng)
         self._observe = observe
-        self._peers = peers
         self._rng = rng
         self._shards = shards
-        self._tasks = set()
 
     def get_fences(self, service: str, key: str) -> Fences:
         """Return the fences to pass to `run_claimed` for a call that arrives now."""
         name = name_group(service, key, self._shards)
-        return dict(self._fences.get(name, {}))
+        return self._client.get_fences(name)
 
     async def run_claimed(
         self, call: Call, dispatch: Dispatch, seen: Fences | None = None
@@ -184,35 +165,34 @@
         if seen is None:
             seen = self.get_fences(call.service, call.key)
         name = name_group(call.service, call.key, self._shards)
-        attempt = _Attempt(call, name, _digest(call), self._now(), seen)
+        attempt = _Attempt(call, name, digest_request(call), self._now(), seen)
         try:
             end, outcome = await self._acquire(attempt)
         except asyncio.CancelledError:
-            self._spawn(self._deliver(attempt, self._build_final_release(attempt)))
+            self._client.spawn(
+                self._deliver(attempt, self._build_final_release(attempt))
+            )
             raise
         if end is ClaimEnd.DISPATCHED:
             self._report_end(attempt, end, "")
-            running = self._spawn(self._dispatch(attempt, dispatch))
+            running = self._client.spawn(self._dispatch(attempt, dispatch))
             return await asyncio.shield(running)
         if end is ClaimEnd.REFUSED:
             outcome = self._refuse(attempt, outcome)
         elif end is not ClaimEnd.REPEATED or attempt.votes.holds_any:
-            self._spawn(self._deliver(attempt, self._build_final_release(attempt)))
+            self._client.spawn(
+                self._deliver(attempt, self._build_final_release(attempt))
+            )
         self._report_end(attempt, end, getattr(outcome, "detail", ""))
         return outcome
 
     async def drain(self, timeout_s: float) -> bool:
         """Wait for dispatched calls and deliveries; False if some are left."""
-        if self._tasks:
-            await asyncio.wait(set(self._tasks), timeout=timeout_s)
-        return not self._tasks
+        return await self._client.drain(timeout_s)
 
     async def close(self) -> None:
         """Cancel whatever is under way."""
-        tasks = set(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._client.close()
 
     async def _acquire(self, attempt):
         """Ask the holders until the key is held or another outcome is certain."""
@@ -220,11 +200,11 @@
         delay_s = RETRY_MIN_S
         detail = "no claim group is known"
         while (left_s := call.deadline_s - self._now()) > 0:
-            group = self._find_group(attempt.group_name)
+            group = self._client.find_group(attempt.group_name)
             if group is None:
                 return ClaimEnd.UNKNOWN, Unknown(detail)
             attempt.round += 1
-            replies = await self._ask(
+            replies = await self._client.ask(
                 group,
                 group.holders,
                 lambda holder, group=group: self._build_claim(attempt, group, holder),
@@ -239,11 +219,11 @@
                     late = NotRun(NotRunReason.DEADLINE, detail="claimed too late")
                     return ClaimEnd.REFUSED, late
                 case Decision.REFUSE:
-                    return ClaimEnd.REFUSED, _explain_refusal(votes)
+                    return ClaimEnd.REFUSED, explain_refusal(votes)
                 case Decision.DONE:
-                    return _repeat(votes)
+                    return ClaimEnd.REPEATED, load_outcome(votes.outcome)
                 case Decision.MISMATCH:
-                    return ClaimEnd.MISMATCH, _describe_mismatch()
+                    return ClaimEnd.MISMATCH, describe_mismatch()
                 case Decision.UNKNOWN:
                     return ClaimEnd.UNKNOWN, Unknown(votes.detail)
             detail = votes.detail
@@ -263,9 +243,8 @@
             if holder in attempt.votes.held_at:
                 # The round is named, because the release may arrive after the next
                 # round's request, and must not undo a vote that is counted there.
-                self._peers.send(
-                    holder.node, self._build_release(attempt, group, holder)
-                )
+                release = self._build_release(attempt, group, holder)
+                self._client.send(holder, release)
 
     async def _dispatch(self, attempt, dispatch):
         outcome = Unknown("the call was interrupted")
@@ -273,7 +252,7 @@
             outcome = await dispatch(attempt.call)
         finally:
             if not isinstance(outcome, NotRun):
-                self._spawn(self._record(attempt, outcome))
+                self._client.spawn(self._record(attempt, outcome))
         if isinstance(outcome, NotRun):
             return self._refuse(attempt, outcome)
         return outcome
@@ -287,13 +266,15 @@
         held_s = self._now() - attempt.started_s
         if held_s > attempt.call.policy.claim_ttl_s / 2:
             return Unknown("the claim may have expired before its release")
-        self._spawn(self._deliver(attempt, self._build_final_release(attempt, True)))
+        self._client.spawn(
+            self._deliver(attempt, self._build_final_release(attempt, True))
+        )
         return outcome
 
     async def _record(self, attempt, outcome):
         call = attempt.call
         policy = call.policy
-        stored = _store_outcome(outcome, policy.claim_answer_max_bytes)
+        stored = store_outcome(outcome, policy.claim_answer_max_bytes)
 
         def build(group, holder):
             return ClaimRecord(
@@ -310,87 +291,9 @@
         await self._deliver(attempt, build)
 
     async def _deliver(self, attempt, build):
-        """Repeat a message until every holder of one epoch has confirmed it."""
+        acknowledged = await self._client.deliver(attempt.group_name, build)
         call = attempt.call
-        end_s = self._now() + DELIVERY_LIMIT_S
-        delay_s = RETRY_MIN_S
-        epoch = 0
-        confirmed = set()
-        tries = 0
-        while self._now() < end_s:
-            group = self._find_group(attempt.group_name)
-            if group is None:
-                break
-            if group.epoch != epoch:
-                epoch = group.epoch
-                confirmed = set()
-
-            replies = await self._ask(
-                group,
-                [h for h in group.holders if h not in confirmed],
-                lambda holder, group=group: build(group, holder),
-                ROUND_TIMEOUT_S,
-                lambda replies: False,
-            )
-            confirmed.update(h for h, reply in replies.items() if _is_done(reply))
-            tries += 1
-            is_kept = len(confirmed) >= group.majority and tries >= DELIVERY_TRIES
-            if is_kept or len(confirmed) == len(group.holders):
-                break
-            await asyncio.sleep(delay_s * (1 + self._rng.random()))
-            delay_s = min(2 * delay_s, 1.0)
-        self._observe(ClaimDelivered(call.service, call.call_id, len(confirmed)))
-
-    async def _ask(self, group, holders, build, timeout_s, is_settled):
-        """Send to all holders at once; return their replies once settled."""
-        replies = {}
-        settled = asyncio.Event()
-
-        async def ask_one(holder):
-            request = build(holder)
-            reply = await self._peers.request(holder.node, request, timeout_s)
-            replies[holder] = self._check_reply(group, holder, reply)
-            if is_settled(replies) or len(replies) == len(holders):
-                settled.set()
-
-        for holder in holders:
-            self._spawn(ask_one(holder))
-        await settled.wait()
-        return dict(replies)
-
-    def _check_reply(self, group, holder, envelope):
-        """Return the message if the holder itself sent it, and learn from it."""
-        if envelope is None or not isinstance(envelope.message, ClaimReply | ClaimAck):
-            return None
-        message = envelope.message
-        if message.group is not None:
-            self._learn(message.group)
-        if envelope.incarnation != holder.incarnation:
-            return None
-        known = self._fences.setdefault(group.name, {})
-        known[holder] = max(known.get(holder, 0), message.fence)
-        is_behind = (
-            isinstance(message, ClaimReply) and message.status is ClaimStatus.EPOCH
-        )
-        if is_behind and message.group is None:
-            self._peers.send(holder.node, ClaimGroupNews(group))
-        return message
-
-    def _find_group(self, name):
-        group = self._get_group(name)
-        if group is not None:
-            self._learn(group)
-        return self._learned.get(name)
-
-    def _learn(self, group):
-        known = self._learned.get(group.name)
-        if known is not None and known.epoch >= group.epoch:
-            return
-        self._learned[group.name] = group
-        fences = self._fences.get(group.name, {})
-        self._fences[group.name] = {
-            holder: fences[holder] for holder in group.holders if holder in fences
-        }
+        self._observe(ClaimDelivered(call.service, call.call_id, acknowledged))
 
     def _build_claim(self, attempt, group, holder):
         call = attempt.call
@@ -438,76 +341,5 @@
             )
         )
 
-    def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _now(self):
         return asyncio.get_running_loop().time()
-
-
-def _digest(call):
-    """Name the request, so that a key can't stand for two different ones."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (call.kind, call.method, call.target):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(call.body)
-    return digest.hexdigest()
-
-
-def _is_done(reply):
-    return isinstance(reply, ClaimAck) and reply.done
-
-
-def _explain_refusal(votes):
-    if ClaimStatus.FULL in votes.statuses:
-        return NotRun(
-            NotRunReason.CLAIMS_UNAVAILABLE,
-            FULL_RETRY_AFTER_S,
-            "no room to keep the idempotency key",
-        )
-    return NotRun(
-        NotRunReason.CLAIM_CONFLICT,
-        CONFLICT_RETRY_AFTER_S,
-        "the key was released while this request was under way",
-    )
-
-
-def _describe_mismatch():
-    return NotRun(
-        NotRunReason.CLAIM_MISMATCH, 0.0, "the key was used for another request"
-    )
-
-
-def _repeat(votes):
-    """Return the outcome that a resend gets."""
-    if not votes.same_request:
-        return ClaimEnd.MISMATCH, _describe_mismatch()
-    stored = votes.outcome
-    match stored.kind:
-        case OutcomeKind.ANSWERED:
-            outcome = Answered(stored.status, stored.headers, stored.body)
-        case OutcomeKind.FAILED:
-            outcome = Failed(stored.detail)
-        case OutcomeKind.ANSWER_DROPPED:
-            outcome = Unknown("the request ran; its answer was too large to keep")
-        case OutcomeKind.UNKNOWN:
-            outcome = Unknown(stored.detail)
-    return ClaimEnd.REPEATED, outcome
-
-
-def _store_outcome(outcome, answer_max_bytes):
-    """Return what holders keep; an answer that is too large is only noted."""
-    match outcome:
-        case Answered(status, headers, body):
-            if len(body) > answer_max_bytes:
-                return StoredOutcome(OutcomeKind.ANSWER_DROPPED, status)
-            return StoredOutcome(OutcomeKind.ANSWERED, status, tuple(headers), body)
-        case Failed(detail):
-            return StoredOutcome(OutcomeKind.FAILED, detail=detail)
-        case Unknown(detail):
-            return StoredOutcome(OutcomeKind.UNKNOWN, detail=detail)
-    raise AssertionError(f"{outcome} is not an outcome to keep")
