--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -21,6 +21,7 @@
     RetryDenied,
     RevokeSent,
 )
+from sapphireway_coordination._claim_client import Fences
 from sapphireway_coordination._claim_group import (
     ClaimGroupMachine,
     GroupChange,
@@ -46,7 +47,6 @@
     ClaimEnd,
     ClaimEnded,
     Dispatch,
-    Fences,
 )
 from sapphireway_coordination._control_client import ControlClient
 from sapphireway_coordination._control_machine import (
