--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,7 +10,7 @@
 import defopt
 import tornado.httpclient
 
-from demo._fleet import ADMIN_PORT, HTTP_PORT, TOKEN, Fleet
+from demo._fleet import ADMIN_PORT, HTTP_PORT, Fleet
 from demo._kinds import KINDS
 from demo._load import Callers
 from demo._report import count_doubled, list_violations, read_runs, render_table
@@ -77,18 +77,16 @@
 async def read_costs(fleet: Fleet) -> str:
     """Return the measuring cost that the nodes counted, in one line."""
     client = tornado.httpclient.AsyncHTTPClient()
-    totals = {}
+    probes = calls = 0.0
     for place in fleet.places:
         url = f"http://{place.host}:{ADMIN_PORT}/metrics"
-        answer = await client.fetch(
-            url, headers={"Authorization": f"Bearer {TOKEN}"}, raise_error=False
-        )
+        answer = await client.fetch(url, raise_error=False)
         for line in answer.body.decode().splitlines():
             name, _, value = line.rpartition(" ")
-            if name.startswith("sapphireway_events_total"):
-                totals[name] = totals.get(name, 0.0) + float(value)
-    probes = totals.get('sapphireway_events_total{event="ProbeSent"}', 0.0)
-    calls = totals.get('sapphireway_events_total{event="CallEnded"}', 0.0)
+            if 'event="ProbeSent"' in name:
+                probes += float(value)
+            if 'event="CallEnded"' in name:
+                calls += float(value)
     share = probes / calls if calls else 0.0
     return f"measuring: {probes:.0f} probes for {calls:.0f} calls ({share:.3f} a call)"
 
--- /dev/null
+++ b/packages/sapphirectl/src/sapphirectl/__main__.py
@@ -0,0 +1,5 @@
+"""Entry of ``python -m sapphirectl``."""
+
+from sapphirectl._cli import main
+
+main()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
@@ -54,7 +54,7 @@
         return result
 
     def read(self, query: bytes) -> bytes:
-        """Answer a query with its prefix: of the tree, or the group of a service."""
+        """Answer a query with its prefix: of the tree, or the claim group of a name."""
         prefix, content = query[:1], query[1:]
         if prefix == TREE_PREFIX:
             return self.settings.read(content)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
@@ -47,9 +47,9 @@
         """The settings tree in force."""
         return self._tree.view
 
-    def get_group(self, service: str) -> ClaimGroup | None:
-        """Return the claim group of a service, if it has one."""
-        return self._groups.get(service)
+    def get_group(self, name: str) -> ClaimGroup | None:
+        """Return the claim group with this name, if there is one."""
+        return self._groups.get(name)
 
     def make_update(self, tree_version: int, groups_version: int) -> SettingsUpdate:
         """Return what a node with these versions lacks."""
@@ -71,7 +71,7 @@
                 self.fault = self._tree.fault
                 return applied
         if update.groups is not None:
-            self._groups = {group.service: group for group in update.groups}
+            self._groups = {group.name: group for group in update.groups}
             self.groups_version = update.groups_version
         self.version = update.version
         for group in update.groups or ():
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -66,7 +66,7 @@
         Failure domain of this node.
     create_call_id : callable
     note_arrival : callable
-        Called with the service when a request's headers arrived.
+        Called with service and key when the headers of a keyed request arrived.
     dispatch : Dispatch
     metrics : Metrics
     log : EventLog
@@ -93,7 +93,7 @@
         get_settings: Callable[[], SettingsView],
         domain: str,
         create_call_id: Callable[[], str],
-        note_arrival: Callable[[str], Any],
+        note_arrival: Callable[[str, str], Any],
         dispatch: Dispatch,
         metrics: Metrics,
         log: EventLog,
@@ -114,7 +114,9 @@
         if matched is None:
             return UNMATCHED_BODY_MAX_BYTES
         policy = settings.resolve(self._domain, *matched)
-        request.route = _Route(*matched, policy, self._note_arrival(matched[0]))
+        key = request.get_header(KEY_HEADER)
+        arrival = None if key is None else self._note_arrival(matched[0], key)
+        request.route = _Route(*matched, policy, arrival)
         return policy.body_max_bytes
 
     def reject(self, rejected: RejectedRequest) -> HttpAnswer:
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -111,7 +111,7 @@
             self._propose_group,
             self._is_leader,
             KeeperSettings(),
-            observe,
+            observe=observe,
         )
 
     async def run(self) -> None:
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -212,7 +212,7 @@
             self._peers, self._get_members, rng, self._observe
         )
         self._claimant = Claimant(
-            self._peers, self._state.get_group, rng, self._observe
+            self._peers, self._state.get_group, rng, observe=self._observe
         )
         self._client = self._build_client()
         self._gate = Gate(
@@ -337,8 +337,8 @@
         server = announcement.server if announcement else ""
         self._gate.set_out(self._state.view.is_out(self._settings.domain, server))
 
-    async def _read_group(self, service):
-        query = GROUP_PREFIX + service.encode()
+    async def _read_group(self, name):
+        query = GROUP_PREFIX + name.encode()
         answer = await self._control_client.read(query, CONTROL_READ_TIMEOUT_S)
         if not isinstance(answer, Answer):
             return None
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -155,7 +155,7 @@
     async def post(self):
         """Propose one edit and answer with the machine's answer."""
         self.require_token()
-        edit = self._build_edit(self._parse_request())
+        edit = await self._build_edit(self._parse_request())
         try:
             command = encode_edit(edit)
         except (OverflowError, ValueError, RecursionError) as error:
@@ -173,7 +173,7 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             self.fail(400, "bad_request", str(error))
 
-    def _build_edit(self, request):
+    async def _build_edit(self, request):
         edit = Edit(
             request.edit_id,
             request.base,
@@ -185,7 +185,7 @@
         )
         if not any(map(_may_take_out, request.operations)):
             return edit
-        return msgspec.structs.replace(edit, live=self.backend.list_live())
+        return msgspec.structs.replace(edit, live=await self.backend.list_live())
 
 
 class HistoryHandler(OperatorHandler):
--- a/packages/sapphireway/src/sapphireway/memory/_operator.py
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -56,7 +56,7 @@
             propose=self._propose,
             read=self._read,
             get_view=self._get_view,
-            list_live=lambda: self.live,
+            list_live=self._list_live,
             get_status=self._get_status,
             get_explanations=self._get_explanations,
             get_traces=self._get_traces,
@@ -67,6 +67,9 @@
             log_event=lambda name, **fields: self.events.append((name, fields)),
         )
 
+    async def _list_live(self):
+        return self.live
+
     async def _propose(self, command):
         if self.unavailable:
             return Unavailable("no quorum")
