--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sapphireway_coordination._claim_takeover import pull_claims
 from sapphireway_protocol import (
     ClaimAck,
     ClaimGroup,
@@ -28,8 +29,6 @@
 from sapphireway_state import ClaimSpace, ClaimTable
 
 PAGE_BYTES = 128 * 1024
-PULL_TIMEOUT_S = 0.5
-PULL_RETRY_S = 0.05
 RENEWALS_PER_LEASE = 6
 RENEW_RETRY_S = 1.0
 RETAIN_S = 600.0  # for holders of the next epoch that are late to take over
@@ -301,37 +300,15 @@
         self._change_state(holding, HolderState.ACTIVE)
 
     async def _pull_majority(self, holding, group):
-        done = set()
+        complete = set()
         if holding.active_epoch == group.epoch - 1:
-            done |= {h for h in group.previous if self._is_self(h)}
-        majority = len(group.previous) // 2 + 1
-        while len(done) < majority:
-            sources = [h for h in group.previous if h not in done]
-            pulls = (self._pull(holding, group, source) for source in sources)
-            results = await asyncio.gather(*pulls)
-            done.update(s for s, pulled in zip(sources, results, strict=True) if pulled)
-            if len(done) < majority:
-                await asyncio.sleep(PULL_RETRY_S * (1 + self._rng.random()))
-
-    async def _pull(self, holding, group, source):
-        after = 0
-        while True:
-            request = ClaimPull(group.name, group.epoch, source.incarnation, after)
-            reply = await self._peers.request(source.node, request, PULL_TIMEOUT_S)
-            if reply is None or reply.incarnation != source.incarnation:
-                return False
-            page = reply.message
-            if not isinstance(page, ClaimPage) or not page.ready:
-                return False
-            now_s = self._now()
+            complete = {holder for holder in group.previous if self._is_self(holder)}
+        unsure_until_s = await pull_claims(
+            self._peers, group, complete, holding.table, self._rng
+        )
+        if not self._settings.run_when_unsure:
             table = holding.table
-            table.merge(now_s, page.entries)
-            if not self._settings.run_when_unsure:
-                until_s = now_s + page.unsure_in_s
-                table.unsure_until_s = max(table.unsure_until_s, until_s)
-            if not page.more:
-                return True
-            after = page.last
+            table.unsure_until_s = max(table.unsure_until_s, unsure_until_s)
 
     async def _renew_lease(self, holding, group):
         lease_s = self._settings.lease_s
