Spread the groups of a service over its nodes

Cause: with four shards on five nodes, one node held nothing: CRC-32 is linear, so two nodes compare alike under most group names. The keeper now prefers the node that holds the fewest groups of the service and breaks ties by BLAKE2. Ruled out: the domain rule, which only decides between domains.

Also: an `Unknown` outcome is no longer kept as "ran, answer not kept" on a full holder, and the deadline is checked in the step that dispatches.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
@@ -217,7 +217,8 @@
         holding, refusal = self._find_active(request)
         if refusal is None:
             outcome = request.outcome
-            if not holding.table.has_room(len(outcome.body)):
+            is_answer = outcome.kind is OutcomeKind.ANSWERED
+            if is_answer and not holding.table.has_room(len(outcome.body)):
                 outcome = msgspec.structs.replace(
                     outcome, kind=OutcomeKind.ANSWER_DROPPED, headers=(), body=b""
                 )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
@@ -1,9 +1,9 @@
 """Keeping claim groups at their size while nodes come and go."""
 
 import asyncio
-import zlib
+import hashlib
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -158,23 +158,34 @@
             if not member.leaving and not member.out
         ]
         group = self._get_group(name)
+        load = self._count_groups(service)
         if group is None:
             size = _find_size(self._settings.size, len(live))
             if size:
-                holders = choose_holders(name, live, size)
+                holders = choose_holders(name, live, size, load=load)
                 await self._change(GroupChange(name, 0, holders))
             return
         leaving = {m.node for m in members if m.leaving or m.out}
         self._note_gone(group, live)
-        holders = self._plan(group, live, leaving)
+        holders = self._plan(group, live, leaving, load)
         if holders is not None and await self._is_active(group):
             await self._change(GroupChange(name, group.epoch, holders))
         elif self._is_lost(group, live) and not await self._is_active(group):
             size = _find_size(self._settings.size, len(live))
-            holders = choose_holders(name, live, size)
+            holders = choose_holders(name, live, size, load=load)
             unsure_s = self._get_unsure_s(service)
             await self._change(GroupChange(name, group.epoch, holders, True, unsure_s))
 
+    def _count_groups(self, service):
+        """Count the groups of the service that each node holds."""
+        groups = map(self._get_group, list_group_names(service, self._shards))
+        return Counter(
+            node
+            for group in groups
+            if group is not None
+            for node in list_nodes(group.holders)
+        )
+
     def _note_gone(self, group, live):
         now_s = self._now()
         known = self._gone_since_s.get(group.name, {})
@@ -184,7 +195,7 @@
             if holder not in live
         }
 
-    def _plan(self, group, live, leaving):
+    def _plan(self, group, live, leaving, load):
         """Return the holders after one useful change, or None."""
         now_s = self._now()
         size = self._settings.size
@@ -192,34 +203,34 @@
         kept = [holder for holder in group.holders if holder not in gone]
         for holder, since_s in gone.items():
             if now_s - since_s >= self._settings.settle_s or holder.node in leaving:
-                return self._replace(group, live, holder)
+                return self._replace(group, live, holder, load)
         if gone:
             return None
         if len(kept) > size:
             return tuple(kept[:-1])
         if len(kept) < _find_size(size, len(live)):
-            return choose_holders(group.name, live, len(kept) + 1, kept)
+            return choose_holders(group.name, live, len(kept) + 1, kept, load)
         if now_s - self._changed_s.get(group.name, now_s) < (
             self._settings.rebalance_s
         ):
             self._changed_s.setdefault(group.name, now_s)
             return None
-        return self._spread(group, live)
+        return self._spread(group, live, load)
 
-    def _replace(self, group, live, removed):
+    def _replace(self, group, live, removed, load):
         kept = [holder for holder in group.holders if holder != removed]
-        holders = choose_holders(group.name, live, len(group.holders), kept)
+        holders = choose_holders(group.name, live, len(group.holders), kept, load)
         # Without a substitute the old group bears more losses than a smaller one.
         return holders if len(holders) == len(group.holders) else None
 
-    def _spread(self, group, live):
+    def _spread(self, group, live, load):
         """Move a holder out of a domain that has two, if another domain has none."""
         domains = Counter(holder.domain for holder in group.holders)
         free = [holder for holder in live if holder.domain not in domains]
         crowded = [h for h in group.holders if domains[h.domain] > 1]
         if not free or not crowded:
             return None
-        return self._replace(group, free, crowded[-1])
+        return self._replace(group, free, crowded[-1], load)
 
     def _is_lost(self, group, live):
         gone = self._gone_since_s[group.name]
@@ -272,8 +283,27 @@
     live: Sequence[GroupHolder],
     size: int,
     kept: Sequence[GroupHolder] = (),
+    load: Mapping[str, int] | None = None,
 ) -> tuple[GroupHolder, ...]:
-    """Add nodes to `kept` up to `size`, in as many failure domains as there are."""
+    """Add nodes to `kept` up to `size`, in as many failure domains as there are.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group; breaks ties differently for each group.
+    live : sequence of GroupHolder
+        Nodes that may hold.
+    size : int
+    kept : sequence of GroupHolder
+    load : mapping of str to int, optional
+        Number of the service's groups that each node holds already.
+
+    Returns
+    -------
+    tuple of GroupHolder
+        Fewer than `size` if there are not enough nodes.
+    """
+    load = load or {}
     holders = list(kept)
     while len(holders) < size:
         nodes = list_nodes(holders)
@@ -286,14 +316,18 @@
                 candidates,
                 key=lambda holder, domains=domains: (
                     domains[holder.domain],
-                    zlib.crc32(f"{name} {holder.node}".encode()),
-                    holder.node,
+                    load.get(holder.node, 0),
+                    _hash_place(name, holder.node),
                 ),
             )
         )
     return tuple(holders)
 
 
+def _hash_place(name, node):
+    return hashlib.blake2b(f"{name} {node}".encode(), digest_size=8).digest()
+
+
 def _find_size(size, available):
     """Return the largest odd size that the available nodes allow."""
     fitting = min(size, available)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
@@ -214,10 +214,7 @@
             attempt.votes = votes = tally_votes(group, replies)
             match votes.decision:
                 case Decision.RUN:
-                    if self._now() < call.deadline_s:
-                        return ClaimEnd.DISPATCHED, None
-                    late = NotRun(NotRunReason.DEADLINE, detail="claimed too late")
-                    return ClaimEnd.REFUSED, late
+                    return ClaimEnd.DISPATCHED, None
                 case Decision.REFUSE:
                     return ClaimEnd.REFUSED, explain_refusal(votes)
                 case Decision.DONE:
@@ -247,6 +244,10 @@
                 self._client.send(holder, release)
 
     async def _dispatch(self, attempt, dispatch):
+        # This process may have been stopped since the votes came in.
+        if self._now() >= attempt.call.deadline_s:
+            late = NotRun(NotRunReason.DEADLINE, detail="claimed too late")
+            return self._refuse(attempt, late)
         outcome = Unknown("the call was interrupted")
         try:
             outcome = await dispatch(attempt.call)
--- a/packages/sapphireway-coordination/tests/test_claim_keeper.py
+++ b/packages/sapphireway-coordination/tests/test_claim_keeper.py
@@ -146,3 +146,19 @@
     assert after.epoch == before.epoch + 1
     assert before.holders[0] not in after.holders
     assert len({holder.domain for holder in after.holders}) == 3
+
+
+def test_each_shard_has_its_group_and_holds_its_keys():
+    async def script(fleet):
+        keys = [f"k{i}" for i in range(20)]
+        first = await asyncio.gather(*(fleet.ask(key, "n3") for key in keys))
+        await asyncio.sleep(0.1)
+        second = await asyncio.gather(*(fleet.ask(key, "n4") for key in keys))
+        used = [node.holder.used_bytes for node in fleet.nodes.values()]
+        return first, second, used, len(fleet.machine.list_groups())
+
+    server = Server(random.Random(1), refuse_rate=0.0)
+    first, second, used, groups = run_kept(script, server=server, shards=4)
+    assert first == second
+    assert groups == 4
+    assert all(used)
--- a/packages/sapphireway-coordination/tests/test_claims.py
+++ b/packages/sapphireway-coordination/tests/test_claims.py
@@ -243,6 +243,7 @@
         fleet.start()
         await asyncio.sleep(10.0)
         await fleet.ask("k", "n3")
+        await asyncio.sleep(0.1)  # the entry node brings what is not recorded yet
         for holder in fleet.machine.get_group(SERVICE).holders:
             fleet.kill_node(holder.node)
             fleet.start_node(holder.node)
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -92,7 +92,7 @@
             self.peers, self.read_group, rng, fleet.holder_settings, fleet.observe
         )
         self.claimant = Claimant(
-            self.peers, self.groups.get, rng, observe=fleet.observe
+            self.peers, self.groups.get, rng, fleet.shards, fleet.observe
         )
         self.fleet = fleet
         domain = DOMAINS[fleet.names.index(name) % len(DOMAINS)]
@@ -149,6 +149,7 @@
     group_size: int = 3
     loses_majorities: bool = False
     keeps_incarnation: bool = False
+    shards: int = 1
     delay: object = None
     events: list = field(default_factory=list)
     errors: list = field(default_factory=list)
@@ -198,7 +199,8 @@
             KeeperSettings(
                 size=self.group_size, settle_s=1.0, loss_s=3.0, rebalance_s=10.0
             ),
-            observe=self.observe,
+            self.shards,
+            self.observe,
         )
         if keeps_groups:
             self.spawn(self.keeper.run())
