--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
@@ -50,7 +50,7 @@
     """
 
     size: int = 3
-    interval_s: float = 0.5
+    interval_s: float = 1.0
     settle_s: float = 2.0
     loss_s: float = 30.0
     rebalance_s: float = 60.0
@@ -143,38 +143,57 @@
         while True:
             if self._is_leader():
                 for service in list(self._list_services()):
-                    for name in list_group_names(service, self._shards):
-                        await self.check(service, name)
+                    await self.check(service)
             else:
                 self._gone_since_s.clear()
             await asyncio.sleep(self._settings.interval_s)
 
-    async def check(self, service: str, name: str) -> None:
-        """Change one group of the service by one step if it needs one."""
+    async def check(self, service: str) -> None:
+        """Change each group of the service by one step if it needs one."""
         members = self._get_members(service)
-        live = [
-            GroupHolder(member.node, member.incarnation, member.domain)
+        live = {
+            GroupHolder(member.node, member.incarnation, member.domain): None
             for member in members
             if not member.leaving and not member.out
-        ]
-        group = self._get_group(name)
-        load = self._count_groups(service)
-        if group is None:
+        }
+        leaving = {member.node for member in members if member.leaving or member.out}
+        for name in list_group_names(service, self._shards):
+            group = self._get_group(name)
+            if group is None:
+                await self._form(service, name, live)
+            elif self._needs_change(group, live):
+                await self._mend(service, group, live, leaving)
+
+    def _needs_change(self, group, live):
+        """Whether a group may need a step; most groups never do."""
+        gone = [holder for holder in group.holders if holder not in live]
+        if not gone:
+            self._gone_since_s.pop(group.name, None)
+            domains = {holder.domain for holder in group.holders}
             size = _find_size(self._settings.size, len(live))
-            if size:
-                holders = choose_holders(name, live, size, load=load)
-                await self._change(GroupChange(name, 0, holders))
+            return len(group.holders) != size or len(domains) < size
+        now_s = self._now()
+        known = self._gone_since_s.get(group.name, {})
+        self._gone_since_s[group.name] = {h: known.get(h, now_s) for h in gone}
+        return True
+
+    async def _form(self, service, name, live, lost_epoch=0):
+        size = _find_size(self._settings.size, len(live))
+        if not size:
             return
-        leaving = {m.node for m in members if m.leaving or m.out}
-        self._note_gone(group, live)
+        load = self._count_groups(service)
+        holders = choose_holders(name, live, size, load=load)
+        lost = lost_epoch > 0
+        unsure_s = self._get_unsure_s(service) if lost else 0.0
+        await self._change(GroupChange(name, lost_epoch, holders, lost, unsure_s))
+
+    async def _mend(self, service, group, live, leaving):
+        load = self._count_groups(service)
         holders = self._plan(group, live, leaving, load)
         if holders is not None and await self._is_active(group):
-            await self._change(GroupChange(name, group.epoch, holders))
+            await self._change(GroupChange(group.name, group.epoch, holders))
         elif self._is_lost(group, live) and not await self._is_active(group):
-            size = _find_size(self._settings.size, len(live))
-            holders = choose_holders(name, live, size, load=load)
-            unsure_s = self._get_unsure_s(service)
-            await self._change(GroupChange(name, group.epoch, holders, True, unsure_s))
+            await self._form(service, group.name, live, group.epoch)
 
     def _count_groups(self, service):
         """Count the groups of the service that each node holds."""
@@ -186,20 +205,11 @@
             for node in list_nodes(group.holders)
         )
 
-    def _note_gone(self, group, live):
-        now_s = self._now()
-        known = self._gone_since_s.get(group.name, {})
-        self._gone_since_s[group.name] = {
-            holder: known.get(holder, now_s)
-            for holder in group.holders
-            if holder not in live
-        }
-
     def _plan(self, group, live, leaving, load):
         """Return the holders after one useful change, or None."""
         now_s = self._now()
         size = self._settings.size
-        gone = self._gone_since_s[group.name]
+        gone = self._gone_since_s.get(group.name, {})
         kept = [holder for holder in group.holders if holder not in gone]
         for holder, since_s in gone.items():
             if now_s - since_s >= self._settings.settle_s or holder.node in leaving:
@@ -233,7 +243,7 @@
         return self._replace(group, free, crowded[-1], load)
 
     def _is_lost(self, group, live):
-        gone = self._gone_since_s[group.name]
+        gone = self._gone_since_s.get(group.name, {})
         limit_s = self._now() - self._settings.loss_s
         long_gone = sum(since_s <= limit_s for since_s in gone.values())
         return bool(live) and len(group.holders) - long_gone < group.majority
@@ -280,7 +290,7 @@
 
 def choose_holders(
     name: str,
-    live: Sequence[GroupHolder],
+    live: Iterable[GroupHolder],
     size: int,
     kept: Sequence[GroupHolder] = (),
     load: Mapping[str, int] | None = None,
@@ -291,7 +301,7 @@
     ----------
     name : str
         Name of the group; breaks ties differently for each group.
-    live : sequence of GroupHolder
+    live : iterable of GroupHolder
         Nodes that may hold.
     size : int
     kept : sequence of GroupHolder
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -197,7 +197,11 @@
             self.propose,
             lambda: True,
             KeeperSettings(
-                size=self.group_size, settle_s=1.0, loss_s=3.0, rebalance_s=10.0
+                size=self.group_size,
+                interval_s=0.5,
+                settle_s=1.0,
+                loss_s=3.0,
+                rebalance_s=10.0,
             ),
             self.shards,
             self.observe,
