--- a/packages/sapphireway-coordination/tests/test_claim_keeper.py
+++ b/packages/sapphireway-coordination/tests/test_claim_keeper.py
@@ -5,6 +5,7 @@
 from tests.claims.fleet import SERVICE, Fleet, Server
 
 from sapphireway_coordination import GroupProposed
+from sapphireway_protocol import Answered
 from sapphireway_transport.memory import run_paused
 
 
@@ -162,3 +163,28 @@
     assert first == second
     assert groups == 4
     assert all(used)
+
+
+def test_loss_of_a_domain_loses_no_claim_and_stops_none():
+    async def script(fleet):
+        keys = [f"k{i}" for i in range(40)]
+        first = await asyncio.gather(*(fleet.ask(key, "n3") for key in keys))
+        await asyncio.sleep(0.1)
+        for name in ("n2", "n5", "n8"):
+            fleet.kill_node(name)
+        new = await asyncio.gather(*(fleet.ask(f"new {key}", "n3") for key in keys))
+        await asyncio.sleep(5.0)
+        dead = [g for g in fleet.machine.list_groups() if has_dead(fleet, g)]
+        second = await asyncio.gather(*(fleet.ask(key, "n4") for key in keys))
+        lost = any(event.lost for event in list_proposed(fleet))
+        return first, second, new, dead, lost
+
+    def has_dead(fleet, group):
+        return any(holder.node not in fleet.nodes for holder in group.holders)
+
+    server = Server(random.Random(1), refuse_rate=0.0, lose_rate=0.0)
+    first, second, new, dead, lost = run_kept(script, server=server, size=9, shards=8)
+    assert first == second
+    assert {type(outcome) for outcome in new} == {Answered}
+    assert not dead
+    assert not lost
