--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
@@ -1,9 +1,9 @@
 """Keeping claim groups at their size while nodes come and go."""
 
 import asyncio
-import zlib
+import hashlib
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -50,7 +50,7 @@
     """
 
     size: int = 3
-    interval_s: float = 0.5
+    interval_s: float = 1.0
     settle_s: float = 2.0
     loss_s: float = 30.0
     rebalance_s: float = 60.0
@@ -142,87 +142,121 @@
         """Check all services again and again, while this host leads."""
         while True:
             if self._is_leader():
-                for service in list(self._list_services()):
-                    for name in list_group_names(service, self._shards):
-                        await self.check(service, name)
+                # One service's unreachable holders must not hold up the others.
+                checks = map(self._scan, list(self._list_services()))
+                await asyncio.gather(*(check for check in checks if check is not None))
             else:
                 self._gone_since_s.clear()
             await asyncio.sleep(self._settings.interval_s)
 
-    async def check(self, service: str, name: str) -> None:
-        """Change one group of the service by one step if it needs one."""
+    def _scan(self, service):
+        """Return a coroutine that changes the service's groups, or None."""
         members = self._get_members(service)
-        live = [
-            GroupHolder(member.node, member.incarnation, member.domain)
+        live = {
+            GroupHolder(member.node, member.incarnation, member.domain): None
             for member in members
             if not member.leaving and not member.out
+        }
+        names = [
+            name
+            for name in list_group_names(service, self._shards)
+            if self._needs_change(self._get_group(name), live)
         ]
-        group = self._get_group(name)
+        if not names:
+            return None
+        leaving = {member.node for member in members if member.leaving or member.out}
+        return self._change_groups(service, names, live, leaving)
+
+    async def _change_groups(self, service, names, live, leaving):
+        for name in names:
+            group = self._get_group(name)
+            if group is None:
+                await self._form(service, name, live)
+            else:
+                await self._mend(service, group, live, leaving)
+
+    def _needs_change(self, group, live):
+        """Whether a group may need a step; most groups hardly ever do."""
         if group is None:
+            return bool(live)
+        gone = [holder for holder in group.holders if holder not in live]
+        if not gone:
+            self._gone_since_s.pop(group.name, None)
+            domains = {holder.domain for holder in group.holders}
             size = _find_size(self._settings.size, len(live))
-            if size:
-                holders = choose_holders(name, live, size)
-                await self._change(GroupChange(name, 0, holders))
+            return len(group.holders) != size or len(domains) < size
+        now_s = self._now()
+        known = self._gone_since_s.get(group.name, {})
+        self._gone_since_s[group.name] = {h: known.get(h, now_s) for h in gone}
+        return True
+
+    async def _form(self, service, name, live, lost_epoch=0):
+        size = _find_size(self._settings.size, len(live))
+        if not size:
             return
-        leaving = {m.node for m in members if m.leaving or m.out}
-        self._note_gone(group, live)
-        holders = self._plan(group, live, leaving)
+        load = self._count_groups(service)
+        holders = choose_holders(name, live, size, load=load)
+        lost = lost_epoch > 0
+        unsure_s = self._get_unsure_s(service) if lost else 0.0
+        await self._change(GroupChange(name, lost_epoch, holders, lost, unsure_s))
+
+    async def _mend(self, service, group, live, leaving):
+        load = self._count_groups(service)
+        holders = self._plan(group, live, leaving, load)
         if holders is not None and await self._is_active(group):
-            await self._change(GroupChange(name, group.epoch, holders))
+            await self._change(GroupChange(group.name, group.epoch, holders))
         elif self._is_lost(group, live) and not await self._is_active(group):
-            size = _find_size(self._settings.size, len(live))
-            holders = choose_holders(name, live, size)
-            unsure_s = self._get_unsure_s(service)
-            await self._change(GroupChange(name, group.epoch, holders, True, unsure_s))
-
-    def _note_gone(self, group, live):
-        now_s = self._now()
-        known = self._gone_since_s.get(group.name, {})
-        self._gone_since_s[group.name] = {
-            holder: known.get(holder, now_s)
-            for holder in group.holders
-            if holder not in live
-        }
+            await self._form(service, group.name, live, group.epoch)
+
+    def _count_groups(self, service):
+        """Count the groups of the service that each node holds."""
+        groups = map(self._get_group, list_group_names(service, self._shards))
+        return Counter(
+            node
+            for group in groups
+            if group is not None
+            for node in list_nodes(group.holders)
+        )
 
-    def _plan(self, group, live, leaving):
+    def _plan(self, group, live, leaving, load):
         """Return the holders after one useful change, or None."""
         now_s = self._now()
         size = self._settings.size
-        gone = self._gone_since_s[group.name]
+        gone = self._gone_since_s.get(group.name, {})
         kept = [holder for holder in group.holders if holder not in gone]
         for holder, since_s in gone.items():
             if now_s - since_s >= self._settings.settle_s or holder.node in leaving:
-                return self._replace(group, live, holder)
+                return self._replace(group, live, holder, load)
         if gone:
             return None
         if len(kept) > size:
             return tuple(kept[:-1])
         if len(kept) < _find_size(size, len(live)):
-            return choose_holders(group.name, live, len(kept) + 1, kept)
+            return choose_holders(group.name, live, len(kept) + 1, kept, load)
         if now_s - self._changed_s.get(group.name, now_s) < (
             self._settings.rebalance_s
         ):
             self._changed_s.setdefault(group.name, now_s)
             return None
-        return self._spread(group, live)
+        return self._spread(group, live, load)
 
-    def _replace(self, group, live, removed):
+    def _replace(self, group, live, removed, load):
         kept = [holder for holder in group.holders if holder != removed]
-        holders = choose_holders(group.name, live, len(group.holders), kept)
+        holders = choose_holders(group.name, live, len(group.holders), kept, load)
         # Without a substitute the old group bears more losses than a smaller one.
         return holders if len(holders) == len(group.holders) else None
 
-    def _spread(self, group, live):
+    def _spread(self, group, live, load):
         """Move a holder out of a domain that has two, if another domain has none."""
         domains = Counter(holder.domain for holder in group.holders)
         free = [holder for holder in live if holder.domain not in domains]
         crowded = [h for h in group.holders if domains[h.domain] > 1]
         if not free or not crowded:
             return None
-        return self._replace(group, free, crowded[-1])
+        return self._replace(group, free, crowded[-1], load)
 
     def _is_lost(self, group, live):
-        gone = self._gone_since_s[group.name]
+        gone = self._gone_since_s.get(group.name, {})
         limit_s = self._now() - self._settings.loss_s
         long_gone = sum(since_s <= limit_s for since_s in gone.values())
         return bool(live) and len(group.holders) - long_gone < group.majority
@@ -269,11 +303,30 @@
 
 def choose_holders(
     name: str,
-    live: Sequence[GroupHolder],
+    live: Iterable[GroupHolder],
     size: int,
     kept: Sequence[GroupHolder] = (),
+    load: Mapping[str, int] | None = None,
 ) -> tuple[GroupHolder, ...]:
-    """Add nodes to `kept` up to `size`, in as many failure domains as there are."""
+    """Add nodes to `kept` up to `size`, in as many failure domains as there are.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group; breaks ties differently for each group.
+    live : iterable of GroupHolder
+        Nodes that may hold.
+    size : int
+    kept : sequence of GroupHolder
+    load : mapping of str to int, optional
+        Number of the service's groups that each node holds already.
+
+    Returns
+    -------
+    tuple of GroupHolder
+        Fewer than `size` if there are not enough nodes.
+    """
+    load = load or {}
     holders = list(kept)
     while len(holders) < size:
         nodes = list_nodes(holders)
@@ -286,14 +339,18 @@
                 candidates,
                 key=lambda holder, domains=domains: (
                     domains[holder.domain],
-                    zlib.crc32(f"{name} {holder.node}".encode()),
-                    holder.node,
+                    load.get(holder.node, 0),
+                    _hash_place(name, holder.node),
                 ),
             )
         )
     return tuple(holders)
 
 
+def _hash_place(name, node):
+    return hashlib.blake2b(f"{name} {node}".encode(), digest_size=8).digest()
+
+
 def _find_size(size, available):
     """Return the largest odd size that the available nodes allow."""
     fitting = min(size, available)
