Weigh rules for the limit and recover faster from a slow spell

Cause: after a slow spell the limit went back to the cold limit and had to show 20 good answers first, as after a start.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of sapphireway; ``python -m benchmarks`` runs all of them."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -20,7 +20,14 @@
     ServerWarmed,
 )
 from sapphireway_coordination._invariant import require
-from sapphireway_coordination._limit import ConcurrencyLimit, Sample
+from sapphireway_coordination._limit import (
+    COLD_ANSWERS_MIN,
+    SLOW_ANSWERS_MIN,
+    ConcurrencyLimit,
+    Sample,
+    UpdateLimit,
+    make_additive_update,
+)
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
 
 ABORT_LINGER_S = 0.02
@@ -68,6 +75,8 @@
     inherited : int or None
         Requests that a former process of this node may have left in flight; None
         if nobody can tell.
+    make_update : callable
+        Makes the rule by which the limit is learnt.
     """
 
     __slots__ = (
@@ -97,6 +106,7 @@
         observe: ObserveGate,
         wake: Callable[[], None],
         inherited: int | None = 0,
+        make_update: Callable[[], UpdateLimit] = make_additive_update,
     ):
         self.announcement = announcement
         self.baseline = LatencyBaseline()
@@ -108,7 +118,7 @@
         self._inherited = announcement.slots if inherited is None else inherited
         wait_s = INHERITED_WAIT_S if inherited is None else INHERITED_MAX_S
         self._inherited_until_s = get_time() + wait_s
-        self._limit = ConcurrencyLimit()
+        self._limit = ConcurrencyLimit(make_update)
         self._lingering = 0
         self._observe = observe
         self._refused_s = None
@@ -182,7 +192,10 @@
         self._disconnected = 0
         before = self._limit.value
         seen = not self._limit.cold or before != self._cold_limit
-        self._limit.start_cold(self._cold_limit)
+        # A server that was only slow shows by its next answers that it is well.
+        slow = cause in (RelapseCause.LATENCY, RelapseCause.STALLED)
+        answers_min = SLOW_ANSWERS_MIN if slow else COLD_ANSWERS_MIN
+        self._limit.start_cold(self._cold_limit, answers_min)
         if seen:
             server = self.announcement.server
             self._observe(RelapseSeen(server, cause, self._limit.value))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -20,6 +20,7 @@
     GateChanged,
     ObserveGate,
 )
+from sapphireway_coordination._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination._order import Order
 from sapphireway_coordination._registration import Registration
 from sapphireway_coordination._runner import AttemptRunner
@@ -73,6 +74,8 @@
         Takes every event.
     get_nodes : callable
         Returns the addresses of the nodes of a service, to share suspects.
+    make_update : callable
+        Makes the rule by which the limit of requests in flight is learnt.
     """
 
     __slots__ = (
@@ -96,6 +99,7 @@
         get_policy: GetPolicy,
         observe: ObserveGate,
         get_nodes: GetNodes = lambda service: (),
+        make_update: Callable[[], UpdateLimit] = make_additive_update,
     ):
         self._draining = False
         self._get_policy = get_policy
@@ -108,6 +112,7 @@
             observe,
             lambda: self._runner.dispatch(),
             lambda reason: self._runner.refuse_all(reason),
+            make_update,
         )
         suspects = SuspectTable(peers.address, self._loop.time, observe)
         self._exchange = SuspectExchange(peers, suspects, get_nodes)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_limit.py
@@ -12,6 +12,7 @@
 GRADIENT_SMOOTHING = 0.2
 LIMIT_MIN = 1.0
 COLD_ANSWERS_MIN = 20
+SLOW_ANSWERS_MIN = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,6 +96,7 @@
     """
 
     __slots__ = (
+        "_answers_min",
         "_answers_to_prove",
         "_make_update",
         "_update",
@@ -104,6 +106,7 @@
     )
 
     def __init__(self, make_update: Callable[[], UpdateLimit] = make_additive_update):
+        self._answers_min = 0
         self._answers_to_prove = 0
         self._make_update = make_update
         self._update = make_update()
@@ -121,12 +124,15 @@
         self.ceiling = ceiling
         self._value = min(self._value, float(ceiling))
 
-    def start_cold(self, cold_limit: int) -> None:
+    def start_cold(
+        self, cold_limit: int, answers_to_prove: int = COLD_ANSWERS_MIN
+    ) -> None:
         """Begin again at the cold limit.
 
-        It does not climb before `COLD_ANSWERS_MIN` good answers in a row.
+        It does not climb before `answers_to_prove` good answers in a row.
         """
-        self._answers_to_prove = COLD_ANSWERS_MIN
+        self._answers_min = answers_to_prove
+        self._answers_to_prove = answers_to_prove
         self._update = self._make_update()
         self._value = float(min(cold_limit, self.ceiling))
         self.cold = True
@@ -136,7 +142,7 @@
         if self._answers_to_prove:
             good = sample.ok and sample.latency_ratio <= SLOW_RATIO
             left = self._answers_to_prove - 1
-            self._answers_to_prove = left if good else COLD_ANSWERS_MIN
+            self._answers_to_prove = left if good else self._answers_min
             if good:
                 return
         moved = self._update(self._value, sample)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -16,6 +16,7 @@
     ServerAnnounced,
     ServerLeft,
 )
+from sapphireway_coordination._limit import UpdateLimit, make_additive_update
 from sapphireway_protocol import NotRunReason
 
 RENEW_S = 2.0
@@ -32,6 +33,8 @@
         Called without arguments when a slot may have become free.
     refuse_waiting : callable
         Called with a `NotRunReason` when what waits must be refused.
+    make_update : callable
+        Makes the rule by which the limit is learnt.
 
     Attributes
     ----------
@@ -45,6 +48,7 @@
         "_lease_until_s",
         "_left_start_id",
         "_loop",
+        "_make_update",
         "_observe",
         "_refuse_waiting",
         "_wake",
@@ -56,12 +60,14 @@
         observe: ObserveGate,
         wake: Callable[[], None],
         refuse_waiting: Callable[[NotRunReason], None],
+        make_update: Callable[[], UpdateLimit] = make_additive_update,
     ):
         self._lapsed = False
         self._lease_timer = None
         self._lease_until_s = 0.0
         self._left_start_id = None
         self._loop = asyncio.get_running_loop()
+        self._make_update = make_update
         self._observe = observe
         self._refuse_waiting = refuse_waiting
         self._wake = wake
@@ -151,6 +157,7 @@
             self._observe,
             self._wake,
             announcement.in_flight,
+            self._make_update,
         )
         self._report(announcement)
 
