--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -145,6 +145,21 @@
     assert len(bench.replies["a"]) == 1 and bench.has_run("a") == 1
 
 
+@pytest.mark.parametrize(("latest_start_s", "runs"), [(100.0, 1), (130.0, 0)])
+def test_late_duplicate_never_starts(latest_start_s, runs):
+    async def check(bench):
+        await bench.call("a", latest_start_s=latest_start_s)
+        for other in range(4):
+            await asyncio.sleep(20)
+            bench.announce()
+            await bench.call(f"other{other}")
+        bench.entry.send(NODE, bench.sent["a"])
+        await asyncio.sleep(0.1)
+        assert bench.has_run("a") == runs
+
+    paused(check)()
+
+
 @paused
 async def test_cancel_closes_running_attempt(bench):
     bench.server.freeze()
--- /dev/null
+++ b/packages/sapphireway/tests/test_server_api.py
@@ -0,0 +1,139 @@
+import asyncio
+import json
+import os
+import random
+import sys
+
+import pytest
+import tornado.httpclient
+import tornado.httpserver
+import tornado.testing
+import tornado.web
+
+from sapphireway._server_api import make_server_routes
+from sapphireway_coordination import Gate, GateState
+from sapphireway_protocol import Peers
+from sapphireway_state import Policy
+from sapphireway_transport import CurlServerClient, ServerRequest
+from sapphireway_transport.memory import MemoryNetwork
+
+GOOD = {
+    "service": "ledger",
+    "url": "http://127.0.0.1:9001",
+    "slots": 6,
+    "start_id": "one",
+    "in_flight": 0,
+}
+
+
+class Api:
+    """The interface of a node for its server, on a real socket."""
+
+    async def __aenter__(self):
+        rng = random.Random(1)
+        peers = Peers(MemoryNetwork(rng).open_endpoint("n"), "i")
+        self.client = CurlServerClient()
+        self.gate = Gate(
+            peers, self.client, rng, lambda service, kind: Policy(), lambda event: None
+        )
+        socket, port = tornado.testing.bind_unused_port()
+        application = tornado.web.Application(make_server_routes(self.gate))
+        self.http = tornado.httpserver.HTTPServer(application)
+        self.http.add_sockets([socket])
+        self.url = f"http://127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *error):
+        self.gate.close()
+        self.client.close()
+        self.http.stop()
+
+    async def fetch(self, method, path, content=None):
+        body = content if content is None else json.dumps(content)
+        answer = await tornado.httpclient.AsyncHTTPClient().fetch(
+            self.url + path, method=method, body=body, raise_error=False
+        )
+        return answer.code, json.loads(answer.body)
+
+
+def with_api(test):
+    def run():
+        async def main():
+            async with Api() as api:
+                await test(api)
+
+        asyncio.run(main())
+
+    run.__name__ = test.__name__
+    return run
+
+
+@with_api
+async def test_server_announces_renews_and_leaves(api):
+    assert await api.fetch("PUT", "/server/s1", GOOD) == (
+        200,
+        {"renew_s": 2.0, "limit": 1},
+    )
+    assert (await api.fetch("PUT", "/server/s1", GOOD))[0] == 200
+    assert api.gate.available and api.gate.announcement.slots == 6
+    assert await api.fetch("DELETE", "/server/s1") == (200, {"in_flight": 0})
+    assert api.gate.leaving
+    assert (await api.fetch("PUT", "/server/s1", GOOD))[0] == 409
+    assert (await api.fetch("DELETE", "/server/s2"))[0] == 404
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        ({"slots": 0}, "slots"),
+        ({"slots": "6"}, "slots"),
+        ({"url": "ftp://x"}, "url"),
+        ({"url": "http://x/path"}, "url"),
+        ({"service": "a b"}, "service"),
+        ({"start_id": ""}, "start_id"),
+        ({"unknown": 1}, "unknown"),
+        ({"health_path": "health"}, "health_path"),
+        ({"in_flight": -1}, "in_flight"),
+    ],
+)
+def test_bad_announcement_is_refused(change, names):
+    @with_api
+    async def announce(api):
+        status, answer = await api.fetch("PUT", "/server/s1", GOOD | change)
+        assert status == 400 and names in answer["error"]
+        assert api.gate.announcement is None
+
+    announce()
+
+
+@with_api
+async def test_stand_in_server_process_announces_serves_and_leaves(api):
+    socket, port = tornado.testing.bind_unused_port()
+    socket.close()
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "demo.server",
+        api.url,
+        "--port",
+        str(port),
+        env=os.environ,
+    )
+    async with asyncio.timeout(10):
+        while api.gate.announcement is None:
+            await asyncio.sleep(0.02)
+        url = api.gate.announcement.url
+        headers = (("Sapphireway-Request-Id", "r1"), ("Sapphireway-Attempt-Id", "a1"))
+        work = ServerRequest(url + "/x", "POST", headers, b"abc", 5.0, 1000)
+        assert (await api.client.send(work)).body == b"abc"
+        slow = json.dumps({"latency_ms": 300}).encode()
+        behave = ServerRequest(
+            url + "/control/behaviour", "PATCH", (), slow, 5.0, 10_000
+        )
+        assert (await api.client.send(behave)).status == 200
+        sending = asyncio.create_task(api.client.send(work))
+        await asyncio.sleep(0.1)
+        process.terminate()
+        assert (await sending).body == b"abc"
+        assert await process.wait() == 0
+    assert api.gate.leaving and api.gate.state is GateState.OPEN
