Keep a retry from adding a third server to a call and its hedge

Cause: a rerun was granted while a hedge of the same request still ran elsewhere, and both servers went down after the first. A node now says in its ack of a mark whether it runs the digest, and owes a verdict as for a grant; no rerun is granted before the acks are in. Red first: without the hold by the ack, without the hold until the acks, and without clearing a digest that was answered beside others.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -126,6 +126,7 @@
             self._finish,
             observe,
         )
+        self._exchange.is_running = self._runner.is_running
         peers.handle(Run, self._take_run)
         peers.handle(Cancel, self._take_cancel)
         peers.handle(Revoke, self._take_revoke)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate_events.py
@@ -92,6 +92,7 @@
     detail : str
     in_flight, queued, limit : int
         State of the node when it refused.
+    digest : str
     """
 
     attempt: str
@@ -104,6 +105,7 @@
     in_flight: int
     queued: int
     limit: int
+    digest: str
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -127,6 +127,10 @@
         elif order.waiter is not None:
             self._queue.refuse(order.waiter, reason)
 
+    def is_running(self, digest: str) -> bool:
+        """Tell whether the server runs a request of `digest`, or just did."""
+        return self._count_running(digest) > 0
+
     def refuse_all(self, reason: NotRunReason) -> None:
         """Refuse every attempt that waits for a slot."""
         self._queue.refuse_all(reason)
@@ -168,6 +172,7 @@
                 0 if capacity is None else capacity.in_flight,
                 len(self._queue),
                 0 if capacity is None else capacity.limit,
+                run.digest,
             )
         )
 
@@ -358,18 +363,25 @@
         digest, ttl_s = order.run.digest, float(order.policy.suspect_ttl_s)
         disconnected = isinstance(result, Broken) and result.disconnected
         answered = isinstance(result, Responded) and not says_not_run(result)
-        if order is self._alone:
-            if disconnected:
-                await self._exchange.condemn(digest, ttl_s)
-            elif answered:
-                self._exchange.acquit(digest)
-            else:
-                self._exchange.give_back(digest)
-            self._release_alone(order)
+        # A digest may have become suspect while it ran here beside others.
+        suspect = self._suspects.judge(digest) is Verdict.ALONE
+        if order is self._alone and disconnected:
+            await self._exchange.condemn(digest, ttl_s)
         elif disconnected and digest:
             await self._exchange.report_broken(digest, ttl_s)
+        elif answered and suspect:
+            self._exchange.acquit(digest)
         elif answered:
             self._suspects.note_success(digest)
+        elif suspect and self._count_running(digest) == 1:
+            self._exchange.give_back(digest)
+        self._release_alone(order)
+
+    def _count_running(self, digest):
+        return sum(
+            order.run.digest == digest and order.record.state is AttemptState.RUNNING
+            for order in self._orders.values()
+        )
 
     def _finish_served(self, order, result, elapsed_s):
         run = order.run
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_suspect_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_suspect_exchange.py
@@ -17,9 +17,10 @@
 )
 
 CRASH_WINDOW_S = 0.01
-ACK_TIMEOUTS_S = (0.05, 0.2, 1.0)
+ACK_TIMEOUTS_S = (0.05, 0.2, 1.0, 5.0)
 ACK_WAIT_S = 0.05
 ASK_TIMEOUT_S = 0.1
+SETTLING = "settling"
 LIST_TIMEOUT_S = 1.0
 
 GetNodes = Callable[[str], Sequence[str]]
@@ -38,6 +39,8 @@
 
     Attributes
     ----------
+    is_running : callable
+        Tells whether the server beside this node runs a digest now.
     service : str
         Service of the server beside this node; empty if there is none.
     """
@@ -50,6 +53,7 @@
         "_table",
         "_tasks",
         "_ttl_s",
+        "is_running",
         "service",
     )
 
@@ -61,6 +65,7 @@
         self._table = table
         self._tasks = set()
         self._ttl_s = 0.0
+        self.is_running = lambda digest: False
         self.service = ""
         peers.handle(MarkSuspect, self._take_mark)
         peers.handle(ClearSuspect, self._take_clear)
@@ -104,7 +109,7 @@
         if suspect is None or suspect.condemned:
             return False
         if suspect.origin == self._peers.address:
-            return self._table.grant(digest)
+            return self._table.grant(digest, self._peers.address)
         reply = await self._peers.request(
             suspect.origin, AskRerun(self.service, digest), ASK_TIMEOUT_S
         )
@@ -120,7 +125,7 @@
         if suspect is None:
             return
         if suspect.origin == self._peers.address:
-            self._table.take_back(digest)
+            self._table.take_back(digest, self._peers.address)
         else:
             self._peers.send(suspect.origin, ReturnRerun(self.service, digest))
 
@@ -143,8 +148,15 @@
         suspects = []
         for digest in digests:
             siblings = [other for other in digests if other != digest]
-            suspects.append(self._table.mark(digest, self._ttl_s, siblings))
+            suspect = self._table.mark(digest, self._ttl_s, siblings)
+            suspects.append(suspect)
+            if suspect.condemned:
+                self._clear_siblings(suspect)
+            # No rerun before the others have said whether they run it now.
+            self._table.hold(digest, SETTLING)
         await self._share(suspects)
+        for digest in digests:
+            self._table.take_back(digest, SETTLING)
 
     async def _share(self, suspects: Sequence[Suspect]):
         sends = [
@@ -157,7 +169,10 @@
 
     async def _deliver(self, node, mark):
         for timeout_s in ACK_TIMEOUTS_S:
-            if await self._peers.request(node, mark, timeout_s) is not None:
+            reply = await self._peers.request(node, mark, timeout_s)
+            if reply is not None and isinstance(reply.message, SuspectAck):
+                if reply.message.running:
+                    self._table.hold(mark.digest, node)
                 return
             await asyncio.sleep(timeout_s)
 
@@ -200,11 +215,13 @@
 
     def _take_mark(self, sender, envelope):
         mark = envelope.message
+        running = False
         if mark.service == self.service:
             suspect = self._table.learn(mark)
+            running = self.is_running(mark.digest)
             if suspect.condemned:
                 self._clear_siblings(suspect)
-        self._peers.reply(sender, envelope, SuspectAck(mark.digest))
+        self._peers.reply(sender, envelope, SuspectAck(mark.digest, running))
 
     def _take_clear(self, sender, envelope):
         digest = envelope.message.digest
@@ -214,13 +231,13 @@
     def _take_ask(self, sender, envelope):
         ask = envelope.message
         ours = ask.service == self.service
-        granted = ours and self._table.grant(ask.digest)
+        granted = ours and self._table.grant(ask.digest, sender)
         cleared = ours and self._table.is_cleared(ask.digest)
         self._peers.reply(sender, envelope, GrantRerun(ask.digest, granted, cleared))
 
     def _take_return(self, sender, envelope):
         if envelope.message.service == self.service:
-            self._table.take_back(envelope.message.digest)
+            self._table.take_back(envelope.message.digest, sender)
 
     def _take_list(self, sender, envelope):
         marks = []
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_suspects.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_suspects.py
@@ -4,7 +4,7 @@
 import enum
 import math
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sapphireway_coordination._gate_events import (
     ObserveGate,
@@ -39,8 +39,8 @@
     ttl_s, expires_s : float
     siblings : tuple of str
         Digests that were in flight in the same crash, at the origin only.
-    granted : bool
-        True while a rerun that the origin allowed has no verdict.
+    holders : set of str
+        Addresses of the nodes that may be running it, at the origin only.
     """
 
     digest: str
@@ -49,7 +49,7 @@
     ttl_s: float
     expires_s: float
     siblings: tuple[str, ...] = ()
-    granted: bool = False
+    holders: set[str] = field(default_factory=set)
 
 
 class SuspectTable:
@@ -105,9 +105,13 @@
     def pick_suspects(self, digests: Iterable[str]) -> tuple[str, ...]:
         """Return which of the digests in flight at a crash to suspect.
 
-        Digests that were answered lately are left out, unless all were.
+        If one is suspect already, it is the likely cause. Else digests that were
+        answered lately are left out, unless all were.
         """
         digests = {digest for digest in digests if digest}
+        known = {digest for digest in digests if self.get(digest) is not None}
+        if known:
+            return tuple(sorted(known))
         earliest_s = self._get_time() - PROVEN_TTL_S
         unproven = {d for d in digests if self._proven.get(d, -math.inf) < earliest_s}
         return tuple(sorted(unproven or digests))
@@ -145,21 +149,27 @@
         recent = answered_s >= self._get_time() - PROVEN_TTL_S
         return recent and self.get(digest) is None
 
-    def grant(self, digest: str) -> bool:
+    def hold(self, digest: str, holder: str) -> None:
+        """Note that `holder` may be running a digest, so that nobody else may."""
+        suspect = self.get(digest)
+        if suspect is not None:
+            suspect.holders.add(holder)
+
+    def grant(self, digest: str, holder: str) -> bool:
         """Allow one rerun alone; only the origin may, and one at a time."""
         suspect = self.get(digest)
-        if suspect is None or suspect.condemned or suspect.granted:
+        if suspect is None or suspect.condemned or suspect.holders:
             return False
         if suspect.origin != self._address:
             return False
-        suspect.granted = True
+        suspect.holders.add(holder)
         return True
 
-    def take_back(self, digest: str) -> None:
-        """End a grant that brought no verdict."""
+    def take_back(self, digest: str, holder: str) -> None:
+        """End a hold that brought no verdict."""
         suspect = self.get(digest)
         if suspect is not None:
-            suspect.granted = False
+            suspect.holders.discard(holder)
 
     def renew(self, digest: str) -> Suspect | None:
         """Extend a condemned digest that is still being sent.
--- a/packages/sapphireway-coordination/tests/test_suspects.py
+++ b/packages/sapphireway-coordination/tests/test_suspects.py
@@ -24,7 +24,10 @@
 
     def __init__(self, seed=1, nodes=5):
         self.rng = random.Random(seed)
-        self.network = MemoryNetwork(self.rng, lambda sender, receiver: 0.0015)
+        self.delays_s = {}
+        self.network = MemoryNetwork(
+            self.rng, lambda *link: self.delays_s.get(link, 0.0015)
+        )
         self.nodes = [f"n{i}" for i in range(nodes)]
         self.events = []
         self.replies = {}
@@ -142,6 +145,49 @@
     assert fleet.count_downed() == 2
 
 
+@paused
+async def test_retry_waits_for_the_verdict_of_a_hedge(fleet):
+    for server in fleet.servers.values():
+        server.crash_s = 0.05
+    first = asyncio.create_task(fleet.call("n0", BAD))
+    await asyncio.sleep(0.03)
+    hedge = asyncio.create_task(fleet.call("n1", BAD))
+    await first
+    assert (await fleet.call("n2", BAD)).reason == NotRunReason.SUSPECT
+    await hedge
+    await fleet.insist(BAD, ["n3", "n4"])
+    assert fleet.count_downed() == 2
+
+
+@paused
+async def test_no_rerun_before_all_nodes_have_acknowledged(fleet):
+    for server in fleet.servers.values():
+        server.crash_s = 0.05
+    fleet.delays_s["n1", "n0"] = 0.03
+    first = asyncio.create_task(fleet.call("n0", BAD))
+    await asyncio.sleep(0.04)
+    hedge = asyncio.create_task(fleet.call("n1", BAD))
+    await asyncio.sleep(0.03)
+    assert (await fleet.call("n2", BAD)).reason == NotRunReason.SUSPECT
+    await asyncio.gather(first, hedge)
+    assert fleet.count_downed() == 2
+
+
+@paused
+async def test_hedge_that_is_answered_clears_its_digest(fleet):
+    fleet.servers["n0"].crash_s = 0.002
+    fleet.servers["n1"].crash_on = lambda request: False
+    fleet.servers["n1"].slow_factor = 10.0
+    hedge = asyncio.create_task(fleet.call("n1", BAD))
+    await fleet.call("n0", BAD)
+    assert (await fleet.call("n2", BAD)).reason == NotRunReason.SUSPECT
+    assert (await hedge).outcome == "answered"
+    await asyncio.sleep(0.01)
+    fleet.events.clear()
+    await fleet.call("n1", BAD)
+    assert not fleet.events[0].alone
+
+
 @paused
 async def test_rerun_is_alone(fleet):
     await fleet.call("n0", BAD)
@@ -263,14 +309,14 @@
 
     @rule(digest=digests)
     def grant(self, digest):
-        if self.table.grant(digest):
+        if self.table.grant(digest, "there"):
             assert digest not in self.granted, "two reruns at a time"
             assert self.table.get(digest).origin == "here"
             self.granted.add(digest)
 
     @rule(digest=digests)
     def take_back(self, digest):
-        self.table.take_back(digest)
+        self.table.take_back(digest, "there")
         self.granted.discard(digest)
 
     @rule(seconds=st.sampled_from([1.0, 6.0, 11.0]))
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_suspects.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_suspects.py
@@ -25,9 +25,18 @@
 
 
 class SuspectAck(msgspec.Struct, frozen=True, tag="suspect_ack", array_like=True):
-    """Answer to `MarkSuspect`."""
+    """Answer to `MarkSuspect`.
+
+    Attributes
+    ----------
+    digest : str
+    running : bool
+        True if the answering node's server runs the digest now. The node then owes
+        a verdict, or `ReturnRerun`, as if it had asked for a rerun.
+    """
 
     digest: str
+    running: bool
 
 
 class ClearSuspect(msgspec.Struct, frozen=True, tag="clear_suspect", array_like=True):
--- a/packages/sapphireway-transport/src/sapphireway_transport/memory/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_server.py
@@ -59,6 +59,8 @@
         Refuse connections.
     crash_on : callable
         Tells whether a request crashes the server.
+    crash_s : float
+        Time from the start of such a request until the crash.
     restart_s : float
         Time from a crash until connections are accepted again.
     lie_in_flight : int or None
@@ -83,6 +85,7 @@
         "cold_requests",
         "cold_slots",
         "crash_on",
+        "crash_s",
         "crashes",
         "falls_over",
         "in_flight",
@@ -116,6 +119,7 @@
         self.cold_requests = 0
         self.cold_slots = 1
         self.crash_on = _match_nothing
+        self.crash_s = CRASH_S
         self.crashes = 0
         self.falls_over = False
         self.in_flight = 0
@@ -209,7 +213,9 @@
         if self.falls_over and self.in_flight > self.bearable:
             self.crash()
         elif self.crash_on(request):
-            asyncio.get_running_loop().call_later(CRASH_S, self._crash_once, crashed)
+            asyncio.get_running_loop().call_later(
+                self.crash_s, self._crash_once, crashed
+            )
         return await self._work(request, crashed)
 
     def _begin(self, request):
@@ -229,6 +235,8 @@
     async def _work(self, request, crashed):
         latency_s = self._draw_latency(self._rng, request) * self.slow_factor
         latency_s *= max(1.0, self.in_flight / self.bears)
+        if self.crash_on(request):
+            latency_s = max(latency_s, 2 * self.crash_s)
         try:
             async with asyncio.timeout(latency_s):
                 await crashed.wait()
