--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -25,6 +25,7 @@
 from sapphireway_state._operations import (
     apply_operations,
     compare_trees,
+    exceeds_depth,
     list_operations,
     list_out,
 )
@@ -127,6 +128,7 @@
     "encode_answer",
     "encode_edit",
     "encode_query",
+    "exceeds_depth",
     "explain_path",
     "format_problem",
     "get_value",
--- a/packages/sapphireway-state/src/sapphireway_state/_operations.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_operations.py
@@ -6,7 +6,9 @@
 from sapphireway_state._edits import Change, Operation, SetValue, UnsetValue
 from sapphireway_state._problems import Problem
 
-DECLARED_DEPTHS = {"services": 2, "kinds": 4}
+DECLARED_DEPTHS = (2, 4)
+"""Depths of the names of services and kinds in paths below ``services``."""
+
 DEPTH_MAX = 8
 
 
@@ -65,6 +67,18 @@
     return {name for name, node in tree.get(level, {}).items() if node.get("out")}
 
 
+def exceeds_depth(value: Any, depth: int = DEPTH_MAX) -> bool:
+    """Return whether a value nests deeper than a tree can.
+
+    Such values are kept out of the journal: how deeply a decoder may nest
+    differs between hosts, and they must all decode the same.
+    """
+    if not isinstance(value, (dict, list)):
+        return False
+    items = value.values() if isinstance(value, dict) else value
+    return depth == 0 or any(exceeds_depth(item, depth - 1) for item in items)
+
+
 def _apply_operation(tree, operation):
     path = operation.path
     if not path:
@@ -93,7 +107,7 @@
     node = tree
     for depth, name in enumerate(names[:-1], 1):
         node = node.get(name)
-        if node is None and depth in DECLARED_DEPTHS.values():
+        if node is None and depth in DECLARED_DEPTHS:
             path = "/".join(names[:depth])
             return Problem(path, "is not declared", f"set {path} to a mapping first")
         if not isinstance(node, dict):
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -27,6 +27,7 @@
     decode_result,
     encode_edit,
     encode_query,
+    exceeds_depth,
     explain_path,
     get_value,
 )
@@ -169,9 +170,13 @@
 
     def _parse_request(self):
         try:
-            return msgspec.json.decode(self.request.body, type=EditRequest)
+            request = msgspec.json.decode(self.request.body, type=EditRequest)
         except (msgspec.MsgspecError, RecursionError) as error:
             self.fail(400, "bad_request", str(error))
+        for operation in request.operations:
+            if isinstance(operation, SetValue) and exceeds_depth(operation.value):
+                self.fail(400, "bad_request", f"{operation.path}: nests too deeply")
+        return request
 
     def _build_edit(self, request):
         edit = Edit(
--- a/packages/sapphireway/tests/test_operator.py
+++ b/packages/sapphireway/tests/test_operator.py
@@ -93,6 +93,8 @@
         '{"edit_id": "a", "base": 0, "operator": "x", "operations": '
         '[{"op": "set", "path": "weight", "value": 1' + "0" * 40 + "}]}",
         "[" * 100_000,
+        '{"edit_id": "a", "base": 0, "operator": "x", "operations": '
+        '[{"op": "set", "path": "weight", "value": ' + "[" * 9 + "]" * 9 + "}]}",
     ],
 )
 def test_malformed_edit_is_refused(ask, operator_node, body):
