--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -59,7 +59,14 @@
     decode_result,
     encode_query,
 )
-from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._rules import NAME_ALLOWED
+from sapphireway_state._schema import (
+    KIND_MATCH,
+    SERVICE_MATCH,
+    SETTINGS,
+    Scope,
+    Setting,
+)
 from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
@@ -74,8 +81,11 @@
 )
 
 __all__ = [
+    "KIND_MATCH",
+    "NAME_ALLOWED",
     "OTHER_KIND",
     "PROCESS_RULES",
+    "SERVICE_MATCH",
     "SETTINGS",
     "Accepted",
     "Answer",
--- a/packages/sapphireway-state/src/sapphireway_state/_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_machine.py
@@ -21,6 +21,7 @@
     digest_edit,
     encode_answer,
 )
+from sapphireway_state._invariants import check_invariant
 from sapphireway_state._operations import (
     apply_operations,
     compare_trees,
@@ -42,7 +43,8 @@
 
 HISTORY_MAX_EDITS = 5_000
 HISTORY_MAX_BYTES = 4 * 1024 * 1024
-TREE_MAX_BYTES = 4 * 1024 * 1024
+TREE_MAX_BYTES = 768 * 1024
+"""Small enough for one edit to put a whole tree in place."""
 
 
 class _Record(msgspec.Struct, frozen=True, array_like=True):
@@ -119,8 +121,13 @@
         -------
         bytes
             An encoded `Answer`.
+
+        Raises
+        ------
+        InvariantError
+            If a later command was applied already.
         """
-        assert index > self.index, f"index {index} follows {self.index}"
+        check_invariant(index > self.index, f"index {index} follows {self.index}")
         self.index = index
         edit = decode_edit(command)
         if edit is None:
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -20,6 +20,8 @@
 from sapphireway_state._yaml import parse_yaml, read_text
 
 MIB = 1024 * 1024
+JOURNAL_COMPACT_BYTES = 4 * MIB
+JOURNAL_MAX_BYTES = 64 * MIB
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,7 +31,7 @@
     Attributes
     ----------
     address : str
-        Where other nodes reach this one, ``host:port``.
+        Where other nodes reach this one.
     http_address : str
         Where callers and servers reach this node.
     admin_address : str
@@ -37,6 +39,7 @@
     domain : str
         Failure domain.
     region : str
+        Region that the failure domain lies in.
     data_folder : str
         Folder of everything that this process keeps.
     control_hosts : tuple of str
@@ -50,20 +53,23 @@
     initial_tree : str or None
         File with the tree that a new quorum begins with.
     seed : int or None
-        Seed of the process's random numbers; drawn at the start if None.
+        Seed of the process's random numbers; drawn at the start unless given.
     log_format : str
-        ``json`` or ``text``.
+        One JSON object a line, or text.
     log_level : str
+        Least severity that is logged.
     token_file : str or None
         File of mode 0600 with the operator's token.
     trace_file : str or None
         File that spans are written to.
     header_max_bytes : int
         Largest header section of a caller's request.
-    journal_segment_max_bytes : int
-        Size after which the journal begins a new file.
-    snapshot_interval : int
-        Journal entries between snapshots.
+    journal_segment_bytes : int
+        Size at which the journal begins a new file.
+    journal_compact_bytes : int
+        Size of the journal at which a snapshot is due.
+    journal_max_bytes : int
+        Size of the journal above which nothing more is accepted.
     """
 
     address: str
@@ -83,8 +89,9 @@
     token_file: str | None = None
     trace_file: str | None = None
     header_max_bytes: int = 65_536
-    journal_segment_max_bytes: int = 4 * MIB
-    snapshot_interval: int = 1_000
+    journal_segment_bytes: int = MIB
+    journal_compact_bytes: int = JOURNAL_COMPACT_BYTES
+    journal_max_bytes: int = JOURNAL_MAX_BYTES
 
 
 _PATH = make_pattern(
@@ -109,8 +116,9 @@
     "token_file": _PATH,
     "trace_file": _PATH,
     "header_max_bytes": make_integer(1_024, MIB, "bytes"),
-    "journal_segment_max_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
-    "snapshot_interval": make_integer(10, 1_000_000, "journal entries"),
+    "journal_segment_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
+    "journal_compact_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
+    "journal_max_bytes": make_integer(4 * MIB, 16_384 * MIB, "bytes"),
 }
 """Rule of every process setting by name."""
 
@@ -190,12 +198,21 @@
 
 
 def _check_together(value):
+    yield from _check_addresses(value)
+    yield from _check_control(value)
+    yield from _check_journal(value)
+
+
+def _check_addresses(value):
     addresses = [value[name] for name in REQUIRED[:3]]
     for index, name in enumerate(REQUIRED[:3]):
         if value[name] in addresses[:index]:
             yield Problem(
                 name, f"{value[name]!r} is in use above", "an address of its own"
             )
+
+
+def _check_control(value):
     hosts = value.get("control_hosts", [])
     if value.get("control") and value["address"] not in hosts:
         yield Problem(
@@ -211,3 +228,13 @@
             "neither control_hosts nor contacts names an address",
             "at least one address in either",
         )
+
+
+def _check_journal(value):
+    compact = value.get("journal_compact_bytes", JOURNAL_COMPACT_BYTES)
+    if compact > value.get("journal_max_bytes", JOURNAL_MAX_BYTES) // 2:
+        yield Problem(
+            "journal_compact_bytes",
+            f"{compact} is more than half of journal_max_bytes",
+            "at most half of journal_max_bytes",
+        )
--- a/packages/sapphireway-state/tests/test_process.py
+++ b/packages/sapphireway-state/tests/test_process.py
@@ -45,6 +45,12 @@
         ("region", "regoin", ":5: regoin: unknown key", "any of address"),
         (GOOD[-15:], GOOD[-15:] + "log_level: loud\n", "log_level: 'loud'", "debug"),
         (GOOD[-15:], GOOD[-15:] + "bootstrap: true\n", "bootstrap: is set", "false"),
+        (
+            GOOD[-15:],
+            GOOD[-15:] + "journal_max_bytes: 5000000\n",
+            "journal_compact_bytes: 4194304 is more than half",
+            "at most half of journal_max_bytes",
+        ),
         (
             "[127.0.0.1:7100]",
             "[127.0.0.2:7100]\ncontrol: true",
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -32,7 +32,7 @@
     get_value,
 )
 
-OPERATOR_BODY_MAX_BYTES = 8 * 1024 * 1024
+OPERATOR_BODY_MAX_BYTES = 1024 * 1024
 LIMIT_MAX = 1_000
 
 STATUS_BY_ANSWER = {
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for the developers of the repository."""
