--- /dev/null
+++ b/benchmarks/settings_tree.py
@@ -0,0 +1,104 @@
+"""Cost of the settings tree at the target size, as ``benchmarks.settings_tree``."""
+
+import statistics
+import time
+from collections.abc import Callable
+
+from sapphireway_state import (
+    Edit,
+    LiveServers,
+    SettingsFollower,
+    SettingsMachine,
+    SetValue,
+    encode_edit,
+)
+
+DOMAINS = 16
+SERVICES = 230
+KINDS = 5
+SERVERS_PER_SERVICE = 10
+EDITS = 101
+LOOKUPS = 20_000
+
+
+def build_tree():
+    """Return a tree of the target size."""
+    services = {}
+    for service in range(SERVICES):
+        kinds = {
+            f"k{kind}": {
+                "match": {"methods": ["GET"], "paths": [f"/s{service}/k{kind}/**"]},
+                "weight": 5,
+                "idempotent": True,
+                "deadline_ms": 1_000,
+            }
+            for kind in range(KINDS)
+        }
+        match = {"path_prefixes": [f"/s{service}"]}
+        services[f"s{service}"] = {"match": match, "kinds": kinds}
+    domains = {f"d{domain}": {} for domain in range(DOMAINS)}
+    return {"domains": domains, "services": services}
+
+
+def list_live():
+    """Return the live servers that an edit of a domain carries."""
+    return [
+        LiveServers(f"s{service}", f"d{number % DOMAINS}", [f"s{service}-{number}"])
+        for service in range(SERVICES)
+        for number in range(SERVERS_PER_SERVICE)
+    ]
+
+
+def measure_ms(run: Callable[[], object]) -> float:
+    """Return how long one call takes."""
+    begun = time.perf_counter()
+    run()
+    return (time.perf_counter() - begun) * 1_000
+
+
+def measure_each_us(run: Callable[[], object]) -> float:
+    """Return the mean time of many calls."""
+    return measure_ms(lambda: [run() for _ in range(LOOKUPS)]) * 1_000 / LOOKUPS
+
+
+def main():
+    """Print one figure a line."""
+    machine = SettingsMachine()
+    follower = SettingsFollower()
+    first = Edit("e0", 0, [SetValue("", build_tree())], "an")
+    show("whole tree set, ms", measure_ms(lambda: machine.apply(1, encode_edit(first))))
+    whole = machine.get_tree()
+    show("whole tree, bytes", len(whole))
+    show("whole tree applied, ms", measure_ms(lambda: follower.apply_update(whole)))
+    edit_bytes, applied_ms, followed_ms, delta_bytes = [], [], [], []
+    for index in range(2, EDITS + 1):
+        operation = SetValue("domains/d3/out", bool(index % 2))
+        edit = Edit(f"e{index}", index - 1, [operation], "an", live=list_live())
+        command = encode_edit(edit)
+        edit_bytes.append(len(command))
+        applied_ms.append(measure_ms(lambda c=command, i=index: machine.apply(i, c)))
+        delta = machine.get_changes(index - 1)
+        delta_bytes.append(len(delta))
+        followed_ms.append(measure_ms(lambda d=delta: follower.apply_update(d)))
+    show("edit with live servers, bytes", statistics.median(edit_bytes))
+    show("edit applied, ms", statistics.median(applied_ms))
+    show("delta, bytes", statistics.median(delta_bytes))
+    show("delta applied, ms", statistics.median(followed_ms))
+    show("snapshot taken, ms", measure_ms(machine.snapshot))
+    show("snapshot, bytes", len(machine.snapshot()))
+    view = follower.view
+    show("resolve, us", measure_each_us(lambda: view.resolve("d1", "s1", "k1")))
+    headers = [("Host", "localhost"), ("Accept", "*/*")]
+    show(
+        "match, us",
+        measure_each_us(lambda: view.match("GET", "/s200/k3/offers/3?q=1", headers)),
+    )
+
+
+def show(name: str, value: float) -> None:
+    """Print one figure."""
+    print(f"{name:32} {value:12,.2f}")
+
+
+if __name__ == "__main__":
+    main()
