Await the live servers, and wait for no node without a lease

NodeStatus gets the flag alive; the command's default timeout is twice that of a proposal, so that a slow proposal is not taken for a lost answer.

--- a/packages/sapphirectl/src/sapphirectl/_options.py
+++ b/packages/sapphirectl/src/sapphirectl/_options.py
@@ -56,7 +56,7 @@
 def connect(
     *,
     node: str | None = None,
-    timeout_s: float = 5.0,
+    timeout_s: float = 10.0,
     output: OutputFormat = "table",
 ) -> Connection:
     """Read the options of every command.
--- a/packages/sapphirectl/src/sapphirectl/_waiting.py
+++ b/packages/sapphirectl/src/sapphirectl/_waiting.py
@@ -63,7 +63,7 @@
         in_flight = sum(server.in_flight for server in servers)
         tell(
             f"{target.describe()}: {new} new, {in_flight} in flight, "
-            f"{len(behind)} of {len(report.nodes)} nodes behind version {version}"
+            f"{_describe_progress(report, behind, version)}"
         )
         still_polls = 0 if new or behind else still_polls + 1
         return still_polls > STILL_POLLS
@@ -78,7 +78,7 @@
 
     def is_in_force(report):
         behind = _list_behind(report, version)
-        tell(f"{len(behind)} of {len(report.nodes)} nodes behind version {version}")
+        tell(_describe_progress(report, behind, version))
         return not behind
 
     return _poll(connection, is_in_force, timeout_s, pause)
@@ -107,4 +107,11 @@
 
 
 def _list_behind(report, version):
-    return [node.node for node in report.nodes if node.version < version]
+    # A node without a lease may be gone for good; it takes the version first
+    # thing when it returns.
+    return [node.node for node in report.nodes if node.alive and node.version < version]
+
+
+def _describe_progress(report, behind, version):
+    alive = sum(node.alive for node in report.nodes)
+    return f"{len(behind)} of {alive} nodes behind version {version}"
--- a/packages/sapphirectl/tests/test_cli.py
+++ b/packages/sapphirectl/tests/test_cli.py
@@ -197,6 +197,7 @@
     )
     nodes = [NodeStatus("n1", "bxl-a", "be", version)]
     nodes += [NodeStatus("n2", "bxl-b", "be", version)]
+    nodes += [NodeStatus("gone", "bxl-b", "be", 0, alive=False)]
     return StatusReport(version, nodes, [server])
 
 
--- a/packages/sapphireway-state/src/sapphireway_state/_operator_api.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_operator_api.py
@@ -53,6 +53,8 @@
         ``leader``, ``voter`` or ``learner`` for a control host, else empty.
     detail : str
         What is wrong, if something is.
+    alive : bool
+        Whether the node has renewed its lease; nobody waits for one that has not.
     """
 
     node: str
@@ -62,6 +64,7 @@
     in_force_s: float = 0.0
     role: str = ""
     detail: str = ""
+    alive: bool = True
 
 
 class ServerStatus(msgspec.Struct, frozen=True):
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -156,7 +156,7 @@
     async def post(self):
         """Propose one edit and answer with the machine's answer."""
         self.require_token()
-        edit = self._build_edit(self._parse_request())
+        edit = await self._build_edit(self._parse_request())
         try:
             command = encode_edit(edit)
         except (OverflowError, ValueError, RecursionError) as error:
@@ -178,7 +178,7 @@
                 self.fail(400, "bad_request", f"{operation.path}: nests too deeply")
         return request
 
-    def _build_edit(self, request):
+    async def _build_edit(self, request):
         edit = Edit(
             request.edit_id,
             request.base,
@@ -190,7 +190,8 @@
         )
         if not any(map(_may_take_out, request.operations)):
             return edit
-        return msgspec.structs.replace(edit, live=self.backend.list_live())
+        live = await self.backend.list_live()
+        return msgspec.structs.replace(edit, live=live)
 
 
 class HistoryHandler(OperatorHandler):
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -36,7 +36,7 @@
     get_view : callable
         Returns the version of the tree in force at this node.
     list_live : callable
-        Returns the live servers that this node knows.
+        Returns the live servers that this node can learn of.
     get_status : callable
     get_explanations : callable
         Takes service, server and call, each of them or None; returns recent
@@ -58,7 +58,7 @@
     propose: Callable[[bytes], Awaitable[bytes | Unavailable]]
     read: Callable[[bytes], Awaitable[bytes | Unavailable]]
     get_view: Callable[[], SettingsView]
-    list_live: Callable[[], list[LiveServers]]
+    list_live: Callable[[], Awaitable[list[LiveServers]]]
     get_status: Callable[[], Awaitable[StatusReport]]
     get_explanations: Callable[
         [str | None, str | None, str | None], list[dict[str, Any]]
--- a/packages/sapphireway/src/sapphireway/memory/_operator.py
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -56,7 +56,7 @@
             propose=self._propose,
             read=self._read,
             get_view=self._get_view,
-            list_live=lambda: self.live,
+            list_live=self._list_live,
             get_status=self._get_status,
             get_explanations=self._get_explanations,
             get_traces=self._get_traces,
@@ -84,6 +84,9 @@
     def _get_view(self):
         return SettingsView(self.machine.tree, self.machine.version)
 
+    async def _list_live(self):
+        return self.live
+
     async def _get_status(self):
         return self.status
 
