--- a/packages/sapphirectl/src/sapphirectl/_waiting.py
+++ b/packages/sapphirectl/src/sapphirectl/_waiting.py
@@ -107,8 +107,7 @@
 
 
 def _list_behind(report, version):
-    # A node without a lease may be gone for good; it takes the version first
-    # thing when it returns.
+    # A node without a lease may be gone for good.
     return [node.node for node in report.nodes if node.alive and node.version < version]
 
 
