Try a node that gave no answer last, and shorten tables

Cause: in a trial with three real control hosts a stopped leader that was first in the list cost the command its timeout twice, 20 s in all; the history's row of the initial tree was 1.7 kB wide.

--- a/packages/sapphirectl/src/sapphirectl/_client.py
+++ b/packages/sapphirectl/src/sapphirectl/_client.py
@@ -39,9 +39,10 @@
     if given:
         path = f"{path}?{urllib.parse.urlencode(given)}"
     faults = []
-    for node in connection.nodes:
+    for node in tuple(connection.nodes):
         response = send_request(node, "GET", path, None, None, connection.timeout_s)
         if isinstance(response, NoResponse):
+            connection.demote(node)
             faults.append(response.detail)
         elif response.status == 200:
             return _decode(node, response, result_type)
@@ -90,10 +91,11 @@
     )
     faults = []
     may_have_run = False
-    for attempt in range(ROUNDS * len(connection.nodes)):
-        if attempt and attempt % len(connection.nodes) == 0:
+    nodes = tuple(connection.nodes)
+    for attempt in range(ROUNDS * len(nodes)):
+        if attempt and attempt % len(nodes) == 0:
             time.sleep(ROUND_PAUSE_S)
-        node = connection.nodes[attempt % len(connection.nodes)]
+        node = nodes[attempt % len(nodes)]
         response = send_request(
             node, "POST", "/v1/edits", body, token, connection.timeout_s
         )
--- a/packages/sapphirectl/src/sapphirectl/_options.py
+++ b/packages/sapphirectl/src/sapphirectl/_options.py
@@ -15,23 +15,28 @@
 PARAMETERS_HEADING = "Parameters\n----------\n"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Connection:
     """Nodes to ask, and how to show what they answer.
 
     Attributes
     ----------
-    nodes : tuple of str
+    nodes : list of str
         Admin addresses, tried in order.
     timeout_s : float
     output : str
         ``table``, ``json`` or ``yaml``.
     """
 
-    nodes: tuple[str, ...]
+    nodes: list[str]
     timeout_s: float
     output: OutputFormat
 
+    def demote(self, node: str) -> None:
+        """Try a node that gave no answer after all others from now on."""
+        self.nodes.remove(node)
+        self.nodes.append(node)
+
 
 @dataclass(slots=True, frozen=True)
 class EditOptions:
@@ -72,7 +77,7 @@
         Form of what is printed.
     """
     nodes = (node or os.environ.get("SAPPHIREWAY_NODES", "")).split(",")
-    return Connection(tuple(filter(None, map(str.strip, nodes))), timeout_s, output)
+    return Connection(list(filter(None, map(str.strip, nodes))), timeout_s, output)
 
 
 def join_repeated(arguments: Sequence[str], option: str) -> list[str]:
--- a/packages/sapphirectl/src/sapphirectl/_output.py
+++ b/packages/sapphirectl/src/sapphirectl/_output.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -53,13 +54,18 @@
     return "\n".join(line.rstrip() for line in lines)
 
 
+def format_time(time_s: float) -> str:
+    """Return seconds since the epoch as a date and time."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(time_s))
+
+
 def _format_cell(value):
     if value is None:
         return "-"
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:g}"
+        return f"{value:.3f}".rstrip("0").rstrip(".")
     if isinstance(value, (list, dict)):
         return json.dumps(value, ensure_ascii=False)
     return str(value)
--- a/packages/sapphirectl/src/sapphirectl/_reports.py
+++ b/packages/sapphirectl/src/sapphirectl/_reports.py
@@ -5,7 +5,7 @@
 from sapphirectl._client import ask
 from sapphirectl._exits import ExitCode, Failure
 from sapphirectl._options import Connection, add_options, connect
-from sapphirectl._output import fail, format_table, show
+from sapphirectl._output import fail, format_table, format_time, show
 from sapphireway_state import (
     SettingsReply,
     StatusReport,
@@ -62,6 +62,8 @@
     )
     if isinstance(rows, Failure):
         return fail(rows)
+    if connection.output == "table":
+        rows = [_format_row(row) for row in rows]
     return show(rows, connection.output)
 
 
@@ -84,6 +86,13 @@
     return show(spans, connection.output)
 
 
+def _format_row(row):
+    time_s = row.get("time")
+    if not isinstance(time_s, (int, float)):
+        return row
+    return row | {"time": format_time(time_s)}
+
+
 def _print_table(title, rows):
     print(f"\n{title}")
     print(format_table([_to_row(row) for row in rows]))
--- a/packages/sapphirectl/src/sapphirectl/_settings.py
+++ b/packages/sapphirectl/src/sapphirectl/_settings.py
@@ -5,7 +5,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 import msgspec
@@ -19,7 +18,7 @@
     connect,
     identify,
 )
-from sapphirectl._output import fail, show
+from sapphirectl._output import fail, format_time, show
 from sapphireway_state import (
     Changes,
     History,
@@ -34,6 +33,8 @@
     parse_yaml,
 )
 
+CHANGES_IN_TABLE = 3
+
 
 @add_options(connect)
 def show_settings(connection: Connection, *, local: bool = False):
@@ -182,9 +183,9 @@
     rows = [
         {
             "version": entry.version,
-            "when": _format_time(entry.time_s),
+            "when": format_time(entry.time_s),
             "operator": entry.operator,
-            "what": "; ".join(format_change(item).strip() for item in entry.changes),
+            "what": _summarize(entry.changes),
             "reason": entry.reason,
             "edit_id": entry.edit_id,
         }
@@ -253,5 +254,8 @@
     return path
 
 
-def _format_time(time_s):
-    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(time_s))
+def _summarize(changes):
+    shown = [format_change(change).strip() for change in changes[:CHANGES_IN_TABLE]]
+    if len(changes) > CHANGES_IN_TABLE:
+        shown.append(f"and {len(changes) - CHANGES_IN_TABLE} more")
+    return "; ".join(shown)
--- a/packages/sapphirectl/tests/test_cli.py
+++ b/packages/sapphirectl/tests/test_cli.py
@@ -138,6 +138,12 @@
     assert "weight: 20 -> 21" in err
 
 
+def test_history_table_shortens_many_changes(run, tree):
+    table = run("settings", "history")[1]
+    assert "domains/bxl-a: unset -> {}" in table
+    assert "and 1 more" in table
+
+
 def test_show_prints_what_edit_takes(run, tree, tmp_path):
     code, out, _ = run("settings", "show")
     assert code == 0 and out.startswith("# version 1\n")
@@ -182,7 +188,7 @@
 def test_other_nodes_are_tried(run, tree, operator_node, closed_address):
     nodes = ["--node", closed_address, "--node", operator_node.address]
     assert run("settings", "set", "weight", "21", *nodes)[0] == 0
-    code, _, err = run("settings", "set", "weight", "22", "--node", closed_address)
+    code, _, _ = run("settings", "set", "weight", "22", "--node", closed_address)
     assert code == ExitCode.UNREACHABLE
     code, _, err = run(
         "settings", "set", "weight", "22", "--base", "2", "--node", closed_address
@@ -258,12 +264,15 @@
 
 
 def test_status_explain_and_trace_print_tables(run, tree, live, operator_node):
-    operator_node.state.explanations = [{"service": "ledger", "reason": "cold"}]
+    operator_node.state.explanations = [
+        {"time": 1e6, "service": "ledger", "reason": "cold"}
+    ]
     operator_node.state.traces = [{"trace": "t1", "name": "entry"}]
     code, out, _ = run("status")
     assert code == 0
     assert "Latest version: 1" in out and "BEHIND" in out and "l1" in out
-    assert "cold" in run("explain", "--service", "ledger")[1]
+    table = run("explain", "--service", "ledger")[1]
+    assert "1970-01-12T13:46:40Z" in table and "cold" in table
     assert run("explain", "--service", "none")[1] == "(none)\n"
     assert "entry" in run("trace", "t1")[1]
     assert json.loads(run("status", "--output", "json")[1])["version"] == 1
