--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -35,6 +35,7 @@
 from sapphireway_state._operations import (
     apply_operations,
     compare_trees,
+    exceeds_depth,
     list_operations,
     list_out,
 )
@@ -69,7 +70,14 @@
     encode_query,
 )
 from sapphireway_state._recovery import NothingToRecover, Recovered, recover_alone
-from sapphireway_state._schema import SETTINGS, Scope, Setting
+from sapphireway_state._rules import NAME_ALLOWED
+from sapphireway_state._schema import (
+    KIND_MATCH,
+    SERVICE_MATCH,
+    SETTINGS,
+    Scope,
+    Setting,
+)
 from sapphireway_state._service_loss import list_left, takes_out
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
 from sapphireway_state._token import read_token
@@ -86,8 +94,11 @@
 )
 
 __all__ = [
+    "KIND_MATCH",
+    "NAME_ALLOWED",
     "OTHER_KIND",
     "PROCESS_RULES",
+    "SERVICE_MATCH",
     "SETTINGS",
     "Accepted",
     "Answer",
@@ -158,6 +169,7 @@
     "encode_members",
     "encode_query",
     "encode_snapshot",
+    "exceeds_depth",
     "explain_path",
     "format_problem",
     "get_value",
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -27,11 +27,12 @@
     decode_result,
     encode_edit,
     encode_query,
+    exceeds_depth,
     explain_path,
     get_value,
 )
 
-OPERATOR_BODY_MAX_BYTES = 8 * 1024 * 1024
+OPERATOR_BODY_MAX_BYTES = 1024 * 1024
 LIMIT_MAX = 1_000
 
 STATUS_BY_ANSWER = {
@@ -169,9 +170,13 @@
 
     def _parse_request(self):
         try:
-            return msgspec.json.decode(self.request.body, type=EditRequest)
+            request = msgspec.json.decode(self.request.body, type=EditRequest)
         except (msgspec.MsgspecError, RecursionError) as error:
             self.fail(400, "bad_request", str(error))
+        for operation in request.operations:
+            if isinstance(operation, SetValue) and exceeds_depth(operation.value):
+                self.fail(400, "bad_request", f"{operation.path}: nests too deeply")
+        return request
 
     async def _build_edit(self, request):
         edit = Edit(
@@ -185,7 +190,8 @@
         )
         if not any(map(_may_take_out, request.operations)):
             return edit
-        return msgspec.structs.replace(edit, live=await self.backend.list_live())
+        live = await self.backend.list_live()
+        return msgspec.structs.replace(edit, live=live)
 
 
 class HistoryHandler(OperatorHandler):
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -36,7 +36,7 @@
     get_view : callable
         Returns the version of the tree in force at this node.
     list_live : callable
-        Returns the live servers that any reachable control host knows.
+        Returns the live servers that this node can learn of.
     get_status : callable
     get_explanations : callable
         Takes service, server and call, each of them or None; returns recent
--- a/packages/sapphireway/src/sapphireway/memory/_operator.py
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -87,6 +87,9 @@
     def _get_view(self):
         return SettingsView(self.machine.tree, self.machine.version)
 
+    async def _list_live(self):
+        return self.live
+
     async def _get_status(self):
         return self.status
 
