--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -13,8 +13,8 @@
     RetryDenied,
     RevokeSent,
 )
+from sapphireway_coordination._candidates import learn_end, list_candidates
 from sapphireway_coordination._conclusions import conclude, is_failure, refuse
-from sapphireway_coordination._ejection import list_usable
 from sapphireway_coordination._invariant import require
 from sapphireway_coordination._revocation import (
     get_final_revoke,
@@ -34,6 +34,7 @@
 SILENCE_PERCENTILE = 95.0
 SILENCE_SHARE = 0.5
 BROKEN_RUNS_MAX = 2
+OVERLOAD_REASONS = (NotRunReason.OVERLOADED, NotRunReason.DEADLINE)
 
 
 class CallRun:
@@ -86,9 +87,9 @@
         if self._loop.time() >= self._call.deadline_s:
             return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
         if not self._admit():
-            return self._refuse(NotRunReason.OVERLOADED, "the service is refusing")
+            return self._refuse(NotRunReason.OVERLOADED, "the service is overloaded")
         if not self._send_attempt(AttemptCause.FIRST):
-            return self._conclude()
+            return self._conclude_unsent()
         while True:
             attempt = await self._mailbox.take(self._get_next_timer())
             if attempt is None:
@@ -169,10 +170,12 @@
         """Send an attempt to the best server that takes it; False if none does."""
         self._check_repeat()
         while True:
-            candidates = self._list_candidates()
+            now_s = self._loop.time()
+            candidates = list_candidates(
+                self._dispatcher, self._call, self._tried, now_s
+            )
             if not candidates:
                 return False
-            now_s = self._loop.time()
             load = self._dispatcher.choose(
                 candidates, self._call, self._dispatcher.rng, now_s
             )
@@ -184,22 +187,6 @@
             self._dispatcher.ejector.take_failure(load, now_s, "not connected")
             self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
 
-    def _list_candidates(self):
-        service = self._call.service
-        members = self._dispatcher.get_members(service)
-        loads = self._dispatcher.loads.list_loads(service, members)
-        now_s = self._loop.time()
-        if loads and not self._tried:
-            self._dispatcher.prober.take_call(loads, self._call.policy, now_s)
-        serving = [x for x in loads if x.is_serving(now_s)]
-        usable = list_usable(serving, self._call, now_s)
-        if not self._tried:
-            return usable
-        untried = [x for x in usable if x not in self._tried]
-        domains = {x.member.domain for x in self._tried}
-        elsewhere = [x for x in untried if x.member.domain not in domains]
-        return elsewhere or untried
-
     def _create_attempt(self, load, cause, now_s):
         call = self._call
         dispatcher = self._dispatcher
@@ -247,28 +234,20 @@
 
     def _report_end(self, attempt):
         now_s = self._loop.time()
-        elapsed_s = now_s - attempt.sent_s
         result = attempt.result
-        load = attempt.load
-        if attempt.server_s:
-            load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
+        learn_end(attempt, self._dispatcher.ejector, now_s)
         if isinstance(result, Answered) and not is_failure(result):
-            self._dispatcher.ejector.take_success(load, now_s)
-            self._service.shedder.take_accept(now_s)
-            load.take_answer(attempt.sent_s)
-            load.take_latency(max(elapsed_s - load.round_trip_s, 0.0), now_s)
-            self._latencies.add(elapsed_s)
-        elif not isinstance(result, NotRun):
-            detail = getattr(result, "detail", "") or "failed answer"
-            self._dispatcher.ejector.take_failure(load, now_s, detail)
+            self._latencies.add(now_s - attempt.sent_s)
+        if isinstance(result, NotRun) and result.reason in OVERLOAD_REASONS:
+            self._service.shedder.take_overload(now_s)
         self._observe(
             AttemptEnded(
                 self._call.call_id,
                 attempt.attempt_id,
                 self._call.service,
-                load.member.server,
+                attempt.load.member.server,
                 type(result).__name__,
-                elapsed_s,
+                now_s - attempt.sent_s,
                 getattr(result, "detail", ""),
             )
         )
@@ -339,6 +318,12 @@
             return Unknown("no answer by the deadline")
         return conclude(self._ended, self._call, self._dispatcher.rng)
 
+    def _conclude_unsent(self):
+        members = self._dispatcher.get_members(self._call.service)
+        if members and all(member.out for member in members):
+            return self._refuse(NotRunReason.DOMAIN_OUT, "all servers are out")
+        return self._conclude()
+
     def _refuse(self, reason, detail):
         return refuse(reason, detail, 0.0, self._dispatcher.rng)
 
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -209,3 +209,22 @@
     outcome, ended_s = run_paused(exchange())
     assert isinstance(outcome, Unknown)
     assert ended_s < 1.0
+
+
+def test_reply_of_another_node_is_ignored(network):
+    async def exchange():
+        ScriptedNode(network, "n0", keep_silent)
+        other = ScriptedNode(network, "n1", keep_silent)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0")]
+        dispatcher = Dispatcher(peers, lambda service: members, random.Random(2))
+        task = asyncio.create_task(dispatcher.dispatch(make_call()))
+        await asyncio.sleep(0.01)
+        (attempt_id,) = dispatcher.attempts._open
+        other.peers.send("entry", Reply(attempt_id, "answered", 200), b"wrong")
+        return await task, dispatcher.attempts.ignored
+
+    outcome, ignored = run_paused(exchange())
+    assert isinstance(outcome, Unknown)
+    assert ignored == 1
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_ejection.py
@@ -0,0 +1,77 @@
+import random
+
+import pytest
+
+from sapphireway_coordination import Call, Member, MemberEjected, MemberRestored
+from sapphireway_coordination._ejection import SILENCE_S, Ejector, list_usable
+from sapphireway_coordination._loads import ServerLoad
+from sapphireway_state import Policy
+
+
+def make_call(idempotent=True, panic_percent=50.0):
+    policy = Policy(idempotent=idempotent, panic_percent=panic_percent)
+    return Call("c", "s", "k", "GET", "/", (), b"", 99.0, None, policy)
+
+
+@pytest.fixture
+def events():
+    return []
+
+
+@pytest.fixture
+def ejector(events):
+    return Ejector(random.Random(1), events.append)
+
+
+@pytest.fixture
+def loads():
+    return [ServerLoad(Member(n, "s", n, "d", "r", "1", "1", 6)) for n in "abcd"]
+
+
+def fail(ejector, load, now_s, times=2):
+    for _ in range(times):
+        ejector.take_failure(load, now_s, "refused")
+
+
+def test_one_failure_does_not_eject(ejector, loads):
+    fail(ejector, loads[0], 0.0, times=1)
+    assert list_usable(loads, make_call(), 0.0) == loads
+
+
+def test_failures_in_row_eject_for_longer_each_time(ejector, events, loads):
+    now_s = 0.0
+    for _ in range(4):
+        fail(ejector, loads[0], now_s)
+        assert loads[0] not in list_usable(loads, make_call(), now_s)
+        now_s = loads[0].ejected_until_s
+    durations = [e.duration_s for e in events if isinstance(e, MemberEjected)]
+    assert durations == sorted(durations)
+    assert durations[-1] > 4 * durations[0]
+
+
+def test_trial_is_for_idempotent_calls(ejector, loads):
+    fail(ejector, loads[0], 0.0)
+    now_s = loads[0].ejected_until_s
+    assert loads[0] in list_usable(loads, make_call(), now_s)
+    assert loads[0] not in list_usable(loads, make_call(idempotent=False), now_s)
+
+
+def test_success_restores(ejector, events, loads):
+    fail(ejector, loads[0], 0.0)
+    ejector.take_success(loads[0], 0.1)
+    assert list_usable(loads, make_call(idempotent=False), 0.1) == loads
+    assert isinstance(events[-1], MemberRestored)
+
+
+def test_silent_server_is_out_until_heard(ejector, loads):
+    ejector.take_silence(loads[0], 0.0)
+    assert loads[0] not in list_usable(loads, make_call(), SILENCE_S - 0.1)
+    ejector.take_sign_of_life(loads[0], 0.5)
+    assert loads[0] in list_usable(loads, make_call(), 0.5)
+
+
+@pytest.mark.parametrize(("bad", "usable"), [(1, 3), (2, 2), (3, 4), (4, 4)])
+def test_panic_stops_ejection(ejector, loads, bad, usable):
+    for load in loads[:bad]:
+        fail(ejector, load, 0.0)
+    assert len(list_usable(loads, make_call(), 0.0)) == usable
