--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -209,8 +209,9 @@
     row.append(f"{messages / count:5.2f}")
     row.append(f"{probes / count:6.3f}")
     row.append(f"{100 * retries / count:6.2f}%")
-    ends_s = [*list(scenario.events.values())[1:], DURATION_S]
-    for (name, start_s), end_s in zip(scenario.events.items(), ends_s, strict=True):
+    starts_s = list(scenario.events.values())
+    for index, (name, start_s) in enumerate(scenario.events.items()):
+        end_s = [*starts_s, DURATION_S][index + 1]
         row.append(f" {name} {find_recovery(calls, start_s, end_s):.1f}s")
     print(" ".join(row), flush=True)
     if scenario.name == "overload":
