Resend to the same server when its node's clock was not known

Cause: the node beside a server refuses a Run that names no reading of its clock, which is every first contact; that cost a retry token and another server. Change: one resend a server and call, outside of the budget as no server worked. Revoke carries the latest start of its Run. A reading older than a minute is not used.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
@@ -44,6 +44,8 @@
     cause : AttemptCause
     incarnation : str
         Incarnation of the server's node that may run it.
+    latest_start_s : float
+        Reading of the node's clock after which it must not start; 0 if not known.
     sent_s : float
     progress : Progress
     revokes : int
@@ -62,6 +64,7 @@
         "attempt_id",
         "cause",
         "incarnation",
+        "latest_start_s",
         "load",
         "post",
         "progress",
@@ -85,6 +88,7 @@
         self.load = load
         self.cause = cause
         self.incarnation = incarnation
+        self.latest_start_s = 0.0
         self.sent_s = sent_s
         self.post = post
         self.progress = Progress.SENT
@@ -168,6 +172,7 @@
         """Send an attempt; False if it certainly did not leave this process."""
         if not self._peers.send(attempt.node, run, body):
             return False
+        attempt.latest_start_s = run.latest_start_s
         self._open[attempt.attempt_id] = attempt
         self._by_node.setdefault(attempt.node, {})[attempt.attempt_id] = attempt
         attempt.load.outstanding[attempt.attempt_id] = attempt.sent_s
@@ -177,7 +182,8 @@
         """Ask that an attempt never starts."""
         attempt.revokes += 1
         attempt.revoked_s = now_s
-        self._peers.send(attempt.node, Revoke(attempt.attempt_id))
+        revoke = Revoke(attempt.attempt_id, attempt.latest_start_s)
+        self._peers.send(attempt.node, revoke)
 
     def drop(self, attempt: Attempt, *, cancel: bool) -> None:
         """Stop waiting for an attempt; with `cancel`, tell the server's node."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
@@ -6,11 +6,17 @@
 
 
 class AttemptCause(enum.StrEnum):
-    """Why an attempt was sent."""
+    """Why an attempt was sent.
+
+    A resend goes to the same server, whose node refused the attempt before as it
+    named an earlier start of it or no reading of its clock. No server worked for
+    that, so it costs no budget; there is one a server and call.
+    """
 
     FIRST = "first"
     RETRY = "retry"
     HEDGE = "hedge"
+    RESEND = "resend"
 
 
 class DenyReason(enum.StrEnum):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -14,7 +14,12 @@
     RevokeSent,
 )
 from sapphireway_coordination._candidates import learn_end, list_candidates
-from sapphireway_coordination._conclusions import conclude, is_failure, refuse
+from sapphireway_coordination._conclusions import (
+    conclude,
+    is_failure,
+    is_stale,
+    refuse,
+)
 from sapphireway_coordination._invariant import require
 from sapphireway_coordination._revocation import (
     get_final_revoke,
@@ -61,6 +66,7 @@
         "_loop",
         "_mailbox",
         "_open",
+        "_resent",
         "_service",
         "_tried",
         "attempts_sent",
@@ -78,6 +84,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox = Mailbox()
         self._open = []
+        self._resent = []
         self._tried = []
         self.attempts_sent = 0
 
@@ -113,19 +120,19 @@
         self._open.clear()
 
     def _take_change(self, attempt):
-        if attempt.result is None:
+        # It may have been posted twice before its end was seen here.
+        if attempt.result is None or attempt not in self._open:
             return None
         self._open.remove(attempt)
         self._report_end(attempt)
         result = attempt.result
-        if isinstance(result, NotRun) and result.reason is NotRunReason.STALE:
-            # The same server may run it under its new incarnation.
-            self._tried.remove(attempt.load)
         if isinstance(result, Answered) and not is_failure(result):
             return result
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
         self._ended.append(result)
+        if is_stale(result) and self._try_resend(attempt.load):
+            return None
         if self._may_repeat(result) and self._try_retry():
             return None
         if self._open:
@@ -135,6 +142,12 @@
     def _may_repeat(self, result):
         return self._call.policy.idempotent or isinstance(result, NotRun)
 
+    def _try_resend(self, load):
+        if load in self._resent:
+            return False
+        self._resent.append(load)
+        return self._send_to(load, AttemptCause.RESEND, 1)
+
     def _try_retry(self):
         if not self._allows_another(AttemptCause.RETRY):
             return False
@@ -168,7 +181,6 @@
 
     def _send_attempt(self, cause):
         """Send an attempt to the best server that takes it; False if none does."""
-        self._check_repeat()
         while True:
             now_s = self._loop.time()
             candidates = list_candidates(
@@ -180,27 +192,30 @@
                 candidates, self._call, self._dispatcher.rng, now_s
             )
             self._tried.append(load)
-            attempt, run = self._create_attempt(load, cause, now_s)
-            if self._dispatcher.attempts.send(attempt, run, self._call.body):
-                self._note_sent(attempt, len(candidates))
+            if self._send_to(load, cause, len(candidates)):
                 return True
-            self._dispatcher.ejector.take_failure(load, now_s, "not connected")
-            self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
+
+    def _send_to(self, load, cause, candidates):
+        """Send an attempt to one server; False if it did not leave this process."""
+        self._check_repeat()
+        now_s = self._loop.time()
+        attempt, run = self._create_attempt(load, cause, now_s)
+        if self._dispatcher.attempts.send(attempt, run, self._call.body):
+            self._note_sent(attempt, candidates)
+            return True
+        self._dispatcher.ejector.take_failure(load, now_s, "not connected")
+        self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
+        return False
 
     def _create_attempt(self, load, cause, now_s):
-        call = self._call
         dispatcher = self._dispatcher
         incarnation, clock_s = dispatcher.choose_incarnation(load.member, now_s)
+        attempt_id = dispatcher.create_attempt_id()
         attempt = Attempt(
-            dispatcher.create_attempt_id(),
-            load,
-            cause,
-            incarnation,
-            now_s,
-            self._mailbox.post,
+            attempt_id, load, cause, incarnation, now_s, self._mailbox.post
         )
         run = create_run(
-            call, attempt.attempt_id, self._digest, incarnation, clock_s, now_s
+            self._call, attempt_id, self._digest, incarnation, clock_s, now_s
         )
         return attempt, run
 
@@ -214,10 +229,11 @@
         )
 
     def _note_sent(self, attempt, candidates):
-        if attempt.cause is not AttemptCause.FIRST:
+        if attempt.cause in (AttemptCause.RETRY, AttemptCause.HEDGE):
             require(self._budget.withdraw(), "attempt sent outside of the budget")
+        if attempt.cause is not AttemptCause.RESEND:
+            self.attempts_sent += 1
         self._open.append(attempt)
-        self.attempts_sent += 1
         member = attempt.load.member
         self._observe(
             AttemptSent(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_conclusions.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_conclusions.py
@@ -52,3 +52,8 @@
 def is_failure(answered: Answered) -> bool:
     """Tell whether a server's answer says that the server failed."""
     return answered.status >= STATUS_FAILURE_MIN
+
+
+def is_stale(result: Outcome) -> bool:
+    """Tell whether a node refused as it was named wrongly or its clock not known."""
+    return isinstance(result, NotRun) and result.reason is NotRunReason.STALE
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -17,6 +17,7 @@
 from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
 from sapphireway_state import Policy
 
+CLOCK_AGE_MAX_S = 60.0
 SILENCE_MIN_S = 0.01
 SILENCE_ROUND_TRIPS = 3
 
@@ -111,20 +112,23 @@
         wait_s = SILENCE_MIN_S + SILENCE_ROUND_TRIPS * load.round_trip_s
         loop.call_later(wait_s, self._judge_silence, load, load.probed_s)
 
-    def choose_incarnation(self, member: Member, now_s: float) -> tuple[str, float]:
+    def choose_incarnation(
+        self, member: Member, now_s: float
+    ) -> tuple[str, float | None]:
         """Return the incarnation of a member's node and the least its clock reads.
 
-        The reading is 0 if nothing was heard of that incarnation.
+        The reading is None if none is known of that incarnation, or only an old one.
         """
         clocks = self._peers.clocks
         clock = clocks.get(member.node)
         if clock is None:
-            return member.incarnation, 0.0
-        if clock.incarnation == member.incarnation or clocks.is_superseded(
-            member.node, member.incarnation
-        ):
-            return clock.incarnation, clock.read_earliest(now_s)
-        return member.incarnation, 0.0
+            return member.incarnation, None
+        superseded = clocks.is_superseded(member.node, member.incarnation)
+        if clock.incarnation != member.incarnation and not superseded:
+            return member.incarnation, None
+        if now_s - clock.heard_s > CLOCK_AGE_MAX_S:
+            return clock.incarnation, None
+        return clock.incarnation, clock.read_earliest(now_s)
 
     def _take_report(self, report: LoadReport):
         load = self.loads.get(report.server)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
@@ -14,7 +14,7 @@
     attempt_id: str,
     digest: str,
     incarnation: str,
-    clock_s: float,
+    clock_s: float | None,
     now_s: float,
 ) -> Run:
     """Return the message for one attempt of `call`.
@@ -26,8 +26,8 @@
     digest : str
     incarnation : str
         Incarnation of the server's node that may run it.
-    clock_s : float
-        The least that the node's clock reads now; 0 if not known.
+    clock_s : float or None
+        The least that the node's clock reads now; None if not known.
     now_s : float
         This node's clock.
     """
@@ -44,7 +44,7 @@
         weight=call.policy.weight,
         digest=digest,
         budget_ms=remaining_s * 1000.0,
-        latest_start_s=clock_s + remaining_s if clock_s else 0.0,
+        latest_start_s=0.0 if clock_s is None else clock_s + remaining_s,
         incarnation=incarnation,
     )
 
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -64,6 +64,19 @@
     return []
 
 
+def refuse_first_as_stale():
+    """Return a handler that answers only the second run."""
+    runs = []
+
+    def handle(run):
+        runs.append(run)
+        if len(runs) == 1:
+            return [(Reply(run.attempt, "not_run", reason="stale"), b"")]
+        return answer(run)
+
+    return handle
+
+
 def revoke_in_time(revoke):
     return Revoked(revoke.attempt, never_runs=True, finished=False)
 
@@ -130,6 +143,13 @@
     assert [len(node.runs) for node in nodes] == [1, 1]
 
 
+def test_stale_call_is_sent_again_with_clock(network):
+    outcome, (node, other) = dispatch(network, [refuse_first_as_stale(), answer])
+    assert isinstance(outcome, Answered)
+    assert [run.latest_start_s > 0 for run in node.runs] == [False, True]
+    assert other.runs == []
+
+
 def test_failed_idempotent_call_goes_elsewhere(network):
     outcome, _ = dispatch(network, [fail, answer], make_call(idempotent=True))
     assert isinstance(outcome, Answered)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -127,9 +127,18 @@
 
 
 class Revoke(msgspec.Struct, frozen=True, tag="revoke", array_like=True):
-    """Ask that an attempt never starts, if it has not started yet."""
+    """Ask that an attempt never starts, if it has not started yet.
+
+    Attributes
+    ----------
+    attempt : str
+    latest_start_s : float
+        That of its `Run`. The receiver forgets attempts some time after it, and
+        then can promise nothing; with 0 it cannot tell that it has forgotten.
+    """
 
     attempt: str
+    latest_start_s: float = 0.0
 
 
 class Revoked(msgspec.Struct, frozen=True, tag="revoked", array_like=True):
