--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -13,8 +13,13 @@
     RetryDenied,
     RevokeSent,
 )
-from sapphireway_coordination._conclusions import conclude, is_failure, refuse
-from sapphireway_coordination._ejection import list_usable
+from sapphireway_coordination._candidates import learn_end, list_candidates
+from sapphireway_coordination._conclusions import (
+    conclude,
+    is_failure,
+    is_stale,
+    refuse,
+)
 from sapphireway_coordination._invariant import require
 from sapphireway_coordination._revocation import (
     get_final_revoke,
@@ -33,8 +38,8 @@
 
 SILENCE_PERCENTILE = 95.0
 SILENCE_SHARE = 0.5
-BUDGETED = (AttemptCause.RETRY, AttemptCause.HEDGE)
 BROKEN_RUNS_MAX = 2
+OVERLOAD_REASONS = (NotRunReason.OVERLOADED, NotRunReason.DEADLINE)
 
 
 class CallRun:
@@ -79,7 +84,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox = Mailbox()
         self._open = []
-        self._resent = False
+        self._resent = []
         self._tried = []
         self.attempts_sent = 0
 
@@ -89,9 +94,9 @@
         if self._loop.time() >= self._call.deadline_s:
             return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
         if not self._admit():
-            return self._refuse(NotRunReason.OVERLOADED, "the service is refusing")
+            return self._refuse(NotRunReason.OVERLOADED, "the service is overloaded")
         if not self._send_attempt(AttemptCause.FIRST):
-            return self._conclude()
+            return self._conclude_unsent()
         while True:
             attempt = await self._mailbox.take(self._get_next_timer())
             if attempt is None:
@@ -115,20 +120,18 @@
         self._open.clear()
 
     def _take_change(self, attempt):
-        if attempt.result is None:
+        # It may have been posted twice before its end was seen here.
+        if attempt.result is None or attempt not in self._open:
             return None
         self._open.remove(attempt)
         self._report_end(attempt)
         result = attempt.result
-        if isinstance(result, NotRun) and result.reason is NotRunReason.STALE:
-            # The same server may run it under its new incarnation.
-            self._tried.remove(attempt.load)
         if isinstance(result, Answered) and not is_failure(result):
             return result
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
         self._ended.append(result)
-        if self._is_stale(result) and self._resend_stale():
+        if is_stale(result) and self._try_resend(attempt.load):
             return None
         if self._may_repeat(result) and self._try_retry():
             return None
@@ -139,19 +142,11 @@
     def _may_repeat(self, result):
         return self._call.policy.idempotent or isinstance(result, NotRun)
 
-    def _is_stale(self, result):
-        return isinstance(result, NotRun) and result.reason is NotRunReason.STALE
-
-    def _resend_stale(self):
-        """Repeat an attempt that its receiver refused for want of a clock reading.
-
-        The refusal carried the reading. It costs the server nothing, so that no
-        budget is spent.
-        """
-        if self._resent:
+    def _try_resend(self, load):
+        if load in self._resent:
             return False
-        self._resent = True
-        return self._send_attempt(AttemptCause.RESYNC)
+        self._resent.append(load)
+        return self._send_to(load, AttemptCause.RESEND, 1)
 
     def _try_retry(self):
         if not self._allows_another(AttemptCause.RETRY):
@@ -186,53 +181,41 @@
 
     def _send_attempt(self, cause):
         """Send an attempt to the best server that takes it; False if none does."""
-        self._check_repeat()
         while True:
-            candidates = self._list_candidates()
+            now_s = self._loop.time()
+            candidates = list_candidates(
+                self._dispatcher, self._call, self._tried, now_s
+            )
             if not candidates:
                 return False
-            now_s = self._loop.time()
             load = self._dispatcher.choose(
                 candidates, self._call, self._dispatcher.rng, now_s
             )
             self._tried.append(load)
-            attempt, run = self._create_attempt(load, cause, now_s)
-            if self._dispatcher.attempts.send(attempt, run, self._call.body):
-                self._note_sent(attempt, len(candidates))
+            if self._send_to(load, cause, len(candidates)):
                 return True
-            self._dispatcher.ejector.take_failure(load, now_s, "not connected")
-            self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
 
-    def _list_candidates(self):
-        service = self._call.service
-        members = self._dispatcher.get_members(service)
-        loads = self._dispatcher.loads.list_loads(service, members)
+    def _send_to(self, load, cause, candidates):
+        """Send an attempt to one server; False if it did not leave this process."""
+        self._check_repeat()
         now_s = self._loop.time()
-        if loads and not self._tried:
-            self._dispatcher.prober.take_call(loads, self._call.policy, now_s)
-        serving = [x for x in loads if x.is_serving(now_s)]
-        usable = list_usable(serving, self._call, now_s)
-        if not self._tried:
-            return usable
-        untried = [x for x in usable if x not in self._tried]
-        domains = {x.member.domain for x in self._tried}
-        elsewhere = [x for x in untried if x.member.domain not in domains]
-        return elsewhere or untried
+        attempt, run = self._create_attempt(load, cause, now_s)
+        if self._dispatcher.attempts.send(attempt, run, self._call.body):
+            self._note_sent(attempt, candidates)
+            return True
+        self._dispatcher.ejector.take_failure(load, now_s, "not connected")
+        self._ended.append(NotRun(NotRunReason.UNREACHABLE, 0.0, "not connected"))
+        return False
 
     def _create_attempt(self, load, cause, now_s):
-        call = self._call
         dispatcher = self._dispatcher
         incarnation, clock_s = dispatcher.choose_incarnation(load.member, now_s)
+        attempt_id = dispatcher.create_attempt_id()
         attempt = Attempt(
-            dispatcher.create_attempt_id(),
-            load,
-            cause,
-            incarnation,
-            now_s,
-            self._mailbox.post,
+            attempt_id, load, cause, incarnation, now_s, self._mailbox.post
         )
         run = create_run(
-            call, attempt.attempt_id, self._digest, incarnation, clock_s, now_s
+            self._call, attempt_id, self._digest, incarnation, clock_s, now_s
         )
         return attempt, run
 
@@ -246,10 +229,11 @@
         )
 
     def _note_sent(self, attempt, candidates):
-        if attempt.cause in BUDGETED:
+        if attempt.cause in (AttemptCause.RETRY, AttemptCause.HEDGE):
             require(self._budget.withdraw(), "attempt sent outside of the budget")
+        if attempt.cause is not AttemptCause.RESEND:
+            self.attempts_sent += 1
         self._open.append(attempt)
-        self.attempts_sent += 1
         member = attempt.load.member
         self._observe(
             AttemptSent(
@@ -266,28 +250,20 @@
 
     def _report_end(self, attempt):
         now_s = self._loop.time()
-        elapsed_s = now_s - attempt.sent_s
         result = attempt.result
-        load = attempt.load
-        if attempt.server_s:
-            load.take_round_trip(max(elapsed_s - attempt.server_s, 0.0))
+        learn_end(attempt, self._dispatcher.ejector, now_s)
         if isinstance(result, Answered) and not is_failure(result):
-            self._dispatcher.ejector.take_success(load, now_s)
-            self._service.shedder.take_accept(now_s)
-            load.take_answer(attempt.sent_s)
-            load.take_latency(max(elapsed_s - load.round_trip_s, 0.0), now_s)
-            self._latencies.add(elapsed_s)
-        elif not isinstance(result, NotRun):
-            detail = getattr(result, "detail", "") or "failed answer"
-            self._dispatcher.ejector.take_failure(load, now_s, detail)
+            self._latencies.add(now_s - attempt.sent_s)
+        if isinstance(result, NotRun) and result.reason in OVERLOAD_REASONS:
+            self._service.shedder.take_overload(now_s)
         self._observe(
             AttemptEnded(
                 self._call.call_id,
                 attempt.attempt_id,
                 self._call.service,
-                load.member.server,
+                attempt.load.member.server,
                 type(result).__name__,
-                elapsed_s,
+                now_s - attempt.sent_s,
                 getattr(result, "detail", ""),
             )
         )
@@ -358,6 +334,12 @@
             return Unknown("no answer by the deadline")
         return conclude(self._ended, self._call, self._dispatcher.rng)
 
+    def _conclude_unsent(self):
+        members = self._dispatcher.get_members(self._call.service)
+        if members and all(member.out for member in members):
+            return self._refuse(NotRunReason.DOMAIN_OUT, "all servers are out")
+        return self._conclude()
+
     def _refuse(self, reason, detail):
         return refuse(reason, detail, 0.0, self._dispatcher.rng)
 
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -64,6 +64,19 @@
     return []
 
 
+def refuse_first_as_stale():
+    """Return a handler that answers only the second run."""
+    runs = []
+
+    def handle(run):
+        runs.append(run)
+        if len(runs) == 1:
+            return [(Reply(run.attempt, "not_run", reason="stale"), b"")]
+        return answer(run)
+
+    return handle
+
+
 def revoke_in_time(revoke):
     return Revoked(revoke.attempt, never_runs=True, finished=False)
 
@@ -130,6 +143,13 @@
     assert [len(node.runs) for node in nodes] == [1, 1]
 
 
+def test_stale_call_is_sent_again_with_clock(network):
+    outcome, (node, other) = dispatch(network, [refuse_first_as_stale(), answer])
+    assert isinstance(outcome, Answered)
+    assert [run.latest_start_s > 0 for run in node.runs] == [False, True]
+    assert other.runs == []
+
+
 def test_failed_idempotent_call_goes_elsewhere(network):
     outcome, _ = dispatch(network, [fail, answer], make_call(idempotent=True))
     assert isinstance(outcome, Answered)
@@ -209,3 +229,22 @@
     outcome, ended_s = run_paused(exchange())
     assert isinstance(outcome, Unknown)
     assert ended_s < 1.0
+
+
+def test_reply_of_another_node_is_ignored(network):
+    async def exchange():
+        ScriptedNode(network, "n0", keep_silent)
+        other = ScriptedNode(network, "n1", keep_silent)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0")]
+        dispatcher = Dispatcher(peers, lambda service: members, random.Random(2))
+        task = asyncio.create_task(dispatcher.dispatch(make_call()))
+        await asyncio.sleep(0.01)
+        (attempt_id,) = dispatcher.attempts._open
+        other.peers.send("entry", Reply(attempt_id, "answered", 200), b"wrong")
+        return await task, dispatcher.attempts.ignored
+
+    outcome, ignored = run_paused(exchange())
+    assert isinstance(outcome, Unknown)
+    assert ignored == 1
