--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -39,6 +40,16 @@
     service: str
 
 
+def make_places() -> list[Place]:
+    """Return one place for every service in every failure domain."""
+    return [
+        Place(f"{service}-{domain}", f"127.0.0.{10 + number}", domain, service)
+        for number, (service, domain) in enumerate(
+            (service, domain) for service in SERVICES for domain in DOMAINS
+        )
+    ]
+
+
 class Fleet:
     """Starts, kills and stops the processes.
 
@@ -46,20 +57,16 @@
     ----------
     folder : Path
         Holds settings, logs, records and data folders.
+    places : sequence of Place, default=one a service and domain
     """
 
     __slots__ = ("_processes", "control_hosts", "folder", "places")
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, places: Sequence[Place] | None = None):
         self._processes = {}
         self.folder = folder
         self.control_hosts = [f"127.0.0.{i + 1}" for i in range(len(DOMAINS))]
-        self.places = [
-            Place(f"{service}-{domain}", f"127.0.0.{10 + number}", domain, service)
-            for number, (service, domain) in enumerate(
-                (service, domain) for service in SERVICES for domain in DOMAINS
-            )
-        ]
+        self.places = list(places or make_places())
 
     @property
     def admin_addresses(self) -> list[str]:
