--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -16,6 +16,7 @@
     make_name,
     make_pattern,
     show_value,
+    suggest_name,
 )
 from sapphireway_state._yaml import parse_yaml, read_text
 
@@ -190,7 +191,8 @@
     rule = PROCESS_RULES.get(name)
     if rule is None:
         allowed = "any of " + ", ".join(PROCESS_RULES)
-        yield Problem(str(name), f"unknown key {show_value(name)}", allowed)
+        wrong = f"unknown key {show_value(name)}{suggest_name(name, PROCESS_RULES)}"
+        yield Problem(str(name), wrong, allowed)
         return
     fault = find_fault(rule, given)
     if fault is not None:
--- a/packages/sapphireway-state/src/sapphireway_state/_rules.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rules.py
@@ -1,9 +1,10 @@
 """Rules that a single settings value has to meet."""
 
+import difflib
 import ipaddress
 import math
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -40,7 +41,8 @@
         article = "an" if rule.type_name[0] in "aeiou" else "a"
         return f"{show_value(value)} is not {article} {rule.type_name}"
     if not rule.in_bounds(value):
-        return f"{show_value(value)} is out of bounds"
+        bounded = rule.type_name in ("integer", "number")
+        return f"{show_value(value)} is {'out of bounds' if bounded else 'not valid'}"
     return None
 
 
@@ -54,6 +56,12 @@
     return text
 
 
+def suggest_name(key: Any, names: Iterable[str]) -> str:
+    """Return words that name the known key closest to a misspelt one, if any."""
+    close = difflib.get_close_matches(str(key), list(names), n=1)
+    return f" (did you mean {close[0]!r}?)" if close else ""
+
+
 def make_integer(minimum: int, maximum: int, unit: str = "") -> Rule:
     """Return the rule for an integer within inclusive bounds."""
     return Rule(
--- a/packages/sapphireway-state/src/sapphireway_state/_tree.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_tree.py
@@ -11,6 +11,7 @@
     Rule,
     find_fault,
     show_value,
+    suggest_name,
 )
 from sapphireway_state._schema import (
     KIND_MATCH,
@@ -135,7 +136,7 @@
         below = " (not below a domain)" if path[0] == "domains" else ""
         wrong = f"{key!r} cannot be set here, only at: {scopes}{below}"
     else:
-        wrong = f"unknown key {show_value(key)}"
+        wrong = f"unknown key {show_value(key)}{suggest_name(key, allowed)}"
     return Problem(join_path(path), wrong, "any of " + ", ".join(allowed))
 
 
@@ -185,7 +186,7 @@
         else:
             yield Problem(
                 join_path(here),
-                f"unknown key {show_value(key)}",
+                f"unknown key {show_value(key)}{suggest_name(key, rules)}",
                 "any of " + ", ".join(rules),
             )
 
--- a/packages/sapphireway-state/tests/test_process.py
+++ b/packages/sapphireway-state/tests/test_process.py
@@ -37,9 +37,19 @@
     [
         ("domain: bxl-a\n", "", ":1: domain: is missing", "1 to 128"),
         ("domain: bxl-a", "domain: 5", ":4: domain: 5 is not a string", "1 to 128"),
-        (":8080", ":99999", "http_address: '127.0.0.1:99999' is out", "port 1 to"),
+        (
+            ":8080",
+            ":99999",
+            "http_address: '127.0.0.1:99999' is not valid",
+            "port 1 to",
+        ),
         ("address: 127.0.0.1:7", "address: localhost:7", "'localhost:7100'", "IP num"),
-        ('"[::1]:9090"', "'::1:9090'", "admin_address: '::1:9090' is out", "[::1]"),
+        (
+            '"[::1]:9090"',
+            "'::1:9090'",
+            "admin_address: '::1:9090' is not valid",
+            "[::1]",
+        ),
         (":8080", ":7100", "http_address: '127.0.0.1:7100' is in use", "of its own"),
         ("[127.0.0.1:7100]", "[]", "control_hosts: neither", "at least one"),
         ("region", "regoin", ":5: regoin: unknown key", "any of address"),
--- a/packages/sapphireway-state/tests/test_yaml.py
+++ b/packages/sapphireway-state/tests/test_yaml.py
@@ -3,7 +3,11 @@
 from sapphireway_state import Invalid, format_problem, load_tree, parse_tree
 
 BAD_TREES = {
-    "unknown key": ("weigth: 1", "t:1: weigth: unknown key 'weigth'", "any of weight"),
+    "unknown key": (
+        "weigth: 1",
+        "t:1: weigth: unknown key 'weigth' (did you mean 'weight'?)",
+        "any of weight",
+    ),
     "wrong type": ("\nweight: '5'", "t:2: weight: '5' is not an integer", "1 to 100"),
     "boolean as integer": ("weight: true", "True is not an integer", "1 to 100"),
     "out of bounds": ("weight: 0", "weight: 0 is out of bounds", "integer 1 to 100"),
@@ -72,7 +76,11 @@
         "no other service",
     ),
     "match key": ("services: {s: {match: {path: /x}}}", "unknown key 'path'", "hosts"),
-    "path": ("services: {s: {match: {path_prefixes: [x]}}}", "['x'] is out", "from /"),
+    "path": (
+        "services: {s: {match: {path_prefixes: [x]}}}",
+        "['x'] is not valid",
+        "from /",
+    ),
 }
 
 
