--- a/packages/sapphirectl/src/sapphirectl/_settings.py
+++ b/packages/sapphirectl/src/sapphirectl/_settings.py
@@ -18,7 +18,7 @@
     connect,
     identify,
 )
-from sapphirectl._output import fail, format_time, show
+from sapphirectl._output import fail, format_time, show, tell
 from sapphireway_state import (
     Changes,
     History,
@@ -158,9 +158,14 @@
     operations = list_operations(current.value, document.value)
     if not operations:
         return show("The tree has not changed.", "table")
-    code = _submit(connection, options, current.version, operations, force)
-    if code is ExitCode.OK and not file:
+    base = current.version if options.base is None else options.base
+    code = _submit(connection, options, base, operations, force)
+    if file:
+        return code
+    if code is ExitCode.OK:
         os.unlink(path)
+    else:
+        tell(f"Your text is in {path}; send it with --file.")
     return code
 
 
--- a/packages/sapphirectl/tests/test_cli.py
+++ b/packages/sapphirectl/tests/test_cli.py
@@ -168,6 +168,24 @@
     assert "unknown key 'weigth'" in rest
 
 
+def test_edit_by_editor_that_loses_a_race_keeps_its_text(
+    run, tree, tmp_path, monkeypatch, operator_node
+):
+    script = tmp_path / "editor.py"
+    script.write_text(
+        "import sys\nt = open(sys.argv[1]).read().replace('20', '22')\n"
+        "open(sys.argv[1], 'w').write(t)\n"
+    )
+    monkeypatch.setenv("VISUAL", f"{sys.executable} {script}")
+    monkeypatch.setattr("tempfile.tempdir", str(tmp_path))
+    code, _, err = run("settings", "edit", "--base", "0")
+    assert code == ExitCode.CONFLICT
+    path = err.split("Your text is in ")[1].split(";")[0]
+    assert parse_yaml(open(path).read()).value["weight"] == 22
+    assert run("settings", "edit", "--file", path)[0] == 0
+    assert operator_node.state.machine.tree["weight"] == 22
+
+
 def test_edit_whose_answer_is_lost_is_resent_with_its_id(run, tree, operator_node):
     operator_node.state.answers_to_lose = 2
     code, out, _ = run("settings", "set", "weight", "21", "--output", "json")
