Test that overload keeps goodput and leaves no trace

At twice the capacity at least 90% of it is answered; after a slow spell, shedding, or refused connections under that load, the level before is back within a second.

--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -352,6 +352,44 @@
     assert asyncio.get_running_loop().time() - start_s < 0.005
 
 
+async def offer(bench, prefix, rate_per_s, duration_s):
+    """Send an open load and return how many were answered in time, of how many."""
+    loop = asyncio.get_running_loop()
+    end_s, attempts = loop.time() + duration_s, []
+    while loop.time() < end_s:
+        attempts.append(f"{prefix}{len(attempts)}")
+        bench.send(attempts[-1], budget_ms=200.0, weight=bench.rng.choice([1, 50]))
+        await asyncio.sleep(bench.rng.expovariate(rate_per_s))
+    await asyncio.sleep(0.3)
+    replies = [bench.replies[attempt][0] for attempt in attempts]
+    return sum(reply.outcome == "answered" for reply in replies), len(replies)
+
+
+def slow_down(bench):
+    bench.server.slow_factor = 10.0
+
+
+@pytest.mark.parametrize("trigger", [slow_down, shed, refuse, lambda bench: None])
+def test_overload_keeps_goodput_and_leaves_no_trace(trigger):
+    async def check(bench):
+        capacity_per_s = 6 / 0.005
+        await bench.warm()
+        answered, _ = await offer(bench, "over", 2 * capacity_per_s, 0.5)
+        assert answered > 0.9 * 0.5 * capacity_per_s
+        trigger(bench)
+        await offer(bench, "trigger", 2 * capacity_per_s, 0.3)
+        bench.server.slow_factor, bench.server.refuse = 1.0, False
+        bench.server.shed_plain = False
+        bench.announce()
+        # The load that was there before, within 2 s.
+        await offer(bench, "recovering", 0.6 * capacity_per_s, 1.0)
+        answered, sent = await offer(bench, "after", 0.6 * capacity_per_s, 0.3)
+        assert answered == sent
+        assert bench.server.overloads == 0
+
+    paused(check)()
+
+
 def run_randomly(seed, steps=400):
     """Drive a gate through random faults and check the server's own record."""
 
