--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sapphireway_coordination._admission import AdmissionQueue
 from sapphireway_coordination._announcement import Announcement, AnnounceResult
 from sapphireway_coordination._attempt_memory import (
     RETENTION_S,
@@ -22,6 +23,7 @@
 )
 from sapphireway_coordination._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination._order import Order
+from sapphireway_coordination._order_ends import OrderEnds
 from sapphireway_coordination._registration import Registration
 from sapphireway_coordination._runner import AttemptRunner
 from sapphireway_coordination._suspect_exchange import GetNodes, SuspectExchange
@@ -80,6 +82,7 @@
 
     __slots__ = (
         "_draining",
+        "_ends",
         "_exchange",
         "_get_policy",
         "_loop",
@@ -87,6 +90,7 @@
         "_observe",
         "_out",
         "_peers",
+        "_queue",
         "_registration",
         "_runner",
     )
@@ -116,14 +120,22 @@
         )
         suspects = SuspectTable(peers.address, self._loop.time, observe)
         self._exchange = SuspectExchange(peers, suspects, get_nodes)
+        self._queue = AdmissionQueue(self._loop.time)
+        self._ends = OrderEnds(
+            rng,
+            self._registration,
+            lambda: len(self._queue),
+            self._finish,
+            observe,
+        )
         self._runner = AttemptRunner(
             client,
-            rng,
+            self._ends,
+            self._queue,
             self._registration,
             suspects,
             self._exchange,
             lambda: _CLOSED_REASONS.get(self.state),
-            self._finish,
             observe,
         )
         self._exchange.is_running = self._runner.is_running
@@ -213,7 +225,7 @@
         return LoadReport(
             capacity.announcement.server,
             capacity.in_flight,
-            self._runner.queued,
+            len(self._queue),
             capacity.limit,
             round(capacity.baseline.mean_s * 1000, 3),
             self._get_server_state(capacity),
@@ -326,7 +338,7 @@
     def _send_stale(self, sender, run, detail):
         reply = make_refusal(run.attempt, NotRunReason.STALE, 0.0, detail)
         self._send_reply(sender, reply, b"")
-        self._runner.report_refusal(run, NotRunReason.STALE, 0.0, detail)
+        self._ends.report_refusal(run, NotRunReason.STALE, 0.0, detail)
 
     def _send_reply(self, sender, reply, body):
         reply = msgspec.structs.replace(reply, load=self.get_load())
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_order_ends.py
@@ -0,0 +1,110 @@
+"""Ends of attempts: the reply, its retry-after and the event."""
+
+import random
+from collections.abc import Callable
+
+from sapphireway_coordination._admission import RETRY_AFTER_MAX_S, RETRY_AFTER_MIN_S
+from sapphireway_coordination._exchange import make_refusal, make_reply
+from sapphireway_coordination._gate_events import (
+    AttemptRefused,
+    AttemptServed,
+    ObserveGate,
+)
+from sapphireway_coordination._order import FinishOrder, Order
+from sapphireway_coordination._registration import Registration
+from sapphireway_protocol import NotRunReason, Run
+from sapphireway_transport import ServerResult
+
+
+class OrderEnds:
+    """Replies to orders and reports how they ended.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the times after which refused callers come back.
+    registration : Registration
+    get_queued : callable
+        Returns how many attempts wait for a slot.
+    finish : callable
+        Takes the end of each order.
+    observe : callable
+    """
+
+    __slots__ = ("_finish", "_get_queued", "_observe", "_registration", "_rng")
+
+    def __init__(
+        self,
+        rng: random.Random,
+        registration: Registration,
+        get_queued: Callable[[], int],
+        finish: FinishOrder,
+        observe: ObserveGate,
+    ):
+        self._finish = finish
+        self._get_queued = get_queued
+        self._observe = observe
+        self._registration = registration
+        self._rng = rng
+
+    def finish_served(
+        self, order: Order, result: ServerResult | None, elapsed_s: float
+    ) -> None:
+        """Reply to an attempt that had started; None if it was cancelled."""
+        run = order.run
+        reply, body = make_reply(run, result, self.draw_retry_after())
+        self._finish(order, reply, body)
+        self._observe(
+            AttemptServed(
+                run.attempt,
+                run.call,
+                run.service,
+                run.kind,
+                order.capacity.announcement.server,
+                reply.outcome,
+                reply.status,
+                elapsed_s,
+                reply.detail,
+            )
+        )
+
+    def finish_refused(self, order: Order, reason: NotRunReason) -> None:
+        """Reply to an attempt that has not started and never will."""
+        run, retry_after_s = order.run, self.draw_retry_after()
+        reply = make_refusal(run.attempt, reason, retry_after_s)
+        self._finish(order, reply, b"")
+        self.report_refusal(run, reason, retry_after_s, "")
+
+    def report_refusal(
+        self, run: Run, reason: NotRunReason, retry_after_s: float, detail: str
+    ) -> None:
+        """Pass the event of a refusal on."""
+        capacity = self._registration.capacity
+        self._observe(
+            AttemptRefused(
+                run.attempt,
+                run.call,
+                run.service,
+                run.kind,
+                reason,
+                retry_after_s,
+                detail,
+                0 if capacity is None else capacity.in_flight,
+                self._get_queued(),
+                0 if capacity is None else capacity.limit,
+                run.digest,
+            )
+        )
+
+    def draw_retry_after(self) -> float:
+        """Return when a refused caller may come back, in seconds.
+
+        The spread keeps refused callers from coming back together.
+        """
+        capacity = self._registration.capacity
+        backlog_s = RETRY_AFTER_MIN_S
+        if capacity is not None:
+            ahead = capacity.in_flight + self._get_queued()
+            backlog_s += capacity.baseline.mean_s * ahead / max(1, capacity.limit)
+        base_s = min(backlog_s, RETRY_AFTER_MAX_S)
+        return round(base_s * (1.0 + self._rng.random()), 3)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -1,35 +1,20 @@
 """One attempt after the other, from its arrival beside the server to its end."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
-from sapphireway_coordination._admission import (
-    RETRY_AFTER_MAX_S,
-    RETRY_AFTER_MIN_S,
-    AdmissionQueue,
-    Waiter,
-)
+from sapphireway_coordination._admission import AdmissionQueue, Waiter
 from sapphireway_coordination._attempt_memory import AttemptState
 from sapphireway_coordination._capacity import Running
-from sapphireway_coordination._exchange import (
-    make_refusal,
-    make_reply,
-    make_request,
-    says_not_run,
-)
-from sapphireway_coordination._gate_events import (
-    AttemptRefused,
-    AttemptServed,
-    AttemptStarted,
-    ObserveGate,
-)
+from sapphireway_coordination._exchange import make_request, says_not_run
+from sapphireway_coordination._gate_events import AttemptStarted, ObserveGate
 from sapphireway_coordination._invariant import require
-from sapphireway_coordination._order import FinishOrder, Order
+from sapphireway_coordination._order import Order
+from sapphireway_coordination._order_ends import OrderEnds
 from sapphireway_coordination._registration import Registration
 from sapphireway_coordination._suspect_exchange import SuspectExchange
 from sapphireway_coordination._suspects import SuspectTable, Verdict
-from sapphireway_protocol import NotRunReason, Run
+from sapphireway_protocol import NotRunReason
 from sapphireway_transport import Broken, Responded, ServerClient
 
 
@@ -39,15 +24,14 @@
     Parameters
     ----------
     client : ServerClient
-    rng : random.Random
-        Spreads the times after which refused callers come back.
+    ends : OrderEnds
+        Takes the end of each order.
+    queue : AdmissionQueue
     registration : Registration
     suspects : SuspectTable
     exchange : SuspectExchange
     get_closed_reason : callable
         Returns why the node takes no new work at all, or None.
-    finish : callable
-        Takes the end of each order.
     observe : callable
 
     Attributes
@@ -60,15 +44,14 @@
         "_alone",
         "_client",
         "_closing",
+        "_ends",
         "_exchange",
-        "_finish",
         "_get_closed_reason",
         "_loop",
         "_observe",
         "_orders",
         "_queue",
         "_registration",
-        "_rng",
         "_suspects",
         "idle",
     )
@@ -76,35 +59,29 @@
     def __init__(
         self,
         client: ServerClient,
-        rng: random.Random,
+        ends: OrderEnds,
+        queue: AdmissionQueue,
         registration: Registration,
         suspects: SuspectTable,
         exchange: SuspectExchange,
         get_closed_reason: Callable[[], NotRunReason | None],
-        finish: FinishOrder,
         observe: ObserveGate,
     ):
         self._alone = None
         self._client = client
         self._closing = False
+        self._ends = ends
         self._exchange = exchange
-        self._finish = finish
         self._get_closed_reason = get_closed_reason
         self._loop = asyncio.get_running_loop()
         self._observe = observe
         self._orders = {}
-        self._queue = AdmissionQueue(self._loop.time)
+        self._queue = queue
         self._registration = registration
-        self._rng = rng
         self._suspects = suspects
         self.idle = asyncio.Event()
         self.idle.set()
 
-    @property
-    def queued(self) -> int:
-        """Attempts that wait for a slot."""
-        return len(self._queue)
-
     def submit(self, order: Order) -> None:
         """Begin to process an order in a task of its own."""
         self._orders[order.run.attempt] = order
@@ -155,46 +132,12 @@
             self._start(order, alone=False)
             waiter.decide(None)
 
-    def report_refusal(
-        self, run: Run, reason: NotRunReason, retry_after_s: float, detail: str
-    ) -> None:
-        """Pass the event of a refusal on."""
-        capacity = self._registration.capacity
-        self._observe(
-            AttemptRefused(
-                run.attempt,
-                run.call,
-                run.service,
-                run.kind,
-                reason,
-                retry_after_s,
-                detail,
-                0 if capacity is None else capacity.in_flight,
-                len(self._queue),
-                0 if capacity is None else capacity.limit,
-                run.digest,
-            )
-        )
-
     def close(self) -> None:
         """Cancel everything."""
         self._closing = True
         for order in list(self._orders.values()):
             order.task.cancel()
 
-    def draw_retry_after(self) -> float:
-        """Return when a refused caller may come back, in seconds.
-
-        The spread keeps refused callers from coming back together.
-        """
-        capacity = self._registration.capacity
-        backlog_s = RETRY_AFTER_MIN_S
-        if capacity is not None:
-            ahead = capacity.in_flight + len(self._queue)
-            backlog_s += capacity.baseline.mean_s * ahead / max(1, capacity.limit)
-        base_s = min(backlog_s, RETRY_AFTER_MAX_S)
-        return round(base_s * (1.0 + self._rng.random()), 3)
-
     def _close(self, order, task):
         del self._orders[order.run.attempt]
         if not self._orders:
@@ -207,7 +150,7 @@
     async def _process(self, order):
         refusal = await self._admit(order)
         if refusal is not None:
-            self._finish_refused(order, refusal)
+            self._ends.finish_refused(order, refusal)
             return
         result = None
         try:
@@ -221,7 +164,7 @@
             self._end(order, result)
         elapsed_s = self._loop.time() - order.running.started_s
         await self._judge_digest(order, result)
-        self._finish_served(order, result, elapsed_s)
+        self._ends.finish_served(order, result, elapsed_s)
 
     async def _admit(self, order):
         """Take a slot for the attempt, or return why it gets none."""
@@ -382,27 +325,3 @@
             order.run.digest == digest and order.record.state is AttemptState.RUNNING
             for order in self._orders.values()
         )
-
-    def _finish_served(self, order, result, elapsed_s):
-        run = order.run
-        reply, body = make_reply(run, result, self.draw_retry_after())
-        self._finish(order, reply, body)
-        self._observe(
-            AttemptServed(
-                run.attempt,
-                run.call,
-                run.service,
-                run.kind,
-                order.capacity.announcement.server,
-                reply.outcome,
-                reply.status,
-                elapsed_s,
-                reply.detail,
-            )
-        )
-
-    def _finish_refused(self, order, reason):
-        run, retry_after_s = order.run, self.draw_retry_after()
-        reply = make_refusal(run.attempt, reason, retry_after_s)
-        self._finish(order, reply, b"")
-        self.report_refusal(run, reason, retry_after_s, "")
