--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -29,7 +29,7 @@
         self.entry.handle(Reply, self._take(self.replies))
         self.entry.handle(Revoked, self._take(self.revoked))
         self.entry.start()
-        self.open_gate("n1")
+        self.open_gate("first")
 
     def _take(self, store):
         def take(sender, envelope):
