Never take a reply to the process that ran before at the same address

Cause: each process counted its request ids from 1, so a late reply to a killed process matched a request of its successor at the same address. Ruled out: the holder's table and the votes, which named the right call. Ids now start at a number drawn from the process's incarnation.

--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -1,6 +1,7 @@
 """Typed messages and request-reply exchanges over an endpoint."""
 
 import asyncio
+import hashlib
 import itertools
 from collections.abc import Callable
 from typing import Any
@@ -8,6 +9,8 @@
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_transport import Endpoint
 
+REQUEST_ID_START_BYTES = 7  # leaves room to count within 64 bits
+
 Handler = Callable[[str, Envelope], None]
 """Called with the sender's address and the envelope; must not block."""
 
@@ -53,7 +56,7 @@
         self._endpoint = endpoint
         self._get_settings_version = get_settings_version
         self._handlers = {}
-        self._request_ids = itertools.count(1)
+        self._request_ids = itertools.count(_find_first_request_id(incarnation))
         self._waiting = {}
         self.bytes_sent = 0
         self.incarnation = incarnation
@@ -151,3 +154,9 @@
         handler = self._handlers.get(type(envelope.message))
         if handler is not None:
             handler(sender, envelope)
+
+
+def _find_first_request_id(incarnation):
+    """Start each process's ids elsewhere, as late replies reach its successor."""
+    digest = hashlib.blake2b(incarnation.encode(), digest_size=REQUEST_ID_START_BYTES)
+    return int.from_bytes(digest.digest(), "big") + 1
--- a/packages/sapphireway-protocol/tests/test_peers.py
+++ b/packages/sapphireway-protocol/tests/test_peers.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 
 import pytest
@@ -51,6 +52,31 @@
     assert run_paused(exchange()) is None
 
 
+def test_restarted_process_takes_no_reply_to_the_one_before(network):
+    async def exchange():
+        answering = open_peers(network, "b")
+        answering.handle(
+            Probe,
+            lambda sender, envelope: answering.reply(
+                sender, envelope, ProbeReply(None), envelope.message.server.encode()
+            ),
+        )
+        before = Peers(network.open_endpoint("a"), incarnation="a/1")
+        before.start()
+        lost = asyncio.create_task(before.request("b", Probe("old"), timeout_s=1.0))
+        await asyncio.sleep(0)
+        before.close()
+        after = Peers(network.open_endpoint("a"), incarnation="a/2")
+        after.start()
+        await asyncio.sleep(0.0001)
+        reply = await after.request("b", Probe("new"), timeout_s=1.0)
+        return await lost, reply
+
+    lost, reply = run_paused(exchange())
+    assert lost is None
+    assert reply.body == b"new"
+
+
 def test_malformed_message_is_counted(network):
     async def exchange():
         peers = open_peers(network, "a")
