--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -16,6 +16,7 @@
     RevokeSent,
 )
 from sapphireway_coordination._dispatch import Dispatcher
+from sapphireway_coordination._explanation import CallHistory, ServerView
 from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._routing import (
@@ -34,6 +35,7 @@
     "Call",
     "CallEnded",
     "CallEvent",
+    "CallHistory",
     "Choose",
     "DenyReason",
     "Dispatcher",
@@ -46,6 +48,7 @@
     "ProbeSent",
     "RetryDenied",
     "RevokeSent",
+    "ServerView",
     "choose_least_in_flight",
     "choose_predicted",
     "choose_random",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -9,6 +9,7 @@
 from sapphireway_coordination._call_events import CallEnded, ObserveCall
 from sapphireway_coordination._call_run import CallRun
 from sapphireway_coordination._ejection import Ejector
+from sapphireway_coordination._explanation import ServerView, explain_servers
 from sapphireway_coordination._loads import LoadTable, ServerLoad
 from sapphireway_coordination._members import GetMembers, Member
 from sapphireway_coordination._probing import Prober
@@ -100,6 +101,11 @@
         )
         return outcome
 
+    def explain(self, service: str) -> list[ServerView]:
+        """Return what this node knows of each server of a service."""
+        loads = self.loads.list_loads(service, self.get_members(service))
+        return explain_servers(loads, asyncio.get_running_loop().time())
+
     def create_attempt_id(self) -> str:
         """Return an id that no other attempt of any node has."""
         return f"{self._peers.incarnation}-{next(self._attempt_ids):x}"
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_explanation.py
@@ -0,0 +1,157 @@
+"""What an entry node knows and did, in a form that operators can read."""
+
+import collections
+from dataclasses import dataclass
+
+from sapphireway_coordination._call_events import (
+    AttemptEnded,
+    AttemptSent,
+    CallEnded,
+    CallEvent,
+    RetryDenied,
+    RevokeSent,
+)
+from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination._routing import estimate_prior, predict
+
+CALLS_KEPT = 512
+EVENTS_KEPT = 32
+
+
+@dataclass(slots=True, frozen=True)
+class ServerView:
+    """One server as an entry node sees it now.
+
+    Attributes
+    ----------
+    server, domain : str
+    standing : str
+        ``usable``, ``out``, ``leaving``, ``refusing``, ``ejected``, ``silent`` or
+        ``trial``.
+    predicted_ms : float
+        Response time expected of one more attempt.
+    latency_ms : float
+        Moving average of the server's part of this node's attempts.
+    round_trip_ms : float
+    outstanding : int
+        Attempts of this node under way.
+    oldest_ms : float
+        Age of the oldest of them.
+    failure_percent : float
+    report_age_ms : float or None
+        None before the first report.
+    reported_in_flight, reported_queued, reported_limit : int
+    """
+
+    server: str
+    domain: str
+    standing: str
+    predicted_ms: float
+    latency_ms: float
+    round_trip_ms: float
+    outstanding: int
+    oldest_ms: float
+    failure_percent: float
+    report_age_ms: float | None
+    reported_in_flight: int
+    reported_queued: int
+    reported_limit: int
+
+
+def explain_servers(loads: list[ServerLoad], now_s: float) -> list[ServerView]:
+    """Return a view of each server, the one that would be preferred first."""
+    prior = estimate_prior(loads, now_s)
+    views = [view_server(load, predict(load, prior, now_s), now_s) for load in loads]
+    return sorted(
+        views, key=lambda view: (view.standing != "usable", view.predicted_ms)
+    )
+
+
+def view_server(load: ServerLoad, predicted_s: float, now_s: float) -> ServerView:
+    """Return the view of one server."""
+    report = load.report
+    return ServerView(
+        server=load.member.server,
+        domain=load.member.domain,
+        standing=describe_standing(load, now_s),
+        predicted_ms=predicted_s * 1000.0,
+        latency_ms=load.latency_s * 1000.0,
+        round_trip_ms=load.round_trip_s * 1000.0,
+        outstanding=len(load.outstanding),
+        oldest_ms=load.get_oldest_age(now_s) * 1000.0,
+        failure_percent=load.get_failure_rate(now_s) * 100.0,
+        report_age_ms=None if report is None else (now_s - load.heard_s) * 1000.0,
+        reported_in_flight=0 if report is None else report.in_flight,
+        reported_queued=0 if report is None else report.queued,
+        reported_limit=0 if report is None else report.limit,
+    )
+
+
+def describe_standing(load: ServerLoad, now_s: float) -> str:
+    """Return in one word whether and why a server gets no calls."""
+    if load.member.out:
+        return "out"
+    if load.member.leaving:
+        return "leaving"
+    if not load.is_serving(now_s):
+        return "refusing"
+    if load.silent:
+        return "silent"
+    if load.is_ejected(now_s):
+        return "ejected"
+    return "trial" if load.ejections else "usable"
+
+
+class CallHistory:
+    """The events of the last calls, to explain how one ended.
+
+    Its `observe` is given to the dispatcher, alone or beside other observers.
+    """
+
+    __slots__ = ("_calls",)
+
+    def __init__(self):
+        self._calls = collections.OrderedDict()
+
+    def observe(self, event: CallEvent) -> None:
+        """Keep an event that belongs to a call."""
+        call_id = getattr(event, "call_id", None)
+        if call_id is None:
+            return
+        events = self._calls.setdefault(call_id, [])
+        if len(events) < EVENTS_KEPT or isinstance(event, CallEnded):
+            events.append(event)
+        if len(self._calls) > CALLS_KEPT:
+            self._calls.popitem(last=False)
+
+    def explain(self, call_id: str) -> list[str]:
+        """Return one line for each event of a call; none if it is not kept."""
+        return [describe_event(event) for event in self._calls.get(call_id, ())]
+
+
+def describe_event(event: CallEvent) -> str:
+    """Return one line for an event of a call."""
+    match event:
+        case AttemptSent():
+            return (
+                f"{event.cause} attempt {event.attempt} sent to {event.server} in "
+                f"{event.domain}, one of {event.candidates}"
+            )
+        case AttemptEnded():
+            return (
+                f"attempt {event.attempt} at {event.server} ended {event.outcome} "
+                f"after {event.elapsed_s * 1000:.1f} ms {event.detail}"
+            ).rstrip()
+        case RevokeSent():
+            return (
+                f"attempt {event.attempt} at {event.server} silent for "
+                f"{event.waited_s * 1000:.1f} ms, asked never to start"
+            )
+        case RetryDenied():
+            return f"no {event.cause}: {event.reason}"
+        case CallEnded():
+            return (
+                f"call ended {event.outcome} after {event.elapsed_s * 1000:.1f} ms "
+                f"and {event.attempts} attempts {event.detail}"
+            ).rstrip()
+    return repr(event)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
@@ -203,6 +203,8 @@
     def list_loads(self, service: str, members: Sequence[Member]) -> list[ServerLoad]:
         """Return the loads of `members`, after taking over what changed of them."""
         known = self._services.get(service)
+        if known is None and not members:
+            return []
         if known is None:
             known = self._services[service] = {}
             self._drop_oldest()
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_explanation.py
@@ -0,0 +1,98 @@
+import dataclasses
+
+import pytest
+
+from sapphireway_coordination import (
+    AttemptCause,
+    AttemptEnded,
+    AttemptSent,
+    CallEnded,
+    CallHistory,
+    DenyReason,
+    Member,
+    RetryDenied,
+)
+from sapphireway_coordination._explanation import (
+    CALLS_KEPT,
+    describe_standing,
+    explain_servers,
+)
+from sapphireway_coordination._loads import ServerLoad
+from sapphireway_protocol import LoadReport, ServerState
+
+NOW_S = 10.0
+
+
+@pytest.fixture
+def load():
+    return ServerLoad(Member("a", "s", "n", "d", "r", "1", "1", 6))
+
+
+def take_out(load):
+    load.member = dataclasses.replace(load.member, out=True)
+
+
+def let_leave(load):
+    load.member = dataclasses.replace(load.member, leaving=True)
+
+
+def let_refuse(load):
+    load.take_report(LoadReport("a", 0, 0, 6, 1.0, ServerState.DOWN, "1"), NOW_S)
+
+
+def silence(load):
+    load.silent = True
+
+
+def eject(load):
+    load.ejected_until_s = NOW_S + 1.0
+
+
+def put_on_trial(load):
+    load.ejections = 1
+
+
+@pytest.mark.parametrize(
+    ("change", "standing"),
+    [
+        (take_out, "out"),
+        (let_leave, "leaving"),
+        (let_refuse, "refusing"),
+        (silence, "silent"),
+        (eject, "ejected"),
+        (put_on_trial, "trial"),
+        (lambda load: None, "usable"),
+    ],
+)
+def test_standing_names_its_cause(load, change, standing):
+    change(load)
+    assert describe_standing(load, NOW_S) == standing
+
+
+def test_preferred_server_comes_first(load):
+    slow = ServerLoad(Member("b", "s", "n", "d", "r", "1", "1", 6))
+    slow.take_latency(0.5, NOW_S)
+    load.take_latency(0.01, NOW_S)
+    assert [view.server for view in explain_servers([slow, load], NOW_S)] == ["a", "b"]
+
+
+def test_history_explains_a_call():
+    history = CallHistory()
+    history.observe(AttemptSent("c", "a1", "s", "s1", "d", AttemptCause.FIRST, 0.0, 5))
+    history.observe(AttemptEnded("c", "a1", "s", "s1", "Unknown", 0.25, "cut"))
+    history.observe(RetryDenied("c", "s", AttemptCause.RETRY, DenyReason.BUDGET))
+    history.observe(CallEnded("c", "s", "k", "Unknown", 1, 0.25, "cut"))
+    assert history.explain("c") == [
+        "first attempt a1 sent to s1 in d, one of 5",
+        "attempt a1 at s1 ended Unknown after 250.0 ms cut",
+        "no retry: budget",
+        "call ended Unknown after 250.0 ms and 1 attempts cut",
+    ]
+
+
+def test_history_keeps_last_calls_only():
+    history = CallHistory()
+    for number in range(2 * CALLS_KEPT):
+        history.observe(CallEnded(str(number), "s", "k", "Answered", 1, 0.1, ""))
+    assert history.explain("0") == []
+    assert history.explain(str(2 * CALLS_KEPT - 1)) != []
