--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -162,6 +162,11 @@
     def _views(self):
         return [tuple(self.members.values())] * ENTRIES
 
+    def is_slow(self, name, now_s):
+        """Tell whether a server is in one of its slow windows."""
+        windows = self.servers[name].faults.slow
+        return any(x.start_s <= now_s < x.end_s for x in windows)
+
     def take_domain_out(self, domain):
         """Announce that operators took a domain out: its nodes refuse new work."""
         for name, server in self.servers.items():
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -163,6 +163,9 @@
 }
 
 
+ORACLE = "oracle"
+
+
 def measure(name, variant, seeds):
     """Run one variant in one scenario over `seeds` and print a row."""
     scenario = SCENARIOS[name]
@@ -178,10 +181,18 @@
 
 async def run_fleet(seed, scenario, variant):
     """Run one fleet."""
-    if variant in BASELINES:
+    if variant == ORACLE:
+        fleet = Fleet(seed, scenario, make_plain(lambda: choose_knowing), BASE_POLICY)
+    elif variant in BASELINES:
         fleet = Fleet(seed, scenario, BASELINES[variant], BASE_POLICY)
     else:
         fleet = Fleet(seed, scenario, Dispatcher, VARIANTS[variant])
+
+    def choose_knowing(candidates, call, rng, now_s):
+        """Choose as if the entry node knew which servers are slow just now."""
+        quick = [x for x in candidates if not fleet.is_slow(x.member.server, now_s)]
+        return choose_least_in_flight(quick or candidates, call, rng, now_s)
+
     return await fleet.run()
 
 
@@ -272,7 +283,9 @@
     scenarios
         Names of scenarios; all by default.
     variants
-        Names of baselines, or ``sapphireway``; all by default.
+        Names of baselines, ``sapphireway``, ``no_hedges`` or ``oracle``, which
+        knows the slow servers and bounds what routing can reach; all but the last
+        by default.
     seeds
         Paired runs of each.
     """
