--- a/packages/sapphireway-coordination/tests/test_probing.py
+++ b/packages/sapphireway-coordination/tests/test_probing.py
@@ -11,7 +11,7 @@
 from sapphireway_transport.memory import MemoryNetwork, run_paused
 
 
-def run_prober(policy, calls, gap_s, heard_gap_s=None):
+def run_prober(policy, calls, gap_s, heard_gap_s=None, silent=False):
     """Make `calls` calls and return the probes sent and the bytes of them."""
     events = []
 
@@ -21,6 +21,8 @@
         peers.start()
         prober = Prober(peers, events.append)
         loads = [ServerLoad(Member(n, "s", n, "d", "r", "1", "1", 6)) for n in "abc"]
+        for load in loads:
+            load.silent = silent
         loop = asyncio.get_running_loop()
         for _ in range(calls):
             await asyncio.sleep(gap_s)
@@ -52,3 +54,8 @@
     policy = Policy(probe_rate_per_s=1000.0, load_stale_ms=1)
     events, _ = run_prober(policy, 1000, 0.01)
     assert 0 < len(events) <= 1000 * PROBES_PER_CALL + 1
+
+
+def test_silent_servers_are_probed_in_a_service_called_seldom():
+    events, _ = run_prober(Policy(), 10, 1.0, silent=True)
+    assert len(events) >= 30
