--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -62,6 +62,7 @@
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
 )
+from sapphireway_coordination._explanation import CallHistory, ServerView
 from sapphireway_coordination._gate import Gate, GateState
 from sapphireway_coordination._gate_events import (
     AttemptRefused,
@@ -128,6 +129,7 @@
     "Call",
     "CallEnded",
     "CallEvent",
+    "CallHistory",
     "Choose",
     "ClaimDelivered",
     "ClaimEnd",
@@ -179,6 +181,7 @@
     "Role",
     "ServerAnnounced",
     "ServerLeft",
+    "ServerView",
     "ServerWarmed",
     "SettingsChannel",
     "StateInForce",
