--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -9,7 +9,6 @@
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
-HEADER_MAX_BYTES = 32 * 1024
 HEADER_READ_MAX_BYTES = 1024 * 1024
 BODY_READ_MAX_BYTES = 2**40
 IDLE_TIMEOUT_S = 120.0
@@ -86,6 +85,7 @@
     handle: Handle
     prepare: Prepare
     reject: Reject
+    header_max_bytes: int
     tasks: set[asyncio.Task] = field(default_factory=set)
 
 
@@ -100,12 +100,16 @@
         Called when the headers arrived; returns the largest body in bytes.
     reject : callable
         Makes the answer for a request that is too large.
+    header_max_bytes : int
+        Largest request line and headers together.
     """
 
     __slots__ = ("_hooks", "_server")
 
-    def __init__(self, handle: Handle, prepare: Prepare, reject: Reject):
-        self._hooks = _Hooks(handle, prepare, reject)
+    def __init__(
+        self, handle: Handle, prepare: Prepare, reject: Reject, header_max_bytes: int
+    ):
+        self._hooks = _Hooks(handle, prepare, reject, header_max_bytes)
         self._server = _Server(self._hooks)
 
     def listen(self, host: str, port: int) -> None:
@@ -175,10 +179,11 @@
             str(self._connection.context.remote_ip),
         )
         header_bytes = sum(len(k) + len(v) + 4 for k, v in self._request.headers)
-        if header_bytes + len(start_line.path) > HEADER_MAX_BYTES:
+        header_max_bytes = self._hooks.header_max_bytes
+        if header_bytes + len(start_line.path) > header_max_bytes:
             self._refuse(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                f"headers are larger than {HEADER_MAX_BYTES} bytes",
+                f"headers are larger than {header_max_bytes} bytes",
             )
             return
         self._body_limit = self._hooks.prepare(self._request)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -20,6 +20,7 @@
     HolderSettings,
     KeeperSettings,
     Quorum,
+    QuorumSettings,
     QuorumStatus,
     Role,
     StateInForce,
@@ -30,6 +31,7 @@
     OTHER_KIND,
     Edit,
     Invalid,
+    JournalLimits,
     ProcessSettings,
     SetValue,
     load_tree,
@@ -99,6 +101,7 @@
             self._machine,
             settings.control_hosts,
             rng,
+            QuorumSettings(limits=_make_limits(settings)),
             bootstrap=settings.bootstrap,
         )
         self._quorum.serve_queries(self._machine.read)
@@ -197,3 +200,11 @@
             for kind in (*kinds, OTHER_KIND)
         ]
         return max(ttls) + HolderSettings().lease_s
+
+
+def _make_limits(settings):
+    return JournalLimits(
+        segment_bytes=settings.journal_segment_bytes,
+        compact_bytes=settings.journal_compact_bytes,
+        journal_max_bytes=settings.journal_max_bytes,
+    )
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -112,7 +112,10 @@
         self._build_data_path(rng)
         self._control = self._build_control(rng)
         self._listener = HttpListener(
-            self._callers.handle, self._callers.prepare, self._callers.reject
+            self._callers.handle,
+            self._callers.prepare,
+            self._callers.reject,
+            settings.header_max_bytes,
         )
         self._admin = self._build_admin()
         self._watch_gauges()
--- a/packages/sapphireway/src/sapphireway/_operations.py
+++ b/packages/sapphireway/src/sapphireway/_operations.py
@@ -142,6 +142,7 @@
         max(0.0, now_s - status.in_force_since_s) if status.in_force_since_s else 0.0,
         roles.get(entry.node, ""),
         "" if status.alive else "lease has run out",
+        status.alive,
     )
 
 
