--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -169,10 +169,11 @@
 
     def announce(self, announcement: Announcement) -> AnnounceResult:
         """Take a server's first announcement, or a renewal of it."""
-        first = self._exchange.service != announcement.service
+        known = self.announcement
         cold_limit = self._get_policy(announcement.service, "").cold_limit
         result = self._registration.announce(announcement, cold_limit)
-        if first and self.announcement is announcement:
+        started = known is None or known.start_id != announcement.start_id
+        if started and self.announcement is announcement:
             self._exchange.service = announcement.service
             self._exchange.learn_all()
         return result
--- a/packages/sapphireway/tests/test_server_api.py
+++ b/packages/sapphireway/tests/test_server_api.py
@@ -1,6 +1,6 @@
 import asyncio
+import contextlib
 import json
-import os
 import random
 import sys
 
@@ -14,7 +14,7 @@
 from sapphireway_coordination import Gate, GateState
 from sapphireway_protocol import Peers
 from sapphireway_state import Policy
-from sapphireway_transport import CurlServerClient, ServerRequest
+from sapphireway_transport import Broken, CurlServerClient, NotSent, ServerRequest
 from sapphireway_transport.memory import MemoryNetwork
 
 GOOD = {
@@ -106,34 +106,66 @@
     announce()
 
 
-@with_api
-async def test_stand_in_server_process_announces_serves_and_leaves(api):
+@contextlib.asynccontextmanager
+async def run_stand_in(api):
+    """Start the stand-in server and yield its process and a function to call it."""
     socket, port = tornado.testing.bind_unused_port()
     socket.close()
     process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "demo.server",
-        api.url,
-        "--port",
-        str(port),
-        env=os.environ,
+        sys.executable, "-m", "demo.server", api.url, "--port", str(port)
     )
-    async with asyncio.timeout(10):
-        while api.gate.announcement is None:
-            await asyncio.sleep(0.02)
-        url = api.gate.announcement.url
+
+    async def send(path, body=b"abc", method="POST"):
         headers = (("Sapphireway-Request-Id", "r1"), ("Sapphireway-Attempt-Id", "a1"))
-        work = ServerRequest(url + "/x", "POST", headers, b"abc", 5.0, 1000)
-        assert (await api.client.send(work)).body == b"abc"
-        slow = json.dumps({"latency_ms": 300}).encode()
-        behave = ServerRequest(
-            url + "/control/behaviour", "PATCH", (), slow, 5.0, 10_000
-        )
-        assert (await api.client.send(behave)).status == 200
-        sending = asyncio.create_task(api.client.send(work))
+        url = f"http://127.0.0.1:{port}{path}"
+        request = ServerRequest(url, method, headers, body, 5.0, 10_000)
+        return await api.client.send(request)
+
+    async def behave(**switches):
+        body = json.dumps(switches).encode()
+        assert (await send("/control/behaviour", body, "PATCH")).status == 200
+
+    try:
+        async with asyncio.timeout(10):
+            while api.gate.announcement is None:
+                await asyncio.sleep(0.02)
+            yield process, send, behave
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+@with_api
+async def test_stand_in_server_leaves_and_ends_what_it_runs(api):
+    async with run_stand_in(api) as (process, send, behave):
+        await behave(latency_ms=300)
+        sending = asyncio.create_task(send("/x"))
         await asyncio.sleep(0.1)
         process.terminate()
         assert (await sending).body == b"abc"
         assert await process.wait() == 0
     assert api.gate.leaving and api.gate.state is GateState.OPEN
+
+
+@with_api
+async def test_stand_in_server_crashes_on_one_request(api):
+    async with run_stand_in(api) as (process, send, behave):
+        await behave(crash_path="boom", truncate_path="short")
+        truncated = await send("/short")
+        assert isinstance(truncated, Broken) and truncated.disconnected
+        crashed = await send("/boom")
+        assert isinstance(crashed, Broken) and crashed.disconnected
+        assert await process.wait() == 70
+        assert isinstance(await send("/x"), NotSent)
+
+
+@with_api
+async def test_killed_server_breaks_what_it_runs(api):
+    async with run_stand_in(api) as (process, send, behave):
+        await behave(frozen=True)
+        sending = [asyncio.create_task(send("/x")) for _ in range(3)]
+        await asyncio.sleep(0.1)
+        process.kill()
+        results = await asyncio.gather(*sending)
+        assert all(isinstance(r, Broken) and r.disconnected for r in results)
