--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 import pycurl
 
@@ -55,6 +56,24 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class _Watch:
+    """What the event loop watches of one socket."""
+
+    reads: bool
+    writes: bool
+
+
+_WATCH_NOTHING = _Watch(False, False)
+_WATCHED_EVENTS = {
+    pycurl.POLL_NONE: _WATCH_NOTHING,
+    pycurl.POLL_IN: _Watch(True, False),
+    pycurl.POLL_OUT: _Watch(False, True),
+    pycurl.POLL_INOUT: _Watch(True, True),
+    pycurl.POLL_REMOVE: _WATCH_NOTHING,
+}
+
+
 class _MalformedRequestError(ValueError):
     """The request cannot be written as HTTP."""
 
@@ -216,13 +235,14 @@
         Most connections open at once, kept ones included.
     """
 
-    __slots__ = ("_active", "_idle", "_loop", "_multi", "_timer")
+    __slots__ = ("_active", "_idle", "_loop", "_multi", "_timer", "_watched")
 
     def __init__(self, connections_max: int = CONNECTIONS_MAX):
         self._active = {}
         self._idle = []
         self._loop = None
         self._timer = None
+        self._watched = {}
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_PIPELINING, pycurl.PIPE_NOTHING)
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -280,14 +300,23 @@
         self._idle.append(transfer)
 
     def _watch_socket(self, event, fd, multi, data):
-        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            self._loop.add_reader(fd, self._perform, fd, pycurl.CSELECT_IN)
-        else:
-            self._loop.remove_reader(fd)
-        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            self._loop.add_writer(fd, self._perform, fd, pycurl.CSELECT_OUT)
+        # Asking the loop to remove what it does not watch is dear.
+        before = self._watched.get(fd, _WATCH_NOTHING)
+        after = _WATCHED_EVENTS[event]
+        if after.reads != before.reads:
+            if after.reads:
+                self._loop.add_reader(fd, self._perform, fd, pycurl.CSELECT_IN)
+            else:
+                self._loop.remove_reader(fd)
+        if after.writes != before.writes:
+            if after.writes:
+                self._loop.add_writer(fd, self._perform, fd, pycurl.CSELECT_OUT)
+            else:
+                self._loop.remove_writer(fd)
+        if after is _WATCH_NOTHING:
+            self._watched.pop(fd, None)
         else:
-            self._loop.remove_writer(fd)
+            self._watched[fd] = after
 
     def _set_timer(self, delay_ms):
         if self._timer is not None:
