Take a crash on a kept connection as a crash

Cause: a killed server's kept connection closes, libcurl tries to send again and finds nobody to connect to; its error, could not connect, was not taken as a closed connection, so the digest was not suspected. It was never reported as not sent, because the sends are counted; a variant that goes by the error alone does report that and turns the new test red, as does one without this change.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -44,7 +44,8 @@
     "expect": b"Expect:",
     "user-agent": b"User-Agent:",
 }
-# The last one is libcurl's attempt to send again, refused by `_permit_send`.
+# The last two come of libcurl's attempt to send again: it is refused by
+# `_permit_send`, or there is nobody to connect to any more.
 _DISCONNECTED_CODES = frozenset(
     {
         pycurl.E_GOT_NOTHING,
@@ -52,6 +53,7 @@
         pycurl.E_RECV_ERROR,
         pycurl.E_SEND_ERROR,
         pycurl.E_ABORTED_BY_CALLBACK,
+        pycurl.E_COULDNT_CONNECT,
     }
 )
 
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -114,6 +114,15 @@
     assert isinstance(await server.send("POST", b"3"), Responded)
 
 
+@run_against(ANSWER, None)
+async def test_crash_on_kept_connection_is_told_from_refusal(server):
+    assert isinstance(await server.send("POST", b"1"), Responded)
+    server._server.close()
+    result = await server.send("POST", b"2")
+    assert isinstance(result, Broken) and result.disconnected
+    assert isinstance(await server.send("POST", b"3"), NotSent)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
