--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -24,7 +24,7 @@
 REASON_HEADER = "Sapphireway-Reason"
 TIMEOUT_HEADER = "Request-Timeout-Ms"
 KEY_HEADER = "Idempotency-Key"
-KEY_MAX_CHARACTERS = 255
+KEY_MAX_CHARACTERS = 256
 MS_PER_S = 1000
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 
@@ -201,6 +201,8 @@
         case Answered(status, headers, body):
             kept = filter_headers(headers)
             return HttpAnswer(status, (*kept, (OUTCOME_HEADER, "answered")), body)
+        case NotRun(reason=NotRunReason.CLAIM_MISMATCH):
+            return _render_mismatch(outcome)
         case NotRun():
             return _render_not_run(outcome)
         case Failed(detail):
@@ -209,6 +211,12 @@
             return _render_text(504, "unknown", detail)
 
 
+def _render_mismatch(outcome):
+    # Another try can't help, so that no time to retry is told.
+    reason = (REASON_HEADER, str(outcome.reason))
+    return _render_text(422, "not-run", outcome.detail, [reason])
+
+
 def _render_not_run(outcome, close=False):
     extra = [
         (REASON_HEADER, str(outcome.reason)),
