Test the node's interfaces, logs, metrics and traces; stop on a broken invariant

Cause: an exception in a request's task was lost until collected, its caller waited for nothing, and a broken invariant in a callback did not stop the process. Now the caller's connection breaks, the fault is logged, and a broken invariant ends the process with status 70. A key of 256 characters beyond ASCII could pass the check and break the claimant's assertion; keys are bounded in bytes.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -208,7 +208,7 @@
         task = asyncio.get_running_loop().create_task(self._respond())
         self._task = task
         self._hooks.tasks.add(task)
-        task.add_done_callback(self._hooks.tasks.discard)
+        task.add_done_callback(self._end)
         self._connection.set_close_callback(self._cancel)
 
     def on_connection_close(self):
@@ -219,6 +219,16 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _end(self, task):
+        self._hooks.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # The caller sees a broken connection, which promises nothing.
+        self._connection.close()
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": "a request failed", "exception": task.exception()}
+        )
+
     async def _respond(self):
         self._send(await self._hooks.handle(self._request))
 
--- /dev/null
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -0,0 +1,156 @@
+import asyncio
+import socket
+
+import pytest
+
+from sapphireway_transport import HttpAnswer, HttpListener
+
+BODY_MAX_BYTES = 1000
+HEADER_MAX_BYTES = 2000
+GET = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+POST = GET.replace(b"GET", b"POST")
+
+
+@pytest.fixture
+def port():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return unused.getsockname()[1]
+
+
+async def echo(request):
+    body = f"{request.method} {request.target} {len(request.body)}".encode()
+    return HttpAnswer(200, (("X-Kept", "1"),), body)
+
+
+def make_listener(handle=echo):
+    return HttpListener(
+        handle,
+        lambda request: BODY_MAX_BYTES,
+        lambda rejected: HttpAnswer(rejected.status, (), rejected.detail.encode()),
+        HEADER_MAX_BYTES,
+    )
+
+
+async def send(port, *parts):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for part in parts:
+        writer.write(part)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def exchange(port, *parts, handle=echo):
+    async def run():
+        listener = make_listener(handle)
+        listener.listen("127.0.0.1", port)
+        try:
+            return await send(port, *parts)
+        finally:
+            listener.stop_accepting()
+            await listener.close()
+
+    return asyncio.run(run())
+
+
+def make_chunked(size):
+    return (
+        POST
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + f"{size:x}\r\n".encode()
+        + b"a" * size
+        + b"\r\n0\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize(
+    ("raw", "line", "body"),
+    [
+        (
+            b"GET /x?q=1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            b"200",
+            b"GET /x?q=1 0",
+        ),
+        (
+            POST + b"Content-Length: 2\r\n\r\nab",
+            b"200",
+            b" 2",
+        ),
+        (make_chunked(BODY_MAX_BYTES), b"200", b"POST /x 1000"),
+        (make_chunked(BODY_MAX_BYTES + 1), b"413", b"body is larger"),
+        (
+            POST + b"Content-Length: 1001\r\n\r\n",
+            b"413",
+            b"body is larger than 1000 bytes",
+        ),
+        (
+            GET + b"B: " + b"b" * 2000 + b"\r\n\r\n",
+            b"431",
+            b"headers are larger than 2000 bytes",
+        ),
+        (b"GET HTTP/1.1\r\n\r\n", b"400", b""),
+        (
+            GET + b"Content-Length: 1, 2\r\n\r\n",
+            b"400",
+            b"",
+        ),
+    ],
+)
+def test_listener_answers(port, raw, line, body):
+    answer = exchange(port, raw)
+    assert answer.startswith(b"HTTP/1.1 " + line)
+    assert body in answer
+
+
+def test_head_gets_no_body(port):
+    answer = exchange(port, b"HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    assert answer.endswith(b"\r\n\r\n")
+
+
+def test_caller_that_goes_away_cancels_its_request(port):
+    async def run():
+        begun, ended = asyncio.Event(), asyncio.Event()
+
+        async def wait(request):
+            begun.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                ended.set()
+                raise
+
+        listener = make_listener(wait)
+        listener.listen("127.0.0.1", port)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET + b"\r\n")
+        await begun.wait()
+        writer.close()
+        async with asyncio.timeout(10):
+            await ended.wait()
+        await listener.finish_requests()
+        listener.stop_accepting()
+        await listener.close()
+
+    asyncio.run(run())
+
+
+def test_failed_request_breaks_its_connection_and_is_reported(port):
+    async def run():
+        reported = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: reported.append(context))
+
+        async def fail(request):
+            raise ValueError("broken")
+
+        listener = make_listener(fail)
+        listener.listen("127.0.0.1", port)
+        answer = await send(port, GET + b"\r\n")
+        listener.stop_accepting()
+        await listener.close()
+        return answer, reported
+
+    answer, reported = asyncio.run(run())
+    assert answer == b""
+    assert str(reported[0]["exception"]) == "broken"
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -24,7 +24,7 @@
 REASON_HEADER = "Sapphireway-Reason"
 TIMEOUT_HEADER = "Request-Timeout-Ms"
 KEY_HEADER = "Idempotency-Key"
-KEY_MAX_CHARACTERS = 256
+KEY_MAX_BYTES = 256
 MS_PER_S = 1000
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 
@@ -115,7 +115,9 @@
             return UNMATCHED_BODY_MAX_BYTES
         policy = settings.resolve(self._domain, *matched)
         key = request.get_header(KEY_HEADER)
-        arrival = None if key is None else self._note_arrival(matched[0], key)
+        arrival = None
+        if key is not None and is_key(key):
+            arrival = self._note_arrival(matched[0], key)
         request.route = _Route(*matched, policy, arrival)
         return policy.body_max_bytes
 
@@ -147,8 +149,8 @@
         if timeout_s is None:
             return f"{TIMEOUT_HEADER} is not a positive whole number"
         key = request.get_header(KEY_HEADER)
-        if key is not None and not 1 <= len(key) <= KEY_MAX_CHARACTERS:
-            return f"{KEY_HEADER} is not 1 to {KEY_MAX_CHARACTERS} characters long"
+        if key is not None and not is_key(key):
+            return f"{KEY_HEADER} is not 1 to {KEY_MAX_BYTES} bytes long"
         return Call(
             call_id=self._create_call_id(),
             service=route.service,
@@ -173,6 +175,11 @@
         return HttpAnswer(status, headers, f"{detail}\n".encode())
 
 
+def is_key(text: str) -> bool:
+    """Tell whether a header is a valid idempotency key."""
+    return 1 <= len(text.encode()) <= KEY_MAX_BYTES
+
+
 def parse_timeout(text: str | None, policy: Policy) -> float | None:
     """Return the time allowed for a call in seconds, or None if unreadable."""
     if text is None:
--- a/packages/sapphireway/src/sapphireway/_cli.py
+++ b/packages/sapphireway/src/sapphireway/_cli.py
@@ -24,7 +24,7 @@
     -------
     int
         0 after a graceful stop, 1 if the node couldn't start or stop gracefully,
-        2 if the settings are invalid.
+        2 if the settings are invalid, 70 if an invariant was broken.
     """
     from sapphireway import _main
 
--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -4,11 +4,13 @@
 import gc
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from sapphireway._logs import EventLog, configure_logs
 from sapphireway._node import Node
-from sapphireway_state import Invalid, format_problem, load_process
+from sapphireway_state import Invalid, InvariantError, format_problem, load_process
 
 YOUNG_OBJECTS = 20_000
 YOUNG_COLLECTIONS = 20
@@ -16,6 +18,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_INVALID = 2
+EXIT_INVARIANT = 70
 
 
 def run_process(file: Path) -> int:
@@ -34,6 +37,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.set_exception_handler(make_exception_handler(log))
     node = Node(settings, log)
     try:
         await node.start()
@@ -46,6 +50,23 @@
     return EXIT_OK if drained else EXIT_FAILED
 
 
+def make_exception_handler(log: EventLog) -> Callable[[Any, dict[str, Any]], None]:
+    """Return a handler that logs what went wrong in a task or callback.
+
+    A broken invariant ends the process at once: what it would do next can't be
+    trusted.
+    """
+
+    def handle(loop, context):
+        error = context.get("exception")
+        log.error("unhandled", message=context["message"], detail=repr(error))
+        if isinstance(error, AssertionError | InvariantError):
+            log.error("invariant_broken", detail=str(error))
+            raise SystemExit(EXIT_INVARIANT)
+
+    return handle
+
+
 def _tune_collector():
     # A full collection over all that was imported would pause calls for
     # milliseconds.
--- /dev/null
+++ b/packages/sapphireway/tests/test_callers.py
@@ -0,0 +1,177 @@
+import asyncio
+
+import pytest
+
+from sapphireway._callers import CallerApi, filter_headers, render_outcome
+from sapphireway._logs import EventLog
+from sapphireway._metrics import Metrics
+from sapphireway_protocol import Answered, Failed, NotRun, NotRunReason, Unknown
+from sapphireway_state import SettingsView
+from sapphireway_transport import HttpRequest, RejectedRequest
+
+TREE = {
+    "deadline_ms": 500,
+    "deadline_max_ms": 2000,
+    "services": {
+        "ledger": {
+            "match": {"path_prefixes": ["/ledger"]},
+            "kinds": {
+                "photograph": {
+                    "match": {"paths": ["/ledger/photographs"]},
+                    "body_max_bytes": 1000,
+                }
+            },
+        }
+    },
+}
+
+
+class Recorder:
+    def __init__(self):
+        self.calls = []
+        self.outcome = Answered(200, (), b"done")
+
+    async def dispatch(self, call, arrival):
+        self.calls.append((call, arrival))
+        return self.outcome
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def metrics():
+    return Metrics()
+
+
+@pytest.fixture
+def api(recorder, metrics):
+    return CallerApi(
+        lambda: SettingsView(TREE, 1),
+        "bxl-a",
+        lambda: "call-1",
+        lambda service, key: f"arrival of {key}",
+        recorder.dispatch,
+        metrics,
+        EventLog(lambda: 0.0),
+    )
+
+
+def make_request(target="/ledger/photographs", headers=(), body=b"", method="POST"):
+    return HttpRequest(method, target, headers, body, "127.0.0.1")
+
+
+def exchange(api, request):
+    async def handle():
+        api.prepare(request)
+        return await api.handle(request)
+
+    return asyncio.run(handle())
+
+
+def test_request_becomes_call(api, recorder):
+    headers = (
+        ("Idempotency-Key", "k"),
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("X-End", "2"),
+        ("Content-Length", "4"),
+    )
+    answer = exchange(api, make_request(headers=headers, body=b"body"))
+    call, arrival = recorder.calls[0]
+    assert answer.status == 200
+    assert (call.service, call.kind, call.key) == ("ledger", "photograph", "k")
+    assert call.headers == (("Idempotency-Key", "k"), ("X-End", "2"))
+    assert call.body == b"body"
+    assert arrival == "arrival of k"
+
+
+@pytest.mark.parametrize(
+    ("headers", "allowed_s"),
+    [
+        ((), 0.5),
+        ((("request-timeout-ms", "250"),), 0.25),
+        ((("Request-Timeout-Ms", "999999"),), 2.0),
+    ],
+)
+def test_deadline_is_read_and_bounded(api, recorder, headers, allowed_s):
+    async def handle():
+        started_s = asyncio.get_running_loop().time()
+        request = make_request(headers=headers)
+        api.prepare(request)
+        await api.handle(request)
+        return recorder.calls[0][0].deadline_s - started_s
+
+    assert asyncio.run(handle()) == pytest.approx(allowed_s, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ("request_", "status", "line"),
+    [
+        (make_request("/nowhere"), 404, "no service"),
+        (make_request(headers=(("Request-Timeout-Ms", "soon"),)), 400, "Request-Tim"),
+        (make_request(headers=(("Request-Timeout-Ms", "0"),)), 400, "Request-Tim"),
+        (make_request(headers=(("Request-Timeout-Ms", "-1"),)), 400, "Request-Tim"),
+        (make_request(headers=(("Idempotency-Key", ""),)), 400, "Idempotency-Key"),
+        (make_request(headers=(("Idempotency-Key", "é" * 129),)), 400, "Idempotency"),
+    ],
+)
+def test_bad_request_is_refused_and_counted(
+    api, recorder, metrics, request_, status, line
+):
+    answer = exchange(api, request_)
+    assert answer.status == status
+    assert ("Sapphireway-Outcome", "not-run") in answer.headers
+    assert answer.body.decode().startswith(line)
+    assert answer.body.count(b"\n") == 1
+    assert f'bad_requests_total{{status="{status}"}} 1' in metrics.render()
+    assert not recorder.calls
+
+
+@pytest.mark.parametrize("status", [413, 431])
+def test_too_large_request_is_refused_and_counted(api, metrics, status):
+    answer = api.reject(RejectedRequest(status, "too large", "127.0.0.1"))
+    assert answer.status == status
+    assert f'bad_requests_total{{status="{status}"}} 1' in metrics.render()
+
+
+def test_body_limit_is_that_of_the_kind(api):
+    assert api.prepare(make_request()) == 1000
+
+
+def test_stopping_node_refuses_and_closes(api, recorder):
+    api.stopping = True
+    answer = exchange(api, make_request())
+    assert answer.status == 503
+    assert ("Connection", "close") in answer.headers
+    assert not recorder.calls
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "name"),
+    [
+        (Answered(503, (), b""), 503, "answered"),
+        (NotRun(NotRunReason.OVERLOADED, 0.2), 503, "not-run"),
+        (NotRun(NotRunReason.CLAIM_MISMATCH), 422, "not-run"),
+        (Failed("cut"), 502, "failed"),
+        (Unknown("silent"), 504, "unknown"),
+    ],
+)
+def test_outcome_is_told_by_status_and_header(outcome, status, name):
+    answer = render_outcome(outcome)
+    assert answer.status == status
+    assert ("Sapphireway-Outcome", name) in answer.headers
+
+
+def test_not_run_says_when_to_retry():
+    headers = dict(render_outcome(NotRun(NotRunReason.OVERLOADED, 1.25)).headers)
+    assert headers["Retry-After"] == "2"
+    assert headers["Retry-After-Ms"] == "1250"
+    assert headers["Sapphireway-Reason"] == "overloaded"
+
+
+def test_answer_headers_are_end_to_end_only():
+    headers = (("Content-Length", "3"), ("Keep-Alive", "x"), ("Set-Cookie", "a"))
+    assert filter_headers(headers) == (("Set-Cookie", "a"),)
--- /dev/null
+++ b/packages/sapphireway/tests/test_logs.py
@@ -0,0 +1,58 @@
+import json
+import logging
+
+import pytest
+
+from sapphireway._logs import EVENT_BURST, EventLog, configure_logs
+
+
+class Clock:
+    now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def read_lines(capfd):
+    configure_logs("json", "info")
+
+    def read():
+        return [json.loads(line) for line in capfd.readouterr().err.splitlines()]
+
+    yield read
+    logging.getLogger("absl").handlers.clear()
+
+
+def test_event_is_one_json_line(clock, read_lines):
+    EventLog(clock).warning("bad_request", status=404)
+    (line,) = read_lines()
+    assert (line["event"], line["level"], line["status"]) == (
+        "bad_request",
+        "warning",
+        404,
+    )
+
+
+def test_repeated_event_is_suppressed_and_counted(clock, read_lines):
+    log = EventLog(clock)
+    for _ in range(EVENT_BURST + 100):
+        log.info("fault")
+    clock.now_s += 10.0
+    log.info("fault")
+    lines = read_lines()
+    assert len(lines) == EVENT_BURST + 1
+    assert lines[-1]["suppressed"] == 100
+
+
+def test_other_events_are_not_suppressed(clock, read_lines):
+    log = EventLog(clock)
+    for _ in range(EVENT_BURST + 1):
+        log.info("fault")
+    log.info("other")
+    assert read_lines()[-1]["event"] == "other"
--- /dev/null
+++ b/packages/sapphireway/tests/test_traces.py
@@ -0,0 +1,53 @@
+import json
+import random
+
+import pytest
+
+from sapphireway._traces import CallTracer, JsonLinesExporter
+
+SAMPLED = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+NOT_SAMPLED = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "spans.jsonl"
+
+
+@pytest.fixture
+def tracer(path):
+    exporter = JsonLinesExporter(str(path))
+    tracer = CallTracer("127.0.0.1:7100", exporter, random.Random(1))
+    yield tracer
+    tracer.close()
+
+
+def read_spans(path):
+    for line in path.read_text().splitlines():
+        (resource,) = json.loads(line)["resourceSpans"]
+        yield resource["scopeSpans"][0]["spans"][0]
+
+
+def test_hops_of_a_call_form_one_trace(tracer, path):
+    headers, call = tracer.start_call((("traceparent", SAMPLED),), 0.0, kind="lookup")
+    _, run = tracer.start_run(headers)
+    run.end()
+    call.end()
+    inner, outer = read_spans(path)
+    assert outer["traceId"] == inner["traceId"] == SAMPLED.split("-")[1]
+    assert outer["parentSpanId"] == SAMPLED.split("-")[2]
+    assert inner["parentSpanId"] == outer["spanId"]
+    assert {"key": "kind", "value": {"stringValue": "lookup"}} in outer["attributes"]
+
+
+@pytest.mark.parametrize(("percent", "traced"), [(0.0, False), (100.0, True)])
+def test_share_of_calls_is_traced(tracer, percent, traced):
+    headers, span = tracer.start_call((("X", "1"),), percent)
+    assert (span is not None) == traced
+    assert (len(headers) == 2) == traced
+
+
+def test_context_that_is_not_sampled_passes_unchanged(tracer):
+    given = (("traceparent", NOT_SAMPLED),)
+    assert tracer.start_call(given, 0.0) == (given, None)
+    assert tracer.start_run(given) == (given, None)
