--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -13,7 +13,13 @@
 from demo._fleet import ADMIN_PORT, HTTP_PORT, Fleet
 from demo._kinds import KINDS
 from demo._load import Callers
-from demo._report import count_doubled, list_violations, read_runs, render_table
+from demo._report import (
+    count_doubled,
+    list_refusals,
+    list_violations,
+    read_runs,
+    render_table,
+)
 
 START_TIMEOUT_S = 60.0
 OUT_AT_S, IN_AT_S, KILL_AT_S, RESTART_AT_S = 5.0, 10.0, 13.0, 16.0
@@ -116,7 +122,7 @@
     doubled = count_doubled(runs)
     print(*messages, sep="\n")
     print(render_table(callers.tallies, doubled))
-    print(costs)
+    print(*list_refusals(callers.tallies), costs, sep="\n")
     violations = list_violations(callers.tallies, runs)
     violations += [f"{name} ended on its own" for name in crashed]
     violations += [f"{name} did not stop gracefully" for name in failed]
--- a/demo/_load.py
+++ b/demo/_load.py
@@ -22,6 +22,7 @@
 RESEND_SHARE = 0.1
 CONNECTIONS_MAX = 400
 OUTCOME_HEADER = "sapphireway-outcome"
+REASON_HEADER = "Sapphireway-Reason"
 
 
 @dataclass(slots=True)
@@ -36,6 +37,8 @@
         Of answered requests through the system and straight to a server.
     not_run_keys : list of str
         Keys of requests that were refused as not run.
+    reasons : dict of str to int
+        Refused requests by reason.
     crossed : int
         Answers that were not the request's own.
     resends_differing : int
@@ -46,6 +49,7 @@
     latencies_s: list = field(default_factory=list)
     direct_s: list = field(default_factory=list)
     not_run_keys: list = field(default_factory=list)
+    reasons: dict = field(default_factory=dict)
     crossed: int = 0
     resends_differing: int = 0
 
@@ -103,6 +107,8 @@
         tally.outcomes[outcome] = tally.outcomes.get(outcome, 0) + 1
         if outcome == "not-run":
             tally.not_run_keys.append(key)
+            reason = dict(result.headers).get(REASON_HEADER, "")
+            tally.reasons[reason] = tally.reasons.get(reason, 0) + 1
         if outcome != "answered":
             return
         if kind.body_bytes and result.body != _make_body(kind, key):
--- a/demo/_report.py
+++ b/demo/_report.py
@@ -82,6 +82,16 @@
     )
 
 
+def list_refusals(tallies: dict[str, Tally]) -> list[str]:
+    """Return a line for each kind of which requests were refused."""
+    return [
+        f"{name} not run: "
+        + ", ".join(f"{count} {reason}" for reason, count in tally.reasons.items())
+        for name, tally in tallies.items()
+        if tally.reasons
+    ]
+
+
 def find_percentile(values: Iterable[float], percent: float) -> float:
     """Return a percentile by nearest rank; 0 if there is no value."""
     ordered = sorted(values)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -52,6 +52,7 @@
 SERVER_CHECK_INTERVAL_S = 0.1
 FIRST_MEMBERS_TIMEOUT_S = 1.0
 CONTROL_READ_TIMEOUT_S = 1.0
+CLAIMS_HANDOVER_MAX_S = 3.0
 CONTROL_SILENCE_MAX_S = 5.0
 SPANS_KEPT = 1000
 MS_PER_S = 1000
@@ -155,10 +156,19 @@
             drained = False
         left_s = max(0.0, deadline_s - loop.time())
         drained = await self._claimant.drain(left_s) and drained
+        await self._hand_claims_over()
         await self._close()
         self._log.info("stopped", drained=drained)
         return drained
 
+    async def _hand_claims_over(self):
+        # The control host replaces a holder that leaves; with too few others left
+        # its claims stay with the rest of the group.
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + CLAIMS_HANDOVER_MAX_S
+        while self._holder.active_groups and loop.time() < end_s:
+            await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
+
     async def _close(self):
         for task in self._tasks:
             task.cancel()
