--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from sapphireway_coordination._quorum_members import maintain_members
-from sapphireway_coordination._quorum_replica import Progress, Replica
+from sapphireway_coordination._quorum_progress import Progress
+from sapphireway_coordination._quorum_replica import Replica
 from sapphireway_coordination._quorum_replication import replicate
 from sapphireway_coordination._quorum_types import NotLeader, Unavailable
 from sapphireway_protocol import EntryKind, JournalEntry, QuorumMember
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replica.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -25,37 +25,6 @@
 from sapphireway_transport import Disk, DiskFailed
 
 
-@dataclass(slots=True)
-class Progress:
-    """What the leader knows of one other member.
-
-    Attributes
-    ----------
-    next_index : int
-        First entry to send.
-    match_index : int
-        Last entry that the member durably holds.
-    acked_round : int
-        Latest read round that the member confirmed.
-    acked_sent_s : float
-        When the latest confirmed message was sent.
-    acked_version : int
-        Version of the table of acked positions that the member has.
-    probing : bool
-        True while the last message is unanswered; only heartbeats are sent.
-    wake : asyncio.Event
-        Set when there is something to send.
-    """
-
-    next_index: int
-    acked_sent_s: float
-    match_index: int = 0
-    acked_round: int = -1
-    acked_version: int = -1
-    probing: bool = False
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
-
-
 @dataclass(slots=True, frozen=True)
 class Configuration:
     """Members of the quorum from a journal index on."""
