Take a crash on a kept connection for a disconnection

Cause: when a server closes a kept connection before any byte of its answer, libcurl connects again by itself. If the process is gone, that connect fails and the attempt ended as Broken without `disconnected`, so the node did not mark the request as suspect: a crashing request was known only from crashes on new connections. Seen with real processes: two of four crashes brought no mark.

Change: E_COULDNT_CONNECT after the request was sent counts as a disconnection; before it, it stays NotSent. The test was red before the change.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -43,13 +43,15 @@
     "expect": b"Expect:",
     "user-agent": b"User-Agent:",
 }
-# The last one is libcurl's attempt to send again, refused by `_permit_send`.
+# The last two are libcurl's attempt to send again after the server closed a kept
+# connection: it could not connect any more, or `_permit_send` refused it.
 _DISCONNECTED_CODES = frozenset(
     {
         pycurl.E_GOT_NOTHING,
         pycurl.E_PARTIAL_FILE,
         pycurl.E_RECV_ERROR,
         pycurl.E_SEND_ERROR,
+        pycurl.E_COULDNT_CONNECT,
         pycurl.E_ABORTED_BY_CALLBACK,
     }
 )
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -11,13 +11,15 @@
     ServerRequest,
 )
 
+CRASH = b"crash"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 class RawServer:
     """Answers the requests of each connection from a list of raw answers.
 
-    An answer of None closes the connection; an empty one never comes.
+    An answer of None closes the connection, CRASH the server too; an empty one
+    never comes.
     """
 
     def __init__(self, *answers):
@@ -55,6 +57,9 @@
                 answer = self.answers.pop(0) if self.answers else ANSWER
                 if answer is None:
                     break
+                if answer is CRASH:
+                    self._server.close()
+                    break
                 writer.write(answer)
                 if answer.startswith(b"HTTP") and not answer.endswith(b"ok"):
                     break
@@ -135,6 +140,14 @@
     send()
 
 
+@run_against(ANSWER, CRASH)
+async def test_crash_of_server_on_kept_connection_is_disconnection(server):
+    await server.send()
+    result = await server.send()
+    assert isinstance(result, Broken)
+    assert result.disconnected
+
+
 @run_against(
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
     b"X-A: 1\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: 2\r\n\r\n"
