Create the data folder at the first operation on it, whichever that is

Cause: only `FileDisk.list` created and locked the folder. The settings channel reads and replaces its file without a listing, so both failed and no node kept the settings in force: one that restarted without reach of another had none. Seen with real processes: no node had a data folder after its start.

Change: every operation of FileDisk opens the folder first. The test was red for FileDisk before the change; MemoryDisk was right.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
@@ -71,7 +71,7 @@
     Parameters
     ----------
     folder : Path
-        Created if it does not exist.
+        Created if it does not exist, and locked, by the first operation.
     """
 
     __slots__ = ("_executor", "_folder", "_folder_fd", "_lock_fd", "_new")
@@ -84,7 +84,7 @@
         self._new = set()
 
     async def list(self) -> Sequence[str] | DiskFailed:
-        """Return the names of all files; locks the folder on first use."""
+        """Return the names of all files."""
         return await self._run("list", "", self._list)
 
     async def read(self, name: str) -> bytes | DiskFailed:
@@ -123,12 +123,15 @@
     async def _run(self, operation: str, name: str, function: Callable[[], Any]):
         loop = asyncio.get_running_loop()
         try:
-            return await loop.run_in_executor(self._executor, function)
+            return await loop.run_in_executor(self._executor, self._call, function)
         except OSError as error:
             return DiskFailed(operation, name, str(error))
 
-    def _list(self):
+    def _call(self, function):
         self._open()
+        return function()
+
+    def _list(self):
         names = (entry.name for entry in self._folder.iterdir() if entry.is_file())
         return sorted(
             name
--- a/packages/sapphireway-transport/tests/test_disk.py
+++ b/packages/sapphireway-transport/tests/test_disk.py
@@ -34,6 +34,14 @@
     assert asyncio.run(use(disk)) == {"a": b"onet", "b": b"new"}
 
 
+def test_first_operation_creates_folder(disk):
+    async def replace():
+        assert await disk.replace("a", b"one") is None
+        return await disk.read("a")
+
+    assert asyncio.run(replace()) == b"one"
+
+
 def test_missing_file_is_a_failure(disk):
     async def read():
         await disk.list()
