--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import yaml
 
@@ -58,14 +59,25 @@
     folder : Path
         Holds settings, logs, records and data folders.
     places : sequence of Place, default=one a service and domain
+    network : str
+        First three numbers of the control hosts' loopback addresses.
+    tree : dict, default=both example deployments
+        Settings tree that the control hosts begin with.
     """
 
-    __slots__ = ("_processes", "control_hosts", "folder", "places")
+    __slots__ = ("_processes", "_tree", "control_hosts", "folder", "places")
 
-    def __init__(self, folder: Path, places: Sequence[Place] | None = None):
+    def __init__(
+        self,
+        folder: Path,
+        places: Sequence[Place] | None = None,
+        network: str = "127.0.0",
+        tree: dict[str, Any] | None = None,
+    ):
         self._processes = {}
+        self._tree = _read_examples() if tree is None else tree
         self.folder = folder
-        self.control_hosts = [f"127.0.0.{i + 1}" for i in range(len(DOMAINS))]
+        self.control_hosts = [f"{network}.{i + 1}" for i in range(len(DOMAINS))]
         self.places = list(places or make_places())
 
     @property
@@ -76,12 +88,29 @@
     def start(self) -> None:
         """Write the settings and start every process."""
         self._write_shared_files()
-        for host, domain in zip(self.control_hosts, DOMAINS, strict=True):
-            self._start_node(f"control-{domain}", host, domain, control=True)
+        for host in self.control_hosts:
+            self.start_control(host)
         for place in self.places:
-            self._start_node(f"node-{place.name}", place.host, place.domain)
+            self.start_node(place)
             self.start_server(place)
 
+    def start_control(self, host: str) -> None:
+        """Start the control host at an address."""
+        domain = DOMAINS[self.control_hosts.index(host)]
+        self._start_node(self.name_control(host), host, domain, control=True)
+
+    def name_control(self, host: str) -> str:
+        """Return the name of the control host at an address."""
+        return f"control-{DOMAINS[self.control_hosts.index(host)]}"
+
+    def start_node(self, place: Place) -> None:
+        """Start the node of a place."""
+        self._start_node(self.name_node(place), place.host, place.domain)
+
+    def name_node(self, place: Place) -> str:
+        """Return the name of the node of a place."""
+        return f"node-{place.name}"
+
     def start_server(self, place: Place) -> None:
         """Start the server of a place."""
         self._start(
@@ -102,6 +131,24 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
 
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one process."""
+        self._processes[name].send_signal(number)
+
+    def forget(self, name: str) -> int | None:
+        """Return the exit status of a process that ended, and forget it.
+
+        None, and nothing is forgotten, while it runs.
+        """
+        status = self._processes[name].poll()
+        if status is not None:
+            del self._processes[name]
+        return status
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was started and has not ended."""
+        return name in self._processes and self._processes[name].poll() is None
+
     def stop(self) -> list[str]:
         """Stop every process; return the names of those that failed to."""
         for process in reversed(self._processes.values()):
@@ -117,6 +164,11 @@
                 failed.append(f"{name} (exit status {code})")
         return failed
 
+    def end(self) -> None:
+        """Kill every process that still runs, frozen ones too."""
+        for name in list(self._processes):
+            self.kill(name)
+
     def list_exited(self) -> list[str]:
         """Return the names of processes that ended on their own."""
         return [name for name, p in self._processes.items() if p.poll() is not None]
@@ -125,11 +177,7 @@
         token = self.folder / "operator.token"
         token.touch(mode=0o600)
         token.write_text(TOKEN)
-        tree = yaml.safe_load((EXAMPLES / "mertens.yaml").read_text())
-        other = yaml.safe_load((EXAMPLES / "hielo-claro.yaml").read_text())
-        tree["services"] |= other["services"]
-        tree["domains"] = {domain: {} for domain in DOMAINS}
-        (self.folder / "tree.yaml").write_text(dump_yaml(tree))
+        (self.folder / "tree.yaml").write_text(dump_yaml(self._tree))
 
     def _start_node(self, name, host, domain, control=False):
         settings = {
@@ -162,3 +210,11 @@
                 stderr=log,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
             )
+
+
+def _read_examples():
+    tree = yaml.safe_load((EXAMPLES / "mertens.yaml").read_text())
+    other = yaml.safe_load((EXAMPLES / "hielo-claro.yaml").read_text())
+    tree["services"] |= other["services"]
+    tree["domains"] = {domain: {} for domain in DOMAINS}
+    return tree
--- a/demo/_stand_in.py
+++ b/demo/_stand_in.py
@@ -74,6 +74,8 @@
         Requests that came while every slot was taken.
     cancelled : int
         Requests whose connection was closed before the answer.
+    name : str
+        Server id.
     record_file : binary file or None
         Gets a line for each request when it begins to run.
     """
@@ -87,6 +89,7 @@
         "cancelled",
         "in_flight",
         "in_flight_max",
+        "name",
         "overloads",
         "record_file",
     )
@@ -100,6 +103,7 @@
         self.cancelled = 0
         self.in_flight = 0
         self.in_flight_max = 0
+        self.name = ""
         self.overloads = 0
         self.record_file = None
 
--- a/demo/server.py
+++ b/demo/server.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import time
 import uuid
 from pathlib import Path
 
@@ -136,7 +137,15 @@
     def _record(self, key):
         record_file = self._stand_in.record_file
         if record_file is not None:
-            line = {"key": key, "path": self.request.path}
+            line = {
+                "key": key,
+                "path": self.request.path,
+                "server": self._stand_in.name,
+                "start": os.getpid(),
+                "time_s": time.monotonic(),
+                "budget_ms": self.request.headers.get(DEADLINE_HEADER, ""),
+                "attempt": self.request.headers.get(ATTEMPT_ID_HEADER, ""),
+            }
             record_file.write(msgspec.json.encode(line) + b"\n")
 
     async def _work(self):
@@ -253,6 +262,7 @@
 ) -> None:
     """Serve until SIGTERM, then leave and let requests in flight end."""
     stand_in = StandIn(slots, random.Random(seed))
+    stand_in.name = server
     if record is not None:
         # Unbuffered, so that a killed server leaves a whole record.
         stand_in.record_file = record.open("ab", buffering=0)
