--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -39,7 +39,14 @@
     SettingsChannel,
     StateInForce,
 )
-from sapphireway_protocol import ClaimGroup, NodeEntry, Peers, ServerEntry
+from sapphireway_protocol import (
+    ClaimGroup,
+    NodeEntry,
+    NotRun,
+    NotRunReason,
+    Peers,
+    ServerEntry,
+)
 from sapphireway_state import ProcessSettings
 from sapphireway_transport import (
     CurlServerClient,
@@ -111,7 +118,7 @@
         self._tracer = self._build_tracer(rng)
         self._build_shared_state(rng)
         self._build_data_path(rng)
-        self._control = self._build_control(rng)
+        self._control = self._build_control()
         self._listener = HttpListener(
             self._callers.handle,
             self._callers.prepare,
@@ -263,9 +270,12 @@
         exporter = JsonLinesExporter(self._settings.trace_file, self._spans.append)
         return CallTracer(self._settings.address, exporter, rng)
 
-    def _build_control(self, rng):
+    def _build_control(self):
         if not self._settings.control:
             return None
+        # Identities that the quorum draws must not repeat after a restart, also
+        # with a fixed seed.
+        rng = random.Random(self._peers.incarnation)
         return ControlHost(
             self._settings,
             self._peers,
@@ -394,7 +404,10 @@
     async def _run_call(self, call, fences):
         if call.key is None or call.policy.idempotent:
             return await self._dispatcher.dispatch(call)
-        return await self._claimant.run_claimed(call, self._dispatcher.dispatch, fences)
+        dispatch = self._dispatcher.dispatch
+        if self._callers.stopping:
+            dispatch = _refuse_stopping
+        return await self._claimant.run_claimed(call, dispatch, fences)
 
     async def _present_server(self):
         while True:
@@ -420,6 +433,10 @@
         ]
 
 
+async def _refuse_stopping(call):
+    return NotRun(NotRunReason.STOPPING)
+
+
 def _make_entry(settings, incarnation):
     return NodeEntry(
         settings.address,
