Keep leases of a directory that a third one hears; scan leases when one may be due

Two control hosts that lost only each other, both in the majority, ended the leases that the other one had granted, every three seconds, for all nodes: with 12 nodes and three control hosts the smallest view held 2 members. Isolation of a whole host was tested, the loss of one link between two was not.

Directories now tell each other whom they hear and how long ago. A lease stays while its owner is heard by this directory or by one that it hears; the time until a lost directory is noticed stays the same, as ages are told, not yes or no. Counting the relayed hosts as part of the majority was ruled out: the majority guards against acting on second-hand knowledge.

Trust is now kept for each directory instead of being written into each lease, and leases are scanned when the earliest may run out, not ten times a second.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
+from sapphireway_coordination._neighbours import ADOPTION_GRACE_S, Neighbours
 from sapphireway_protocol import (
     LeaseEntry,
     ListNodes,
@@ -24,30 +24,11 @@
 HEARTBEAT_INTERVAL_S = 0.5
 SYNC_TIMEOUT_S = 0.5
 SYNC_BATCH_LEASES = 200
-DIRECTORY_TIMEOUT_S = 1.5
-ADOPTION_GRACE_S = 3.0
 FORGET_AFTER_S = 600.0
 WARM_UP_S = 1.5
 WARM_UP_MAX_S = 5.0
 
 
-@dataclass(slots=True)
-class _Neighbour:
-    """Another control host's directory.
-
-    ``received`` and ``sent`` are positions in the sequences of changes of the
-    neighbour and of this directory.
-    """
-
-    address: str
-    incarnation: str = ""
-    received: int = 0
-    complete: bool = False
-    acked_incarnation: str = ""
-    sent: int = 0
-    heard_s: float = float("-inf")
-
-
 class Directory:
     """Grants leases to nodes and shares them with the other control hosts.
 
@@ -63,7 +44,14 @@
         Returns this host's role in the control quorum, for operators.
     """
 
-    __slots__ = ("_get_role", "_neighbours", "_peers", "_started_s", "_table")
+    __slots__ = (
+        "_get_role",
+        "_neighbours",
+        "_next_scan_s",
+        "_peers",
+        "_started_s",
+        "_table",
+    )
 
     def __init__(
         self,
@@ -72,7 +60,8 @@
         get_role: Callable[[], str] = lambda: "",
     ):
         self._get_role = get_role
-        self._neighbours = {address: _Neighbour(address) for address in others}
+        self._neighbours = Neighbours(others)
+        self._next_scan_s = float("-inf")
         self._peers = peers
         self._started_s = asyncio.get_running_loop().time()
         self._table = LeaseTable(peers.address)
@@ -88,7 +77,7 @@
         """Expire leases and follow the other directories until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._expire())
-            for neighbour in self._neighbours.values():
+            for neighbour in self._neighbours:
                 group.create_task(self._share(neighbour))
 
     def _renew(self, sender, envelope):
@@ -142,38 +131,35 @@
         age_s = now_s - self._started_s
         if age_s < WARM_UP_S:
             return False
-        complete = 1 + sum(n.complete for n in self._neighbours.values())
-        return 2 * complete > len(self._neighbours) + 1 or age_s >= WARM_UP_MAX_S
+        return self._neighbours.has_complete_majority() or age_s >= WARM_UP_MAX_S
 
     async def _expire(self):
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
-            for lease in self._table.list_all():
-                self._check(lease, now_s)
-
-    def _check(self, lease, now_s):
-        if not lease.alive:
-            if now_s > lease.expires_s + FORGET_AFTER_S:
-                self._table.forget(lease)
-        elif lease.owner == self._peers.address:
-            if now_s > lease.expires_s:
+            self._neighbours.update_trust(now_s)
+            trusted = self._neighbours.are_all_trusted(now_s)
+            # Renewals only put an expiry off, so that none is due before the
+            # earliest that the last scan met.
+            if now_s > self._next_scan_s or not trusted:
+                self._scan(now_s)
+
+    def _scan(self, now_s):
+        self._next_scan_s = now_s + LEASE_S
+        for lease in self._table.list_all():
+            if not lease.alive:
+                if now_s > lease.expires_s + FORGET_AFTER_S:
+                    self._table.forget(lease)
+            elif now_s > lease.expires_s and not self._is_kept(lease, now_s):
+                # It was not renewed in time; or its owner is gone and the node
+                # has renewed with no other directory.
+                lease.expires_s = now_s
                 self._table.end(lease)
-        elif self._is_reachable(lease.owner, now_s) or not self._has_majority(now_s):
-            # The grace begins anew after an isolation: the first neighbour heard
-            # again must not end the leases of those not heard yet.
-            lease.expires_s = now_s + ADOPTION_GRACE_S
-        elif now_s > lease.expires_s:
-            # Its owner is gone and the node has renewed with no other directory.
-            self._table.end(lease)
-
-    def _is_reachable(self, address, now_s):
-        neighbour = self._neighbours.get(address)
-        return neighbour is not None and now_s < neighbour.heard_s + DIRECTORY_TIMEOUT_S
-
-    def _has_majority(self, now_s):
-        reachable = sum(self._is_reachable(a, now_s) for a in self._neighbours)
-        return 2 * (reachable + 1) > len(self._neighbours) + 1
+            elif lease.owner == self._peers.address:
+                self._next_scan_s = min(self._next_scan_s, lease.expires_s)
+
+    def _is_kept(self, lease, now_s):
+        return self._neighbours.is_trusted(lease.owner, now_s)
 
     async def _share(self, neighbour):
         idle_s = 0.0
@@ -206,7 +192,10 @@
             LeaseEntry(lease.entry, lease.counter, lease.owner, lease.alive)
             for lease in changed
         ]
-        return SyncLeases(self._peers.incarnation, since, version, complete, leases)
+        heard = self._neighbours.list_heard(asyncio.get_running_loop().time())
+        return SyncLeases(
+            self._peers.incarnation, since, version, complete, leases, heard
+        )
 
     def _receive(self, sender, envelope):
         neighbour = self._neighbours.get(sender)
@@ -214,7 +203,7 @@
             return
         message = envelope.message
         now_s = asyncio.get_running_loop().time()
-        neighbour.heard_s = now_s
+        self._neighbours.hear(neighbour, message.heard, now_s)
         if neighbour.incarnation != message.directory:
             neighbour.incarnation = message.directory
             neighbour.received = 0
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sapphireway_coordination import Directory, Membership
+from sapphireway_coordination._neighbours import ADOPTION_GRACE_S
 from sapphireway_protocol import NodeEntry, Peers, ServerEntry
 from sapphireway_transport.memory import MemoryNetwork, run_paused
 
@@ -178,6 +179,43 @@
     assert run_paused(run()) == 12
 
 
+def test_control_hosts_that_lose_only_each_other_hide_nobody():
+    async def run():
+        fleet = await start_fleet(12)
+        fleet.isolate("c0", ["c1"])
+        smallest = 12
+        for moment in range(300):
+            await asyncio.sleep(0.1)
+            if moment == 200:
+                fleet.network.heal_all()
+            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        fleet.kill("n5")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return smallest, fleet.view("n0")
+
+    smallest, view = run_paused(run())
+    assert smallest == 12
+    assert "n5" not in view
+
+
+@pytest.mark.parametrize("isolated", [False, True])
+def test_nodes_lost_together_with_their_directory_are_dropped(isolated):
+    async def run():
+        fleet = await start_fleet(12)
+        lost = {n for n, m in fleet.nodes.items() if m.directory == "c0"}
+        for address in ("c0", *lost):
+            fleet.kill(address)
+        if isolated:
+            fleet.isolate("c1", ["c2"])
+        await asyncio.sleep(DEAD_WITHIN_S + ADOPTION_GRACE_S)
+        views = [fleet.view(node) for node in fleet.nodes]
+        return lost, views
+
+    lost, views = run_paused(run())
+    assert lost
+    assert all(bool(lost & view) is isolated for view in views)
+
+
 def test_node_isolated_from_all_is_dropped_and_returns():
     async def run():
         fleet = await start_fleet(6)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -32,6 +32,7 @@
 from sapphireway_protocol._clocks import PeerClock, PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_protocol._membership import (
+    HeardDirectory,
     LeaseEntry,
     ListNodes,
     NodeEntry,
@@ -122,6 +123,7 @@
     "FoundReply",
     "GrantRerun",
     "GroupHolder",
+    "HeardDirectory",
     "Hello",
     "HelloReply",
     "Join",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -134,6 +134,20 @@
     alive: bool
 
 
+class HeardDirectory(msgspec.Struct, frozen=True, array_like=True):
+    """Another directory as one that hears it tells a third one.
+
+    Attributes
+    ----------
+    address : str
+    age_s : float
+        How long ago it was last heard.
+    """
+
+    address: str
+    age_s: float
+
+
 class SyncLeases(msgspec.Struct, frozen=True, tag="sync_leases", array_like=True):
     """Leases that changed at a directory; also its sign of life.
 
@@ -146,6 +160,8 @@
     complete : bool
         True if the sender has no later changes.
     leases : list of LeaseEntry
+    heard : list of HeardDirectory
+        The directories that the sender hears itself.
     """
 
     directory: str
@@ -153,6 +169,7 @@
     version: int
     complete: bool
     leases: list[LeaseEntry]
+    heard: list[HeardDirectory] = []
 
 
 class SyncedLeases(msgspec.Struct, frozen=True, tag="synced_leases", array_like=True):
--- a/packages/sapphireway/src/sapphireway/_cli.py
+++ b/packages/sapphireway/src/sapphireway/_cli.py
@@ -3,8 +3,6 @@
 import sys
 from pathlib import Path
 
-import defopt
-
 from sapphireway import __version__
 
 EXIT_OK = 0
@@ -57,4 +55,10 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
+    arguments = sys.argv[1:]
+    if len(arguments) == 2 and arguments[0] == "run" and arguments[1][0:1] != "-":
+        # The parser takes memory that a process would keep as long as it runs.
+        sys.exit(run(Path(arguments[1])))
+    import defopt
+
     sys.exit(defopt.run([run, check], version=f"sapphireway {__version__}"))
