--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -27,6 +27,7 @@
 SURGE_START_S = 1.0
 SURGE_END_S = 3.0
 LEAVE_S = 2.0
+STALL_END_S = 3.0
 OUT_RETURN_S = 4.0
 LOST_RETURN_S = 5.0
 BIN_S = 0.1
@@ -84,6 +85,18 @@
     return faults
 
 
+def stall_all(rng):
+    """Make every server ten times slower for a second."""
+    stall = SlowWindow(LEAVE_S, STALL_END_S, 10.0)
+    return [ServerFaults(slow=(stall,)) for _ in range(SERVERS)]
+
+
+def fail_all(rng):
+    """Let every server fail at once for a second."""
+    outage = SlowWindow(LEAVE_S, STALL_END_S, 1.0)
+    return [ServerFaults(failing=(outage,)) for _ in range(SERVERS)]
+
+
 async def restart_cold(fleet):
     """Restart a server cold, without notice, every 1.5 s."""
     for name in ("s0", "s1", "s2"):
@@ -132,6 +145,18 @@
         Scenario("failing", DURATION_S, faults=fail_fast_one),
         Scenario("cold", DURATION_S, conduct=restart_cold),
         Scenario("overload", DURATION_S, surge, events={"end": SURGE_END_S}),
+        Scenario(
+            "stall",
+            DURATION_S,
+            faults=stall_all,
+            events={"end": STALL_END_S},
+        ),
+        Scenario(
+            "outage",
+            DURATION_S,
+            faults=fail_all,
+            events={"end": STALL_END_S},
+        ),
         Scenario(
             "out",
             DURATION_S,
