Follow the own service, so that suspects reach its other nodes

Cause: a node learnt the members of its own service only once it had been an entry for it, and until then shared a crashing request's digest with nobody; one run of the process test saw three servers go down by one request. Now a node follows the service that its server announces. A node that stops closes its callers' connections before it hands its claims over, so that they find another node at once.

--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -161,6 +161,7 @@
                 await self._listener.finish_requests()
         except TimeoutError:
             drained = False
+        await self._listener.close()
         left_s = max(0.0, deadline_s - loop.time())
         drained = await self._claimant.drain(left_s) and drained
         await self._hand_claims_over()
@@ -184,7 +185,6 @@
         await self._holder.close()
         self._gate.close()
         self._client.close()
-        await self._listener.close()
         self._admin.stop()
         self._peers.close()
         self._disk.close()
@@ -415,6 +415,9 @@
             if servers != self._presented:
                 self._presented = servers
                 self._membership.set_servers(servers)
+                for server in servers:
+                    # The gate shares suspects with the service's other nodes.
+                    self._membership.get_members(server.service)
                 self._update_out()
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
