--- /dev/null
+++ b/tests/processes/run.py
@@ -0,0 +1,101 @@
+"""Seeded random faults against real processes for as long as wanted.
+
+Run it with ``python -m tests.processes.run --seconds 300 --seed 7``. The seed fixes
+the faults and their order; what is in flight when they come is up to the machine.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import defopt
+
+from tests.processes.harness import (
+    CONFIRM,
+    LOOKUP,
+    UPLOAD,
+    exercise,
+    make_fleet,
+)
+
+RATES_PER_S = {LOOKUP: 30.0, CONFIRM: 40.0, UPLOAD: 2.0}
+FROZEN_MAX_S = 4.0
+RESTART_MAX_S = 2.0
+
+
+async def kill(site, name, rng):
+    site.fleet.kill(name)
+    await asyncio.sleep(rng.uniform(0, RESTART_MAX_S))
+
+
+async def freeze(site, name, rng):
+    site.fleet.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(rng.uniform(0, FROZEN_MAX_S))
+    site.fleet.signal(name, signal.SIGCONT)
+
+
+async def stop(site, name, rng):
+    site.fleet.signal(name, signal.SIGTERM)
+    status = await site.wait_for_exit(name)
+    log = (site.fleet.folder / f"{name}.log").read_text()[-2000:]
+    assert status == 0, f"{name} ended with {status}: {log}"
+
+
+FAULTS = (kill, freeze, stop)
+
+
+async def inject(site, rng, messages):
+    """Hit one or two of the processes at once, then let the fleet heal."""
+    fleet = site.fleet
+    names = [place.name for place in fleet.places]
+    names += [fleet.name_node(place) for place in fleet.places]
+    names += [fleet.name_control(rng.choice(fleet.control_hosts))]
+    hits = [(rng.choice(FAULTS), n) for n in rng.sample(names, rng.choice((1, 1, 2)))]
+    messages.append(" and ".join(f"{fault.__name__} {name}" for fault, name in hits))
+    await asyncio.gather(*(fault(site, name, rng) for fault, name in hits))
+    await site.heal()
+
+
+def run(*, seconds: float = 60.0, seed: int = 1) -> int:
+    """Inject random faults under load and check what servers ran.
+
+    Parameters
+    ----------
+    seconds : float
+        How long faults are injected.
+    seed : int
+    """
+    messages = []
+
+    async def body(site):
+        rng = random.Random(seed)
+        end_s = time.monotonic() + seconds
+        async with site.load(RATES_PER_S):
+            while time.monotonic() < end_s:
+                await asyncio.sleep(rng.uniform(0.2, 1.0))
+                await inject(site, rng, messages)
+        outcomes = [result.outcome for result in site.results]
+        for outcome in sorted(set(outcomes)):
+            print(f"{outcome}: {outcomes.count(outcome)}")
+
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = make_fleet(Path(folder))
+        servers = [place.name for place in fleet.places]
+        try:
+            fleet.start()
+            exercise(fleet, body, seed, frozen_servers=servers)
+        except AssertionError as error:
+            print(*messages, f"seed {seed}: {error}", sep="\n")
+            return 1
+        finally:
+            fleet.end()
+    print(f"seed {seed}: {len(messages)} rounds of faults, every promise held")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run))
