Index members by service; tell followers only of services that they follow

The directory now keeps the members of each service and renews that index when a lease changed. A lease that ended or changed was named as gone to every node; it is now only named to those that follow a service of which that node ever had a server.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+from sapphireway_coordination._members import Member, index_members
 from sapphireway_coordination._neighbours import ADOPTION_GRACE_S, Neighbours
 from sapphireway_protocol import (
     LeaseEntry,
@@ -46,6 +47,8 @@
 
     __slots__ = (
         "_get_role",
+        "_indexed_version",
+        "_members",
         "_neighbours",
         "_next_scan_s",
         "_peers",
@@ -60,6 +63,8 @@
         get_role: Callable[[], str] = lambda: "",
     ):
         self._get_role = get_role
+        self._indexed_version = 0
+        self._members = {}
         self._neighbours = Neighbours(others)
         self._next_scan_s = float("-inf")
         self._peers = peers
@@ -73,6 +78,13 @@
         """Return the entries of all live nodes."""
         return [lease.entry for lease in self._table.list_all() if lease.alive]
 
+    def get_members(self, service: str) -> Sequence[Member]:
+        """Return the live members of a service."""
+        if self._indexed_version != self._table.version:
+            self._indexed_version = self._table.version
+            self._members = index_members(self.list_entries())
+        return self._members.get(service, ())
+
     async def run(self) -> None:
         """Expire leases and follow the other directories until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -114,7 +126,7 @@
         for changed in self._table.list_changed(message.version):
             if changed.alive and _serves(changed.entry, lease.services):
                 nodes.append(_narrow(changed.entry, lease.services))
-            else:
+            elif not changed.served.isdisjoint(lease.services):
                 gone.append(changed.entry.node)
         return Renewed(incarnation, version, False, nodes, gone, False, False)
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_members.py
@@ -1,6 +1,6 @@
 """What a node knows of the servers of a service."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from sapphireway_protocol import NodeEntry, ServerEntry
@@ -61,3 +61,12 @@
         slots=server.slots,
         leaving=server.leaving,
     )
+
+
+def index_members(entries: Iterable[NodeEntry]) -> dict[str, list[Member]]:
+    """Return the members of each service that the nodes serve."""
+    members = {}
+    for entry in entries:
+        for server in entry.servers:
+            members.setdefault(server.service, []).append(make_member(entry, server))
+    return members
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from sapphireway_coordination._members import Member, make_member
+from sapphireway_coordination._members import Member, index_members
 from sapphireway_protocol import (
     LoadReport,
     NodeEntry,
@@ -224,13 +224,7 @@
         self._rebuild()
 
     def _rebuild(self):
-        members = {}
-        for entry in self._nodes.values():
-            for server in entry.servers:
-                members.setdefault(server.service, []).append(
-                    make_member(entry, server)
-                )
-        self._members = members
+        self._members = index_members(self._nodes.values())
         self.revision += 1
 
 
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -6,7 +6,7 @@
 
 from sapphireway_coordination import Directory, Membership
 from sapphireway_coordination._neighbours import ADOPTION_GRACE_S
-from sapphireway_protocol import NodeEntry, Peers, ServerEntry
+from sapphireway_protocol import NodeEntry, Peers, Renewed, ServerEntry
 from sapphireway_transport.memory import MemoryNetwork, run_paused
 
 CONTROL = ("c0", "c1", "c2")
@@ -128,6 +128,36 @@
     assert run_paused(run()) == {"n0", "n2", "n3"}
 
 
+def test_directory_lists_members_by_service_as_they_change():
+    async def run():
+        fleet = await start_fleet(4)
+        directory = fleet.start_control("c0")
+        await asyncio.sleep(2)
+        before = len(directory.get_members("matching"))
+        fleet.nodes["n1"].set_servers([ServerEntry("s", "ledger", "x", 6)])
+        fleet.kill("n2")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        after = [m.node for m in directory.get_members("ledger")]
+        return before, len(directory.get_members("matching")), after
+
+    assert run_paused(run()) == (4, 2, ["n1"])
+
+
+def test_node_is_not_told_of_changes_in_services_that_it_does_not_follow():
+    async def run():
+        fleet = await start_fleet(2)
+        told = []
+        peers = fleet.peers["n0"]
+        peers.observe = lambda sender, envelope: told.append(envelope.message)
+        fleet.start_node("other", "ledger")
+        await asyncio.sleep(1)
+        fleet.kill("other")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return [m for m in told if isinstance(m, Renewed) and (m.nodes or m.gone)]
+
+    assert run_paused(run()) == []
+
+
 @pytest.mark.parametrize("killed", [("c0",), ("c0", "c1"), CONTROL])
 def test_views_outlast_lost_control_hosts(killed):
     async def run():
--- a/packages/sapphireway-state/src/sapphireway_state/_leases.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_leases.py
@@ -32,6 +32,8 @@
         Requests handed to that server; only known at the owner.
     services : frozenset of str or None
         Services that the node follows; only known at the owner.
+    served : frozenset of str
+        Services of which the node at this address ever had a server.
     """
 
     entry: NodeEntry
@@ -45,6 +47,7 @@
     load: LoadReport | None = None
     started: int = 0
     services: frozenset | None = None
+    served: frozenset = frozenset()
 
 
 class LeaseTable:
@@ -95,6 +98,7 @@
             expires_s,
             held.version if held else 0,
             services=held.services if held else None,
+            served=held.served if held else frozenset(),
         )
         self._leases[entry.node] = lease
         self._note_change(lease)
@@ -147,6 +151,7 @@
         )
 
     def _note_change(self, lease):
+        lease.served = lease.served.union(s.service for s in lease.entry.servers)
         self._changes.pop(lease.version, None)
         self.version += 1
         lease.version = self.version
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -24,7 +24,6 @@
     QuorumStatus,
     Role,
     StateInForce,
-    make_member,
 )
 from sapphireway_protocol import Peers, SettingsUpdate
 from sapphireway_state import (
@@ -108,7 +107,7 @@
         self._keeper = ClaimKeeper(
             peers,
             self._list_services,
-            self._get_members,
+            self._directory.get_members,
             self._machine.groups.get_group,
             self._get_unsure_s,
             self._propose_group,
@@ -182,15 +181,6 @@
     def _list_services(self):
         return list(self._machine.settings.tree.get("services", {}))
 
-    def _get_members(self, service):
-        entries = self._directory.list_entries()
-        return [
-            make_member(entry, server)
-            for entry in entries
-            for server in entry.servers
-            if server.service == service
-        ]
-
     def _get_unsure_s(self, service):
         view = self._state.view
         kinds = view.tree.get("services", {}).get(service, {}).get("kinds", {})
