--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -36,9 +36,10 @@
     Role,
     SettingsChannel,
     StateInForce,
+    index_members,
 )
 from sapphireway_protocol import ClaimGroup, NodeEntry, Peers, ServerEntry
-from sapphireway_state import Edit, SetValue
+from sapphireway_state import Edit, LeaseTable, SetValue
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, run_paused
 
 SIZES = (12, 50, 200, 800, 2400)
@@ -398,35 +399,67 @@
     show(fleet, "heal", before, HEAL_S, "per second after healing")
 
 
-async def measure_memory(nodes):
-    """Print the memory of all nodes and control hosts for each of them."""
-    fleet = Fleet(nodes)
-    tracemalloc.start()
-    fleet.start()
-    await fleet.edit(0)
-    await asyncio.sleep(SETTLE_S)
+def show_memory(what, build):
+    """Print the memory that the result of `build` holds."""
     gc.collect()
-    whole = tracemalloc.get_traced_memory()[0]
-    kept = list(fleet.nodes)
-    for address in kept:
-        fleet.kill(address)
-    await asyncio.sleep(0)
+    tracemalloc.start()
+    kept = build()
     gc.collect()
-    rest = tracemalloc.get_traced_memory()[0]
+    held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    print(
-        f"{nodes:>5} memory   node     {(whole - rest) / nodes / 1024:9.1f} KB"
-        f"   control  {rest / CONTROL_HOSTS / 1024:9.1f} KB",
-        flush=True,
-    )
+    print(f"memory {held / 1024:10.1f} KB  {what}", flush=True)
+    return kept
+
+
+def build_leases(count):
+    """Return a directory's table of leases as decoded from renewals."""
+    table = LeaseTable("c0")
+    for number in range(count):
+        server = ServerEntry(f"s{number}", f"s{number % SERVICES_MAX}", f"{number}", 6)
+        entry = NodeEntry(
+            f"n{number}", "domain-0", "region-0", f"{number:016x}", 1.0, 1, [server]
+        )
+        content = msgspec.msgpack.encode(entry)
+        entry = msgspec.msgpack.decode(content, type=NodeEntry)
+        lease = table.admit(entry, 0.0)
+        lease.services = frozenset(f"s{number + i}" for i in range(FOLLOWED_SERVICES))
+    return table
+
+
+def build_members(count):
+    """Return what a node keeps of the members that it follows."""
+    leases = build_leases(count).list_all()
+    entries = {lease.entry.node: lease.entry for lease in leases}
+    return entries, index_members(entries.values())
+
+
+def build_state():
+    """Return the settings tree that a node has in force, used once."""
+    machine = ControlMachine()
+    edit = Edit("e", 0, [SetValue("", build_tree())], "operator")
+    machine.apply(1, TREE_PREFIX + msgspec.msgpack.encode(edit))
+    state = StateInForce()
+    state.apply(machine.make_update(0, 0))
+    for service in range(FOLLOWED_SERVICES):
+        state.view.resolve("domain-0", f"s{service}", "k0")
+    return state, machine
+
+
+def measure_memory():
+    """Print the memory of each role's state at the target size."""
+    count = SERVICES_MAX * SERVERS_PER_SERVICE
+    show_memory(f"{count} leases of a directory", lambda: build_leases(count))
+    followed = FOLLOWED_SERVICES * SERVERS_PER_SERVICE
+    show_memory(f"{followed} members of a node", lambda: build_members(followed))
+    show_memory("tree of a node", lambda: build_state()[0])
+    show_memory("tree of a node and a control host's machine", build_state)
 
 
 def main(sizes=SIZES):
-    """Print the rows of each size."""
+    """Print the rows of each size, and the memory of each role's state."""
+    measure_memory()
     for size in sizes:
         run_paused(run_phases(size))
-    for size in sizes[:3]:
-        run_paused(measure_memory(size))
 
 
 if __name__ == "__main__":
--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import sys
 
 from benchmarks.capacity import Fleet
@@ -69,7 +70,7 @@
     times = [when - began_s for when in list_times()]
     missing = len(waiting) - len(times)
     times.extend([float("inf")] * missing)
-    most = times[max(0, -int(-MOST * len(times)) - 1)]
+    most = times[math.ceil(MOST * len(times)) - 1]
     return most, times[-1], missing
 
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,9 +1,13 @@
-"""Fixed costs of real processes: ``python -m benchmarks.processes``.
+"""Fixed costs of real processes, and edits coming into force at them.
+
+Run by ``python -m benchmarks.processes``.
 
 Nodes that stand idle, beside three control hosts, on loopback addresses. Processor
 time and memory are the operating system's own figures for each process.
 """
 
+import json
+import math
 import os
 import re
 import signal
@@ -25,6 +29,11 @@
 MEASURED_S = 20.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KB_PER_MB = 1024
+TOKEN = "benchmark-operator-token"
+EDITS = 3
+EDIT_WAIT_S = 6.0
+EDIT_TIMEOUT_S = 20.0
+MOST = 0.99
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +79,9 @@
 
     def start(self) -> None:
         """Start every process."""
+        token = self._folder / "token"
+        token.touch(mode=0o600)
+        token.write_text(TOKEN)
         for number, host in enumerate(self.hosts):
             self.start_process(host, f"domain-{number % CONTROL_HOSTS}")
 
@@ -83,6 +95,7 @@
             "region": "be-central",
             "data_folder": str(self._folder / host),
             "control_hosts": [f"{control}:7100" for control in self.control_hosts],
+            "token_file": str(self._folder / "token"),
         }
         if host in self.control_hosts:
             settings |= {"control": True, "bootstrap": True}
@@ -110,9 +123,14 @@
             metrics["sapphireway_peer_bytes_sent"],
         )
 
+    def send_signal(self, host: str, number: int) -> None:
+        """Send a signal to the host's process."""
+        self._running[host].send_signal(number)
+
     def stop(self) -> None:
         """End every process."""
         for process in self._running.values():
+            process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
         for process in self._running.values():
             process.wait()
@@ -163,10 +181,84 @@
     )
 
 
+def ask(host, path, body=None):
+    """Return the decoded answer of a process's operator address."""
+    request = urllib.request.Request(f"http://{host}:9090{path}")
+    request.add_header("Authorization", f"Bearer {TOKEN}")
+    if body is not None:
+        request.data = json.dumps(body).encode()
+    with urllib.request.urlopen(request, timeout=EDIT_TIMEOUT_S) as answer:
+        return json.load(answer)
+
+
+def measure_edit(processes, asked, number, lost):
+    """Return seconds until 99% and all have an edit, and how many lack it."""
+    base = ask(asked, "/v1/settings")["version"]
+    operations = [{"op": "set", "path": "deadline_ms", "value": 2000 + number}]
+    body = {
+        "edit_id": f"edit-{time.time()}",
+        "base": base,
+        "operations": operations,
+        "operator": "benchmark",
+    }
+    version = ask(asked, "/v1/edits", body)["version"]
+    accepted_s = time.time()
+    time.sleep(EDIT_WAIT_S)
+    report = ask(asked, "/v1/status")
+    now_s = time.time()
+    nodes = [n for n in report["nodes"] if n["node"].rpartition(":")[0] not in lost]
+    took = sorted(
+        max(0.0, now_s - n["in_force_s"] - accepted_s)
+        for n in nodes
+        if n["version"] >= version
+    )
+    missing = len(processes.hosts) - len(lost) - len(took)
+    took.extend([float("inf")] * missing)
+    return took[math.ceil(MOST * len(took)) - 1], took[-1], missing
+
+
+def measure_in_force(size):
+    """Print how long edits take with all hosts, one frozen, and the leader killed."""
+    with tempfile.TemporaryDirectory() as folder:
+        processes = Processes(Path(folder), size)
+        try:
+            processes.start()
+            time.sleep(SETTLE_S + size / 4)
+            for condition in ("calm", "frozen", "killed"):
+                show_in_force(processes, condition)
+        finally:
+            processes.stop()
+
+
+def show_in_force(processes, condition):
+    """Print the worst of some edits under one condition."""
+    asked = processes.hosts[-1]
+    leader = ask(asked, "/v1/status")["leader"].rpartition(":")[0]
+    others = [host for host in processes.control_hosts if host != leader]
+    lost = set()
+    if condition == "frozen":
+        lost = {others[0]}
+        processes.send_signal(others[0], signal.SIGSTOP)
+    elif condition == "killed":
+        lost = {leader}
+        processes.send_signal(leader, signal.SIGKILL)
+    rows = [measure_edit(processes, asked, n, lost) for n in range(EDITS)]
+    if condition == "frozen":
+        processes.send_signal(others[0], signal.SIGCONT)
+        time.sleep(SETTLE_S)
+    most, last, missing = (max(row[i] for row in rows) for i in range(3))
+    print(
+        f"{len(processes.hosts):>5} {condition:<7} worst of {EDITS} edits: 99% in"
+        f" {most:.2f} s, all in {last:.2f} s, without it: {missing}",
+        flush=True,
+    )
+
+
 def main(sizes=SIZES):
-    """Measure each size."""
+    """Measure each size, and edits at the last one."""
     for size in sizes:
         measure(size)
+    measure_in_force(sizes[-1])
 
 
 if __name__ == "__main__":
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -82,7 +82,12 @@
 )
 from sapphireway_coordination._in_force import StateInForce
 from sapphireway_coordination._invariant import InvariantError, require
-from sapphireway_coordination._members import GetMembers, Member, make_member
+from sapphireway_coordination._members import (
+    GetMembers,
+    Member,
+    index_members,
+    make_member,
+)
 from sapphireway_coordination._membership import Membership, NodeReport
 from sapphireway_coordination._quorum import Quorum
 from sapphireway_coordination._quorum_types import (
@@ -193,6 +198,7 @@
     "choose_predicted",
     "choose_random",
     "choose_two",
+    "index_members",
     "make_choose_round_robin",
     "make_member",
     "require",
