--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -6,12 +6,14 @@
 from sapphireway_coordination._members import Member, index_members
 from sapphireway_coordination._neighbours import ADOPTION_GRACE_S, Neighbours
 from sapphireway_protocol import (
+    ControlHostState,
     LeaseEntry,
     ListNodes,
     NodeEntry,
     NodeList,
     NodeStatus,
     Peers,
+    ReadControlHost,
     Renew,
     Renewed,
     SyncedLeases,
@@ -41,12 +43,12 @@
     peers : Peers
     others : sequence of str
         Addresses of the other control hosts.
-    get_role : callable
-        Returns this host's role in the control quorum, for operators.
+    get_host_state : callable
+        Returns this host's state in the control quorum, for operators.
     """
 
     __slots__ = (
-        "_get_role",
+        "_get_host_state",
         "_indexed_version",
         "_members",
         "_neighbours",
@@ -60,9 +62,9 @@
         self,
         peers: Peers,
         others: Sequence[str],
-        get_role: Callable[[], str] = lambda: "",
+        get_host_state: Callable[[], ControlHostState | None] = lambda: None,
     ):
-        self._get_role = get_role
+        self._get_host_state = get_host_state
         self._indexed_version = 0
         self._members = {}
         self._neighbours = Neighbours(others)
@@ -73,6 +75,7 @@
         peers.handle(Renew, self._renew)
         peers.handle(SyncLeases, self._receive)
         peers.handle(ListNodes, self._list_nodes)
+        peers.handle(ReadControlHost, self._tell_host)
 
     def list_entries(self) -> list[NodeEntry]:
         """Return the entries of all live nodes."""
@@ -229,6 +232,7 @@
         self._peers.reply(sender, envelope, reply)
 
     def _list_nodes(self, sender, envelope):
+        now_s = asyncio.get_running_loop().time()
         nodes = [
             NodeStatus(
                 lease.entry,
@@ -239,9 +243,20 @@
                 lease.started,
             )
             for lease in self._table.list_all()
-            if lease.owner == self._peers.address
+            if self._speaks_for(lease.owner, now_s)
         ]
-        self._peers.reply(sender, envelope, NodeList(nodes, self._get_role()))
+        self._peers.reply(sender, envelope, NodeList(nodes, self._get_host_state()))
+
+    def _speaks_for(self, owner, now_s):
+        # A node must not vanish from the status together with its directory.
+        if owner == self._peers.address:
+            return True
+        return not self._is_reachable(owner, now_s) and self._has_majority(now_s)
+
+    def _tell_host(self, sender, envelope):
+        state = self._get_host_state()
+        if state is not None:
+            self._peers.reply(sender, envelope, state)
 
 
 def _presents_newer(sender, entry, lease):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -31,6 +31,7 @@
 )
 from sapphireway_protocol._clocks import PeerClock, PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
+from sapphireway_protocol._control_hosts import ControlHostState, ReadControlHost
 from sapphireway_protocol._membership import (
     HeardDirectory,
     LeaseEntry,
@@ -113,6 +114,7 @@
     "ClaimStatusRequest",
     "ClearSuspect",
     "Codec",
+    "ControlHostState",
     "ControlReply",
     "EntryCopy",
     "EntryKind",
@@ -149,6 +151,7 @@
     "Propose",
     "Query",
     "QuorumMember",
+    "ReadControlHost",
     "Renew",
     "Renewed",
     "Reply",
