Send the uptime in place of the start; follow the neighbours' new interface

Cause: envelopes had grown by the start of the sender's clock, so that a quorum at rest took 100.8 bytes a message, above the bound of 100. Two changes that met in the directory called a method that one of them had moved.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -251,7 +251,7 @@
         # A node must not vanish from the status together with its directory.
         if owner == self._peers.address:
             return True
-        return not self._is_reachable(owner, now_s) and self._has_majority(now_s)
+        return not self._neighbours.is_trusted(owner, now_s)
 
     def _tell_host(self, sender, envelope):
         state = self._get_host_state()
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -26,6 +26,8 @@
     *_suspects.MESSAGES,
 )
 
+MS_PER_S = 1000
+
 
 class _Header(msgspec.Struct, frozen=True, array_like=True):
     request_id: int
@@ -33,7 +35,7 @@
     incarnation: str
     clock_s: float
     settings_version: int
-    started_s: float
+    uptime_ms: int
     message: Union[MESSAGES]  # noqa: UP007 (the union is computed)
 
 
@@ -88,7 +90,7 @@
             envelope.incarnation,
             envelope.clock_s,
             envelope.settings_version,
-            envelope.started_s,
+            int((envelope.clock_s - envelope.started_s) * MS_PER_S),
             envelope.message,
         )
         frame = self._encoder.encode(header)
@@ -112,5 +114,5 @@
             header.incarnation,
             header.clock_s,
             header.settings_version,
-            header.started_s,
+            header.clock_s - header.uptime_ms / MS_PER_S,
         )
