--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -116,7 +116,7 @@
     "token_file": _PATH,
     "trace_file": _PATH,
     "header_max_bytes": make_integer(1_024, MIB, "bytes"),
-    "claim_memory_max_bytes": make_integer(0, 16_384 * MIB, "bytes"),
+    "claim_memory_max_bytes": make_integer(MIB, 16_384 * MIB, "bytes"),
     "journal_segment_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
     "journal_compact_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
     "journal_max_bytes": make_integer(4 * MIB, 16_384 * MIB, "bytes"),
--- /dev/null
+++ b/packages/sapphireway/tests/test_node.py
@@ -0,0 +1,83 @@
+import asyncio
+
+import pytest
+
+from sapphireway._logs import EventLog
+from sapphireway._node import Node
+from sapphireway_coordination import TREE_PREFIX, ControlMachine
+from sapphireway_state import Edit, ProcessSettings, SetValue, encode_edit
+
+ADDRESS = "127.0.19.1:{}"
+
+
+@pytest.fixture
+def settings(tmp_path):
+    return ProcessSettings(
+        ADDRESS.format(7100),
+        ADDRESS.format(8080),
+        ADDRESS.format(9090),
+        "bxl-a",
+        "be",
+        str(tmp_path),
+        (ADDRESS.format(7100),),
+        control=True,
+        claim_memory_max_bytes=3_000_000,
+    )
+
+
+def put_in_force(node, tree):
+    machine = ControlMachine()
+    edit = Edit("e", 0, [SetValue("", tree)], "an", "", 1.0)
+    machine.apply(1, TREE_PREFIX + encode_edit(edit))
+    node._state.apply(machine.make_update(0, 0))
+    assert node._state.version == 1
+
+
+@pytest.fixture
+def wired(settings):
+    """Return what `look` sees of a node that is built but not started."""
+
+    def wired(tree, look):
+        async def run():
+            node = Node(settings, EventLog())
+            put_in_force(node, tree)
+            try:
+                return look(node)
+            finally:
+                await node._close()
+
+        return asyncio.run(run())
+
+    return wired
+
+
+def test_claim_memory_comes_from_the_process_settings(wired):
+    assert (
+        wired({"weight": 5}, lambda node: node._holder._space.limit_bytes) == 3_000_000
+    )
+
+
+@pytest.mark.parametrize(
+    ("tree", "unsure", "size"),
+    [
+        ({"weight": 5}, False, 3),
+        ({"claim_run_when_unsure": True, "claim_losses_max": 2}, True, 5),
+        (
+            {
+                "claim_losses_max": 2,
+                "services": {
+                    "ledger": {"claim_run_when_unsure": True, "claim_losses_max": 1}
+                },
+            },
+            True,
+            3,
+        ),
+    ],
+)
+def test_claim_settings_come_from_the_tree(wired, tree, unsure, size):
+    def look(node):
+        table = node._holder._make_table("ledger/4")
+        keeper = node._control._keeper
+        return table._may_run_unsure(), keeper._get_size("ledger/4")
+
+    assert wired(tree, look) == (unsure, size)
