--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -4,11 +4,16 @@
 import pytest
 from tests.quorum_cluster import Cluster
 
-from sapphireway._control_hosts import ControlHosts, make_state
+from sapphireway._control_hosts import (
+    ControlHosts,
+    find_leader,
+    find_members,
+    make_state,
+)
 from sapphireway._operations import Operations
 from sapphireway._operator_backend import ChangeRefused, Unavailable
 from sapphireway_coordination import Directory, Membership, StateInForce
-from sapphireway_protocol import NodeEntry
+from sapphireway_protocol import ControlHostState, NodeEntry, QuorumMember
 from sapphireway_state import ControlHostsChange
 from sapphireway_transport.memory import run_paused
 
@@ -28,7 +33,7 @@
         )
         return self
 
-    def serve(self, address):
+    def serve(self, address, renew_with=None):
         host = self.cluster.hosts[address]
         others = [other for other in self.cluster.addresses if other != address]
         directory = Directory(
@@ -36,13 +41,17 @@
         )
         entry = NodeEntry(address, "a", "be", host.peers.incarnation, 1.0, 0, [])
         membership = Membership(
-            host.peers, self.cluster.addresses, entry, random.Random(1)
+            host.peers,
+            renew_with or self.cluster.addresses,
+            entry,
+            random.Random(1),
         )
         return [asyncio.ensure_future(part.run()) for part in (directory, membership)]
 
     async def start_host(self, address):
         await self.cluster.start(address, bootstrap=False)
-        self.tasks[address] = self.serve(address)
+        # What only its own directory knows is learnt from nobody else.
+        self.tasks[address] = self.serve(address, [address])
 
     def crash(self, address):
         self.cluster.crash(address)
@@ -133,13 +142,35 @@
     assert (await operated.list_members())["c3"] == "expected"
     await operated.start_host("c3")
     await operated.wait_for("c3", "voter")
+    (added,) = (
+        h for h in (await operated.hosts.list_hosts()).hosts if h.address == "c3"
+    )
+    assert (added.reachable, added.role) == (True, "follower")
+    await asyncio.sleep(5.0)
+    nodes = {node.node: node for node in (await operated.operations.get_status()).nodes}
+    assert (nodes["c3"].alive, nodes["c3"].role) == (True, "follower")
     report = await operated.change(remove=["c0"])
     members = {host.address: host.member for host in report.hosts}
     assert members == {"c0": "none", "c1": "voter", "c2": "voter", "c3": "voter"}
 
 
+def test_latest_term_outranks_a_leader_that_is_cut_off():
+    def make(term, member):
+        members = [QuorumMember(member, "d", True)]
+        return ControlHostState(
+            "leader", "c", "d", term, "", 9 - term, 9, members, "ok", ""
+        )
+
+    for states in (
+        {"c0": make(1, "old"), "c1": make(2, "new")},
+        {"c0": make(2, "new"), "c1": make(1, "old")},
+    ):
+        assert states[find_leader(states)].term == 2
+        assert [member.address for member in find_members(states)] == ["new"]
+
+
 @operate()
-async def test_newer_term_outranks_an_isolated_leader(operated):
+async def test_isolated_leader_is_not_reported(operated):
     cluster = operated.cluster
     old = cluster.leader()
     for other in cluster.addresses:
