Try each directory once while a node looks for one that it can reach

A node cut off from its directory and from most others tried each for two renewals, 0.8 s, and drew the next one with repetition; its lease runs out after 1.3 s. Now a directory that has not answered gets one try, and none comes twice before all were tried. The new test is red on the code before. Asking several directories at once was ruled out: each that hears a renewal would take the lease over.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -231,7 +231,7 @@
 
     def _follow(self, process):
         number = int(process.address[1:])
-        own = number % self.services
+        own = number // SERVERS_PER_SERVICE % self.services
         server = ServerEntry(f"s{number}", f"s{own}", process.peers.incarnation, 6)
         process.membership.set_servers([server])
         for step in range(min(FOLLOWED_SERVICES, self.services)):
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -162,19 +162,19 @@
     show(size, "node", [(before[h], after[h]) for h in nodes])
 
 
-def show(size, role, pairs):
+def show(size, role, pairs, measured_s=MEASURED_S):
     """Print the mean of a role's processes."""
 
     def average(find):
         return sum(find(before, after) for before, after in pairs) / len(pairs)
 
-    core = average(lambda x, y: y.processor_s - x.processor_s) / MEASURED_S * 100
-    messages = average(lambda x, y: y.messages - x.messages) / MEASURED_S
-    sent_bytes = average(lambda x, y: y.message_bytes - x.message_bytes) / MEASURED_S
+    core = average(lambda x, y: y.processor_s - x.processor_s) / measured_s * 100
+    messages = average(lambda x, y: y.messages - x.messages) / measured_s
+    sent_bytes = average(lambda x, y: y.message_bytes - x.message_bytes) / measured_s
     resident = average(lambda x, y: y.resident_kb) / KB_PER_MB
     anonymous = average(lambda x, y: y.anonymous_kb) / KB_PER_MB
     print(
-        f"{size:>5} {role:<13} {core:6.2f}% of a core {messages:6.1f} messages/s"
+        f"{size:>5g} {role:<13} {core:6.2f}% of a core {messages:6.1f} messages/s"
         f" {sent_bytes:7.0f} B/s {resident:6.1f} MB resident"
         f" {anonymous:6.1f} MB anonymous",
         flush=True,
--- /dev/null
+++ b/benchmarks/renewals.py
@@ -0,0 +1,104 @@
+"""What a real control host spends on many nodes: ``python -m benchmarks.renewals``.
+
+Three control hosts are processes of their own. The nodes are stand-ins in this
+process: each has the real membership code, an address and sockets.
+"""
+
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+import zmq
+
+from benchmarks.capacity import FOLLOWED_SERVICES, SERVERS_PER_SERVICE
+from benchmarks.processes import CONTROL_HOSTS, SETTLE_S, Processes, show
+from sapphireway_coordination import Membership
+from sapphireway_protocol import NodeEntry, Peers, ServerEntry
+from sapphireway_transport import ZmqEndpoint
+
+SIZES = (30, 150, 600)
+NODE_HOSTS = "127.0.78"
+NODES_PER_HOST = 200
+FIRST_PORT = 7200
+DOMAINS = 16
+MEASURED_S = 10.0
+NODES_SETTLE_S = 8.0
+SOCKETS_MAX = 8192
+
+
+class SharedContext:
+    """A context that outlives the endpoints: each of its own has two threads."""
+
+    __slots__ = ("_context", "socket")
+
+    def __init__(self):
+        self._context = zmq.Context(io_threads=1)
+        self._context.max_sockets = SOCKETS_MAX
+        self.socket = self._context.socket
+
+    def term(self):
+        """Do nothing, as other endpoints still use the context."""
+
+    def close(self):
+        """Close what is left and end the threads."""
+        self._context.destroy(0)
+
+
+def start_node(context, number, count, directories, rng):
+    """Start one stand-in; return its parts."""
+    host, port = divmod(number, NODES_PER_HOST)
+    endpoint = ZmqEndpoint(f"{NODE_HOSTS}.{host + 1}:{FIRST_PORT + port}")
+    endpoint._context.term()
+    endpoint._context = context
+    peers = Peers(endpoint, f"{number:016x}")
+    domain = f"domain-{number % DOMAINS}"
+    entry = NodeEntry(peers.address, domain, "region-0", peers.incarnation, 1.0, 0, [])
+    membership = Membership(peers, directories, entry, rng)
+    services = max(1, count // SERVERS_PER_SERVICE)
+    own = number // SERVERS_PER_SERVICE % services
+    server = ServerEntry(f"s{number}", f"s{own}", peers.incarnation, 6)
+    membership.set_servers([server])
+    for step in range(min(FOLLOWED_SERVICES, services)):
+        membership.get_members(f"s{(own + step) % services}")
+    peers.start()
+    task = asyncio.get_running_loop().create_task(membership.run())
+    return peers, task
+
+
+async def measure(size):
+    """Print what the control hosts spend on `size` nodes."""
+    rng = random.Random(1)
+    context = SharedContext()
+    with tempfile.TemporaryDirectory() as folder:
+        processes = Processes(Path(folder), 0)
+        try:
+            processes.start()
+            await asyncio.sleep(SETTLE_S)
+            directories = [f"{host}:7100" for host in processes.control_hosts]
+            nodes = [
+                start_node(context, number, size, directories, rng)
+                for number in range(size)
+            ]
+            await asyncio.sleep(NODES_SETTLE_S)
+            before = {host: processes.read(host) for host in processes.hosts}
+            await asyncio.sleep(MEASURED_S)
+            pairs = [(before[h], processes.read(h)) for h in processes.hosts]
+        finally:
+            processes.stop()
+    show(size / CONTROL_HOSTS, "control host", pairs, MEASURED_S)
+    for peers, task in nodes:
+        task.cancel()
+        peers.close()
+    context.close()
+
+
+def main(sizes=SIZES):
+    """Measure each size; a row begins with the nodes for each control host."""
+    for size in sizes:
+        asyncio.run(measure(size))
+
+
+if __name__ == "__main__":
+    main(tuple(map(int, sys.argv[1:])) or SIZES)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -77,6 +77,7 @@
         "_send_entry",
         "_send_services",
         "_services",
+        "_untried",
         "_version",
         "_view_changed",
         "_viewed",
@@ -105,6 +106,7 @@
         self._send_entry = True
         self._send_services = True
         self._services = set()
+        self._untried = None
         self._version = 0
         self._view_changed = asyncio.Event()
         self._viewed = frozenset()
@@ -146,13 +148,16 @@
         """Renew until cancelled."""
         failures = 0
         while True:
-            renewed = await self._renew()
-            failures = 0 if renewed else failures + 1
-            if failures >= RENEWALS_UNTIL_MOVE:
-                self._move()
+            if await self._renew():
                 failures = 0
-            if renewed:
+                self._untried = None
                 await self._pause()
+                continue
+            failures += 1
+            # One that has not answered yet gets a single try: the lease runs out
+            # while the node looks for a directory that it can reach.
+            if self._untried is not None or failures >= RENEWALS_UNTIL_MOVE:
+                self._move()
 
     async def _pause(self):
         await asyncio.sleep(RENEW_SPACING_S)
@@ -168,9 +173,11 @@
         self._wake.clear()
 
     def _move(self):
-        others = [d for d in self._directories if d != self.directory]
-        if others:
-            self.directory = self._rng.choice(others)
+        if not self._untried:
+            self._untried = [d for d in self._directories if d != self.directory]
+            self._rng.shuffle(self._untried)
+        if self._untried:
+            self.directory = self._untried.pop()
         self._send_entry = True
         self._send_services = True
 
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -11,6 +11,7 @@
 
 CONTROL = ("c0", "c1", "c2")
 DEAD_WITHIN_S = 2.0
+FIND_WITHIN_S = 1.8
 
 
 @dataclass
@@ -246,6 +247,17 @@
     assert all(bool(lost & view) is isolated for view in views)
 
 
+def test_node_that_reaches_one_directory_only_finds_it_in_time():
+    async def run(seed):
+        fleet = await start_fleet(6, seed)
+        reached = next(c for c in CONTROL if c != fleet.nodes["n2"].directory)
+        fleet.isolate("n2", [c for c in CONTROL if c != reached])
+        await asyncio.sleep(FIND_WITHIN_S)
+        return fleet.nodes["n2"].directory == reached
+
+    assert all(run_paused(run(seed)) for seed in range(10))
+
+
 def test_node_isolated_from_all_is_dropped_and_returns():
     async def run():
         fleet = await start_fleet(6)
