Send followers the claim groups that changed, not all of them

Control hosts and followers now keep the position of each group's last change, or a later one where they do not know it, and send what lies after the follower's.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
@@ -27,9 +27,16 @@
         Position in the journal of the last change of a claim group.
     """
 
-    __slots__ = ("_on_change", "groups", "groups_version", "settings")
+    __slots__ = (
+        "_group_versions",
+        "_on_change",
+        "groups",
+        "groups_version",
+        "settings",
+    )
 
     def __init__(self, on_change=lambda: None):
+        self._group_versions = {}
         self._on_change = on_change
         self.groups = ClaimGroupMachine()
         self.groups_version = 0
@@ -70,7 +77,12 @@
             tree = self.settings.get_changes(tree_version)
         groups = None
         if groups_version != self.groups_version:
-            groups = self.groups.list_groups()
+            versions = self._group_versions
+            groups = [
+                group
+                for group in self.groups.list_groups()
+                if versions[group.name] > groups_version
+            ]
         return SettingsUpdate(self.version, tree, self.groups_version, groups)
 
     def snapshot(self) -> bytes:
@@ -87,11 +99,16 @@
         self.settings.restore(snapshot.tree)
         self.groups.restore(snapshot.groups)
         self.groups_version = snapshot.groups_version
+        # When each changed is not kept; the latest time for all repeats some.
+        self._group_versions = {
+            group.name: self.groups_version for group in self.groups.list_groups()
+        }
         self._on_change()
 
     def _apply_group(self, index, content):
-        before = self.groups.list_groups()
+        before = {group.name: group for group in self.groups.list_groups()}
         result = self.groups.apply(index, content)
-        if self.groups.list_groups() != before:
-            self.groups_version = index
+        for group in self.groups.list_groups():
+            if group != before.get(group.name):
+                self._group_versions[group.name] = self.groups_version = index
         return result
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
@@ -14,7 +14,7 @@
     Parameters
     ----------
     on_groups : callable
-        Called with each claim group whenever the groups change.
+        Called with each claim group that may have changed.
 
     Attributes
     ----------
@@ -26,6 +26,7 @@
     """
 
     __slots__ = (
+        "_group_versions",
         "_groups",
         "_on_groups",
         "_tree",
@@ -35,6 +36,7 @@
     )
 
     def __init__(self, on_groups: Callable[[ClaimGroup], None] = lambda group: None):
+        self._group_versions = {}
         self._groups = {}
         self._on_groups = on_groups
         self._tree = SettingsFollower()
@@ -58,7 +60,11 @@
             tree = self._tree.get_changes(tree_version)
         groups = None
         if groups_version != self.groups_version:
-            groups = list(self._groups.values())
+            groups = [
+                group
+                for name, group in self._groups.items()
+                if self._group_versions[name] > groups_version
+            ]
         return SettingsUpdate(self.version, tree, self.groups_version, groups)
 
     def apply(self, update: SettingsUpdate) -> Applied:
@@ -71,7 +77,12 @@
                 self.fault = self._tree.fault
                 return applied
         if update.groups is not None:
-            self._groups = {group.name: group for group in update.groups}
+            # A group may have changed earlier than the update says; whoever
+            # follows from here then gets it once more.
+            self._groups |= {group.name: group for group in update.groups}
+            self._group_versions |= dict.fromkeys(
+                (group.name for group in update.groups), update.groups_version
+            )
             self.groups_version = update.groups_version
         self.version = update.version
         for group in update.groups or ():
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -5,12 +5,14 @@
 import pytest
 
 from sapphireway_coordination import (
+    GROUP_PREFIX,
     TREE_PREFIX,
     ControlMachine,
+    GroupChange,
     SettingsChannel,
     StateInForce,
 )
-from sapphireway_protocol import Peers, Probe, SettingsUpdate
+from sapphireway_protocol import GroupHolder, Peers, Probe, SettingsUpdate
 from sapphireway_state import Applied, Edit, SetValue
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, run_paused
 
@@ -154,3 +156,45 @@
     restored.restore(machine.snapshot())
     assert restored.version == 3
     assert restored.snapshot() == machine.snapshot()
+
+
+def change_group(machine, index, name, epoch):
+    holders = (GroupHolder(f"node-{index}", "1", "domain"),)
+    change = GroupChange(name, epoch, holders)
+    machine.apply(index, GROUP_PREFIX + msgspec.msgpack.encode(change))
+
+
+def test_followers_get_only_the_groups_that_changed(network, machine):
+    first, second, late = (StateInForce() for _ in range(3))
+    sent = []
+
+    def follow(state, source):
+        update = source.make_update(state.view.version, state.groups_version)
+        sent.append([group.name for group in update.groups or ()])
+        state.apply(update)
+
+    change_group(machine, 1, "a", 0)
+    change_group(machine, 2, "b", 0)
+    follow(first, machine)
+    follow(second, first)
+    change_group(machine, 3, "b", 1)
+    follow(first, machine)
+    follow(second, first)
+    change_group(machine, 4, "c", 0)
+    follow(first, machine)
+    follow(second, machine)
+    follow(late, second)
+    assert sent == [["a", "b"], ["a", "b"], ["b"], ["b"], ["c"], ["c"], ["a", "b", "c"]]
+    groups = [[state.get_group(name) for name in "abc"] for state in (first, late)]
+    assert groups == [machine.groups.list_groups()] * 2
+
+
+def test_restored_machine_sends_every_group_that_may_have_changed(machine):
+    change_group(machine, 1, "a", 0)
+    state = StateInForce()
+    state.apply(machine.make_update(0, 0))
+    change_group(machine, 2, "a", 1)
+    restored = ControlMachine()
+    restored.restore(machine.snapshot())
+    state.apply(restored.make_update(0, state.groups_version))
+    assert state.get_group("a") == machine.groups.get_group("a")
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -49,7 +49,8 @@
         empty if that version is current.
     groups_version : int
     groups : list of ClaimGroup or None
-        All claim groups; None if the version that was named is current.
+        Claim groups that changed since the version that was named; none ever ends.
+        None if that version is current.
     """
 
     version: int
