--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -81,7 +81,6 @@
     SuspectMarked,
 )
 from sapphireway_coordination._in_force import StateInForce
-from sapphireway_coordination._invariant import InvariantError, require
 from sapphireway_coordination._members import (
     GetMembers,
     Member,
@@ -163,7 +162,6 @@
     "HolderChanged",
     "HolderSettings",
     "HolderState",
-    "InvariantError",
     "KeeperSettings",
     "LimitChanged",
     "Member",
@@ -201,5 +199,4 @@
     "index_members",
     "make_choose_round_robin",
     "make_member",
-    "require",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_budgets.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_budgets.py
@@ -1,6 +1,6 @@
 """Token budgets that bound retries, hedges and probes."""
 
-from sapphireway_coordination._invariant import require
+from sapphireway_state import check_invariant
 
 RETRY_RESERVE = 10.0
 RETRY_TOKENS_MAX = 100.0
@@ -45,7 +45,7 @@
             return False
         self._tokens -= 1.0
         self.spent += 1
-        require(self.spent <= self._allowed + 1e-6, "retry budget exceeded")
+        check_invariant(self.spent <= self._allowed + 1e-6, "retry budget exceeded")
         return True
 
 
@@ -92,5 +92,5 @@
             return False
         self._tokens -= 1.0
         self.spent += 1
-        require(self.spent <= self._allowed + 1e-6, "probe budget exceeded")
+        check_invariant(self.spent <= self._allowed + 1e-6, "probe budget exceeded")
         return True
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -20,7 +20,6 @@
     is_stale,
     refuse,
 )
-from sapphireway_coordination._invariant import require
 from sapphireway_coordination._revocation import (
     get_final_revoke,
     get_first_revoke,
@@ -35,6 +34,7 @@
     Outcome,
     Unknown,
 )
+from sapphireway_state import check_invariant
 
 SILENCE_PERCENTILE = 95.0
 SILENCE_SHARE = 0.5
@@ -222,15 +222,16 @@
     def _check_repeat(self):
         if self._call.policy.idempotent:
             return
-        require(not self._open, "a non-idempotent call has two attempts open")
-        require(
+        check_invariant(not self._open, "a non-idempotent call has two attempts open")
+        check_invariant(
             all(isinstance(x, NotRun) for x in self._ended),
             "a non-idempotent call is repeated after it may have run",
         )
 
     def _note_sent(self, attempt, candidates):
         if attempt.cause in (AttemptCause.RETRY, AttemptCause.HEDGE):
-            require(self._budget.withdraw(), "attempt sent outside of the budget")
+            withdrawn = self._budget.withdraw()
+            check_invariant(withdrawn, "attempt sent outside of the budget")
         if attempt.cause is not AttemptCause.RESEND:
             self.attempts_sent += 1
         self._open.append(attempt)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -19,7 +19,6 @@
     RelapseSeen,
     ServerWarmed,
 )
-from sapphireway_coordination._invariant import require
 from sapphireway_coordination._limit import (
     COLD_ANSWERS_MIN,
     SLOW_ANSWERS_MIN,
@@ -28,6 +27,7 @@
     UpdateLimit,
     make_additive_update,
 )
+from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
 
 ABORT_LINGER_S = 0.02
@@ -205,8 +205,10 @@
         """Count a request that is being given to the server."""
         running.saturated = self.in_flight + 1 >= self.limit
         self._running[running.attempt] = running
-        require(self.in_flight <= self.limit, "more in flight than the limit")
-        require(not running.alone or self.in_flight == 1, "a suspect is not alone")
+        check_invariant(self.in_flight <= self.limit, "more in flight than the limit")
+        check_invariant(
+            not running.alone or self.in_flight == 1, "a suspect is not alone"
+        )
         if self._stall_timer is None:
             self._stall_timer = self._schedule(STALL_CHECK_S, self._check_stall)
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_probing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_probing.py
@@ -4,10 +4,9 @@
 
 from sapphireway_coordination._budgets import RateBudget
 from sapphireway_coordination._call_events import ObserveCall, ProbeSent
-from sapphireway_coordination._invariant import require
 from sapphireway_coordination._loads import ServerLoad
 from sapphireway_protocol import Peers, Probe
-from sapphireway_state import Policy
+from sapphireway_state import Policy, check_invariant
 
 PROBES_PER_CALL = 0.02
 PROBE_CREDIT_MAX = 10.0
@@ -71,7 +70,7 @@
         before = self._peers.bytes_sent
         self._peers.send(load.member.node, Probe(load.member.server))
         self.budget.bytes_spent += self._peers.bytes_sent - before
-        require(
+        check_invariant(
             self.budget.bytes_spent <= PROBE_BYTES_MAX * self.budget.spent,
             "probe bytes exceed their budget",
         )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -8,13 +8,13 @@
 from sapphireway_coordination._capacity import Running
 from sapphireway_coordination._exchange import make_request, says_not_run
 from sapphireway_coordination._gate_events import AttemptStarted, ObserveGate
-from sapphireway_coordination._invariant import require
 from sapphireway_coordination._order import Order
 from sapphireway_coordination._order_ends import OrderEnds
 from sapphireway_coordination._registration import Registration
 from sapphireway_coordination._suspect_exchange import SuspectExchange
 from sapphireway_coordination._suspects import SuspectTable, Verdict
 from sapphireway_protocol import NotRunReason
+from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, Responded, ServerClient
 
 
@@ -263,8 +263,8 @@
 
     def _start(self, order, *, alone):
         run, record, now_s = order.run, order.record, self._loop.time()
-        require(record.state is AttemptState.WAITING, "an attempt starts twice")
-        require(now_s <= run.latest_start_s, "an attempt starts too late")
+        check_invariant(record.state is AttemptState.WAITING, "an attempt starts twice")
+        check_invariant(now_s <= run.latest_start_s, "an attempt starts too late")
         record.state = AttemptState.RUNNING
         capacity = self._registration.capacity
         order.capacity = capacity
