Let a node that reaches no control host ask other nodes for settings

With 200 nodes and a third of the links cut, one node had not got an edit after 30 s: settings spread along any message, and a node without calls only sends to control hosts. While no directory that was tried answers, it now asks a node of its view, another one after each failed renewal. Red with the callback left out.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -220,7 +220,9 @@
             0,
             [],
         )
-        membership = Membership(peers, self.control_hosts, entry, self.rng)
+        membership = Membership(
+            peers, self.control_hosts, entry, self.rng, on_unserved=channel.ask
+        )
         process = Process(address, peers, state, holder, membership)
         self.processes[address] = process
         if address in self.control_hosts:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -54,6 +54,9 @@
     rng : random.Random
     get_report : callable
         Returns what operators see of this node.
+    on_unserved : callable
+        Called with a known node's address, another one each time, while no
+        directory that was tried answers.
 
     Attributes
     ----------
@@ -72,6 +75,7 @@
         "_get_report",
         "_members",
         "_nodes",
+        "_on_unserved",
         "_peers",
         "_rng",
         "_send_entry",
@@ -94,6 +98,7 @@
         entry: NodeEntry,
         rng: random.Random,
         get_report: Callable[[], NodeReport] = NodeReport,
+        on_unserved: Callable[[str], None] = lambda node: None,
     ):
         self._directories = list(directories)
         self._directory_incarnation = ""
@@ -101,6 +106,7 @@
         self._get_report = get_report
         self._members = {}
         self._nodes = {}
+        self._on_unserved = on_unserved
         self._peers = peers
         self._rng = rng
         self._send_entry = True
@@ -158,6 +164,7 @@
             # while the node looks for a directory that it can reach.
             if self._untried is not None or failures >= RENEWALS_UNTIL_MOVE:
                 self._move()
+                self._report_unserved()
 
     async def _pause(self):
         await asyncio.sleep(RENEW_SPACING_S)
@@ -172,6 +179,11 @@
             pass
         self._wake.clear()
 
+    def _report_unserved(self):
+        others = [node for node in self._nodes if node != self._entry.node]
+        if others:
+            self._on_unserved(self._rng.choice(others))
+
     def _move(self):
         if not self._untried:
             self._untried = [d for d in self._directories if d != self.directory]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
@@ -92,11 +92,14 @@
 
     def observe(self, sender: str, envelope: Envelope) -> None:
         """Fetch the settings of a peer whose version is newer."""
-        if envelope.settings_version <= self._state.version:
-            return
+        if envelope.settings_version > self._state.version:
+            self.ask(sender)
+
+    def ask(self, peer: str) -> None:
+        """Fetch the settings of a peer if they are newer."""
         if self._fetching is None:
             loop = asyncio.get_running_loop()
-            self._fetching = loop.create_task(self._fetch(sender))
+            self._fetching = loop.create_task(self._fetch(peer))
 
     def put_in_force(self, update: SettingsUpdate) -> Applied:
         """Apply an update if it is newer."""
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -8,11 +8,20 @@
     GROUP_PREFIX,
     TREE_PREFIX,
     ControlMachine,
+    Directory,
     GroupChange,
+    Membership,
     SettingsChannel,
     StateInForce,
 )
-from sapphireway_protocol import GroupHolder, Peers, Probe, SettingsUpdate
+from sapphireway_protocol import (
+    GroupHolder,
+    NodeEntry,
+    Peers,
+    Probe,
+    ServerEntry,
+    SettingsUpdate,
+)
 from sapphireway_state import Applied, Edit, SetValue
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, run_paused
 
@@ -96,6 +105,36 @@
     assert run_paused(run()) == ([(0, 0), (7, 0)], [800] * 5)
 
 
+def test_node_that_reaches_no_control_host_follows_other_nodes(network, machine):
+    async def run():
+        nodes = {name: Node(network, name) for name in ("control", "a", "b")}
+        directory = Directory(nodes["control"].peers, [])
+        tasks = [asyncio.ensure_future(directory.run())]
+        for name in ("a", "b"):
+            entry = NodeEntry(name, "domain", "region", name, 1.0, 0, [])
+            membership = Membership(
+                nodes[name].peers,
+                ["control"],
+                entry,
+                random.Random(1),
+                on_unserved=nodes[name].channel.ask,
+            )
+            membership.set_servers([ServerEntry(f"s-{name}", "s", name, 6)])
+            membership.get_members("s")
+            tasks.append(asyncio.ensure_future(membership.run()))
+        await asyncio.sleep(3)
+        network.cut("b", "control")
+        network.cut("control", "b")
+        set_deadline(machine, 7, 700)
+        nodes["control"].follow(machine)
+        await asyncio.sleep(5)
+        for task in tasks:
+            task.cancel()
+        return [nodes[name].read_deadline() for name in ("a", "b")]
+
+    assert run_paused(run()) == [700, 700]
+
+
 def test_older_version_is_never_applied(network, machine):
     async def run():
         node = Node(network, "n0")
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -207,6 +207,7 @@
             _make_entry(settings, incarnation),
             rng,
             self._get_report,
+            self._channel.ask,
         )
 
     def _build_data_path(self, rng):
