--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,42 @@
-"""Runs all measurements and prints their tables."""
+"""Runs all measurements, one after the other, and prints their tables."""
+
+from collections.abc import Callable
+
+from benchmarks import (
+    capacity,
+    claims,
+    in_force,
+    limits,
+    path,
+    policy,
+    processes,
+    quorum,
+    renewals,
+    server_client,
+    settings_tree,
+)
+
+MEASUREMENTS: dict[str, Callable[[], None]] = {
+    "Latency that the path adds": path.main,
+    "Client to the server": server_client.main,
+    "Routing": policy.main,
+    "Limits of requests in flight": limits.run,
+    "Claims": claims.main,
+    "Settings tree": settings_tree.main,
+    "Quorum": quorum.main,
+    "Settings in force": in_force.main,
+    "Slopes over size": capacity.main,
+    "Idle processes": processes.main,
+    "Renewals over sockets": renewals.main,
+}
+
+
+def main() -> None:
+    """Run everything."""
+    for title, measure in MEASUREMENTS.items():
+        print(f"\n{title}\n{'-' * len(title)}", flush=True)
+        measure()
 
-from benchmarks import policy
 
 if __name__ == "__main__":
-    policy.main()
+    main()
