--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import itertools
 import random
 import secrets
@@ -13,6 +12,7 @@
 import tornado.httpserver
 
 from sapphireway._callers import CallerApi
+from sapphireway._conduct import make_conduct, make_traced_conduct
 from sapphireway._control import ControlHost
 from sapphireway._control_hosts import ControlHosts
 from sapphireway._decisions import DecisionLog
@@ -24,11 +24,11 @@
 from sapphireway._operator import OPERATOR_BODY_MAX_BYTES, make_operator_application
 from sapphireway._operator_backend import OperatorBackend
 from sapphireway._operator_token import make_token_reader
+from sapphireway._presence import ServerPresence
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
     GROUP_PREFIX,
     Answer,
-    AttemptStarted,
     Claimant,
     ClaimHolder,
     ControlClient,
@@ -36,17 +36,13 @@
     Gate,
     HolderSettings,
     Membership,
-    NodeReport,
     SettingsChannel,
     StateInForce,
 )
 from sapphireway_protocol import (
     ClaimGroup,
     NodeEntry,
-    NotRun,
-    NotRunReason,
     Peers,
-    ServerEntry,
 )
 from sapphireway_state import ProcessSettings
 from sapphireway_transport import (
@@ -57,8 +53,7 @@
 )
 
 INCARNATION_BYTES = 8
-SERVER_CHECK_INTERVAL_S = 0.1
-FIRST_MEMBERS_TIMEOUT_S = 1.0
+CLAIMS_CHECK_INTERVAL_S = 0.1
 CONTROL_READ_TIMEOUT_S = 1.0
 CLAIMS_HANDOVER_MAX_S = 3.0
 CONTROL_SILENCE_MAX_S = 5.0
@@ -96,10 +91,9 @@
         "_metrics",
         "_observe",
         "_peers",
-        "_presented",
+        "_presence",
         "_settings",
         "_spans",
-        "_started",
         "_state",
         "_tasks",
         "_tracer",
@@ -109,8 +103,6 @@
         self._settings = settings
         self._log = log
         self._tasks = []
-        self._presented = []
-        self._started = 0
         rng = random.Random(settings.seed)
         self._metrics = Metrics()
         self._decisions = DecisionLog()
@@ -140,7 +132,7 @@
         await self._channel.load()
         self._peers.start()
         self._spawn(self._membership.run())
-        self._spawn(self._present_server())
+        self._spawn(self._presence.run(self._membership, self._update_out))
         if self._control is not None:
             self._spawn(self._control.run())
         self._listener.listen(*_split_address(self._settings.http_address))
@@ -176,7 +168,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + CLAIMS_HANDOVER_MAX_S
         while self._holder.active_groups and loop.time() < end_s:
-            await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
+            await asyncio.sleep(CLAIMS_CHECK_INTERVAL_S)
 
     async def _close(self):
         for task in self._tasks:
@@ -224,12 +216,13 @@
             self._peers, self._state, self._note_settings, time.time, self._disk
         )
         self._peers.observe = self._channel.observe
+        self._presence = ServerPresence(lambda: self._channel.in_force_since_s)
         self._membership = Membership(
             self._peers,
             settings.control_hosts,
             _make_entry(settings, incarnation),
             rng,
-            self._get_report,
+            self._presence.get_report,
             self._channel.ask,
         )
 
@@ -247,19 +240,32 @@
             self._client,
             rng,
             self._get_policy,
-            self._count_event,
+            self._observe_gate,
             lambda service: [member.node for member in self._get_members(service)],
         )
+        self._presence.watch(self._gate)
         self._callers = CallerApi(
             self._get_view,
             self._settings.domain,
             _make_call_ids(self._peers.incarnation),
             self._claimant.get_fences,
-            self._conduct,
+            self._build_conduct(),
             self._metrics,
             self._log,
         )
 
+    def _build_conduct(self):
+        conduct = make_conduct(
+            self._membership,
+            self._dispatcher,
+            self._claimant,
+            self._metrics,
+            lambda: self._callers.stopping,
+        )
+        if self._tracer is None:
+            return conduct
+        return make_traced_conduct(conduct, self._tracer)
+
     def _build_client(self):
         client = CurlServerClient()
         if self._tracer is None:
@@ -337,14 +343,8 @@
             faults.append("no control host answers")
         return faults
 
-    def _get_report(self):
-        return NodeReport(
-            self._channel.in_force_since_s, self._gate.get_load(), self._started
-        )
-
-    def _count_event(self, event):
-        if isinstance(event, AttemptStarted):
-            self._started += 1
+    def _observe_gate(self, event):
+        self._presence.count(event)
         self._observe(event)
 
     def _watch_gauges(self):
@@ -382,78 +382,6 @@
             return None
         return msgspec.msgpack.decode(answer.data, type=ClaimGroup | None)
 
-    async def _conduct(self, call, fences):
-        await self._membership.follow(call.service, FIRST_MEMBERS_TIMEOUT_S)
-        started_s = asyncio.get_running_loop().time()
-        if self._tracer is None:
-            outcome = await self._run_call(call, fences)
-        else:
-            outcome = await self._run_traced(call, fences)
-        self._metrics.record(
-            "sapphireway_call_seconds",
-            asyncio.get_running_loop().time() - started_s,
-            service=call.service,
-            kind=call.kind,
-            outcome=type(outcome).__name__,
-        )
-        return outcome
-
-    async def _run_traced(self, call, fences):
-        headers, span = self._tracer.start_call(
-            call.headers,
-            call.policy.trace_percent,
-            call=call.call_id,
-            service=call.service,
-            kind=call.kind,
-        )
-        if span is None:
-            return await self._run_call(call, fences)
-        try:
-            call = dataclasses.replace(call, headers=headers)
-            outcome = await self._run_call(call, fences)
-            span.set_attribute("outcome", type(outcome).__name__)
-            return outcome
-        finally:
-            span.end()
-
-    async def _run_call(self, call, fences):
-        if call.key is None or call.policy.idempotent:
-            return await self._dispatcher.dispatch(call)
-        dispatch = self._dispatcher.dispatch
-        if self._callers.stopping:
-            dispatch = _refuse_stopping
-        return await self._claimant.run_claimed(call, dispatch, fences)
-
-    async def _present_server(self):
-        while True:
-            servers = self._list_servers()
-            if servers != self._presented:
-                self._presented = servers
-                self._membership.set_servers(servers)
-                for server in servers:
-                    # The gate shares suspects with the service's other nodes.
-                    self._membership.get_members(server.service)
-                self._update_out()
-            await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
-
-    def _list_servers(self):
-        announcement = self._gate.announcement
-        if announcement is None:
-            return []
-        return [
-            ServerEntry(
-                announcement.server,
-                announcement.service,
-                announcement.start_id,
-                announcement.slots,
-                not self._gate.available,
-            )
-        ]
-
-
-async def _refuse_stopping(call):
-    return NotRun(NotRunReason.STOPPING)
-
 
 def _make_entry(settings, incarnation):
     return NodeEntry(
