--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -12,7 +12,7 @@
 
 @pytest.mark.parametrize(
     "victims",
-    [("node",), ("server",), ("node", "server")],
+    [("node",), ("server",), ("node", "server"), ("server", "node")],
     ids="-then-".join,
 )
 def test_graceful_stop_cuts_no_upload(fleet, victims):
@@ -70,3 +70,19 @@
             await site.set_behaviour(each, latency_ms=5.0)
 
     exercise(fleet, run)
+
+
+def test_nodes_that_stop_one_after_the_other_lose_no_claims(fleet):
+    async def run(site):
+        first, second, third, fourth = site.places
+        ran = await site.send(third)
+        assert ran.outcome == "answered"
+        for place in (first, second):
+            fleet.signal(fleet.name_node(place), signal.SIGTERM)
+            assert await site.wait_for_exit(fleet.name_node(place)) == 0
+        again = await site.send(fourth, key=ran.key)
+        assert again.outcome == "answered", again
+        new = await site.send(third)
+        assert new.outcome == "answered", new
+
+    exercise(fleet, run)
