Claim nothing of a key in a request that is refused unread; report settings that were not saved

Cause: a request refused with 400 or 413 said not-run also for a key that an earlier submission may have run, and so did a node without settings. A failed save of the settings in force was silent.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
@@ -37,6 +37,8 @@
         Seconds since the epoch.
     disk : Disk or None
         Keeps the version in force over a restart.
+    on_save_failed : callable
+        Called with the reason when it could not be kept.
 
     Attributes
     ----------
@@ -51,6 +53,7 @@
         "_encoded",
         "_fetching",
         "_on_change",
+        "_on_save_failed",
         "_peers",
         "_saving",
         "_state",
@@ -66,11 +69,13 @@
         on_change: Callable[[], None],
         wall_clock: Callable[[], float],
         disk: Disk | None = None,
+        on_save_failed: Callable[[DiskFailed], None] = lambda failed: None,
     ):
         self._disk = disk
         self._encoded = {}
         self._fetching = None
         self._on_change = on_change
+        self._on_save_failed = on_save_failed
         self._peers = peers
         self._saving = None
         self._state = state
@@ -169,6 +174,7 @@
                 failed = await self._disk.replace(FILE, _encode(whole))
                 if failed is not None:
                     # A node without a disk fetches the settings at its next start.
+                    self._on_save_failed(failed)
                     return
                 saved = version
         finally:
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -237,3 +237,17 @@
     restored.restore(machine.snapshot())
     state.apply(restored.make_update(0, state.groups_version))
     assert state.get_group("a") == machine.groups.get_group("a")
+
+
+def test_failed_save_is_reported(network, machine):
+    async def run():
+        disk, failures = MemoryDisk(), []
+        disk.sync_fails = True
+        node = Node(network, "n0", disk)
+        node.channel._on_save_failed = failures.append
+        set_deadline(machine, 3, 300)
+        node.follow(machine)
+        await asyncio.sleep(1.0)
+        return node.read_deadline(), len(failures)
+
+    assert run_paused(run()) == (300, 1)
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -148,6 +148,9 @@
     def _handle_unmatched(self, request):
         if self._get_settings().version == 0:
             detail = "no settings are in force at this node yet"
+            if request.get_header(KEY_HEADER) is not None:
+                # Which claim holds the key can't be found without settings.
+                return render_outcome(Unknown(detail))
             return _render_not_run(NotRun(NotRunReason.NO_SERVER, 1.0, detail))
         return self._refuse(404, "no service has this path", request.remote)
 
@@ -175,9 +178,10 @@
     def _refuse(self, status, detail, remote):
         self._metrics.count("sapphireway_bad_requests_total", status=str(status))
         self._log.warning("bad_request", status=status, detail=detail, remote=remote)
+        # Not "not-run": an earlier submission with the same key may have run.
         headers = (
             ("Content-Type", "text/plain; charset=utf-8"),
-            (OUTCOME_HEADER, "not-run"),
+            (OUTCOME_HEADER, "rejected"),
             (REASON_HEADER, "bad_request"),
         )
         return HttpAnswer(status, headers, f"{detail}\n".encode())
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -213,7 +213,12 @@
         self._state = StateInForce(self._holder.follow)
         self._disk = FileDisk(Path(settings.data_folder) / STATE_FOLDER)
         self._channel = SettingsChannel(
-            self._peers, self._state, self._note_settings, time.time, self._disk
+            self._peers,
+            self._state,
+            self._note_settings,
+            time.time,
+            self._disk,
+            self._note_save_failed,
         )
         self._peers.observe = self._channel.observe
         self._presence = ServerPresence(lambda: self._channel.in_force_since_s)
@@ -370,6 +375,9 @@
         self._update_out()
         self._log.info("settings_in_force", version=self._state.version)
 
+    def _note_save_failed(self, failed):
+        self._log.warning("settings_not_saved", file=failed.name, detail=failed.detail)
+
     def _update_out(self):
         announcement = self._gate.announcement
         server = announcement.server if announcement else ""
