Give malformed requests a reason, log unanswered calls with their ids, export histograms

Cause: the HTTP library answered what it can't parse without a reason, a log line or a count, as a trial of raw requests showed; calls that ended unknown or failed left no line with their ids; the mergeable histograms had no way out of the node and lacked the domain.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -13,6 +13,7 @@
 BODY_READ_MAX_BYTES = 2**40
 IDLE_TIMEOUT_S = 120.0
 CHUNK_BYTES = 256 * 1024
+MALFORMED_ANSWER = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -64,7 +65,8 @@
     Attributes
     ----------
     status : int
-        413 for a body and 431 for headers that are too large.
+        400 for what is not HTTP, 413 for a body and 431 for headers that are too
+        large.
     detail : str
         One line for people.
     remote : str
@@ -142,9 +144,31 @@
             chunk_size=CHUNK_BYTES,
         )
 
+    def handle_stream(self, stream, address):
+        # tornado answers what it can't parse by itself, without a reason and
+        # without telling the application.
+        write = stream.write
+
+        def write_with_reason(data):
+            if data == MALFORMED_ANSWER:
+                data = self._reject_malformed(address)
+            return write(data)
+
+        stream.write = write_with_reason
+        super().handle_stream(stream, address)
+
     def start_request(self, server_conn, request_conn):
         return _Exchange(self._hooks, request_conn)
 
+    def _reject_malformed(self, address):
+        detail = "the request is not well-formed HTTP/1.1"
+        rejected = RejectedRequest(HTTPStatus.BAD_REQUEST, detail, address[0])
+        answer = self._hooks.reject(rejected)
+        lines = [MALFORMED_ANSWER.decode().strip()]
+        lines += [f"{name}: {value}" for name, value in answer.headers]
+        lines += [f"Content-Length: {len(answer.body)}", "Connection: close"]
+        return "\r\n".join([*lines, "", ""]).encode() + answer.body
+
 
 class _Exchange(httputil.HTTPMessageDelegate):
     """One request and its answer on a connection."""
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -89,11 +89,11 @@
             b"431",
             b"headers are larger than 2000 bytes",
         ),
-        (b"GET HTTP/1.1\r\n\r\n", b"400", b""),
+        (b"GET HTTP/1.1\r\n\r\n", b"400", b"not well-formed"),
         (
             GET + b"Content-Length: 1, 2\r\n\r\n",
             b"400",
-            b"",
+            b"not well-formed",
         ),
     ],
 )
--- a/packages/sapphireway/src/sapphireway/_conduct.py
+++ b/packages/sapphireway/src/sapphireway/_conduct.py
@@ -5,11 +5,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call, Claimant, Dispatcher, Membership
-from sapphireway_protocol import NotRun, NotRunReason, Outcome
+from sapphireway_protocol import Failed, NotRun, NotRunReason, Outcome, Unknown
 
 FIRST_MEMBERS_TIMEOUT_S = 1.0
+TRACE_HEADER = "traceparent"
 
 Conduct = Callable[[Call, Any], Awaitable[Outcome]]
 """Conducts a call; gets the claimant's fences of the moment when it arrived."""
@@ -20,9 +22,25 @@
     dispatcher: Dispatcher,
     claimant: Claimant,
     metrics: Metrics,
+    log: EventLog,
+    domain: str,
     is_stopping: Callable[[], bool],
 ) -> Conduct:
-    """Return a function that conducts calls and records how long they took."""
+    """Return a function that conducts calls and records how long they took.
+
+    Parameters
+    ----------
+    membership : Membership
+    dispatcher : Dispatcher
+    claimant : Claimant
+    metrics : Metrics
+    log : EventLog
+        Gets the calls that ended neither answered nor refused.
+    domain : str
+        Failure domain of this node, a label of the metrics.
+    is_stopping : callable
+        Whether the node refuses new calls.
+    """
 
     async def run_call(call, fences):
         if call.key is None or call.policy.idempotent:
@@ -41,8 +59,11 @@
             loop.time() - started_s,
             service=call.service,
             kind=call.kind,
+            domain=domain,
             outcome=type(outcome).__name__,
         )
+        if isinstance(outcome, Failed | Unknown):
+            _log_end(log, call, outcome)
         return outcome
 
     return conduct
@@ -77,5 +98,18 @@
     return conduct_traced
 
 
+def _log_end(log, call, outcome):
+    trace = next((v for k, v in call.headers if k.lower() == TRACE_HEADER), "")
+    log.warning(
+        "call_not_answered",
+        call=call.call_id,
+        trace=trace,
+        service=call.service,
+        kind=call.kind,
+        outcome=type(outcome).__name__.lower(),
+        detail=outcome.detail,
+    )
+
+
 async def _refuse_stopping(call):
     return NotRun(NotRunReason.STOPPING)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -265,6 +265,8 @@
             self._dispatcher,
             self._claimant,
             self._metrics,
+            self._log,
+            self._settings.domain,
             lambda: self._callers.stopping,
         )
         if self._tracer is None:
@@ -329,6 +331,7 @@
             get_explanations=self._decisions.explain,
             get_traces=self._list_spans,
             render_metrics=self._metrics.render,
+            export_histograms=self._metrics.export_histograms,
             get_faults=self._list_faults,
             get_token=make_token_reader(self._settings.token_file, self._log.warning),
             read_time_s=time.time,
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -67,6 +67,7 @@
         ("/v1/explanations", ExplanationsHandler),
         ("/v1/traces", TracesHandler),
         ("/metrics", MetricsHandler),
+        ("/metrics/histograms", HistogramsHandler),
         ("/health", HealthHandler),
     ]
     return Application(
@@ -302,6 +303,14 @@
         self.finish(self.backend.render_metrics())
 
 
+class HistogramsHandler(OperatorHandler):
+    """Latency histograms in an encoding that can be merged over nodes."""
+
+    async def get(self):
+        """Answer with a list of names, labels and encoded histograms."""
+        self.reply(self.backend.export_histograms())
+
+
 class HealthHandler(OperatorHandler):
     """Tells whether this node is well."""
 
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -69,6 +69,8 @@
         Takes a trace id or None, and a limit; returns spans as JSON objects.
     render_metrics : callable
         Returns the Prometheus text format.
+    export_histograms : callable
+        Returns name, labels and HdrHistogram encoding of each latency histogram.
     get_faults : callable
         Returns what is wrong with this node; nothing if it is healthy.
     get_token : callable
@@ -94,6 +96,7 @@
     ]
     get_traces: Callable[[str | None, int], list[dict[str, Any]]]
     render_metrics: Callable[[], str]
+    export_histograms: Callable[[], list[dict[str, Any]]]
     get_faults: Callable[[], list[str]]
     get_token: Callable[[], str | None]
     read_time_s: Callable[[], float]
--- a/packages/sapphireway/src/sapphireway/memory/_operator.py
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -78,6 +78,7 @@
             get_explanations=self._get_explanations,
             get_traces=self._get_traces,
             render_metrics=lambda: "sapphireway_calls_total 0\n",
+            export_histograms=lambda: [{"name": "sapphireway_call_seconds"}],
             get_faults=lambda: self.faults,
             get_token=lambda: self.token,
             read_time_s=lambda: self.time_s,
--- /dev/null
+++ b/packages/sapphireway/tests/test_conduct.py
@@ -0,0 +1,90 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from sapphireway._conduct import make_conduct
+from sapphireway._metrics import Metrics
+from sapphireway_coordination import Call
+from sapphireway_protocol import Answered, Failed, NotRun, NotRunReason, Unknown
+from sapphireway_state import Policy
+
+
+class Parts:
+    """Stand-ins for what a call passes through."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.dispatched = 0
+        self.logged = []
+        self.stopping = False
+
+    async def follow(self, service, timeout_s):
+        return True
+
+    async def dispatch(self, call):
+        self.dispatched += 1
+        return self.outcome
+
+    async def run_claimed(self, call, dispatch, fences):
+        return await dispatch(call)
+
+    def warning(self, event, **fields):
+        self.logged.append((event, fields))
+
+
+def conduct(parts, key=None, metrics=None):
+    call = Call(
+        "call-1",
+        "ledger",
+        "balance",
+        "POST",
+        "/ledger",
+        (("traceparent", "00-1-2-01"),),
+        b"",
+        1.0,
+        key,
+        Policy(),
+    )
+    run = make_conduct(
+        parts,
+        SimpleNamespace(dispatch=parts.dispatch),
+        parts,
+        metrics or Metrics(),
+        parts,
+        "bxl-a",
+        lambda: parts.stopping,
+    )
+    return asyncio.run(run(call, None))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "logged"),
+    [
+        (Answered(200, (), b""), 0),
+        (NotRun(NotRunReason.OVERLOADED), 0),
+        (Failed("cut"), 1),
+        (Unknown("silent"), 1),
+    ],
+)
+def test_unanswered_call_is_logged_with_its_ids(outcome, logged):
+    parts = Parts(outcome)
+    assert conduct(parts) is outcome
+    assert len(parts.logged) == logged
+    for event, fields in parts.logged:
+        assert event == "call_not_answered"
+        assert (fields["call"], fields["trace"]) == ("call-1", "00-1-2-01")
+
+
+def test_latency_is_recorded_by_service_kind_domain_and_outcome():
+    metrics = Metrics()
+    conduct(Parts(Unknown("silent")), metrics=metrics)
+    labels = 'service="ledger",kind="balance",domain="bxl-a",outcome="Unknown"'
+    assert f"sapphireway_call_seconds_count{{{labels}}} 1" in metrics.render()
+
+
+def test_keyed_call_of_a_stopping_node_is_not_dispatched():
+    parts = Parts(Answered(200, (), b""))
+    parts.stopping = True
+    assert conduct(parts, key="k") == NotRun(NotRunReason.STOPPING)
+    assert not parts.dispatched
--- a/packages/sapphireway/tests/test_operator.py
+++ b/packages/sapphireway/tests/test_operator.py
@@ -147,6 +147,8 @@
     assert ask("GET", "/v1/traces?trace=t2")[1] == [{"trace": "t2"}]
     assert len(ask("GET", "/v1/traces?limit=1")[1]) == 1
     assert ask("GET", "/metrics")[1].startswith("sapphireway_calls_total")
+    histograms = ask("GET", "/metrics/histograms")[1]
+    assert "sapphireway_call_seconds" in str(histograms)
     assert ask("GET", "/health") == (200, {"healthy": True, "faults": []})
     state.faults = ["disk"]
     assert ask("GET", "/health")[0] == 503
