Count a request as in flight from its headers on when a node stops

Cause: an upload whose body was still arriving when its node got SIGTERM was answered not-run, reason stopping: true, but the upload was cut. Ruled out: the claim; the request never reached it. Change: whether a node stops is noted with the headers, and the listener waits for bodies under way within the drain deadline.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -13,6 +13,7 @@
 BODY_READ_MAX_BYTES = 2**40
 IDLE_TIMEOUT_S = 120.0
 CHUNK_BYTES = 256 * 1024
+FINISH_CHECK_INTERVAL_S = 0.02
 MALFORMED_ANSWER = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
 
@@ -89,6 +90,7 @@
     reject: Reject
     header_max_bytes: int
     tasks: set[asyncio.Task] = field(default_factory=set)
+    reading: set["_Exchange"] = field(default_factory=set)
 
 
 class HttpListener:
@@ -123,9 +125,9 @@
         self._server.stop()
 
     async def finish_requests(self) -> None:
-        """Wait until every request that was read is answered."""
-        while self._hooks.tasks:
-            await asyncio.wait(self._hooks.tasks)
+        """Wait until every request whose headers arrived is answered."""
+        while self._hooks.tasks or self._hooks.reading:
+            await asyncio.sleep(FINISH_CHECK_INTERVAL_S)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -211,6 +213,7 @@
             )
             return
         self._body_limit = self._hooks.prepare(self._request)
+        self._hooks.reading.add(self)
         declared = headers.get("Content-Length", "0")
         if declared.isdigit() and int(declared) > self._body_limit:
             self._refuse_body()
@@ -225,6 +228,7 @@
         self._body.append(chunk)
 
     def finish(self):
+        self._hooks.reading.discard(self)
         if self._finished:
             return
         self._request.body = b"".join(self._body)
@@ -236,6 +240,7 @@
         self._connection.set_close_callback(self._cancel)
 
     def on_connection_close(self):
+        self._hooks.reading.discard(self)
         self._finished = True
         self._cancel()
 
@@ -263,6 +268,7 @@
         )
 
     def _refuse(self, status, detail):
+        self._hooks.reading.discard(self)
         self._body.clear()
         rejected = RejectedRequest(status, detail, self._request.remote)
         self._send(self._hooks.reject(rejected))
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -154,3 +154,28 @@
     answer, reported = asyncio.run(run())
     assert answer == b""
     assert str(reported[0]["exception"]) == "broken"
+
+
+def test_finish_waits_for_a_body_under_way(port):
+    async def run():
+        listener = make_listener()
+        listener.listen("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: 2\r\n\r\na")
+        async with asyncio.timeout(10):
+            while not listener._hooks.reading:
+                await asyncio.sleep(0.01)
+        listener.stop_accepting()
+        finishing = asyncio.create_task(listener.finish_requests())
+        await asyncio.sleep(0.1)
+        waited = not finishing.done()
+        writer.write(b"b")
+        answer = await reader.read()
+        await finishing
+        writer.close()
+        await listener.close()
+        return waited, answer
+
+    waited, answer = asyncio.run(run())
+    assert waited
+    assert b"POST /x 2" in answer
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -43,8 +43,25 @@
 )
 NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
 
-Dispatch = Callable[[Call, Any], Awaitable[Outcome]]
-"""Conducts a call; gets what `note_arrival` returned for it."""
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """State of the node when the headers of a request arrived.
+
+    Attributes
+    ----------
+    fences : object
+        What `note_arrival` returned for a keyed request, else None.
+    stopping : bool
+        Whether the node had begun to stop; such a request is not run.
+    """
+
+    fences: Any
+    stopping: bool
+
+
+Dispatch = Callable[[Call, Arrival], Awaitable[Outcome]]
+"""Conducts a call."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +69,7 @@
     service: str
     kind: str
     policy: Policy
-    arrival: Any
+    arrival: Arrival
 
 
 class CallerApi:
@@ -116,10 +133,11 @@
             return UNMATCHED_BODY_MAX_BYTES
         policy = settings.resolve(self._domain, *matched)
         key = request.get_header(KEY_HEADER)
-        arrival = None
+        fences = None
         if key is not None and is_key(key):
-            arrival = self._note_arrival(matched[0], key)
-        request.route = _Route(*matched, policy, arrival)
+            fences = self._note_arrival(matched[0], key)
+        # A request that was under way before the stop is in flight.
+        request.route = _Route(*matched, policy, Arrival(fences, self.stopping))
         return policy.body_max_bytes
 
     def reject(self, rejected: RejectedRequest) -> HttpAnswer:
@@ -128,10 +146,10 @@
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Conduct one request."""
-        if self.stopping and not self._is_claimed(request):
-            return _render_not_run(NotRun(NotRunReason.STOPPING), close=True)
         if request.route is None:
             return self._handle_unmatched(request)
+        if request.route.arrival.stopping and not self._is_claimed(request):
+            return _render_not_run(NotRun(NotRunReason.STOPPING), close=True)
         call = self._make_call(request, request.route)
         if isinstance(call, str):
             return self._refuse(400, call, request.remote)
@@ -140,8 +158,7 @@
 
     def _is_claimed(self, request):
         """Tell whether only the holders of the key know if the request has run."""
-        route = request.route
-        if route is None or route.policy.idempotent:
+        if request.route.policy.idempotent:
             return False
         return request.get_header(KEY_HEADER) is not None
 
--- a/packages/sapphireway/src/sapphireway/_conduct.py
+++ b/packages/sapphireway/src/sapphireway/_conduct.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
 from typing import Any
 
+from sapphireway._callers import Arrival, Dispatch
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call, Claimant, Dispatcher, Membership
@@ -13,9 +13,6 @@
 FIRST_MEMBERS_TIMEOUT_S = 1.0
 TRACE_HEADER = "traceparent"
 
-Conduct = Callable[[Call, Any], Awaitable[Outcome]]
-"""Conducts a call; gets the claimant's fences of the moment when it arrived."""
-
 
 def make_conduct(
     membership: Membership,
@@ -24,8 +21,7 @@
     metrics: Metrics,
     log: EventLog,
     domain: str,
-    is_stopping: Callable[[], bool],
-) -> Conduct:
+) -> Dispatch:
     """Return a function that conducts calls and records how long they took.
 
     Parameters
@@ -38,22 +34,20 @@
         Gets the calls that ended neither answered nor refused.
     domain : str
         Failure domain of this node, a label of the metrics.
-    is_stopping : callable
-        Whether the node refuses new calls.
     """
 
-    async def run_call(call, fences):
+    async def run_call(call, arrival):
         if call.key is None or call.policy.idempotent:
             return await dispatcher.dispatch(call)
         # The claim tells also a stopping node whether the key has run.
-        dispatch = _refuse_stopping if is_stopping() else dispatcher.dispatch
-        return await claimant.run_claimed(call, dispatch, fences)
+        dispatch = _refuse_stopping if arrival.stopping else dispatcher.dispatch
+        return await claimant.run_claimed(call, dispatch, arrival.fences)
 
-    async def conduct(call: Call, fences: Any) -> Outcome:
+    async def conduct(call: Call, arrival: Arrival) -> Outcome:
         await membership.follow(call.service, FIRST_MEMBERS_TIMEOUT_S)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        outcome = await run_call(call, fences)
+        outcome = await run_call(call, arrival)
         metrics.record(
             "sapphireway_call_seconds",
             loop.time() - started_s,
@@ -69,16 +63,16 @@
     return conduct
 
 
-def make_traced_conduct(conduct: Conduct, tracer: Any) -> Conduct:
+def make_traced_conduct(conduct: Dispatch, tracer: Any) -> Dispatch:
     """Return `conduct` inside of a span for the calls that are traced.
 
     Parameters
     ----------
-    conduct : Conduct
+    conduct : Dispatch
     tracer : CallTracer
     """
 
-    async def conduct_traced(call: Call, fences: Any) -> Outcome:
+    async def conduct_traced(call: Call, arrival: Arrival) -> Outcome:
         headers, span = tracer.start_call(
             call.headers,
             call.policy.trace_percent,
@@ -87,9 +81,10 @@
             kind=call.kind,
         )
         if span is None:
-            return await conduct(call, fences)
+            return await conduct(call, arrival)
         try:
-            outcome = await conduct(dataclasses.replace(call, headers=headers), fences)
+            traced = dataclasses.replace(call, headers=headers)
+            outcome = await conduct(traced, arrival)
             span.set_attribute("outcome", type(outcome).__name__)
             return outcome
         finally:
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -267,7 +267,6 @@
             self._metrics,
             self._log,
             self._settings.domain,
-            lambda: self._callers.stopping,
         )
         if self._tracer is None:
             return conduct
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sapphireway._callers import CallerApi, filter_headers, render_outcome
+from sapphireway._callers import Arrival, CallerApi, filter_headers, render_outcome
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_protocol import Answered, Failed, NotRun, NotRunReason, Unknown
@@ -89,7 +89,7 @@
     assert (call.service, call.kind, call.key) == ("ledger", "photograph", "k")
     assert call.headers == (("Idempotency-Key", "k"), ("X-End", "2"))
     assert call.body == b"body"
-    assert arrival == "arrival of k"
+    assert arrival == Arrival("arrival of k", stopping=False)
 
 
 @pytest.mark.parametrize(
@@ -134,6 +134,18 @@
     assert not recorder.calls
 
 
+def test_request_that_arrived_before_the_stop_is_conducted(api, recorder):
+    async def handle():
+        request = make_request()
+        api.prepare(request)
+        api.stopping = True
+        return await api.handle(request)
+
+    answer = asyncio.run(handle())
+    assert dict(answer.headers)["Sapphireway-Outcome"] == "answered"
+    assert dict(answer.headers)["Connection"] == "close"
+
+
 @pytest.mark.parametrize(
     ("headers", "outcome"),
     [((), "not-run"), ((("Idempotency-Key", "k"),), "unknown")],
--- a/packages/sapphireway/tests/test_conduct.py
+++ b/packages/sapphireway/tests/test_conduct.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from sapphireway._callers import Arrival
 from sapphireway._conduct import make_conduct
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call
@@ -53,9 +54,8 @@
         metrics or Metrics(),
         parts,
         "bxl-a",
-        lambda: parts.stopping,
     )
-    return asyncio.run(run(call, None))
+    return asyncio.run(run(call, Arrival(None, parts.stopping)))
 
 
 @pytest.mark.parametrize(
