--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -78,6 +78,17 @@
     return fleet
 
 
+async def find_smallest_view(fleet, duration_s):
+    """Return the least members that any node saw in the meantime."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    smallest = len(fleet.nodes)
+    while loop.time() < end_s:
+        await asyncio.sleep(0.1)
+        smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+    return smallest
+
+
 def test_members_are_seen_by_all():
     async def run():
         fleet = await start_fleet(12)
@@ -165,10 +176,7 @@
         fleet = await start_fleet(12)
         for address in killed:
             fleet.kill(address)
-        smallest = 12
-        for _ in range(100):
-            await asyncio.sleep(0.1)
-            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        smallest = await find_smallest_view(fleet, 10.0)
         return smallest
 
     assert run_paused(run()) == 12
@@ -181,10 +189,7 @@
             fleet.kill(address)
         for address in CONTROL:
             fleet.start_control(address)
-        smallest = 12
-        for _ in range(100):
-            await asyncio.sleep(0.1)
-            smallest = min(smallest, *(len(fleet.view(n)) for n in fleet.nodes))
+        smallest = await find_smallest_view(fleet, 10.0)
         fleet.kill("n5")
         await asyncio.sleep(DEAD_WITHIN_S)
         return smallest, fleet.view("n0")
