--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,6 +27,7 @@
     ClaimHolder,
     ClaimKeeper,
     ControlClient,
+    ControlHostList,
     ControlMachine,
     Directory,
     HolderSettings,
@@ -198,7 +199,7 @@
         peers = Peers(
             self.network.open_endpoint(address), incarnation, lambda: state.version
         )
-        client = ControlClient(peers, self.control_hosts, self.rng)
+        client = ControlClient(peers, ControlHostList(self.control_hosts), self.rng)
         holder = ClaimHolder(
             peers, _make_read_group(client), self.rng, HolderSettings()
         )
@@ -221,7 +222,11 @@
             [],
         )
         membership = Membership(
-            peers, self.control_hosts, entry, self.rng, on_unserved=channel.ask
+            peers,
+            ControlHostList(self.control_hosts),
+            entry,
+            self.rng,
+            on_unserved=channel.ask,
         )
         process = Process(address, peers, state, holder, membership)
         self.processes[address] = process
@@ -242,8 +247,7 @@
 
     def _build_control(self, process, channel):
         peers, state = process.peers, process.state
-        others = [c for c in self.control_hosts if c != process.address]
-        process.directory = Directory(peers, others)
+        process.directory = Directory(peers, ControlHostList(self.control_hosts))
 
         def note_change():
             asyncio.get_running_loop().call_soon(update)
--- a/benchmarks/quorum.py
+++ b/benchmarks/quorum.py
@@ -10,7 +10,13 @@
 
 from tests.quorum_cluster import Cluster, ListMachine
 
-from sapphireway_coordination import Committed, ControlClient, Quorum, Role
+from sapphireway_coordination import (
+    Committed,
+    ControlClient,
+    ControlHostList,
+    Quorum,
+    Role,
+)
 from sapphireway_protocol import Peers
 from sapphireway_transport import FileDisk, ZmqEndpoint
 from sapphireway_transport.memory import run_paused
@@ -112,7 +118,7 @@
         quorums.append(quorum)
     while all(quorum.get_status().role != Role.LEADER for quorum in quorums):
         await asyncio.sleep(0.05)
-    client = ControlClient(peers[-1], hosts, random.Random(9))
+    client = ControlClient(peers[-1], ControlHostList(hosts), random.Random(9))
     latencies_ms = []
     for number in range(EDITS):
         began_s = time.perf_counter()
--- a/benchmarks/renewals.py
+++ b/benchmarks/renewals.py
@@ -14,7 +14,7 @@
 
 from benchmarks.capacity import FOLLOWED_SERVICES, SERVERS_PER_SERVICE
 from benchmarks.processes import CONTROL_HOSTS, SETTLE_S, Processes, show
-from sapphireway_coordination import Membership
+from sapphireway_coordination import ControlHostList, Membership
 from sapphireway_protocol import NodeEntry, Peers, ServerEntry
 from sapphireway_transport import ZmqEndpoint
 
@@ -55,7 +55,7 @@
     peers = Peers(endpoint, f"{number:016x}")
     domain = f"domain-{number % DOMAINS}"
     entry = NodeEntry(peers.address, domain, "region-0", peers.incarnation, 1.0, 0, [])
-    membership = Membership(peers, directories, entry, rng)
+    membership = Membership(peers, ControlHostList(directories), entry, rng)
     services = max(1, count // SERVERS_PER_SERVICE)
     own = number // SERVERS_PER_SERVICE % services
     server = ServerEntry(f"s{number}", f"s{own}", peers.incarnation, 6)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -49,19 +49,15 @@
     Dispatch,
 )
 from sapphireway_coordination._control_client import ControlClient
+from sapphireway_coordination._control_host_list import ControlHostList
 from sapphireway_coordination._control_machine import (
     GROUP_PREFIX,
+    ROUTE_PREFIX,
     TREE_PREFIX,
     ControlMachine,
 )
 from sapphireway_coordination._directory import Directory
 from sapphireway_coordination._dispatch import Dispatcher
-from sapphireway_coordination._exchange import (
-    ATTEMPT_ID_HEADER,
-    DEADLINE_HEADER,
-    NOT_RUN_HEADER,
-    REQUEST_ID_HEADER,
-)
 from sapphireway_coordination._explanation import CallHistory, ServerView
 from sapphireway_coordination._gate import Gate, GateState
 from sapphireway_coordination._gate_events import (
@@ -75,6 +71,7 @@
     RelapseCause,
     RelapseSeen,
     ServerAnnounced,
+    ServerCold,
     ServerLeft,
     ServerWarmed,
     SuspectChange,
@@ -108,7 +105,18 @@
     choose_two,
     make_choose_round_robin,
 )
+from sapphireway_coordination._server_form import (
+    OWN_SERVER_FORM,
+    ServerForm,
+)
 from sapphireway_coordination._settings_channel import SettingsChannel
+from sapphireway_coordination._shutdown import plan_stop
+from sapphireway_transport import (
+    ATTEMPT_ID_HEADER,
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+)
 
 __all__ = [
     "ATTEMPT_ID_HEADER",
@@ -116,7 +124,9 @@
     "GROUP_PREFIX",
     "KEY_MAX_BYTES",
     "NOT_RUN_HEADER",
+    "OWN_SERVER_FORM",
     "REQUEST_ID_HEADER",
+    "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AnnounceAccepted",
     "AnnounceRefused",
@@ -144,6 +154,7 @@
     "Claimant",
     "Committed",
     "ControlClient",
+    "ControlHostList",
     "ControlMachine",
     "Current",
     "DenyReason",
@@ -183,6 +194,8 @@
     "RevokeSent",
     "Role",
     "ServerAnnounced",
+    "ServerCold",
+    "ServerForm",
     "ServerLeft",
     "ServerView",
     "ServerWarmed",
@@ -199,4 +212,5 @@
     "index_members",
     "make_choose_round_robin",
     "make_member",
+    "plan_stop",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
@@ -22,6 +22,14 @@
         Changes whenever the server's process starts.
     in_flight : int or None
         Requests that the server runs now by its own count.
+    started_s : float
+        Wall-clock start of the server's process, which orders its starts; 0 if the
+        server does not tell.
+    cold_s : float or None
+        How much longer the server is cold; None if it does not tell, so that its
+        node has to find out what it bears.
+    cold_rate_per_s : float
+        Requests a second that it bears while it is cold; 0 if that is not known.
     """
 
     server: str
@@ -31,6 +39,9 @@
     connections_max: int
     start_id: str
     in_flight: int | None = None
+    started_s: float = 0.0
+    cold_s: float | None = None
+    cold_rate_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_events.py
@@ -11,10 +11,14 @@
     A resend goes to the same server, whose node refused the attempt before as it
     named an earlier start of it or no reading of its clock. No server worked for
     that, so it costs no budget; there is one a server and call.
+
+    A redirect follows refusals by the servers' nodes only. No server was given the
+    call, so it costs neither budget nor one of the call's attempts.
     """
 
     FIRST = "first"
     RETRY = "retry"
+    REDIRECT = "redirect"
     HEDGE = "hedge"
     RESEND = "resend"
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -18,6 +18,7 @@
     conclude,
     is_failure,
     is_stale,
+    reached_server,
     refuse,
 )
 from sapphireway_coordination._revocation import (
@@ -39,7 +40,12 @@
 SILENCE_PERCENTILE = 95.0
 SILENCE_SHARE = 0.5
 BROKEN_RUNS_MAX = 2
-OVERLOAD_REASONS = (NotRunReason.OVERLOADED, NotRunReason.DEADLINE)
+REFUSALS_MAX = 6  # nodes asked in turn; each costs a round trip between nodes
+OVERLOAD_REASONS = (
+    NotRunReason.OVERLOADED,
+    NotRunReason.SHED,
+    NotRunReason.DEADLINE,
+)
 
 
 class CallRun:
@@ -149,12 +155,15 @@
         return self._send_to(load, AttemptCause.RESEND, 1)
 
     def _try_retry(self):
-        if not self._allows_another(AttemptCause.RETRY):
-            return False
-        return self._send_attempt(AttemptCause.RETRY)
+        cause = AttemptCause.RETRY if self._count_given() else AttemptCause.REDIRECT
+        return self._allows_another(cause) and self._send_attempt(cause)
+
+    def _count_given(self):
+        """Return to how many servers the call was given, as far as is known."""
+        return len(self._open) + sum(map(reached_server, self._ended))
 
     def _allows_another(self, cause):
-        reason = self._find_denial()
+        reason = self._find_denial(cause)
         if reason is None:
             return True
         self._observe(
@@ -162,15 +171,17 @@
         )
         return False
 
-    def _find_denial(self):
-        if self.attempts_sent >= self._call.policy.attempts_max:
+    def _find_denial(self, cause):
+        if self._count_given() >= self._call.policy.attempts_max:
+            return DenyReason.ATTEMPTS
+        if len(self._ended) - sum(map(reached_server, self._ended)) >= REFUSALS_MAX:
             return DenyReason.ATTEMPTS
         if self._may_crash_servers():
             return DenyReason.SUSPECT
         expected_s = self._latencies.get_percentile(50) or 0.0
         if self._loop.time() + expected_s >= self._call.deadline_s:
             return DenyReason.DEADLINE
-        if not self._budget.can_withdraw():
+        if cause is not AttemptCause.REDIRECT and not self._budget.can_withdraw():
             return DenyReason.BUDGET
         return None
 
@@ -309,7 +320,7 @@
         if attempt.revokes:
             return get_next_revoke(attempt)
         final_s = get_final_revoke(attempt, self._call.deadline_s)
-        if self._find_denial() is not None:
+        if self._find_denial(AttemptCause.RETRY) is not None:
             return final_s
         policy = self._call.policy
         silence_s = self._latencies.get_percentile(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from sapphireway_coordination._announcement import Announcement
+from sapphireway_coordination._cold_rate import ColdRate
 from sapphireway_coordination._coldstart import (
     SHED_STATUSES,
     STALL_CHECK_S,
@@ -17,6 +18,7 @@
     ObserveGate,
     RelapseCause,
     RelapseSeen,
+    ServerCold,
     ServerWarmed,
 )
 from sapphireway_coordination._limit import (
@@ -81,6 +83,8 @@
 
     __slots__ = (
         "_cold_limit",
+        "_cold_rate",
+        "_cold_timer",
         "_detector",
         "_disconnected",
         "_get_time",
@@ -113,6 +117,8 @@
         self.reserved = None
         self._disconnected = 0
         self._cold_limit = cold_limit
+        self._cold_rate = ColdRate()
+        self._cold_timer = None
         self._detector = RelapseDetector()
         self._get_time = get_time
         self._inherited = announcement.slots if inherited is None else inherited
@@ -127,6 +133,7 @@
         self._wake = wake
         self._limit.set_ceiling(self._get_ceiling())
         self.relapse(RelapseCause.ANNOUNCED)
+        self.note_cold(announcement.cold_s or 0.0)
         if self._inherited:
             self._schedule(wait_s, wake)
 
@@ -145,6 +152,8 @@
     @property
     def cold(self) -> bool:
         """True until the server has shown that it bears its slots."""
+        if self.announcement.cold_s is not None:
+            return self._cold_rate.is_cold(self._get_time())
         return self._limit.cold
 
     @property
@@ -161,14 +170,39 @@
 
     def has_room(self) -> bool:
         """Tell whether one more request may be given to the server."""
-        return self.reserved is None and self.in_flight < self.limit
+        if self.reserved is not None or self.in_flight >= self.limit:
+            return False
+        return self._is_warm_enough()
 
     def has_room_alone(self) -> bool:
         """Tell whether a request that must run alone may be given to the server."""
-        return self.in_flight == 0 and self.limit > 0
+        return self.in_flight == 0 and self.limit > 0 and self._is_warm_enough()
+
+    def note_cold(self, cold_s: float) -> None:
+        """Take what the server says of how much longer it is cold."""
+        now_s = self._get_time()
+        rate_per_s = self.announcement.cold_rate_per_s
+        if cold_s > 0.0 and rate_per_s:
+            if not self._cold_rate.is_cold(now_s):
+                self._observe(ServerCold(self.announcement.server, cold_s, rate_per_s))
+            self._cold_rate.start(rate_per_s, now_s + cold_s, now_s)
+
+    def _is_warm_enough(self):
+        now_s = self._get_time()
+        wait_s = self._cold_rate.get_wait_s(now_s)
+        if wait_s > 0.0 and self._cold_timer is None:
+            self._cold_timer = self._schedule(wait_s, self._end_cold_wait)
+        return wait_s <= 0.0
+
+    def _end_cold_wait(self):
+        self._cold_timer = None
+        self._wake()
 
     def expect_slot_s(self) -> float:
         """Return the expected time until a slot gets free."""
+        cold_s = self._cold_rate.get_wait_s(self._get_time())
+        if cold_s and self.in_flight < self.limit:
+            return cold_s
         return self.baseline.mean_s / max(1, self.in_flight)
 
     def renew(self, announcement: Announcement, cold_limit: int) -> None:
@@ -178,6 +212,7 @@
         self._cold_limit = cold_limit
         self._refused_s = None
         self._limit.set_ceiling(self._get_ceiling())
+        self.note_cold(announcement.cold_s or 0.0)
         if restarted:
             self._inherited = 0
             self.relapse(RelapseCause.RESTARTED)
@@ -191,11 +226,12 @@
         self._detector.reset()
         self._disconnected = 0
         before = self._limit.value
-        seen = not self._limit.cold or before != self._cold_limit
+        cold_limit = self._get_cold_limit()
+        seen = not self._limit.cold or before != cold_limit
         # A server that was only slow shows by its next answers that it is well.
         slow = cause in (RelapseCause.LATENCY, RelapseCause.STALLED)
         answers_min = SLOW_ANSWERS_MIN if slow else COLD_ANSWERS_MIN
-        self._limit.start_cold(self._cold_limit, answers_min)
+        self._limit.start_cold(cold_limit, answers_min)
         if seen:
             server = self.announcement.server
             self._observe(RelapseSeen(server, cause, self._limit.value))
@@ -205,6 +241,7 @@
         """Count a request that is being given to the server."""
         running.saturated = self.in_flight + 1 >= self.limit
         self._running[running.attempt] = running
+        self._cold_rate.take(self._get_time())
         check_invariant(self.in_flight <= self.limit, "more in flight than the limit")
         check_invariant(
             not running.alone or self.in_flight == 1, "a suspect is not alone"
@@ -237,6 +274,9 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
+        if self._cold_timer is not None:
+            self._cold_timer.cancel()
+            self._cold_timer = None
 
     def _get_ceiling(self):
         announcement = self.announcement
@@ -262,7 +302,16 @@
         else:
             self._record(Sample(False, FAILED_LATENCY_RATIO, True))
 
+    def _get_cold_limit(self):
+        # A server that tells when it is cold bears its slots at all other times, and
+        # while it is cold the rate bounds it.
+        if self.announcement.cold_s is not None:
+            return self._limit.ceiling
+        return self._cold_limit
+
     def _record(self, sample):
+        if self.announcement.cold_s is not None:
+            return
         before, was_cold = self._limit.value, self._limit.cold
         self._limit.record(sample)
         self._report(before, "answers")
@@ -293,7 +342,7 @@
             (now_s - running.started_s, self.baseline.get(running.kind))
             for running in self._running.values()
         )
-        if is_stalled(ages) and self._limit.value > self._cold_limit:
+        if is_stalled(ages) and self._limit.value > self._get_cold_limit():
             self.relapse(RelapseCause.STALLED)
         self._stall_timer = self._schedule(STALL_CHECK_S, self._check_stall)
 
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_cold_rate.py
@@ -0,0 +1,62 @@
+"""The rate at which a cold server is given requests."""
+
+BURST_S = 0.15  # requests that may come at once, as a time at the full rate
+
+
+class ColdRate:
+    """Bounds the starts at one server while it is cold.
+
+    A server that has just started tolerates a known rate for a known time, whatever
+    its slots are, and falls over above it. The bucket starts empty, so that no
+    window of a second has more than the rate and one burst.
+
+    Attributes
+    ----------
+    until_s : float
+        Reading of the loop's clock until which the server is cold.
+    """
+
+    __slots__ = ("_refilled_s", "_tokens", "per_s", "until_s")
+
+    def __init__(self):
+        self._refilled_s = 0.0
+        self._tokens = 0.0
+        self.per_s = 0.0
+        self.until_s = float("-inf")
+
+    def start(self, per_s: float, until_s: float, now_s: float) -> None:
+        """Bound the rate until `until_s`; 0 a second means that no bound is known."""
+        if not self.is_cold(now_s):
+            self._tokens = 0.0
+            self._refilled_s = now_s
+        self.per_s = per_s
+        self.until_s = until_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the rate is bounded now."""
+        return self.per_s > 0.0 and now_s < self.until_s
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether one more request may start now."""
+        if not self.is_cold(now_s):
+            return True
+        self._refill(now_s)
+        return self._tokens >= 1.0
+
+    def take(self, now_s: float) -> None:
+        """Count a start."""
+        if self.is_cold(now_s):
+            self._refill(now_s)
+            self._tokens -= 1.0
+
+    def get_wait_s(self, now_s: float) -> float:
+        """Return the time until one more may start."""
+        if self.has_room(now_s):
+            return 0.0
+        wait_s = (1.0 - self._tokens) / self.per_s
+        return min(wait_s, self.until_s - now_s)
+
+    def _refill(self, now_s):
+        gained = (now_s - self._refilled_s) * self.per_s
+        self._refilled_s = now_s
+        self._tokens = min(self._tokens + gained, max(1.0, self.per_s * BURST_S))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_conclusions.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_conclusions.py
@@ -54,6 +54,11 @@
     return answered.status >= STATUS_FAILURE_MIN
 
 
+def reached_server(result: Outcome) -> bool:
+    """Tell whether a server was given the attempt, or may have been."""
+    return not isinstance(result, NotRun) or result.reason is NotRunReason.SHED
+
+
 def is_stale(result: Outcome) -> bool:
     """Tell whether a node refused as it was named wrongly or its clock not known."""
     return isinstance(result, NotRun) and result.reason is NotRunReason.STALE
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sapphireway_coordination._control_host_list import ControlHostList
 from sapphireway_coordination._quorum_types import Answer, Committed, Unavailable
 from sapphireway_protocol import ChangeMembers, ControlReply, Peers, Propose, Query
 
@@ -19,14 +20,16 @@
     Parameters
     ----------
     peers : Peers
-    control_hosts : sequence of str
+    control_hosts : ControlHostList
     rng : random.Random
     """
 
     __slots__ = ("_control_hosts", "_leader", "_peers", "_rng")
 
-    def __init__(self, peers: Peers, control_hosts: Sequence[str], rng: random.Random):
-        self._control_hosts = tuple(control_hosts)
+    def __init__(
+        self, peers: Peers, control_hosts: ControlHostList, rng: random.Random
+    ):
+        self._control_hosts = control_hosts
         self._leader = None
         self._peers = peers
         self._rng = rng
@@ -103,7 +106,7 @@
         return last, b"", maybe_applied
 
     def _order_hosts(self):
-        hosts = list(self._control_hosts)
+        hosts = list(self._control_hosts.addresses)
         self._rng.shuffle(hosts)
         if self._leader in hosts:
             hosts.remove(self._leader)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
@@ -1,19 +1,22 @@
-"""What the journal's commands act on: the settings tree and the claim groups."""
+"""What the journal's commands act on: settings tree, claim groups and routes."""
 
 import msgspec
 
 from sapphireway_coordination._claim_group import ClaimGroupMachine
+from sapphireway_coordination._in_force import encode_routes
 from sapphireway_protocol import SettingsUpdate
-from sapphireway_state import SettingsMachine
+from sapphireway_state import RouteMachine, SettingsMachine
 
 TREE_PREFIX = b"t"
 GROUP_PREFIX = b"g"
+ROUTE_PREFIX = b"r"
 
 
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
     tree: bytes
     groups: bytes
     groups_version: int
+    routes: bytes = b""
 
 
 class ControlMachine:
@@ -25,6 +28,7 @@
     groups : ClaimGroupMachine
     groups_version : int
         Position in the journal of the last change of a claim group.
+    routes : RouteMachine
     """
 
     __slots__ = (
@@ -32,6 +36,7 @@
         "_on_change",
         "groups",
         "groups_version",
+        "routes",
         "settings",
     )
 
@@ -40,12 +45,13 @@
         self._on_change = on_change
         self.groups = ClaimGroupMachine()
         self.groups_version = 0
+        self.routes = RouteMachine()
         self.settings = SettingsMachine()
 
     @property
     def version(self) -> int:
-        """Position in the journal of the last change of either part."""
-        return max(self.settings.version, self.groups_version)
+        """Position in the journal of the last change of any part."""
+        return max(self.settings.version, self.groups_version, self.routes.version)
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a command with its prefix; empty if the prefix is unknown."""
@@ -56,21 +62,27 @@
             result = self.settings.apply(index, content)
         elif prefix == GROUP_PREFIX:
             result = self._apply_group(index, content)
+        elif prefix == ROUTE_PREFIX:
+            result = self.routes.apply(index, content)
         if self.version != before:
             self._on_change()
         return result
 
     def read(self, query: bytes) -> bytes:
-        """Answer a query with its prefix: of the tree, or the claim group of a name."""
+        """Answer a query of the tree, a claim group or the routing table."""
         prefix, content = query[:1], query[1:]
         if prefix == TREE_PREFIX:
             return self.settings.read(content)
         if prefix == GROUP_PREFIX:
             group = self.groups.get_group(content.decode())
             return msgspec.msgpack.encode(group)
+        if prefix == ROUTE_PREFIX:
+            return self.routes.read(content)
         return b""
 
-    def make_update(self, tree_version: int, groups_version: int) -> SettingsUpdate:
+    def make_update(
+        self, tree_version: int, groups_version: int, routes_version: int = 0
+    ) -> SettingsUpdate:
         """Return what a node with these versions lacks."""
         tree = b""
         if tree_version != self.settings.version:
@@ -83,13 +95,24 @@
                 for group in self.groups.list_groups()
                 if versions[group.name] > groups_version
             ]
-        return SettingsUpdate(self.version, tree, self.groups_version, groups)
+        routes = self.routes
+        return SettingsUpdate(
+            self.version,
+            tree,
+            self.groups_version,
+            groups,
+            routes.version,
+            encode_routes(routes.table, routes.version, routes_version),
+        )
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
         return msgspec.msgpack.encode(
             _Snapshot(
-                self.settings.snapshot(), self.groups.snapshot(), self.groups_version
+                self.settings.snapshot(),
+                self.groups.snapshot(),
+                self.groups_version,
+                self.routes.snapshot(),
             )
         )
 
@@ -99,6 +122,8 @@
         self.settings.restore(snapshot.tree)
         self.groups.restore(snapshot.groups)
         self.groups_version = snapshot.groups_version
+        if snapshot.routes:
+            self.routes.restore(snapshot.routes)
         # When each changed is not kept; the latest time for all repeats some.
         self._group_versions = {
             group.name: self.groups_version for group in self.groups.list_groups()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+import msgspec
+
+from sapphireway_coordination._control_host_list import ControlHostList
 from sapphireway_coordination._members import Member, index_members
 from sapphireway_coordination._neighbours import ADOPTION_GRACE_S, Neighbours
 from sapphireway_protocol import (
@@ -41,19 +44,21 @@
     Parameters
     ----------
     peers : Peers
-    others : sequence of str
-        Addresses of the other control hosts.
+    hosts : ControlHostList
+        The control hosts; the directory follows its changes.
     get_host_state : callable
         Returns this host's state in the control quorum, for operators.
     """
 
     __slots__ = (
         "_get_host_state",
+        "_hosts",
         "_indexed_version",
         "_members",
         "_neighbours",
         "_next_scan_s",
         "_peers",
+        "_sharing",
         "_started_s",
         "_table",
     )
@@ -61,15 +66,17 @@
     def __init__(
         self,
         peers: Peers,
-        others: Sequence[str],
+        hosts: ControlHostList,
         get_host_state: Callable[[], ControlHostState | None] = lambda: None,
     ):
         self._get_host_state = get_host_state
         self._indexed_version = 0
         self._members = {}
-        self._neighbours = Neighbours(others)
+        self._hosts = hosts
         self._next_scan_s = float("-inf")
         self._peers = peers
+        self._neighbours = Neighbours(self._list_others())
+        self._sharing = {}
         self._started_s = asyncio.get_running_loop().time()
         self._table = LeaseTable(peers.address)
         peers.handle(Renew, self._renew)
@@ -92,8 +99,23 @@
         """Expire leases and follow the other directories until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._expire())
-            for neighbour in self._neighbours:
-                group.create_task(self._share(neighbour))
+            while True:
+                self._follow_hosts(group)
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    def _follow_hosts(self, group):
+        """Share leases with every control host that there is now."""
+        others = self._list_others()
+        self._neighbours.keep(others)
+        for address in set(self._sharing).difference(others):
+            self._sharing.pop(address).cancel()
+        for neighbour in self._neighbours:
+            if neighbour.address not in self._sharing:
+                task = group.create_task(self._share(neighbour))
+                self._sharing[neighbour.address] = task
+
+    def _list_others(self):
+        return [a for a in self._hosts.addresses if a != self._peers.address]
 
     def _renew(self, sender, envelope):
         message = envelope.message
@@ -102,7 +124,7 @@
         if _presents_newer(sender, message.entry, lease):
             lease = self._table.admit(message.entry, now_s + LEASE_S)
         if not _is_held(lease, envelope.incarnation, message.revision):
-            self._peers.reply(sender, envelope, _hold(message, wants_entry=True))
+            self._reply(sender, envelope, _hold(message, wants_entry=True))
             return
         if not lease.alive or lease.owner != self._peers.address:
             self._table.adopt(lease)
@@ -113,7 +135,15 @@
         lease.started = message.started
         if message.services is not None:
             lease.services = frozenset(message.services)
-        self._peers.reply(sender, envelope, self._answer(message, lease, now_s))
+        self._reply(sender, envelope, self._answer(message, lease, now_s))
+
+    def _reply(self, sender, envelope, renewed):
+        hosts = self._hosts
+        if hosts.version > envelope.message.hosts_version:
+            renewed = msgspec.structs.replace(
+                renewed, hosts_version=hosts.version, hosts=list(hosts.addresses)
+            )
+        self._peers.reply(sender, envelope, renewed)
 
     def _answer(self, message, lease, now_s):
         if lease.services is None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_exchange.py
@@ -1,11 +1,9 @@
 """Translation between an attempt and the HTTP exchange with its server."""
 
+from sapphireway_coordination._announcement import Announcement
+from sapphireway_coordination._server_form import ServerForm
 from sapphireway_protocol import NotRunReason, Reply, Run
 from sapphireway_transport import (
-    ATTEMPT_ID_HEADER,
-    DEADLINE_HEADER,
-    NOT_RUN_HEADER,
-    REQUEST_ID_HEADER,
     Broken,
     NotSent,
     Responded,
@@ -13,15 +11,14 @@
     ServerResult,
 )
 
-NOT_RUN_STATUS = 503
-
-_SET_HERE = frozenset(
-    name.lower() for name in (REQUEST_ID_HEADER, ATTEMPT_ID_HEADER, DEADLINE_HEADER)
-)
-
 
 def make_request(
-    run: Run, body: bytes, base_url: str, remaining_s: float, body_max_bytes: int
+    run: Run,
+    body: bytes,
+    announcement: Announcement,
+    remaining_s: float,
+    body_max_bytes: int,
+    form: ServerForm,
 ) -> ServerRequest:
     """Return the HTTP request of an attempt.
 
@@ -29,38 +26,50 @@
     ----------
     run : Run
     body : bytes
-    base_url : str
-        URL of the server without a path.
+    announcement : Announcement
+        Of the server that is to run it.
     remaining_s : float
         Time left until the attempt's deadline.
     body_max_bytes : int
         Largest answer that is accepted.
+    form : ServerForm
     """
-    passed = [pair for pair in run.headers if pair[0].lower() not in _SET_HERE]
-    added = [
-        (REQUEST_ID_HEADER, run.call),
-        (ATTEMPT_ID_HEADER, run.attempt),
-        (DEADLINE_HEADER, str(max(1, int(remaining_s * 1000)))),
-    ]
+    passed = [pair for pair in run.headers if pair[0].lower() not in form.own_headers]
+    added = form.make_headers(run, announcement.server, remaining_s)
     return ServerRequest(
-        base_url + run.target,
+        announcement.url + run.target,
         run.method,
-        tuple((name, value) for name, value in passed + added),
+        (*passed, *added),
         body,
         remaining_s,
         body_max_bytes,
+        _find_echo(passed, form.echo_header),
+        form.unframed_allowed,
     )
 
 
-def says_not_run(result: ServerResult | None) -> bool:
+def _find_echo(headers, echo_header):
+    if not echo_header:
+        return None
+    lowered = echo_header.lower()
+    return next(((n, v.strip()) for n, v in headers if n.lower() == lowered), None)
+
+
+def read_result(result: ServerResult, form: ServerForm) -> ServerResult:
+    """Return the result, or `Broken` if the answer can't be the server's own."""
+    if not isinstance(result, Responded) or form.says_not_run(result):
+        return result
+    fault = form.find_fault(result)
+    return Broken(fault) if fault else result
+
+
+def is_not_run(result: ServerResult | None, form: ServerForm) -> bool:
     """Tell whether the server itself says that it did not run the request."""
-    if not isinstance(result, Responded) or result.status != NOT_RUN_STATUS:
-        return False
-    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in result.headers)
+    return isinstance(result, Responded) and form.says_not_run(result)
 
 
 def make_reply(
-    run: Run, result: ServerResult | None, retry_after_s: float
+    run: Run, result: ServerResult | None, retry_after_s: float, form: ServerForm
 ) -> tuple[Reply, bytes]:
     """Return the reply and its body for what became of an attempt that started.
 
@@ -71,10 +80,11 @@
         None if the exchange was cancelled.
     retry_after_s : float
         Told to the caller if the server did not run the request.
+    form : ServerForm
     """
-    if says_not_run(result):
+    if is_not_run(result, form):
         return make_refusal(
-            run.attempt, NotRunReason.OVERLOADED, retry_after_s, "shed by the server"
+            run.attempt, NotRunReason.SHED, retry_after_s, "shed by the server"
         ), b""
     match result:
         case Responded(status, headers, body):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -26,6 +26,7 @@
 from sapphireway_coordination._order_ends import OrderEnds
 from sapphireway_coordination._registration import Registration
 from sapphireway_coordination._runner import AttemptRunner
+from sapphireway_coordination._server_form import OWN_SERVER_FORM, ServerForm
 from sapphireway_coordination._suspect_exchange import GetNodes, SuspectExchange
 from sapphireway_coordination._suspects import SuspectTable
 from sapphireway_protocol import (
@@ -78,6 +79,8 @@
         Returns the addresses of the nodes of a service, to share suspects.
     make_update : callable
         Makes the rule by which the limit of requests in flight is learnt.
+    form : ServerForm
+        How the server is spoken to.
     """
 
     __slots__ = (
@@ -105,6 +108,7 @@
         observe: ObserveGate,
         get_nodes: GetNodes = lambda service: (),
         make_update: Callable[[], UpdateLimit] = make_additive_update,
+        form: ServerForm = OWN_SERVER_FORM,
     ):
         self._client = client
         self._draining = False
@@ -129,6 +133,7 @@
             lambda: len(self._queue),
             self._finish,
             observe,
+            form,
         )
         self._runner = AttemptRunner(
             client,
@@ -139,6 +144,7 @@
             self._exchange,
             lambda: _CLOSED_REASONS.get(self.state),
             observe,
+            form,
         )
         self._exchange.is_running = self._runner.is_running
         peers.handle(Run, self._take_run)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate_events.py
@@ -160,6 +160,23 @@
     limit: int
 
 
+@dataclass(slots=True, frozen=True)
+class ServerCold:
+    """A server says that it is cold; the rate of its requests is bounded.
+
+    Attributes
+    ----------
+    server : str
+    cold_s : float
+        How much longer it is cold.
+    rate_per_s : float
+    """
+
+    server: str
+    cold_s: float
+    rate_per_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class ServerWarmed:
     """The server has shown that it bears its slots."""
@@ -233,6 +250,7 @@
     | AttemptRepeated
     | LimitChanged
     | RelapseSeen
+    | ServerCold
     | ServerWarmed
     | ServerAnnounced
     | ServerLeft
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_in_force.py
@@ -2,14 +2,22 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from sapphireway_protocol import ClaimGroup, SettingsUpdate
-from sapphireway_state import Applied, SettingsFollower, SettingsView
+from sapphireway_state import (
+    Applied,
+    RouteTable,
+    RouteView,
+    SettingsFollower,
+    SettingsView,
+)
 
 WHOLE_TREE = -1
 
 
 class StateInForce:
-    """Settings tree and claim groups as of one position of the journal.
+    """Settings tree, claim groups and routes as of one position of the journal.
 
     Parameters
     ----------
@@ -21,6 +29,8 @@
     version : int
         Position in the journal; it never decreases.
     groups_version : int
+    routes : RouteView
+        Routing table in force.
     fault : str
         Why the last update was refused.
     """
@@ -32,6 +42,7 @@
         "_tree",
         "fault",
         "groups_version",
+        "routes",
         "version",
     )
 
@@ -42,6 +53,7 @@
         self._tree = SettingsFollower()
         self.fault = ""
         self.groups_version = 0
+        self.routes = RouteView(RouteTable(), 0)
         self.version = 0
 
     @property
@@ -53,7 +65,9 @@
         """Return the claim group with this name, if there is one."""
         return self._groups.get(name)
 
-    def make_update(self, tree_version: int, groups_version: int) -> SettingsUpdate:
+    def make_update(
+        self, tree_version: int, groups_version: int, routes_version: int = 0
+    ) -> SettingsUpdate:
         """Return what a node with these versions lacks."""
         tree = b""
         if tree_version != self.view.version:
@@ -65,12 +79,25 @@
                 for name, group in self._groups.items()
                 if self._group_versions[name] > groups_version
             ]
-        return SettingsUpdate(self.version, tree, self.groups_version, groups)
+        return SettingsUpdate(
+            self.version,
+            tree,
+            self.groups_version,
+            groups,
+            self.routes.version,
+            encode_routes(self.routes.table, self.routes.version, routes_version),
+        )
 
     def apply(self, update: SettingsUpdate) -> Applied:
         """Put an update in force as a whole, or change nothing."""
         if update.version <= self.version:
             return Applied.OLD
+        routes = None
+        if update.routes and update.routes_version > self.routes.version:
+            routes = _decode_routes(update)
+            if routes is None:
+                self.fault = "the routing table cannot be decoded"
+                return Applied.BROKEN
         if update.tree:
             applied = self._tree.apply_update(update.tree)
             if applied in (Applied.NEEDS_WHOLE, Applied.BROKEN):
@@ -84,7 +111,22 @@
                 (group.name for group in update.groups), update.groups_version
             )
             self.groups_version = update.groups_version
+        if routes is not None:
+            self.routes = routes
         self.version = update.version
         for group in update.groups or ():
             self._on_groups(group)
         return Applied.NEW
+
+
+def encode_routes(table: RouteTable, version: int, known_version: int) -> bytes:
+    """Return a table as an update carries it; empty if `known_version` is current."""
+    return b"" if version == known_version else msgspec.msgpack.encode(table)
+
+
+def _decode_routes(update):
+    try:
+        table = msgspec.msgpack.decode(update.routes, type=RouteTable)
+    except msgspec.MsgspecError:
+        return None
+    return RouteView(table, update.routes_version)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from sapphireway_coordination._control_host_list import ControlHostList
 from sapphireway_coordination._members import Member, index_members
 from sapphireway_protocol import (
     LoadReport,
@@ -47,8 +48,8 @@
     Parameters
     ----------
     peers : Peers
-    directories : sequence of str
-        Addresses of the control hosts.
+    directories : ControlHostList
+        The control hosts; kept up to date from their answers.
     entry : NodeEntry
         This node without servers.
     rng : random.Random
@@ -94,13 +95,13 @@
     def __init__(
         self,
         peers: Peers,
-        directories: Sequence[str],
+        directories: ControlHostList,
         entry: NodeEntry,
         rng: random.Random,
         get_report: Callable[[], NodeReport] = NodeReport,
         on_unserved: Callable[[str], None] = lambda node: None,
     ):
-        self._directories = list(directories)
+        self._directories = directories
         self._directory_incarnation = ""
         self._entry = entry
         self._get_report = get_report
@@ -117,7 +118,7 @@
         self._view_changed = asyncio.Event()
         self._viewed = frozenset()
         self._wake = asyncio.Event()
-        self.directory = rng.choice(self._directories)
+        self.directory = rng.choice(directories.addresses)
         self.last_renewed_s = float("-inf")
         self.revision = 0
 
@@ -186,7 +187,9 @@
 
     def _move(self):
         if not self._untried:
-            self._untried = [d for d in self._directories if d != self.directory]
+            self._untried = [
+                d for d in self._directories.addresses if d != self.directory
+            ]
             self._rng.shuffle(self._untried)
         if self._untried:
             self.directory = self._untried.pop()
@@ -205,6 +208,7 @@
             report.in_force_since_s,
             report.load,
             report.started,
+            self._directories.version,
         )
         revision, services = self._entry.revision, frozenset(self._services)
         reply = await self._peers.request(
@@ -229,6 +233,7 @@
         return True
 
     def _accept(self, renewed):
+        self._directories.update(renewed.hosts_version, renewed.hosts)
         self._directory_incarnation = renewed.directory
         self._version = renewed.version
         if not (renewed.whole or renewed.gone or renewed.nodes):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_neighbours.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_neighbours.py
@@ -59,6 +59,11 @@
     def __iter__(self) -> Iterator[Neighbour]:
         return iter(self._by_address.values())
 
+    def keep(self, addresses: Sequence[str]) -> None:
+        """Follow exactly these directories from now on."""
+        known = self._by_address
+        self._by_address = {a: known.get(a) or Neighbour(a) for a in addresses}
+
     def get(self, address: str) -> Neighbour | None:
         """Return the neighbour at this address, if there is one."""
         return self._by_address.get(address)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_order_ends.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_order_ends.py
@@ -12,6 +12,7 @@
 )
 from sapphireway_coordination._order import FinishOrder, Order
 from sapphireway_coordination._registration import Registration
+from sapphireway_coordination._server_form import ServerForm
 from sapphireway_protocol import NotRunReason, Run
 from sapphireway_transport import ServerResult
 
@@ -29,9 +30,17 @@
     finish : callable
         Takes the end of each order.
     observe : callable
+    form : ServerForm
     """
 
-    __slots__ = ("_finish", "_get_queued", "_observe", "_registration", "_rng")
+    __slots__ = (
+        "_finish",
+        "_form",
+        "_get_queued",
+        "_observe",
+        "_registration",
+        "_rng",
+    )
 
     def __init__(
         self,
@@ -40,8 +49,10 @@
         get_queued: Callable[[], int],
         finish: FinishOrder,
         observe: ObserveGate,
+        form: ServerForm,
     ):
         self._finish = finish
+        self._form = form
         self._get_queued = get_queued
         self._observe = observe
         self._registration = registration
@@ -52,7 +63,7 @@
     ) -> None:
         """Reply to an attempt that had started; None if it was cancelled."""
         run = order.run
-        reply, body = make_reply(run, result, self.draw_retry_after())
+        reply, body = make_reply(run, result, self.draw_retry_after(), self._form)
         self._finish(order, reply, body)
         self._observe(
             AttemptServed(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
@@ -191,6 +191,7 @@
             tuple(member for member in members if not member.voter),
             replica.disk_problem or "ok",
             str(self.failure) if self.failure else replica.detail,
+            replica.configurations[0].index,
         )
 
     def _refuse(self):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
@@ -8,12 +8,17 @@
 from sapphireway_protocol import EntryKind, Envelope, JoinReply, QuorumMember
 from sapphireway_state import check_invariant, encode_members
 
+VOTERS_MIN = 3  # fewer can lose none
+
 
 async def maintain_members(replica: Replica, term: int) -> None:
-    """Promote learners that have caught up, in place of the disks they replace."""
+    """Promote learners that have caught up, in place of the disks they replace.
+
+    Where the settings say so, voters that are gone are taken out as well.
+    """
     while replica.is_leading(term):
         await asyncio.sleep(replica.settings.heartbeat_s)
-        members = _plan_promotion(replica)
+        members = _plan_change(replica)
         if members is not None:
             await _propose_members(replica, members)
 
@@ -54,7 +59,8 @@
         return False, f"this disk is a member at {known.address}; start it there"
     if known is not None:
         return True, "the host is a member"
-    if all(member.address != address for member in replica.members):
+    is_announced = any(member.address == address for member in replica.members)
+    if not is_announced and not replica.settings.admits_unknown:
         return False, f"{address} is no control host; operators add it first"
     if _is_change_pending(replica):
         return False, "another change of the members is under way"
@@ -63,6 +69,35 @@
     return True, "the host becomes a learner"
 
 
+def _plan_change(replica):
+    """Return the members after the next step that is due, or None."""
+    promoted = _plan_promotion(replica)
+    return promoted if promoted is not None else _plan_reduction(replica)
+
+
+def _plan_reduction(replica):
+    """Take a silent voter out if their number is even: it helps no majority."""
+    silent = _list_silent(replica)
+    if not silent or len(replica.voters) % 2 or len(replica.voters) <= VOTERS_MIN:
+        return None
+    members = tuple(m for m in replica.members if m != silent[0])
+    return members if _can_commit(replica, members) else None
+
+
+def _list_silent(replica):
+    """Return the voters that were not heard for so long that they may be gone."""
+    silent_s = replica.settings.replace_silent_s
+    if not silent_s:
+        return []
+    now_s = replica.now()
+    return [
+        member
+        for member in replica.voters
+        if member.disk_id in replica.progress
+        and now_s - replica.progress[member.disk_id].acked_sent_s > silent_s
+    ]
+
+
 def _plan_promotion(replica):
     """Return the members after the next step towards a promotion, or None."""
     learners = (m for m in replica.members if m.disk_id and not m.voter)
@@ -71,6 +106,7 @@
             continue
         rest = tuple(m for m in replica.members if m != learner)
         replaced = [m for m in rest if m.voter and m.address == learner.address]
+        replaced = replaced or _list_silent(replica)[:1]
         if replaced:
             members = tuple(m for m in replica.members if m not in replaced)
         else:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_types.py
@@ -120,6 +120,11 @@
     chunk_bytes : int
         Part of a snapshot in one message.
     limits : JournalLimits
+    admits_unknown : bool
+        Whether a host that nobody announced may join as a learner.
+    replace_silent_s : float
+        Silence after which a voter gives way to a learner that has caught up, or
+        leaves an even number of voters; 0 if only operators take voters out.
     """
 
     heartbeat_s: float = 0.25
@@ -129,6 +134,8 @@
     append_max_bytes: int = 256 * 1024
     chunk_bytes: int = 64 * 1024
     limits: JournalLimits = field(default_factory=JournalLimits)
+    admits_unknown: bool = False
+    replace_silent_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -149,6 +156,8 @@
         ``ok``, or what is wrong with it.
     detail : str
         Why the host does not take part, if it does not.
+    members_index : int
+        Journal index that set the members.
     """
 
     role: Role
@@ -163,3 +172,4 @@
     learners: tuple[QuorumMember, ...]
     disk: str
     detail: str
+    members_index: int = 0
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -105,8 +105,10 @@
         if announcement.start_id == self._left_start_id:
             return AnnounceRefused("this start of the server has left")
         known = self.announcement
+        if known is not None and announcement.started_s < known.started_s:
+            return AnnounceRefused("a later start of a server announced itself here")
         if known is not None and known.server != announcement.server:
-            if not self._is_replaceable():
+            if not self._is_replaceable(announcement):
                 return AnnounceRefused(f"this node speaks for server {known.server}")
             self.close()
             known = None
@@ -145,7 +147,10 @@
             self.capacity.close()
             self.capacity = None
 
-    def _is_replaceable(self):
+    def _is_replaceable(self, announcement):
+        if announcement.started_s > self.announcement.started_s:
+            # Only one server runs beside a node, so the one before has ended.
+            return True
         gone = self._lapsed or self.leaving
         return gone and self.capacity.in_flight == 0
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -6,11 +6,12 @@
 from sapphireway_coordination._admission import AdmissionQueue, Waiter
 from sapphireway_coordination._attempt_memory import AttemptState
 from sapphireway_coordination._capacity import Running
-from sapphireway_coordination._exchange import make_request, says_not_run
+from sapphireway_coordination._exchange import is_not_run, make_request, read_result
 from sapphireway_coordination._gate_events import AttemptStarted, ObserveGate
 from sapphireway_coordination._order import Order
 from sapphireway_coordination._order_ends import OrderEnds
 from sapphireway_coordination._registration import Registration
+from sapphireway_coordination._server_form import ServerForm
 from sapphireway_coordination._suspect_exchange import SuspectExchange
 from sapphireway_coordination._suspects import SuspectTable, Verdict
 from sapphireway_protocol import NotRunReason
@@ -33,6 +34,7 @@
     get_closed_reason : callable
         Returns why the node takes no new work at all, or None.
     observe : callable
+    form : ServerForm
 
     Attributes
     ----------
@@ -46,6 +48,7 @@
         "_closing",
         "_ends",
         "_exchange",
+        "_form",
         "_get_closed_reason",
         "_loop",
         "_observe",
@@ -66,7 +69,9 @@
         exchange: SuspectExchange,
         get_closed_reason: Callable[[], NotRunReason | None],
         observe: ObserveGate,
+        form: ServerForm,
     ):
+        self._form = form
         self._alone = None
         self._client = client
         self._closing = False
@@ -289,12 +294,13 @@
         request = make_request(
             order.run,
             order.body,
-            order.capacity.announcement.url,
+            order.capacity.announcement,
             remaining_s,
             order.policy.body_max_bytes,
+            self._form,
         )
         order.sending = True
-        return await self._client.send(request)
+        return read_result(await self._client.send(request), self._form)
 
     def _end(self, order, result):
         order.sending = False
@@ -305,7 +311,7 @@
     async def _judge_digest(self, order, result):
         digest, ttl_s = order.run.digest, float(order.policy.suspect_ttl_s)
         disconnected = isinstance(result, Broken) and result.disconnected
-        answered = isinstance(result, Responded) and not says_not_run(result)
+        answered = isinstance(result, Responded) and not is_not_run(result, self._form)
         # A digest may have become suspect while it ran here beside others.
         suspect = self._suspects.judge(digest) is Verdict.ALONE
         if order is self._alone and disconnected:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
@@ -131,7 +131,9 @@
 
     async def _fetch_since(self, sender, tree_version):
         state = self._state
-        request = FetchSettings(state.version, tree_version, state.groups_version)
+        request = FetchSettings(
+            state.version, tree_version, state.groups_version, state.routes.version
+        )
         reply = await self._peers.request(sender, request, FETCH_TIMEOUT_S)
         if reply is None or not reply.body:
             return None
@@ -146,17 +148,18 @@
         request = envelope.message
         body = b""
         if self._state.version > request.version:
-            body = self._get_encoded(request.tree_version, request.groups_version)
+            body = self._get_encoded(request)
         self._peers.reply(sender, envelope, SettingsInForce(self._state.version), body)
 
-    def _get_encoded(self, tree_version, groups_version):
+    def _get_encoded(self, request):
         # After an edit, hundreds of nodes ask a control host for the same update.
-        key = self._state.version, tree_version, groups_version
+        known = request.tree_version, request.groups_version, request.routes_version
+        key = self._state.version, *known
         encoded = self._encoded.get(key)
         if encoded is None:
             if len(self._encoded) >= ENCODED_UPDATES_KEPT:
                 self._encoded.clear()
-            encoded = _encode(self._state.make_update(tree_version, groups_version))
+            encoded = _encode(self._state.make_update(*known))
             self._encoded[key] = encoded
         return encoded
 
@@ -170,7 +173,7 @@
         try:
             while saved < self._state.version:
                 version = self._state.version
-                whole = self._state.make_update(WHOLE_TREE, WHOLE_TREE)
+                whole = self._state.make_update(WHOLE_TREE, WHOLE_TREE, WHOLE_TREE)
                 failed = await self._disk.replace(FILE, _encode(whole))
                 if failed is not None:
                     # A node without a disk fetches the settings at its next start.
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sapphireway_coordination import Directory, Membership
+from sapphireway_coordination import ControlHostList, Directory, Membership
 from sapphireway_coordination._neighbours import ADOPTION_GRACE_S
 from sapphireway_protocol import NodeEntry, Peers, Renewed, ServerEntry
 from sapphireway_transport.memory import MemoryNetwork, run_paused
@@ -35,7 +35,9 @@
 
     def start_control(self, address):
         others = [a for a in CONTROL if a != address]
-        directory = Directory(self.open_peers(address), others)
+        directory = Directory(
+            self.open_peers(address), ControlHostList([address, *others])
+        )
         self.tasks[address] = asyncio.ensure_future(directory.run())
         return directory
 
@@ -44,7 +46,7 @@
         entry = NodeEntry(
             address, "bxl-a", "be", peers.incarnation, float(self.starts), 0, []
         )
-        membership = Membership(peers, CONTROL, entry, self.rng)
+        membership = Membership(peers, ControlHostList(CONTROL), entry, self.rng)
         server = ServerEntry(f"s-{address}", service, peers.incarnation, 6)
         membership.set_servers([server])
         membership.get_members("matching")
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -7,6 +7,7 @@
 from sapphireway_coordination import (
     GROUP_PREFIX,
     TREE_PREFIX,
+    ControlHostList,
     ControlMachine,
     Directory,
     GroupChange,
@@ -102,19 +103,19 @@
             await asyncio.sleep(0.1)
         return made, [node.read_deadline() for node in nodes]
 
-    assert run_paused(run()) == ([(0, 0), (7, 0)], [800] * 5)
+    assert run_paused(run()) == ([(0, 0, 0), (7, 0, 0)], [800] * 5)
 
 
 def test_node_that_reaches_no_control_host_follows_other_nodes(network, machine):
     async def run():
         nodes = {name: Node(network, name) for name in ("control", "a", "b")}
-        directory = Directory(nodes["control"].peers, [])
+        directory = Directory(nodes["control"].peers, ControlHostList(["control"]))
         tasks = [asyncio.ensure_future(directory.run())]
         for name in ("a", "b"):
             entry = NodeEntry(name, "domain", "region", name, 1.0, 0, [])
             membership = Membership(
                 nodes[name].peers,
-                ["control"],
+                ControlHostList(["control"]),
                 entry,
                 random.Random(1),
                 on_unserved=nodes[name].channel.ask,
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -74,6 +74,8 @@
         Load of the server beside the node, for operators.
     started : int
         Requests handed to that server since the node started.
+    hosts_version : int
+        Version of the list of control hosts that the node knows.
     """
 
     revision: int
@@ -84,6 +86,7 @@
     in_force_since_s: float = 0.0
     load: LoadReport | None = None
     started: int = 0
+    hosts_version: int = 0
 
 
 class Renewed(msgspec.Struct, frozen=True, tag="renewed", array_like=True):
@@ -105,6 +108,9 @@
         True if the directory does not hold the node's entry.
     wants_services : bool
         True if the directory does not know the node's services.
+    hosts_version : int
+    hosts : list of str
+        The control hosts, if the node knows an older list.
     """
 
     directory: str
@@ -114,6 +120,8 @@
     gone: list[str]
     wants_entry: bool
     wants_services: bool
+    hosts_version: int = 0
+    hosts: list[str] = []
 
 
 class LeaseEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -9,6 +9,7 @@
 
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
+    SHED = "shed"  # by the server itself, that is, it was given the request
     DEADLINE = "deadline"
     DRAINING = "draining"
     DOMAIN_OUT = "domain_out"
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -16,11 +16,14 @@
         Version of the sender's settings tree; -1 asks for the whole tree.
     groups_version : int
         Version of the sender's claim groups.
+    routes_version : int
+        Version of the sender's routing table.
     """
 
     version: int
     tree_version: int
     groups_version: int
+    routes_version: int = 0
 
 
 class SettingsInForce(
@@ -51,12 +54,17 @@
     groups : list of ClaimGroup or None
         Claim groups that changed since the version that was named; none ever ends.
         None if that version is current.
+    routes_version : int
+    routes : bytes
+        The routing table; empty if the version that was named is current.
     """
 
     version: int
     tree: bytes
     groups_version: int
     groups: list[ClaimGroup] | None
+    routes_version: int = 0
+    routes: bytes = b""
 
 
 MESSAGES = (FetchSettings, SettingsInForce)
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -34,7 +34,7 @@
     address : str
         Where other nodes reach this one.
     http_address : str
-        Where callers and servers reach this node.
+        Where callers and servers reach this node; empty if none do.
     admin_address : str
         Where operators and metric collectors reach this node.
     domain : str
@@ -42,13 +42,19 @@
     region : str
         Region that the failure domain lies in.
     data_folder : str
-        Folder of everything that this process keeps.
+        Folder of everything that this process keeps; empty if it has no disk.
     control_hosts : tuple of str
         Node addresses of the control hosts; each process finds the others by them.
     control : bool
         Whether this process is a control host.
     bootstrap : bool
         Whether this control host may found a new quorum with `control_hosts`.
+    open_control : bool
+        Whether hosts with the control role join the quorum by themselves, and give
+        way when they are gone. Otherwise operators add and remove them.
+    stop_grace_ms : int
+        Time from the signal to stop until the process is killed; in it, callers that
+        have not noticed yet are still served. 0 if it is never killed.
     initial_tree : str or None
         File with the tree that a new quorum begins with.
     seed : int or None
@@ -82,6 +88,8 @@
     control_hosts: tuple[str, ...]
     control: bool = False
     bootstrap: bool = False
+    open_control: bool = False
+    stop_grace_ms: int = 0
     initial_tree: str | None = None
     seed: int | None = None
     log_format: str = "json"
@@ -109,6 +117,8 @@
     "control_hosts": make_list(make_address(), 1, 7),
     "control": make_boolean(),
     "bootstrap": make_boolean(),
+    "open_control": make_boolean(),
+    "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "initial_tree": _PATH,
     "seed": make_integer(0, 2**63 - 1),
     "log_format": make_choice(("json", "text")),
@@ -214,7 +224,8 @@
 
 
 def _check_control(value):
-    if value.get("control") and value["address"] not in value["control_hosts"]:
+    is_listed = value["address"] in value["control_hosts"]
+    if value.get("control") and not value.get("open_control") and not is_listed:
         yield Problem(
             "control_hosts",
             f"lacks this control host's own address {value['address']!r}",
--- /dev/null
+++ b/packages/sapphireway-state/src/sapphireway_state/_route_machine.py
@@ -0,0 +1,148 @@
+"""Publications of routing tables as a deterministic machine that a journal drives."""
+
+import collections
+
+import msgspec
+
+from sapphireway_state._invariants import check_invariant
+from sapphireway_state._problems import Problem
+from sapphireway_state._routes import RouteTable, check_table
+
+PUBLICATIONS_KEPT = 20_000  # digests of accepted publications; 0.5 MB in a snapshot
+DIGEST_BYTES = 16
+
+
+class Publish(msgspec.Struct, frozen=True, array_like=True):
+    """Put a table in place of the one with number `base`.
+
+    Attributes
+    ----------
+    digest : bytes
+        Names the operator's order; one that is sent again carries the same.
+    base : int
+        Number of the table that the operator saw; 0 for none.
+    table : RouteTable
+    """
+
+    digest: bytes
+    base: int
+    table: RouteTable
+
+
+class Published(msgspec.Struct, frozen=True, tag="published"):
+    """The order is accepted, now or by an earlier copy of it."""
+
+    number: int
+
+
+class Superseded(msgspec.Struct, frozen=True, tag="superseded"):
+    """Another table is current than the one that the order builds on."""
+
+    number: int
+
+
+class Unpublishable(msgspec.Struct, frozen=True, tag="unpublishable"):
+    """The table is wrong in itself."""
+
+    problems: list[Problem]
+
+
+PublishResult = Published | Superseded | Unpublishable
+
+
+class CurrentTable(msgspec.Struct, frozen=True):
+    """Answer to a read: the current table and whether an order was accepted."""
+
+    table: RouteTable
+    accepted: int | None = None
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    version: int
+    table: RouteTable
+    accepted: list[tuple[bytes, int]]
+
+
+_publish_decoder = msgspec.msgpack.Decoder(Publish)
+_result_decoder = msgspec.msgpack.Decoder(PublishResult)
+_current_decoder = msgspec.msgpack.Decoder(CurrentTable)
+_snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
+
+
+def encode_publish(publish: Publish) -> bytes:
+    """Return the journal's form of a publication."""
+    return msgspec.msgpack.encode(publish)
+
+
+def decode_publish_result(content: bytes) -> PublishResult:
+    """Return an answer of `RouteMachine.apply`."""
+    return _result_decoder.decode(content)
+
+
+def decode_current_table(content: bytes) -> CurrentTable:
+    """Return an answer of `RouteMachine.read`."""
+    return _current_decoder.decode(content)
+
+
+class RouteMachine:
+    """Accepts publications one after another; equal on hosts with equal journals.
+
+    Attributes
+    ----------
+    table : RouteTable
+        The current table; its number is 0 before the first publication.
+    version : int
+        Journal position of the last accepted publication.
+    """
+
+    __slots__ = ("_accepted", "table", "version")
+
+    def __init__(self):
+        self._accepted = collections.OrderedDict()
+        self.table = RouteTable()
+        self.version = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply an encoded `Publish` and return the encoded `PublishResult`."""
+        check_invariant(index > self.version, f"index {index} follows {self.version}")
+        return msgspec.msgpack.encode(self._apply(index, command))
+
+    def read(self, digest: bytes) -> bytes:
+        """Return an encoded `CurrentTable`; `digest` may name an order."""
+        accepted = self._accepted.get(digest)
+        return msgspec.msgpack.encode(CurrentTable(self.table, accepted))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        accepted = list(self._accepted.items())
+        return msgspec.msgpack.encode(_Snapshot(self.version, self.table, accepted))
+
+    def restore(self, content: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        snapshot = _snapshot_decoder.decode(content)
+        self.version = snapshot.version
+        self.table = snapshot.table
+        self._accepted = collections.OrderedDict(snapshot.accepted)
+
+    def _apply(self, index, command):
+        try:
+            publish = _publish_decoder.decode(command)
+        except msgspec.MsgspecError as error:
+            return Unpublishable([Problem("", str(error), "a publication")])
+        number = self._accepted.get(publish.digest)
+        if number is not None:
+            return Published(number)
+        if publish.base != self.table.number:
+            return Superseded(self.table.number)
+        problems = check_table(publish.table)
+        if publish.table.number <= self.table.number:
+            wrong = f"number {publish.table.number} is not new"
+            problems.append(Problem("", wrong, f"more than {self.table.number}"))
+        if problems:
+            return Unpublishable(problems)
+        self.table = publish.table
+        self.version = index
+        self._accepted[publish.digest] = publish.table.number
+        if len(self._accepted) > PUBLICATIONS_KEPT:
+            self._accepted.popitem(last=False)
+        return Published(publish.table.number)
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -7,9 +7,10 @@
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
-from sapphireway_transport._http import (
+from sapphireway_transport._http import HttpListener
+from sapphireway_transport._http_messages import (
     HttpAnswer,
-    HttpListener,
+    HttpLimits,
     HttpRequest,
     RejectedRequest,
 )
@@ -39,6 +40,7 @@
     "Endpoint",
     "FileDisk",
     "HttpAnswer",
+    "HttpLimits",
     "HttpListener",
     "HttpRequest",
     "NotSent",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -20,6 +20,8 @@
 CONNECTIONS_MAX = 200
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_MAX_S = 20
+IDLE_CONNECTION_MIN_S = 1
+IDLE_MARGIN_S = 2  # a kept connection is given up before the server closes it
 MS_PER_S = 1000
 
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -80,6 +82,15 @@
     """The request cannot be written as HTTP."""
 
 
+def read_keep_alive(value: str) -> int | None:
+    """Return the idle timeout in seconds of a Keep-Alive header, if it names one."""
+    for part in value.split(","):
+        name, _, number = part.partition("=")
+        if name.strip().lower() == "timeout" and number.strip().isdigit():
+            return int(number)
+    return None
+
+
 def _format_headers(headers):
     lines = []
     names = set()
@@ -105,18 +116,23 @@
         "_body_max_bytes",
         "_bytes_received",
         "_chunks",
+        "_echo",
+        "_foreign",
         "_framed",
         "_head",
         "_headers",
         "_in_headers",
+        "_note_keep_alive",
         "_status",
         "_too_large",
+        "_unframed_allowed",
         "easy",
         "future",
         "sends",
     )
 
-    def __init__(self):
+    def __init__(self, note_keep_alive):
+        self._note_keep_alive = note_keep_alive
         self.easy = easy = pycurl.Curl()
         self.future = None
         self.sends = 0
@@ -130,29 +146,32 @@
         easy.setopt(pycurl.HTTP_CONTENT_DECODING, 0)
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.TCP_NODELAY, 1)
-        easy.setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_MAX_S)
         easy.setopt(pycurl.PREREQFUNCTION, self._permit_send)
         easy.setopt(pycurl.HEADERFUNCTION, self._take_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._take_body)
 
-    def prepare(self, request: ServerRequest, future) -> None:
+    def prepare(self, request: ServerRequest, future, idle_max_s: int) -> None:
         """Set the handle up for `request`."""
         self.future = future
         self.sends = 0
         self._body_max_bytes = request.body_max_bytes
         self._bytes_received = 0
         self._chunks = []
+        self._echo = request.echo
+        self._foreign = False
         self._framed = False
         self._head = request.method == "HEAD"
         self._headers = []
         self._in_headers = False
         self._status = 0
         self._too_large = False
+        self._unframed_allowed = request.unframed_allowed
         easy = self.easy
         timeout_ms = max(1, int(request.timeout_s * MS_PER_S))
         easy.setopt(pycurl.URL, request.url.encode("latin-1"))
         easy.setopt(pycurl.HTTPHEADER, _format_headers(request.headers))
         easy.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        easy.setopt(pycurl.MAXAGE_CONN, idle_max_s)
         easy.setopt(
             pycurl.CONNECTTIMEOUT_MS, min(timeout_ms, int(CONNECT_TIMEOUT_S * MS_PER_S))
         )
@@ -171,6 +190,8 @@
         """Return what became of the request when libcurl ended with `code`."""
         if self._too_large:
             return Broken("the answer is larger than allowed")
+        if self._foreign:
+            return Broken("the answer belongs to another request")
         if code == pycurl.E_OK and self._status:
             if self._is_whole():
                 headers = tuple(self._headers)
@@ -191,7 +212,9 @@
         self.easy.setopt(pycurl.POSTFIELDS, b"")
 
     def _is_whole(self):
-        return self._framed or self._head or self._status in _BODILESS_STATUSES
+        if self._framed or self._head or self._status in _BODILESS_STATUSES:
+            return True
+        return self._unframed_allowed
 
     def _permit_send(self, *addresses):
         # libcurl sends a request again by itself when a kept connection turns out
@@ -202,6 +225,7 @@
         return pycurl.PREREQFUNC_OK
 
     def _take_header(self, line):
+        # Anything but None makes libcurl give the connection up.
         text = line.decode("latin-1").rstrip("\r\n")
         if line.startswith(b"HTTP/"):
             # An interim answer (1xx) is followed by another block of headers.
@@ -214,10 +238,19 @@
         elif self._in_headers:
             name, _, value = text.partition(":")
             lowered = name.lower()
+            if self._echo is not None and lowered == self._echo[0].lower():
+                if value.strip() != self._echo[1]:
+                    # A late second answer to an earlier request of the connection:
+                    # whatever follows on it can't be told apart either.
+                    self._foreign = True
+                    return -1
+            if lowered == "keep-alive":
+                self._note_keep_alive(value)
             if lowered in ("content-length", "transfer-encoding"):
                 self._framed = True
             if lowered not in _OWN_HEADERS or (self._head and lowered[0] == "c"):
                 self._headers.append((name, value.strip()))
+        return None
 
     def _take_body(self, chunk):
         self._bytes_received += len(chunk)
@@ -237,11 +270,20 @@
         Most connections open at once, kept ones included.
     """
 
-    __slots__ = ("_active", "_idle", "_loop", "_multi", "_timer", "_watched")
+    __slots__ = (
+        "_active",
+        "_idle",
+        "_idle_max_s",
+        "_loop",
+        "_multi",
+        "_timer",
+        "_watched",
+    )
 
     def __init__(self, connections_max: int = CONNECTIONS_MAX):
         self._active = {}
         self._idle = []
+        self._idle_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
         self._timer = None
         self._watched = {}
@@ -260,10 +302,10 @@
         """Send one request; cancelling the task closes its connection."""
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
-        transfer = self._idle.pop() if self._idle else _Transfer()
+        transfer = self._idle.pop() if self._idle else _Transfer(self._take_keep_alive)
         future = self._loop.create_future()
         try:
-            transfer.prepare(request, future)
+            transfer.prepare(request, future, self._idle_max_s)
         except (pycurl.error, ValueError) as error:
             transfer.release()
             self._idle.append(transfer)
@@ -294,6 +336,12 @@
         self._idle.clear()
         self._multi.close()
 
+    def _take_keep_alive(self, value):
+        # A request that crosses the server's close may or may not have run.
+        timeout_s = read_keep_alive(value)
+        if timeout_s is not None:
+            self._idle_max_s = max(IDLE_CONNECTION_MIN_S, timeout_s - IDLE_MARGIN_S)
+
     def _detach(self, transfer):
         # Removing an unfinished handle makes libcurl close its connection.
         del self._active[transfer.easy]
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -24,6 +24,11 @@
         Longest time until the whole answer must have arrived.
     body_max_bytes : int
         Largest answer that is accepted.
+    echo : tuple of (str, str) or None
+        Header that the server sends back; an answer with another value of it belongs
+        to another request.
+    unframed_allowed : bool
+        Whether an answer without a length that ends with its connection is whole.
     """
 
     url: str
@@ -32,6 +37,8 @@
     body: bytes
     timeout_s: float
     body_max_bytes: int
+    echo: tuple[str, str] | None = None
+    unframed_allowed: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -3,10 +3,12 @@
 
 import pytest
 
-from sapphireway_transport import HttpAnswer, HttpListener
+from sapphireway_transport import HttpAnswer, HttpLimits, HttpListener
 
 BODY_MAX_BYTES = 1000
 HEADER_MAX_BYTES = 2000
+HEADER_TIMEOUT_S = 0.2
+IDLE_TIMEOUT_S = 0.4
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
 POST = GET.replace(b"GET", b"POST")
 
@@ -28,7 +30,7 @@
         handle,
         lambda request: BODY_MAX_BYTES,
         lambda rejected: HttpAnswer(rejected.status, (), rejected.detail.encode()),
-        HEADER_MAX_BYTES,
+        lambda: HttpLimits(HEADER_MAX_BYTES, HEADER_TIMEOUT_S, IDLE_TIMEOUT_S),
     )
 
 
@@ -44,7 +46,7 @@
 def exchange(port, *parts, handle=echo):
     async def run():
         listener = make_listener(handle)
-        listener.listen("127.0.0.1", port)
+        await listener.listen("127.0.0.1", port)
         try:
             return await send(port, *parts)
         finally:
@@ -121,7 +123,7 @@
                 raise
 
         listener = make_listener(wait)
-        listener.listen("127.0.0.1", port)
+        await listener.listen("127.0.0.1", port)
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(GET + b"\r\n")
         await begun.wait()
@@ -145,7 +147,7 @@
             raise ValueError("broken")
 
         listener = make_listener(fail)
-        listener.listen("127.0.0.1", port)
+        await listener.listen("127.0.0.1", port)
         answer = await send(port, GET + b"\r\n")
         listener.stop_accepting()
         await listener.close()
@@ -159,7 +161,7 @@
 def test_finish_waits_for_a_body_under_way(port):
     async def run():
         listener = make_listener()
-        listener.listen("127.0.0.1", port)
+        await listener.listen("127.0.0.1", port)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(POST + b"Content-Length: 2\r\n\r\na")
         async with asyncio.timeout(10):
@@ -179,3 +181,63 @@
     waited, answer = asyncio.run(run())
     assert waited
     assert b"POST /x 2" in answer
+
+
+def test_pipelined_requests_run_together_and_are_answered_in_order(port):
+    async def run():
+        begun, release = [], asyncio.Event()
+
+        async def hold_first(request):
+            begun.append(request.target)
+            if request.target == "/first":
+                await release.wait()
+            else:
+                release.set()
+            return HttpAnswer(200, (), request.target.encode())
+
+        listener = make_listener(hold_first)
+        await listener.listen("127.0.0.1", port)
+        first = b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = await send(port, first, GET.replace(b"/x", b"/second") + b"\r\n")
+        listener.stop_accepting()
+        await listener.close()
+        return begun, answer
+
+    begun, answer = asyncio.run(run())
+    assert begun == ["/first", "/second"]
+    assert answer.index(b"/first") < answer.index(b"/second")
+
+
+@pytest.mark.parametrize(
+    ("sent", "line"),
+    [
+        (b"", b""),
+        (b"GET /x HTTP/1.1\r\nHo", b"HTTP/1.1 408"),
+        (POST + b"Content-Length: 2\r\n\r\na", b"HTTP/1.1 408"),
+    ],
+    ids=["idle", "headers", "body"],
+)
+def test_slow_caller_is_answered_or_closed(port, sent, line):
+    assert exchange(port, sent).startswith(line)
+
+
+def test_closing_listener_ends_a_connection_only_behind_its_last_request(port):
+    async def run():
+        both = asyncio.Barrier(2)
+
+        async def meet(request):
+            await both.wait()
+            return HttpAnswer(200, (), request.target.encode())
+
+        listener = make_listener(meet)
+        await listener.listen("127.0.0.1", port)
+        listener.closing = True
+        requests = [f"GET /{n} HTTP/1.1\r\nHost: a\r\n\r\n".encode() for n in "12"]
+        answer = await send(port, *requests)
+        listener.stop_accepting()
+        await listener.close()
+        return answer
+
+    first, _, second = asyncio.run(run()).rpartition(b"HTTP/1.1 200")
+    assert b"/1" in first and b"Connection: close" not in first
+    assert b"/2" in second and b"Connection: close" in second
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from sapphireway._logs import EventLog
@@ -17,7 +17,15 @@
     Outcome,
     Unknown,
 )
-from sapphireway_state import Policy, SettingsView
+from sapphireway_state import (
+    CallerLimits,
+    Policy,
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteView,
+    SettingsView,
+)
 from sapphireway_transport import HttpAnswer, HttpRequest, RejectedRequest
 
 OUTCOME_HEADER = "Sapphireway-Outcome"
@@ -27,6 +35,10 @@
 KEY_MAX_BYTES = 256
 MS_PER_S = 1000
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
+CALL_ID_MAX_BYTES = 128
+UNKNOWN_RETRY_S = 1.0  # a node that starts has its settings within this time
+WEIGHT_OF_FIRST_RANK = 100  # the tree's largest weight; each rank below has one less
+NO_ROUTES = RouteView(RouteTable(), 0)
 
 HOP_BY_HOP = frozenset(
     (
@@ -64,6 +76,31 @@
 """Conducts a call."""
 
 
+@dataclass(slots=True, frozen=True)
+class CallerForm:
+    """What a deployment's callers expect and say.
+
+    Attributes
+    ----------
+    render : callable
+        ``render(outcome, close)`` returns the answer for an outcome.
+    timeout_header : str
+        Milliseconds that the caller waits.
+    key_header : str
+        Idempotency key; "" if callers have none.
+    id_header : str
+        Id that the caller gives the request; "" if nodes name requests themselves.
+    own_headers : tuple of (str, str)
+        Set on every request, whatever the caller sent.
+    """
+
+    render: Callable[[Outcome, bool], HttpAnswer]
+    timeout_header: str = TIMEOUT_HEADER
+    key_header: str = KEY_HEADER
+    id_header: str = ""
+    own_headers: tuple[tuple[str, str], ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class _Route:
     service: str
@@ -87,6 +124,10 @@
     dispatch : Dispatch
     metrics : Metrics
     log : EventLog
+    get_routes : callable
+        Returns the `RouteView` in force; once a table is published, it decides
+        where requests go in place of the tree.
+    form : CallerForm
 
     Attributes
     ----------
@@ -99,6 +140,9 @@
         "_create_call_id",
         "_dispatch",
         "_domain",
+        "_dropped",
+        "_form",
+        "_get_routes",
         "_get_settings",
         "_log",
         "_metrics",
@@ -115,7 +159,12 @@
         dispatch: Dispatch,
         metrics: Metrics,
         log: EventLog,
+        get_routes: Callable[[], RouteView] = lambda: NO_ROUTES,
+        form: CallerForm | None = None,
     ):
+        self._form = form or CallerForm(render_outcome)
+        self._dropped = frozenset(name.lower() for name, _ in self._form.own_headers)
+        self._get_routes = get_routes
         self._create_call_id = create_call_id
         self._dispatch = dispatch
         self._domain = domain
@@ -127,19 +176,40 @@
 
     def prepare(self, request: HttpRequest) -> int:
         """Find the request's policy and return its largest body in bytes."""
-        settings = self._get_settings()
-        matched = settings.match(request.method, request.target, request.headers)
+        matched = self._match(request)
         if matched is None:
             return UNMATCHED_BODY_MAX_BYTES
-        policy = settings.resolve(self._domain, *matched)
-        key = request.get_header(KEY_HEADER)
+        service, kind, policy = matched
+        key = self._read_key(request)
         fences = None
         if key is not None and is_key(key):
-            fences = self._note_arrival(matched[0], key)
+            fences = self._note_arrival(service, key)
         # A request that was under way before the stop is in flight.
-        request.route = _Route(*matched, policy, Arrival(fences, self.stopping))
+        arrival = Arrival(fences, self.stopping)
+        request.route = _Route(service, kind, policy, arrival)
         return policy.body_max_bytes
 
+    def _match(self, request):
+        """Return service, kind and policy of a request, or None."""
+        settings = self._get_settings()
+        routes = self._get_routes()
+        if not routes.version:
+            matched = settings.match(request.method, request.target, request.headers)
+            if matched is None:
+                return None
+            return *matched, settings.resolve(self._domain, *matched)
+        route = routes.match(request.get_header("Host") or "", request.target)
+        if route is None:
+            return None
+        service = routes.choose_service(route)
+        policy = settings.resolve(self._domain, service, route.name)
+        policy = make_route_policy(policy, route, routes.table.limits)
+        return service, route.name, policy
+
+    def _read_key(self, request):
+        header = self._form.key_header
+        return request.get_header(header) if header else None
+
     def reject(self, rejected: RejectedRequest) -> HttpAnswer:
         """Answer a request that was too large to be read."""
         return self._refuse(rejected.status, rejected.detail, rejected.remote)
@@ -149,49 +219,65 @@
         if request.route is None:
             return self._handle_unmatched(request)
         if request.route.arrival.stopping and not self._is_claimed(request):
-            return _render_not_run(NotRun(NotRunReason.STOPPING), close=True)
+            return self._form.render(NotRun(NotRunReason.STOPPING), True)
         call = self._make_call(request, request.route)
         if isinstance(call, str):
             return self._refuse(400, call, request.remote)
         outcome = await self._dispatch(call, request.route.arrival)
-        return render_outcome(outcome, close=self.stopping)
+        return self._form.render(outcome, self.stopping)
 
     def _is_claimed(self, request):
         """Tell whether only the holders of the key know if the request has run."""
         if request.route.policy.idempotent:
             return False
-        return request.get_header(KEY_HEADER) is not None
+        return self._read_key(request) is not None
 
     def _handle_unmatched(self, request):
-        if self._get_settings().version == 0:
+        if not self._get_routes().version and not self._get_settings().list_services():
             detail = "no settings are in force at this node yet"
-            if request.get_header(KEY_HEADER) is not None:
+            if self._read_key(request) is not None:
                 # Which claim holds the key can't be found without settings.
-                return render_outcome(Unknown(detail))
-            return _render_not_run(NotRun(NotRunReason.NO_SERVER, 1.0, detail))
+                return self._form.render(Unknown(detail), False)
+            not_run = NotRun(NotRunReason.NO_SERVER, UNKNOWN_RETRY_S, detail)
+            return self._form.render(not_run, False)
         return self._refuse(404, "no service has this path", request.remote)
 
     def _make_call(self, request, route) -> Call | str:
         """Return the call, or one line that says why it is unreadable."""
-        timeout_s = parse_timeout(request.get_header(TIMEOUT_HEADER), route.policy)
+        form = self._form
+        timeout_s = parse_timeout(request.get_header(form.timeout_header), route.policy)
         if timeout_s is None:
-            return f"{TIMEOUT_HEADER} is not a positive whole number"
-        key = request.get_header(KEY_HEADER)
+            return f"{form.timeout_header} is not a positive whole number"
+        key = self._read_key(request)
         if key is not None and not is_key(key):
-            return f"{KEY_HEADER} is not 1 to {KEY_MAX_BYTES} bytes long"
+            return f"{form.key_header} is not 1 to {KEY_MAX_BYTES} bytes long"
         return Call(
-            call_id=self._create_call_id(),
+            call_id=self._name_call(request),
             service=route.service,
             kind=route.kind,
             method=request.method,
             target=request.target,
-            headers=filter_headers(request.headers),
+            headers=self._make_headers(request),
             body=request.body,
             deadline_s=asyncio.get_running_loop().time() + timeout_s,
             key=key,
             policy=route.policy,
         )
 
+    def _name_call(self, request):
+        header = self._form.id_header
+        given = request.get_header(header) if header else None
+        if given and len(given) <= CALL_ID_MAX_BYTES:
+            return given
+        return self._create_call_id()
+
+    def _make_headers(self, request):
+        headers = filter_headers(request.headers)
+        if not self._dropped:
+            return headers
+        kept = tuple(pair for pair in headers if pair[0].lower() not in self._dropped)
+        return kept + self._form.own_headers
+
     def _refuse(self, status, detail, remote):
         self._metrics.count("sapphireway_bad_requests_total", status=str(status))
         self._log.warning("bad_request", status=status, detail=detail, remote=remote)
@@ -204,6 +290,20 @@
         return HttpAnswer(status, headers, f"{detail}\n".encode())
 
 
+def make_route_policy(policy: Policy, route: Route, limits: CallerLimits) -> Policy:
+    """Return the settings of the tree with what a route says in their place."""
+    timeout_ms = max(1, int(route.timeout_ms))
+    return replace(
+        policy,
+        idempotent=route.kind is RequestKind.IDEMPOTENT,
+        deadline_ms=timeout_ms,
+        deadline_max_ms=timeout_ms,
+        attempts_max=route.attempts_max,
+        body_max_bytes=limits.body_max_bytes,
+        weight=max(1, WEIGHT_OF_FIRST_RANK - route.priority),
+    )
+
+
 def is_key(text: str) -> bool:
     """Tell whether a header is a valid idempotency key."""
     return 1 <= len(text.encode()) <= KEY_MAX_BYTES
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -16,6 +16,7 @@
     TREE_PREFIX,
     ClaimKeeper,
     Committed,
+    ControlHostList,
     ControlMachine,
     Directory,
     HolderSettings,
@@ -39,6 +40,7 @@
 INITIAL_EDIT = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
 INITIAL_CHECK_INTERVAL_S = 0.2
+REPLACE_SILENT_S = 3.0  # longer than a restart, shorter than until the next loss
 
 
 class ControlHost:
@@ -56,11 +58,14 @@
     observe : callable
         Takes every event.
     log : EventLog
+    hosts : ControlHostList
+        Kept up to date from the quorum's members.
     """
 
     __slots__ = (
         "_directory",
         "_disk",
+        "_hosts",
         "_keeper",
         "_log",
         "_machine",
@@ -80,15 +85,16 @@
         state: StateInForce,
         observe: Callable[[Any], None],
         log: EventLog,
+        hosts: ControlHostList,
     ):
+        self._hosts = hosts
         self._log = log
         self._put_in_force = put_in_force
         self._settings = settings
         self._state = state
         self._update_due = False
-        others = [host for host in settings.control_hosts if host != settings.address]
         self._directory = Directory(
-            peers, others, lambda: make_state(self._quorum.get_status())
+            peers, hosts, lambda: make_state(self._quorum.get_status())
         )
         self._machine = ControlMachine(self._note_change)
         self._disk = make_journal_disk(settings)
@@ -98,7 +104,11 @@
             self._machine,
             settings.control_hosts,
             rng,
-            QuorumSettings(limits=make_journal_limits(settings)),
+            QuorumSettings(
+                limits=make_journal_limits(settings),
+                admits_unknown=settings.open_control,
+                replace_silent_s=REPLACE_SILENT_S if settings.open_control else 0.0,
+            ),
             bootstrap=settings.bootstrap,
         )
         self._quorum.serve_queries(self._machine.read)
@@ -137,6 +147,9 @@
         status = None
         while True:
             current = self._quorum.get_status()
+            addresses = [m.address for m in (*current.voters, *current.learners)]
+            if self._hosts.update(current.members_index, addresses):
+                self._log.info("control_hosts", hosts=self._hosts.addresses)
             if self._quorum.failure is not None:
                 raise self._quorum.failure
             if status is None or (current.role, current.term) != status:
@@ -154,7 +167,9 @@
     def _update(self):
         self._update_due = False
         state = self._state
-        update = self._machine.make_update(state.view.version, state.groups_version)
+        update = self._machine.make_update(
+            state.view.version, state.groups_version, state.routes.version
+        )
         self._put_in_force(update)
 
     async def _propose_initial_tree(self):
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_edges.py
@@ -0,0 +1,20 @@
+"""How one deployment's callers and servers speak to a node."""
+
+from dataclasses import dataclass, field
+
+from sapphireway._callers import CallerForm, render_outcome
+from sapphireway_coordination import OWN_SERVER_FORM, ServerForm
+
+
+@dataclass(slots=True, frozen=True)
+class Edges:
+    """What stands between the node and those who speak to it.
+
+    Attributes
+    ----------
+    callers : CallerForm
+    server : ServerForm
+    """
+
+    callers: CallerForm = field(default_factory=lambda: CallerForm(render_outcome))
+    server: ServerForm = OWN_SERVER_FORM
--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -8,9 +8,16 @@
 from pathlib import Path
 from typing import Any
 
+from sapphireway._edges import Edges
 from sapphireway._logs import EventLog, configure_logs
 from sapphireway._node import Node
-from sapphireway_state import Invalid, InvariantError, format_problem, load_process
+from sapphireway_state import (
+    Invalid,
+    InvariantError,
+    ProcessSettings,
+    format_problem,
+    load_process,
+)
 
 YOUNG_OBJECTS = 20_000
 YOUNG_COLLECTIONS = 20
@@ -29,18 +36,35 @@
             print(format_problem(problem), file=sys.stderr)
         return EXIT_INVALID
     configure_logs(settings.log_format, settings.log_level)
-    return asyncio.run(_run_until_signal(settings, EventLog()))
+    return asyncio.run(run_node(settings, EventLog()))
 
 
-async def _run_until_signal(settings, log):
+async def run_node(
+    settings: ProcessSettings,
+    log: EventLog,
+    edges: Edges | None = None,
+    on_started: Callable[[Node], None] = lambda node: None,
+) -> int:
+    """Run a node until a signal stops it and return the exit status.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+    log : EventLog
+    edges : Edges
+    on_started : callable
+        Called with the node once it has started; an OSError ends the process.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, log.info, "reload_asked")
     loop.set_exception_handler(make_exception_handler(log))
-    node = Node(settings, log)
+    node = Node(settings, log, edges)
     try:
         await node.start()
+        on_started(node)
     except OSError as error:
         log.error("start_failed", detail=str(error))
         return EXIT_FAILED
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -16,6 +16,7 @@
 from sapphireway._control import ControlHost
 from sapphireway._control_hosts import ControlHosts
 from sapphireway._decisions import DecisionLog
+from sapphireway._edges import Edges
 from sapphireway._logs import EventLog
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
@@ -25,6 +26,7 @@
 from sapphireway._operator_backend import OperatorBackend
 from sapphireway._operator_token import make_token_reader
 from sapphireway._presence import ServerPresence
+from sapphireway._publisher import Publisher, make_edit_ids
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
     GROUP_PREFIX,
@@ -32,12 +34,14 @@
     Claimant,
     ClaimHolder,
     ControlClient,
+    ControlHostList,
     Dispatcher,
     Gate,
     HolderSettings,
     Membership,
     SettingsChannel,
     StateInForce,
+    plan_stop,
 )
 from sapphireway_protocol import (
     ClaimGroup,
@@ -48,6 +52,7 @@
 from sapphireway_transport import (
     CurlServerClient,
     FileDisk,
+    HttpLimits,
     HttpListener,
     ZmqEndpoint,
 )
@@ -69,6 +74,12 @@
     ----------
     settings : ProcessSettings
     log : EventLog
+    edges : Edges
+        How callers and the server speak to this node.
+
+    Attributes
+    ----------
+    publisher : Publisher
     """
 
     __slots__ = (
@@ -79,9 +90,11 @@
         "_client",
         "_control",
         "_control_client",
+        "_control_hosts",
         "_decisions",
         "_disk",
         "_dispatcher",
+        "_edges",
         "_gate",
         "_get_members",
         "_holder",
@@ -95,12 +108,18 @@
         "_settings",
         "_spans",
         "_state",
+        "_stopping",
         "_tasks",
         "_tracer",
+        "publisher",
     )
 
-    def __init__(self, settings: ProcessSettings, log: EventLog):
+    def __init__(
+        self, settings: ProcessSettings, log: EventLog, edges: Edges | None = None
+    ):
+        self._edges = edges or Edges()
         self._settings = settings
+        self._stopping = False
         self._log = log
         self._tasks = []
         rng = random.Random(settings.seed)
@@ -116,7 +135,7 @@
             self._callers.handle,
             self._callers.prepare,
             self._callers.reject,
-            settings.header_max_bytes,
+            self._get_http_limits,
         )
         self._admin = self._build_admin()
         self._watch_gauges()
@@ -135,20 +154,47 @@
         self._spawn(self._presence.run(self._membership, self._update_out))
         if self._control is not None:
             self._spawn(self._control.run())
-        self._listener.listen(*_split_address(self._settings.http_address))
+        if self._settings.http_address:
+            await self._listener.listen(*_split_address(self._settings.http_address))
         host, port = _split_address(self._settings.admin_address)
         self._admin.listen(port, host)
         self._log.info("started", address=self._settings.address)
 
+    @property
+    def gate(self) -> Gate:
+        """The gate of the server beside this node."""
+        return self._gate
+
+    @property
+    def ready(self) -> bool:
+        """True while callers may send new requests here."""
+        return not self._stopping and self._state.routes.version > 0
+
+    @property
+    def in_force(self) -> StateInForce:
+        """What this node has in force."""
+        return self._state
+
+    def render_metrics(self) -> str:
+        """Return all metrics in the Prometheus text format."""
+        return self._metrics.render()
+
     async def stop(self) -> bool:
         """Stop gracefully; True if nothing in flight was cut."""
         self._log.info("stopping", address=self._settings.address)
         loop = asyncio.get_running_loop()
         drain_s = self._get_policy("", "").drain_timeout_ms / MS_PER_S
+        grace_s = self._settings.stop_grace_ms / MS_PER_S
+        if grace_s:
+            drain_s = min(drain_s, grace_s)
         deadline_s = loop.time() + drain_s
+        self._stopping = True
+        draining = loop.create_task(self._gate.drain(deadline_s))
+        if grace_s:
+            await self._serve_leaving_callers(grace_s)
         self._callers.stopping = True
         self._listener.stop_accepting()
-        drained = await self._gate.drain(deadline_s)
+        drained = await draining
         try:
             async with asyncio.timeout_at(deadline_s):
                 await self._listener.finish_requests()
@@ -162,6 +208,13 @@
         self._log.info("stopped", drained=drained)
         return drained
 
+    async def _serve_leaving_callers(self, grace_s):
+        self._listener.closing = True
+        timeouts_s = [
+            route.timeout_ms / MS_PER_S for route in self._state.routes.table.routes
+        ]
+        await asyncio.sleep(plan_stop(grace_s, timeouts_s))
+
     async def _hand_claims_over(self):
         # The control host replaces a holder that leaves; with too few others left
         # its claims stay with the rest of the group.
@@ -180,7 +233,8 @@
         self._client.close()
         self._admin.stop()
         self._peers.close()
-        self._disk.close()
+        if self._disk is not None:
+            self._disk.close()
         if self._tracer is not None:
             self._tracer.close()
 
@@ -201,7 +255,9 @@
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         endpoint = ZmqEndpoint(settings.address)
         self._peers = Peers(endpoint, incarnation, lambda: self._state.version)
-        self._control_client = ControlClient(self._peers, settings.control_hosts, rng)
+        self._control_hosts = ControlHostList(settings.control_hosts)
+        self._control_client = ControlClient(self._peers, self._control_hosts, rng)
+        self.publisher = Publisher(self._control_client, make_edit_ids(incarnation))
         self._holder = ClaimHolder(
             self._peers,
             self._read_group,
@@ -211,7 +267,9 @@
             self._may_run_unsure,
         )
         self._state = StateInForce(self._holder.follow)
-        self._disk = FileDisk(Path(settings.data_folder) / STATE_FOLDER)
+        self._disk = None
+        if settings.data_folder:
+            self._disk = FileDisk(Path(settings.data_folder) / STATE_FOLDER)
         self._channel = SettingsChannel(
             self._peers,
             self._state,
@@ -224,7 +282,7 @@
         self._presence = ServerPresence(lambda: self._channel.in_force_since_s)
         self._membership = Membership(
             self._peers,
-            settings.control_hosts,
+            self._control_hosts,
             _make_entry(settings, incarnation),
             rng,
             self._presence.get_report,
@@ -247,6 +305,7 @@
             self._get_policy,
             self._observe_gate,
             lambda service: [member.node for member in self._get_members(service)],
+            form=self._edges.server,
         )
         self._presence.watch(self._gate)
         self._callers = CallerApi(
@@ -257,6 +316,8 @@
             self._build_conduct(),
             self._metrics,
             self._log,
+            lambda: self._state.routes,
+            self._edges.callers,
         )
 
     def _build_conduct(self):
@@ -303,6 +364,7 @@
             self._state,
             self._observe,
             self._log,
+            self._control_hosts,
         )
 
     def _build_admin(self):
@@ -354,6 +416,17 @@
         self._presence.count(event)
         self._observe(event)
 
+    def _get_http_limits(self):
+        routes = self._state.routes
+        if not routes.version:
+            return HttpLimits(self._settings.header_max_bytes)
+        limits = routes.table.limits
+        return HttpLimits(
+            limits.header_max_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        )
+
     def _watch_gauges(self):
         self._metrics.watch("sapphireway_settings_version", lambda: self._state.version)
         self._metrics.watch(
@@ -375,7 +448,13 @@
 
     def _note_settings(self):
         self._update_out()
-        self._log.info("settings_in_force", version=self._state.version)
+        self._log.info(
+            "settings_in_force",
+            version=self._state.version,
+            tree=self._state.view.version,
+            routes=self._state.routes.version,
+            table=self._state.routes.table.number,
+        )
 
     def _note_save_failed(self, failed):
         self._log.warning("settings_not_saved", file=failed.name, detail=failed.detail)
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -0,0 +1,123 @@
+"""Routing tables and failure domains on behalf of operators, through the quorum."""
+
+import itertools
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from sapphireway._operator_backend import Unavailable
+from sapphireway_coordination import (
+    ROUTE_PREFIX,
+    TREE_PREFIX,
+    Answer,
+    Committed,
+    ControlClient,
+)
+from sapphireway_state import (
+    Accepted,
+    CurrentTable,
+    CurrentTree,
+    Edit,
+    Publish,
+    PublishResult,
+    ReadTree,
+    SetValue,
+    decode_answer,
+    decode_current_table,
+    decode_publish_result,
+    encode_edit,
+    encode_publish,
+    encode_query,
+)
+
+PROPOSE_TIMEOUT_S = 4.0
+READ_TIMEOUT_S = 1.5
+RACES_MAX = 5  # edits of others that one change of a domain may lose to
+OPERATOR = "platform"
+
+
+class Publisher:
+    """Publishes routing tables and takes failure domains out and in.
+
+    Parameters
+    ----------
+    control_client : ControlClient
+    create_edit_id : callable
+        Returns an id that no other edit has.
+    wall_clock : callable
+        Seconds since the epoch.
+    """
+
+    __slots__ = ("_control_client", "_create_edit_id", "_wall_clock")
+
+    def __init__(
+        self,
+        control_client: ControlClient,
+        create_edit_id: Callable[[], str],
+        wall_clock: Callable[[], float] = time.time,
+    ):
+        self._control_client = control_client
+        self._create_edit_id = create_edit_id
+        self._wall_clock = wall_clock
+
+    async def publish(self, publish: Publish) -> PublishResult | Unavailable:
+        """Put a table in force; the same order again has the same result."""
+        command = ROUTE_PREFIX + encode_publish(publish)
+        result = await self._control_client.propose(command, PROPOSE_TIMEOUT_S)
+        if isinstance(result, Committed):
+            return decode_publish_result(result.result)
+        return Unavailable(result.detail, result.maybe_applied)
+
+    async def read_table(self, digest: bytes = b"") -> CurrentTable | Unavailable:
+        """Return the newest table, and whether an order of `digest` was accepted."""
+        answer = await self._read(ROUTE_PREFIX + digest)
+        if isinstance(answer, Unavailable):
+            return answer
+        return decode_current_table(answer)
+
+    async def set_out(self, domain: str, out: bool) -> Unavailable | None:
+        """Take a failure domain out of service, or back; None once that is accepted."""
+        for _ in range(RACES_MAX):
+            tree = await self._read(TREE_PREFIX + encode_query(ReadTree()))
+            if isinstance(tree, Unavailable):
+                return tree
+            current = msgspec.msgpack.decode(tree, type=CurrentTree)
+            node = current.tree.get("domains", {}).get(domain, {})
+            if bool(node.get("out")) == out:
+                return None
+            answer = await self._edit(current.version, domain, out)
+            if answer is None or isinstance(answer, Unavailable):
+                return answer
+        return Unavailable("other edits of the settings came first each time")
+
+    async def _edit(self, base, domain, out):
+        """Return None once accepted, `Unavailable`, or the answer of a lost race."""
+        operations = [SetValue(f"domains/{domain}/out", out)]
+        edit = Edit(
+            self._create_edit_id(),
+            base,
+            operations,
+            OPERATOR,
+            "taken out" if out else "taken back",
+            self._wall_clock(),
+            force=True,
+        )
+        command = TREE_PREFIX + encode_edit(edit)
+        result = await self._control_client.propose(command, PROPOSE_TIMEOUT_S)
+        if not isinstance(result, Committed):
+            return Unavailable(result.detail, result.maybe_applied)
+        answer = decode_answer(result.result)
+        return None if isinstance(answer, Accepted) else answer
+
+    async def _read(self, query):
+        result = await self._control_client.read(query, READ_TIMEOUT_S)
+        if isinstance(result, Answer):
+            return result.data
+        return Unavailable(result.detail)
+
+
+def make_edit_ids(incarnation: str) -> Callable[[], str]:
+    """Return a function that returns another id each time."""
+    numbers = itertools.count(1)
+    return lambda: f"{incarnation}-edit-{next(numbers)}"
--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -12,7 +12,12 @@
 )
 from sapphireway._operations import Operations
 from sapphireway._operator_backend import ChangeRefused, Unavailable
-from sapphireway_coordination import Directory, Membership, StateInForce
+from sapphireway_coordination import (
+    ControlHostList,
+    Directory,
+    Membership,
+    StateInForce,
+)
 from sapphireway_protocol import ControlHostState, NodeEntry, QuorumMember
 from sapphireway_state import ControlHostsChange
 from sapphireway_transport.memory import run_paused
@@ -35,14 +40,15 @@
 
     def serve(self, address, renew_with=None):
         host = self.cluster.hosts[address]
-        others = [other for other in self.cluster.addresses if other != address]
         directory = Directory(
-            host.peers, others, lambda: make_state(host.quorum.get_status())
+            host.peers,
+            ControlHostList(self.cluster.addresses),
+            lambda: make_state(host.quorum.get_status()),
         )
         entry = NodeEntry(address, "a", "be", host.peers.incarnation, 1.0, 0, [])
         membership = Membership(
             host.peers,
-            renew_with or self.cluster.addresses,
+            ControlHostList(renew_with or self.cluster.addresses),
             entry,
             random.Random(1),
         )
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -80,7 +80,7 @@
     entry: str
     outcome: str
     reason: str
-    body: bytes
+    body: bytes = field(repr=False)  # megabytes would hide the rest of a failure
     sent_s: float
     ended_s: float
 
--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from sapphireway_coordination import ControlClient, Quorum, QuorumSettings, Role
+from sapphireway_coordination import (
+    ControlClient,
+    ControlHostList,
+    Quorum,
+    QuorumSettings,
+    Role,
+)
 from sapphireway_protocol import Peers
 from sapphireway_state import JournalLimits
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, PowerCutError
@@ -121,7 +127,9 @@
         self.clients += 1
         peers = Peers(self.network.open_endpoint(address), address)
         peers.start()
-        return ControlClient(peers, self.addresses, random.Random(self.rng.random()))
+        return ControlClient(
+            peers, ControlHostList(self.addresses), random.Random(self.rng.random())
+        )
 
     def status(self, address):
         return self.hosts[address].quorum.get_status()
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from sapphireway_coordination import Answer, Committed, ControlClient
+from sapphireway_coordination import Answer, Committed, ControlClient, ControlHostList
 from sapphireway_protocol import Peers
 from sapphireway_transport import ZmqEndpoint
 
@@ -78,7 +78,9 @@
     peers = Peers(ZmqEndpoint(processes.client_address), "client")
     peers.start()
     try:
-        await run(ControlClient(peers, processes.hosts, random.Random(1)))
+        await run(
+            ControlClient(peers, ControlHostList(processes.hosts), random.Random(1))
+        )
     finally:
         peers.close()
 
@@ -90,7 +92,9 @@
         leader = (await read(client))[1]
         processes.signal(leader, signal.SIGSTOP)
         commands += await propose(client, b"while frozen")
-        only_woken = ControlClient(client._peers, [leader], random.Random(2))
+        only_woken = ControlClient(
+            client._peers, ControlHostList([leader]), random.Random(2)
+        )
         reading = asyncio.create_task(read(only_woken))
         await asyncio.sleep(0.1)
         processes.signal(leader, signal.SIGCONT)
