Place requests by how slow each server's host is now

Cause: a quarter to two fifths of the hosts are seven times slower than usual at any moment, for half a second at a time; latencies tell it one request too late.

Servers that tell when they are cold get all their slots at other times.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -85,6 +85,7 @@
     make_member,
 )
 from sapphireway_coordination._membership import Membership, NodeReport
+from sapphireway_coordination._placement import make_choose_placed
 from sapphireway_coordination._quorum import Quorum
 from sapphireway_coordination._quorum_types import (
     Answer,
@@ -105,6 +106,7 @@
     choose_two,
     make_choose_round_robin,
 )
+from sapphireway_coordination._self_report import SelfReport
 from sapphireway_coordination._server_form import (
     OWN_SERVER_FORM,
     ServerForm,
@@ -193,6 +195,7 @@
     "RetryDenied",
     "RevokeSent",
     "Role",
+    "SelfReport",
     "ServerAnnounced",
     "ServerCold",
     "ServerForm",
@@ -210,6 +213,7 @@
     "choose_random",
     "choose_two",
     "index_members",
+    "make_choose_placed",
     "make_choose_round_robin",
     "make_member",
     "plan_stop",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
@@ -30,6 +30,8 @@
         node has to find out what it bears.
     cold_rate_per_s : float
         Requests a second that it bears while it is cold; 0 if that is not known.
+    health_path : str
+        Path at which it answers of itself at once; "" if there is none.
     """
 
     server: str
@@ -42,6 +44,7 @@
     started_s: float = 0.0
     cold_s: float | None = None
     cold_rate_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
@@ -178,6 +178,12 @@
         attempt.load.outstanding[attempt.attempt_id] = attempt.sent_s
         return True
 
+    def wake(self, load: ServerLoad) -> None:
+        """Let the calls with attempts at a server look at it again."""
+        for attempt_id in load.outstanding:
+            attempt = self._open[attempt_id]
+            attempt.post(attempt)
+
     def send_revoke(self, attempt: Attempt, now_s: float) -> None:
         """Ask that an attempt never starts."""
         attempt.revokes += 1
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -21,6 +21,7 @@
     reached_server,
     refuse,
 )
+from sapphireway_coordination._placement import tells_slowness
 from sapphireway_coordination._revocation import (
     get_final_revoke,
     get_first_revoke,
@@ -40,6 +41,7 @@
 SILENCE_PERCENTILE = 95.0
 SILENCE_SHARE = 0.5
 BROKEN_RUNS_MAX = 2
+WORTH_MOVING = 2.5  # times faster that another server must be to run it anew
 REFUSALS_MAX = 6  # nodes asked in turn; each costs a round trip between nodes
 OVERLOAD_REASONS = (
     NotRunReason.OVERLOADED,
@@ -266,6 +268,7 @@
         learn_end(attempt, self._dispatcher.ejector, now_s)
         if isinstance(result, Answered) and not is_failure(result):
             self._latencies.add(now_s - attempt.sent_s)
+            self._service.note_answer(self._call.kind, len(result.body))
         if isinstance(result, NotRun) and result.reason in OVERLOAD_REASONS:
             self._service.shedder.take_overload(now_s)
         self._observe(
@@ -293,9 +296,32 @@
             return math.inf
         if len(self._open) != 1:
             return math.inf
+        if self._has_faster_server():
+            return self._open[0].sent_s
         wait_s = self._latencies.get_percentile(policy.hedge_percentile)
         return math.inf if wait_s is None else self._open[0].sent_s + wait_s
 
+    def _has_faster_server(self):
+        """Tell whether the server became slow while others are not."""
+        load = self._open[0].load
+        if not tells_slowness(load):
+            return False
+        bearable = load.report.slowness / WORTH_MOVING
+        if bearable < 1.0:
+            return False
+        loads = self._dispatcher.loads.list_loads(
+            self._call.service, self._dispatcher.get_members(self._call.service)
+        )
+        now_s = self._loop.time()
+        return any(
+            other.report.slowness <= bearable
+            for other in loads
+            if tells_slowness(other)
+            and other not in self._tried
+            and other.is_serving(now_s)
+            and not other.is_ejected(now_s)
+        )
+
     def _send_hedge(self, now_s):
         self._hedged = True
         load = self._open[0].load
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_candidates.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_candidates.py
@@ -7,6 +7,7 @@
 from sapphireway_coordination._conclusions import is_failure
 from sapphireway_coordination._ejection import Ejector, list_usable
 from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination._placement import tells_slowness
 from sapphireway_protocol import Answered, NotRun
 
 
@@ -27,6 +28,9 @@
     if not tried:
         return usable
     untried = [load for load in usable if load not in tried]
+    if any(tells_slowness(load) for load in untried):
+        # How slow each is matters more than where it is.
+        return untried
     domains = {load.member.domain for load in tried}
     elsewhere = [load for load in untried if load.member.domain not in domains]
     return elsewhere or untried
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -79,6 +79,13 @@
         if nobody can tell.
     make_update : callable
         Makes the rule by which the limit is learnt.
+
+    Attributes
+    ----------
+    last_start_s : float
+        When the server was last given a request.
+    slowness : float
+        How many times longer than usual work takes; 0 if the server doesn't tell.
     """
 
     __slots__ = (
@@ -99,7 +106,9 @@
         "_wake",
         "announcement",
         "baseline",
+        "last_start_s",
         "reserved",
+        "slowness",
     )
 
     def __init__(
@@ -114,7 +123,9 @@
     ):
         self.announcement = announcement
         self.baseline = LatencyBaseline()
+        self.last_start_s = float("-inf")
         self.reserved = None
+        self.slowness = 0.0
         self._disconnected = 0
         self._cold_limit = cold_limit
         self._cold_rate = ColdRate()
@@ -241,7 +252,8 @@
         """Count a request that is being given to the server."""
         running.saturated = self.in_flight + 1 >= self.limit
         self._running[running.attempt] = running
-        self._cold_rate.take(self._get_time())
+        self.last_start_s = self._get_time()
+        self._cold_rate.take(self.last_start_s)
         check_invariant(self.in_flight <= self.limit, "more in flight than the limit")
         check_invariant(
             not running.alone or self.in_flight == 1, "a suspect is not alone"
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -15,7 +15,7 @@
 from sapphireway_coordination._probing import Prober
 from sapphireway_coordination._routing import Choose, choose_predicted
 from sapphireway_coordination._services import ServiceTable
-from sapphireway_protocol import LoadReport, Outcome, Peers, ProbeReply
+from sapphireway_protocol import LoadNews, LoadReport, Outcome, Peers, ProbeReply
 from sapphireway_state import Policy
 
 CLOCK_AGE_MAX_S = 60.0
@@ -75,6 +75,7 @@
         self.loads = LoadTable()
         self.prober = Prober(peers, observe)
         self.services = ServiceTable()
+        peers.handle(LoadNews, self._take_news)
         peers.handle(ProbeReply, self._take_probe_reply)
 
     async def dispatch(self, call: Call) -> Outcome:
@@ -140,13 +141,19 @@
         load = self.loads.get(report.server)
         if load is not None:
             now_s = asyncio.get_running_loop().time()
+            before = load.report.slowness if load.report is not None else 0.0
             load.take_report(report, now_s)
             self.ejector.take_sign_of_life(load, now_s)
+            if report.slowness > before:
+                self.attempts.wake(load)
 
     def _judge_silence(self, load, probed_s):
         if load.heard_s < probed_s:
             self.ejector.take_silence(load, asyncio.get_running_loop().time())
 
+    def _take_news(self, sender, envelope):
+        self._take_report(envelope.message.load)
+
     def _take_probe_reply(self, sender, envelope):
         if envelope.message.load is not None:
             self._take_report(envelope.message.load)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -21,6 +21,7 @@
     GateChanged,
     ObserveGate,
 )
+from sapphireway_coordination._health import HealthWatch
 from sapphireway_coordination._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination._order import Order
 from sapphireway_coordination._order_ends import OrderEnds
@@ -31,6 +32,7 @@
 from sapphireway_coordination._suspects import SuspectTable
 from sapphireway_protocol import (
     Cancel,
+    LoadNews,
     LoadReport,
     NotRunReason,
     Peers,
@@ -45,6 +47,9 @@
 from sapphireway_state import Policy
 from sapphireway_transport import ServerClient
 
+MS_PER_S = 1000
+NEWS_AFTER_WORK_S = 3.0  # a node that sent no work for longer has no use for news
+
 GetPolicy = Callable[[str, str], Policy]
 """Returns the policy of a service and kind; the kind "" asks for the service's."""
 
@@ -89,6 +94,8 @@
         "_ends",
         "_exchange",
         "_get_policy",
+        "_health",
+        "_heard_s",
         "_loop",
         "_memory",
         "_observe",
@@ -113,6 +120,7 @@
         self._client = client
         self._draining = False
         self._get_policy = get_policy
+        self._heard_s = {}
         self._loop = asyncio.get_running_loop()
         self._memory = AttemptMemory()
         self._observe = observe
@@ -123,6 +131,14 @@
             lambda: self._runner.dispatch(),
             lambda reason: self._runner.refuse_all(reason),
             make_update,
+            self._tell_callers,
+        )
+        self._health = HealthWatch(
+            client,
+            self._registration,
+            form,
+            lambda service: get_policy(service, "").health_interval_ms / MS_PER_S,
+            lambda: self._registration.capacity.last_start_s,
         )
         suspects = SuspectTable(peers.address, self._loop.time, observe)
         self._exchange = SuspectExchange(peers, suspects, get_nodes)
@@ -180,6 +196,7 @@
         known = self.announcement
         cold_limit = self._get_policy(announcement.service, "").cold_limit
         result = self._registration.announce(announcement, cold_limit)
+        self._health.start()
         started = known is None or known.start_id != announcement.start_id
         if self.announcement is announcement:
             self._client.set_connections_max(announcement.connections_max)
@@ -241,10 +258,12 @@
             round(capacity.baseline.mean_s * 1000, 3),
             self._get_server_state(capacity),
             capacity.announcement.start_id,
+            capacity.slowness,
         )
 
     def close(self) -> None:
         """Stop at once; what is in flight is cancelled."""
+        self._health.close()
         self._runner.close()
         self._exchange.close()
         self._registration.close()
@@ -266,6 +285,7 @@
 
     def _take_run(self, sender, envelope):
         run = envelope.message
+        self._heard_s[sender] = self._loop.time()
         record = self._memory.get(run.attempt)
         if record is not None:
             self._repeat(sender, record, "run")
@@ -346,6 +366,16 @@
         )
         self._peers.reply(sender, envelope, revoked)
 
+    def _tell_callers(self):
+        """Tell the nodes that sent work lately of the server's load."""
+        oldest_s = self._loop.time() - NEWS_AFTER_WORK_S
+        self._heard_s = {
+            n: at_s for n, at_s in self._heard_s.items() if at_s > oldest_s
+        }
+        load = self.get_load()
+        for node in self._heard_s:
+            self._peers.send(node, LoadNews(load))
+
     def _send_stale(self, sender, run, detail):
         reply = make_refusal(run.attempt, NotRunReason.STALE, 0.0, detail)
         self._send_reply(sender, reply, b"")
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_health.py
@@ -0,0 +1,94 @@
+"""Regular questions of a node to the server beside it.
+
+Load that shifts within milliseconds is seen by whoever asks on the same host; the
+answers travel to the entry nodes in load reports. The questions' rate is a setting,
+and falls to `IDLE_INTERVAL_S` while the server gets no requests.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sapphireway_coordination._announcement import Announcement
+from sapphireway_coordination._registration import Registration
+from sapphireway_coordination._self_report import SelfReport
+from sapphireway_coordination._server_form import ServerForm
+from sapphireway_transport import Responded, ServerClient, ServerRequest
+
+TIMEOUT_S = 1.0
+IDLE_INTERVAL_S = 0.5
+IDLE_AFTER_S = 1.0
+BODY_MAX_BYTES = 64 * 1024
+UNWATCHED_CHECK_S = 0.1
+
+
+class HealthWatch:
+    """Asks the server that the registration names, one question at a time.
+
+    Parameters
+    ----------
+    client : ServerClient
+    registration : Registration
+    form : ServerForm
+    get_interval_s : callable
+        Returns the time between two questions; 0 if none are to be asked.
+    get_last_start_s : callable
+        Returns when the server was last given a request.
+    """
+
+    __slots__ = (
+        "_client",
+        "_form",
+        "_get_interval_s",
+        "_get_last_start_s",
+        "_registration",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        client: ServerClient,
+        registration: Registration,
+        form: ServerForm,
+        get_interval_s: Callable[[str], float],
+        get_last_start_s: Callable[[], float],
+    ):
+        self._client = client
+        self._form = form
+        self._get_interval_s = get_interval_s
+        self._get_last_start_s = get_last_start_s
+        self._registration = registration
+        self._task = None
+
+    def start(self) -> None:
+        """Begin to ask, if it has not begun."""
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self) -> None:
+        """Stop asking."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _run(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            announcement = self._registration.announcement
+            interval_s = 0.0
+            if announcement is not None and announcement.health_path:
+                interval_s = self._get_interval_s(announcement.service)
+            if not interval_s or self._registration.lapsed:
+                await asyncio.sleep(UNWATCHED_CHECK_S)
+                continue
+            if loop.time() - self._get_last_start_s() > IDLE_AFTER_S:
+                interval_s = max(interval_s, IDLE_INTERVAL_S)
+            await asyncio.sleep(interval_s)
+            report = await self._ask(announcement)
+            if report is not None and announcement is self._registration.announcement:
+                self._registration.take_report(report)
+
+    async def _ask(self, announcement: Announcement) -> SelfReport | None:
+        url = announcement.url + announcement.health_path
+        request = ServerRequest(url, "GET", (), b"", TIMEOUT_S, BODY_MAX_BYTES)
+        result = await self._client.send(request)
+        return self._form.read_report(result) if isinstance(result, Responded) else None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -17,10 +17,12 @@
     ServerLeft,
 )
 from sapphireway_coordination._limit import UpdateLimit, make_additive_update
+from sapphireway_coordination._self_report import SelfReport
 from sapphireway_protocol import NotRunReason
 
 RENEW_S = 2.0
 LEASE_S = 7.0
+SLOWNESS_TOLERANCE = 0.25  # smaller changes move no request elsewhere
 
 
 class Registration:
@@ -35,6 +37,8 @@
         Called with a `NotRunReason` when what waits must be refused.
     make_update : callable
         Makes the rule by which the limit is learnt.
+    on_slowness : callable
+        Called without arguments when the server's host became faster or slower.
 
     Attributes
     ----------
@@ -50,6 +54,7 @@
         "_loop",
         "_make_update",
         "_observe",
+        "_on_slowness",
         "_refuse_waiting",
         "_wake",
         "capacity",
@@ -61,7 +66,9 @@
         wake: Callable[[], None],
         refuse_waiting: Callable[[NotRunReason], None],
         make_update: Callable[[], UpdateLimit] = make_additive_update,
+        on_slowness: Callable[[], None] = lambda: None,
     ):
+        self._on_slowness = on_slowness
         self._lapsed = False
         self._lease_timer = None
         self._lease_until_s = 0.0
@@ -138,6 +145,20 @@
         """Extend the lease: a server that answers is there."""
         self._lease_until_s = self._loop.time() + LEASE_S
 
+    def take_report(self, report: SelfReport) -> None:
+        """Take what the server told of itself in an answer."""
+        capacity = self.capacity
+        if capacity is None:
+            return
+        if report.server is not None and report.server != self.announcement.server:
+            return
+        if report.cold_s is not None:
+            capacity.note_cold(report.cold_s)
+        if report.slowness is not None:
+            before, capacity.slowness = capacity.slowness, report.slowness
+            if abs(before - report.slowness) > SLOWNESS_TOLERANCE * before:
+                self._on_slowness()
+
     def close(self) -> None:
         """Forget the server."""
         if self._lease_timer is not None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -300,7 +300,10 @@
             self._form,
         )
         order.sending = True
-        return read_result(await self._client.send(request), self._form)
+        result = await self._client.send(request)
+        if isinstance(result, Responded):
+            self._registration.take_report(self._form.read_report(result))
+        return read_result(result, self._form)
 
     def _end(self, order, result):
         order.sending = False
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_server_form.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_server_form.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from sapphireway_coordination._self_report import SelfReport
 from sapphireway_protocol import Run
 from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
@@ -14,6 +15,7 @@
 
 MS_PER_S = 1000
 NOT_RUN_STATUS = 503
+NO_REPORT = SelfReport()
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +33,8 @@
         Tells whether an answer states that the request did not run.
     find_fault : callable
         Returns why an answer can't be the server's whole answer, or "".
+    read_report : callable
+        Returns the `SelfReport` in an answer.
     echo_header : str
         Header of the request that the server repeats; "" if it repeats none.
     unframed_allowed : bool
@@ -41,6 +45,7 @@
     make_headers: Callable[[Run, str, float], Sequence[tuple[str, str]]]
     says_not_run: Callable[[Responded], bool]
     find_fault: Callable[[Responded], str] = lambda answer: ""
+    read_report: Callable[[Responded], SelfReport] = lambda answer: NO_REPORT
     echo_header: str = ""
     unframed_allowed: bool = False
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_services.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_services.py
@@ -8,6 +8,7 @@
 
 SERVICES_KEPT = 256
 KINDS_KEPT = 64
+ANSWER_BYTES_GAIN = 0.1
 
 
 class ServiceState:
@@ -19,13 +20,23 @@
     shedder : Shedder
     """
 
-    __slots__ = ("_latencies", "budget", "shedder")
+    __slots__ = ("_answer_bytes", "_latencies", "budget", "shedder")
 
     def __init__(self):
+        self._answer_bytes = collections.OrderedDict()
         self._latencies = collections.OrderedDict()
         self.budget = RetryBudget()
         self.shedder = Shedder()
 
+    def note_answer(self, kind: str, size: int) -> None:
+        """Take the size of one answer into account."""
+        mean = fetch(self._answer_bytes, kind, lambda: float(size), KINDS_KEPT)
+        self._answer_bytes[kind] = mean + ANSWER_BYTES_GAIN * (size - mean)
+
+    def get_answer_bytes(self, kind: str) -> float:
+        """Return the usual size of a kind's answers; 0 if it is not known."""
+        return self._answer_bytes.get(kind, 0.0)
+
     def get_latencies(self, kind: str) -> RecentLatencies:
         """Return the recent latencies of a kind."""
         return fetch(self._latencies, kind, RecentLatencies, KINDS_KEPT)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -2,6 +2,7 @@
 
 from sapphireway_protocol._calls import (
     Cancel,
+    LoadNews,
     LoadReport,
     Probe,
     ProbeReply,
@@ -134,6 +135,7 @@
     "LeaseEntry",
     "ListNodes",
     "ListSuspects",
+    "LoadNews",
     "LoadReport",
     "MarkSuspect",
     "NodeEntry",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -33,6 +33,8 @@
     state : ServerState
     start_id : str
         Changes whenever the server's process starts.
+    slowness : float
+        How many times longer than usual work takes there now; 0 if it doesn't tell.
     """
 
     server: str
@@ -42,6 +44,7 @@
     latency_ms: float
     state: ServerState
     start_id: str
+    slowness: float = 0.0
 
 
 class Run(msgspec.Struct, frozen=True, tag="run", array_like=True):
@@ -172,4 +175,10 @@
     load: LoadReport | None
 
 
-MESSAGES = (Run, Reply, Cancel, Revoke, Revoked, Probe, ProbeReply)
+class LoadNews(msgspec.Struct, frozen=True, tag="load_news", array_like=True):
+    """Tell callers at once of a change that makes a server faster or slower."""
+
+    load: LoadReport
+
+
+MESSAGES = (LoadNews, Run, Reply, Cancel, Revoke, Revoked, Probe, ProbeReply)
--- a/packages/sapphireway-state/src/sapphireway_state/_policy.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -34,6 +34,12 @@
         Most load probes that one node sends a second.
     load_stale_ms : int
         Age after which a load report is worth a probe.
+    health_interval_ms : int
+        Time between two questions of a node to the server beside it, if the server
+        answers of itself at a path of its own; 0 asks nothing.
+    crossing_ms_per_kb : float
+        How much longer an answer may take before a kilobyte of request and answer is
+        moved to another failure domain.
     cold_limit : int
         Requests in flight allowed to a server that has just started.
     queue_limit : int
@@ -67,6 +73,8 @@
     panic_percent: float = 50.0
     probe_rate_per_s: float = 20.0
     load_stale_ms: int = 200
+    health_interval_ms: int = 0
+    crossing_ms_per_kb: float = 0.0
     cold_limit: int = 1
     queue_limit: int = 64
     drain_timeout_ms: int = 30_000
--- a/packages/sapphireway-state/src/sapphireway_state/_schema.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_schema.py
@@ -137,6 +137,18 @@
         PER_SERVICE,
         "Age after which a load report is worth a probe.",
     ),
+    _describe(
+        "health_interval_ms",
+        make_integer(0, 60_000, "ms"),
+        PER_SERVICE,
+        "Time between two questions of a node to its server; 0 asks nothing.",
+    ),
+    _describe(
+        "crossing_ms_per_kb",
+        make_number(0, 10_000, "ms"),
+        ANYWHERE,
+        "Delay that is borne rather than move a kilobyte to another failure domain.",
+    ),
     _describe(
         "cold_limit",
         make_integer(1, 1_000),
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -41,6 +41,7 @@
     Membership,
     SettingsChannel,
     StateInForce,
+    make_choose_placed,
     plan_stop,
 )
 from sapphireway_protocol import (
@@ -63,6 +64,7 @@
 CLAIMS_HANDOVER_MAX_S = 3.0
 CONTROL_SILENCE_MAX_S = 5.0
 SPANS_KEPT = 1000
+WORK_PERCENTILE = 25.0  # of latencies: those that met a fast host
 MS_PER_S = 1000
 STATE_FOLDER = "state"
 
@@ -292,7 +294,7 @@
     def _build_data_path(self, rng):
         self._get_members = make_get_members(self._membership, self._get_view)
         self._dispatcher = Dispatcher(
-            self._peers, self._get_members, rng, self._observe
+            self._peers, self._get_members, rng, self._observe, self._make_choose()
         )
         self._claimant = Claimant(
             self._peers, self._state.get_group, rng, observe=self._observe
@@ -320,6 +322,17 @@
             self._edges.callers,
         )
 
+    def _make_choose(self):
+        def get_work_s(call):
+            state = self._dispatcher.services.get(call.service)
+            return state.get_latencies(call.kind).get_percentile(WORK_PERCENTILE)
+
+        def get_answer_bytes(call):
+            state = self._dispatcher.services.get(call.service)
+            return state.get_answer_bytes(call.kind)
+
+        return make_choose_placed(self._settings.domain, get_work_s, get_answer_bytes)
+
     def _build_conduct(self):
         conduct = make_conduct(
             self._membership,
