--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -7,12 +7,15 @@
 from sapphireway_protocol import (
     Answered,
     Cancel,
+    LoadNews,
+    LoadReport,
     NotRun,
     Peers,
     Reply,
     Revoke,
     Revoked,
     Run,
+    ServerState,
     Unknown,
 )
 from sapphireway_state import Policy
@@ -89,8 +92,8 @@
     return Member(address, "s", address, address, "r", "1", "1", 6, **changes)
 
 
-def make_call(idempotent=False, deadline_s=2.0, call_id="call-1"):
-    policy = Policy(hedge_percentile=0.0, idempotent=idempotent)
+def make_call(idempotent=False, deadline_s=2.0, call_id="call-1", hedge_percentile=0.0):
+    policy = Policy(hedge_percentile=hedge_percentile, idempotent=idempotent)
     return Call(call_id, "s", "k", "GET", "/", (), b"", deadline_s, None, policy)
 
 
@@ -143,6 +146,61 @@
     assert [len(node.runs) for node in nodes] == [1, 1]
 
 
+def shed(run):
+    return [(Reply(run.attempt, "not_run", reason="shed"), b"")]
+
+
+def test_refusals_of_nodes_cost_no_attempt(network):
+    """Three nodes that drain must not end a call that a fourth would take."""
+    outcome, nodes = dispatch(network, [refuse, refuse, refuse, refuse, answer])
+    assert isinstance(outcome, Answered)
+    assert [len(node.runs) for node in nodes] == [1] * 5
+
+
+def test_refusals_of_servers_cost_attempts(network):
+    outcome, nodes = dispatch(network, [shed, shed, shed, answer])
+    assert isinstance(outcome, NotRun)
+    assert [len(node.runs) for node in nodes] == [1, 1, 1, 0]
+
+
+def test_redirects_of_one_call_are_bounded(network):
+    outcome, nodes = dispatch(network, [refuse] * 9)
+    assert isinstance(outcome, NotRun)
+    assert sum(len(node.runs) for node in nodes) == 6
+
+
+def tell_slowness(server, slowness):
+    report = LoadReport(server, 0, 0, 6, 0.0, ServerState.SERVING, "1", slowness)
+    return LoadNews(report)
+
+
+@pytest.mark.parametrize(("idempotent", "moved"), [(True, 1), (False, 0)])
+def test_call_moves_when_its_host_turns_slow(network, idempotent, moved):
+    async def exchange():
+        nodes = [ScriptedNode(network, f"n{i}", keep_silent) for i in range(2)]
+        nodes[1]._on_run = answer
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0"), make_member("n1")]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_first
+        )
+        call = make_call(idempotent, hedge_percentile=99.0)
+        task = asyncio.create_task(dispatcher.dispatch(call))
+        await asyncio.sleep(0.05)
+        nodes[1].peers.send("entry", tell_slowness("n1", 1.0))
+        nodes[0].peers.send("entry", tell_slowness("n0", 1.0))
+        await asyncio.sleep(0.05)
+        before = len(nodes[1].runs)
+        nodes[0].peers.send("entry", tell_slowness("n0", 7.0))
+        await asyncio.sleep(0.05)
+        after = len(nodes[1].runs)
+        task.cancel()
+        return before, after
+
+    assert run_paused(exchange()) == (0, moved)
+
+
 def test_stale_call_is_sent_again_with_clock(network):
     outcome, (node, other) = dispatch(network, [refuse_first_as_stale(), answer])
     assert isinstance(outcome, Answered)
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_shutdown.py
@@ -0,0 +1,17 @@
+import pytest
+
+from sapphireway_coordination import plan_stop
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "timeouts_s", "serving_s"),
+    [
+        (6.0, (0.8, 2.5), 3.0),
+        (6.0, (4.2,), 1.5),
+        (6.0, (30.0,), 0.0),
+        (0.0, (0.8,), 0.0),
+        (6.0, (), 3.0),
+    ],
+)
+def test_what_is_taken_last_can_end_before_the_kill(grace_s, timeouts_s, serving_s):
+    assert plan_stop(grace_s, timeouts_s) == pytest.approx(serving_s)
--- /dev/null
+++ b/packages/sapphireway-state/tests/test_route_view.py
@@ -0,0 +1,54 @@
+import collections
+
+import pytest
+
+from sapphireway_state import (
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteTarget,
+    RouteView,
+    ServiceSpec,
+)
+
+ONLY_S = (RouteTarget("s"),)
+
+
+def make_route(name, path_prefix, targets=ONLY_S, host="a.example"):
+    return Route(name, host, path_prefix, RequestKind.IDEMPOTENT, 800.0, targets)
+
+
+def make_view(*routes):
+    return RouteView(RouteTable(1, (ServiceSpec("s"),), ("a.example",), routes), 1)
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        ("a.example", "/x/1", "short"),
+        ("a.example", "/x/y/1", "long"),
+        ("a.example", "/x/y/", "long"),
+        ("a.example", "/x/y", "short"),
+        ("A.example:80", "/x/1?q=/x/y/", "short"),
+        ("a.example", "/x", None),
+        ("a.example", "/other/", None),
+        ("b.example", "/x/1", None),
+        ("a.example", "", None),
+    ],
+)
+def test_longest_prefix_of_the_host_matches(host, target, name):
+    view = make_view(make_route("short", "/x/"), make_route("long", "/x/y/"))
+    route = view.match(host, target)
+    assert (route.name if route else None) == name
+
+
+def test_root_prefix_matches_every_path():
+    assert make_view(make_route("root", "/")).match("a.example", "/any/1") is not None
+
+
+def test_weights_are_met_by_every_run_of_requests():
+    targets = (RouteTarget("s", 90), RouteTarget("t", 10), RouteTarget("u", 0))
+    view = make_view(make_route("split", "/x/", targets))
+    route = view.match("a.example", "/x/")
+    chosen = collections.Counter(view.choose_service(route) for _ in range(50))
+    assert chosen == {"s": 45, "t": 5}
