Let a queued request keep its place when its entry node only asks for it

Change: a first revoke only gives up an attempt that never arrived; the last one before the deadline gives up a waiting one too. Refused calls are logged with their reason.

Ruled out: the deadline (15 s, refused after 0.2 to 0.4 s); the retry budget (100%).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
@@ -184,11 +184,11 @@
             attempt = self._open[attempt_id]
             attempt.post(attempt)
 
-    def send_revoke(self, attempt: Attempt, now_s: float) -> None:
-        """Ask that an attempt never starts."""
+    def send_revoke(self, attempt: Attempt, now_s: float, keep_waiting: bool) -> None:
+        """Ask that an attempt never starts, or only if it does not wait already."""
         attempt.revokes += 1
         attempt.revoked_s = now_s
-        revoke = Revoke(attempt.attempt_id, attempt.latest_start_s)
+        revoke = Revoke(attempt.attempt_id, attempt.latest_start_s, keep_waiting)
         self._peers.send(attempt.node, revoke)
 
     def drop(self, attempt: Attempt, *, cancel: bool) -> None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -357,7 +357,10 @@
     def _revoke(self, attempt, now_s):
         if attempt.revokes and attempt.load.heard_s < attempt.revoked_s:
             self._dispatcher.ejector.take_silence(attempt.load, now_s)
-        self._dispatcher.attempts.send_revoke(attempt, now_s)
+        # A queue is no silence: whoever loses its place there has to begin elsewhere
+        # at the end, and may be refused by all in turn.
+        final_s = get_final_revoke(attempt, self._call.deadline_s)
+        self._dispatcher.attempts.send_revoke(attempt, now_s, now_s < final_s)
         self._observe(
             RevokeSent(
                 self._call.call_id,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -335,7 +335,7 @@
         record = self._memory.get(attempt)
         if record is None:
             record = self._revoke_unseen(envelope.message)
-        elif record.state is AttemptState.WAITING:
+        elif record.state is AttemptState.WAITING and not envelope.message.keep_waiting:
             self._runner.refuse(attempt, NotRunReason.REVOKED)
             self._send_revoked(sender, envelope, True, False)
             return
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -76,6 +76,27 @@
     assert not bench.revoked["a"][0].never_runs
 
 
+@paused
+async def test_waiting_attempt_keeps_its_place_when_its_caller_only_asks(bench):
+    await bench.warm()
+    for number in range(bench.server.slots):
+        bench.send(f"before{number}")
+    bench.send("a")
+    await asyncio.sleep(0.002)
+    bench.entry.send(NODE, Revoke("a", keep_waiting=True))
+    reply = await bench.call("a")
+    assert (reply.outcome, bench.has_run("a")) == ("answered", 1)
+    assert not bench.revoked["a"][0].never_runs
+
+
+@paused
+async def test_attempt_that_never_arrived_is_given_up_when_its_caller_asks(bench):
+    bench.entry.send(NODE, Revoke("a", keep_waiting=True))
+    await asyncio.sleep(0.01)
+    reply = await bench.call("a")
+    assert (reply.outcome, bench.has_run("a")) == ("not_run", 0)
+
+
 @paused
 async def test_revoke_of_running_attempt_is_refused(bench):
     bench.send("a")
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -138,10 +138,14 @@
     latest_start_s : float
         That of its `Run`. The receiver forgets attempts some time after it, and
         then can promise nothing; with 0 it cannot tell that it has forgotten.
+    keep_waiting : bool
+        Whether an attempt that waits for a slot stays; only one that never arrived is
+        then given up.
     """
 
     attempt: str
     latest_start_s: float = 0.0
+    keep_waiting: bool = False
 
 
 class Revoked(msgspec.Struct, frozen=True, tag="revoked", array_like=True):
--- a/packages/sapphireway/src/sapphireway/_conduct.py
+++ b/packages/sapphireway/src/sapphireway/_conduct.py
@@ -8,10 +8,11 @@
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call, Claimant, Dispatcher, Membership
-from sapphireway_protocol import Failed, NotRun, NotRunReason, Outcome, Unknown
+from sapphireway_protocol import Answered, NotRun, NotRunReason, Outcome
 
 FIRST_MEMBERS_TIMEOUT_S = 1.0
 TRACE_HEADER = "traceparent"
+MS_PER_S = 1000
 
 
 def make_conduct(
@@ -31,7 +32,7 @@
     claimant : Claimant
     metrics : Metrics
     log : EventLog
-        Gets the calls that ended neither answered nor refused.
+        Gets the calls that were not answered.
     domain : str
         Failure domain of this node, a label of the metrics.
     """
@@ -56,8 +57,8 @@
             domain=domain,
             outcome=type(outcome).__name__,
         )
-        if isinstance(outcome, Failed | Unknown):
-            _log_end(log, call, outcome)
+        if not isinstance(outcome, Answered):
+            _log_end(log, call, outcome, loop.time() - started_s)
         return outcome
 
     return conduct
@@ -93,7 +94,7 @@
     return conduct_traced
 
 
-def _log_end(log, call, outcome):
+def _log_end(log, call, outcome, elapsed_s):
     trace = next((v for k, v in call.headers if k.lower() == TRACE_HEADER), "")
     log.warning(
         "call_not_answered",
@@ -102,6 +103,8 @@
         service=call.service,
         kind=call.kind,
         outcome=type(outcome).__name__.lower(),
+        reason=str(getattr(outcome, "reason", "")),
+        elapsed_ms=round(elapsed_s * MS_PER_S),
         detail=outcome.detail,
     )
 
--- a/packages/sapphireway/tests/test_conduct.py
+++ b/packages/sapphireway/tests/test_conduct.py
@@ -62,7 +62,7 @@
     ("outcome", "logged"),
     [
         (Answered(200, (), b""), 0),
-        (NotRun(NotRunReason.OVERLOADED), 0),
+        (NotRun(NotRunReason.OVERLOADED), 1),
         (Failed("cut"), 1),
         (Unknown("silent"), 1),
     ],
