--- /dev/null
+++ b/tests/platform_adapter/test_boundary.py
@@ -0,0 +1,36 @@
+"""The platform's names stay in its adapter."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+WIRE_NAMES = re.compile(
+    r"Calling-Service|Response-Signature|Request-Not-Executed|Deadline-Remaining-Ms"
+    r"|Expected-Instance|Server-Load|Cold-Remaining-Ms|Instance-Id|Base-Version"
+    r"|Configuration\.(Replace|Update|Read)|Instances\.(Heartbeat|Deregister)"
+    r"|Evacuation\.(Start|Finish)|traffic_split|route_paths|virtual_hosts"
+    r"|heartbeat_address|capacity_slots|cold_remaining|seed_nodes|initial_bootstrap"
+    r"|SAPPHIREWAY_BOOT"
+)
+
+
+def list_sources(folder):
+    return sorted((ROOT / folder).rglob("*.py"))
+
+
+def test_wire_names_stand_only_in_the_adapter():
+    found = [
+        f"{path.relative_to(ROOT)}: {match.group()}"
+        for path in list_sources("packages")
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def count_lines(paths):
+    return sum(len(path.read_text().splitlines()) for path in paths)
+
+
+def test_adapter_is_under_a_tenth_of_the_product():
+    product = [p for p in list_sources("packages") if "/src/" in str(p)]
+    assert count_lines(list_sources("platform")) * 10 < count_lines(product)
--- /dev/null
+++ b/tests/platform_adapter/test_tables.py
@@ -0,0 +1,141 @@
+import json
+
+import pytest
+
+from sapphireway_platform._tables import (
+    UnreadableError,
+    decode_patch,
+    decode_table,
+    encode_table,
+)
+from sapphireway_state import RequestKind, RouteTarget, apply_patch, check_table
+
+ROUTE = {
+    "name": "r-1",
+    "path_prefix": "/pufi791/",
+    "kind": "non_idempotent",
+    "timeout": "1200ms",
+    "target_latency": "400ms",
+    "priority": 1,
+    "service": "huvo11a",
+    "max_attempts": 2,
+}
+SPLIT = {
+    "name": "r-2",
+    "path_prefix": "/lohu930/",
+    "kind": "idempotent",
+    "timeout": "1s",
+    "priority": 0,
+    "traffic_split": [
+        {"service": "huvo11a", "weight": 90},
+        {"service": "wuno96b", "weight": 2.5},
+    ],
+    "max_attempts": 2,
+}
+
+
+def make_service(name):
+    return {
+        "name": name,
+        "health_check_path": "/health",
+        "max_connections": 220,
+        "protocol": "h1",
+        "tls": False,
+        "cold_start": "3s",
+        "cold_per_s": 17.0,
+    }
+
+
+def make_document(**changes):
+    document = {
+        "version": 7,
+        "services": [make_service("huvo11a"), make_service("wuno96b")],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "virtual_hosts": [{"host": "a.example", "route_paths": [ROUTE, SPLIT]}],
+    }
+    return document | changes
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+def test_configuration_is_read_into_own_names():
+    table = decode_table(encode(make_document()))
+    assert check_table(table) == []
+    route, split = table.routes
+    assert (route.kind, route.timeout_ms, route.target_latency_ms) == (
+        RequestKind.ONCE,
+        1200.0,
+        400.0,
+    )
+    assert (route.attempts_max, route.priority) == (2, 1)
+    assert split.targets == (RouteTarget("huvo11a", 90), RouteTarget("wuno96b", 2.5))
+    assert split.timeout_ms == 1000.0
+    assert table.services[0].cold_rate_per_s == 17.0
+    assert table.limits.idle_timeout_ms == 15_000.0
+
+
+def test_configuration_reads_back_as_it_was_sent():
+    document = json.loads(encode_table(decode_table(encode(make_document()))))
+    sent = make_document()
+    # Times are the same, though their units may differ.
+    sent["virtual_hosts"][0]["route_paths"][1] = SPLIT | {"timeout": "1000ms"}
+    for service in sent["services"]:
+        service["cold_start"] = "3000ms"
+    (host,) = document["virtual_hosts"]
+    for route in host["route_paths"]:
+        route.setdefault("priority", 0)
+    assert document == sent
+
+
+def test_update_changes_named_items_only():
+    table = decode_table(encode(make_document()))
+    added = ROUTE | {"name": "r-3", "path_prefix": "/new/"}
+    update = {
+        "version": 9,
+        "upsert": {
+            "virtual_hosts": [{"host": "a.example", "route_paths": [added]}],
+            "services": [make_service("third")],
+        },
+        "remove": {"routes": ["r-2"]},
+    }
+    result = apply_patch(table, decode_patch(encode(update)))
+    assert result.number == 9
+    assert [route.name for route in result.routes] == ["r-1", "r-3"]
+    assert [service.name for service in result.services][-1] == "third"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"kind": "sometimes"},
+        {"timeout": "1200"},
+        {"timeout": 1200},
+        {"service": None},
+        {"traffic_split": [{"service": "huvo11a", "weight": 1}]},
+        {"path_prefix": None},
+    ],
+    ids=str,
+)
+def test_route_that_cannot_be_read_refuses_the_whole(change):
+    hosts = [{"host": "a.example", "route_paths": [ROUTE | change]}]
+    with pytest.raises(UnreadableError):
+        decode_table(encode(make_document(virtual_hosts=hosts)))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b"\xff", encode(make_document())[:-20]]
+)
+def test_body_that_is_cut_short_or_no_configuration_is_refused(body):
+    with pytest.raises(UnreadableError):
+        decode_table(body)
+
+
+def test_fields_of_later_versions_are_ignored():
+    assert decode_table(encode(make_document(later={"a": 1}))).number == 7
