Ask several peers for newer settings at once

Change: a fetch is sent again after 150 ms, and after 250 ms without an answer a second peer is asked beside the first. Silent control hosts and failed fetches are logged.

Ruled out: a late hint: the node exchanged calls with nodes that had the version.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -55,6 +55,8 @@
     rng : random.Random
     get_report : callable
         Returns what operators see of this node.
+    on_silence : callable
+        Called with a directory that did not answer a renewal.
     on_unserved : callable
         Called with a known node's address, another one each time, while no
         directory that was tried answers.
@@ -76,6 +78,7 @@
         "_get_report",
         "_members",
         "_nodes",
+        "_on_silence",
         "_on_unserved",
         "_peers",
         "_rng",
@@ -100,7 +103,9 @@
         rng: random.Random,
         get_report: Callable[[], NodeReport] = NodeReport,
         on_unserved: Callable[[str], None] = lambda node: None,
+        on_silence: Callable[[str], None] = lambda directory: None,
     ):
+        self._on_silence = on_silence
         self._directories = directories
         self._directory_incarnation = ""
         self._entry = entry
@@ -161,6 +166,7 @@
                 await self._pause()
                 continue
             failures += 1
+            self._on_silence(self.directory)
             # One that has not answered yet gets a single try: the lease runs out
             # while the node looks for a directory that it can reach.
             if self._untried is not None or failures >= RENEWALS_UNTIL_MOVE:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
@@ -18,6 +18,9 @@
 from sapphireway_transport import Disk, DiskFailed
 
 FETCH_TIMEOUT_S = 1.0
+FETCH_RESEND_S = 0.15  # well above a round trip between failure domains
+FETCH_PATIENCE_S = 0.25  # after it another peer with newer settings is asked as well
+FETCHES_MAX = 3  # at once
 COMPRESSION_LEVEL = 6
 UPDATE_MAX_BYTES = 16 * 1024 * 1024
 ENCODED_UPDATES_KEPT = 8
@@ -39,6 +42,8 @@
         Keeps the version in force over a restart.
     on_save_failed : callable
         Called with the reason when it could not be kept.
+    on_fetch_failed : callable
+        Called with the peer that did not answer.
 
     Attributes
     ----------
@@ -51,8 +56,10 @@
     __slots__ = (
         "_disk",
         "_encoded",
+        "_fetched_s",
         "_fetching",
         "_on_change",
+        "_on_fetch_failed",
         "_on_save_failed",
         "_peers",
         "_saving",
@@ -70,10 +77,13 @@
         wall_clock: Callable[[], float],
         disk: Disk | None = None,
         on_save_failed: Callable[[DiskFailed], None] = lambda failed: None,
+        on_fetch_failed: Callable[[str], None] = lambda peer: None,
     ):
         self._disk = disk
         self._encoded = {}
-        self._fetching = None
+        self._fetched_s = 0.0
+        self._fetching = {}
+        self._on_fetch_failed = on_fetch_failed
         self._on_change = on_change
         self._on_save_failed = on_save_failed
         self._peers = peers
@@ -101,10 +111,17 @@
             self.ask(sender)
 
     def ask(self, peer: str) -> None:
-        """Fetch the settings of a peer if they are newer."""
-        if self._fetching is None:
-            loop = asyncio.get_running_loop()
-            self._fetching = loop.create_task(self._fetch(peer))
+        """Fetch the settings of a peer if they are newer.
+
+        A peer that does not answer holds up nobody: others are asked beside it.
+        """
+        loop = asyncio.get_running_loop()
+        if peer in self._fetching or len(self._fetching) >= FETCHES_MAX:
+            return
+        if self._fetching and loop.time() < self._fetched_s + FETCH_PATIENCE_S:
+            return
+        self._fetched_s = loop.time()
+        self._fetching[peer] = loop.create_task(self._fetch(peer))
 
     def put_in_force(self, update: SettingsUpdate) -> Applied:
         """Apply an update if it is newer."""
@@ -127,14 +144,18 @@
             if applied is Applied.NEEDS_WHOLE:
                 await self._fetch_since(sender, WHOLE_TREE)
         finally:
-            self._fetching = None
+            del self._fetching[sender]
 
     async def _fetch_since(self, sender, tree_version):
         state = self._state
         request = FetchSettings(
             state.version, tree_version, state.groups_version, state.routes.version
         )
-        reply = await self._peers.request(sender, request, FETCH_TIMEOUT_S)
+        reply = await self._peers.request(
+            sender, request, FETCH_TIMEOUT_S, resend_s=FETCH_RESEND_S
+        )
+        if reply is None:
+            self._on_fetch_failed(sender)
         if reply is None or not reply.body:
             return None
         update = _decode(reply.body)
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -252,3 +252,21 @@
         return node.read_deadline(), len(failures)
 
     assert run_paused(run()) == (300, 1)
+
+
+def test_peer_that_does_not_answer_holds_up_no_newer_settings(network, machine):
+    async def run():
+        node = Node(network, "node")
+        # One neighbour tells of newer settings and then is never heard again.
+        silent, source = Peers(network.open_endpoint("mute"), "mute", lambda: 9), None
+        silent.start()
+        silent.send("node", Probe("s"))
+        await asyncio.sleep(0.3)
+        source = Node(network, "source")
+        set_deadline(machine, 7, 700)
+        source.follow(machine)
+        source.peers.send("node", Probe("s"))
+        await asyncio.sleep(0.1)
+        return node.read_deadline()
+
+    assert run_paused(run()) == 700
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -279,6 +279,7 @@
             time.time,
             self._disk,
             self._note_save_failed,
+            lambda peer: self._log.warning("settings_not_fetched", peer=peer),
         )
         self._peers.observe = self._channel.observe
         self._presence = ServerPresence(lambda: self._channel.in_force_since_s)
@@ -289,6 +290,7 @@
             rng,
             self._presence.get_report,
             self._channel.ask,
+            lambda host: self._log.warning("control_host_silent", host=host),
         )
 
     def _build_data_path(self, rng):
