Serve first what can still be answered within its target latency

Change: the queue beside a server takes what can still meet its target latency first, heavier kinds before lighter ones, and refuses at half of a request's time (_admission). Slow hosts hold work up no longer than their slow times last, which is learnt. A request is run anew only where a slot is free.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_admission.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_admission.py
@@ -1,8 +1,14 @@
-"""The queue of attempts that wait for a slot of one server."""
+"""The queue of attempts that wait for a slot of one server.
+
+Answers the load of a day on which more arrives than the server can answer: what can
+still be answered within its target latency goes first, the important before the rest,
+and what was overtaken waits behind, as a late answer is worth little to its caller.
+Nobody is kept waiting for longer than a share of the time that is left.
+"""
 
 import asyncio
-import heapq
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,6 +16,7 @@
 
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 5.0
+HELD_SHARE_MAX = 0.5  # of a request's time; the caller can use the rest elsewhere
 
 
 @dataclass(slots=True)
@@ -29,6 +36,10 @@
         Time that the server is expected to take.
     decided : Future of NotRunReason or None
         None grants the slot.
+    target_s : float
+        Reading of the loop's clock by which an answer is worth most.
+    arrived_s : float
+        Reading of the loop's clock when it came.
     """
 
     attempt: str
@@ -37,11 +48,23 @@
     latest_start_s: float
     service_s: float
     decided: asyncio.Future = field(repr=False)
+    target_s: float = math.inf
+    arrived_s: float = -math.inf
 
     @property
     def start_by_s(self) -> float:
         """Last reading of the loop's clock at which starting it makes sense."""
-        return min(self.deadline_s - self.service_s, self.latest_start_s)
+        start_by_s = min(self.deadline_s - self.service_s, self.latest_start_s)
+        if self.arrived_s == -math.inf:
+            return start_by_s
+        held_s = HELD_SHARE_MAX * (self.deadline_s - self.arrived_s)
+        return min(start_by_s, self.arrived_s + held_s)
+
+    def rank(self, now_s: float) -> tuple[bool, int, float]:
+        """Return the place in the queue: lower ranks start first."""
+        late = now_s + self.service_s > self.target_s
+        by_s = self.deadline_s if late or self.target_s == math.inf else self.target_s
+        return late, -self.weight, by_s
 
     def decide(self, refusal: NotRunReason | None) -> bool:
         """Grant or refuse; False if that was done already."""
@@ -52,7 +75,7 @@
 
 
 class AdmissionQueue:
-    """Waiting attempts: heavy kinds first, then the earliest deadline.
+    """Waiting attempts: those in time first, heavy kinds before light ones.
 
     Parameters
     ----------
@@ -60,16 +83,15 @@
         Returns the loop's clock.
     """
 
-    __slots__ = ("_count", "_get_time", "_heap", "_sequence")
+    __slots__ = ("_get_time", "_sequence", "_waiting")
 
     def __init__(self, get_time: Callable[[], float]):
         self._get_time = get_time
-        self._heap = []
         self._sequence = itertools.count()
-        self._count = 0
+        self._waiting = {}
 
     def __len__(self):
-        return self._count
+        return len(self._waiting)
 
     def push(
         self, waiter: Waiter, queue_limit: int, slots: int, slot_s: float
@@ -86,56 +108,48 @@
         slot_s : float
             Expected time until a slot gets free.
         """
-        ahead = self._list_ahead(waiter)
-        expected_s = slot_s + sum(a.service_s for a in ahead) / max(slots, 1)
-        if self._get_time() + expected_s > waiter.start_by_s:
+        now_s = self._get_time()
+        rank = waiter.rank(now_s)
+        ahead_s = sum(
+            w.service_s for w in self._waiting.values() if w.rank(now_s) <= rank
+        )
+        if now_s + slot_s + ahead_s / max(slots, 1) > waiter.start_by_s:
             return NotRunReason.DEADLINE
-        if self._count >= queue_limit and not self._evict_lighter(waiter):
+        if len(self._waiting) >= queue_limit and not self._evict_behind(waiter, now_s):
             return NotRunReason.OVERLOADED
-        entry = (-waiter.weight, waiter.deadline_s, next(self._sequence), waiter)
-        heapq.heappush(self._heap, entry)
-        self._count += 1
+        self._waiting[next(self._sequence)] = waiter
         return None
 
     def pop(self) -> Waiter | None:
         """Remove and return the next waiter that can still make its deadline."""
         now_s = self._get_time()
-        while self._heap:
-            waiter = heapq.heappop(self._heap)[-1]
-            if waiter.decided.done():
-                continue
-            if now_s <= waiter.start_by_s:
-                self._count -= 1
-                return waiter
-            self.refuse(waiter, NotRunReason.DEADLINE)
-        return None
+        for waiter in list(self._waiting.values()):
+            if now_s > waiter.start_by_s:
+                self.refuse(waiter, NotRunReason.DEADLINE)
+        if not self._waiting:
+            return None
+        key = min(self._waiting, key=lambda k: (self._waiting[k].rank(now_s), k))
+        return self._waiting.pop(key)
 
     def refuse(self, waiter: Waiter, reason: NotRunReason) -> bool:
         """Refuse a queued waiter; False if it was decided already."""
         if not waiter.decide(reason):
             return False
-        self._count -= 1
+        self._waiting = {k: w for k, w in self._waiting.items() if w is not waiter}
         return True
 
     def refuse_all(self, reason: NotRunReason) -> None:
         """Refuse every waiting attempt."""
-        for entry in self._heap:
-            self.refuse(entry[-1], reason)
-        self._heap.clear()
-
-    def _list_ahead(self, waiter):
-        rank = (-waiter.weight, waiter.deadline_s)
-        return [
-            entry[-1]
-            for entry in self._heap
-            if entry[:2] <= rank and not entry[-1].decided.done()
-        ]
-
-    def _evict_lighter(self, waiter):
-        waiting = [entry for entry in self._heap if not entry[-1].decided.done()]
-        if not waiting:
+        waiting, self._waiting = self._waiting, {}
+        for waiter in waiting.values():
+            waiter.decide(reason)
+
+    def _evict_behind(self, waiter, now_s):
+        """Refuse the last in the queue in favour of one of a heavier kind."""
+        if not self._waiting:
             return False
-        last = max(waiting)[-1]
-        if last.weight >= waiter.weight:
+        last = max(self._waiting.values(), key=lambda w: w.rank(now_s))
+        # In time before late, heavy before light; among equals nobody is evicted.
+        if last.rank(now_s)[:2] <= waiter.rank(now_s)[:2]:
             return False
         return self.refuse(last, NotRunReason.OVERLOADED)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call.py
@@ -1,5 +1,6 @@
 """A caller's request on its way through the system."""
 
+import math
 from dataclasses import dataclass
 
 from sapphireway_state import Policy
@@ -23,6 +24,9 @@
         Reading of the event loop's clock by which the caller wants its answer.
     key : str or None
         Idempotency key.
+    target_s : float
+        Reading of the event loop's clock by which an answer is worth most; infinite
+        if there is no such time.
     policy : Policy
         Settings in force for the service and kind when the call arrived.
     """
@@ -37,3 +41,4 @@
     deadline_s: float
     key: str | None
     policy: Policy
+    target_s: float = math.inf
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -21,7 +21,7 @@
     reached_server,
     refuse,
 )
-from sapphireway_coordination._placement import tells_slowness
+from sapphireway_coordination._placement import has_free_slot, tells_slowness
 from sapphireway_coordination._revocation import (
     get_final_revoke,
     get_first_revoke,
@@ -317,6 +317,7 @@
             other.report.slowness <= bearable
             for other in loads
             if tells_slowness(other)
+            and has_free_slot(other)
             and other not in self._tried
             and other.is_serving(now_s)
             and not other.is_ejected(now_s)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -21,6 +21,7 @@
     ServerCold,
     ServerWarmed,
 )
+from sapphireway_coordination._knee import Knee
 from sapphireway_coordination._limit import (
     COLD_ANSWERS_MIN,
     SLOW_ANSWERS_MIN,
@@ -29,6 +30,7 @@
     UpdateLimit,
     make_additive_update,
 )
+from sapphireway_coordination._placement import stretch_time
 from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
 
@@ -38,6 +40,7 @@
 INHERITED_MAX_S = 10.0
 REFUSED_PAUSE_S = 0.1
 FAILED_LATENCY_RATIO = 10.0
+SPAN_GAIN = 0.1  # of one slow time in their mean
 
 
 @dataclass(slots=True)
@@ -52,6 +55,10 @@
         The limit was reached when it started.
     alone : bool
         Nothing else may be in flight with it.
+    in_flight : int
+        Requests in flight when it had started, itself included.
+    slowness : float
+        Of the server's host when it started.
     """
 
     attempt: str
@@ -60,6 +67,8 @@
     started_s: float
     saturated: bool
     alone: bool
+    in_flight: int = 0
+    slowness: float = 0.0
 
 
 class ServerCapacity:
@@ -86,6 +95,8 @@
         When the server was last given a request.
     slowness : float
         How many times longer than usual work takes; 0 if the server doesn't tell.
+    slow_span_s : float
+        How long slow times last, on average; 0 before the first has ended.
     """
 
     __slots__ = (
@@ -97,17 +108,20 @@
         "_get_time",
         "_inherited",
         "_inherited_until_s",
+        "_knee",
         "_limit",
         "_lingering",
         "_observe",
         "_refused_s",
         "_running",
+        "_slow_since_s",
         "_stall_timer",
         "_wake",
         "announcement",
         "baseline",
         "last_start_s",
         "reserved",
+        "slow_span_s",
         "slowness",
     )
 
@@ -125,7 +139,10 @@
         self.baseline = LatencyBaseline()
         self.last_start_s = float("-inf")
         self.reserved = None
+        self.slow_span_s = 0.0
         self.slowness = 0.0
+        self._knee = Knee()
+        self._slow_since_s = get_time()
         self._disconnected = 0
         self._cold_limit = cold_limit
         self._cold_rate = ColdRate()
@@ -156,9 +173,11 @@
     @property
     def limit(self) -> int:
         """Requests that may be in flight."""
+        bound = self._knee.bound(self._limit.ceiling)
         if self._inherited and self._get_time() >= self._inherited_until_s:
             self._inherited = 0
-        return max(0, min(self._limit.value, self._limit.ceiling - self._inherited))
+        free = self._limit.ceiling - self._inherited
+        return max(0, min(self._limit.value, free, bound))
 
     @property
     def cold(self) -> bool:
@@ -209,12 +228,28 @@
         self._cold_timer = None
         self._wake()
 
+    def note_slowness(self, slowness: float) -> None:
+        """Take what the server says of its host's speed."""
+        now_s = self._get_time()
+        if slowness > self.slowness:
+            self._slow_since_s = now_s
+        elif slowness < self.slowness:
+            span_s = now_s - self._slow_since_s
+            gain = SPAN_GAIN if self.slow_span_s else 1.0
+            self.slow_span_s += gain * (span_s - self.slow_span_s)
+        self.slowness = slowness
+
+    def expect_run_s(self, kind: str) -> float:
+        """Return the time that a request of a kind would take now."""
+        return stretch_time(self.baseline.get(kind), self.slowness, self.slow_span_s)
+
     def expect_slot_s(self) -> float:
         """Return the expected time until a slot gets free."""
         cold_s = self._cold_rate.get_wait_s(self._get_time())
         if cold_s and self.in_flight < self.limit:
             return cold_s
-        return self.baseline.mean_s / max(1, self.in_flight)
+        run_s = stretch_time(self.baseline.mean_s, self.slowness, self.slow_span_s)
+        return run_s / max(1, self.in_flight)
 
     def renew(self, announcement: Announcement, cold_limit: int) -> None:
         """Take over an announcement; a new start id means a cold start."""
@@ -250,7 +285,9 @@
 
     def start(self, running: Running) -> None:
         """Count a request that is being given to the server."""
-        running.saturated = self.in_flight + 1 >= self.limit
+        running.in_flight = self.in_flight + 1
+        running.saturated = running.in_flight >= self.limit
+        running.slowness = self.slowness
         self._running[running.attempt] = running
         self.last_start_s = self._get_time()
         self._cold_rate.take(self.last_start_s)
@@ -300,7 +337,11 @@
         shed = status in SHED_STATUSES
         ratio = 1.0
         if not shed:
-            ratio = self.baseline.record(running.kind, elapsed_s)
+            slowness = max(self.slowness, 1.0)
+            ratio = self.baseline.record(running.kind, elapsed_s / slowness)
+            if self.slowness and running.slowness == self.slowness:
+                share = (running.in_flight + self.in_flight + 1) / 2
+                self._knee.record(share / self._limit.ceiling, ratio)
         cause = self._detector.record(ratio, shed)
         if cause is not None:
             self.relapse(cause)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 import random
 from collections.abc import Callable
 
@@ -259,6 +260,7 @@
             self._get_server_state(capacity),
             capacity.announcement.start_id,
             capacity.slowness,
+            round(capacity.slow_span_s, 3),
         )
 
     def close(self) -> None:
@@ -318,7 +320,12 @@
     def _submit(self, sender, run, body, record, now_s):
         policy = self._get_policy(run.service, run.kind)
         deadline_s = now_s + run.budget_ms / 1000.0
-        self._runner.submit(Order(sender, run, body, policy, record, now_s, deadline_s))
+        target_s = math.inf
+        if run.target_ms is not None:
+            target_s = now_s + run.target_ms / MS_PER_S
+        self._runner.submit(
+            Order(sender, run, body, policy, record, now_s, deadline_s, target_s)
+        )
 
     def _take_cancel(self, sender, envelope):
         attempt = envelope.message.attempt
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_order.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_order.py
@@ -23,8 +23,8 @@
     body : bytes
     policy : Policy
     record : AttemptRecord
-    arrived_s, deadline_s : float
-        Readings of the loop's clock.
+    arrived_s, deadline_s, target_s : float
+        Readings of the loop's clock; the target is infinite if there is none.
     task : Task or None
     waiter : Waiter or None
         Set while it waits for a slot.
@@ -44,6 +44,7 @@
     record: AttemptRecord
     arrived_s: float
     deadline_s: float
+    target_s: float
     task: asyncio.Task | None = None
     waiter: Waiter | None = None
     refusal: NotRunReason | None = None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_placement.py
@@ -92,6 +92,29 @@
     demand = len(load.outstanding) + load.count_others() + 1
     share = min(demand / slots, 1.0)
     knee = max(0.0, share - KNEE) / (1.0 - KNEE)
-    run_s = work_s * slowness * (1.0 + KNEE_SLOWDOWN * knee)
-    wait_s = max(0.0, demand - slots) / slots * work_s * slowness
+    span_s = load.report.slow_span_s if load.report is not None else 0.0
+    work_s = stretch_time(work_s, slowness, span_s)
+    run_s = work_s * (1.0 + KNEE_SLOWDOWN * knee)
+    wait_s = max(0.0, demand - slots) / slots * work_s
     return load.round_trip_s + wait_s + run_s
+
+
+def has_free_slot(load: ServerLoad) -> bool:
+    """Tell whether a server would run another request at once and at full speed."""
+    if load.report is None:
+        return False
+    demand = len(load.outstanding) + load.count_others() + 1
+    return demand <= load.report.limit * KNEE
+
+
+def stretch_time(work_s: float, slowness: float, slow_span_s: float) -> float:
+    """Return how long work takes on a host that is slow for a while, in seconds.
+
+    A slow time that lasts `slow_span_s` holds up no more than that much.
+    """
+    if slowness <= 1.0:
+        return work_s
+    slow_s = work_s * slowness
+    if not slow_span_s:
+        return slow_s
+    return min(slow_s, work_s + slow_span_s * (1.0 - 1.0 / slowness))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -155,7 +155,8 @@
         if report.cold_s is not None:
             capacity.note_cold(report.cold_s)
         if report.slowness is not None:
-            before, capacity.slowness = capacity.slowness, report.slowness
+            before = capacity.slowness
+            capacity.note_slowness(report.slowness)
             if abs(before - report.slowness) > SLOWNESS_TOLERANCE * before:
                 self._on_slowness()
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
@@ -1,6 +1,7 @@
 """The message that asks a server's node to run an attempt."""
 
 import hashlib
+import math
 
 from sapphireway_coordination._call import Call
 from sapphireway_protocol import Run
@@ -46,6 +47,7 @@
         budget_ms=remaining_s * 1000.0,
         latest_start_s=0.0 if clock_s is None else clock_s + remaining_s,
         incarnation=incarnation,
+        target_ms=None if math.isinf(call.target_s) else (call.target_s - now_s) * 1e3,
     )
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -227,8 +227,10 @@
             order.run.weight,
             order.deadline_s,
             order.run.latest_start_s,
-            capacity.baseline.get(order.run.kind),
+            capacity.expect_run_s(order.run.kind),
             self._loop.create_future(),
+            order.target_s,
+            order.arrived_s,
         )
 
     def _refuse_at_once(self, order):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -35,6 +35,8 @@
         Changes whenever the server's process starts.
     slowness : float
         How many times longer than usual work takes there now; 0 if it doesn't tell.
+    slow_span_s : float
+        How long slow times last there; 0 if none was seen.
     """
 
     server: str
@@ -45,6 +47,7 @@
     state: ServerState
     start_id: str
     slowness: float = 0.0
+    slow_span_s: float = 0.0
 
 
 class Run(msgspec.Struct, frozen=True, tag="run", array_like=True):
@@ -73,6 +76,9 @@
         worked out from the last reading that the sender got; 0 if it has none.
     incarnation : str
         Incarnation of the receiver that the clock reading belongs to.
+    target_ms : float or None
+        Time left, when it was sent, until an answer is worth less; below 0 if it is
+        over, None if there is no such time.
     """
 
     attempt: str
@@ -88,6 +94,7 @@
     budget_ms: float
     latest_start_s: float = 0.0
     incarnation: str = ""
+    target_ms: float | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, tag="reply", array_like=True):
--- a/packages/sapphireway-state/src/sapphireway_state/_policy.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -19,6 +19,8 @@
         Time allowed if the caller names no deadline.
     deadline_max_ms : int
         Longest deadline that a caller may ask for.
+    target_latency_ms : int
+        Time within which an answer is worth most to its caller; 0 if there is none.
     body_max_bytes : int
         Largest body in either direction.
     attempts_max : int
@@ -66,6 +68,7 @@
     weight: int = 10
     deadline_ms: int = 2_000
     deadline_max_ms: int = 60_000
+    target_latency_ms: int = 0
     body_max_bytes: int = 32 * 1024 * 1024
     attempts_max: int = 3
     retry_budget_percent: float = 10.0
--- a/packages/sapphireway-state/src/sapphireway_state/_schema.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_schema.py
@@ -95,6 +95,12 @@
         ANYWHERE,
         "Longest deadline that a caller may ask for; it bounds deadline_ms too.",
     ),
+    _describe(
+        "target_latency_ms",
+        make_integer(0, HOUR_MS, "ms"),
+        ANYWHERE,
+        "Time within which an answer is worth most; 0 is none.",
+    ),
     _describe(
         "body_max_bytes",
         make_integer(0, 1024 * MIB, "bytes"),
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -36,6 +36,7 @@
 MS_PER_S = 1000
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 CALL_ID_MAX_BYTES = 128
+PATIENCES_KEPT = 4096  # kinds whose callers' longest patience is remembered
 UNKNOWN_RETRY_S = 1.0  # a node that starts has its settings within this time
 WEIGHT_OF_FIRST_RANK = 100  # the tree's largest weight; each rank below has one less
 NO_ROUTES = RouteView(RouteTable(), 0)
@@ -147,6 +148,7 @@
         "_log",
         "_metrics",
         "_note_arrival",
+        "_patience_ms",
         "stopping",
     )
 
@@ -165,6 +167,7 @@
         self._form = form or CallerForm(render_outcome)
         self._dropped = frozenset(name.lower() for name, _ in self._form.own_headers)
         self._get_routes = get_routes
+        self._patience_ms = {}
         self._create_call_id = create_call_id
         self._dispatch = dispatch
         self._domain = domain
@@ -251,6 +254,7 @@
         key = self._read_key(request)
         if key is not None and not is_key(key):
             return f"{form.key_header} is not 1 to {KEY_MAX_BYTES} bytes long"
+        now_s = asyncio.get_running_loop().time()
         return Call(
             call_id=self._name_call(request),
             service=route.service,
@@ -259,11 +263,29 @@
             target=request.target,
             headers=self._make_headers(request),
             body=request.body,
-            deadline_s=asyncio.get_running_loop().time() + timeout_s,
+            deadline_s=now_s + timeout_s,
             key=key,
             policy=route.policy,
+            target_s=self._find_target(request, route, now_s),
         )
 
+    def _find_target(self, request, route, now_s):
+        """Return until when an answer is worth most.
+
+        The time counts from the caller's first try. One that comes back after a
+        refusal waits for less than those that come first.
+        """
+        target_ms = route.policy.target_latency_ms
+        if not target_ms:
+            return math.inf
+        text = request.get_header(self._form.timeout_header)
+        patience_ms = int(text) if text is not None else route.policy.deadline_ms
+        if len(self._patience_ms) > PATIENCES_KEPT:
+            self._patience_ms.clear()
+        longest_ms = max(self._patience_ms.get(route.kind, 0), patience_ms)
+        self._patience_ms[route.kind] = longest_ms
+        return now_s + (target_ms - (longest_ms - patience_ms)) / MS_PER_S
+
     def _name_call(self, request):
         header = self._form.id_header
         given = request.get_header(header) if header else None
@@ -298,6 +320,7 @@
         idempotent=route.kind is RequestKind.IDEMPOTENT,
         deadline_ms=timeout_ms,
         deadline_max_ms=timeout_ms,
+        target_latency_ms=int(route.target_latency_ms),
         attempts_max=route.attempts_max,
         body_max_bytes=limits.body_max_bytes,
         weight=max(1, WEIGHT_OF_FIRST_RANK - route.priority),
