Hedge idempotent calls before an entry node knows latencies

Cause: with fewer than 20 latencies of a kind no hedge was ever sent, so a lookup that an entry node sent to a node that had just frozen waited for its deadline and ended unknown.

Change: until latencies are known, a quarter of the time left is waited. Shown by test_silent_idempotent_call_goes_elsewhere_before_latencies_are_known, red before.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -42,6 +42,7 @@
 SILENCE_SHARE = 0.5
 BROKEN_RUNS_MAX = 2
 WORTH_MOVING = 2.5  # times faster that another server must be to run it anew
+HEDGE_UNKNOWN_SHARE = 0.25  # of the time left, before latencies are known
 REFUSALS_MAX = 6  # nodes asked in turn; each costs a round trip between nodes
 OVERLOAD_REASONS = (
     NotRunReason.OVERLOADED,
@@ -299,7 +300,10 @@
         if self._has_faster_server():
             return self._open[0].sent_s
         wait_s = self._latencies.get_percentile(policy.hedge_percentile)
-        return math.inf if wait_s is None else self._open[0].sent_s + wait_s
+        sent_s = self._open[0].sent_s
+        if wait_s is None:
+            wait_s = HEDGE_UNKNOWN_SHARE * (self._call.deadline_s - sent_s)
+        return sent_s + wait_s
 
     def _has_faster_server(self):
         """Tell whether the server became slow while others are not."""
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -208,6 +208,14 @@
     assert other.runs == []
 
 
+def test_silent_idempotent_call_goes_elsewhere_before_latencies_are_known(network):
+    """A node that freezes right after an entry node's start holds up nobody."""
+    call = make_call(idempotent=True, deadline_s=1.5, hedge_percentile=95.0)
+    outcome, nodes = dispatch(network, [keep_silent, answer], call)
+    assert isinstance(outcome, Answered)
+    assert len(nodes[0].runs) == 1
+
+
 def test_failed_idempotent_call_goes_elsewhere(network):
     outcome, _ = dispatch(network, [fail, answer], make_call(idempotent=True))
     assert isinstance(outcome, Answered)
