Keep the stand-in server until its answers are written

Cause: the stand-in counted a request as done before its answer was written, so that on SIGTERM it closed connections with megabytes of an answer still to come; the caller was told unknown.

Change: the stand-in counts answers under way and stops only without any. Shown by tests/test_stand_in.py, red before.

Ruled out: the node: its attempt ended by the server's close, not by its own stop.

--- a/demo/_stand_in.py
+++ b/demo/_stand_in.py
@@ -70,6 +70,8 @@
     ----------
     behaviour : Behaviour
     in_flight, in_flight_max : int
+    answering : int
+        Answers that are being written.
     overloads : int
         Requests that came while every slot was taken.
     cancelled : int
@@ -85,6 +87,7 @@
         "_counts",
         "_rng",
         "_slots",
+        "answering",
         "behaviour",
         "cancelled",
         "in_flight",
@@ -99,6 +102,7 @@
         self._counts = collections.OrderedDict()
         self._rng = rng
         self._slots = slots
+        self.answering = 0
         self.behaviour = Behaviour()
         self.cancelled = 0
         self.in_flight = 0
--- a/demo/server.py
+++ b/demo/server.py
@@ -168,9 +168,13 @@
             return
         finally:
             stand_in.end(cancelled)
-        self._answer()
+        stand_in.answering += 1
+        try:
+            await self._answer()
+        finally:
+            stand_in.answering -= 1
 
-    def _answer(self):
+    async def _answer(self):
         body = self.request.body or b"x" * self._stand_in.behaviour.answer_bytes
         if self._names(self._stand_in.behaviour.truncate_path):
             stream = self.detach()
@@ -180,7 +184,8 @@
             return
         self.set_header("Content-Type", "application/octet-stream")
         self.set_header(REQUEST_ID_HEADER, self.request.headers[REQUEST_ID_HEADER])
-        self.finish(body)
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            await self.finish(body)
 
     def _finish_with(self, status):
         self.set_status(status)
@@ -291,7 +296,8 @@
     http.stop()
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(DRAIN_MAX_S):
-            while stand_in.in_flight:
+            # An answer of megabytes is still on its way when its slot is free.
+            while stand_in.in_flight or stand_in.answering:
                 await asyncio.sleep(0.02)
     await http.close_all_connections()
 
--- /dev/null
+++ b/tests/test_stand_in.py
@@ -0,0 +1,37 @@
+"""The stand-in server of the demonstration and of the process tests."""
+
+import asyncio
+import random
+
+import tornado.httpserver
+from demo.server import StandIn, make_application
+
+BODY_BYTES = 8 * 1024 * 1024  # more than the buffers of both sockets hold
+
+
+def test_answer_counts_until_it_is_written():
+    """A server that stops when it has nothing to do must not cut an answer."""
+
+    async def run():
+        stand_in = StandIn(6, random.Random(1))
+        stand_in.behaviour.latency_ms = 1.0
+        application = make_application(stand_in)
+        server = tornado.httpserver.HTTPServer(application, max_body_size=2**30)
+        server.listen(0, "127.0.0.1")
+        port = next(iter(server._sockets.values())).getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = (
+            "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            f"Sapphireway-Request-Id: 1\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+        )
+        writer.write(head.encode() + bytes(BODY_BYTES))
+        await writer.drain()
+        await asyncio.sleep(0.5)
+        unread = stand_in.answering
+        answer = await reader.read()
+        writer.close()
+        await asyncio.sleep(0.05)
+        server.stop()
+        return unread, len(answer) > BODY_BYTES, stand_in.answering
+
+    assert asyncio.run(run()) == (1, True, 0)
