--- a/packages/sapphireway/src/sapphireway/_logs.py
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -9,8 +9,13 @@
 
 from absl import flags, logging
 
+from sapphireway._log_stream import LogStream
+
 EVENT_BURST = 20
 EVENTS_PER_S = 5.0
+STORY_BYTES_PER_S = 16_384  # of what is written of single requests
+STORY_BURST_BYTES = 131_072
+STDOUT = 1
 
 
 @dataclass(slots=True)
@@ -32,11 +37,12 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_allowances", "_clock")
+    __slots__ = ("_allowances", "_clock", "_stories")
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self._allowances = {}
         self._clock = clock
+        self._stories = _Allowance(STORY_BURST_BYTES, clock())
 
     def info(self, event: str, **fields: Any) -> None:
         """Write an event of ordinary operation."""
@@ -50,6 +56,26 @@
         """Write an event that needs an operator."""
         self._write(logging.ERROR, event, fields)
 
+    def tell(self, event: str, **fields: Any) -> None:
+        """Write what became of one request, within a rate of bytes.
+
+        Requests that went wrong come in bursts, so they share bytes, not lines.
+        """
+        stories = self._stories
+        now_s = self._clock()
+        earned = (now_s - stories.refilled_s) * STORY_BYTES_PER_S
+        stories.tokens = min(STORY_BURST_BYTES, stories.tokens + earned)
+        stories.refilled_s = now_s
+        size = len(json.dumps(fields, default=str))
+        if stories.tokens < size:
+            stories.suppressed += 1
+            return
+        stories.tokens -= size
+        if stories.suppressed:
+            fields = fields | {"suppressed": stories.suppressed}
+            stories.suppressed = 0
+        self._emit(logging.INFO, event, fields)
+
     def _write(self, level, event, fields):
         if level > logging.get_verbosity():
             return
@@ -61,6 +87,9 @@
         if allowance.suppressed:
             fields = fields | {"suppressed": allowance.suppressed}
             allowance.suppressed = 0
+        self._emit(level, event, fields)
+
+    def _emit(self, level, event, fields):
         extra = {"event": event, "fields": fields}
         logging.get_absl_logger().log(
             logging.converter.absl_to_standard(level), event, extra=extra
@@ -78,7 +107,7 @@
 
 
 def configure_logs(form: str, level: str) -> None:
-    """Send the process's log to standard error.
+    """Send the process's log to standard output; its reader holds up nobody.
 
     Parameters
     ----------
@@ -87,10 +116,12 @@
     """
     # The settings file takes the place of absl's own command-line flags.
     flags.FLAGS.mark_as_parsed()
-    flags.FLAGS.logtostderr = True
+    flags.FLAGS.logtostderr = False
     logging.use_absl_handler()
     logging.set_verbosity(level)
-    logging.set_stderrthreshold(level)
+    logging.set_stderrthreshold("fatal")
+    stream = LogStream(STDOUT)
+    logging.get_absl_handler().python_handler.stream = stream
     formatter = _JsonFormatter() if form == "json" else _TextFormatter()
     logging.get_absl_handler().setFormatter(formatter)
 
