--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
@@ -280,7 +280,7 @@
                 attempt.load.member.server,
                 type(result).__name__,
                 now_s - attempt.sent_s,
-                getattr(result, "detail", ""),
+                _describe_end(result),
             )
         )
 
@@ -391,3 +391,10 @@
 
     def _observe(self, event):
         self._dispatcher.observe(event)
+
+
+def _describe_end(result):
+    detail = getattr(result, "detail", "")
+    if isinstance(result, NotRun):
+        return f"{result.reason} {detail}".rstrip()
+    return detail
