--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -6,6 +6,7 @@
     AnnounceRefused,
     AnnounceResult,
 )
+from sapphireway_coordination._budgets import RETRY_TOKENS_MAX
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import (
     AttemptCause,
@@ -128,6 +129,7 @@
     "NOT_RUN_HEADER",
     "OWN_SERVER_FORM",
     "REQUEST_ID_HEADER",
+    "RETRY_TOKENS_MAX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AnnounceAccepted",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_budgets.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_budgets.py
@@ -29,11 +29,18 @@
         self.calls = 0
         self.spent = 0
 
-    def deposit(self, percent: float) -> None:
-        """Add the share of one call."""
+    def deposit(self, percent: float, tokens_max: float = RETRY_TOKENS_MAX) -> None:
+        """Add the share of one call.
+
+        Parameters
+        ----------
+        percent : float
+        tokens_max : float
+            Tokens that are kept at most, which bounds what a burst may spend.
+        """
         self.calls += 1
         self._allowed += percent / 100.0
-        self._tokens = min(self._tokens + percent / 100.0, RETRY_TOKENS_MAX)
+        self._tokens = min(self._tokens + percent / 100.0, tokens_max)
 
     def can_withdraw(self) -> bool:
         """Tell whether a token is left."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
@@ -3,8 +3,10 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 
 from sapphireway_coordination._attempts import AttemptTable
+from sapphireway_coordination._budgets import RETRY_TOKENS_MAX
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._call_events import CallEnded, ObserveCall
 from sapphireway_coordination._call_run import CallRun
@@ -40,6 +42,8 @@
         Called with each `CallEvent`.
     choose : callable
         Chooses the server of an attempt.
+    get_reserve : callable
+        Returns the retries that one service may keep in reserve at this node.
     """
 
     __slots__ = (
@@ -49,6 +53,7 @@
         "choose",
         "ejector",
         "get_members",
+        "get_reserve",
         "loads",
         "observe",
         "prober",
@@ -63,7 +68,9 @@
         rng: random.Random,
         observe: ObserveCall = _ignore_event,
         choose: Choose = choose_predicted,
+        get_reserve: Callable[[], float] = lambda: RETRY_TOKENS_MAX,
     ):
+        self.get_reserve = get_reserve
         self._attempt_ids = itertools.count(1)
         self._peers = peers
         self.get_members = get_members
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -135,6 +135,10 @@
             self._wake.set()
         return self._members.get(service, ())
 
+    def count_nodes(self) -> int:
+        """Return the nodes known here, this one included."""
+        return max(1, len(self._nodes))
+
     async def follow(self, service: str, timeout_s: float) -> bool:
         """Wait until the members of `service` are known; False on timeout."""
         if service in self._viewed:
--- a/packages/sapphireway-coordination/tests/test_budgets.py
+++ b/packages/sapphireway-coordination/tests/test_budgets.py
@@ -76,3 +76,32 @@
 @pytest.mark.parametrize("rate_per_s", [0.0, -1.0])
 def test_rate_budget_without_rate_allows_nothing(rate_per_s):
     assert not RateBudget().withdraw(rate_per_s, 0.0)
+
+
+def test_idle_time_saves_no_more_than_the_reserve():
+    budget = RetryBudget()
+    for _ in range(1000):
+        budget.deposit(12.0, 3.0)
+    spent = 0
+    while budget.can_withdraw():
+        budget.withdraw()
+        spent += 1
+    assert spent == 3
+
+
+@pytest.mark.parametrize("nodes", [1, 9, 84])
+def test_nodes_together_keep_within_share_and_reserve(nodes):
+    """What all nodes may spend in one burst is what operators allow."""
+    reserve, percent, calls = 42.0, 12.0, 900
+    budgets = [RetryBudget() for _ in range(nodes)]
+    spent = 0
+    for budget in budgets:
+        for _ in range(500):
+            budget.deposit(percent, max(reserve / nodes, 1.0))
+    for number in range(calls):
+        budget = budgets[number % nodes]
+        budget.deposit(percent, max(reserve / nodes, 1.0))
+        while budget.can_withdraw():
+            budget.withdraw()
+            spent += 1
+    assert spent <= max(reserve, nodes) + calls * percent / 100.0 + 1e-6
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -55,6 +55,9 @@
     stop_grace_ms : int
         Time from the signal to stop until the process is killed; in it, callers that
         have not noticed yet are still served. 0 if it is never killed.
+    retry_reserve : int
+        Retries and hedges of a service that all nodes together may make beyond the
+        share of its calls; each node keeps its part. 0 if every node has its own.
     initial_tree : str or None
         File with the tree that a new quorum begins with.
     seed : int or None
@@ -90,6 +93,7 @@
     bootstrap: bool = False
     open_control: bool = False
     stop_grace_ms: int = 0
+    retry_reserve: int = 0
     initial_tree: str | None = None
     seed: int | None = None
     log_format: str = "json"
@@ -119,6 +123,7 @@
     "bootstrap": make_boolean(),
     "open_control": make_boolean(),
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
+    "retry_reserve": make_integer(0, 1_000_000),
     "initial_tree": _PATH,
     "seed": make_integer(0, 2**63 - 1),
     "log_format": make_choice(("json", "text")),
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -30,6 +30,7 @@
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
     GROUP_PREFIX,
+    RETRY_TOKENS_MAX,
     Answer,
     Claimant,
     ClaimHolder,
@@ -64,6 +65,7 @@
 CLAIMS_HANDOVER_MAX_S = 3.0
 CONTROL_SILENCE_MAX_S = 5.0
 SPANS_KEPT = 1000
+RETRY_TOKENS_MIN = 1.0  # so that a service that is called seldom retries at all
 WORK_PERCENTILE = 25.0  # of latencies: those that met a fast host
 MS_PER_S = 1000
 STATE_FOLDER = "state"
@@ -296,7 +298,12 @@
     def _build_data_path(self, rng):
         self._get_members = make_get_members(self._membership, self._get_view)
         self._dispatcher = Dispatcher(
-            self._peers, self._get_members, rng, self._observe, self._make_choose()
+            self._peers,
+            self._get_members,
+            rng,
+            self._observe,
+            self._make_choose(),
+            self._get_retry_reserve,
         )
         self._claimant = Claimant(
             self._peers, self._state.get_group, rng, observe=self._observe
@@ -324,6 +331,12 @@
             self._edges.callers,
         )
 
+    def _get_retry_reserve(self):
+        if not self._settings.retry_reserve:
+            return RETRY_TOKENS_MAX
+        part = self._settings.retry_reserve / self._membership.count_nodes()
+        return max(part, RETRY_TOKENS_MIN)
+
     def _make_choose(self):
         def get_work_s(call):
             state = self._dispatcher.services.get(call.service)
