Test the platform's settings and orders; keep the slow host's arithmetic by itself

The gate used a function of the entry node's placement: it moves to a module of its own. No change of behaviour.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -30,7 +30,7 @@
     UpdateLimit,
     make_additive_update,
 )
-from sapphireway_coordination._placement import stretch_time
+from sapphireway_coordination._slow_host import stretch_time
 from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_placement.py
@@ -13,6 +13,7 @@
 from sapphireway_coordination._call import Call
 from sapphireway_coordination._loads import ServerLoad
 from sapphireway_coordination._routing import Choose, choose_predicted
+from sapphireway_coordination._slow_host import stretch_time
 
 WORK_UNKNOWN_S = 0.05  # of a kind that was not answered yet
 SLOWNESS_TRUST_S = (
@@ -105,16 +106,3 @@
         return False
     demand = len(load.outstanding) + load.count_others() + 1
     return demand <= load.report.limit * KNEE
-
-
-def stretch_time(work_s: float, slowness: float, slow_span_s: float) -> float:
-    """Return how long work takes on a host that is slow for a while, in seconds.
-
-    A slow time that lasts `slow_span_s` holds up no more than that much.
-    """
-    if slowness <= 1.0:
-        return work_s
-    slow_s = work_s * slowness
-    if not slow_span_s:
-        return slow_s
-    return min(slow_s, work_s + slow_span_s * (1.0 - 1.0 / slowness))
--- /dev/null
+++ b/tests/platform_adapter/test_orders.py
@@ -0,0 +1,176 @@
+import asyncio
+import json
+
+import pytest
+import tornado.httpclient
+import tornado.httpserver
+import tornado.web
+
+from sapphireway._logs import EventLog
+from sapphireway.hosting import Unavailable
+from sapphireway_platform._main import _make_operator_routes
+from sapphireway_state import (
+    CurrentTable,
+    Published,
+    RouteTable,
+    Superseded,
+    Unpublishable,
+)
+from sapphireway_state._problems import Problem
+from tests.platform_adapter.test_tables import make_document
+
+
+class Operators:
+    """Stands for the quorum: answers as a test says and records what it was asked."""
+
+    def __init__(self):
+        self.publisher = self
+        self.result = Published(7)
+        self.current = CurrentTable(RouteTable(5))
+        self.out_result = None
+        self.published, self.out = [], []
+
+    async def publish(self, publish):
+        self.published.append(publish)
+        return self.result
+
+    async def read_table(self, digest=b""):
+        return self.current
+
+    async def set_out(self, domain, out):
+        self.out.append((domain, out))
+        return self.out_result
+
+
+@pytest.fixture
+def operators():
+    return Operators()
+
+
+def send(operators, *requests):
+    """Send requests one after the other; return the answers."""
+
+    async def run():
+        routes = _make_operator_routes(operators, EventLog(lambda: 0.0))
+        server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(routes, log_function=lambda handler: None)
+        )
+        server.listen(0, "127.0.0.1")
+        port = next(iter(server._sockets.values())).getsockname()[1]
+        client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        answers = []
+        for method, path, headers, body in requests:
+            answers.append(
+                await client.fetch(
+                    f"http://127.0.0.1:{port}{path}",
+                    method=method,
+                    headers=headers,
+                    body=body,
+                    raise_error=False,
+                )
+            )
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+        return answers
+
+    return asyncio.run(run())
+
+
+def replace(base="5", **changes):
+    headers = {} if base is None else {"Base-Version": base}
+    body = json.dumps(make_document(**changes))
+    return "POST", "/Configuration.Replace", headers, body
+
+
+UPDATE = (
+    "POST",
+    "/Configuration.Update",
+    {"Base-Version": "5"},
+    json.dumps({"version": 9, "remove": {"routes": ["r"]}}),
+)
+READ = ("GET", "/Configuration.Read", {}, None)
+
+
+@pytest.mark.parametrize(
+    ("result", "status"),
+    [
+        (Published(7), 200),
+        (Superseded(6), 412),
+        (Unpublishable([Problem("routes", "wrong", "right")]), 400),
+        (Unavailable("no control host answered"), 503),
+    ],
+)
+def test_result_of_a_publication_becomes_a_status(operators, result, status):
+    operators.result = result
+    (answer,) = send(operators, replace())
+    assert answer.code == status
+    assert operators.published[0].base == 5
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [
+        replace(base=None),
+        replace(base="five"),
+        replace(limits=None),
+        ("POST", "/Configuration.Replace", {"Base-Version": "5"}, "{"),
+        ("POST", "/Configuration.Update", {"Base-Version": "5"}, "{}"),
+    ],
+    ids=["no-base", "base", "limits", "cut", "update"],
+)
+def test_unreadable_order_is_refused_and_publishes_nothing(operators, request_):
+    (answer,) = send(operators, request_)
+    assert answer.code == 400
+    assert operators.published == []
+
+
+def test_order_sent_again_has_the_same_digest_and_another_one_does_not(operators):
+    send(operators, replace(), replace(), replace(base="4"), replace(version=8))
+    digests = [publish.digest for publish in operators.published]
+    assert digests[0] == digests[1]
+    assert len(set(digests)) == 3
+
+
+@pytest.mark.parametrize(
+    ("current", "status", "published"),
+    [
+        (CurrentTable(RouteTable(5)), 200, 1),
+        (CurrentTable(RouteTable(6)), 412, 0),
+        (CurrentTable(RouteTable(9), accepted=9), 200, 0),
+        (Unavailable("no control host answered"), 503, 0),
+    ],
+    ids=["current", "older", "accepted-before", "unavailable"],
+)
+def test_update_builds_on_the_current_table(operators, current, status, published):
+    operators.current = current
+    (answer,) = send(operators, UPDATE)
+    assert (answer.code, len(operators.published)) == (status, published)
+
+
+@pytest.mark.parametrize(
+    ("current", "status"),
+    [
+        (CurrentTable(RouteTable(5)), 200),
+        (CurrentTable(RouteTable(0)), 503),
+        (Unavailable("no control host answered"), 503),
+    ],
+    ids=["known", "none-yet", "unsure"],
+)
+def test_read_is_the_newest_or_none(operators, current, status):
+    operators.current = current
+    (answer,) = send(operators, READ)
+    assert answer.code == status
+    if status == 200:
+        assert json.loads(answer.body)["version"] == 5
+
+
+@pytest.mark.parametrize(("verb", "out"), [("Start", True), ("Finish", False)])
+@pytest.mark.parametrize(
+    ("result", "status"), [(None, 200), (Unavailable("no quorum"), 503)]
+)
+def test_evacuation_takes_a_domain_out_or_back(operators, verb, out, result, status):
+    operators.out_result = result
+    (answer,) = send(operators, ("POST", f"/Evacuation.{verb}/rincon", {}, ""))
+    assert answer.code == status
+    assert operators.out == [("rincon", out)]
--- /dev/null
+++ b/tests/platform_adapter/test_settings.py
@@ -0,0 +1,92 @@
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from sapphireway_platform._settings import load_settings
+
+ROOT = Path("/root-of-the-tree")
+NODE = {
+    "node_name": "sidecar-bxl-a-1",
+    "role": "node",
+    "ip_address": "10.1.0.38",
+    "zone": "bxl-a",
+    "region": "be-central",
+    "listen_addresses": {
+        "outbound": "10.1.0.38:8147",
+        "ready": "10.1.0.38:8141",
+        "control_plane": "10.1.0.38:8144",
+    },
+    "internal_port_range": [7380, 7395],
+    "seed_nodes": ["10.1.0.41:8144", "10.2.0.42:8144", "10.3.0.8:8144"],
+    "initial_bootstrap": True,
+    "serves": ["sidecar"],
+    "bounds": {"grace_period": "6s", "retry_budget_slack": 56},
+    "data_directory": None,
+    "service": "huvo11a",
+    "later": {"fields": "are ignored"},
+}
+CONTROL = NODE | {
+    "node_name": "core-bxl-a-1",
+    "ip_address": "10.1.0.41",
+    "listen_addresses": {"control_plane": "10.1.0.41:8144"},
+    "serves": ["control_plane"],
+    "data_directory": "/data/control",
+    "service": None,
+}
+
+
+@pytest.fixture
+def load(tmp_path):
+    def load(document):
+        file = tmp_path / "settings.json"
+        file.write_text(json.dumps(document))
+        return load_settings(file, ROOT)
+
+    return load
+
+
+def test_node_beside_a_server(load):
+    settings = load(NODE)
+    process = settings.process
+    assert settings.service == "huvo11a" and not settings.serves_operators
+    assert process.address == "10.1.0.38:7380"
+    assert process.http_address == "10.1.0.38:8147"
+    assert (process.domain, process.region) == ("bxl-a", "be-central")
+    assert (process.data_folder, process.control, process.bootstrap) == (
+        "",
+        False,
+        False,
+    )
+    assert process.stop_grace_ms == 6000
+    assert process.retry_reserve == 28
+
+
+def test_seeds_are_reached_at_the_port_between_nodes(load):
+    hosts = load(NODE).process.control_hosts
+    assert hosts == ("10.1.0.41:7380", "10.2.0.42:7380", "10.3.0.8:7380")
+
+
+@pytest.mark.parametrize(
+    ("change", "founds"),
+    [
+        ({}, True),
+        ({"initial_bootstrap": False}, False),
+        ({"ip_address": "10.4.0.9"}, False),
+    ],
+    ids=["seed", "later-start", "no-seed"],
+)
+def test_only_a_seed_founds_and_only_at_the_first_start(load, change, founds):
+    process = load(CONTROL | change).process
+    assert process.control and process.open_control
+    assert process.bootstrap is founds
+    assert process.data_folder == "/data/control"
+    assert process.http_address == ""
+
+
+@pytest.mark.parametrize("missing", ["ip_address", "seed_nodes", "bounds"])
+def test_missing_field_is_an_error(load, missing):
+    document = {name: value for name, value in NODE.items() if name != missing}
+    with pytest.raises(msgspec.ValidationError, match=missing):
+        load(document)
