Give up links whose data nobody acknowledges

Cause: a link to a host that went silently took messages for minutes and carried none; a new host at the same address heard no reply from any other node.

Change: TCP_USER_TIMEOUT of a second, a connect timeout of half a second, reconnects within 0.2 s.

Ruled out: the listener (it accepted), the settings (in force), a partition (the node renewed its lease). Heartbeats were weighed: they cost bytes between domains at rest.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -10,7 +10,9 @@
 
 SEND_QUEUE_MESSAGES = 2000
 RECONNECT_MIN_MS = 20
-RECONNECT_MAX_MS = 1000
+RECONNECT_MAX_MS = 200  # a healed link carries again within this and a round trip
+CONNECT_TIMEOUT_MS = 500  # a host without power does not refuse, it is silent
+UNACKNOWLEDGED_MAX_MS = 1000  # data that the other host's kernel does not acknowledge
 CONNECT_WAIT_S = 0.5
 DRAIN_BATCH_MESSAGES = 64
 PENDING_MESSAGES = 64
@@ -108,6 +110,10 @@
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        # Without it a link to a host that lost power, or whose address another host
+        # has now, would take messages for minutes and carry none.
+        socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
         socket.connect(f"tcp://{peer}")
         connection = _Connection(socket)
         fd = socket.getsockopt(zmq.FD)
