Refuse an attempt whose turn comes too late instead of ending the process

Cause: a suspect request waits until its server is idle. A process that was held up reads the answer that frees the server before the timer that refuses the waiting request, and AttemptRunner._start took the late start for a broken invariant: exit status 70. The other paths had the same gap of some microseconds between check and start. The start itself refuses now, so the promise that nothing starts after its latest start holds as before.

Ruled out by reading: the budgets' invariants (allowance and tokens grow together), the limit (nothing happens between the check and the start), a second start (the state is checked).

The stand-in server binds the port it announces: the test used to close a port and hope that nothing took it before the child bound it.

--- a/demo/server.py
+++ b/demo/server.py
@@ -19,6 +19,7 @@
 import tornado.httpclient
 import tornado.httpserver
 import tornado.iostream
+import tornado.netutil
 import tornado.web
 
 from demo._stand_in import Behaviour, StandIn
@@ -274,13 +275,15 @@
     http = tornado.httpserver.HTTPServer(
         make_application(stand_in), max_body_size=BODY_MAX_BYTES
     )
-    http.listen(port, host)
+    sockets = tornado.netutil.bind_sockets(port, host)
+    http.add_sockets(sockets)
+    url = f"http://{host}:{sockets[0].getsockname()[1]}"
     start_id = uuid.uuid4().hex
 
     def announce():
         return {
             "service": service,
-            "url": f"http://{host}:{port}",
+            "url": url,
             "slots": slots,
             "connections_max": connections,
             "start_id": start_id,
@@ -325,6 +328,7 @@
     service : str
     host : str
     port : int
+        Port to listen on; 0 takes a free one.
     slots : int
         Requests that it runs at once.
     connections : int
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
@@ -134,8 +134,7 @@
             if self._suspects.judge(order.run.digest) is not Verdict.FREE:
                 waiter.decide(NotRunReason.SUSPECT)
                 continue
-            self._start(order, alone=False)
-            waiter.decide(None)
+            waiter.decide(self._start(order, alone=False))
 
     def close(self) -> None:
         """Cancel everything."""
@@ -180,8 +179,7 @@
             return await self._admit_alone(order)
         capacity = self._registration.capacity
         if capacity.has_room() and not self._queue:
-            self._start(order, alone=False)
-            return None
+            return self._start(order, alone=False)
         waiter = self._make_waiter(order)
         refusal = self._queue.push(
             waiter, order.policy.queue_limit, capacity.limit, capacity.expect_slot_s()
@@ -259,8 +257,7 @@
         if self._suspects.judge(order.run.digest) is Verdict.REFUSED:
             order.waiter.decide(NotRunReason.SUSPECT)
             return
-        self._start(order, alone=True)
-        order.waiter.decide(None)
+        order.waiter.decide(self._start(order, alone=True))
 
     def _release_alone(self, order):
         if self._alone is order:
@@ -269,9 +266,13 @@
             self.dispatch()
 
     def _start(self, order, *, alone):
+        """Take a slot for the attempt, or return why it is too late for that."""
         run, record, now_s = order.run, order.record, self._loop.time()
         check_invariant(record.state is AttemptState.WAITING, "an attempt starts twice")
-        check_invariant(now_s <= run.latest_start_s, "an attempt starts too late")
+        # A process that was held up reads answers before it runs its timers, and time
+        # may have passed since the last check. The promise not to start is kept here.
+        if now_s > run.latest_start_s:
+            return NotRunReason.DEADLINE
         record.state = AttemptState.RUNNING
         capacity = self._registration.capacity
         order.capacity = capacity
@@ -290,6 +291,7 @@
                 alone,
             )
         )
+        return None
 
     async def _send(self, order):
         remaining_s = max(order.deadline_s - self._loop.time(), 0.001)
--- a/packages/sapphireway-transport/src/sapphireway_transport/memory/_clock.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_clock.py
@@ -34,6 +34,10 @@
         """Return the paused clock's reading in seconds."""
         return self._paused_selector.now_s
 
+    def advance(self, duration_s):
+        """Let time pass in the middle of a callback, as in a process that froze."""
+        self._paused_selector.now_s += duration_s
+
 
 def run_paused(coroutine):
     """Run `coroutine` to its end on a new `PausedLoop` and return its result."""
