--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -78,6 +78,7 @@
     SuspectChange,
     SuspectMarked,
 )
+from sapphireway_coordination._health import ask_health
 from sapphireway_coordination._in_force import StateInForce
 from sapphireway_coordination._members import (
     GetMembers,
@@ -86,6 +87,7 @@
     make_member,
 )
 from sapphireway_coordination._membership import Membership, NodeReport
+from sapphireway_coordination._own_server import find_own_server
 from sapphireway_coordination._placement import make_choose_placed
 from sapphireway_coordination._quorum import Quorum
 from sapphireway_coordination._quorum_types import (
@@ -210,10 +212,12 @@
     "SuspectChange",
     "SuspectMarked",
     "Unavailable",
+    "ask_health",
     "choose_least_in_flight",
     "choose_predicted",
     "choose_random",
     "choose_two",
+    "find_own_server",
     "index_members",
     "make_choose_placed",
     "make_choose_round_robin",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_announcement.py
@@ -19,7 +19,8 @@
     connections_max : int
         Connections that it accepts at once.
     start_id : str
-        Changes whenever the server's process starts.
+        Changes whenever the server's process starts; "" if it was found by a node
+        and has not announced itself.
     in_flight : int or None
         Requests that the server runs now by its own count.
     started_s : float
@@ -46,6 +47,10 @@
     cold_rate_per_s: float = 0.0
     health_path: str = ""
 
+    def continues(self, known: "Announcement") -> bool:
+        """Tell whether `known` was said by the same start of the server's process."""
+        return known.start_id in ("", self.start_id)
+
 
 @dataclass(slots=True, frozen=True)
 class AnnounceAccepted:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
@@ -217,6 +217,18 @@
                 self._observe(ServerCold(self.announcement.server, cold_s, rate_per_s))
             self._cold_rate.start(rate_per_s, now_s + cold_s, now_s)
 
+    def note_in_flight(self, in_flight: int) -> None:
+        """Take the server's own count of what it runs or has queued.
+
+        What it has beyond this node's requests was left by a former process.
+        """
+        if not self._inherited:
+            return
+        left = max(0, in_flight - len(self._running))
+        if left < self._inherited:
+            self._inherited = left
+            self._wake()
+
     def _is_warm_enough(self):
         now_s = self._get_time()
         wait_s = self._cold_rate.get_wait_s(now_s)
@@ -253,7 +265,7 @@
 
     def renew(self, announcement: Announcement, cold_limit: int) -> None:
         """Take over an announcement; a new start id means a cold start."""
-        restarted = announcement.start_id != self.announcement.start_id
+        restarted = not announcement.continues(self.announcement)
         self.announcement = announcement
         self._cold_limit = cold_limit
         self._refused_s = None
@@ -262,9 +274,8 @@
         if restarted:
             self._inherited = 0
             self.relapse(RelapseCause.RESTARTED)
-        elif self._inherited and announcement.in_flight is not None:
-            left = announcement.in_flight - len(self._running)
-            self._inherited = min(self._inherited, max(0, left))
+        elif announcement.in_flight is not None:
+            self.note_in_flight(announcement.in_flight)
         self._wake()
 
     def relapse(self, cause: RelapseCause) -> None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
@@ -33,6 +33,7 @@
 FORGET_AFTER_S = 600.0
 WARM_UP_S = 1.5
 WARM_UP_MAX_S = 5.0
+PRELIMINARY_SUFFIX = "-preliminary"
 
 
 class Directory:
@@ -149,19 +150,35 @@
         if lease.services is None:
             return _hold(message, wants_services=True)
         if not self._is_warm(now_s):
-            return _hold(message)
+            return self._answer_early(message, lease)
         incarnation = self._peers.incarnation
-        version = self._table.version
         if message.directory != incarnation or message.services is not None:
             nodes = self._list_followed(lease.services)
+            version = self._table.version
             return Renewed(incarnation, version, True, nodes, [], False, False)
+        return self._tell_changes(message, lease, incarnation)
+
+    def _answer_early(self, message, lease):
+        """Tell a node that knows nobody who is known so far.
+
+        A node that has a view keeps it: it is more complete than this directory's.
+        """
+        position = self._peers.incarnation + PRELIMINARY_SUFFIX
+        if message.directory and not message.directory.endswith(PRELIMINARY_SUFFIX):
+            return _hold(message)
+        if message.directory != position or message.services is not None:
+            message = msgspec.structs.replace(message, version=0)
+        return self._tell_changes(message, lease, position)
+
+    def _tell_changes(self, message, lease, position):
         nodes, gone = [], []
         for changed in self._table.list_changed(message.version):
             if changed.alive and _serves(changed.entry, lease.services):
                 nodes.append(_narrow(changed.entry, lease.services))
             elif not changed.served.isdisjoint(lease.services):
                 gone.append(changed.entry.node)
-        return Renewed(incarnation, version, False, nodes, gone, False, False)
+        version = self._table.version
+        return Renewed(position, version, False, nodes, gone, False, False)
 
     def _list_followed(self, services):
         return [
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_health.py
@@ -80,15 +80,28 @@
             if not interval_s or self._registration.lapsed:
                 await asyncio.sleep(UNWATCHED_CHECK_S)
                 continue
-            if loop.time() - self._get_last_start_s() > IDLE_AFTER_S:
-                interval_s = max(interval_s, IDLE_INTERVAL_S)
-            await asyncio.sleep(interval_s)
             report = await self._ask(announcement)
             if report is not None and announcement is self._registration.announcement:
                 self._registration.take_report(report)
+            if loop.time() - self._get_last_start_s() > IDLE_AFTER_S:
+                interval_s = max(interval_s, IDLE_INTERVAL_S)
+            await asyncio.sleep(interval_s)
 
     async def _ask(self, announcement: Announcement) -> SelfReport | None:
         url = announcement.url + announcement.health_path
-        request = ServerRequest(url, "GET", (), b"", TIMEOUT_S, BODY_MAX_BYTES)
-        result = await self._client.send(request)
-        return self._form.read_report(result) if isinstance(result, Responded) else None
+        result = await ask_health(self._client, url)
+        return None if result is None else self._form.read_report(result)
+
+
+async def ask_health(client: ServerClient, url: str) -> Responded | None:
+    """Return what a server answers about its health, or None if it does not.
+
+    Parameters
+    ----------
+    client : ServerClient
+    url : str
+        Of the health path.
+    """
+    request = ServerRequest(url, "GET", (), b"", TIMEOUT_S, BODY_MAX_BYTES)
+    result = await client.send(request)
+    return result if isinstance(result, Responded) else None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
@@ -17,6 +17,7 @@
 )
 
 RENEW_INTERVAL_S = 0.4
+EARLY_INTERVAL_S = 0.1  # while the directory itself does not know all nodes yet
 RENEW_RESEND_S = 0.1
 RENEW_TIMEOUT_S = 0.4
 RENEW_SPACING_S = 0.01
@@ -76,6 +77,7 @@
         "_directory_incarnation",
         "_entry",
         "_get_report",
+        "_has_whole_view",
         "_members",
         "_nodes",
         "_on_silence",
@@ -110,6 +112,7 @@
         self._directory_incarnation = ""
         self._entry = entry
         self._get_report = get_report
+        self._has_whole_view = False
         self._members = {}
         self._nodes = {}
         self._on_unserved = on_unserved
@@ -140,7 +143,10 @@
         return max(1, len(self._nodes))
 
     async def follow(self, service: str, timeout_s: float) -> bool:
-        """Wait until the members of `service` are known; False on timeout."""
+        """Wait until members of `service` are known; False on timeout.
+
+        From a directory that has just started these may not be all.
+        """
         if service in self._viewed:
             return True
         self.get_members(service)
@@ -182,7 +188,8 @@
         if self._send_entry or self._send_services:
             return
         # Spread keeps the renewals of nodes that start together apart.
-        pause_s = RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.1)
+        interval_s = RENEW_INTERVAL_S if self._has_whole_view else EARLY_INTERVAL_S
+        pause_s = interval_s * self._rng.uniform(0.9, 1.1)
         try:
             async with asyncio.timeout(pause_s):
                 await self._wake.wait()
@@ -235,13 +242,22 @@
             services != self._services
         )
         self._accept(reply.message)
-        if reply.message.whole:
-            self._viewed = services
-            self._view_changed.set()
-            self._view_changed = asyncio.Event()
+        self._note_view(reply.message, services)
         self.last_renewed_s = asyncio.get_running_loop().time()
         return True
 
+    def _note_view(self, renewed, services):
+        viewed = services
+        if renewed.whole:
+            self._has_whole_view = True
+        else:
+            told = {s.service for entry in renewed.nodes for s in entry.servers}
+            viewed = self._viewed | told
+        if viewed != self._viewed:
+            self._viewed = viewed
+            self._view_changed.set()
+            self._view_changed = asyncio.Event()
+
     def _accept(self, renewed):
         self._directories.update(renewed.hosts_version, renewed.hosts)
         self._directory_incarnation = renewed.directory
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_own_server.py
@@ -0,0 +1,77 @@
+"""Finds the server beside a node that has just started.
+
+After a loss of power everywhere nothing is served until the servers' next
+announcements, which may be seconds away. A node that is told where its server listens
+asks it at once and speaks for it until it announces itself.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from sapphireway_coordination._announcement import Announcement
+from sapphireway_coordination._gate import Gate
+from sapphireway_coordination._server_form import ServerForm
+from sapphireway_state import ServiceSpec
+from sapphireway_transport import Responded
+
+ASK_INTERVAL_S = 0.1
+GIVE_UP_AFTER_S = 5.0  # its own announcement is due by then
+
+AskHealth = Callable[[str], Awaitable[Responded | None]]
+"""Returns what is answered at a URL, or None."""
+
+
+async def find_own_server(
+    gate: Gate,
+    url: str,
+    get_spec: Callable[[], ServiceSpec | None],
+    ask: AskHealth,
+    form: ServerForm,
+) -> bool:
+    """Ask the server until it is known to the gate; False if that took too long.
+
+    Parameters
+    ----------
+    gate : Gate
+    url : str
+        Base URL of the server.
+    get_spec : callable
+        Returns what operators say of its service; None while nothing is known.
+    ask : callable
+    form : ServerForm
+        How the server's answers are read.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + GIVE_UP_AFTER_S
+    while gate.announcement is None and loop.time() < end_s:
+        spec = get_spec()
+        if spec is not None:
+            answer = await ask(url + spec.health_path)
+            found = None if answer is None else _read_answer(answer, url, spec, form)
+            if found is not None and gate.announcement is None:
+                gate.announce(found)
+                break
+        await asyncio.sleep(ASK_INTERVAL_S)
+    return gate.announcement is not None
+
+
+def _read_answer(answer, url, spec, form):
+    """Return the announcement that a healthy server would make, or None."""
+    report = form.read_report(answer)
+    if answer.status != 200 or not report.server or not report.slots:
+        return None
+    if report.cold_s is None:
+        # It might be cold, and must not be given more than it bears then.
+        return None
+    return Announcement(
+        report.server,
+        spec.name,
+        url,
+        report.slots,
+        spec.connections_max,
+        start_id="",
+        in_flight=report.in_flight,
+        cold_s=report.cold_s,
+        cold_rate_per_s=spec.cold_rate_per_s,
+        health_path=spec.health_path,
+    )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
@@ -154,6 +154,8 @@
             return
         if report.cold_s is not None:
             capacity.note_cold(report.cold_s)
+        if report.in_flight is not None:
+            capacity.note_in_flight(report.in_flight)
         if report.slowness is not None:
             before = capacity.slowness
             capacity.note_slowness(report.slowness)
@@ -189,7 +191,7 @@
         self._report(announcement)
 
     def _renew(self, announcement, cold_limit):
-        restarted = self.announcement.start_id != announcement.start_id
+        restarted = not announcement.continues(self.announcement)
         self.capacity.renew(announcement, cold_limit)
         if restarted:
             self._report(announcement)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_self_report.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_self_report.py
@@ -15,8 +15,14 @@
         How much longer the server is cold.
     server : str or None
         Id of the server that answered.
+    in_flight : int or None
+        Requests that it runs or has queued by its own count.
+    slots : int or None
+        Requests that it can run at once.
     """
 
     slowness: float | None = None
     cold_s: float | None = None
     server: str | None = None
+    in_flight: int | None = None
+    slots: int | None = None
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -278,6 +278,7 @@
     await asyncio.sleep(0.01)
     assert bench.server.in_flight == 6
     bench.open_gate("n2")
+    bench.announce()
     bench.send("b")
     await asyncio.sleep(0.1)
     assert bench.gate.get_load().limit == 0 and bench.has_run("b") == 0
@@ -452,6 +453,7 @@
                 bench.gate.close()
                 bench.peers.close()
                 bench.open_gate(f"n{step}")
+                bench.announce()
                 gates.append(bench.gate)
             elif roll < 0.22:
                 server.shed = not server.shed
--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -0,0 +1,59 @@
+import asyncio
+import dataclasses
+
+from tests.gate_bench import NODE, Bench
+
+from sapphireway_coordination import OWN_SERVER_FORM, Gate, SelfReport
+from sapphireway_protocol import Peers
+from sapphireway_state import Policy
+from sapphireway_transport.memory import run_paused
+
+
+class WatchedBench(Bench):
+    """A gate that asks its server for its health."""
+
+    def __init__(self):
+        self.report = SelfReport()
+        super().__init__(policy=Policy(health_interval_ms=50), announced=False)
+
+    def open_gate(self, incarnation):
+        self.incarnation = incarnation
+        self.peers = Peers(self.network.open_endpoint(NODE), incarnation)
+        form = dataclasses.replace(
+            OWN_SERVER_FORM, read_report=lambda answer: self.report
+        )
+        self.gate = Gate(
+            self.peers,
+            self.server,
+            self.rng,
+            lambda service, kind: self.policy,
+            self.events.append,
+            form=form,
+        )
+        self.peers.start()
+
+
+def test_restarted_node_learns_at_once_that_its_server_is_idle():
+    async def main():
+        bench = WatchedBench()
+        bench.report = SelfReport(cold_s=0.0, in_flight=0)
+        bench.announce(in_flight=None, cold_s=0.0, health_path="/health")
+        assert bench.gate.get_load().limit == 0
+        await asyncio.sleep(0.02)
+        assert bench.gate.get_load().limit == bench.server.slots
+
+    run_paused(main())
+
+
+def test_restarted_node_waits_for_what_its_server_still_runs():
+    async def main():
+        bench = WatchedBench()
+        bench.report = SelfReport(cold_s=0.0, in_flight=4)
+        bench.announce(in_flight=None, cold_s=0.0, health_path="/health")
+        await asyncio.sleep(0.02)
+        assert bench.gate.get_load().limit == bench.server.slots - 4
+        bench.report = SelfReport(cold_s=0.0, in_flight=1)
+        await asyncio.sleep(0.6)
+        assert bench.gate.get_load().limit == bench.server.slots - 1
+
+    run_paused(main())
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -201,6 +201,31 @@
     assert "n5" not in view
 
 
+def test_nodes_that_know_nobody_are_told_before_the_directories_know_all():
+    """After a loss of power everywhere, calls are served within a second."""
+
+    async def run(seed):
+        rng = random.Random(seed)
+        fleet = Fleet(MemoryNetwork(rng), rng)
+        for address in CONTROL:
+            fleet.start_control(address)
+        for i in range(12):
+            fleet.start_node(f"n{i}")
+        followed = await asyncio.gather(
+            *(m.follow("matching", 1.0) for m in fleet.nodes.values())
+        )
+        await asyncio.sleep(0.5)
+        early = min(len(fleet.view(node)) for node in fleet.nodes)
+        fleet.kill("n5")
+        await asyncio.sleep(DEAD_WITHIN_S)
+        return all(followed), early, fleet.view("n0")
+
+    for seed in range(5):
+        followed, early, view = run_paused(run(seed))
+        assert followed and early == 12
+        assert view == {f"n{i}" for i in range(12)} - {"n5"}
+
+
 def test_isolated_control_host_hides_nobody_and_heals():
     async def run():
         fleet = await start_fleet(12)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -65,7 +65,7 @@
     services : list of str or None
         Services whose members the node wants; None if unchanged.
     directory : str
-        Incarnation of the directory that ``version`` belongs to.
+        Directory that ``version`` belongs to, as it named itself; "" if none.
     version : int
         Last change that the node has seen.
     in_force_since_s : float
@@ -95,7 +95,7 @@
     Attributes
     ----------
     directory : str
-        Incarnation of the directory.
+        Incarnation of the directory, marked while it does not know all nodes.
     version : int
         Last change that the answer includes.
     whole : bool
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -58,6 +58,11 @@
     retry_reserve : int
         Retries and hedges of a service that all nodes together may make beyond the
         share of its calls; each node keeps its part. 0 if every node has its own.
+    server_url : str
+        Base URL of the server beside this node, which is asked for its health at the
+        start; "" if it has to announce itself first.
+    server_service : str
+        Service of that server.
     initial_tree : str or None
         File with the tree that a new quorum begins with.
     seed : int or None
@@ -94,6 +99,8 @@
     open_control: bool = False
     stop_grace_ms: int = 0
     retry_reserve: int = 0
+    server_url: str = ""
+    server_service: str = ""
     initial_tree: str | None = None
     seed: int | None = None
     log_format: str = "json"
@@ -111,6 +118,8 @@
     r"[^\x00]{1,4096}", "path; a relative one begins at this file's folder"
 )
 
+_URL = make_pattern(r"http://[^/\s]{1,255}", "base URL, http://host:port")
+
 PROCESS_RULES: dict[str, Rule] = {
     "address": make_address(),
     "http_address": make_address(),
@@ -124,6 +133,8 @@
     "open_control": make_boolean(),
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "retry_reserve": make_integer(0, 1_000_000),
+    "server_url": _URL,
+    "server_service": make_name(),
     "initial_tree": _PATH,
     "seed": make_integer(0, 2**63 - 1),
     "log_format": make_choice(("json", "text")),
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -42,6 +42,8 @@
     Membership,
     SettingsChannel,
     StateInForce,
+    ask_health,
+    find_own_server,
     make_choose_placed,
     plan_stop,
 )
@@ -158,6 +160,8 @@
         self._spawn(self._presence.run(self._membership, self._update_out))
         if self._control is not None:
             self._spawn(self._control.run())
+        if self._settings.server_url:
+            self._spawn(self._find_own_server())
         if self._settings.http_address:
             await self._listener.listen(*_split_address(self._settings.http_address))
         host, port = _split_address(self._settings.admin_address)
@@ -337,6 +341,23 @@
         part = self._settings.retry_reserve / self._membership.count_nodes()
         return max(part, RETRY_TOKENS_MIN)
 
+    async def _find_own_server(self):
+        found = await find_own_server(
+            self._gate,
+            self._settings.server_url,
+            self._get_own_service,
+            lambda url: ask_health(self._client, url),
+            self._edges.server,
+        )
+        announcement = self._gate.announcement
+        server = announcement.server if found else ""
+        self._log.info("own_server_asked", found=found, server=server)
+
+    def _get_own_service(self):
+        service = self._settings.server_service
+        spec = self._state.routes.get_service(service)
+        return spec if spec.name == service else None
+
     def _make_choose(self):
         def get_work_s(call):
             state = self._dispatcher.services.get(call.service)
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -16,7 +16,7 @@
 class Bench:
     """A gate with an in-memory server, and an entry node that speaks to it."""
 
-    def __init__(self, seed=1, slots=6, policy=None):
+    def __init__(self, seed=1, slots=6, policy=None, announced=True):
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.rng)
         self.server = MemoryServer(self.rng, slots)
@@ -30,6 +30,8 @@
         self.entry.handle(Revoked, self._take(self.revoked))
         self.entry.start()
         self.open_gate("first")
+        if announced:
+            self.announce()
 
     def _take(self, store):
         def take(sender, envelope):
@@ -52,7 +54,6 @@
             self.events.append,
         )
         self.peers.start()
-        self.announce()
 
     def announce(self, **changes):
         announcement = Announcement(
--- a/tests/platform_adapter/test_forms.py
+++ b/tests/platform_adapter/test_forms.py
@@ -82,9 +82,11 @@
     ("headers", "report"),
     [
         ((), SelfReport()),
-        ((("Server-Load", "3,0,8"),), SelfReport()),
-        ((("Server-Load", "3,0,8,700"),), SelfReport(7.0)),
-        ((("Server-Load", "3,0,8,x"),), SelfReport()),
+        ((("Server-Load", "3,0,8"),), SelfReport(in_flight=3, slots=8)),
+        ((("Server-Load", "3,2,8,700"),), SelfReport(7.0, in_flight=5, slots=8)),
+        ((("Server-Load", "3,0,8,x"),), SelfReport(in_flight=3, slots=8)),
+        ((("Server-Load", "x,0,8,100"),), SelfReport(1.0, slots=8)),
+        ((("Server-Load", "3"),), SelfReport()),
         (
             (("Cold-Remaining-Ms", "1500"), ("Instance-Id", "i-1")),
             SelfReport(None, 1.5, "i-1"),
