--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -117,6 +118,7 @@
         "_stopping",
         "_tasks",
         "_tracer",
+        "_watchers",
         "publisher",
     )
 
@@ -128,6 +130,7 @@
         self._stopping = False
         self._log = log
         self._tasks = []
+        self._watchers = []
         rng = random.Random(settings.seed)
         self._metrics = Metrics()
         self._decisions = DecisionLog()
@@ -183,6 +186,10 @@
         """What this node has in force."""
         return self._state
 
+    def watch_settings(self, callback: Callable[[], None]) -> None:
+        """Call `callback` without arguments whenever other settings are in force."""
+        self._watchers.append(callback)
+
     def render_metrics(self) -> str:
         """Return all metrics in the Prometheus text format."""
         return self._metrics.render()
@@ -497,6 +504,8 @@
 
     def _note_settings(self):
         self._update_out()
+        for callback in self._watchers:
+            callback()
         self._log.info(
             "settings_in_force",
             version=self._state.version,
--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -44,10 +44,12 @@
     return RecordingGate()
 
 
+TABLE = RouteTable(1, (ServiceSpec("ledger", "/h", 220, 3000.0, 17.0),))
+
+
 @pytest.fixture
 def reports(gate):
-    table = RouteTable(1, (ServiceSpec("ledger", "/h", 220, 3000.0, 17.0),))
-    return ServerReports(gate, lambda: RouteView(table, 1), EventLog(lambda: 0.0))
+    return ServerReports(gate, lambda: RouteView(TABLE, 1), EventLog(lambda: 0.0))
 
 
 def take(reports, server="i-1", **changes):
@@ -65,6 +67,29 @@
     assert announcement.health_path == "/h"
 
 
+def test_heartbeat_waits_until_its_service_is_known(gate):
+    """What a cold server bears is in the table."""
+    views = [RouteView(RouteTable(0, ()), 0)]
+    reports = ServerReports(gate, lambda: views[-1], EventLog(lambda: 0.0))
+    take(reports)
+    reports.take_settings()
+    assert gate.told == []
+    views.append(RouteView(TABLE, 1))
+    reports.take_settings()
+    reports.take_settings()
+    assert [told.cold_rate_per_s for told in gate.told] == [17.0]
+
+
+def test_server_that_left_before_its_service_was_known_is_not_announced(gate):
+    views = [RouteView(RouteTable(0, ()), 0)]
+    reports = ServerReports(gate, lambda: views[-1], EventLog(lambda: 0.0))
+    take(reports)
+    take(reports, state="draining", seq=5)
+    views.append(RouteView(TABLE, 1))
+    reports.take_settings()
+    assert gate.told == ["i-1 leaves"]
+
+
 @pytest.mark.parametrize(
     "late",
     [{"seq": 4}, {"seq": 3}, {"born": 999, "seq": 9}],
