--- a/packages/sapphirectl/src/sapphirectl/_reports.py
+++ b/packages/sapphirectl/src/sapphirectl/_reports.py
@@ -1,11 +1,13 @@
 """Commands that tell what the system does."""
 
+from pathlib import Path
 from typing import Any
 
 from sapphirectl._client import ask
 from sapphirectl._exits import ExitCode, Failure
 from sapphirectl._options import Connection, add_options, connect
-from sapphirectl._output import fail, format_table, format_time, show
+from sapphirectl._output import fail, format_table, format_time, show, tell
+from sapphirectl._stories import read_logs, tell_story
 from sapphireway_state import (
     SettingsReply,
     StatusReport,
@@ -36,15 +38,24 @@
 @add_options(connect)
 def show_explanations(
     connection: Connection,
+    request: str | None = None,
     *,
+    logs: list[Path] | None = None,
     service: str | None = None,
     server: str | None = None,
     call: str | None = None,
 ):
     """Print recent decisions of the node with their reasons, newest first.
 
+    With --logs no node is asked: what the files tell of the request is printed in
+    order, after one line with its cause.
+
     Parameters
     ----------
+    request : str
+        Only decisions on this request; the same as --call.
+    logs : list of Path
+        Files with the standard output of processes.
     service : str
         Only decisions on this service.
     server : str
@@ -52,13 +63,15 @@
     call : str
         Only decisions on this call id.
     """
+    if logs:
+        return _explain_from_logs(request or call, logs)
     rows = ask(
         connection,
         "/v1/explanations",
         list[dict[str, Any]],
         service=service,
         server=server,
-        call=call,
+        call=request or call,
     )
     if isinstance(rows, Failure):
         return fail(rows)
@@ -86,6 +99,25 @@
     return show(spans, connection.output)
 
 
+def _explain_from_logs(request, files):
+    if request is None:
+        return fail(Failure(ExitCode.USAGE, "--logs needs the id of a request"))
+    try:
+        logs = read_logs(files)
+    except OSError as error:
+        return fail(Failure(ExitCode.REFUSED, f"{error.filename}: {error.strerror}"))
+    if logs.unreadable:
+        tell(f"{logs.unreadable} lines are no log lines and were passed over")
+    if logs.suppressed:
+        tell(f"the processes dropped {logs.suppressed} lines; some may be of interest")
+    story = tell_story(logs, request)
+    if story is None:
+        detail = f"no line names request {request}; a request that was answered at its "
+        return fail(Failure(ExitCode.REFUSED, detail + "first attempt leaves none"))
+    print("\n".join([f"{request}: {story.cause}", *story.rows]))
+    return ExitCode.OK
+
+
 def _format_row(row):
     time_s = row.get("time")
     if not isinstance(time_s, (int, float)):
--- a/packages/sapphireway/src/sapphireway/_logs.py
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -129,7 +129,7 @@
 class _JsonFormatter(standard_logging.Formatter):
     def format(self, record):
         line = {
-            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "time": self._format_time(record),
             "level": record.levelname.lower(),
             "event": getattr(record, "event", "message"),
         }
@@ -140,6 +140,10 @@
             line["traceback"] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
 
+    def _format_time(self, record):
+        seconds = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        return f"{seconds}.{int(record.msecs):03d}"
+
 
 class _TextFormatter(standard_logging.Formatter):
     def format(self, record):
