--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -33,12 +33,15 @@
     host : str
         Loopback address of both.
     domain, service : str
+    url : str
+        Where the node reaches the server, if that is not the server itself.
     """
 
     name: str
     host: str
     domain: str
     service: str
+    url: str = ""
 
 
 def make_places() -> list[Place]:
@@ -122,6 +125,7 @@
             f"--host={place.host}",
             f"--port={SERVER_PORT}",
             "--slots=6",
+            f"--url={place.url}",
             f"--record={self.folder / 'runs.jsonl'}",
         )
 
--- a/demo/server.py
+++ b/demo/server.py
@@ -261,6 +261,7 @@
     service: str,
     host: str,
     port: int,
+    url: str,
     slots: int,
     connections: int,
     seed: int,
@@ -277,7 +278,7 @@
     )
     sockets = tornado.netutil.bind_sockets(port, host)
     http.add_sockets(sockets)
-    url = f"http://{host}:{sockets[0].getsockname()[1]}"
+    url = url or f"http://{host}:{sockets[0].getsockname()[1]}"
     start_id = uuid.uuid4().hex
 
     def announce():
@@ -312,6 +313,7 @@
     service: str = "matching",
     host: str = "127.0.0.1",
     port: int = 9001,
+    url: str = "",
     slots: int = 6,
     connections: int = 200,
     seed: int = 1,
@@ -329,6 +331,8 @@
     host : str
     port : int
         Port to listen on; 0 takes a free one.
+    url : str
+        Base URL to announce; default: host and port.
     slots : int
         Requests that it runs at once.
     connections : int
@@ -345,6 +349,7 @@
             service=service,
             host=host,
             port=port,
+            url=url,
             slots=slots,
             connections=connections,
             seed=seed,
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -16,7 +16,12 @@
 import tornado.httpclient
 from demo._fleet import ADMIN_PORT, HTTP_PORT, SERVER_PORT, Fleet, Place
 
-from sapphireway_transport import CurlServerClient, Responded, ServerRequest
+from sapphireway_transport import (
+    Broken,
+    CurlServerClient,
+    Responded,
+    ServerRequest,
+)
 
 POLL_S = 0.05
 PATIENCE_S = 40.0
@@ -26,6 +31,7 @@
 DEADLINES_MS = {LOOKUP: 1500, CONFIRM: 4000, UPLOAD: 15000}
 CALLER_TIMEOUT_S = 25.0
 DEADLINE_SLACK_S = 0.2
+ACCEPTED, CONFLICT, UNREACHABLE, UNKNOWN = 0, 3, 6, 8
 
 TREE = {
     "drain_timeout_ms": 20000,
@@ -109,6 +115,7 @@
     results: list = field(default_factory=list)
     healed: int = 0
     missing: object = None
+    caller_port: int = HTTP_PORT
 
     @property
     def places(self):
@@ -133,7 +140,7 @@
             size = UPLOAD_BYTES if path == UPLOAD else 100
             body = key.encode().ljust(size, b".")
         request = ServerRequest(
-            f"http://{place.host}:{HTTP_PORT}{path}",
+            f"http://{place.host}:{self.caller_port}{path}",
             method,
             (("Idempotency-Key", key),),
             body or b"",
@@ -148,6 +155,8 @@
             outcome = headers.get("sapphireway-outcome", "lost")
             reason = headers.get("sapphireway-reason", "")
             content = answer.body
+        elif isinstance(answer, Broken):
+            reason = "cut"
         result = Result(
             key, path, place.host, outcome, reason, content, sent_s, time.monotonic()
         )
@@ -341,7 +350,34 @@
         raise AssertionError(f"no {what} within {timeout_s:g} s") from None
 
 
-def exercise(fleet, body, seed=1, frozen_servers=()):
+async def edit_settings(site, value, edit_id=None, base=None, hosts=None):
+    """Edit one setting; return the version, or None if it was not accepted."""
+    options = [f"--edit-id={edit_id}", f"--base={base}"] if edit_id else []
+    status, output = await site.operate(
+        "settings",
+        "set",
+        "trace_percent",
+        str(value),
+        "--output=json",
+        *options,
+        hosts=hosts,
+    )
+    if status == ACCEPTED:
+        return json.loads(output)["version"]
+    assert status in (CONFLICT, UNREACHABLE, UNKNOWN), output
+    return None
+
+
+async def read_settings(site, hosts=None):
+    """Return the current version and the whole tree, or None if nobody has it."""
+    for host in hosts or site.fleet.control_hosts:
+        with contextlib.suppress(OSError, tornado.httpclient.HTTPError):
+            shown = await site.fetch(host, "/v1/settings", request_timeout=5.0)
+            return shown["version"], shown["value"]
+    return None
+
+
+def exercise(fleet, body, seed=1, frozen_servers=(), prepare=None):
     """Run an asynchronous test on a whole fleet, then check the record.
 
     Parameters
@@ -353,12 +389,16 @@
         Of the choices that callers make; their keys are new in each run.
     frozen_servers : collection of str
         Servers that are frozen in the test, and may run what they got before.
+    prepare : callable, optional
+        Gets the `Site` before the fleet is whole.
     """
 
     async def run():
         client = CurlServerClient(400)
         site = Site(fleet, client, random.Random(seed))
         try:
+            if prepare is not None:
+                await prepare(site)
             await site.heal()
             site.healed = len(site.results)
             await body(site)
--- a/tests/processes/test_control.py
+++ b/tests/processes/test_control.py
@@ -1,103 +1,85 @@
 """Control hosts and settings: SIGKILL, SIGSTOP and deleted data folders."""
 
 import asyncio
-import contextlib
 import json
 import shutil
 import signal
 
 import pytest
-from tornado.httpclient import HTTPError
 
-from tests.processes.harness import CONFIRM, LOOKUP, exercise, wait_until
-
-ACCEPTED, CONFLICT, UNREACHABLE, UNKNOWN = 0, 3, 6, 8
-
-
-async def edit(site, value, edit_id=None, base=None, hosts=None):
-    """Send an edit until its answer is known; return the version."""
-    options = [f"--edit-id={edit_id}", f"--base={base}"] if edit_id else []
-    status, output = await site.operate(
-        "settings",
-        "set",
-        "trace_percent",
-        str(value),
-        "--output=json",
-        *options,
-        hosts=hosts,
-    )
-    if status == ACCEPTED:
-        return json.loads(output)["version"]
-    assert status in (CONFLICT, UNREACHABLE, UNKNOWN), output
-    return None
-
-
-async def read(site, hosts=None):
-    """Return the current version and the whole tree, or None if nobody has it."""
-    for host in hosts or site.fleet.control_hosts:
-        with contextlib.suppress(OSError, HTTPError):
-            shown = await site.fetch(host, "/v1/settings", request_timeout=5.0)
-            return shown["version"], shown["value"]
-    return None
+from tests.processes.harness import (
+    CONFIRM,
+    LOOKUP,
+    edit_settings,
+    exercise,
+    read_settings,
+    wait_until,
+)
 
 
 async def read_patiently(site, hosts=None):
-    return await wait_until(lambda: read(site, hosts), "a current read")
+    return await wait_until(lambda: read_settings(site, hosts), "a current read")
 
 
 def test_edits_survive_the_kill_of_the_leader(fleet):
     async def run(site):
-        version, _ = await read(site)
+        version, _ = await read_settings(site)
         leader = await site.find_leader()
         fleet.kill(fleet.name_control(leader))
         others = [h for h in fleet.control_hosts if h != leader]
 
         async def try_edit():
-            return await edit(site, 11, f"killed-{version}", version, others)
+            return await edit_settings(site, 11, f"killed-{version}", version, others)
 
         accepted = await wait_until(try_edit, "an accepted edit")
         assert accepted > version
         assert (
-            await edit(site, 11, f"killed-{version}", version, others[1:]) == accepted
+            await edit_settings(site, 11, f"killed-{version}", version, others[1:])
+            == accepted
         )
         fleet.start_control(leader)
         assert (await read_patiently(site, [leader]))[0] == accepted
-        assert await edit(site, 11, f"killed-{version}", version, [leader]) == accepted
+        assert (
+            await edit_settings(site, 11, f"killed-{version}", version, [leader])
+            == accepted
+        )
 
     exercise(fleet, run)
 
 
 def test_woken_leader_serves_and_accepts_nothing_old(fleet):
     async def run(site):
-        version, _ = await read(site)
+        version, _ = await read_settings(site)
         leader = await site.find_leader()
         others = [h for h in fleet.control_hosts if h != leader]
         fleet.signal(fleet.name_control(leader), signal.SIGSTOP)
 
         async def try_edit():
-            return await edit(site, 12, f"frozen-{version}", version, others)
+            return await edit_settings(site, 12, f"frozen-{version}", version, others)
 
         accepted = await wait_until(try_edit, "an accepted edit")
         await asyncio.sleep(2.0)
         fleet.signal(fleet.name_control(leader), signal.SIGCONT)
         shown = await asyncio.gather(*(read_patiently(site, [leader]) for _ in "123"))
         assert {each[0] for each in shown} == {accepted}
-        assert await edit(site, 13, f"stale-{version}", version, [leader]) is None
-        assert (await read(site))[0] == accepted
+        assert (
+            await edit_settings(site, 13, f"stale-{version}", version, [leader]) is None
+        )
+        assert (await read_settings(site))[0] == accepted
 
     exercise(fleet, run)
 
 
 def test_deleted_folder_and_a_second_loss_keep_every_edit(fleet):
     async def run(site):
-        version, _ = await read(site)
-        accepted = await edit(site, 14, f"folder-{version}", version)
+        version, _ = await read_settings(site)
+        accepted = await edit_settings(site, 14, f"folder-{version}", version)
         leader = await site.find_leader()
         lost, second = [h for h in fleet.control_hosts if h != leader]
         name = fleet.name_control(lost)
         fleet.kill(name)
         shutil.rmtree(fleet.folder / name)
-        accepted = await edit(site, 15, f"lost-{accepted}", accepted)
+        accepted = await edit_settings(site, 15, f"lost-{accepted}", accepted)
         fleet.start_control(lost)
         log = fleet.folder / f"{name}.log"
 
@@ -110,15 +92,15 @@
         fleet.kill(fleet.name_control(second))
         shown, tree = await read_patiently(site)
         assert (shown, tree["trace_percent"]) == (accepted, 15)
-        assert await edit(site, 16, f"after-{accepted}", accepted) > accepted
+        assert await edit_settings(site, 16, f"after-{accepted}", accepted) > accepted
 
     exercise(fleet, run)
 
 
 def test_all_control_hosts_killed_and_started_keep_every_edit(fleet):
     async def run(site):
-        version, _ = await read(site)
-        accepted = await edit(site, 17, f"all-{version}", version)
+        version, _ = await read_settings(site)
+        accepted = await edit_settings(site, 17, f"all-{version}", version)
         for host in fleet.control_hosts:
             fleet.kill(fleet.name_control(host))
         async with site.load({LOOKUP: 20.0, CONFIRM: 10.0}):
@@ -129,7 +111,7 @@
             fleet.start_control(host)
         shown, tree = await read_patiently(site)
         assert (shown, tree["trace_percent"]) == (accepted, 17)
-        assert await edit(site, 17, f"all-{version}", version) == accepted
+        assert await edit_settings(site, 17, f"all-{version}", version) == accepted
 
     exercise(fleet, run)
 
@@ -139,8 +121,8 @@
     async def run(site):
         place = site.places[0]
         name = fleet.name_node(place)
-        version, _ = await read(site)
-        accepted = await edit(site, 18 + deleted, f"node-{version}", version)
+        version, _ = await read_settings(site)
+        accepted = await edit_settings(site, 18 + deleted, f"node-{version}", version)
 
         async def get_version():
             try:
