Keep a server in use while the node beside it stops

Change: the gate drains when the node stops taking callers' requests, not before; what it takes until then can end in time (plan_stop).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_shutdown.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/_shutdown.py
@@ -9,8 +9,9 @@
 def plan_stop(grace_s: float, timeouts_s: Iterable[float]) -> float:
     """Return for how many seconds a stopping node goes on taking requests.
 
-    Callers keep using their connections until they learn that the node leaves, and
-    a request that is taken must be able to end before the process is killed.
+    Callers keep using their connections until they learn that the node leaves, other
+    nodes the server beside it, which goes on; and a request that is taken must be
+    able to end before the process is killed.
 
     Parameters
     ----------
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -204,9 +204,10 @@
             drain_s = min(drain_s, grace_s)
         deadline_s = loop.time() + drain_s
         self._stopping = True
-        draining = loop.create_task(self._gate.drain(deadline_s))
         if grace_s:
+            # The server beside this node goes on; other nodes may use it meanwhile.
             await self._serve_leaving_callers(grace_s)
+        draining = loop.create_task(self._gate.drain(deadline_s))
         self._callers.stopping = True
         self._listener.stop_accepting()
         drained = await draining
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -1,10 +1,11 @@
 import asyncio
+import dataclasses
 
 import pytest
 
 from sapphireway._logs import EventLog
 from sapphireway._node import Node
-from sapphireway_coordination import TREE_PREFIX, ControlMachine
+from sapphireway_coordination import TREE_PREFIX, ControlMachine, GateState
 from sapphireway_state import Edit, ProcessSettings, SetValue, encode_edit
 
 ADDRESS = "127.0.19.1:{}"
@@ -81,3 +82,21 @@
         return table._may_run_unsure(), keeper._get_size("ledger/4")
 
     assert wired(tree, look) == (unsure, size)
+
+
+def test_stopping_node_keeps_its_server_in_use_while_callers_notice(settings):
+    """The server goes on, and its service needs it until the node must end."""
+    settings = dataclasses.replace(settings, stop_grace_ms=1000)
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(0.1)
+        during = node.ready, node.gate.state
+        await stopping
+        return during, node.gate.state
+
+    during, after = asyncio.run(run())
+    assert during == (False, GateState.OPEN)
+    assert after is GateState.DRAINING
