--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -65,9 +65,10 @@
     async def close(self) -> None:
         """Drop everything."""
         self._server.close()
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def reset(self) -> None:
         """Reset every connection."""
@@ -102,7 +103,7 @@
             asyncio.create_task(self._pump(to_server[0], writer, TO_CLIENT)),
         ]
         self._tasks.update(pumps)
-        await asyncio.gather(*pumps, return_exceptions=True)
+        await asyncio.wait(pumps)
         self._tasks.difference_update(pumps)
 
     def _abort(self, writer):
