Give each concern of the coordination layer its subpackage

One move by script, no change of behaviour: membership, quorum, suspects, routing, claims, gate and settings, each with a small public face. The events of suspects leave the gate's events, the one import that pointed up.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -12,7 +12,7 @@
 import defopt
 
 from sapphireway_coordination import Announcement, Gate
-from sapphireway_coordination._limit import (
+from sapphireway_coordination.gate._limit import (
     UpdateLimit,
     make_additive_update,
     make_gradient_update,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -1,121 +1,111 @@
 """Decisions of the nodes: routing, admission, claims, quorum and membership."""
 
-from sapphireway_coordination._announcement import (
-    AnnounceAccepted,
-    Announcement,
-    AnnounceRefused,
-    AnnounceResult,
-)
-from sapphireway_coordination._budgets import RETRY_TOKENS_MAX
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._call_events import (
-    AttemptCause,
-    AttemptEnded,
-    AttemptSent,
-    CallEnded,
-    CallEvent,
-    DenyReason,
-    MemberEjected,
-    MemberRestored,
-    ObserveCall,
-    ProbeSent,
-    RetryDenied,
-    RevokeSent,
-)
-from sapphireway_coordination._claim_client import Fences
-from sapphireway_coordination._claim_group import (
+from sapphireway_coordination.claims import (
+    KEY_MAX_BYTES,
+    Claimant,
+    ClaimDelivered,
+    ClaimEnd,
+    ClaimEnded,
     ClaimGroupMachine,
+    ClaimHolder,
+    ClaimKeeper,
+    Dispatch,
+    Fences,
     GroupChange,
     GroupChangeResult,
-)
-from sapphireway_coordination._claim_holder import (
-    ClaimHolder,
+    GroupProposed,
     HolderChanged,
     HolderSettings,
     HolderState,
-    ReadGroup,
-)
-from sapphireway_coordination._claim_keeper import (
-    ClaimKeeper,
-    GroupProposed,
     KeeperSettings,
     Propose,
+    ReadGroup,
 )
-from sapphireway_coordination._claims import (
-    KEY_MAX_BYTES,
-    Claimant,
-    ClaimDelivered,
-    ClaimEnd,
-    ClaimEnded,
-    Dispatch,
-)
-from sapphireway_coordination._control_client import ControlClient
-from sapphireway_coordination._control_host_list import ControlHostList
-from sapphireway_coordination._control_machine import (
-    GROUP_PREFIX,
-    ROUTE_PREFIX,
-    TREE_PREFIX,
-    ControlMachine,
-)
-from sapphireway_coordination._directory import Directory
-from sapphireway_coordination._dispatch import Dispatcher
-from sapphireway_coordination._explanation import CallHistory, ServerView
-from sapphireway_coordination._gate import Gate, GateState
-from sapphireway_coordination._gate_events import (
+from sapphireway_coordination.gate import (
+    OWN_SERVER_FORM,
+    AnnounceAccepted,
+    Announcement,
+    AnnounceRefused,
+    AnnounceResult,
     AttemptRefused,
     AttemptRepeated,
     AttemptServed,
     AttemptStarted,
+    Gate,
     GateChanged,
     GateEvent,
+    GateState,
     LimitChanged,
     RelapseCause,
     RelapseSeen,
+    SelfReport,
     ServerAnnounced,
     ServerCold,
+    ServerForm,
     ServerLeft,
     ServerWarmed,
-    SuspectChange,
-    SuspectMarked,
+    ask_health,
+    find_own_server,
+    plan_stop,
 )
-from sapphireway_coordination._health import ask_health
-from sapphireway_coordination._in_force import StateInForce
-from sapphireway_coordination._members import (
+from sapphireway_coordination.membership import (
+    ControlHostList,
+    Directory,
     GetMembers,
     Member,
+    Membership,
+    NodeReport,
     index_members,
     make_member,
 )
-from sapphireway_coordination._membership import Membership, NodeReport
-from sapphireway_coordination._own_server import find_own_server
-from sapphireway_coordination._placement import make_choose_placed
-from sapphireway_coordination._quorum import Quorum
-from sapphireway_coordination._quorum_types import (
+from sapphireway_coordination.quorum import (
     Answer,
     Committed,
     Current,
     NotLeader,
+    Quorum,
     QuorumSettings,
     QuorumStatus,
     Role,
     StateMachine,
     Unavailable,
 )
-from sapphireway_coordination._routing import (
+from sapphireway_coordination.routing import (
+    RETRY_TOKENS_MAX,
+    AttemptCause,
+    AttemptEnded,
+    AttemptSent,
+    Call,
+    CallEnded,
+    CallEvent,
+    CallHistory,
     Choose,
+    DenyReason,
+    Dispatcher,
+    MemberEjected,
+    MemberRestored,
+    ObserveCall,
+    ProbeSent,
+    RetryDenied,
+    RevokeSent,
+    ServerView,
     choose_least_in_flight,
     choose_predicted,
     choose_random,
     choose_two,
+    make_choose_placed,
     make_choose_round_robin,
 )
-from sapphireway_coordination._self_report import SelfReport
-from sapphireway_coordination._server_form import (
-    OWN_SERVER_FORM,
-    ServerForm,
+from sapphireway_coordination.settings import (
+    GROUP_PREFIX,
+    ROUTE_PREFIX,
+    TREE_PREFIX,
+    ControlClient,
+    ControlMachine,
+    SettingsChannel,
+    StateInForce,
 )
-from sapphireway_coordination._settings_channel import SettingsChannel
-from sapphireway_coordination._shutdown import plan_stop
+from sapphireway_coordination.suspects import SuspectChange, SuspectMarked
 from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/__init__.py
@@ -0,0 +1,53 @@
+"""Claims of idempotency keys, so that a request runs at most once."""
+
+from sapphireway_coordination.claims._claimant import (
+    KEY_MAX_BYTES,
+    Claimant,
+    ClaimDelivered,
+    ClaimEnd,
+    ClaimEnded,
+    Dispatch,
+)
+from sapphireway_coordination.claims._client import (
+    Fences,
+)
+from sapphireway_coordination.claims._group import (
+    ClaimGroupMachine,
+    GroupChange,
+    GroupChangeResult,
+)
+from sapphireway_coordination.claims._holder import (
+    ClaimHolder,
+    HolderChanged,
+    HolderSettings,
+    HolderState,
+    ReadGroup,
+)
+from sapphireway_coordination.claims._keeper import (
+    ClaimKeeper,
+    GroupProposed,
+    KeeperSettings,
+    Propose,
+)
+
+__all__ = [
+    "KEY_MAX_BYTES",
+    "ClaimDelivered",
+    "ClaimEnd",
+    "ClaimEnded",
+    "ClaimGroupMachine",
+    "ClaimHolder",
+    "ClaimKeeper",
+    "Claimant",
+    "Dispatch",
+    "Fences",
+    "GroupChange",
+    "GroupChangeResult",
+    "GroupProposed",
+    "HolderChanged",
+    "HolderSettings",
+    "HolderState",
+    "KeeperSettings",
+    "Propose",
+    "ReadGroup",
+]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claims.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_claimant.py
@@ -7,21 +7,21 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._claim_client import (
+from sapphireway_coordination.claims._client import (
     ROUND_TIMEOUT_S,
     Fences,
     HolderClient,
 )
-from sapphireway_coordination._claim_group import name_group
-from sapphireway_coordination._claim_outcomes import (
+from sapphireway_coordination.claims._group import name_group
+from sapphireway_coordination.claims._outcomes import (
     describe_mismatch,
     digest_request,
     explain_refusal,
     load_outcome,
     store_outcome,
 )
-from sapphireway_coordination._claim_votes import Decision, Votes, tally_votes
+from sapphireway_coordination.claims._votes import Decision, Votes, tally_votes
+from sapphireway_coordination.routing import Call
 from sapphireway_protocol import (
     ClaimGroup,
     ClaimRecord,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_holder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_holder.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from sapphireway_coordination._claim_group import get_service
-from sapphireway_coordination._claim_takeover import pull_claims
+from sapphireway_coordination.claims._group import get_service
+from sapphireway_coordination.claims._takeover import pull_claims
 from sapphireway_protocol import (
     ClaimAck,
     ClaimGroup,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_keeper.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_keeper.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from sapphireway_coordination._claim_group import (
+from sapphireway_coordination.claims._group import (
     GROUP_SIZE_MAX,
     GroupChange,
     GroupChangeResult,
@@ -17,7 +17,7 @@
     list_group_names,
     list_nodes,
 )
-from sapphireway_coordination._members import GetMembers
+from sapphireway_coordination.membership import GetMembers
 from sapphireway_protocol import (
     ClaimGroup,
     ClaimStatusReply,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_claim_outcomes.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_outcomes.py
@@ -2,8 +2,8 @@
 
 import hashlib
 
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._claim_votes import Votes
+from sapphireway_coordination.claims._votes import Votes
+from sapphireway_coordination.routing import Call
 from sapphireway_protocol import (
     Answered,
     ClaimStatus,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sapphireway_coordination._announcement import Announcement
-from sapphireway_coordination._cold_rate import ColdRate
-from sapphireway_coordination._coldstart import (
+from sapphireway_coordination.gate._announcement import Announcement
+from sapphireway_coordination.gate._cold_rate import ColdRate
+from sapphireway_coordination.gate._coldstart import (
     SHED_STATUSES,
     STALL_CHECK_S,
     LatencyBaseline,
     RelapseDetector,
     is_stalled,
 )
-from sapphireway_coordination._gate_events import (
+from sapphireway_coordination.gate._events import (
     LimitChanged,
     ObserveGate,
     RelapseCause,
@@ -21,8 +21,8 @@
     ServerCold,
     ServerWarmed,
 )
-from sapphireway_coordination._knee import Knee
-from sapphireway_coordination._limit import (
+from sapphireway_coordination.gate._knee import Knee
+from sapphireway_coordination.gate._limit import (
     COLD_ANSWERS_MIN,
     SLOW_ANSWERS_MIN,
     ConcurrencyLimit,
@@ -30,7 +30,7 @@
     UpdateLimit,
     make_additive_update,
 )
-from sapphireway_coordination._slow_host import stretch_time
+from sapphireway_coordination.routing import stretch_time
 from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_coldstart.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_coldstart.py
@@ -4,7 +4,7 @@
 import statistics
 from collections.abc import Iterable
 
-from sapphireway_coordination._gate_events import RelapseCause
+from sapphireway_coordination.gate._events import RelapseCause
 
 SHED_STATUSES = frozenset({429, 503})
 ANSWERS_WINDOW = 20
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sapphireway_coordination.suspects import SuspectMarked
 from sapphireway_protocol import NotRunReason
 
 
@@ -19,14 +20,6 @@
     STALLED = "stalled"
 
 
-class SuspectChange(enum.StrEnum):
-    """What became of a suspect digest."""
-
-    MARKED = "marked"
-    CONDEMNED = "condemned"
-    CLEARED = "cleared"
-
-
 @dataclass(slots=True, frozen=True)
 class AttemptStarted:
     """An attempt was handed to the server.
@@ -226,23 +219,6 @@
     in_flight: int
 
 
-@dataclass(slots=True, frozen=True)
-class SuspectMarked:
-    """A digest became suspect of crashing servers, or stopped being so.
-
-    Attributes
-    ----------
-    digest : str
-    change : SuspectChange
-    origin : str
-        Address of the node that found out.
-    """
-
-    digest: str
-    change: SuspectChange
-    origin: str
-
-
 GateEvent = (
     AttemptStarted
     | AttemptServed
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -8,29 +8,28 @@
 
 import msgspec
 
-from sapphireway_coordination._admission import AdmissionQueue
-from sapphireway_coordination._announcement import Announcement, AnnounceResult
-from sapphireway_coordination._attempt_memory import (
+from sapphireway_coordination.gate._admission import AdmissionQueue
+from sapphireway_coordination.gate._announcement import Announcement, AnnounceResult
+from sapphireway_coordination.gate._attempt_memory import (
     RETENTION_S,
     START_HORIZON_S,
     AttemptMemory,
     AttemptState,
 )
-from sapphireway_coordination._exchange import make_refusal
-from sapphireway_coordination._gate_events import (
+from sapphireway_coordination.gate._events import (
     AttemptRepeated,
     GateChanged,
     ObserveGate,
 )
-from sapphireway_coordination._health import HealthWatch
-from sapphireway_coordination._limit import UpdateLimit, make_additive_update
-from sapphireway_coordination._order import Order
-from sapphireway_coordination._order_ends import OrderEnds
-from sapphireway_coordination._registration import Registration
-from sapphireway_coordination._runner import AttemptRunner
-from sapphireway_coordination._server_form import OWN_SERVER_FORM, ServerForm
-from sapphireway_coordination._suspect_exchange import GetNodes, SuspectExchange
-from sapphireway_coordination._suspects import SuspectTable
+from sapphireway_coordination.gate._exchange import make_refusal
+from sapphireway_coordination.gate._health import HealthWatch
+from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
+from sapphireway_coordination.gate._order import Order
+from sapphireway_coordination.gate._order_ends import OrderEnds
+from sapphireway_coordination.gate._registration import Registration
+from sapphireway_coordination.gate._runner import AttemptRunner
+from sapphireway_coordination.gate._server_form import OWN_SERVER_FORM, ServerForm
+from sapphireway_coordination.suspects import GetNodes, SuspectExchange, SuspectTable
 from sapphireway_protocol import (
     Cancel,
     LoadNews,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -8,10 +8,10 @@
 import asyncio
 from collections.abc import Callable
 
-from sapphireway_coordination._announcement import Announcement
-from sapphireway_coordination._registration import Registration
-from sapphireway_coordination._self_report import SelfReport
-from sapphireway_coordination._server_form import ServerForm
+from sapphireway_coordination.gate._announcement import Announcement
+from sapphireway_coordination.gate._registration import Registration
+from sapphireway_coordination.gate._self_report import SelfReport
+from sapphireway_coordination.gate._server_form import ServerForm
 from sapphireway_transport import Responded, ServerClient, ServerRequest
 
 TIMEOUT_S = 1.0
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_order.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_order.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sapphireway_coordination._admission import Waiter
-from sapphireway_coordination._attempt_memory import AttemptRecord
-from sapphireway_coordination._capacity import Running, ServerCapacity
+from sapphireway_coordination.gate._admission import Waiter
+from sapphireway_coordination.gate._attempt_memory import AttemptRecord
+from sapphireway_coordination.gate._capacity import Running, ServerCapacity
 from sapphireway_protocol import NotRunReason, Reply, Run
 from sapphireway_state import Policy
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_order_ends.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_order_ends.py
@@ -3,16 +3,19 @@
 import random
 from collections.abc import Callable
 
-from sapphireway_coordination._admission import RETRY_AFTER_MAX_S, RETRY_AFTER_MIN_S
-from sapphireway_coordination._exchange import make_refusal, make_reply
-from sapphireway_coordination._gate_events import (
+from sapphireway_coordination.gate._admission import (
+    RETRY_AFTER_MAX_S,
+    RETRY_AFTER_MIN_S,
+)
+from sapphireway_coordination.gate._events import (
     AttemptRefused,
     AttemptServed,
     ObserveGate,
 )
-from sapphireway_coordination._order import FinishOrder, Order
-from sapphireway_coordination._registration import Registration
-from sapphireway_coordination._server_form import ServerForm
+from sapphireway_coordination.gate._exchange import make_refusal, make_reply
+from sapphireway_coordination.gate._order import FinishOrder, Order
+from sapphireway_coordination.gate._registration import Registration
+from sapphireway_coordination.gate._server_form import ServerForm
 from sapphireway_protocol import NotRunReason, Run
 from sapphireway_transport import ServerResult
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_own_server.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_own_server.py
@@ -8,9 +8,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from sapphireway_coordination._announcement import Announcement
-from sapphireway_coordination._gate import Gate
-from sapphireway_coordination._server_form import ServerForm
+from sapphireway_coordination.gate._announcement import Announcement
+from sapphireway_coordination.gate._gate import Gate
+from sapphireway_coordination.gate._server_form import ServerForm
 from sapphireway_state import ServiceSpec
 from sapphireway_transport import Responded
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -3,21 +3,21 @@
 import asyncio
 from collections.abc import Callable
 
-from sapphireway_coordination._announcement import (
+from sapphireway_coordination.gate._announcement import (
     AnnounceAccepted,
     Announcement,
     AnnounceRefused,
     AnnounceResult,
 )
-from sapphireway_coordination._capacity import ServerCapacity
-from sapphireway_coordination._gate_events import (
+from sapphireway_coordination.gate._capacity import ServerCapacity
+from sapphireway_coordination.gate._events import (
     ObserveGate,
     RelapseCause,
     ServerAnnounced,
     ServerLeft,
 )
-from sapphireway_coordination._limit import UpdateLimit, make_additive_update
-from sapphireway_coordination._self_report import SelfReport
+from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
+from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_protocol import NotRunReason
 
 RENEW_S = 2.0
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -3,17 +3,20 @@
 import asyncio
 from collections.abc import Callable
 
-from sapphireway_coordination._admission import AdmissionQueue, Waiter
-from sapphireway_coordination._attempt_memory import AttemptState
-from sapphireway_coordination._capacity import Running
-from sapphireway_coordination._exchange import is_not_run, make_request, read_result
-from sapphireway_coordination._gate_events import AttemptStarted, ObserveGate
-from sapphireway_coordination._order import Order
-from sapphireway_coordination._order_ends import OrderEnds
-from sapphireway_coordination._registration import Registration
-from sapphireway_coordination._server_form import ServerForm
-from sapphireway_coordination._suspect_exchange import SuspectExchange
-from sapphireway_coordination._suspects import SuspectTable, Verdict
+from sapphireway_coordination.gate._admission import AdmissionQueue, Waiter
+from sapphireway_coordination.gate._attempt_memory import AttemptState
+from sapphireway_coordination.gate._capacity import Running
+from sapphireway_coordination.gate._events import AttemptStarted, ObserveGate
+from sapphireway_coordination.gate._exchange import (
+    is_not_run,
+    make_request,
+    read_result,
+)
+from sapphireway_coordination.gate._order import Order
+from sapphireway_coordination.gate._order_ends import OrderEnds
+from sapphireway_coordination.gate._registration import Registration
+from sapphireway_coordination.gate._server_form import ServerForm
+from sapphireway_coordination.suspects import SuspectExchange, SuspectTable, Verdict
 from sapphireway_protocol import NotRunReason
 from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, Responded, ServerClient
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_server_form.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_form.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from sapphireway_coordination._self_report import SelfReport
+from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_protocol import Run
 from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_directory.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from sapphireway_coordination._control_host_list import ControlHostList
-from sapphireway_coordination._members import Member, index_members
-from sapphireway_coordination._neighbours import ADOPTION_GRACE_S, Neighbours
+from sapphireway_coordination.membership._control_host_list import ControlHostList
+from sapphireway_coordination.membership._members import Member, index_members
+from sapphireway_coordination.membership._neighbours import ADOPTION_GRACE_S, Neighbours
 from sapphireway_protocol import (
     ControlHostState,
     LeaseEntry,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_membership.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from sapphireway_coordination._control_host_list import ControlHostList
-from sapphireway_coordination._members import Member, index_members
+from sapphireway_coordination.membership._control_host_list import ControlHostList
+from sapphireway_coordination.membership._members import Member, index_members
 from sapphireway_protocol import (
     LoadReport,
     NodeEntry,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_leader.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_leader.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from sapphireway_coordination._quorum_members import maintain_members
-from sapphireway_coordination._quorum_progress import Progress
-from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_replication import replicate
-from sapphireway_coordination._quorum_types import NotLeader, Unavailable
+from sapphireway_coordination.quorum._members import maintain_members
+from sapphireway_coordination.quorum._progress import Progress
+from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._replication import replicate
+from sapphireway_coordination.quorum._types import NotLeader, Unavailable
 from sapphireway_protocol import EntryKind, JournalEntry, QuorumMember
 from sapphireway_state import check_invariant, encode_members
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Sequence
 
-from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_types import Committed, NotLeader, Unavailable
+from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._types import Committed, NotLeader, Unavailable
 from sapphireway_protocol import EntryKind, Envelope, JoinReply, QuorumMember
 from sapphireway_state import check_invariant, encode_members
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -5,23 +5,23 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-from sapphireway_coordination._quorum_election import answer_vote, run_elections
-from sapphireway_coordination._quorum_follower import (
+from sapphireway_coordination.quorum._election import answer_vote, run_elections
+from sapphireway_coordination.quorum._follower import (
     answer_append,
     answer_chunk,
     answer_heartbeat,
 )
-from sapphireway_coordination._quorum_leader import confirm_leadership, lead
-from sapphireway_coordination._quorum_members import answer_join, change_members
-from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_requests import answer_change, answer_query
-from sapphireway_coordination._quorum_start import (
+from sapphireway_coordination.quorum._leader import confirm_leadership, lead
+from sapphireway_coordination.quorum._members import answer_join, change_members
+from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._requests import answer_change, answer_query
+from sapphireway_coordination.quorum._start import (
     answer_found,
     answer_hello,
     open_disk,
     run_start,
 )
-from sapphireway_coordination._quorum_types import (
+from sapphireway_coordination.quorum._types import (
     Committed,
     Current,
     NotLeader,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sapphireway_coordination._quorum_types import (
+from sapphireway_coordination.quorum._types import (
     Committed,
     QuorumSettings,
     Role,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_replication.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replication.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from sapphireway_coordination._quorum_progress import Progress
-from sapphireway_coordination._quorum_replica import Replica
+from sapphireway_coordination.quorum._progress import Progress
+from sapphireway_coordination.quorum._replica import Replica
 from sapphireway_protocol import (
     Acked,
     Append,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_requests.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_requests.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_types import (
+from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._types import (
     Committed,
     Current,
     NotLeader,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_quorum_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from sapphireway_coordination._quorum_replica import Replica
-from sapphireway_coordination._quorum_types import Role
+from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._types import Role
 from sapphireway_protocol import (
     Envelope,
     Found,
--- /dev/null
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/__init__.py
@@ -0,0 +1,71 @@
+"""Calls at the entry node: which server, retries, hedges, budgets, ejection."""
+
+from sapphireway_coordination.routing._budgets import (
+    RETRY_TOKENS_MAX,
+)
+from sapphireway_coordination.routing._call import (
+    Call,
+)
+from sapphireway_coordination.routing._dispatch import (
+    Dispatcher,
+)
+from sapphireway_coordination.routing._events import (
+    AttemptCause,
+    AttemptEnded,
+    AttemptSent,
+    CallEnded,
+    CallEvent,
+    DenyReason,
+    MemberEjected,
+    MemberRestored,
+    ObserveCall,
+    ProbeSent,
+    RetryDenied,
+    RevokeSent,
+)
+from sapphireway_coordination.routing._explanation import (
+    CallHistory,
+    ServerView,
+)
+from sapphireway_coordination.routing._placement import (
+    make_choose_placed,
+)
+from sapphireway_coordination.routing._routing import (
+    Choose,
+    choose_least_in_flight,
+    choose_predicted,
+    choose_random,
+    choose_two,
+    make_choose_round_robin,
+)
+from sapphireway_coordination.routing._slow_host import (
+    stretch_time,
+)
+
+__all__ = [
+    "RETRY_TOKENS_MAX",
+    "AttemptCause",
+    "AttemptEnded",
+    "AttemptSent",
+    "Call",
+    "CallEnded",
+    "CallEvent",
+    "CallHistory",
+    "Choose",
+    "DenyReason",
+    "Dispatcher",
+    "MemberEjected",
+    "MemberRestored",
+    "ObserveCall",
+    "ProbeSent",
+    "RetryDenied",
+    "RevokeSent",
+    "ServerView",
+    "choose_least_in_flight",
+    "choose_predicted",
+    "choose_random",
+    "choose_two",
+    "make_choose_placed",
+    "make_choose_round_robin",
+    "stretch_time",
+]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -5,8 +5,8 @@
 import enum
 from collections.abc import Callable
 
-from sapphireway_coordination._call_events import AttemptCause
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._events import AttemptCause
+from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_protocol import (
     Answered,
     Cancel,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -3,9 +3,17 @@
 import asyncio
 import math
 
-from sapphireway_coordination._attempts import Attempt, Mailbox
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._call_events import (
+from sapphireway_coordination.routing._attempts import Attempt, Mailbox
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._candidates import learn_end, list_candidates
+from sapphireway_coordination.routing._conclusions import (
+    conclude,
+    is_failure,
+    is_stale,
+    reached_server,
+    refuse,
+)
+from sapphireway_coordination.routing._events import (
     AttemptCause,
     AttemptEnded,
     AttemptSent,
@@ -13,21 +21,13 @@
     RetryDenied,
     RevokeSent,
 )
-from sapphireway_coordination._candidates import learn_end, list_candidates
-from sapphireway_coordination._conclusions import (
-    conclude,
-    is_failure,
-    is_stale,
-    reached_server,
-    refuse,
-)
-from sapphireway_coordination._placement import has_free_slot, tells_slowness
-from sapphireway_coordination._revocation import (
+from sapphireway_coordination.routing._placement import has_free_slot, tells_slowness
+from sapphireway_coordination.routing._revocation import (
     get_final_revoke,
     get_first_revoke,
     get_next_revoke,
 )
-from sapphireway_coordination._run_message import compute_digest, create_run
+from sapphireway_coordination.routing._run_message import compute_digest, create_run
 from sapphireway_protocol import (
     Answered,
     Failed,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_candidates.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_candidates.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Sequence
 
-from sapphireway_coordination._attempts import Attempt
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._conclusions import is_failure
-from sapphireway_coordination._ejection import Ejector, list_usable
-from sapphireway_coordination._loads import ServerLoad
-from sapphireway_coordination._placement import tells_slowness
+from sapphireway_coordination.routing._attempts import Attempt
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._conclusions import is_failure
+from sapphireway_coordination.routing._ejection import Ejector, list_usable
+from sapphireway_coordination.routing._loads import ServerLoad
+from sapphireway_coordination.routing._placement import tells_slowness
 from sapphireway_protocol import Answered, NotRun
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_conclusions.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_conclusions.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from sapphireway_coordination._call import Call
+from sapphireway_coordination.routing._call import Call
 from sapphireway_protocol import (
     Answered,
     Failed,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -5,18 +5,18 @@
 import random
 from collections.abc import Callable
 
-from sapphireway_coordination._attempts import AttemptTable
-from sapphireway_coordination._budgets import RETRY_TOKENS_MAX
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._call_events import CallEnded, ObserveCall
-from sapphireway_coordination._call_run import CallRun
-from sapphireway_coordination._ejection import Ejector
-from sapphireway_coordination._explanation import ServerView, explain_servers
-from sapphireway_coordination._loads import LoadTable, ServerLoad
-from sapphireway_coordination._members import GetMembers, Member
-from sapphireway_coordination._probing import Prober
-from sapphireway_coordination._routing import Choose, choose_predicted
-from sapphireway_coordination._services import ServiceTable
+from sapphireway_coordination.membership import GetMembers, Member
+from sapphireway_coordination.routing._attempts import AttemptTable
+from sapphireway_coordination.routing._budgets import RETRY_TOKENS_MAX
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._call_run import CallRun
+from sapphireway_coordination.routing._ejection import Ejector
+from sapphireway_coordination.routing._events import CallEnded, ObserveCall
+from sapphireway_coordination.routing._explanation import ServerView, explain_servers
+from sapphireway_coordination.routing._loads import LoadTable, ServerLoad
+from sapphireway_coordination.routing._probing import Prober
+from sapphireway_coordination.routing._routing import Choose, choose_predicted
+from sapphireway_coordination.routing._services import ServiceTable
 from sapphireway_protocol import LoadNews, LoadReport, Outcome, Peers, ProbeReply
 from sapphireway_state import Policy
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_ejection.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_ejection.py
@@ -3,13 +3,13 @@
 import random
 from collections.abc import Sequence
 
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._call_events import (
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._events import (
     MemberEjected,
     MemberRestored,
     ObserveCall,
 )
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._loads import ServerLoad
 
 FAILURES_MAX = 2
 EJECTION_MIN_S = 0.2
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_explanation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
@@ -3,7 +3,7 @@
 import collections
 from dataclasses import dataclass
 
-from sapphireway_coordination._call_events import (
+from sapphireway_coordination.routing._events import (
     AttemptEnded,
     AttemptSent,
     CallEnded,
@@ -11,8 +11,8 @@
     RetryDenied,
     RevokeSent,
 )
-from sapphireway_coordination._loads import ServerLoad
-from sapphireway_coordination._routing import estimate_prior, predict
+from sapphireway_coordination.routing._loads import ServerLoad
+from sapphireway_coordination.routing._routing import estimate_prior, predict
 
 CALLS_KEPT = 512
 EVENTS_KEPT = 32
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_loads.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Sequence
 
-from sapphireway_coordination._members import Member
+from sapphireway_coordination.membership import Member
 from sapphireway_protocol import LoadReport, ServerState
 
 LATENCY_DECAY_S = 0.3
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
@@ -10,10 +10,10 @@
 import random
 from collections.abc import Callable, Sequence
 
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._loads import ServerLoad
-from sapphireway_coordination._routing import Choose, choose_predicted
-from sapphireway_coordination._slow_host import stretch_time
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._loads import ServerLoad
+from sapphireway_coordination.routing._routing import Choose, choose_predicted
+from sapphireway_coordination.routing._slow_host import stretch_time
 
 WORK_UNKNOWN_S = 0.05  # of a kind that was not answered yet
 SLOWNESS_TRUST_S = (
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_probing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_probing.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from sapphireway_coordination._budgets import RateBudget
-from sapphireway_coordination._call_events import ObserveCall, ProbeSent
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._budgets import RateBudget
+from sapphireway_coordination.routing._events import ObserveCall, ProbeSent
+from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_protocol import Peers, Probe
 from sapphireway_state import Policy, check_invariant
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_revocation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_revocation.py
@@ -1,6 +1,6 @@
 """When to ask that a silent attempt never starts."""
 
-from sapphireway_coordination._attempts import Attempt, Progress
+from sapphireway_coordination.routing._attempts import Attempt, Progress
 
 SILENCE_DEFAULT_S = 0.1
 HEDGES_BEFORE_REVOKE = 4
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_routing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_routing.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from sapphireway_coordination._call import Call
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._call import Call
+from sapphireway_coordination.routing._loads import ServerLoad
 
 Choose = Callable[[Sequence[ServerLoad], Call, random.Random, float], ServerLoad]
 """``choose(candidates, call, rng, now_s)`` returns one of the candidates."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_run_message.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_run_message.py
@@ -3,7 +3,7 @@
 import hashlib
 import math
 
-from sapphireway_coordination._call import Call
+from sapphireway_coordination.routing._call import Call
 from sapphireway_protocol import Run
 
 DIGEST_BYTES = 16
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_services.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_services.py
@@ -2,9 +2,9 @@
 
 import collections
 
-from sapphireway_coordination._budgets import RetryBudget
-from sapphireway_coordination._latencies import RecentLatencies
-from sapphireway_coordination._shedding import Shedder
+from sapphireway_coordination.routing._budgets import RetryBudget
+from sapphireway_coordination.routing._latencies import RecentLatencies
+from sapphireway_coordination.routing._shedding import Shedder
 
 SERVICES_KEPT = 256
 KINDS_KEPT = 64
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from sapphireway_coordination._control_host_list import ControlHostList
-from sapphireway_coordination._quorum_types import Answer, Committed, Unavailable
+from sapphireway_coordination.membership import ControlHostList
+from sapphireway_coordination.quorum import Answer, Committed, Unavailable
 from sapphireway_protocol import ChangeMembers, ControlReply, Peers, Propose, Query
 
 ATTEMPT_TIMEOUT_S = 1.0
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sapphireway_coordination._claim_group import ClaimGroupMachine
-from sapphireway_coordination._in_force import encode_routes
+from sapphireway_coordination.claims import ClaimGroupMachine
+from sapphireway_coordination.settings._in_force import encode_routes
 from sapphireway_protocol import SettingsUpdate
 from sapphireway_state import RouteMachine, SettingsMachine
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sapphireway_coordination._in_force import WHOLE_TREE, StateInForce
+from sapphireway_coordination.settings._in_force import WHOLE_TREE, StateInForce
 from sapphireway_protocol import (
     Envelope,
     FetchSettings,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_suspect_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from sapphireway_coordination._suspects import Suspect, SuspectTable, Verdict
+from sapphireway_coordination.suspects._table import Suspect, SuspectTable, Verdict
 from sapphireway_protocol import (
     AskRerun,
     ClearSuspect,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/_suspects.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_table.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from sapphireway_coordination._gate_events import (
-    ObserveGate,
+from sapphireway_coordination.suspects._events import (
+    ObserveSuspects,
     SuspectChange,
     SuspectMarked,
 )
@@ -67,7 +67,7 @@
     __slots__ = ("_address", "_get_time", "_observe", "_proven", "_suspects")
 
     def __init__(
-        self, address: str, get_time: Callable[[], float], observe: ObserveGate
+        self, address: str, get_time: Callable[[], float], observe: ObserveSuspects
     ):
         self._address = address
         self._get_time = get_time
--- a/packages/sapphireway-coordination/tests/test_admission.py
+++ b/packages/sapphireway-coordination/tests/test_admission.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from sapphireway_coordination._admission import AdmissionQueue, Waiter
+from sapphireway_coordination.gate._admission import AdmissionQueue, Waiter
 from sapphireway_protocol import NotRunReason
 
 QUEUE_LIMIT = 4
--- a/packages/sapphireway-coordination/tests/test_budgets.py
+++ b/packages/sapphireway-coordination/tests/test_budgets.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from sapphireway_coordination._budgets import (
+from sapphireway_coordination.routing._budgets import (
     PROBE_BURST_S,
     RETRY_RESERVE,
     RateBudget,
--- a/packages/sapphireway-coordination/tests/test_claim_votes.py
+++ b/packages/sapphireway-coordination/tests/test_claim_votes.py
@@ -1,6 +1,6 @@
 import pytest
 
-from sapphireway_coordination._claim_votes import Decision, tally_votes
+from sapphireway_coordination.claims._votes import Decision, tally_votes
 from sapphireway_protocol import (
     ClaimGroup,
     ClaimReply,
--- a/packages/sapphireway-coordination/tests/test_cold_rate.py
+++ b/packages/sapphireway-coordination/tests/test_cold_rate.py
@@ -1,6 +1,6 @@
 import pytest
 
-from sapphireway_coordination._cold_rate import ColdRate
+from sapphireway_coordination.gate._cold_rate import ColdRate
 
 
 def start_all(rate, until_s, step_s=0.005):
--- a/packages/sapphireway-coordination/tests/test_ejection.py
+++ b/packages/sapphireway-coordination/tests/test_ejection.py
@@ -3,8 +3,8 @@
 import pytest
 
 from sapphireway_coordination import Call, Member, MemberEjected, MemberRestored
-from sapphireway_coordination._ejection import SILENCE_S, Ejector, list_usable
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._ejection import SILENCE_S, Ejector, list_usable
+from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_state import Policy
 
 
--- a/packages/sapphireway-coordination/tests/test_explanation.py
+++ b/packages/sapphireway-coordination/tests/test_explanation.py
@@ -12,12 +12,12 @@
     Member,
     RetryDenied,
 )
-from sapphireway_coordination._explanation import (
+from sapphireway_coordination.routing._explanation import (
     CALLS_KEPT,
     describe_standing,
     explain_servers,
 )
-from sapphireway_coordination._loads import ServerLoad
+from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_protocol import LoadReport, ServerState
 
 NOW_S = 10.0
--- a/packages/sapphireway-coordination/tests/test_placement.py
+++ b/packages/sapphireway-coordination/tests/test_placement.py
@@ -5,8 +5,8 @@
 import pytest
 
 from sapphireway_coordination import Call, Member, make_choose_placed
-from sapphireway_coordination._loads import ServerLoad
-from sapphireway_coordination._routing import choose_least_in_flight
+from sapphireway_coordination.routing._loads import ServerLoad
+from sapphireway_coordination.routing._routing import choose_least_in_flight
 from sapphireway_protocol import LoadReport, ServerState
 from sapphireway_state import Policy
 from sapphireway_transport.memory import run_paused
--- a/packages/sapphireway-coordination/tests/test_probing.py
+++ b/packages/sapphireway-coordination/tests/test_probing.py
@@ -4,8 +4,8 @@
 import pytest
 
 from sapphireway_coordination import Member, ProbeSent
-from sapphireway_coordination._loads import ServerLoad
-from sapphireway_coordination._probing import PROBES_PER_CALL, Prober
+from sapphireway_coordination.routing._loads import ServerLoad
+from sapphireway_coordination.routing._probing import PROBES_PER_CALL, Prober
 from sapphireway_protocol import LoadReport, Peers, ServerState
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, run_paused
--- a/packages/sapphireway-coordination/tests/test_retry_share.py
+++ b/packages/sapphireway-coordination/tests/test_retry_share.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sapphireway_coordination._budgets import RetryBudget
+from sapphireway_coordination.routing._budgets import RetryBudget
 
 WINDOW_S = 10
 ALLOWED_SHARE = 0.2  # of a service's requests in a window, as operators allow
--- a/packages/sapphireway-coordination/tests/test_routing.py
+++ b/packages/sapphireway-coordination/tests/test_routing.py
@@ -12,7 +12,7 @@
     choose_two,
     make_choose_round_robin,
 )
-from sapphireway_coordination._loads import LoadTable, ServerLoad
+from sapphireway_coordination.routing._loads import LoadTable, ServerLoad
 from sapphireway_protocol import LoadReport, ServerState
 from sapphireway_state import Policy
 
--- a/packages/sapphireway-coordination/tests/test_shedding.py
+++ b/packages/sapphireway-coordination/tests/test_shedding.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sapphireway_coordination._shedding import Shedder
+from sapphireway_coordination.routing._shedding import Shedder
 
 CALLS_PER_S = 200
 LIGHT, HEAVY = 10, 50
--- a/packages/sapphireway-coordination/tests/test_suspects.py
+++ b/packages/sapphireway-coordination/tests/test_suspects.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sapphireway_coordination import Announcement, AttemptStarted, Gate
-from sapphireway_coordination._suspects import (
+from sapphireway_coordination.suspects._table import (
     SUSPECTS_MAX,
     SuspectTable,
     Verdict,
--- a/tests/claims/faults.py
+++ b/tests/claims/faults.py
@@ -1,7 +1,7 @@
 """Variants of claims that are broken on purpose, to prove that the checks see it."""
 
 from sapphireway_coordination import ClaimHolder
-from sapphireway_coordination import _claims as claims
+from sapphireway_coordination.claims import _claimant as claims
 from sapphireway_protocol import ClaimGroup, NotRun, NotRunReason
 from sapphireway_state import ClaimTable
 
