--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -1,4 +1,5 @@
 import json
+import tomllib
 from pathlib import Path
 
 import msgspec
@@ -7,6 +8,7 @@
 from sapphireway_platform._settings import load_settings
 
 ROOT = Path("/root-of-the-tree")
+DEPLOY_FILE = Path(__file__).parents[2] / "deploy/system.toml"
 NODE = {
     "node_name": "sidecar-bxl-a-1",
     "role": "node",
@@ -25,6 +27,7 @@
     "bounds": {"grace_period": "6s", "retry_budget_slack": 56},
     "data_directory": None,
     "service": "huvo11a",
+    "application_address": "10.1.0.38:8145",
     "later": {"fields": "are ignored"},
 }
 CONTROL = NODE | {
@@ -34,6 +37,7 @@
     "serves": ["control_plane"],
     "data_directory": "/data/control",
     "service": None,
+    "application_address": None,
 }
 
 
@@ -63,6 +67,23 @@
     assert process.retry_reserve == 28
 
 
+@pytest.mark.parametrize(("role", "document"), [("node", NODE), ("control", CONTROL)])
+def test_metrics_are_served_where_the_deploy_file_says(load, role, document):
+    deploy = tomllib.loads(DEPLOY_FILE.read_text())
+    port, _, path = deploy["roles"][role]["metrics"].partition("/")
+    assert load(document).metrics_address == f"{document['ip_address']}:{port}"
+    assert path == "metrics"
+
+
+@pytest.mark.parametrize(
+    ("document", "url", "service"),
+    [(NODE, "http://10.1.0.38:8145", "huvo11a"), (CONTROL, "", "")],
+)
+def test_own_server_is_asked_at_the_start(load, document, url, service):
+    process = load(document).process
+    assert (process.server_url, process.server_service) == (url, service)
+
+
 def test_seeds_are_reached_at_the_port_between_nodes(load):
     hosts = load(NODE).process.control_hosts
     assert hosts == ("10.1.0.41:7380", "10.2.0.42:7380", "10.3.0.8:7380")
