--- a/packages/sapphirectl/src/sapphirectl/_stories.py
+++ b/packages/sapphirectl/src/sapphirectl/_stories.py
@@ -201,7 +201,7 @@
 def _find_detour(by_event, decisions):
     causes = [match[1] for match in map(SENT.match, decisions) if match]
     denied = [match[0] for match in map(DENIED.match, decisions) if match]
-    text = f"answered at attempt {len(causes)} ({', '.join(causes) or 'none logged'})"
+    text = f"answered; attempts: {', '.join(causes) or 'none logged'}"
     return text + (f"; {denied[0]}" if denied else "")
 
 
