Suspect no request where only a connection was lost

Cause: a connection that the server closed unanswered made every request on it suspect of crashing servers.

A rerun whose connection was reset is not condemned.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -22,7 +22,7 @@
     ObserveGate,
 )
 from sapphireway_coordination.gate._exchange import make_refusal
-from sapphireway_coordination.gate._health import HealthWatch
+from sapphireway_coordination.gate._health import HealthWatch, ask_health
 from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination.gate._order import Order
 from sapphireway_coordination.gate._order_ends import OrderEnds
@@ -48,6 +48,7 @@
 from sapphireway_transport import ServerClient
 
 MS_PER_S = 1000
+UP_TIMEOUT_S = 0.1  # a process that is up answers about its health at once
 NEWS_AFTER_WORK_S = 3.0  # a node that sent no work for longer has no use for news
 
 GetPolicy = Callable[[str, str], Policy]
@@ -163,6 +164,7 @@
             form,
         )
         self._exchange.is_running = self._runner.is_running
+        self._exchange.is_up = self._is_server_up
         peers.handle(Run, self._take_run)
         peers.handle(Cancel, self._take_cancel)
         peers.handle(Revoke, self._take_revoke)
@@ -278,6 +280,13 @@
             return ServerState.DOWN
         return ServerState.COLD if capacity.cold else ServerState.SERVING
 
+    async def _is_server_up(self):
+        announcement = self.announcement
+        if announcement is None or not announcement.health_path:
+            return False
+        url = announcement.url + announcement.health_path
+        return await ask_health(self._client, url, UP_TIMEOUT_S) is not None
+
     def _count_in_flight(self):
         capacity = self._registration.capacity
         return 0 if capacity is None else capacity.in_flight
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -93,7 +93,9 @@
         return None if result is None else self._form.read_report(result)
 
 
-async def ask_health(client: ServerClient, url: str) -> Responded | None:
+async def ask_health(
+    client: ServerClient, url: str, timeout_s: float = TIMEOUT_S
+) -> Responded | None:
     """Return what a server answers about its health, or None if it does not.
 
     Parameters
@@ -101,7 +103,8 @@
     client : ServerClient
     url : str
         Of the health path.
+    timeout_s : float
     """
-    request = ServerRequest(url, "GET", (), b"", TIMEOUT_S, BODY_MAX_BYTES)
+    request = ServerRequest(url, "GET", (), b"", timeout_s, BODY_MAX_BYTES)
     result = await client.send(request)
     return result if isinstance(result, Responded) else None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_exchange.py
@@ -41,6 +41,8 @@
     ----------
     is_running : callable
         Tells whether the server beside this node runs a digest now.
+    is_up : callable
+        Asks that server whether it is up; False also if it can't be asked.
     service : str
         Service of the server beside this node; empty if there is none.
     """
@@ -54,6 +56,7 @@
         "_tasks",
         "_ttl_s",
         "is_running",
+        "is_up",
         "service",
     )
 
@@ -66,6 +69,7 @@
         self._tasks = set()
         self._ttl_s = 0.0
         self.is_running = lambda digest: False
+        self.is_up = _deny
         self.service = ""
         peers.handle(MarkSuspect, self._take_mark)
         peers.handle(ClearSuspect, self._take_clear)
@@ -81,7 +85,8 @@
     async def report_broken(self, digest: str, ttl_s: float) -> None:
         """Note that the server closed the connection of a request unanswered.
 
-        Requests that break within `CRASH_WINDOW_S` are taken to be of one crash.
+        Requests that break within `CRASH_WINDOW_S` are taken to be of one crash, unless
+        the server is up after it: then only connections were lost.
         Returns once the other nodes know, or after `ACK_WAIT_S`: a retry that is
         sent on the strength of the reply must not overtake the mark.
         """
@@ -93,6 +98,9 @@
 
     async def condemn(self, digest: str, ttl_s: float) -> None:
         """Note that a request that ran alone took the server down."""
+        if await self.is_up():
+            self.give_back(digest)
+            return
         suspect = self._table.mark(digest, ttl_s)
         self._clear_siblings(suspect)
         await self._share([suspect])
@@ -142,7 +150,8 @@
 
     async def _settle(self):
         await asyncio.sleep(CRASH_WINDOW_S)
-        digests = self._table.pick_suspects(self._broken)
+        up = await self.is_up()
+        digests = () if up else self._table.pick_suspects(self._broken)
         self._broken.clear()
         self._settling = None
         suspects = []
@@ -244,3 +253,7 @@
         if envelope.message.service == self.service:
             marks = [self._make_mark(suspect) for suspect in self._table.list_all()]
         self._peers.reply(sender, envelope, SuspectList(marks))
+
+
+async def _deny():
+    return False
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -162,7 +162,7 @@
     entries = {name: place.host for name, place in scene.nodes.items()}
     return [
         *scene.ended,
-        *find_cut_requests(site.results, scene.harms, entries),
+        *find_cut_requests(site.results, runs, scene.harms, entries),
         *find_evacuated_runs(runs, scene.outages, domains, scene.harms),
         *find_old_reads(scene.reads, scene.edits),
         *find_lost_edits(version, tree.get("trace_percent"), scene.edits),
