--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -1,6 +1,7 @@
 """The node beside one server: what it takes, refuses and answers for."""
 
 import asyncio
+import dataclasses
 import enum
 import math
 import random
@@ -48,6 +49,7 @@
 from sapphireway_transport import ServerClient
 
 MS_PER_S = 1000
+PERCENT = 100
 UP_TIMEOUT_S = 0.1  # a process that is up answers about its health at once
 NEWS_AFTER_WORK_S = 3.0  # a node that sent no work for longer has no use for news
 
@@ -196,8 +198,10 @@
     def announce(self, announcement: Announcement) -> AnnounceResult:
         """Take a server's first announcement, or a renewal of it."""
         known = self.announcement
-        cold_limit = self._get_policy(announcement.service, "").cold_limit
-        result = self._registration.announce(announcement, cold_limit)
+        policy = self._get_policy(announcement.service, "")
+        rate_per_s = announcement.cold_rate_per_s * policy.cold_rate_percent / PERCENT
+        announcement = dataclasses.replace(announcement, cold_rate_per_s=rate_per_s)
+        result = self._registration.announce(announcement, policy.cold_limit)
         self._health.start()
         started = known is None or known.start_id != announcement.start_id
         if self.announcement is announcement:
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -18,6 +18,7 @@
     Revoke,
     ServerState,
 )
+from sapphireway_state import Policy
 from sapphireway_transport.memory import run_paused
 
 
@@ -349,6 +350,25 @@
     paused(check)()
 
 
+@pytest.mark.parametrize(("percent", "most"), [(100, 20 + 3), (125, 25 + 4)])
+def test_cold_server_is_given_a_share_of_the_rate_that_it_tells(percent, most):
+    """All servers of a service are cold at once after a loss of power."""
+
+    async def main():
+        bench = Bench(policy=Policy(cold_rate_percent=percent), announced=False)
+        bench.announce(cold_s=3.0, cold_rate_per_s=20.0)
+        started = []
+        for number in range(400):
+            bench.send(f"a{number}", budget_ms=400.0)
+            await asyncio.sleep(0.005)
+            started.append(len(bench.list_events(AttemptStarted)))
+        a_second = 200  # steps
+        windows = [b - a for a, b in zip(started, started[a_second:], strict=False)]
+        assert most - 5 <= max(windows) <= most
+
+    run_paused(main())
+
+
 @paused
 async def test_heavy_kinds_go_first_in_overload(bench):
     await bench.warm()
--- a/packages/sapphireway-state/src/sapphireway_state/_policy.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -44,6 +44,8 @@
         moved to another failure domain.
     cold_limit : int
         Requests in flight allowed to a server that has just started.
+    cold_rate_percent : int
+        How much of the rate that a cold server is known to bear it is given.
     queue_limit : int
         Requests that may wait beside one server.
     drain_timeout_ms : int
@@ -79,6 +81,7 @@
     health_interval_ms: int = 0
     crossing_ms_per_kb: float = 0.0
     cold_limit: int = 1
+    cold_rate_percent: int = 100
     queue_limit: int = 64
     drain_timeout_ms: int = 30_000
     claim_ttl_s: int = 3_600
--- a/packages/sapphireway-state/src/sapphireway_state/_schema.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_schema.py
@@ -161,6 +161,12 @@
         PER_SERVICE,
         "Requests in flight allowed to a server that has just started.",
     ),
+    _describe(
+        "cold_rate_percent",
+        make_integer(1, 1_000, "percent"),
+        PER_SERVICE,
+        "How much of the rate that a cold server is known to bear it is given.",
+    ),
     _describe(
         "queue_limit",
         make_integer(0, 10_000),
