--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -64,11 +64,15 @@
 }
 
 
+def make_network():
+    """Return three numbers of loopback addresses that no other run now uses."""
+    pid = os.getpid()
+    return f"127.{100 + pid // 250 % 100}.{pid % 250}"
+
+
 def make_fleet(folder, **settings):
     """Return a fleet; `settings` are set at the root of its tree."""
-    # Runs at the same time on one machine must not take each other's addresses.
-    pid = os.getpid()
-    network = f"127.{100 + pid // 250 % 100}.{pid % 250}"
+    network = make_network()
     domains = ("bxl-a", "bxl-b", "mech-a", "bxl-a")
     places = [
         Place(f"matching-{i}", f"{network}.{10 + i}", domain, "matching")
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,7 +1,6 @@
 """Plays seeds of the soak: load, overlapping faults, recovery, promises."""
 
 import asyncio
-import os
 import random
 import signal
 import tempfile
@@ -15,6 +14,7 @@
     TREE,
     UPLOAD,
     exercise,
+    make_network,
     read_settings,
     wait_until,
 )
@@ -108,9 +108,7 @@
 
 def make_soaked_fleet(folder: Path, places: int) -> Fleet:
     """Return a fleet whose servers are reached through proxies."""
-    # Runs at the same time on one machine must not take each other's addresses.
-    pid = os.getpid()
-    network = f"127.{100 + pid // 250 % 100}.{pid % 250}"
+    network = make_network()
     made = []
     for number in range(places):
         host = f"{network}.{10 + number}"
