Let two fleets of one test process have their own addresses

In the same run the test of crashing requests ended its restarts while the second server was still starting (it had crashed 30 ms after the first, a start took 2 s): it waits for all servers now.

--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -64,10 +64,16 @@
 }
 
 
-def make_network():
-    """Return three numbers of loopback addresses that no other run now uses."""
+def make_network(first=100):
+    """Return three numbers of loopback addresses that no other run now uses.
+
+    Parameters
+    ----------
+    first : int
+        Fleets of one process that run at the same time need others, 50 apart.
+    """
     pid = os.getpid()
-    return f"127.{100 + pid // 250 % 100}.{pid % 250}"
+    return f"127.{first + pid // 250 % 50}.{pid % 250}"
 
 
 def make_fleet(folder, **settings):
--- a/tests/processes/test_crashes.py
+++ b/tests/processes/test_crashes.py
@@ -27,6 +27,9 @@
             except OSError:
                 return None
 
+        async def all_up():
+            return all([await arm(place) for place in site.places])
+
         for place in site.places:
             await arm(place)
         restarting = asyncio.create_task(restart_servers())
@@ -43,6 +46,8 @@
             ]
             results += await asyncio.gather(*sends)
             await asyncio.sleep(0.2)
+        # The last restart may still be under way, on a busy machine above all.
+        await wait_until(all_up, "all servers")
         crashed = [r for r in site.read_runs() if r.path == "/matching/poison"]
         restarting.cancel()
         assert 1 <= len(crashed) <= DOWN_MAX, (crashed, results)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -37,6 +37,7 @@
 EXIT_CHECK_S = 0.1
 RETRY_PERCENT = 20  # find_surplus_attempts knows it as a share
 CLAIM_TTL_S = 30
+FIRST_NETWORK = 150  # the fleet of tests/processes may run in the same process
 
 
 def play_seeds(
@@ -108,7 +109,7 @@
 
 def make_soaked_fleet(folder: Path, places: int) -> Fleet:
     """Return a fleet whose servers are reached through proxies."""
-    network = make_network()
+    network = make_network(FIRST_NETWORK)
     made = []
     for number in range(places):
         host = f"{network}.{10 + number}"
