--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -114,12 +114,11 @@
     A server that fails leaves no record that its answers could be held against.
     """
     async with scene.harm("slow", scene.pick_server()) as name:
-        place = scene.places[name]
         factor = scene.rng.choice(SLOW_FACTORS)
         switch = scene.rng.choice(({"slow_factor": factor}, {"shed": True}))
-        await scene.site.set_behaviour(place, **switch)
+        await scene.switch_server(name, **switch)
         await scene.wait(0.5, LINK_MAX_S)
-        await scene.site.set_behaviour(place, slow_factor=1.0, shed=False)
+        await scene.switch_server(name, slow_factor=1.0, shed=False)
 
 
 async def edit(scene: Scene) -> None:
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from tests.processes.harness import Site
+from tests.processes.harness import Site, wait_until
 from tests.soak.promises import Edit, Harm, Outage, Read
 from tests.soak.proxy import Proxy
 
@@ -150,6 +150,17 @@
                 self.ended.append(f"{name} ended with {self.fleet.forget(name)}")
                 self.revive(name)
 
+    async def switch_server(self, name: str, **switches: float | bool) -> None:
+        """Change a server's behaviour; one that was killed before may still start."""
+
+        async def switch():
+            try:
+                return await self.site.set_behaviour(self.places[name], **switches)
+            except OSError:
+                return None
+
+        await wait_until(switch, f"answer of {name}")
+
     async def repeat_order(self, *order: str) -> None:
         """Give an operator's order until it is accepted."""
         while (await self.site.operate(*order))[0] != 0:
