--- a/tests/operations/test_walks.py
+++ b/tests/operations/test_walks.py
@@ -16,8 +16,11 @@
 
 
 def test_page_walks_through_three_kinds_of_failure():
-    causes = [shown.split(": ")[1].split()[0] for _, shown in WALKS]
-    assert causes == ["not", "unknown:", "answered"] or len(set(causes)) == 3
+    causes = [shown.splitlines()[0].split(": ")[1] for _, shown in WALKS]
+    kinds = ("not run", "unknown", "answered")
+    assert [
+        kind for kind in kinds if any(cause.startswith(kind) for cause in causes)
+    ] == list(kinds)
 
 
 @pytest.mark.parametrize(("command", "shown"), WALKS)
