Let no evacuation excuse a run in the domain that is out

Found by reading: the soak records its own evacuations as faults, and any fault in their time excused a run in the domain, so the check could not fail in a play, though its own test turned it red. Planned work excuses nothing now; the new cases were red.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,7 @@
 SETTLED_BEFORE_S = 3.0  # a fault that ended longer ago explains no cut request
 RETRY_RESERVE = 10.0  # retries that a node may make before it has had any calls
 RETRY_SHARE = 0.2
+PLANNED = frozenset(("stop", "out", "reload"))  # work that must harm nobody
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,7 +104,7 @@
     times_s = collections.defaultdict(list)
     for run in runs:
         times_s[run.key].append(run.time_s)
-    unplanned = [harm for harm in harms if harm.kind != "stop"]
+    unplanned = [harm for harm in harms if harm.kind not in PLANNED]
     return [
         f"cut by the stop of {stop.name}: {result}"
         for stop in stops
@@ -132,13 +133,14 @@
     harms : sequence of Harm
         A frozen or cut process may learn late, and run what it got before.
     """
+    unplanned = [harm for harm in harms if harm.kind not in PLANNED]
     return [
         f"ran in {outage.domain}, {run.time_s - outage.accepted_s:.1f} s out: {run}"
         for outage in outages
         for run in runs
         if domains.get(run.server) == outage.domain
         if outage.accepted_s + EVACUATION_MAX_S < run.time_s < outage.back_s
-        if not any(_overlaps(h, outage.accepted_s, run.time_s) for h in harms)
+        if not any(_overlaps(h, outage.accepted_s, run.time_s) for h in unplanned)
     ]
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -37,6 +37,7 @@
         (make_result(entry="h2"), 101.9, [STOP], 0),
         (make_result(ended_s=104.0), 103.9, [STOP], 0),
         (make_result(), 101.9, [Harm("node-1", "kill", 100.0, 103.0)], 0),
+        (make_result(), 101.9, [STOP, Harm("bxl-a", "out", 99.0, 121.0)], 1),
         (make_result(), 101.9, [STOP, Harm("s1", "reset", 98.0, 99.0)], 0),
         (make_result(), 101.9, [STOP, Harm("s1", "reset", 90.0, 91.0)], 1),
     ],
@@ -50,6 +51,8 @@
     ("run", "harms", "broken"),
     [
         (make_run(106.0), [], 1),
+        # The evacuation itself is on record too, and explains nothing.
+        (make_run(106.0), [Harm("bxl-a", "out", 99.0, 121.0)], 1),
         (make_run(104.0), [], 0),
         (make_run(121.0), [], 0),
         (make_run(106.0, "s2"), [], 0),
