Save a version of the settings before it comes into force

A kill between the two let its next start begin with the version before. The promise of docs/operate/failures.md ("the version in force before is in force at once") did not hold; the test was right.

Change: the node saves a copy that has the update, then applies it, one update at a time. A disk that fails or hangs delays a version by half a second at most and is logged.

Ruled out: applying first and hiding the version until it is saved, as routes and claim groups would act on a version that a restart forgets.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_in_force.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_in_force.py
@@ -65,6 +65,17 @@
         """Return the claim group with this name, if there is one."""
         return self._groups.get(name)
 
+    def copy(self) -> "StateInForce":
+        """Return a state that changes on its own and tells nobody of its groups."""
+        copy = StateInForce()
+        copy._group_versions = dict(self._group_versions)
+        copy._groups = dict(self._groups)
+        copy._tree = self._tree.copy()
+        copy.groups_version = self.groups_version
+        copy.routes = self.routes
+        copy.version = self.version
+        return copy
+
     def make_update(
         self, tree_version: int, groups_version: int, routes_version: int = 0
     ) -> SettingsUpdate:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -25,11 +25,17 @@
 UPDATE_MAX_BYTES = 16 * 1024 * 1024
 ENCODED_UPDATES_KEPT = 8
 FILE = "settings"
+# A version waits this long for the disk before it comes into force: much longer than
+# an fsync, and short of the second within which an edit is in force on most nodes.
+SAVE_PATIENCE_S = 0.5
 
 
 class SettingsChannel:
     """Follows the settings by the version that every message carries.
 
+    With a disk, a version is saved before it comes into force, so that no restart
+    shows an older one. A disk that fails or hangs delays a version, but stops none.
+
     Parameters
     ----------
     peers : Peers
@@ -41,7 +47,7 @@
     disk : Disk or None
         Keeps the version in force over a restart.
     on_save_failed : callable
-        Called with the reason when it could not be kept.
+        Called with the reason when a version comes into force unsaved.
     on_fetch_failed : callable
         Called with the peer that did not answer.
 
@@ -64,6 +70,8 @@
         "_peers",
         "_saving",
         "_state",
+        "_turn",
+        "_unsaved",
         "_wall_clock",
         "in_force_since_s",
         "refused",
@@ -89,6 +97,8 @@
         self._peers = peers
         self._saving = None
         self._state = state
+        self._turn = asyncio.Lock()
+        self._unsaved = None
         self._wall_clock = wall_clock
         self.in_force_since_s = 0.0
         self.refused = 0
@@ -103,7 +113,7 @@
             return
         update = _decode(content)
         if update is not None:
-            self.put_in_force(update)
+            self._apply(update)
 
     def observe(self, sender: str, envelope: Envelope) -> None:
         """Fetch the settings of a peer whose version is newer."""
@@ -123,8 +133,17 @@
         self._fetched_s = loop.time()
         self._fetching[peer] = loop.create_task(self._fetch(peer))
 
-    def put_in_force(self, update: SettingsUpdate) -> Applied:
-        """Apply an update if it is newer."""
+    async def put_in_force(self, update: SettingsUpdate) -> Applied:
+        """Save and apply an update if it is newer."""
+        async with self._turn:
+            if self._disk is None:
+                return self._apply(update)
+            later = self._state.copy()
+            if later.apply(update) is Applied.NEW:
+                await self._save(later)
+            return self._apply(update)
+
+    def _apply(self, update):
         before = self._state.version
         applied = self._state.apply(update)
         if applied is Applied.BROKEN:
@@ -134,7 +153,6 @@
                 raise AssertionError(f"settings went back from version {before}")
             self.in_force_since_s = self._wall_clock()
             self._on_change()
-            self._save()
         return applied
 
     async def _fetch(self, sender):
@@ -163,7 +181,7 @@
             # Another peer's message starts the next attempt.
             self.refused += 1
             return None
-        return self.put_in_force(update)
+        return await self.put_in_force(update)
 
     def _answer(self, sender, envelope):
         request = envelope.message
@@ -184,23 +202,27 @@
             self._encoded[key] = encoded
         return encoded
 
-    def _save(self):
-        if self._disk is not None and self._saving is None:
+    async def _save(self, state):
+        self._unsaved = state
+        if self._saving is None:
             loop = asyncio.get_running_loop()
             self._saving = loop.create_task(self._save_until_current())
+        _, late = await asyncio.wait([self._saving], timeout=SAVE_PATIENCE_S)
+        if late:
+            detail = f"the disk has not answered for {SAVE_PATIENCE_S} s"
+            self._on_save_failed(DiskFailed("replace", FILE, detail))
 
     async def _save_until_current(self):
-        saved = -1
+        saved = None
         try:
-            while saved < self._state.version:
-                version = self._state.version
-                whole = self._state.make_update(WHOLE_TREE, WHOLE_TREE, WHOLE_TREE)
+            while saved is not self._unsaved:
+                state = self._unsaved
+                whole = state.make_update(WHOLE_TREE, WHOLE_TREE, WHOLE_TREE)
                 failed = await self._disk.replace(FILE, _encode(whole))
                 if failed is not None:
                     # A node without a disk fetches the settings at its next start.
                     self._on_save_failed(failed)
-                    return
-                saved = version
+                saved = state
         finally:
             self._saving = None
 
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -59,9 +59,9 @@
     def note_change(self):
         self.changes += 1
 
-    def follow(self, machine):
+    async def follow(self, machine):
         update = machine.make_update(self.state.view.version, self.state.groups_version)
-        return self.channel.put_in_force(update)
+        return await self.channel.put_in_force(update)
 
     def read_deadline(self):
         return self.state.view.resolve("domain", "service", "kind").deadline_ms
@@ -71,7 +71,7 @@
     async def run():
         nodes = [Node(network, f"n{i}") for i in range(5)]
         set_deadline(machine, 7, 1234)
-        nodes[0].follow(machine)
+        await nodes[0].follow(machine)
         for i in range(4):
             nodes[i].peers.send(f"n{i + 1}", Probe("s"))
             await asyncio.sleep(0.1)
@@ -97,7 +97,7 @@
         source.state.__class__ = CountingState
         for version in (7, 8):
             set_deadline(machine, version, 100 * version)
-            source.follow(machine)
+            await source.follow(machine)
             for node in nodes[1:]:
                 source.peers.send(node.peers.address, Probe("s"))
             await asyncio.sleep(0.1)
@@ -127,7 +127,7 @@
         network.cut("b", "control")
         network.cut("control", "b")
         set_deadline(machine, 7, 700)
-        nodes["control"].follow(machine)
+        await nodes["control"].follow(machine)
         await asyncio.sleep(5)
         for task in tasks:
             task.cancel()
@@ -142,8 +142,8 @@
         set_deadline(machine, 6, 600)
         older = machine.make_update(0, 0)
         set_deadline(machine, 7, 700)
-        node.follow(machine)
-        return node.channel.put_in_force(older), node.read_deadline()
+        await node.follow(machine)
+        return await node.channel.put_in_force(older), node.read_deadline()
 
     assert run_paused(run()) == (Applied.OLD, 700)
 
@@ -152,10 +152,10 @@
     async def run():
         old, new = Node(network, "old"), Node(network, "new")
         set_deadline(machine, 3, 300)
-        old.follow(machine)
+        await old.follow(machine)
         set_deadline(machine, 5, 500)
         # The new node never had version 3, so that it knows no way from there.
-        new.follow(machine)
+        await new.follow(machine)
         new.peers.send("old", Probe("s"))
         await asyncio.sleep(0.1)
         return old.state.version, old.read_deadline()
@@ -168,8 +168,8 @@
     async def run():
         node = Node(network, "n0")
         set_deadline(machine, 3, 300)
-        node.follow(machine)
-        node.channel.put_in_force(SettingsUpdate(4, tree or b"\x00", 0, None))
+        await node.follow(machine)
+        await node.channel.put_in_force(SettingsUpdate(4, tree or b"\x00", 0, None))
         return node.state.version, node.read_deadline(), node.channel.refused
 
     assert run_paused(run()) == (3, 300, 1)
@@ -181,7 +181,7 @@
         node = Node(network, "n0", disk)
         for index in range(1, 301):
             set_deadline(machine, index, 1000 + index)
-            node.follow(machine)
+            await node.follow(machine)
         await asyncio.sleep(1.0)
         restarted = Node(network, "n0", disk.cut_power(random.Random(1)))
         await restarted.channel.load()
@@ -190,6 +190,72 @@
     assert run_paused(run()) == (300, 1300)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_version_once_in_force_survives_a_loss_of_power(network, machine, seed):
+    async def run():
+        disk = MemoryDisk(sync_delay_s=0.02)
+        node = Node(network, "n0", disk)
+        await node.channel.load()
+        set_deadline(machine, 6, 600)
+        await node.follow(machine)
+        set_deadline(machine, 7, 700)
+        following = asyncio.ensure_future(node.follow(machine))
+        while node.state.version < 7:
+            await asyncio.sleep(0.001)
+        restarted = Node(network, "n0", disk.cut_power(random.Random(seed)))
+        await restarted.channel.load()
+        await following
+        return restarted.state.version, restarted.read_deadline()
+
+    assert run_paused(run()) == (7, 700)
+
+
+def test_disk_that_never_answers_holds_up_no_settings(network, machine):
+    async def run():
+        disk = MemoryDisk(sync_delay_s=1e6)
+        node = Node(network, "n0", disk)
+        failures = []
+        node.channel._on_save_failed = failures.append
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        for version in (6, 7):
+            set_deadline(machine, version, 100 * version)
+            await node.follow(machine)
+        return loop.time() - begin, node.read_deadline(), len(failures)
+
+    taken, deadline_ms, failures = run_paused(run())
+    assert (deadline_ms, failures) == (700, 2)
+    assert taken < 2.0  # an edit is in force within seconds
+
+
+def test_last_of_several_versions_is_kept_once_the_disk_answers(network, machine):
+    async def run():
+        disk = MemoryDisk(sync_delay_s=5.0)
+        node = Node(network, "n0", disk)
+        for version in (6, 7, 8):
+            set_deadline(machine, version, 100 * version)
+            await node.follow(machine)
+        await asyncio.sleep(60.0)
+        restarted = Node(network, "n0", disk.copy())
+        await restarted.channel.load()
+        return restarted.read_deadline()
+
+    assert run_paused(run()) == 800
+
+
+def test_refused_update_is_not_kept(network, machine):
+    async def run():
+        disk = MemoryDisk()
+        node = Node(network, "n0", disk)
+        set_deadline(machine, 6, 600)
+        await node.follow(machine)
+        before = disk.boundaries
+        await node.channel.put_in_force(SettingsUpdate(7, b"\xc1", 0, None))
+        return disk.boundaries - before
+
+    assert run_paused(run()) == 0
+
+
 def test_control_machine_survives_snapshot(machine):
     set_deadline(machine, 3, 300)
     restored = ControlMachine()
@@ -247,7 +313,7 @@
         node = Node(network, "n0", disk)
         node.channel._on_save_failed = failures.append
         set_deadline(machine, 3, 300)
-        node.follow(machine)
+        await node.follow(machine)
         await asyncio.sleep(1.0)
         return node.read_deadline(), len(failures)
 
@@ -264,7 +330,7 @@
         await asyncio.sleep(0.3)
         source = Node(network, "source")
         set_deadline(machine, 7, 700)
-        source.follow(machine)
+        await source.follow(machine)
         source.peers.send("node", Probe("s"))
         await asyncio.sleep(0.1)
         return node.read_deadline()
--- a/packages/sapphireway-state/src/sapphireway_state/_follower.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_follower.py
@@ -49,6 +49,15 @@
         self._adopt({}, 0, digest_tree({}))
         self._steps = deque(maxlen=STEPS_KEPT)
 
+    def copy(self) -> "SettingsFollower":
+        """Return a follower of the same version that changes on its own."""
+        copy = SettingsFollower()
+        copy.fault = self.fault
+        copy.view = self.view
+        copy._digest = self._digest
+        copy._steps = self._steps.copy()
+        return copy
+
     def apply_update(self, content: bytes) -> Applied:
         """Put a version in force if it is later and whole."""
         update = decode_update(content)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -30,6 +30,7 @@
 from sapphireway_protocol import Peers, SettingsUpdate
 from sapphireway_state import (
     OTHER_KIND,
+    Applied,
     Edit,
     Invalid,
     ProcessSettings,
@@ -52,7 +53,7 @@
     peers : Peers
     rng : random.Random
     put_in_force : callable
-        Called with a `SettingsUpdate` from the journal.
+        Awaited with each `SettingsUpdate` of the journal.
     state : StateInForce
         What this node has in force.
     observe : callable
@@ -63,6 +64,7 @@
     """
 
     __slots__ = (
+        "_changed",
         "_directory",
         "_disk",
         "_hosts",
@@ -73,7 +75,6 @@
         "_quorum",
         "_settings",
         "_state",
-        "_update_due",
     )
 
     def __init__(
@@ -81,7 +82,7 @@
         settings: ProcessSettings,
         peers: Peers,
         rng: random.Random,
-        put_in_force: Callable[[SettingsUpdate], Any],
+        put_in_force: Callable[[SettingsUpdate], Awaitable[Applied]],
         state: StateInForce,
         observe: Callable[[Any], None],
         log: EventLog,
@@ -92,11 +93,11 @@
         self._put_in_force = put_in_force
         self._settings = settings
         self._state = state
-        self._update_due = False
+        self._changed = asyncio.Event()
         self._directory = Directory(
             peers, hosts, lambda: make_state(self._quorum.get_status())
         )
-        self._machine = ControlMachine(self._note_change)
+        self._machine = ControlMachine(self._changed.set)
         self._disk = make_journal_disk(settings)
         self._quorum = Quorum(
             peers,
@@ -133,6 +134,7 @@
                 group.create_task(self._directory.run())
                 group.create_task(self._keeper.run())
                 group.create_task(self._watch_quorum())
+                group.create_task(self._follow_journal())
                 if self._settings.initial_tree is not None:
                     group.create_task(self._propose_initial_tree())
         finally:
@@ -159,18 +161,18 @@
                 )
             await asyncio.sleep(INITIAL_CHECK_INTERVAL_S)
 
-    def _note_change(self):
-        if not self._update_due:
-            self._update_due = True
-            asyncio.get_running_loop().call_soon(self._update)
-
-    def _update(self):
-        self._update_due = False
-        state = self._state
-        update = self._machine.make_update(
-            state.view.version, state.groups_version, state.routes.version
-        )
-        self._put_in_force(update)
+    async def _follow_journal(self):
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            state = self._state
+            update = self._machine.make_update(
+                state.view.version, state.groups_version, state.routes.version
+            )
+            applied = await self._put_in_force(update)
+            if applied is Applied.NEEDS_WHOLE:
+                # Another peer's update came into force since this one was made.
+                self._changed.set()
 
     async def _propose_initial_tree(self):
         view = load_tree(self._settings.initial_tree)
