Count the wait for the cold rate as a queue, and tell it to the nodes that place

Change: ServerCapacity.expect_wait_s takes the cold rate into account, LoadReport carries starts_per_s, placement and hedges use it, Retry-After too. attempt_refused names the rate and the weight.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
@@ -93,8 +93,15 @@
     def __len__(self):
         return len(self._waiting)
 
+    def sum_ahead(self, waiter: Waiter) -> tuple[int, float]:
+        """Return how many would start before a waiter, and their time in all."""
+        now_s = self._get_time()
+        rank = waiter.rank(now_s)
+        times = [w.service_s for w in self._waiting.values() if w.rank(now_s) <= rank]
+        return len(times), sum(times)
+
     def push(
-        self, waiter: Waiter, queue_limit: int, slots: int, slot_s: float
+        self, waiter: Waiter, queue_limit: int, wait_s: float
     ) -> NotRunReason | None:
         """Queue a waiter, or return why it is refused at once.
 
@@ -103,17 +110,11 @@
         waiter : Waiter
         queue_limit : int
             Attempts that may wait.
-        slots : int
-            Requests that may be in flight.
-        slot_s : float
-            Expected time until a slot gets free.
+        wait_s : float
+            Expected time until it would start.
         """
         now_s = self._get_time()
-        rank = waiter.rank(now_s)
-        ahead_s = sum(
-            w.service_s for w in self._waiting.values() if w.rank(now_s) <= rank
-        )
-        if now_s + slot_s + ahead_s / max(slots, 1) > waiter.start_by_s:
+        if now_s + wait_s > waiter.start_by_s:
             return NotRunReason.DEADLINE
         if len(self._waiting) >= queue_limit and not self._evict_behind(waiter, now_s):
             return NotRunReason.OVERLOADED
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -186,6 +186,13 @@
             return self._cold_rate.is_cold(self._get_time())
         return self._limit.cold
 
+    @property
+    def starts_per_s(self) -> float:
+        """Requests that may be started in a second; 0 if only slots bound them."""
+        if not self._cold_rate.is_cold(self._get_time()):
+            return 0.0
+        return self._cold_rate.per_s
+
     @property
     def down(self) -> bool:
         """True if the last connection was refused."""
@@ -255,13 +262,26 @@
         """Return the time that a request of a kind would take now."""
         return stretch_time(self.baseline.get(kind), self.slowness, self.slow_span_s)
 
-    def expect_slot_s(self) -> float:
-        """Return the expected time until a slot gets free."""
-        cold_s = self._cold_rate.get_wait_s(self._get_time())
-        if cold_s and self.in_flight < self.limit:
-            return cold_s
-        run_s = stretch_time(self.baseline.mean_s, self.slowness, self.slow_span_s)
-        return run_s / max(1, self.in_flight)
+    def expect_wait_s(self, ahead: int, ahead_s: float) -> float:
+        """Return the expected time until a request starts.
+
+        Parameters
+        ----------
+        ahead : int
+            Requests that wait and start before it.
+        ahead_s : float
+            Time that the server takes for all of these.
+        """
+        cold_s = self.expect_cold_wait_s(ahead)
+        busy_s = ahead_s / max(1, self.limit)
+        if not cold_s or self.in_flight >= self.limit:
+            run_s = stretch_time(self.baseline.mean_s, self.slowness, self.slow_span_s)
+            busy_s += run_s / max(1, self.in_flight)
+        return max(cold_s, busy_s)
+
+    def expect_cold_wait_s(self, ahead: int) -> float:
+        """Return the time until the cold rate allows a start after `ahead` others."""
+        return self._cold_rate.get_wait_s(self._get_time(), ahead)
 
     def renew(self, announcement: Announcement, cold_limit: int) -> None:
         """Take over an announcement; a new start id means a cold start."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_cold_rate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_cold_rate.py
@@ -50,11 +50,12 @@
             self._refill(now_s)
             self._tokens -= 1.0
 
-    def get_wait_s(self, now_s: float) -> float:
-        """Return the time until one more may start."""
-        if self.has_room(now_s):
+    def get_wait_s(self, now_s: float, ahead: int = 0) -> float:
+        """Return the time until one more may start after `ahead` others."""
+        if not self.is_cold(now_s) or (not ahead and self.has_room(now_s)):
             return 0.0
-        wait_s = (1.0 - self._tokens) / self.per_s
+        self._refill(now_s)
+        wait_s = max(0.0, ahead + 1.0 - self._tokens) / self.per_s
         return min(wait_s, self.until_s - now_s)
 
     def _refill(self, now_s):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -85,6 +85,10 @@
     detail : str
     in_flight, queued, limit : int
         State of the node when it refused.
+    starts_per_s : float
+        Requests that may be started in a second at a cold server; 0 at a warm one.
+    weight : int
+        Of the request's kind.
     digest : str
     """
 
@@ -98,6 +102,8 @@
     in_flight: int
     queued: int
     limit: int
+    starts_per_s: float
+    weight: int
     digest: str
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -266,6 +266,7 @@
             capacity.announcement.start_id,
             capacity.slowness,
             round(capacity.slow_span_s, 3),
+            round(capacity.starts_per_s, 3),
         )
 
     def close(self) -> None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_order_ends.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_order_ends.py
@@ -106,6 +106,8 @@
                 0 if capacity is None else capacity.in_flight,
                 self._get_queued(),
                 0 if capacity is None else capacity.limit,
+                0.0 if capacity is None else capacity.starts_per_s,
+                run.weight,
                 run.digest,
             )
         )
@@ -118,7 +120,9 @@
         capacity = self._registration.capacity
         backlog_s = RETRY_AFTER_MIN_S
         if capacity is not None:
-            ahead = capacity.in_flight + self._get_queued()
-            backlog_s += capacity.baseline.mean_s * ahead / max(1, capacity.limit)
+            queued = self._get_queued()
+            ahead = capacity.in_flight + queued
+            busy_s = capacity.baseline.mean_s * ahead / max(1, capacity.limit)
+            backlog_s += max(busy_s, capacity.expect_cold_wait_s(queued))
         base_s = min(backlog_s, RETRY_AFTER_MAX_S)
         return round(base_s * (1.0 + self._rng.random()), 3)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -184,9 +184,8 @@
         if capacity.has_room() and not self._queue:
             return self._start(order, alone=False)
         waiter = self._make_waiter(order)
-        refusal = self._queue.push(
-            waiter, order.policy.queue_limit, capacity.limit, capacity.expect_slot_s()
-        )
+        wait_s = capacity.expect_wait_s(*self._queue.sum_ahead(waiter))
+        refusal = self._queue.push(waiter, order.policy.queue_limit, wait_s)
         if refusal is not None:
             return refusal
         order.waiter = waiter
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
@@ -97,12 +97,23 @@
     work_s = stretch_time(work_s, slowness, span_s)
     run_s = work_s * (1.0 + KNEE_SLOWDOWN * knee)
     wait_s = max(0.0, demand - slots) / slots * work_s
-    return load.round_trip_s + wait_s + run_s
+    return load.round_trip_s + max(wait_s, estimate_cold_wait(load)) + run_s
+
+
+def estimate_cold_wait(load: ServerLoad) -> float:
+    """Return the time until a cold server may start another request, in seconds."""
+    report = load.report
+    if report is None or not report.starts_per_s:
+        return 0.0
+    sent_since = max(0, len(load.outstanding) - load.own_at_report)
+    return (report.queued + sent_since) / report.starts_per_s
 
 
 def has_free_slot(load: ServerLoad) -> bool:
     """Tell whether a server would run another request at once and at full speed."""
     if load.report is None:
         return False
+    if estimate_cold_wait(load) > 0.0:
+        return False
     demand = len(load.outstanding) + load.count_others() + 1
     return demand <= load.report.limit * KNEE
--- a/packages/sapphireway-coordination/tests/test_admission.py
+++ b/packages/sapphireway-coordination/tests/test_admission.py
@@ -33,7 +33,8 @@
         )
         was_full = len(self.queue) == QUEUE_LIMIT
         lightest = min((w.weight for w in self.waiting), default=0)
-        refusal = self.queue.push(waiter, QUEUE_LIMIT, 1, 0.0)
+        _, wait_s = self.queue.sum_ahead(waiter)
+        refusal = self.queue.push(waiter, QUEUE_LIMIT, wait_s)
         if refusal is None:
             assert not was_full or lightest < weight, "evicted a kind as heavy"
             self.waiting.append(waiter)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -37,6 +37,9 @@
         How many times longer than usual work takes there now; 0 if it doesn't tell.
     slow_span_s : float
         How long slow times last there; 0 if none was seen.
+    starts_per_s : float
+        Requests that the node starts in a second while the server is cold; 0 if only
+        the limit bounds them.
     """
 
     server: str
@@ -48,6 +51,7 @@
     start_id: str
     slowness: float = 0.0
     slow_span_s: float = 0.0
+    starts_per_s: float = 0.0
 
 
 class Run(msgspec.Struct, frozen=True, tag="run", array_like=True):
