Place a call again after a first contact instead of sending it again

With 84 nodes each sees little of each server, so first contacts are one call in sixteen.

Change: such a refusal counts as news; the call is placed anew among what is known by then, servers refused so earlier included. Explanations name the speed that the choice knew and its age: without it this could not be seen.

Ruled out: the retry budget (1 of 34 denials at this service); attempts that wait.

Tests red first: test_stale_call_goes_where_hosts_turn_out_fast.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -77,6 +77,7 @@
         "_open",
         "_resent",
         "_service",
+        "_stale",
         "_tried",
         "attempts_sent",
     )
@@ -94,6 +95,7 @@
         self._mailbox = Mailbox()
         self._open = []
         self._resent = []
+        self._stale = []
         self._tried = []
         self.attempts_sent = 0
 
@@ -154,10 +156,30 @@
         return self._call.policy.idempotent or isinstance(result, NotRun)
 
     def _try_resend(self, load):
+        """Send the call again now that its refusal has told the node's clock.
+
+        It may have told as well that the host is slow, so that another is better.
+        """
         if load in self._resent:
             return False
-        self._resent.append(load)
-        return self._send_to(load, AttemptCause.RESEND, 1)
+        now_s = self._loop.time()
+        self._stale.append(load)
+        candidates = list(self._stale)
+        if tells_slowness(load) and self._find_denial(AttemptCause.REDIRECT) is None:
+            candidates += list_candidates(
+                self._dispatcher, self._call, self._tried, now_s
+            )
+        chosen = self._choose(candidates, now_s)
+        if chosen in self._stale:
+            self._stale.remove(chosen)
+            self._resent.append(chosen)
+            return self._send_to(chosen, AttemptCause.RESEND, len(candidates))
+        self._tried.append(chosen)
+        return self._send_to(chosen, AttemptCause.REDIRECT, len(candidates))
+
+    def _choose(self, candidates, now_s):
+        rng = self._dispatcher.rng
+        return self._dispatcher.choose(candidates, self._call, rng, now_s)
 
     def _try_retry(self):
         cause = AttemptCause.RETRY if self._count_given() else AttemptCause.REDIRECT
@@ -204,9 +226,7 @@
             )
             if not candidates:
                 return False
-            load = self._dispatcher.choose(
-                candidates, self._call, self._dispatcher.rng, now_s
-            )
+            load = self._choose(candidates, now_s)
             self._tried.append(load)
             if self._send_to(load, cause, len(candidates)):
                 return True
@@ -251,7 +271,7 @@
         if attempt.cause is not AttemptCause.RESEND:
             self.attempts_sent += 1
         self._open.append(attempt)
-        member = attempt.load.member
+        load, member = attempt.load, attempt.load.member
         self._observe(
             AttemptSent(
                 self._call.call_id,
@@ -260,8 +280,10 @@
                 member.server,
                 member.domain,
                 attempt.cause,
-                attempt.load.latency_s,
+                load.latency_s,
                 candidates,
+                load.report.slowness if load.report is not None else 0.0,
+                attempt.sent_s - load.heard_s,
             )
         )
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
@@ -1,6 +1,7 @@
 """Events of a call at its entry node, for metrics, logs and ``explain``."""
 
 import enum
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -44,6 +45,10 @@
         Response time that the routing expected of the chosen server.
     candidates : int
         Servers that the routing could choose from.
+    slowness : float
+        Of the server's host by the last report; 0 if it was not told.
+    report_age_s : float
+        Infinite before the first report.
     """
 
     call_id: str
@@ -54,6 +59,8 @@
     cause: AttemptCause
     predicted_s: float
     candidates: int
+    slowness: float = 0.0
+    report_age_s: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
@@ -1,6 +1,7 @@
 """What an entry node knows and did, in a form that operators can read."""
 
 import collections
+import math
 from dataclasses import dataclass
 
 from sapphireway_coordination.routing._events import (
@@ -135,7 +136,7 @@
         case AttemptSent():
             return (
                 f"{event.cause} attempt {event.attempt} sent to {event.server} in "
-                f"{event.domain}, one of {event.candidates}"
+                f"{event.domain}, one of {event.candidates}, {_describe_report(event)}"
             )
         case AttemptEnded():
             return (
@@ -155,3 +156,10 @@
                 f"and {event.attempts} attempts {event.detail}"
             ).rstrip()
     return repr(event)
+
+
+def _describe_report(event):
+    if event.report_age_s == math.inf:
+        return "load unknown"
+    told = f"heard {event.report_age_s * 1000:.0f} ms ago"
+    return f"{event.slowness:.1f} times slow, {told}" if event.slowness else told
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -208,6 +208,56 @@
     assert other.runs == []
 
 
+def refuse_first_with_slowness(server, slowness):
+    """Return a handler that knows no clock reading at first and tells its host."""
+    report = LoadReport(server, 0, 0, 6, 0.0, ServerState.SERVING, "1", slowness)
+    runs = []
+
+    def handle(run):
+        runs.append(run)
+        if len(runs) == 1:
+            reply = Reply(run.attempt, "not_run", reason="stale", load=report)
+            return [(reply, b"")]
+        return answer(run)
+
+    return handle
+
+
+def choose_least_slow(candidates, call, rng, now_s):
+    """Choose as if hosts of which nothing is known were twice as slow as usual."""
+    return min(candidates, key=lambda load: load.report.slowness if load.report else 2)
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize(
+    ("slowness", "runs"),
+    [
+        ((1.0, 1.0, 1.0), [2, 0, 0]),
+        ((7.0, 1.0, 1.0), [1, 2, 0]),
+        # What another first contact told is not forgotten.
+        ((3.0, 7.0, 7.0), [2, 1, 1]),
+    ],
+)
+def test_stale_call_goes_where_hosts_turn_out_fast(network, idempotent, slowness, runs):
+    async def exchange():
+        nodes = [
+            ScriptedNode(network, f"n{i}", refuse_first_with_slowness(f"n{i}", each))
+            for i, each in enumerate(slowness)
+        ]
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member(f"n{i}") for i in range(len(nodes))]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_least_slow
+        )
+        outcome = await dispatcher.dispatch(make_call(idempotent))
+        return outcome, [len(node.runs) for node in nodes]
+
+    outcome, runs_seen = run_paused(exchange())
+    assert isinstance(outcome, Answered)
+    assert runs_seen == runs
+
+
 def test_silent_idempotent_call_goes_elsewhere_before_latencies_are_known(network):
     """A node that freezes right after an entry node's start holds up nobody."""
     call = make_call(idempotent=True, deadline_s=1.5, hedge_percentile=95.0)
--- a/packages/sapphireway-coordination/tests/test_explanation.py
+++ b/packages/sapphireway-coordination/tests/test_explanation.py
@@ -1,4 +1,5 @@
 import dataclasses
+import math
 
 import pytest
 
@@ -14,6 +15,7 @@
 )
 from sapphireway_coordination.routing._explanation import (
     CALLS_KEPT,
+    describe_event,
     describe_standing,
     explain_servers,
 )
@@ -76,6 +78,21 @@
     assert [view.server for view in explain_servers([slow, load], NOW_S)] == ["a", "b"]
 
 
+@pytest.mark.parametrize(
+    ("slowness", "age_s", "told"),
+    [
+        (7.0, 0.25, "7.0 times slow, heard 250 ms ago"),
+        (0.0, 0.25, "heard 250 ms ago"),
+        (0.0, math.inf, "load unknown"),
+    ],
+)
+def test_choice_is_explained_by_what_was_known_and_its_age(slowness, age_s, told):
+    sent = AttemptSent(
+        "c", "a1", "s", "s1", "d", AttemptCause.FIRST, 0.0, 5, slowness, age_s
+    )
+    assert describe_event(sent).endswith(f"one of 5, {told}")
+
+
 def test_history_explains_a_call():
     history = CallHistory()
     history.observe(AttemptSent("c", "a1", "s", "s1", "d", AttemptCause.FIRST, 0.0, 5))
@@ -83,7 +100,7 @@
     history.observe(RetryDenied("c", "s", AttemptCause.RETRY, DenyReason.BUDGET))
     history.observe(CallEnded("c", "s", "k", "Unknown", 1, 0.25, "cut"))
     assert history.explain("c") == [
-        "first attempt a1 sent to s1 in d, one of 5",
+        "first attempt a1 sent to s1 in d, one of 5, load unknown",
         "attempt a1 at s1 ended Unknown after 250.0 ms cut",
         "no retry: budget",
         "call ended Unknown after 250.0 ms and 1 attempts cut",
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -24,6 +24,8 @@
 )
 
 POLL_S = 0.05
+LOG_LINES_SHOWN = 15  # some seconds of a process that has trouble
+LOG_LINE_MAX = 300  # characters
 PATIENCE_S = 40.0
 LOOKUP, CONFIRM, UPLOAD = "/matching/offers", "/matching/confirmations", "/matching/u"
 UPLOAD_BYTES = 2 * 1024 * 1024
@@ -413,7 +415,20 @@
             site.healed = len(site.results)
             await body(site)
             site.check_runs(frozen_servers)
+        except BaseException:
+            # pytest shows this beside the failure; the folder itself is removed.
+            print(read_log_ends(fleet.folder))
+            raise
         finally:
             client.close()
 
     asyncio.run(run())
+
+
+def read_log_ends(folder):
+    """Return the last lines of each process's log, to explain a failure."""
+    parts = []
+    for path in sorted(folder.glob("*.log")):
+        lines = path.read_text(errors="replace").splitlines()[-LOG_LINES_SHOWN:]
+        parts += [f"== {path.name}", *(line[:LOG_LINE_MAX] for line in lines)]
+    return "\n".join(parts)
