--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
@@ -24,8 +24,6 @@
 SPREAD = 0.1  # of the cost, so that entry nodes with equal knowledge don't herd
 FAILURE_PENALTY = 20.0
 BYTES_PER_KB = 1024
-# Headers, envelopes, load report and what the kernel adds, both ways.
-ATTEMPT_BYTES = 1000
 MS_PER_S = 1000.0
 
 
@@ -52,8 +50,7 @@
         if not any(tells_slowness(load) for load in candidates):
             return choose_predicted(candidates, call, rng, now_s)
         work_s = get_work_s(call) or WORK_UNKNOWN_S
-        content_bytes = len(call.body) + get_answer_bytes(call)
-        moved_kb = (content_bytes + ATTEMPT_BYTES) / BYTES_PER_KB
+        moved_kb = (len(call.body) + get_answer_bytes(call)) / BYTES_PER_KB
         crossing_s = moved_kb * call.policy.crossing_ms_per_kb / MS_PER_S
         mean = estimate_mean_slowness(candidates)
 
