--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,6 +5,7 @@
 from benchmarks import (
     capacity,
     claims,
+    experiment,
     in_force,
     limits,
     path,
@@ -20,6 +21,7 @@
     "Latency that the path adds": path.main,
     "Client to the server": server_client.main,
     "Routing": policy.main,
+    "Modelled fleet": experiment.main,
     "Limits of requests in flight": limits.run,
     "Claims": claims.main,
     "Settings tree": settings_tree.main,
--- /dev/null
+++ b/benchmarks/experiment/_run.py
@@ -0,0 +1,331 @@
+"""One run: a fleet of the product's nodes, modelled servers, and clients."""
+
+import asyncio
+import functools
+import itertools
+import random
+from dataclasses import dataclass
+
+from benchmarks.experiment._scenario import Kind, Scenario
+from benchmarks.experiment._server import FORM, HEALTH_PATH, ModelServer
+from sapphireway_coordination import (
+    Announcement,
+    Call,
+    Dispatcher,
+    Gate,
+    Member,
+    choose_least_in_flight,
+    choose_random,
+    choose_two,
+    make_choose_placed,
+    make_choose_round_robin,
+)
+from sapphireway_protocol import Answered, NotRun, Peers
+from sapphireway_state import Policy
+from sapphireway_transport.memory import MemoryNetwork, run_paused
+
+LOCAL_S = 0.0001  # one way within a failure domain
+HEARTBEAT_S = 1.0
+START_S = 1.0  # nodes and servers before the first client
+CONNECTIONS_MAX = 200
+QUEUE_LIMIT = 64
+HEALTH_INTERVAL_MS = 50
+WORK_PERCENTILE = 50  # as the product's nodes take the usual time of a kind
+WEIGHT_PER_WORTH = 10
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """What a client got for one request.
+
+    Attributes
+    ----------
+    kind : str
+    arrived_s : float
+        Since the first client came.
+    took_s : float
+        From the client's first try to its end.
+    outcome : str
+        ``answered``, ``late`` or the last outcome's name in lower case.
+    """
+
+    kind: str
+    arrived_s: float
+    took_s: float
+    outcome: str
+
+
+@dataclass(slots=True, frozen=True)
+class Played:
+    """Everything that one run is judged by.
+
+    Attributes
+    ----------
+    records : list of Record
+    runs, falls : int
+        Requests that servers ran; servers that fell over while cold.
+    repeats : int
+        Attempts that cost a token of the retry budget.
+    messages : int
+        Between nodes.
+    """
+
+    records: list[Record]
+    runs: int
+    falls: int
+    repeats: int
+    messages: int
+
+
+def _make_placed(domain, dispatcher):
+    def get_work_s(call):
+        state = dispatcher().services.get(call.service)
+        return state.get_latencies(call.kind).get_percentile(WORK_PERCENTILE)
+
+    def get_answer_bytes(call):
+        return dispatcher().services.get(call.service).get_answer_bytes(call.kind)
+
+    return make_choose_placed(domain, get_work_s, get_answer_bytes)
+
+
+VARIANTS = {
+    "placed": _make_placed,
+    "least_in_flight": lambda domain, dispatcher: choose_least_in_flight,
+    "two_choices": lambda domain, dispatcher: choose_two,
+    "round_robin": lambda domain, dispatcher: make_choose_round_robin(),
+    "random": lambda domain, dispatcher: choose_random,
+}
+"""Makers of the choice of a server, by name; `placed` is the product's."""
+
+
+def play(scenario: Scenario, variant: str, seed: int) -> Played:
+    """Play a scenario once on the paused clock."""
+
+    async def run():
+        return await _Fleet(scenario, VARIANTS[variant], seed).play()
+
+    return run_paused(run())
+
+
+class _Fleet:
+    """All nodes, servers and clients of one run."""
+
+    def __init__(self, scenario, make_choose, seed):
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.domains = {}
+        self.network = MemoryNetwork(random.Random(seed), self._get_delay)
+        self.nodes = []
+        self.numbers = itertools.count()
+        self.records = []
+        self.load_times = 1.0
+        for service in scenario.services:
+            for index in range(scenario.services[service].servers):
+                domain = scenario.domains[index % len(scenario.domains)]
+                node = _Node(self, service, index, domain, make_choose)
+                self.nodes.append(node)
+
+    def _get_delay(self, sender, receiver):
+        same = self.domains[sender] == self.domains[receiver]
+        return LOCAL_S if same else self.scenario.crossing_ms / MS_PER_S
+
+    def get_members(self, service):
+        return [node.member for node in self.nodes if node.service == service]
+
+    def make_policy(self, service, kind_name):
+        scenario = self.scenario
+        kind = scenario.kinds.get(kind_name, Kind(service, 1.0, 1.0, 1.0))
+        timeout_ms = int(kind.timeout_ms or kind.deadline_ms)
+        return Policy(
+            idempotent=kind.idempotent,
+            deadline_ms=timeout_ms,
+            deadline_max_ms=timeout_ms,
+            target_latency_ms=int(kind.target_ms),
+            weight=max(1, min(100, int(kind.worth * WEIGHT_PER_WORTH))),
+            hedge_percentile=scenario.hedge_percentile,
+            retry_budget_percent=scenario.retry_budget_percent,
+            crossing_ms_per_kb=scenario.crossing_ms_per_kb,
+            cold_rate_percent=scenario.cold_rate_percent,
+            queue_limit=QUEUE_LIMIT,
+            health_interval_ms=HEALTH_INTERVAL_MS,
+        )
+
+    async def play(self):
+        scenario = self.scenario
+        await asyncio.sleep(START_S)
+        self.begun_s = self.loop.time()
+        tasks = [asyncio.ensure_future(self._cause(x)) for x in scenario.events]
+        tasks += [
+            asyncio.ensure_future(self._send_all(name, kind))
+            for name, kind in scenario.kinds.items()
+            if kind.per_s
+        ]
+        await asyncio.gather(*tasks)
+        for node in self.nodes:
+            node.close()
+        return Played(
+            sorted(self.records, key=lambda record: record.arrived_s),
+            sum(node.server.runs for node in self.nodes),
+            sum(node.server.falls for node in self.nodes),
+            sum(node.count_repeats() for node in self.nodes),
+            self.network.messages_sent,
+        )
+
+    async def _cause(self, event):
+        await asyncio.sleep(event.at_s)
+        count = round(event.share * len(self.nodes))
+        chosen = self.rng.sample(self.nodes, count)
+        if event.kind == "burst":
+            self.load_times = event.times
+            await asyncio.sleep(event.for_s)
+            self.load_times = 1.0
+        elif event.kind == "restart":
+            for node in chosen:
+                node.restart(event.for_s)
+        else:
+            for node in chosen:
+                node.server.disturb(event.times, event.for_s)
+
+    async def _send_all(self, name, kind):
+        calls = set()
+        while self.loop.time() < self.begun_s + self.scenario.seconds:
+            await asyncio.sleep(self.rng.expovariate(kind.per_s * self.load_times))
+            node = self.rng.choice(self.nodes)
+            calls.add(asyncio.ensure_future(self._be_client(node, name, kind)))
+        await asyncio.gather(*calls)
+
+    async def _be_client(self, node, name, kind):
+        arrived_s = self.loop.time()
+        deadline_s = arrived_s + kind.deadline_ms / MS_PER_S
+        target_s = arrived_s + kind.target_ms / MS_PER_S
+        for left in range(kind.retries, -1, -1):
+            outcome = await node.dispatch(name, deadline_s, target_s)
+            again_s = self.loop.time() + getattr(outcome, "retry_after_s", 0.0)
+            if not isinstance(outcome, NotRun) or not left or again_s >= deadline_s:
+                break
+            await asyncio.sleep(again_s - self.loop.time())
+        now_s = self.loop.time()
+        ending = type(outcome).__name__.lower()
+        if isinstance(outcome, Answered):
+            ending = "answered" if now_s <= target_s else "late"
+            ending = ending if outcome.status < 400 else "failed"
+        self.records.append(
+            Record(name, arrived_s - self.begun_s, now_s - arrived_s, ending)
+        )
+
+
+class _Node:
+    """The product's parts on one host, and the modelled server beside them."""
+
+    def __init__(self, fleet, service, index, domain, make_choose):
+        self.fleet, self.service, self.domain = fleet, service, domain
+        self.name = f"{service}-{index}"
+        scenario = fleet.scenario
+        seeded = functools.partial(fleet.rng.randrange, 2**32)
+        fleet.domains[self.name] = domain
+        self.server = ModelServer(
+            scenario.services[service],
+            scenario.noise,
+            scenario.cold,
+            random.Random(seeded()),
+            scenario.kinds,
+            self._call_for_server,
+        )
+        peers = Peers(fleet.network.open_endpoint(self.name), f"{self.name}-1")
+        self.gate = Gate(
+            peers,
+            self.server,
+            random.Random(seeded()),
+            fleet.make_policy,
+            lambda event: None,
+            form=FORM,
+        )
+        self.dispatcher = Dispatcher(
+            peers,
+            fleet.get_members,
+            random.Random(seeded()),
+            choose=make_choose(domain, lambda: self.dispatcher),
+            get_reserve=lambda: max(1.0, scenario.retry_reserve / len(fleet.nodes)),
+        )
+        peers.start()
+        self.heartbeat = asyncio.ensure_future(self._announce())
+
+    @property
+    def member(self):
+        slots = self.fleet.scenario.services[self.service].slots
+        incarnation = f"{self.name}-1"
+        start_id = str(self.server.start_id)
+        return Member(
+            self.name,
+            self.service,
+            self.name,
+            self.domain,
+            "region",
+            incarnation,
+            start_id,
+            slots,
+        )
+
+    async def dispatch(self, kind_name, deadline_s, target_s):
+        """Conduct one try of a client, or one call of a server."""
+        kind = self.fleet.scenario.kinds[kind_name]
+        policy = self.fleet.make_policy(kind.service, kind_name)
+        now_s = self.fleet.loop.time()
+        call = Call(
+            f"c{next(self.fleet.numbers)}",
+            kind.service,
+            kind_name,
+            "GET",
+            f"/{kind_name}",
+            (),
+            bytes(kind.request_bytes),
+            min(deadline_s, now_s + policy.deadline_ms / MS_PER_S),
+            None,
+            policy,
+            target_s,
+        )
+        return await self.dispatcher.dispatch(call)
+
+    def restart(self, down_s):
+        """Start the server anew; its node goes on and hears of it at its return."""
+        self.server.restart(down_s)
+
+    def count_repeats(self):
+        """Return the tokens that this node spent."""
+        states = self.dispatcher.services.list_states()
+        return sum(state.budget.spent for _, state in states)
+
+    def close(self):
+        """Stop what would run on."""
+        self.heartbeat.cancel()
+        self.gate.close()
+
+    async def _call_for_server(self, kind_name, deadline_s):
+        kind = self.fleet.scenario.kinds[kind_name]
+        target_s = self.fleet.loop.time() + kind.target_ms / MS_PER_S
+        outcome = await self.dispatch(kind_name, deadline_s, target_s)
+        return isinstance(outcome, Answered) and outcome.status < 400
+
+    async def _announce(self):
+        scenario = self.fleet.scenario
+        while True:
+            now_s = self.fleet.loop.time()
+            if now_s >= self.server.down_until_s:
+                self.gate.announce(
+                    Announcement(
+                        self.name,
+                        self.service,
+                        f"http://{self.name}",
+                        scenario.services[self.service].slots,
+                        CONNECTIONS_MAX,
+                        str(self.server.start_id),
+                        in_flight=0,
+                        cold_s=self.server.get_cold_s(),
+                        cold_rate_per_s=scenario.cold.starts_per_s,
+                        health_path=HEALTH_PATH,
+                    )
+                )
+            back_s = self.server.down_until_s - now_s
+            await asyncio.sleep(back_s if back_s > 0.0 else HEARTBEAT_S)
--- /dev/null
+++ b/benchmarks/experiment/_server.py
@@ -0,0 +1,190 @@
+"""A modelled server on a modelled host, behind the seam of the product's client."""
+
+import asyncio
+import math
+
+from benchmarks.experiment._scenario import Cold, Noise, Service
+from sapphireway_coordination import SelfReport, ServerForm
+from sapphireway_transport import Broken, NotSent, Responded
+
+HEALTH_PATH = "/health"
+HEALTH_S = 0.001
+STEP_S = 0.01  # in which a request's progress is worked out anew
+SLOWNESS_HEADER = "Model-Slowness"
+COLD_HEADER = "Model-Cold-S"
+NOT_RUN_HEADER = "Model-Not-Run"
+FALLS_OVER_TIMES = 1.5  # the cold rate; and FALLS_OVER_SLACK requests
+FALLS_OVER_SLACK = 5
+DOWN_AFTER_FALL_S = 1.0
+MS_PER_S = 1000.0
+
+
+def _read_report(answer):
+    headers = dict(answer.headers)
+    if SLOWNESS_HEADER not in headers:
+        return SelfReport()
+    return SelfReport(float(headers[SLOWNESS_HEADER]), float(headers[COLD_HEADER]))
+
+
+FORM = ServerForm(
+    own_headers=frozenset(),
+    make_headers=lambda run, server, remaining_s: (("Model-Kind", run.kind),),
+    says_not_run=lambda answer: NOT_RUN_HEADER in dict(answer.headers),
+    read_report=_read_report,
+)
+"""How the product's nodes speak to modelled servers."""
+
+
+class ModelServer:
+    """Runs requests in slots at the speed that host, load and cold start allow.
+
+    Parameters
+    ----------
+    service : Service
+    noise : Noise
+    cold : Cold
+    rng : random.Random
+        Draws the host's slow times and the work.
+    kinds : dict of str to Kind
+    call : callable
+        ``await call(kind, deadline_s)`` calls another kind; tells if it was answered.
+
+    Attributes
+    ----------
+    runs, falls : int
+        Requests that were run, and times that the server fell over while cold.
+    start_id : int
+    down_until_s : float
+        Reading of the loop's clock until which connections are refused.
+    """
+
+    def __init__(self, service: Service, noise: Noise, cold: Cold, rng, kinds, call):
+        self._service, self._noise, self._cold = service, noise, cold
+        self._rng, self._kinds, self._call = rng, kinds, call
+        self._loop = asyncio.get_running_loop()
+        self._slots = asyncio.Semaphore(service.slots)
+        self._waiting = 0
+        self._running = 0
+        self._starts_s = []
+        self._drawn_s = -rng.uniform(0.0, noise.span_ms / MS_PER_S)
+        self._noise_times = 1.0
+        self._disturbed = (0.0, 1.0)
+        self._cold_until_s = -math.inf
+        self.runs = 0
+        self.falls = 0
+        self.start_id = 1
+        self.down_until_s = -math.inf
+
+    def restart(self, down_s: float) -> None:
+        """End, and start cold after `down_s`."""
+        self.down_until_s = self._loop.time() + down_s
+        self._cold_until_s = self.down_until_s + self._cold.seconds
+        self.start_id += 1
+        self._slots = asyncio.Semaphore(self._service.slots)
+        self._waiting = self._running = 0
+
+    def disturb(self, times: float, for_s: float) -> None:
+        """Make work take longer for a while."""
+        self._disturbed = (self._loop.time() + for_s, times)
+
+    def get_cold_s(self) -> float:
+        """Return how much longer the server is cold."""
+        return max(0.0, self._cold_until_s - self._loop.time())
+
+    async def send(self, request):
+        """Take one request of the node beside this server."""
+        if self._loop.time() < self.down_until_s:
+            return NotSent("connection refused")
+        if request.url.endswith(HEALTH_PATH):
+            await asyncio.sleep(HEALTH_S)
+            return self._respond(200)
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                return await self._run(dict(request.headers)["Model-Kind"])
+        except TimeoutError:
+            return Broken("no answer in time", timed_out=True)
+
+    def set_connections_max(self, connections_max):
+        """Take any number of connections."""
+
+    def close(self):
+        """Do nothing: nothing is kept open."""
+
+    async def _run(self, kind_name):
+        start_id = self.start_id
+        if self._falls_over():
+            return Broken("connection reset", disconnected=True)
+        if self._waiting >= self._service.queue:
+            return self._respond(503, ((NOT_RUN_HEADER, "full"),))
+        slots = self._slots
+        self._waiting += 1
+        try:
+            await slots.acquire()
+        finally:
+            if start_id == self.start_id:
+                self._waiting -= 1
+        self._running += 1
+        try:
+            answered = await self._work(kind_name, start_id)
+        finally:
+            slots.release()
+            if start_id == self.start_id:
+                self._running -= 1
+        if start_id != self.start_id:
+            return Broken("connection reset", disconnected=True)
+        return self._respond(200 if answered else 500)
+
+    async def _work(self, kind_name, start_id):
+        kind = self._kinds[kind_name]
+        self.runs += 1
+        mu = math.log(kind.work_ms / MS_PER_S) - kind.spread**2 / 2
+        left_s = self._rng.lognormvariate(mu, kind.spread)
+        if kind.calls:
+            deadline_s = self._loop.time() + kind.deadline_ms / MS_PER_S
+            if not await self._call(kind.calls, deadline_s):
+                return False
+        while left_s > 0.0 and start_id == self.start_id:
+            times = self._get_slowness() * self._get_load_times()
+            step_s = min(STEP_S, left_s * times)
+            await asyncio.sleep(step_s)
+            left_s -= step_s / times + 1e-9
+        return True
+
+    def _falls_over(self):
+        now_s = self._loop.time()
+        if now_s >= self._cold_until_s:
+            return False
+        self._starts_s = [at_s for at_s in self._starts_s if at_s > now_s - 1.0]
+        self._starts_s.append(now_s)
+        bound = self._cold.starts_per_s * FALLS_OVER_TIMES + FALLS_OVER_SLACK
+        if len(self._starts_s) <= bound:
+            return False
+        self.falls += 1
+        self.restart(DOWN_AFTER_FALL_S)
+        return True
+
+    def _get_slowness(self):
+        """Return how many times longer work takes by host and cold start."""
+        now_s = self._loop.time()
+        span_s = self._noise.span_ms / MS_PER_S
+        while now_s >= self._drawn_s + span_s:
+            self._drawn_s += span_s
+            slow = self._rng.random() < self._noise.share
+            self._noise_times = self._noise.times if slow else 1.0
+        until_s, times = self._disturbed
+        slowness = self._noise_times * (times if now_s < until_s else 1.0)
+        return slowness * (self._cold.times if self.get_cold_s() else 1.0)
+
+    def _get_load_times(self):
+        share = self._running / self._service.slots
+        if share <= self._service.knee:
+            return 1.0
+        over = (share - self._service.knee) / (1.0 - self._service.knee)
+        return 1.0 + over * (self._service.knee_times - 1.0)
+
+    def _respond(self, status, headers=()):
+        told = (
+            (SLOWNESS_HEADER, str(self._get_slowness())),
+            (COLD_HEADER, str(self.get_cold_s())),
+        )
+        return Responded(status, (*headers, *told), b"")
