--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -1,5 +1,7 @@
 import asyncio
+import socket
 
+import pytest
 import zmq
 
 from sapphireway_transport import ZmqEndpoint
@@ -27,3 +29,43 @@
     times_ms = asyncio.run(run())
     assert all(time_ms > 0 for time_ms in times_ms)
     assert sum(times_ms) < SILENCE_MAX_MS
+
+
+@pytest.mark.parametrize("name", [None, b"\xff\xfe"])
+def test_messages_without_a_readable_sender_hold_up_no_others(name):
+    """A link that a peer's new one replaces gets a name of the library's own."""
+
+    async def run():
+        address = f"127.0.0.1:{find_free_port()}"
+        endpoint = ZmqEndpoint(address)
+        received, failures = [], []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        endpoint.start(lambda sender, frames: received.append((sender, frames)))
+        context = zmq.Context()
+        try:
+            for identity, count in ((name, 3), (b"peer", 1)):
+                dealer = context.socket(zmq.DEALER)
+                if identity is not None:
+                    dealer.setsockopt(zmq.IDENTITY, identity)
+                dealer.connect(f"tcp://{address}")
+                for _ in range(count):
+                    dealer.send_multipart([b"hello"])
+                await asyncio.sleep(0.1)
+            async with asyncio.timeout(5.0):
+                while ("peer", [b"hello"]) not in received:
+                    await asyncio.sleep(0.01)
+        finally:
+            context.destroy(linger=0)
+            endpoint.close()
+        return received, failures
+
+    received, failures = asyncio.run(run())
+    assert not failures
+    assert all(sender == "peer" or not sender.isascii() for sender, _ in received)
+
+
+def find_free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
