--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -13,7 +13,7 @@
 RECONNECT_MAX_MS = 200  # a healed link carries again within this and a round trip
 CONNECT_TIMEOUT_MS = 500  # a host without power does not refuse, it is silent
 UNACKNOWLEDGED_MAX_MS = 1000  # data that the other host's kernel does not acknowledge
-UNNAMED_PREFIX = b"\0"  # of the names that the library gives
+UNNAMED_PREFIX = b"\0"  # of the names that the library gives to links without one
 CONNECT_WAIT_S = 0.5
 DRAIN_BATCH_MESSAGES = 64
 PENDING_MESSAGES = 64
@@ -165,8 +165,8 @@
             if self._router is None or not self._has_message():
                 return
             sender, *frames = self._router.recv_multipart(zmq.NOBLOCK)
-            # The library renames the link that a peer's new one replaces; what was
-            # left on it can't be told from a stranger's message.
+            # An error here would leave the rest of the queue unread, as the
+            # descriptor is edge-triggered.
             if not sender.startswith(UNNAMED_PREFIX):
                 self._receive(sender.decode(errors="replace"), frames)
         self._loop.call_soon(self._drain)
--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -33,7 +33,7 @@
 
 @pytest.mark.parametrize("name", [None, b"\xff\xfe"])
 def test_messages_without_a_readable_sender_hold_up_no_others(name):
-    """A link that a peer's new one replaces gets a name of the library's own."""
+    """The library gives a link without a name one that begins with a zero byte."""
 
     async def run():
         address = f"127.0.0.1:{find_free_port()}"
