Promise nothing for an attempt whose record may have expired

Cause: a Cancel or a Revoke without a latest start opens a record in state REVOKED also for an attempt that ran and whose record has expired. A late copy of its Run, or a later Revoke, found that record and was told that the attempt never runs.

Change: the gate compares the latest start that Run and Revoke carry with the retention before it repeats the refusal of a revoked record. An expired record implies that this time has passed, so the check needs nothing else.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -307,10 +307,10 @@
         run = envelope.message
         self._last_run_s[sender] = self._loop.time()
         record = self._memory.get(run.attempt)
-        if record is not None:
+        now_s = self._loop.time()
+        if record is not None and not _may_be_forgotten(record, run, now_s):
             self._resend_reply(sender, record, "run")
             return
-        now_s = self._loop.time()
         if run.incarnation != self._peers.incarnation or not run.latest_start_s:
             # It can never start here: its latest start is missing, or a time of the
             # clock of another incarnation of this node.
@@ -370,7 +370,12 @@
             refused = record.reply.outcome == "not_run"
             self._send_revoked(sender, envelope, refused, True)
             return
-        never_runs = record is not None and record.state is AttemptState.REVOKED
+        now_s = self._loop.time()
+        never_runs = (
+            record is not None
+            and record.state is AttemptState.REVOKED
+            and not _may_be_forgotten(record, envelope.message, now_s)
+        )
         self._send_revoked(sender, envelope, never_runs, False)
 
     def _revoke_unknown(self, revoke):
@@ -430,3 +435,14 @@
         reply = msgspec.structs.replace(reply, server_ms=round(elapsed_ms, 3))
         self._memory.finish(job.record, reply, body, now_s)
         self._send_reply(job.sender, reply, body)
+
+
+def _may_be_forgotten(record, message, now_s):
+    """Return whether the attempt may have run before `record` was opened.
+
+    A `Cancel` or `Revoke` can open a record for an attempt whose earlier one expired.
+    That takes until `RETENTION_S` after the latest start, which `message` names.
+    """
+    if record.state is not AttemptState.REVOKED or not message.latest_start_s:
+        return False
+    return now_s > message.latest_start_s + RETENTION_S
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -77,6 +77,27 @@
     assert not bench.revoked["a"][0].never_runs
 
 
+@pytest.mark.parametrize("opener", [Cancel, Revoke])
+@pytest.mark.parametrize("again", ["run", "revoke"])
+def test_cancel_of_expired_attempt_promises_nothing(opener, again):
+    async def check(bench):
+        await bench.call("a", latest_start_s=0.5)
+        await asyncio.sleep(200)
+        bench.announce()
+        await bench.call("other")
+        bench.entry.send(NODE, opener("a"))
+        await asyncio.sleep(0.01)
+        bench.revoked.clear()
+        message = bench.sent["a"] if again == "run" else Revoke("a", 0.5)
+        bench.entry.send(NODE, message)
+        await asyncio.sleep(0.1)
+        assert [reply.outcome for reply in bench.replies["a"]] == ["answered"]
+        assert not any(answer.never_runs for answer in bench.revoked.get("a", ()))
+        assert bench.count_runs("a") == 1
+
+    paused(check)()
+
+
 @paused
 async def test_revoke_with_keep_waiting_leaves_waiting_attempt_queued(bench):
     await bench.warm()
