Keep the evidence of failed process tests; let the stand-in server leave whole

Cause: a process test that failed once left the last lines of each log, so its cause could not be traced. And the stand-in server closed its connections as soon as it ran nothing itself, without a look at the count that its node answers to the deregistration: a request that the node had started and that had not been read yet was cut (an upload takes its time beside load), which the node can only report as unknown.

Requests with a key leave a line when they are read and when their claim ends, under a byte rate of their own.

Ruled out: that the gate starts new work after the deregistration; it refuses at admission and refuses all that wait.

--- a/demo/server.py
+++ b/demo/server.py
@@ -36,6 +36,7 @@
 DRAIN_MAX_S = 30.0
 ANNOUNCE_TIMEOUT_S = 2.0
 ANNOUNCE_RETRY_S = 0.2
+DEREGISTER_POLL_S = 0.05
 
 
 class JsonHandler(tornado.web.RequestHandler):
@@ -250,10 +251,20 @@
 
 
 async def deregister(node: str, server: str) -> None:
-    """Remove the server from its node."""
+    """Remove the server from its node and wait until the node has no request for it.
+
+    A request that the node has started may not have reached the server yet.
+    """
     client = tornado.httpclient.AsyncHTTPClient()
-    with contextlib.suppress(tornado.httpclient.HTTPError, OSError):
-        await client.fetch(f"{node}/server/{server}", method="DELETE")
+    in_flight = 1
+    while in_flight:
+        try:
+            answer = await client.fetch(f"{node}/server/{server}", method="DELETE")
+        except (tornado.httpclient.HTTPError, OSError):
+            # The node has ended or does not know the server.
+            return
+        in_flight = msgspec.json.decode(answer.body)["in_flight"]
+        await asyncio.sleep(DEREGISTER_POLL_S)
 
 
 async def serve(
@@ -298,7 +309,9 @@
     announcing = asyncio.create_task(announce_repeatedly(node, server, announce))
     await stopping.wait()
     announcing.cancel()
-    await deregister(node, server)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DRAIN_MAX_S):
+            await deregister(node, server)
     http.stop()
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(DRAIN_MAX_S):
--- a/packages/sapphireway/src/sapphireway/_execution.py
+++ b/packages/sapphireway/src/sapphireway/_execution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 from typing import Any
 
 from sapphireway._callers import Arrival, ExecuteCall
@@ -13,6 +14,7 @@
 FIRST_MEMBERS_TIMEOUT_S = 1.0
 TRACE_HEADER = "traceparent"
 MS_PER_S = 1000
+KEY_DIGEST_CHARS = 16
 
 
 def make_call_executor(
@@ -40,6 +42,13 @@
     async def run_claimed_or_dispatch(call, arrival):
         if call.key is None or call.policy.idempotent:
             return await dispatcher.dispatch(call)
+        log.log_submission(
+            "key_read",
+            call=call.call_id,
+            service=call.service,
+            key_digest=digest_key(call.key),
+            stopping=arrival.stopping,
+        )
         # A stopping node also consults the claim: the key may have run already.
         dispatch = _answer_stopping if arrival.stopping else dispatcher.dispatch
         return await claimant.run_claimed(call, dispatch, arrival.fences)
@@ -94,6 +103,11 @@
     return execute_traced
 
 
+def digest_key(key: str) -> str:
+    """Return a short digest of an idempotency key, for logs."""
+    return hashlib.sha256(key.encode()).hexdigest()[:KEY_DIGEST_CHARS]
+
+
 def _log_unanswered(log, call, outcome, elapsed_s):
     trace = next((v for k, v in call.headers if k.lower() == TRACE_HEADER), "")
     log.warning(
--- a/packages/sapphireway/src/sapphireway/_logs.py
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -15,6 +15,8 @@
 EVENTS_PER_S = 5.0
 REQUEST_BYTES_PER_S = 16_384  # for all events of single requests together
 REQUEST_BURST_BYTES = 131_072
+SUBMISSION_BYTES_PER_S = 8_192  # for the events of all keyed requests together
+SUBMISSION_BURST_BYTES = 65_536
 STDOUT = 1
 
 
@@ -37,12 +39,13 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_buckets", "_clock", "_request_bucket")
+    __slots__ = ("_buckets", "_clock", "_request_bucket", "_submission_bucket")
 
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self._buckets = {}
         self._clock = clock
         self._request_bucket = _TokenBucket(REQUEST_BURST_BYTES, clock())
+        self._submission_bucket = _TokenBucket(SUBMISSION_BURST_BYTES, clock())
 
     def info(self, event: str, **fields: Any) -> None:
         """Write an event of ordinary operation."""
@@ -62,21 +65,40 @@
         Failed requests come in bursts, so all of them share one limit, in bytes
         instead of lines.
         """
-        request_bucket = self._request_bucket
-        now_s = self._clock()
-        refilled = (now_s - request_bucket.refilled_s) * REQUEST_BYTES_PER_S
-        request_bucket.tokens = min(
-            REQUEST_BURST_BYTES, request_bucket.tokens + refilled
+        self._write_limited(
+            self._request_bucket,
+            REQUEST_BYTES_PER_S,
+            REQUEST_BURST_BYTES,
+            event,
+            fields,
+        )
+
+    def log_submission(self, event: str, **fields: Any) -> None:
+        """Write an event of a request with an idempotency key, limited by a byte rate.
+
+        Most of these requests succeed, so they must not use up the limit of failures.
+        """
+        self._write_limited(
+            self._submission_bucket,
+            SUBMISSION_BYTES_PER_S,
+            SUBMISSION_BURST_BYTES,
+            event,
+            fields,
         )
-        request_bucket.refilled_s = now_s
+
+    def _write_limited(self, bucket, bytes_per_s, burst_bytes, event, fields):
+        now_s = self._clock()
+        refilled = (now_s - bucket.refilled_s) * bytes_per_s
+        bucket.tokens = min(burst_bytes, bucket.tokens + refilled)
+        bucket.refilled_s = now_s
         size = len(json.dumps(fields, default=str))
-        if request_bucket.tokens < size:
-            request_bucket.suppressed += 1
+        if bucket.tokens < size:
+            bucket.suppressed += 1
             return
-        request_bucket.tokens -= size
-        if request_bucket.suppressed:
-            fields = fields | {"suppressed": request_bucket.suppressed}
-            request_bucket.suppressed = 0
+        bucket.tokens -= size
+        if bucket.suppressed:
+            fields = fields | {"suppressed": bucket.suppressed}
+            bucket.suppressed = 0
         self._emit(logging.INFO, event, fields)
 
     def _write(self, level, event, fields):
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -11,6 +11,7 @@
     AttemptServed,
     CallEnded,
     CallHistory,
+    ClaimEnded,
     GateChanged,
     LimitChanged,
     MemberEjected,
@@ -55,6 +56,8 @@
             log.warning(_get_event_name(event_type), **_get_fields(event))
         elif event_type is CallEnded:
             _log_call(log, history, event)
+        elif event_type is ClaimEnded:
+            log.log_submission(_get_event_name(event_type), **_get_fields(event))
         elif _is_failure(event):
             log.log_request(_get_event_name(event_type), **_get_fields(event))
 
--- a/packages/sapphireway/tests/test_execution.py
+++ b/packages/sapphireway/tests/test_execution.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sapphireway._callers import Arrival
-from sapphireway._execution import make_call_executor
+from sapphireway._execution import digest_key, make_call_executor
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call
 from sapphireway_protocol import Answered, Failed, NotRun, NotRunReason, Unknown
@@ -18,6 +18,7 @@
         self.outcome = outcome
         self.dispatched = 0
         self.logged = []
+        self.submissions = []
         self.stopping = False
 
     async def wait_for_members(self, service, timeout_s):
@@ -33,6 +34,9 @@
     def warning(self, event, **fields):
         self.logged.append((event, fields))
 
+    def log_submission(self, event, **fields):
+        self.submissions.append((event, fields))
+
 
 def execute_call(components, key=None, metrics=None):
     call = Call(
@@ -88,3 +92,12 @@
     components.stopping = True
     assert execute_call(components, key="k") == NotRun(NotRunReason.STOPPING)
     assert not components.dispatched
+
+
+def test_call_with_key_leaves_a_line_with_the_digest_of_its_key():
+    components = FakeComponents(Answered(200, (), b""))
+    execute_call(components, key="a secret")
+    ((event, fields),) = components.submissions
+    assert (event, fields["call"], fields["stopping"]) == ("key_read", "call-1", False)
+    assert fields["key_digest"] == digest_key("a secret")
+    assert "secret" not in str(fields)
--- a/packages/sapphireway/tests/test_logs.py
+++ b/packages/sapphireway/tests/test_logs.py
@@ -68,3 +68,12 @@
         log.info("fault")
     log.info("other")
     assert read_lines()[-1]["event"] == "other"
+
+
+def test_submissions_do_not_use_up_the_limit_of_failures(clock, read_lines):
+    log = EventLog(clock)
+    for number in range(5000):
+        log.log_submission("key_read", call=f"c{number}", detail="x" * 200)
+    assert sum(len(str(line)) for line in read_lines()) < 3 * 65_536
+    log.log_request("call_ended", call="failed")
+    assert [line["call"] for line in read_lines()] == ["failed"]
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -22,6 +23,7 @@
     Responded,
     ServerRequest,
 )
+from tests.evidence import Timeline, keep_evidence
 
 POLL_S = 0.05
 LOG_TAIL_LINES = 15  # a few seconds of a failing process
@@ -80,6 +82,42 @@
     return f"127.{second_octet_base + pid // 250 % 50}.{pid % 250}"
 
 
+class RecordedFleet(Fleet):
+    """A fleet that records what happens to its processes.
+
+    Attributes
+    ----------
+    timeline : Timeline
+    """
+
+    __slots__ = ("timeline",)
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.timeline = Timeline()
+
+    def kill(self, name):
+        """Kill one process with SIGKILL."""
+        self.timeline.record("kill", process=name)
+        super().kill(name)
+
+    def signal(self, name, number):
+        """Send a signal to one process."""
+        self.timeline.record("signal", process=name, signal=signal.Signals(number).name)
+        super().signal(name, number)
+
+    def reap(self, name):
+        """Return the exit status of an ended process and stop tracking it."""
+        status = super().reap(name)
+        if status is not None:
+            self.timeline.record("exit", process=name, status=status)
+        return status
+
+    def _start_process(self, name, module, *arguments):
+        self.timeline.record("start", process=name)
+        super()._start_process(name, module, *arguments)
+
+
 def make_fleet(folder, **settings):
     """Return a fleet whose settings tree has `settings` at its root."""
     network = choose_network_prefix()
@@ -88,7 +126,7 @@
         Place(f"matching-{i}", f"{network}.{10 + i}", domain, "matching")
         for i, domain in enumerate(domains)
     ]
-    return Fleet(folder, places, network, TREE | settings)
+    return RecordedFleet(folder, places, network, TREE | settings)
 
 
 @dataclass(slots=True)
@@ -409,12 +447,14 @@
     return None
 
 
-def run_on_fleet(fleet, body, seed=1, frozen_servers=(), prepare=None):
+def run_on_fleet(fleet, body, seed=1, frozen_servers=(), prepare=None, name=None):
     """Run an asynchronous test on a healthy fleet, then check the recorded runs.
 
+    The evidence of a failure is kept in a folder that the error's output names.
+
     Parameters
     ----------
-    fleet : Fleet
+    fleet : RecordedFleet
     body : callable
         Called with a `FleetHarness`.
     seed : int
@@ -423,6 +463,8 @@
         Servers that the test freezes: these may run requests after the deadline.
     prepare : callable, optional
         Called with the `FleetHarness` before the fleet is healthy.
+    name : str, optional
+        Prefix of that folder's name; by default the name of the running test.
     """
 
     async def run():
@@ -438,6 +480,7 @@
         except BaseException:
             # pytest shows the output with the failure; the folder is removed.
             print(read_log_tails(fleet.folder))
+            print(f"evidence: {keep_fleet_evidence(fleet, harness.results, name)}")
             raise
         finally:
             client.close()
@@ -445,6 +488,19 @@
     asyncio.run(run())
 
 
+def keep_fleet_evidence(fleet, results, name=None):
+    """Keep the records of a fleet's failed run; return the folder."""
+    timeline = Timeline(list(fleet.timeline.events))
+    timeline.record_results(results)
+    return keep_evidence(fleet.folder, name or get_test_name(), timeline)
+
+
+def get_test_name():
+    """Return the name of the running test, for file names; "run" outside of pytest."""
+    test_id = os.environ.get("PYTEST_CURRENT_TEST", "run").rpartition("::")[2]
+    return re.sub(r"[^A-Za-z0-9_]+", "-", test_id.partition(" ")[0]).strip("-")
+
+
 def read_log_tails(folder):
     """Return the last lines of each process's log."""
     parts = []
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -6,14 +6,16 @@
 import tempfile
 from pathlib import Path
 
-from demo._fleet import DOMAINS, HTTP_PORT, SERVER_PORT, Fleet, Place
+from demo._fleet import DOMAINS, HTTP_PORT, SERVER_PORT, Place
 
 from tests.processes.harness import (
     CONFIRM,
     LOOKUP,
     TREE,
     UPLOAD,
+    RecordedFleet,
     choose_network_prefix,
+    keep_fleet_evidence,
     read_settings,
     run_on_fleet,
     wait_until,
@@ -78,6 +80,7 @@
     """Run one seed; return the violations and a summary of the run."""
     fleet = make_proxied_fleet(folder, places)
     violations, summaries = [], []
+    name = f"soak-{seed}"
     proxies = make_proxies(fleet)
 
     async def prepare(harness):
@@ -95,14 +98,18 @@
                 await inject_faults(injector, seconds)
             violations.extend(await find_violations(injector))
         finally:
+            record_faults(injector)
             for proxy in proxies.values():
                 await proxy.close()
         summaries.append(summarize(injector))
+        if violations:
+            kept = keep_fleet_evidence(fleet, harness.results, name)
+            violations.append(f"evidence: {kept}")
 
     try:
         fleet.start()
         servers = [place.name for place in fleet.places]
-        run_on_fleet(fleet, body, seed, servers, prepare)
+        run_on_fleet(fleet, body, seed, servers, prepare, name)
     except AssertionError as error:
         violations.append(str(error))
     finally:
@@ -110,7 +117,7 @@
     return violations, "".join(summaries)
 
 
-def make_proxied_fleet(folder: Path, places: int) -> Fleet:
+def make_proxied_fleet(folder: Path, places: int) -> RecordedFleet:
     """Return a fleet whose nodes reach their servers through proxies."""
     network = choose_network_prefix(SECOND_OCTET_BASE)
     fleet_places = []
@@ -120,10 +127,10 @@
         url = f"http://{host}:{SERVER_PROXY_PORT}"
         fleet_places.append(Place(f"matching-{number}", host, domain, "matching", url))
     tree = TREE | {"claim_ttl_s": CLAIM_TTL_S, "retry_budget_percent": RETRY_PERCENT}
-    return Fleet(folder, fleet_places, network, tree)
+    return RecordedFleet(folder, fleet_places, network, tree)
 
 
-def make_proxies(fleet: Fleet) -> dict[str, Proxy]:
+def make_proxies(fleet: RecordedFleet) -> dict[str, Proxy]:
     """Return proxies in front of the entry nodes and the servers."""
     entries = {
         f"entry of {place.name}": Proxy(place.host, CALLER_PORT, HTTP_PORT)
@@ -176,6 +183,14 @@
     ]
 
 
+def record_faults(injector: FaultInjector) -> None:
+    """Add the faults that were in effect to the timeline of the fleet."""
+    for fault in injector.faults:
+        fields = {"kind": fault.kind, "target": fault.target}
+        injector.fleet.timeline.record("fault_start", fault.start_s, **fields)
+        injector.fleet.timeline.record("fault_end", fault.end_s, **fields)
+
+
 def summarize(injector: FaultInjector) -> str:
     """Return one line with the numbers of faults and outcomes."""
     outcomes = [result.outcome for result in injector.harness.results]
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -20,6 +20,7 @@
 )
 from sapphireway_protocol import Peers
 from sapphireway_transport import ZmqEndpoint
+from tests.evidence import Timeline, keep_evidence
 
 TIMEOUT_S = 20.0
 
@@ -37,22 +38,29 @@
         self.folder = folder
         *self.hosts, self.client_address = find_free_addresses(4)
         self.running = {}
+        self.timeline = Timeline()
 
     def start(self, host):
         arguments = [host, str(self.get_folder(host)), *self.hosts]
         command = [sys.executable, "-m", "tests.control_process", *arguments]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
-        self.running[host] = subprocess.Popen(command, env=environment)
+        self.timeline.record("start", process=host)
+        with (self.folder / f"{host.rsplit(':')[-1]}.log").open("ab") as log:
+            self.running[host] = subprocess.Popen(
+                command, env=environment, stdout=log, stderr=log
+            )
 
     def get_folder(self, host):
         return self.folder / host.rsplit(":")[-1]
 
     def kill(self, host):
+        self.timeline.record("kill", process=host)
         process = self.running.pop(host)
         process.kill()
         process.wait()
 
     def signal(self, host, number):
+        self.timeline.record("signal", process=host, signal=int(number))
         self.running[host].send_signal(number)
 
 
@@ -86,6 +94,11 @@
         await run(
             ControlClient(peers, ControlHostList(processes.hosts), random.Random(1))
         )
+    except BaseException:
+        processes.timeline.record("failed")
+        kept = keep_evidence(processes.folder, "control-hosts", processes.timeline)
+        print(f"evidence: {kept}")
+        raise
     finally:
         peers.close()
 
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -4,7 +4,8 @@
 import random
 
 import tornado.httpserver
-from demo.server import StandIn, make_application
+import tornado.web
+from demo.server import StandIn, deregister, make_application
 
 BODY_BYTES = 8 * 1024 * 1024  # more than the buffers of both sockets
 
@@ -35,3 +36,26 @@
         return pending, len(response) > BODY_BYTES, stand_in.answering
 
     assert asyncio.run(run()) == (1, True, 0)
+
+
+def test_deregistration_waits_until_the_node_has_no_request_in_flight():
+    """A request that the node has started may still be on its way to the server."""
+    counts = [2, 1, 0]
+
+    class Handler(tornado.web.RequestHandler):
+        def delete(self):
+            self.finish({"in_flight": counts.pop(0)})
+
+    async def run():
+        node = tornado.web.Application([("/server/s1", Handler)])
+        server = node.listen(0, "127.0.0.1")
+        port = next(iter(server._sockets.values())).getsockname()[1]
+        await deregister(f"http://127.0.0.1:{port}", "s1")
+        server.stop()
+
+    asyncio.run(run())
+    assert not counts
+
+
+def test_deregistration_ends_when_the_node_has_ended():
+    asyncio.run(deregister("http://127.0.0.1:1", "s1"))
