--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -262,7 +262,10 @@
 
         def update():
             versions = state.view.version, state.groups_version
-            channel.save_and_apply(machine.make_update(*versions))
+            applying = channel.save_and_apply(machine.make_update(*versions))
+            task = asyncio.ensure_future(applying)
+            process.tasks.append(task)
+            task.add_done_callback(process.tasks.remove)
 
         process.machine = machine = ControlMachine(schedule_update)
         disk = self.disks.setdefault(process.address, MemoryDisk())
--- a/packages/sapphirectl/src/sapphirectl/_http.py
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -40,7 +40,7 @@
 ) -> Response | NoResponse:
     """Send one request to a node, bypassing any proxy."""
     host, _, port = address.rpartition(":")
-    if not port.isdigit():
+    if not (port.isascii() and port.isdigit()):
         return NoResponse(f"{address}: not host:port", sent=False)
     connection = http.client.HTTPConnection(
         _strip_brackets(host), int(port), timeout=timeout_s
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -41,7 +41,6 @@
 INHERITED_UNKNOWN_MAX_S = 1.0
 INHERITED_KNOWN_MAX_S = 10.0
 REFUSED_PAUSE_S = 0.1
-FAILED_LATENCY_RATIO = 10.0
 SPAN_SMOOTHING = 0.1  # weight of one slow period in the moving average
 
 
@@ -356,7 +355,7 @@
             case Broken(disconnected=True):
                 self._end_disconnected()
             case Broken():
-                self._record(Sample(False, FAILED_LATENCY_RATIO, running.saturated))
+                self._record(Sample(False, running.saturated))
                 self._linger()
             case None:
                 self._linger()
@@ -390,14 +389,14 @@
         if cause is not None:
             self.relapse(cause)
             return
-        self._record(Sample(not shed, ratio, running.saturated))
+        self._record(Sample(not shed, running.saturated, ratio))
 
     def _end_disconnected(self):
         self._disconnects += 1
         if not self._running or self._disconnects >= CRASH_DISCONNECTS_MIN:
             self.relapse(RelapseCause.CRASHED)
         else:
-            self._record(Sample(False, FAILED_LATENCY_RATIO, True))
+            self._record(Sample(False, True))
 
     def _get_cold_limit(self):
         # A server that reports when it is cold can use all its slots at other times,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_limit.py
@@ -23,15 +23,15 @@
     ----------
     ok : bool
         The server answered without shedding.
-    latency_ratio : float
-        Response time relative to the baseline of its kind.
     saturated : bool
         The limit was reached when it started.
+    latency_ratio : float
+        Response time relative to the baseline of its kind; not used unless `ok`.
     """
 
     ok: bool
-    latency_ratio: float
     saturated: bool
+    latency_ratio: float = 1.0
 
 
 UpdateLimit = Callable[[float, Sample], float]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_follower.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_follower.py
@@ -188,4 +188,5 @@
         replica.fail_disk(failure)
         return False
     replica.restore(snapshot)
+    replica.detail = ""
     return True
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
@@ -12,7 +12,11 @@
 
 from sapphireway_coordination.routing._call import Call
 from sapphireway_coordination.routing._loads import ServerLoad
-from sapphireway_coordination.routing._routing import Choose, choose_predicted
+from sapphireway_coordination.routing._routing import (
+    FAILURE_PENALTY,
+    Choose,
+    choose_predicted,
+)
 from sapphireway_coordination.routing._slow_host import estimate_slowed_time
 
 WORK_DEFAULT_S = 0.05  # run time of a kind without answers yet
@@ -22,7 +26,6 @@
 KNEE = 0.75  # share of the slots above which servers slow down
 KNEE_SLOWDOWN = 0.7  # relative increase of the run time when all slots are taken
 COST_JITTER = 0.1  # of the cost; keeps equally informed entry nodes from herding
-FAILURE_PENALTY = 20.0
 BYTES_PER_KB = 1024
 MS_PER_S = 1000.0
 
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -119,7 +119,7 @@
     Scope,
     Setting,
 )
-from sapphireway_state._service_loss import list_remaining_domains, takes_out_of_service
+from sapphireway_state._service_loss import takes_out_of_service
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
 from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
@@ -244,7 +244,6 @@
     "leaves_too_few_voters",
     "list_operations",
     "list_out_of_service",
-    "list_remaining_domains",
     "load_process_settings",
     "load_tree",
     "load_vote",
--- a/packages/sapphireway-state/src/sapphireway_state/_follower.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_follower.py
@@ -39,7 +39,7 @@
     view : SettingsView
         Version in force.
     rejection_reason : str
-        Why the last update with the result `BROKEN` was rejected.
+        Why the last update was rejected as `BROKEN`; empty if it was not.
     """
 
     __slots__ = ("_digest", "_steps", "rejection_reason", "view")
@@ -60,6 +60,7 @@
 
     def apply_update(self, content: bytes) -> UpdateResult:
         """Put the update's version in force if it is later and valid."""
+        self.rejection_reason = ""
         update = decode_update(content)
         if update is None:
             return self._reject("the update cannot be decoded")
--- a/packages/sapphireway-state/src/sapphireway_state/_frame.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_frame.py
@@ -77,6 +77,6 @@
     if header is not None:
         return offset + HEADER_BYTES + header[0] < len(data)
     return any(
-        _read_payload(data, later)
+        _read_payload(data, later) is not None
         for later in range(offset + 1, len(data) - HEADER_BYTES)
     )
--- a/packages/sapphireway-state/src/sapphireway_state/_route_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_route_machine.py
@@ -9,7 +9,6 @@
 from sapphireway_state._routes import RouteTable, check_table
 
 PUBLICATIONS_MAX = 20_000  # digests of accepted orders; 0.5 MB in a snapshot
-DIGEST_BYTES = 16
 
 
 class Publish(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/sapphireway-state/src/sapphireway_state/_service_loss.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_service_loss.py
@@ -49,14 +49,6 @@
     return lost or None
 
 
-def list_remaining_domains(
-    tree: dict[str, Any], live: Sequence[LiveServers]
-) -> dict[str, list[str]]:
-    """Return the failure domains that serve each service, given a tree."""
-    serving = _list_serving(tree, live)
-    return {service: sorted(domains) for service, domains in sorted(serving.items())}
-
-
 def _list_serving(tree, live):
     domains_out = list_out_of_service(tree, "domains")
     servers_out = list_out_of_service(tree, "servers")
--- a/packages/sapphireway-state/tests/test_follower.py
+++ b/packages/sapphireway-state/tests/test_follower.py
@@ -57,6 +57,19 @@
     assert follower.view.version == 0
 
 
+def test_rejection_reason_is_not_kept_for_a_later_update(machine):
+    tree = {f"s{number}": {} for number in range(99)}
+    edit = Edit("e6", 5, [SetValue("servers", tree)], "an")
+    machine.apply(6, encode_edit(edit))
+    edit = Edit("e7", 6, [SetValue("weight", 9)], "an")
+    machine.apply(7, encode_edit(edit))
+    follower = SettingsFollower()
+    follower.apply_update(b"")
+    assert follower.rejection_reason
+    assert follower.apply_update(machine.encode_changes(6)) is UpdateResult.NEEDS_WHOLE
+    assert not follower.rejection_reason
+
+
 def test_tree_with_unknown_setting_is_refused_as_a_whole(machine):
     follower = SettingsFollower()
     follower.apply_update(machine.encode_tree())
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -86,7 +86,7 @@
     """Return the timeout in seconds of a Keep-Alive header; None if it has none."""
     for part in value.split(","):
         name, _, number = part.partition("=")
-        if name.strip().lower() == "timeout" and number.strip().isdigit():
+        if name.strip().lower() == "timeout" and _is_count(number):
             return int(number)
     return None
 
@@ -413,3 +413,9 @@
         self._detach(transfer)
         if not future.done():
             future.set_result(result)
+
+
+def _is_count(text):
+    """Return whether `text` is a decimal number; `str.isdigit` also accepts "²"."""
+    text = text.strip()
+    return text.isascii() and text.isdigit()
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -198,7 +198,11 @@
         self._state.reading.add(exchange)
         self._start_timeout(self._limits.idle_timeout_s)
         declared = request.get_header("Content-Length") or "0"
-        if declared.isdigit() and int(declared) > exchange.body_max_bytes:
+        if (
+            declared.isascii()
+            and declared.isdigit()
+            and int(declared) > exchange.body_max_bytes
+        ):
             self._reject_body()
 
     def on_body(self, body):
--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -9,6 +9,12 @@
 from typing import Any
 
 from sapphireway._dialects import Dialects
+from sapphireway._exits import (
+    EXIT_FAILED,
+    EXIT_INVALID,
+    EXIT_INVARIANT,
+    EXIT_OK,
+)
 from sapphireway._logs import EventLog, configure_logs
 from sapphireway._node import Node
 from sapphireway_state import (
@@ -22,10 +28,6 @@
 GC_YOUNG_THRESHOLD = 20_000
 GC_MIDDLE_THRESHOLD = 20
 GC_OLD_THRESHOLD = 100
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-EXIT_INVARIANT = 70
 
 
 def run_process(file: Path) -> int:
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -18,6 +18,7 @@
 from sapphireway._decisions import DecisionLog
 from sapphireway._dialects import Dialects
 from sapphireway._execution import make_call_executor, make_traced_executor
+from sapphireway._exits import EXIT_INVARIANT
 from sapphireway._logs import EventLog
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
@@ -266,7 +267,7 @@
         # and the process must not go on without the task.
         if not task.cancelled() and task.exception() is not None:
             self._log.error("task_failed", detail=repr(task.exception()))
-            raise SystemExit(1) from task.exception()
+            raise SystemExit(EXIT_INVARIANT) from task.exception()
 
     def _build_shared_state(self, rng):
         settings = self._settings
@@ -503,6 +504,14 @@
         self._metrics.register_gauge(
             "sapphireway_claim_bytes", lambda: self._holder.used_bytes
         )
+        self._metrics.register_gauge(
+            "sapphireway_settings_updates_rejected",
+            lambda: self._channel.rejected_updates,
+        )
+        self._metrics.register_gauge(
+            "sapphireway_peer_messages_unreadable",
+            lambda: self._peers.malformed_count,
+        )
 
     def _may_run_unsure(self, service):
         return self._state.view.resolve("", service, "").claim_run_when_unsure
--- a/packages/sapphireway/src/sapphireway/_publisher.py
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -16,12 +17,14 @@
 )
 from sapphireway_state import (
     Accepted,
+    Conflict,
     CurrentTable,
     CurrentTree,
     Edit,
     Publish,
     PublishResult,
     ReadTree,
+    Refused,
     SetValue,
     decode_answer,
     decode_current_table,
@@ -29,6 +32,7 @@
     encode_edit,
     encode_publish,
     encode_query,
+    format_problem,
 )
 
 PROPOSE_TIMEOUT_S = 4.0
@@ -37,6 +41,18 @@
 PUBLISHER_OPERATOR = "platform"
 
 
+@dataclass(slots=True, frozen=True)
+class EditRefused:
+    """Result: the edit is invalid and would be refused again.
+
+    Attributes
+    ----------
+    detail : str
+    """
+
+    detail: str
+
+
 class Publisher:
     """Publishes routing tables and takes failure domains out of service or back in.
 
@@ -76,7 +92,7 @@
             return answer
         return decode_current_table(answer)
 
-    async def set_out(self, domain: str, out: bool) -> Unavailable | None:
+    async def set_out(self, domain: str, out: bool) -> Unavailable | EditRefused | None:
         """Take a failure domain out of service or back in; return None if accepted."""
         for _ in range(CONFLICTS_MAX):
             tree = await self._read(TREE_PREFIX + encode_query(ReadTree()))
@@ -87,15 +103,15 @@
             if bool(spec.get("out")) == out:
                 return None
             answer = await self._edit(current.version, domain, out)
-            if answer is None or isinstance(answer, Unavailable):
+            if not isinstance(answer, Conflict):
                 return answer
         return Unavailable(
-            f"each of {CONFLICTS_MAX} edits of domain {domain!r} was refused or "
-            "conflicted with another edit"
+            f"each of {CONFLICTS_MAX} edits of domain {domain!r} conflicted with "
+            "another edit"
         )
 
     async def _edit(self, base, domain, out):
-        """Return None if accepted, else `Unavailable` or the answer of the refusal."""
+        """Return None if accepted, else why not; `Conflict` may be tried again."""
         operations = [SetValue(f"domains/{domain}/out", out)]
         edit = Edit(
             self._create_edit_id(),
@@ -111,7 +127,14 @@
         if not isinstance(result, Committed):
             return Unavailable(result.detail, result.maybe_applied)
         answer = decode_answer(result.result)
-        return None if isinstance(answer, Accepted) else answer
+        match answer:
+            case Accepted():
+                return None
+            case Conflict():
+                return answer
+            case Refused(problems=[first, *_]):
+                return EditRefused(format_problem(first))
+        return EditRefused(type(answer).__name__)
 
     async def _read(self, query):
         result = await self._control_client.read(query, READ_TIMEOUT_S)
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -6,11 +6,12 @@
 from sapphireway._main import run_node
 from sapphireway._node import Node
 from sapphireway._operator_backend import Unavailable
-from sapphireway._publisher import Publisher
+from sapphireway._publisher import EditRefused, Publisher
 
 __all__ = [
     "CallerDialect",
     "Dialects",
+    "EditRefused",
     "EventLog",
     "Node",
     "Publisher",
--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -4,7 +4,11 @@
 
 from sapphireway._logs import EventLog
 from sapphireway_coordination import AnnounceAccepted
-from sapphireway_platform._heartbeats import ServerRegistrar, decode_heartbeat
+from sapphireway_platform._heartbeats import (
+    BODY_MAX_BYTES,
+    ServerRegistrar,
+    decode_heartbeat,
+)
 from sapphireway_state import (
     RouteTable,
     RouteView,
@@ -135,7 +139,16 @@
         decode_heartbeat("i-1", json.dumps(HEARTBEAT | change).encode())
 
 
-@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b'{"service": "ledger"}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"service": "ledger"}',
+        json.dumps(HEARTBEAT).encode().ljust(BODY_MAX_BYTES + 1),
+    ],
+)
 def test_malformed_heartbeat_is_rejected(body):
     with pytest.raises(ValueError):
         decode_heartbeat("i-1", body)
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -7,7 +7,7 @@
 import tornado.web
 
 from sapphireway._logs import EventLog
-from sapphireway.hosting import Unavailable
+from sapphireway.hosting import EditRefused, Unavailable
 from sapphireway_platform._main import _make_operator_routes
 from sapphireway_state import (
     CurrentTable,
@@ -173,7 +173,12 @@
 
 @pytest.mark.parametrize(("verb", "out"), [("Start", True), ("Finish", False)])
 @pytest.mark.parametrize(
-    ("result", "status"), [(None, 200), (Unavailable("no quorum"), 503)]
+    ("result", "status"),
+    [
+        (None, 200),
+        (Unavailable("no quorum"), 503),
+        (EditRefused("no such domain"), 400),
+    ],
 )
 def test_evacuation_takes_domain_out_or_in(node, verb, out, result, status):
     node.out_result = result
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -111,3 +111,18 @@
     document = {name: value for name, value in NODE.items() if name != missing}
     with pytest.raises(msgspec.ValidationError, match=missing):
         load(document)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "message"),
+    [
+        ("internal_port_range", [], "internal_port_range"),
+        ("listen_addresses", {}, "control_plane"),
+        ("bounds", {"retry_budget_slack": 1}, "grace_period"),
+        ("bounds", {"grace_period": "6s"}, "retry_budget_slack"),
+        ("bounds", {"grace_period": "6s", "retry_budget_slack": "x"}, "a number"),
+    ],
+)
+def test_missing_entry_of_a_field_is_named(load, field, value, message):
+    with pytest.raises(ValueError, match=message):
+        load(NODE | {field: value})
