Look for a later frame up to the last place where an empty one fits

The search stopped one byte early, so damage before a last empty frame was taken for a torn write. test_damage_before_an_empty_frame_is_not_a_torn_write failed before and passes.

--- a/packages/sapphireway-state/src/sapphireway_state/_frame.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_frame.py
@@ -78,5 +78,5 @@
         return offset + HEADER_BYTES + header[0] < len(data)
     return any(
         _read_payload(data, later) is not None
-        for later in range(offset + 1, len(data) - HEADER_BYTES)
+        for later in range(offset + 1, len(data) - HEADER_BYTES + 1)
     )
