Let a stopping node finish its requests until shortly before its kill

Cause: the drain timeout of the defaults was made for a grace period of 6 s.

Change: with a known grace period the node drains until 0.3 s before its end. The drain timeout holds only without one.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -39,6 +39,7 @@
     ServerDialect,
 )
 from sapphireway_coordination.gate._shutdown import (
+    compute_drain_time,
     compute_serve_time,
 )
 
@@ -65,6 +66,7 @@
     "ServerDialect",
     "ServerLeft",
     "ServerWarmed",
+    "compute_drain_time",
     "compute_serve_time",
     "discover_local_server",
     "fetch_health",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
@@ -62,10 +62,14 @@
 
     def rank(self, now_s: float) -> tuple[bool, int, float]:
         """Return the sort key in the queue: lower ranks start first."""
-        late = now_s + self.service_s > self.target_s
+        late = self.is_late(now_s)
         by_s = self.deadline_s if late or self.target_s == math.inf else self.target_s
         return late, -self.weight, by_s
 
+    def is_late(self, now_s: float) -> bool:
+        """Return whether it can no longer meet its target latency."""
+        return now_s + self.service_s > self.target_s
+
     def decide(self, refusal: NotRunReason | None) -> bool:
         """Grant or refuse the slot; False if that was decided before."""
         if self.decision.done():
@@ -74,6 +78,11 @@
         return True
 
 
+EstimateWait = Callable[[Waiter, int, float], float]
+"""Returns the expected wait of a waiter in seconds, given the number of attempts ahead
+of it and their total service time."""
+
+
 class AdmissionQueue:
     """Priority queue: attempts in time first, then by weight, then by deadline.
 
@@ -123,6 +132,26 @@
         self._waiting[next(self._sequence)] = waiter
         return None
 
+    def refuse_hopeless(self, estimate_wait_s: EstimateWait) -> None:
+        """Refuse the waiters that are no longer expected to start in time.
+
+        A waiter that was expected to start in time may be overtaken since, or the
+        server may have become slower. Its caller can use the time elsewhere.
+        """
+        now_s = self._get_time()
+        ahead, ahead_s = 0, 0.0
+        for waiter in self._list_in_order(now_s):
+            wait_s = estimate_wait_s(waiter, ahead, ahead_s)
+            if now_s + wait_s > waiter.start_by_s:
+                self.refuse(waiter, NotRunReason.DEADLINE)
+                continue
+            ahead += 1
+            ahead_s += waiter.service_s
+
+    def _list_in_order(self, now_s):
+        # The sort is stable, so waiters of the same rank keep the order of arrival.
+        return sorted(self._waiting.values(), key=lambda waiter: waiter.rank(now_s))
+
     def pop(self) -> Waiter | None:
         """Remove and return the next waiter; refuse those too late to start."""
         now_s = self._get_time()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -14,6 +14,7 @@
     make_request,
     validate_result,
 )
+from sapphireway_coordination.gate._overtaking import StartedWork
 from sapphireway_coordination.gate._registration import Registration
 from sapphireway_coordination.gate._server_dialect import ServerDialect
 from sapphireway_coordination.suspects import (
@@ -61,6 +62,7 @@
         "_observe",
         "_queue",
         "_registration",
+        "_started_work",
         "_suspect_exchange",
         "_suspects",
         "idle",
@@ -90,6 +92,7 @@
         self._jobs = {}
         self._queue = queue
         self._registration = registration
+        self._started_work = StartedWork(self._loop.time)
         self._suspects = suspects
         self.idle = asyncio.Event()
         self.idle.set()
@@ -142,6 +145,8 @@
                 waiter.decide(NotRunReason.SUSPECT)
                 continue
             waiter.decide(self._start(job, alone=False))
+        if self._queue:
+            self._queue.refuse_hopeless(self._estimate_wait)
 
     def close(self) -> None:
         """Cancel all attempts."""
@@ -191,7 +196,7 @@
         if capacity.has_room() and not self._queue:
             return self._start(job, alone=False)
         waiter = self._make_waiter(job)
-        wait_s = capacity.estimate_wait_s(*self._queue.sum_ahead(waiter))
+        wait_s = self._estimate_wait(waiter, *self._queue.sum_ahead(waiter))
         refusal = self._queue.push(waiter, job.policy.queue_limit, wait_s)
         if refusal is not None:
             return refusal
@@ -243,6 +248,12 @@
             job.arrived_s,
         )
 
+    def _estimate_wait(self, waiter, ahead, ahead_s):
+        capacity = self._registration.capacity
+        wait_s = capacity.estimate_wait_s(ahead, ahead_s)
+        above = None if waiter.is_late(self._loop.time()) else waiter.weight
+        return self._started_work.stretch_wait(wait_s, above, capacity.limit)
+
     def _find_refusal(self, job):
         run = job.run
         if job.refusal is not None:
@@ -294,6 +305,9 @@
             run.attempt, run.kind, run.digest, now_s, False, alone
         )
         capacity.start(job.running)
+        service_s = capacity.estimate_run_s(run.kind)
+        if now_s + service_s <= job.target_s:
+            self._started_work.record(run.weight, service_s)
         self._observe(
             AttemptStarted(
                 run.attempt,
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_shutdown.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_shutdown.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 SERVE_MAX_S = 3.0  # callers learn within two seconds that the node is not ready
-MARGIN_S = 0.3  # to write the last answers before the process is killed
+STOP_MARGIN_S = 0.3  # to write the last answers before the process is killed
 
 
 def compute_serve_time(grace_s: float, timeouts_s: Iterable[float]) -> float:
@@ -21,4 +21,19 @@
         Timeout of each route.
     """
     longest_s = max(timeouts_s, default=0.0)
-    return min(max(grace_s - MARGIN_S - longest_s, 0.0), SERVE_MAX_S)
+    return min(max(grace_s - STOP_MARGIN_S - longest_s, 0.0), SERVE_MAX_S)
+
+
+def compute_drain_time(grace_s: float, drain_timeout_s: float) -> float:
+    """Return how long a stopping node waits for requests in flight, in seconds.
+
+    If the process is killed anyway, requests may run until shortly before that.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time from the signal until the process is killed; 0 if it is never killed.
+    drain_timeout_s : float
+        Maximum time to wait if it is not killed.
+    """
+    return max(grace_s - STOP_MARGIN_S, 0.0) if grace_s else drain_timeout_s
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -113,6 +113,11 @@
         self._changed = collections.deque()
         self._waiter = None
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether a changed attempt is queued."""
+        return bool(self._changed)
+
     def post(self, attempt: Attempt) -> None:
         """Queue a changed attempt and wake the call's task."""
         self._changed.append(attempt)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -9,6 +9,7 @@
     list_candidates,
     record_attempt_end,
 )
+from sapphireway_coordination.routing._choice_probing import compute_probe_wait
 from sapphireway_coordination.routing._events import (
     AttemptCause,
     AttemptEnded,
@@ -112,14 +113,14 @@
             return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
         if not self._admit():
             return self._refuse(NotRunReason.OVERLOADED, "the service is overloaded")
-        if not self._send_attempt(AttemptCause.FIRST):
+        if not await self._send_attempt(AttemptCause.FIRST):
             return self._conclude_unsent()
         while True:
             attempt = await self._mailbox.take(self._get_next_timer())
             if attempt is None:
-                outcome = self._handle_timer()
+                outcome = await self._handle_timer()
             else:
-                outcome = self._handle_change(attempt)
+                outcome = await self._handle_change(attempt)
             if outcome is not None:
                 return outcome
 
@@ -136,7 +137,7 @@
             self._dispatcher.attempts.drop(attempt, cancel=True)
         self._open.clear()
 
-    def _handle_change(self, attempt):
+    async def _handle_change(self, attempt):
         # An attempt can be queued twice before its end is handled here.
         if attempt.result is None or attempt not in self._open:
             return None
@@ -150,7 +151,7 @@
         self._outcomes.append(result)
         if is_stale(result) and self._try_resend(attempt.load):
             return None
-        if self._may_repeat(result) and self._try_retry():
+        if self._may_repeat(result) and await self._try_retry():
             return None
         if self._open:
             return None
@@ -189,13 +190,13 @@
         rng = self._dispatcher.rng
         return self._dispatcher.choose(candidates, self._call, rng, now_s)
 
-    def _try_retry(self):
+    async def _try_retry(self):
         cause = (
             AttemptCause.RETRY
             if self._count_servers_reached()
             else AttemptCause.REDIRECT
         )
-        return self._check_allowed(cause) and self._send_attempt(cause)
+        return self._check_allowed(cause) and await self._send_attempt(cause)
 
     def _count_servers_reached(self):
         """Return how many servers the call reached or may have reached."""
@@ -232,7 +233,7 @@
         failures = sum(isinstance(x, Failed | Unknown) for x in self._outcomes)
         return failures > 0 and failures + len(self._open) >= SUSPECT_FAILURES_MAX
 
-    def _send_attempt(self, cause):
+    async def _send_attempt(self, cause):
         """Send an attempt to the best reachable server; False if there is none."""
         while True:
             now_s = self._loop.time()
@@ -241,11 +242,31 @@
             )
             if not candidates:
                 return False
-            load = self._choose(candidates, now_s)
+            fresh = await self._probe(candidates)
+            if cause is not AttemptCause.FIRST and not self._is_still_due(cause):
+                return False
+            load = self._choose(fresh, self._loop.time())
             self._tried.append(load)
             if self._send_to(load, cause, len(candidates)):
                 return True
 
+    def _is_still_due(self, cause):
+        """Return whether another attempt is still allowed and needed after a wait."""
+        answered = cause is AttemptCause.HEDGE and self._mailbox.has_changes
+        return not answered and self._get_deny_reason(cause) is None
+
+    async def _probe(self, candidates):
+        """Return the candidates to choose from, after probes of some of them."""
+        if not self._call.policy.choice_probes or len(candidates) < 2:
+            return candidates
+        wait_s = compute_probe_wait(self._latencies.get_percentile(50))
+        if not wait_s:
+            return candidates
+        dispatcher = self._dispatcher
+        return await dispatcher.choice_prober.probe(
+            candidates, self._call, dispatcher.rng, wait_s
+        )
+
     def _send_to(self, load, cause, candidate_count):
         """Send an attempt; return False if it did not leave this process."""
         self._check_repeat()
@@ -368,7 +389,7 @@
             and not other.is_ejected(now_s)
         )
 
-    def _send_hedge(self, now_s):
+    async def _send_hedge(self, now_s):
         self._hedged = True
         load = self._open[0].load
         report_age_max_s = (
@@ -377,9 +398,9 @@
         if now_s - load.report_received_s > report_age_max_s:
             self._dispatcher.check_liveness(load, self._call.policy)
         if self._check_allowed(AttemptCause.HEDGE):
-            self._send_attempt(AttemptCause.HEDGE)
+            await self._send_attempt(AttemptCause.HEDGE)
 
-    def _handle_timer(self):
+    async def _handle_timer(self):
         now_s = self._loop.time()
         if now_s >= self._call.deadline_s:
             return self._conclude()
@@ -387,7 +408,7 @@
             if now_s >= self._get_revoke_time(attempt):
                 self._revoke(attempt, now_s)
         if now_s >= self._get_hedge_time():
-            self._send_hedge(now_s)
+            await self._send_hedge(now_s)
         return None
 
     def _get_revoke_time(self, attempt):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -10,6 +10,7 @@
 from sapphireway_coordination.routing._budgets import RETRY_TOKENS_MAX
 from sapphireway_coordination.routing._call import Call
 from sapphireway_coordination.routing._call_run import CallRun
+from sapphireway_coordination.routing._choice_probing import ChoiceProber
 from sapphireway_coordination.routing._ejection import Ejector
 from sapphireway_coordination.routing._events import CallEnded, ObserveCall
 from sapphireway_coordination.routing._explanation import ServerView, explain_servers
@@ -50,6 +51,7 @@
         "_attempt_ids",
         "_peers",
         "attempts",
+        "choice_prober",
         "choose",
         "ejector",
         "get_members",
@@ -81,6 +83,9 @@
         self.ejector = Ejector(rng, observe)
         self.loads = LoadTable()
         self.prober = Prober(peers, observe)
+        self.choice_prober = ChoiceProber(
+            peers, choose, asyncio.get_running_loop().time
+        )
         self.services = ServiceTable()
         peers.handle(LoadUpdate, self._handle_load_update)
         peers.handle(ProbeReply, self._handle_probe_reply)
@@ -150,6 +155,7 @@
             now_s = asyncio.get_running_loop().time()
             previous = load.report.slowness if load.report is not None else 0.0
             load.record_report(report, now_s)
+            self.choice_prober.record_report(report.server)
             self.ejector.restore_responsive(load, now_s)
             if report.slowness > previous:
                 self.attempts.wake(load)
--- a/packages/sapphireway-coordination/tests/test_shutdown.py
+++ b/packages/sapphireway-coordination/tests/test_shutdown.py
@@ -1,6 +1,6 @@
 import pytest
 
-from sapphireway_coordination import compute_serve_time
+from sapphireway_coordination import compute_drain_time, compute_serve_time
 
 
 @pytest.mark.parametrize(
@@ -15,3 +15,11 @@
 )
 def test_serve_time_leaves_room_for_last_request(grace_s, timeouts_s, serve_s):
     assert compute_serve_time(grace_s, timeouts_s) == pytest.approx(serve_s)
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "drain_timeout_s", "drain_s"),
+    [(0.0, 30.0, 30.0), (10.0, 30.0, 9.7), (10.0, 5.7, 9.7), (0.2, 5.7, 0.0)],
+)
+def test_drain_ends_shortly_before_the_kill(grace_s, drain_timeout_s, drain_s):
+    assert compute_drain_time(grace_s, drain_timeout_s) == pytest.approx(drain_s)
--- a/packages/sapphireway-state/src/sapphireway_state/_policy.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -37,6 +37,9 @@
         Percentage of ejected servers above which ejections are ignored.
     probe_rate_per_s : float
         Maximum number of load probes per second that one node sends.
+    choice_probes : int
+        Number of servers that are probed right before one is chosen for an attempt, if
+        their load reports are not fresh; 0 turns these probes off.
     load_stale_ms : int
         Age after which a load report is stale and the server may be probed.
     health_interval_ms : int
@@ -82,6 +85,7 @@
     hedge_percentile: float = 95.0
     panic_percent: float = 50.0
     probe_rate_per_s: float = 20.0
+    choice_probes: int = 0
     load_stale_ms: int = 200
     health_interval_ms: int = 0
     crossing_ms_per_kb: float = 0.0
--- a/packages/sapphireway-state/src/sapphireway_state/_schema.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_schema.py
@@ -141,6 +141,13 @@
         KIND_INDEPENDENT_SCOPES,
         "Maximum rate of the load probes that one node sends.",
     ),
+    _make_setting(
+        "choice_probes",
+        make_integer(0, 16),
+        REQUEST_SCOPES,
+        "Number of servers probed right before one is chosen for an attempt, unless "
+        "their reports are fresh; 0 turns these probes off.",
+    ),
     _make_setting(
         "load_stale_ms",
         make_integer(1, 60_000, "ms"),
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -44,6 +44,7 @@
     Membership,
     ReadResult,
     SettingsChannel,
+    compute_drain_time,
     compute_serve_time,
     discover_local_server,
     fetch_health,
@@ -203,9 +204,7 @@
         loop = asyncio.get_running_loop()
         drain_s = self._get_policy("", "").drain_timeout_ms / MS_PER_S
         grace_s = self._settings.stop_grace_ms / MS_PER_S
-        if grace_s:
-            drain_s = min(drain_s, grace_s)
-        deadline_s = loop.time() + drain_s
+        deadline_s = loop.time() + compute_drain_time(grace_s, drain_s)
         self._stopping = True
         if grace_s:
             # The local server goes on running; other nodes may still use it.
