Bring marks of crashing requests to nodes that have just joined

Change: marks also go to the nodes that lately sent requests here, and an entry node sends its mark right before a suspect request.

Measured: two tests, each red without its half.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -54,7 +54,7 @@
 MS_PER_S = 1000
 PERCENT = 100
 LIVENESS_TIMEOUT_S = 0.1  # a live process answers on its health endpoint immediately
-LOAD_UPDATE_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
+SENDER_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
 
 GetPolicy = Callable[[str, str], Policy]
 """Returns the policy of a service and kind; kind "" is that of the whole service."""
@@ -168,6 +168,7 @@
             observe,
             dialect,
         )
+        self._suspect_exchange.get_senders = self._list_senders
         self._suspect_exchange.is_running = self._runner.is_running
         self._suspect_exchange.is_up = self._is_server_up
         peers.handle(Run, self._handle_run)
@@ -256,6 +257,10 @@
             return False
         return True
 
+    def inform_of_suspect(self, node: str, service: str, digest: str) -> None:
+        """Tell a node, before it is sent a request, if the request is suspect."""
+        self._suspect_exchange.inform(node, service, digest)
+
     def get_load(self) -> LoadReport | None:
         """Return the load of the server, or None if no server announced itself."""
         capacity = self._registration.capacity
@@ -399,13 +404,17 @@
 
     def _send_load_update(self):
         """Send the server's load to the nodes that recently sent work."""
-        oldest_s = self._loop.time() - LOAD_UPDATE_WINDOW_S
+        load = self.get_load()
+        for node in self._list_senders():
+            self._peers.send(node, LoadUpdate(load))
+
+    def _list_senders(self):
+        """Return the nodes that recently sent work."""
+        oldest_s = self._loop.time() - SENDER_WINDOW_S
         self._last_run_s = {
             n: at_s for n, at_s in self._last_run_s.items() if at_s > oldest_s
         }
-        load = self.get_load()
-        for node in self._last_run_s:
-            self._peers.send(node, LoadUpdate(load))
+        return list(self._last_run_s)
 
     def _refuse_stale(self, sender, run, detail):
         reply = make_refusal(run.attempt, NotRunReason.STALE, 0.0, detail)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -272,6 +272,8 @@
         self._check_repeat()
         now_s = self._loop.time()
         attempt, run = self._create_attempt(load, cause, now_s)
+        # The same link keeps the order, so the mark arrives before the request.
+        self._dispatcher.inform_of_suspect(attempt.node, run.service, run.digest)
         if self._dispatcher.attempts.send(attempt, run, self._call.body):
             self._record_sent(attempt, candidate_count)
             return True
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -30,6 +30,10 @@
     pass
 
 
+def _ignore_suspect(node, service, digest):
+    pass
+
+
 class Dispatcher:
     """Sends each call to servers until it has exactly one outcome.
 
@@ -45,6 +49,8 @@
         Chooses the server of an attempt.
     get_retry_reserve : callable
         Returns the retry tokens that one service may hold in reserve at this node.
+    inform_of_suspect : callable
+        Called with node, service and digest before a request is sent to the node.
     """
 
     __slots__ = (
@@ -56,6 +62,7 @@
         "ejector",
         "get_members",
         "get_retry_reserve",
+        "inform_of_suspect",
         "loads",
         "observe",
         "prober",
@@ -71,7 +78,9 @@
         observe: ObserveCall = _ignore_event,
         choose: Choose = choose_predicted,
         get_retry_reserve: Callable[[], float] = lambda: RETRY_TOKENS_MAX,
+        inform_of_suspect: Callable[[str, str, str], None] = _ignore_suspect,
     ):
+        self.inform_of_suspect = inform_of_suspect
         self.get_retry_reserve = get_retry_reserve
         self._attempt_ids = itertools.count(1)
         self._peers = peers
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_exchange.py
@@ -45,6 +45,9 @@
     ----------
     is_running : callable
         Tells whether this node's server is running a digest.
+    get_senders : callable
+        Returns the addresses of the nodes that lately sent requests to that server.
+        The membership may not list them yet.
     is_up : callable
         Asks that server whether it is up; returns False also if it can't be asked.
     service : str
@@ -59,6 +62,7 @@
         "_table",
         "_tasks",
         "_ttl_s",
+        "get_senders",
         "is_running",
         "is_up",
         "service",
@@ -72,6 +76,7 @@
         self._table = table
         self._tasks = set()
         self._ttl_s = 0.0
+        self.get_senders = lambda: ()
         self.is_running = lambda digest: False
         self.is_up = _report_down
         self.service = ""
@@ -144,6 +149,15 @@
         else:
             self._peers.send(suspect.origin, ReturnRerun(self.service, digest))
 
+    def inform(self, node: str, service: str, digest: str) -> None:
+        """Send what is known of a digest to a node that is about to get a request.
+
+        The node may have joined after the digest was marked.
+        """
+        suspect = self._table.get(digest) if service == self.service else None
+        if suspect is not None:
+            self._peers.send(node, self._make_mark(suspect))
+
     def renew(self, digest: str) -> None:
         """Extend a condemned digest on all nodes while requests for it arrive."""
         suspect = self._table.renew(digest)
@@ -180,9 +194,18 @@
             for suspect in suspects
             for node in self._list_other_nodes()
         ]
+        self._share_with_newcomers(suspects)
         if sends:
             await asyncio.wait(sends, timeout=ACK_WAIT_S)
 
+    def _share_with_newcomers(self, suspects):
+        """Send marks to senders that are no members here, without waiting for them."""
+        known = {self._peers.address, *self._get_nodes(self.service)}
+        newcomers = [node for node in self.get_senders() if node not in known]
+        for node in newcomers:
+            for suspect in suspects:
+                self._spawn(self._deliver(node, self._make_mark(suspect)))
+
     async def _deliver(self, node, mark):
         for timeout_s in ACK_TIMEOUTS_S:
             reply = await self._peers.request(node, mark, timeout_s)
--- a/packages/sapphireway-coordination/tests/test_suspects.py
+++ b/packages/sapphireway-coordination/tests/test_suspects.py
@@ -93,11 +93,9 @@
             )
             gate.announce(dataclasses.replace(announcement, **changes))
 
-    async def call(self, node, digest, *, idempotent=True):
-        self.attempts += 1
-        attempt = f"a{self.attempts}"
-        now_s = asyncio.get_running_loop().time()
-        run = Run(
+    def make_run(self, attempt, digest, node, idempotent=True):
+        latest_start_s = asyncio.get_running_loop().time() + 0.4
+        return Run(
             attempt,
             attempt,
             "ledger",
@@ -109,9 +107,14 @@
             10,
             digest,
             500.0,
-            now_s + 0.4,
+            latest_start_s,
             node,
         )
+
+    async def call(self, node, digest, *, idempotent=True):
+        self.attempts += 1
+        attempt = f"a{self.attempts}"
+        run = self.make_run(attempt, digest, node, idempotent)
         self.replies[attempt] = asyncio.get_running_loop().create_future()
         self.entry.send(node, run)
         try:
@@ -325,6 +328,36 @@
     assert (await fleet.call("n2", CRASHING)).reason == NotRunReason.SUSPECT
 
 
+@run_on_fleet
+async def test_mark_reaches_a_sender_that_is_not_a_member_yet(fleet):
+    """A node that just started sends requests before the others list it as a member."""
+    new_node, *members = fleet.nodes
+    for member in members:
+        fleet.gates[member]._suspect_exchange._get_nodes = lambda service: members
+    sender = fleet.gates[new_node]._peers
+    run = fleet.make_run("from-new", CRASHING, members[0])
+    sender.handle(Reply, lambda *reply: None)
+    sender.send(members[0], run)
+    await asyncio.sleep(0.2)
+    await fleet.call_in_turn(CRASHING, [*members[1:], new_node])
+    assert fleet.count_crashed() == 2
+
+
+@run_on_fleet
+async def test_request_brings_its_mark_to_a_node_that_missed_it(fleet):
+    new_node, *members = fleet.nodes
+    for member in members:
+        fleet.gates[member]._suspect_exchange._get_nodes = lambda service: members
+    await fleet.call_in_turn(CRASHING, members)
+    assert fleet.count_crashed() == 2
+    # As an entry node, a member sends the request on to the new node.
+    gate = fleet.gates[members[0]]
+    gate.inform_of_suspect(new_node, "ledger", CRASHING)
+    gate._peers.send(new_node, fleet.make_run("sent-on", CRASHING, new_node))
+    await asyncio.sleep(0.2)
+    assert fleet.count_crashed() == 2
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_random_resends_crash_two_servers(seed):
     async def main():
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -320,6 +320,7 @@
             self._observe,
             self._make_member_chooser(),
             self._get_retry_reserve,
+            self._inform_of_suspect,
         )
         self._claimant = Claimant(
             self._peers, self._state.get_group, rng, observe=self._observe
@@ -347,6 +348,9 @@
             self._dialects.callers,
         )
 
+    def _inform_of_suspect(self, node, service, digest):
+        self._gate.inform_of_suspect(node, service, digest)
+
     def _get_retry_reserve(self):
         if not self._settings.retry_reserve:
             return RETRY_TOKENS_MAX
