--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -92,10 +92,13 @@
         Creates the algorithm that adapts the limit of requests in flight.
     dialect : ServerDialect
         HTTP conventions of the server.
+    cold_reserve_per_s : float
+        Requests per second that a cold server may get beyond its rate.
     """
 
     __slots__ = (
         "_client",
+        "_cold_reserve_per_s",
         "_completions",
         "_draining",
         "_get_policy",
@@ -122,8 +125,10 @@
         get_nodes: GetNodes = lambda service: (),
         make_update: Callable[[], UpdateLimit] = make_additive_update,
         dialect: ServerDialect = DEFAULT_SERVER_DIALECT,
+        cold_reserve_per_s: float = 0.0,
     ):
         self._client = client
+        self._cold_reserve_per_s = cold_reserve_per_s
         self._draining = False
         self._get_policy = get_policy
         self._last_run_s = {}
@@ -206,6 +211,8 @@
         previous = self.announcement
         policy = self._get_policy(announcement.service, "")
         rate_per_s = announcement.cold_rate_per_s * policy.cold_rate_percent / PERCENT
+        if rate_per_s:
+            rate_per_s += self._cold_reserve_per_s
         announcement = dataclasses.replace(announcement, cold_rate_per_s=rate_per_s)
         result = self._registration.announce(announcement, policy.cold_limit)
         self._health.start()
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -392,6 +392,17 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize(("rate_per_s", "limit_per_s"), [(20.0, 25.0), (0.0, 0.0)])
+def test_cold_reserve_comes_on_top_of_a_known_rate(rate_per_s, limit_per_s):
+    async def main():
+        bench = Bench(announced=False)
+        bench.gate._cold_reserve_per_s = 5.0
+        bench.announce(cold_s=3.0, cold_rate_per_s=rate_per_s)
+        return bench.gate.get_load().starts_per_s
+
+    assert run_paused(main()) == limit_per_s
+
+
 @paused
 async def test_heavier_kinds_start_first_under_overload(bench):
     await bench.warm()
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -15,6 +15,7 @@
     make_integer,
     make_list,
     make_name,
+    make_number,
     make_pattern,
     suggest_name,
 )
@@ -63,6 +64,8 @@
         Retries and hedges of a service that all nodes together may make in a burst
         beyond the percentage of its calls; divided equally among the nodes. If 0, each
         node has a fixed reserve of its own.
+    cold_reserve_per_s : float
+        Requests per second that a cold server may get beyond its rate.
     server_url : str
         Base URL of the local server, whose health the node queries at startup to
         register it; empty if the server must announce itself first.
@@ -106,6 +109,7 @@
     open_control: bool = False
     stop_grace_ms: int = 0
     retry_reserve: int = 0
+    cold_reserve_per_s: float = 0.0
     server_url: str = ""
     server_service: str = ""
     initial_tree: str | None = None
@@ -140,6 +144,7 @@
     "open_control": make_boolean(),
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "retry_reserve": make_integer(0, 1_000_000),
+    "cold_reserve_per_s": make_number(0, 1_000, "per second"),
     "server_url": _URL,
     "server_service": make_name(),
     "initial_tree": _PATH,
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -334,6 +334,7 @@
             self._observe_gate,
             lambda service: [member.node for member in self._get_members(service)],
             dialect=self._dialects.server,
+            cold_reserve_per_s=self._settings.cold_reserve_per_s,
         )
         self._registration.set_gate(self._gate)
         self._callers = CallerApi(
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -4,11 +4,15 @@
 
 import msgspec
 import pytest
+import yaml
 
+from sapphireway_coordination.gate._cold_rate import ColdRate
 from sapphireway_platform._settings import load_settings
 
 ROOT = Path("/root-of-the-tree")
 DEPLOY_FILE = Path(__file__).parents[2] / "deploy/system.toml"
+TREE_FILE = DEPLOY_FILE.parent / "tree.yaml"
+COLD_LOAD_FACTOR = 1.5  # the users' bound on a cold server, in rates that it tells
 NODE = {
     "node_name": "sidecar-bxl-a-1",
     "role": "node",
@@ -24,7 +28,7 @@
     "seed_nodes": ["10.1.0.41:8144", "10.2.0.42:8144", "10.3.0.8:8144"],
     "initial_bootstrap": True,
     "serves": ["sidecar"],
-    "bounds": {"grace_period": "6s", "retry_budget_slack": 56},
+    "bounds": {"grace_period": "6s", "retry_budget_slack": 56, "cold_slack": 5},
     "data_directory": None,
     "service": "huvo11a",
     "application_address": "10.1.0.38:8145",
@@ -120,9 +124,33 @@
         ("listen_addresses", {}, "control_plane"),
         ("bounds", {"retry_budget_slack": 1}, "grace_period"),
         ("bounds", {"grace_period": "6s"}, "retry_budget_slack"),
-        ("bounds", {"grace_period": "6s", "retry_budget_slack": "x"}, "a number"),
+        ("bounds", {"grace_period": "6s", "retry_budget_slack": 1}, "cold_slack"),
+        (
+            "bounds",
+            {"grace_period": "6s", "retry_budget_slack": "x", "cold_slack": 1},
+            "a number",
+        ),
     ],
 )
 def test_missing_entry_of_a_field_is_named(load, field, value, message):
     with pytest.raises(ValueError, match=message):
         load(NODE | {field: value})
+
+
+@pytest.mark.parametrize("rate_per_s", [2.0, 5.1, 17.0])
+@pytest.mark.parametrize("slack", [5, 8, 10])
+def test_cold_server_gets_less_than_users_allow_in_any_second(load, rate_per_s, slack):
+    """One request less, since one that waited can arrive at the edge of a second."""
+    process = load(NODE | {"bounds": NODE["bounds"] | {"cold_slack": slack}}).process
+    percent = yaml.safe_load(TREE_FILE.read_text())["cold_rate_percent"]
+    rate = ColdRate()
+    limit_per_s = rate_per_s * percent / 100 + process.cold_reserve_per_s
+    rate.start(limit_per_s, 3.0, 0.0)
+    starts = []
+    for step in range(3000):
+        while rate.has_room(step / 1000):
+            rate.take(step / 1000)
+            starts.append(step / 1000)
+    busiest = max(sum(s <= at_s < s + 1.0 for at_s in starts) for s in starts)
+    assert busiest + 1 <= rate_per_s * COLD_LOAD_FACTOR + slack
+    assert busiest >= rate_per_s
