Wait for a first reply to probes over new links

Change: a choice whose probes nobody has answered waits up to six times as long for a first reply.

Ruled out: slow starts (all up within 1.4 s), missing settings or members (known 0.5 s later).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_choice_probing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_choice_probing.py
@@ -18,6 +18,7 @@
 WAIT_MAX_S = 0.015
 WAIT_MIN_S = 0.003  # below it, replies from other failure domains would be too late
 WAIT_SHARE_MAX = 0.25  # of the usual latency of the call's kind
+FIRST_REPLY_WAITS = 6  # without any reply; a new link takes several round trips
 
 
 def compute_probe_wait(latency_s: float | None) -> float:
@@ -39,21 +40,22 @@
 
     Attributes
     ----------
-    replied : Event
-        Set once all servers have replied.
+    first_replied, all_replied : Event
     """
 
-    __slots__ = ("_pending", "replied")
+    __slots__ = ("_pending", "all_replied", "first_replied")
 
     def __init__(self, servers: Sequence[str]):
         self._pending = set(servers)
-        self.replied = asyncio.Event()
+        self.all_replied = asyncio.Event()
+        self.first_replied = asyncio.Event()
 
     def record_reply(self, server: str) -> None:
         """Record that a report of `server` arrived."""
         self._pending.discard(server)
+        self.first_replied.set()
         if not self._pending:
-            self.replied.set()
+            self.all_replied.set()
 
 
 class ChoiceProber:
@@ -83,7 +85,12 @@
     async def probe(
         self, candidates: Sequence[ServerLoad], call: Call, rng, wait_s: float
     ) -> Sequence[ServerLoad]:
-        """Return the candidates with fresh reports; all of them if none replies."""
+        """Return the candidates with fresh reports; all of them if none replies.
+
+        Waits `wait_s` for all replies, and longer for a first one: a request to a
+        server without a recent report would be a guess, and be refused if the link to
+        its node is new.
+        """
         now_s = self._get_time()
         probed = self._select(candidates, call, rng, now_s)
         stale = [x for x in probed if now_s - x.report_received_s > REPORT_FRESH_S]
@@ -117,10 +124,9 @@
             self._peers.send(load.member.node, Probe(load.member.server))
         self.sent += len(loads)
         try:
-            async with asyncio.timeout(wait_s):
-                await probe_round.replied.wait()
-        except TimeoutError:
-            pass
+            if not await _wait(probe_round.all_replied, wait_s):
+                first_wait_s = (FIRST_REPLY_WAITS - 1) * wait_s
+                await _wait(probe_round.first_replied, first_wait_s)
         finally:
             for server in servers:
                 self._remove(server, probe_round)
@@ -130,3 +136,13 @@
         rounds.remove(probe_round)
         if not rounds:
             del self._rounds[server]
+
+
+async def _wait(event, timeout_s):
+    """Wait for an event; return False on timeout."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
