Bound the time that a control client waits for one silent host

Rounds of refused connections doubled the time of an attempt, so a host that was starting could swallow a request and all of the caller's time.

Change: the time grows only after a round in which a host stayed silent, to 4 s at most.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
@@ -11,6 +11,9 @@
 from sapphireway_protocol import ChangeMembers, ControlReply, Peers, Propose, Query
 
 ATTEMPT_TIMEOUT_S = 1.0
+# A host that starts drops requests before it can serve them, so one silent host must
+# not take most of the time.
+ATTEMPT_TIMEOUT_MAX_S = 4.0
 RETRY_WAIT_S = 0.1
 
 
@@ -84,12 +87,15 @@
         maybe_applied = False
         last = None
         attempt_timeout_max_s = ATTEMPT_TIMEOUT_S
+        waited = False
         hosts = self._order_hosts()
         while (remaining_s := deadline_s - loop.time()) > 0:
             host = hosts.pop(0)
             attempt_timeout_s = min(remaining_s, attempt_timeout_max_s)
             attempt = msgspec.structs.replace(request, timeout_s=attempt_timeout_s)
+            sent_s = loop.time()
             reply = await self._peers.request(host, attempt, attempt_timeout_s, body)
+            waited |= reply is None and loop.time() - sent_s >= attempt_timeout_s
             if reply is not None and isinstance(reply.message, ControlReply):
                 last = reply.message
                 self._leader = last.leader or None
@@ -103,7 +109,12 @@
                 break
             if not hosts:
                 hosts = self._order_hosts()
-                attempt_timeout_max_s *= 2
+                if waited:
+                    attempt_timeout_max_s *= 2
+                    attempt_timeout_max_s = min(
+                        attempt_timeout_max_s, ATTEMPT_TIMEOUT_MAX_S
+                    )
+                waited = False
                 await asyncio.sleep(RETRY_WAIT_S * self._rng.uniform(0.5, 1.5))
         return last, b"", maybe_applied
 
--- a/packages/sapphireway-coordination/tests/test_control_client.py
+++ b/packages/sapphireway-coordination/tests/test_control_client.py
@@ -1,9 +1,18 @@
 import asyncio
+import random
 
 import pytest
 from tests.quorum_cluster import Cluster
 
-from sapphireway_coordination import Committed, ReadResult, Unavailable
+from sapphireway_coordination import (
+    Committed,
+    ControlClient,
+    ControlHostList,
+    ReadResult,
+    Unavailable,
+)
+from sapphireway_coordination.settings._control_client import ATTEMPT_TIMEOUT_S
+from sapphireway_protocol import ControlReply, Envelope
 from sapphireway_transport.memory import run_paused
 
 
@@ -87,3 +96,34 @@
         assert len(cluster.status(cluster.leader()).voters) == 3
 
     run_paused(run())
+
+
+class StartingHosts:
+    """Peers whose hosts start: refused at first, then one drops what it gets."""
+
+    def __init__(self, refused_s):
+        self.loop = asyncio.get_running_loop()
+        self.refused_s = refused_s
+
+    async def request(self, host, message, timeout_s, body=b""):
+        if self.loop.time() < self.refused_s:
+            return None
+        if host == "silent":
+            await asyncio.sleep(timeout_s)
+            return None
+        reply = ControlReply(True, 7, host)
+        return Envelope(reply, b"state")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_silent_host_after_refused_connections_takes_little_of_the_time(seed):
+    async def run():
+        peers = StartingHosts(refused_s=1.0)
+        hosts = ControlHostList(["silent", "a", "b"])
+        client = ControlClient(peers, hosts, random.Random(seed))
+        result = await client.read(b"", 20.0)
+        return result, peers.loop.time()
+
+    result, elapsed_s = run_paused(run())
+    assert result == ReadResult(7, b"state")
+    assert elapsed_s <= 1.0 + ATTEMPT_TIMEOUT_S + 1.0
