--- a/packages/sapphireway-state/tests/test_follower.py
+++ b/packages/sapphireway-state/tests/test_follower.py
@@ -30,12 +30,17 @@
     assert follower.view.resolve("a", "b", "c").weight == 5
 
 
-def test_delta_from_another_version_needs_whole_tree(machine):
+def apply_two_edits(machine):
+    """Bring the machine to version 7; the tree is larger than the last change."""
     tree = {f"s{number}": {} for number in range(99)}
     edit = Edit("e6", 5, [SetValue("servers", tree)], "an")
     machine.apply(6, encode_edit(edit))
     edit = Edit("e7", 6, [SetValue("weight", 9)], "an")
     machine.apply(7, encode_edit(edit))
+
+
+def test_delta_from_another_version_needs_whole_tree(machine):
+    apply_two_edits(machine)
     follower = SettingsFollower()
     assert follower.apply_update(machine.encode_changes(6)) is UpdateResult.NEEDS_WHOLE
     assert follower.view.version == 0
@@ -58,11 +63,7 @@
 
 
 def test_rejection_reason_is_not_kept_for_a_later_update(machine):
-    tree = {f"s{number}": {} for number in range(99)}
-    edit = Edit("e6", 5, [SetValue("servers", tree)], "an")
-    machine.apply(6, encode_edit(edit))
-    edit = Edit("e7", 6, [SetValue("weight", 9)], "an")
-    machine.apply(7, encode_edit(edit))
+    apply_two_edits(machine)
     follower = SettingsFollower()
     follower.apply_update(b"")
     assert follower.rejection_reason
