Read and log the limit and the leaving of a server; survive malformed figures

Found while writing the tests: a figure of over 4,300 digits, or one that no float holds, in Server-Load or Cold-Remaining-Ms raised in the gate. The request had run, its caller got no answer from the node, and a health answer with it ended the polling of that server for good.

A report in an answer that isn't the server's own (no signature, 421 of another server) is no longer applied.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -176,6 +176,35 @@
     rate_per_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class ServerLimited:
+    """A server set, changed or lifted its limit on requests per second.
+
+    Attributes
+    ----------
+    server : str
+    requests_per_s : float or None
+        None if it lifted the limit.
+    """
+
+    server: str
+    requests_per_s: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class ReportUnreadable:
+    """A server's answer had malformed values in its report; they were ignored.
+
+    Attributes
+    ----------
+    server : str
+    detail : str
+    """
+
+    server: str
+    detail: str
+
+
 @dataclass(slots=True, frozen=True)
 class ServerWarmed:
     """The server's limit has reached its slots after a cold start."""
@@ -233,6 +262,8 @@
     | LimitChanged
     | RelapseSeen
     | ServerCold
+    | ServerLimited
+    | ReportUnreadable
     | ServerWarmed
     | ServerAnnounced
     | ServerLeft
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -12,6 +12,7 @@
 from sapphireway_coordination.gate._registration import Registration
 from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_coordination.gate._server_dialect import ServerDialect
+from sapphireway_coordination.gate._server_limit import ReportSource
 from sapphireway_transport import Responded, ServerClient, ServerRequest
 
 HEALTH_TIMEOUT_S = 1.0
@@ -80,9 +81,10 @@
             if not interval_s or self._registration.lease_expired:
                 await asyncio.sleep(DISABLED_CHECK_S)
                 continue
+            sent_s = loop.time()
             report = await self._poll(announcement)
             if report is not None and announcement is self._registration.announcement:
-                self._registration.apply_report(report)
+                self._registration.apply_report(report, ReportSource.HEALTH, sent_s)
             if loop.time() - self._get_last_start_s() > IDLE_AFTER_S:
                 interval_s = max(interval_s, IDLE_INTERVAL_S)
             await asyncio.sleep(interval_s)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -13,11 +13,14 @@
 from sapphireway_coordination.gate._events import (
     ObserveGate,
     RelapseCause,
+    ReportUnreadable,
     ServerAnnounced,
     ServerLeft,
+    ServerLimited,
 )
 from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination.gate._self_report import SelfReport
+from sapphireway_coordination.gate._server_limit import ReportSource, ServerLimit
 from sapphireway_protocol import NotRunReason
 
 RENEW_S = 2.0
@@ -44,6 +47,8 @@
     ----------
     capacity : ServerCapacity or None
         None until the first announcement.
+    server_limit : ServerLimit
+        Limit that the registered server has set.
     """
 
     __slots__ = (
@@ -56,8 +61,10 @@
         "_observe",
         "_on_slowness_change",
         "_refuse_waiting",
+        "_unreadable",
         "_wake",
         "capacity",
+        "server_limit",
     )
 
     def __init__(
@@ -77,8 +84,10 @@
         self._make_update = make_update
         self._observe = observe
         self._refuse_waiting = refuse_waiting
+        self._unreadable = ()
         self._wake = wake
         self.capacity = None
+        self.server_limit = ServerLimit()
 
     @property
     def announcement(self) -> Announcement | None:
@@ -153,13 +162,25 @@
         """Extend the lease, as an answer proves that the server is alive."""
         self._lease_until_s = self._loop.time() + LEASE_S
 
-    def apply_report(self, report: SelfReport) -> None:
-        """Apply the status that the server reported in an answer."""
+    def apply_report(
+        self, report: SelfReport, source: ReportSource, sent_s: float
+    ) -> None:
+        """Apply the status that the server reported in an answer.
+
+        Parameters
+        ----------
+        report : SelfReport
+        source : ReportSource
+        sent_s : float
+            Loop time at which the answered request was sent.
+        """
         capacity = self.capacity
         if capacity is None:
             return
         if report.server is not None and report.server != self.announcement.server:
             return
+        self._report_unreadable(report)
+        self._update_server_limit(report, source, sent_s)
         if report.cold_s is not None:
             capacity.update_cold_time(report.cold_s)
         if report.in_flight is not None:
@@ -170,6 +191,18 @@
             if abs(before - report.slowness) > SLOWNESS_TOLERANCE * before:
                 self._on_slowness_change()
 
+    def _report_unreadable(self, report):
+        # The same malformed value comes with every answer.
+        if report.unreadable and report.unreadable != self._unreadable:
+            detail = ", ".join(report.unreadable)
+            self._observe(ReportUnreadable(self.announcement.server, detail))
+        self._unreadable = report.unreadable
+
+    def _update_server_limit(self, report, source, sent_s):
+        limit = self.server_limit
+        if limit.update(report, source, sent_s, self._loop.time()):
+            self._observe(ServerLimited(self.announcement.server, limit.per_s))
+
     def close(self) -> None:
         """Drop the registration and cancel the timers."""
         if self._lease_timer is not None:
@@ -187,6 +220,7 @@
         return gone and self.capacity.in_flight == 0
 
     def _register(self, announcement, cold_limit):
+        self.server_limit = ServerLimit()
         self.capacity = ServerCapacity(
             announcement,
             cold_limit,
@@ -202,6 +236,7 @@
         restarted = not announcement.is_same_start(self.announcement)
         self.capacity.renew(announcement, cold_limit)
         if restarted:
+            self.server_limit = ServerLimit()
             self._report_announced(announcement)
         elif self._lease_expired:
             self.capacity.relapse(RelapseCause.ANNOUNCED)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -17,6 +17,7 @@
 from sapphireway_coordination.gate._overtaking import StartedWork
 from sapphireway_coordination.gate._registration import Registration
 from sapphireway_coordination.gate._server_dialect import ServerDialect
+from sapphireway_coordination.gate._server_limit import ReportSource
 from sapphireway_coordination.suspects import (
     RunPermission,
     SuspectExchange,
@@ -334,10 +335,15 @@
             self._dialect,
         )
         job.sending = True
-        result = await self._client.send(request)
-        if isinstance(result, Responded):
-            self._registration.apply_report(self._dialect.read_report(result))
-        return validate_result(result, self._dialect)
+        sent_s = self._loop.time()
+        result = validate_result(await self._client.send(request), self._dialect)
+        if (
+            isinstance(result, Responded)
+            and job.capacity is self._registration.capacity
+        ):
+            report = self._dialect.read_report(result)
+            self._registration.apply_report(report, ReportSource.ANSWER, sent_s)
+        return result
 
     def _end_request(self, job, result):
         job.sending = False
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_self_report.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_self_report.py
@@ -19,6 +19,12 @@
         Requests that it runs or has queued by its own count.
     slots : int or None
         Requests that it can run concurrently.
+    requests_per_s : float or None
+        Limit that it sets for all requests together; None if the answer sets none.
+    leaving : bool
+        The server is about to stop.
+    unreadable : tuple of str
+        Values in the answer that are malformed and were left out, for the log.
     """
 
     slowness: float | None = None
@@ -26,3 +32,6 @@
     server: str | None = None
     in_flight: int | None = None
     slots: int | None = None
+    requests_per_s: float | None = None
+    leaving: bool = False
+    unreadable: tuple[str, ...] = ()
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -16,7 +16,10 @@
     LimitChanged,
     MemberEjected,
     RelapseSeen,
+    ReportUnreadable,
     RetryDenied,
+    ServerLeft,
+    ServerLimited,
     SuspectMarked,
 )
 
@@ -25,7 +28,15 @@
 Observe = Callable[[Any], None]
 """Called with each event dataclass of the coordination layer."""
 
-LOGGED_EVENTS = (GateChanged, MemberEjected, RelapseSeen, SuspectMarked)
+LOGGED_EVENTS = (
+    GateChanged,
+    MemberEjected,
+    RelapseSeen,
+    ReportUnreadable,
+    ServerLeft,
+    ServerLimited,
+    SuspectMarked,
+)
 LABEL_FIELDS = {
     AttemptRefused: ("service", "kind", "reason"),
     CallEnded: ("service", "kind", "outcome"),
