--- a/packages/sapphireway-transport/src/sapphireway_transport/memory/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_server.py
@@ -72,6 +72,10 @@
     overloads : int
         Requests that arrived when the concurrency limit was already reached.
     crashes : int
+    answer_headers : tuple of (str, str)
+        Headers of every answer.
+    arrivals_s : list of float
+        Loop times at which requests arrived, including those it did not run.
     start_id : str
     """
 
@@ -83,6 +87,8 @@
         "_rng",
         "_start_count",
         "_thawed",
+        "answer_headers",
+        "arrivals_s",
         "cold_requests",
         "cold_slots",
         "connections_max",
@@ -118,6 +124,8 @@
         self._start_count = 1
         self._thawed = asyncio.Event()
         self._thawed.set()
+        self.answer_headers = ()
+        self.arrivals_s = []
         self.saturation_in_flight = float(slots)
         self.cold_requests = 0
         self.cold_slots = 1
@@ -217,10 +225,11 @@
             await asyncio.sleep(CONNECT_LATENCY_S)
 
     async def _answer(self, request, crashed):
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         if self.shed or self.shed_unmarked:
             await asyncio.sleep(SHED_LATENCY_S)
             shed_headers = ((NOT_RUN_HEADER, "shedding"),) if self.shed else ()
-            return Responded(503, shed_headers, b"")
+            return Responded(503, (*shed_headers, *self.answer_headers), b"")
         self._record_start(request)
         if self.crashes_on_overload and self.in_flight > self.concurrency_limit:
             self.crash()
@@ -267,7 +276,7 @@
             return Broken("connection closed", disconnected=True)
         self.in_flight -= 1
         self._answered_count += 1
-        return Responded(200, (), request.body)
+        return Responded(200, self.answer_headers, request.body)
 
     def _end_after_detection(self, crashed):
         # A server needs some time to notice that the connection was closed.
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from sapphireway_coordination import Announcement, Gate
+from sapphireway_coordination import DEFAULT_SERVER_DIALECT, Announcement, Gate
 from sapphireway_protocol import Peers, Reply, Revoked, Run, ServerState
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
@@ -16,11 +16,19 @@
 class Bench:
     """A gate with an in-memory server, and an entry node that sends to it."""
 
-    def __init__(self, seed=1, slots=6, policy=None, announced=True):
+    def __init__(
+        self,
+        seed=1,
+        slots=6,
+        policy=None,
+        announced=True,
+        dialect=DEFAULT_SERVER_DIALECT,
+    ):
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.rng)
         self.server = MemoryServer(self.rng, slots)
         self.policy = policy or Policy()
+        self.dialect = dialect
         self.events = []
         self.sent = {}
         self.replies = {}
@@ -52,6 +60,7 @@
             self.rng,
             lambda service, kind: self.policy,
             self.events.append,
+            dialect=self.dialect,
         )
         self.peers.start()
 
