--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -19,6 +19,7 @@
     RelapseCause,
     RelapseSeen,
     ServerCold,
+    ServerLimited,
     ServerWarmed,
 )
 from sapphireway_coordination.gate._knee import KneeDetector
@@ -30,6 +31,8 @@
     UpdateLimit,
     make_additive_update,
 )
+from sapphireway_coordination.gate._self_report import SelfReport
+from sapphireway_coordination.gate._server_limit import ReportSource, ServerLimit
 from sapphireway_coordination.routing import estimate_slowed_time
 from sapphireway_state import check_invariant
 from sapphireway_transport import Broken, NotSent, Responded, ServerResult
@@ -94,6 +97,8 @@
     ----------
     reserved : str or None
         Attempt that waits to run alone or does so; no other may start meanwhile.
+    server_limit : ServerLimit
+        Rate limit that the server sets in its answers.
     last_start_s : float
         Loop time at which the last request was sent to the server.
     slowness : float
@@ -106,7 +111,6 @@
     __slots__ = (
         "_cold_limit",
         "_cold_rate",
-        "_cold_timer",
         "_detector",
         "_disconnects",
         "_get_time",
@@ -116,6 +120,7 @@
         "_limit",
         "_lingering",
         "_observe",
+        "_rate_timer",
         "_refused_s",
         "_running",
         "_slow_since_s",
@@ -125,6 +130,7 @@
         "baseline",
         "last_start_s",
         "reserved",
+        "server_limit",
         "slow_span_s",
         "slowness",
     )
@@ -143,6 +149,7 @@
         self.baseline = LatencyBaseline()
         self.last_start_s = float("-inf")
         self.reserved = None
+        self.server_limit = ServerLimit()
         self.slow_span_s = 0.0
         self.slowness = 0.0
         self._knee = KneeDetector()
@@ -150,7 +157,6 @@
         self._disconnects = 0
         self._cold_limit = cold_limit
         self._cold_rate = ColdRate()
-        self._cold_timer = None
         self._detector = RelapseDetector()
         self._get_time = get_time
         self._inherited = announcement.slots if inherited is None else inherited
@@ -159,6 +165,7 @@
         self._limit = ConcurrencyLimit(make_update)
         self._lingering = 0
         self._observe = observe
+        self._rate_timer = None
         self._refused_s = None
         self._running = {}
         self._stall_timer = None
@@ -192,10 +199,11 @@
 
     @property
     def starts_per_s(self) -> float:
-        """Rate limit of request starts; 0 if only the concurrency is limited."""
-        if not self._cold_rate.is_cold(self._get_time()):
-            return 0.0
-        return self._cold_rate.per_s
+        """Lowest rate limit of request starts; 0 if only the concurrency is limited."""
+        rates = [self.server_limit.starts_per_s]
+        if self._cold_rate.is_cold(self._get_time()):
+            rates.append(self._cold_rate.per_s)
+        return min(filter(None, rates), default=0.0)
 
     @property
     def down(self) -> bool:
@@ -213,11 +221,11 @@
         """Tell whether one more request may be sent to the server."""
         if self.reserved is not None or self.in_flight >= self.limit:
             return False
-        return self._check_cold_rate()
+        return self._check_start_rate()
 
     def has_room_alone(self) -> bool:
         """Tell whether a request that must run alone may be sent to the server."""
-        return self.in_flight == 0 and self.limit > 0 and self._check_cold_rate()
+        return self.in_flight == 0 and self.limit > 0 and self._check_start_rate()
 
     def update_cold_time(self, cold_s: float) -> None:
         """Set how much longer the server is cold, as it reports itself."""
@@ -241,17 +249,34 @@
             self._inherited = left
             self._wake()
 
-    def _check_cold_rate(self):
-        now_s = self._get_time()
-        wait_s = self._cold_rate.get_wait_s(now_s)
-        if wait_s > 0.0 and self._cold_timer is None:
-            self._cold_timer = self._schedule(wait_s, self._end_cold_wait)
+    def _check_start_rate(self):
+        wait_s = self.estimate_rate_wait_s(0)
+        if wait_s > 0.0 and self._rate_timer is None:
+            self._rate_timer = self._schedule(wait_s, self._end_rate_wait)
         return wait_s <= 0.0
 
-    def _end_cold_wait(self):
-        self._cold_timer = None
+    def _end_rate_wait(self):
+        self._rate_timer = None
         self._wake()
 
+    def update_server_limit(
+        self, report: SelfReport, source: ReportSource, sent_s: float
+    ) -> None:
+        """Apply the rate limit that an answer of the server sets or lifts.
+
+        Parameters
+        ----------
+        report : SelfReport
+        source : ReportSource
+        sent_s : float
+            Loop time at which the answered request was sent.
+        """
+        limit = self.server_limit
+        if limit.update(report, source, sent_s, self._get_time()):
+            self._observe(ServerLimited(self.announcement.server, limit.per_s))
+            self._cancel_rate_wait()
+            self._wake()
+
     def update_slowness(self, slowness: float) -> None:
         """Update the slowness of the server's host and the length of slow periods."""
         now_s = self._get_time()
@@ -279,18 +304,22 @@
         ahead_s : float
             Total service time of these.
         """
-        cold_s = self.estimate_cold_wait_s(ahead)
+        rate_s = self.estimate_rate_wait_s(ahead)
         busy_s = ahead_s / max(1, self.limit)
-        if not cold_s or self.in_flight >= self.limit:
+        if not rate_s or self.in_flight >= self.limit:
             run_s = estimate_slowed_time(
                 self.baseline.mean_s, self.slowness, self.slow_span_s
             )
             busy_s += run_s / max(1, self.in_flight)
-        return max(cold_s, busy_s)
+        return max(rate_s, busy_s)
 
-    def estimate_cold_wait_s(self, ahead: int) -> float:
-        """Return the time until the rate limit admits a start after `ahead` others."""
-        return self._cold_rate.get_wait_s(self._get_time(), ahead)
+    def estimate_rate_wait_s(self, ahead: int) -> float:
+        """Return the time until the rate limits admit a start after `ahead` others."""
+        now_s = self._get_time()
+        return max(
+            self._cold_rate.get_wait_s(now_s, ahead),
+            self.server_limit.get_wait_s(now_s, ahead),
+        )
 
     def renew(self, announcement: Announcement, cold_limit: int) -> None:
         """Apply an announcement; a new start id means a cold start."""
@@ -302,6 +331,7 @@
         self.update_cold_time(announcement.cold_s or 0.0)
         if restarted:
             self._inherited = 0
+            self.server_limit = ServerLimit()
             self.relapse(RelapseCause.RESTARTED)
         elif announcement.in_flight is not None:
             self.update_server_in_flight(announcement.in_flight)
@@ -331,6 +361,7 @@
         self._running[running.attempt] = running
         self.last_start_s = self._get_time()
         self._cold_rate.take(self.last_start_s)
+        self.server_limit.take(self.last_start_s)
         check_invariant(
             self.in_flight <= self.limit, "more requests in flight than the limit"
         )
@@ -366,9 +397,12 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
-        if self._cold_timer is not None:
-            self._cold_timer.cancel()
-            self._cold_timer = None
+        self._cancel_rate_wait()
+
+    def _cancel_rate_wait(self):
+        if self._rate_timer is not None:
+            self._rate_timer.cancel()
+            self._rate_timer = None
 
     def _get_ceiling(self):
         announcement = self.announcement
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_completion.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_completion.py
@@ -123,6 +123,6 @@
             queued = self._get_queued()
             ahead = capacity.in_flight + queued
             busy_s = capacity.baseline.mean_s * ahead / max(1, capacity.limit)
-            backlog_s += max(busy_s, capacity.estimate_cold_wait_s(queued))
+            backlog_s += max(busy_s, capacity.estimate_rate_wait_s(queued))
         base_s = min(backlog_s, RETRY_AFTER_MAX_S)
         return round(base_s * (1.0 + self._rng.random()), 3)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -86,7 +86,7 @@
     in_flight, queued, limit : int
         Load at the time of the refusal.
     starts_per_s : float
-        Rate limit of a cold server; 0 if the server is warm.
+        Rate limit of request starts; 0 if there is none.
     weight : int
         Priority of the request's kind.
     digest : str
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -16,11 +16,10 @@
     ReportUnreadable,
     ServerAnnounced,
     ServerLeft,
-    ServerLimited,
 )
 from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination.gate._self_report import SelfReport
-from sapphireway_coordination.gate._server_limit import ReportSource, ServerLimit
+from sapphireway_coordination.gate._server_limit import ReportSource
 from sapphireway_protocol import NotRunReason
 
 RENEW_S = 2.0
@@ -47,8 +46,6 @@
     ----------
     capacity : ServerCapacity or None
         None until the first announcement.
-    server_limit : ServerLimit
-        Limit that the registered server has set.
     """
 
     __slots__ = (
@@ -64,7 +61,6 @@
         "_unreadable",
         "_wake",
         "capacity",
-        "server_limit",
     )
 
     def __init__(
@@ -87,7 +83,6 @@
         self._unreadable = ()
         self._wake = wake
         self.capacity = None
-        self.server_limit = ServerLimit()
 
     @property
     def announcement(self) -> Announcement | None:
@@ -180,7 +175,7 @@
         if report.server is not None and report.server != self.announcement.server:
             return
         self._report_unreadable(report)
-        self._update_server_limit(report, source, sent_s)
+        capacity.update_server_limit(report, source, sent_s)
         if report.cold_s is not None:
             capacity.update_cold_time(report.cold_s)
         if report.in_flight is not None:
@@ -198,11 +193,6 @@
             self._observe(ReportUnreadable(self.announcement.server, detail))
         self._unreadable = report.unreadable
 
-    def _update_server_limit(self, report, source, sent_s):
-        limit = self.server_limit
-        if limit.update(report, source, sent_s, self._loop.time()):
-            self._observe(ServerLimited(self.announcement.server, limit.per_s))
-
     def close(self) -> None:
         """Drop the registration and cancel the timers."""
         if self._lease_timer is not None:
@@ -220,7 +210,6 @@
         return gone and self.capacity.in_flight == 0
 
     def _register(self, announcement, cold_limit):
-        self.server_limit = ServerLimit()
         self.capacity = ServerCapacity(
             announcement,
             cold_limit,
@@ -236,7 +225,6 @@
         restarted = not announcement.is_same_start(self.announcement)
         self.capacity.renew(announcement, cold_limit)
         if restarted:
-            self.server_limit = ServerLimit()
             self._report_announced(announcement)
         elif self._lease_expired:
             self.capacity.relapse(RelapseCause.ANNOUNCED)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_limit.py
@@ -3,6 +3,11 @@
 import enum
 
 from sapphireway_coordination.gate._self_report import SelfReport
+from sapphireway_coordination.gate._token_bucket import TokenBucket
+
+# A server that takes less than this, or nothing, still gets a request now and then, as
+# only its answers tell that it has lifted its limit.
+TRIAL_PER_S = 0.5
 
 
 class ReportSource(enum.StrEnum):
@@ -13,7 +18,9 @@
 
 
 class ServerLimit:
-    """Limit that one start of a server has set, changed or lifted.
+    """Rate limit that one start of a server sets, changes and lifts in its answers.
+
+    It counts all requests to the server, as all pass the node beside it.
 
     The limit holds until an answer sets none. Two answers are no evidence of that: one
     whose request was sent before the limit was last set, and one of a source that has
@@ -27,9 +34,10 @@
         True once the server's answers have told whether there is a limit.
     """
 
-    __slots__ = ("_set_s", "_sources", "known", "per_s")
+    __slots__ = ("_bucket", "_set_s", "_sources", "known", "per_s")
 
     def __init__(self):
+        self._bucket = None
         self._set_s = float("-inf")
         self._sources = set()
         self.known = False
@@ -54,9 +62,33 @@
         elif not self._is_evidence_of_no_limit(report, source, sent_s):
             return False
         self.known = True
-        changed = self.per_s != report.requests_per_s
-        self.per_s = report.requests_per_s
-        return changed
+        if self.per_s == report.requests_per_s:
+            return False
+        self._set_rate(report.requests_per_s, now_s)
+        return True
+
+    @property
+    def starts_per_s(self) -> float:
+        """Rate at which requests may start; 0 if there is no limit."""
+        return 0.0 if self._bucket is None else self._bucket.per_s
+
+    def take(self, now_s: float) -> None:
+        """Count a started request."""
+        if self._bucket is not None:
+            self._bucket.take(now_s)
+
+    def get_wait_s(self, now_s: float, ahead: int = 0) -> float:
+        """Return the time until one more may start after `ahead` others."""
+        return 0.0 if self._bucket is None else self._bucket.get_wait_s(now_s, ahead)
+
+    def _set_rate(self, per_s, now_s):
+        self.per_s = per_s
+        if per_s is None:
+            self._bucket = None
+        elif self._bucket is None:
+            self._bucket = TokenBucket(max(per_s, TRIAL_PER_S), now_s)
+        else:
+            self._bucket.set_rate(max(per_s, TRIAL_PER_S), now_s)
 
     def _is_evidence_of_no_limit(self, report, source, sent_s):
         if report.unreadable or sent_s < self._set_s:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_placement.py
@@ -100,11 +100,11 @@
     work_s = estimate_slowed_time(work_s, slowness, span_s)
     run_s = work_s * (1.0 + KNEE_SLOWDOWN * beyond_knee)
     wait_s = max(0.0, demand - slots) / slots * work_s
-    return load.round_trip_s + max(wait_s, estimate_cold_wait(load)) + run_s
+    return load.round_trip_s + max(wait_s, estimate_rate_wait(load)) + run_s
 
 
-def estimate_cold_wait(load: ServerLoad) -> float:
-    """Return how long a cold server queues another request, in seconds."""
+def estimate_rate_wait(load: ServerLoad) -> float:
+    """Return how long a rate-limited server queues another request, in seconds."""
     report = load.report
     if report is None or not report.starts_per_s:
         return 0.0
@@ -116,7 +116,7 @@
     """Return whether a server would run another request at once and at full speed."""
     if load.report is None:
         return False
-    if estimate_cold_wait(load) > 0.0:
+    if estimate_rate_wait(load) > 0.0:
         return False
     demand = len(load.outstanding) + load.count_other_requests() + 1
     return demand <= load.report.limit * KNEE
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -39,8 +39,8 @@
     slow_span_s : float
         Average length of slow periods; 0 before the first has ended.
     starts_per_s : float
-        Rate limit on request starts while the server is cold; 0 if only the
-        concurrency limit applies.
+        Rate limit on request starts, as the server is cold or has set one; 0 if only
+        the concurrency limit applies.
     """
 
     server: str
