Ignore the departure of an earlier start of a server

A departure that a cut has held up may arrive after the server has started again under its id, and took the new start out of service until its next one. Departures that tell the start of their process are compared with the last heartbeat; one without it is taken as before.

--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -1,5 +1,6 @@
 import json
 
+import msgspec
 import pytest
 
 from sapphireway._logs import EventLog
@@ -7,6 +8,7 @@
 from sapphireway_platform._heartbeats import (
     BODY_MAX_BYTES,
     ServerRegistrar,
+    decode_departure,
     decode_heartbeat,
 )
 from sapphireway_state import (
@@ -152,3 +154,21 @@
 def test_malformed_heartbeat_is_rejected(body):
     with pytest.raises(ValueError):
         decode_heartbeat("i-1", body)
+
+
+@pytest.mark.parametrize(
+    ("body", "left"),
+    [(b"", True), (b'{"born": 1000}', True), (b'{"born": 999}', False)],
+)
+def test_departure_of_an_earlier_start_does_not_end_the_next(
+    registrar, gate, body, left
+):
+    send_heartbeat(registrar)
+    registrar.handle_departure("i-1", decode_departure(body))
+    assert ("i-1 leaves" in gate.calls) == left
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"born": "soon"}', b"\xff"])
+def test_malformed_departure_is_an_error(body):
+    with pytest.raises(msgspec.MsgspecError):
+        decode_departure(body)
