--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -277,6 +277,14 @@
             self._cancel_rate_wait()
             self._wake()
 
+    def adopt_server_limit(self, per_s: float) -> None:
+        """Keep to a limit that another node knows, until the server itself tells.
+
+        This node has started after the server set it.
+        """
+        if self.server_limit.adopt(per_s, self._get_time()):
+            self._observe(ServerLimited(self.announcement.server, per_s))
+
     def update_slowness(self, slowness: float) -> None:
         """Update the slowness of the server's host and the length of slow periods."""
         now_s = self._get_time()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
@@ -58,7 +58,9 @@
 def _read_answer(answer, url, spec, dialect):
     """Return an announcement made from a healthy answer, or None."""
     report = dialect.read_report(answer)
-    if answer.status != 200 or not report.server or not report.slots:
+    if answer.status != 200 or report.leaving:
+        return None
+    if not report.server or not report.slots:
         return None
     if report.cold_s is None:
         # Without its warm-up time, a cold server could be overloaded.
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -284,6 +284,8 @@
             capacity.slowness,
             round(capacity.slow_span_s, 3),
             round(capacity.starts_per_s, 3),
+            capacity.server_limit.reported_per_s,
+            self._registration.leaving,
         )
 
     def close(self) -> None:
@@ -349,6 +351,9 @@
         self._submit(sender, run, envelope.body, record, now_s)
 
     def _submit(self, sender, run, body, record, now_s):
+        capacity = self._registration.capacity
+        if run.server_limit_per_s is not None and capacity is not None:
+            capacity.adopt_server_limit(run.server_limit_per_s)
         policy = self._get_policy(run.service, run.kind)
         deadline_s = now_s + run.budget_ms / 1000.0
         target_s = math.inf
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -1,6 +1,7 @@
 """Registration of the local server, from its announcement until it leaves."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from sapphireway_coordination.gate._announcement import (
@@ -25,6 +26,9 @@
 RENEW_S = 2.0
 LEASE_S = 7.0
 SLOWNESS_TOLERANCE = 0.25  # smaller changes would not redirect any request
+# How long announcements are refused after the departure of a server whose start was not
+# known: they may have been sent before it.
+UNKNOWN_DEPARTURE_S = 10.0
 
 
 class Registration:
@@ -39,8 +43,9 @@
         Called with a `NotRunReason` when queued attempts must be refused.
     make_update : callable
         Creates the algorithm that adapts the limit.
-    on_slowness_change : callable
-        Called without arguments when the server's host became faster or slower.
+    on_change : callable
+        Called without arguments when other nodes should hear of the server at once:
+        its host became faster or slower, or the server leaves.
 
     Attributes
     ----------
@@ -56,8 +61,9 @@
         "_loop",
         "_make_update",
         "_observe",
-        "_on_slowness_change",
+        "_on_change",
         "_refuse_waiting",
+        "_unknown_departures",
         "_unreadable",
         "_wake",
         "capacity",
@@ -69,9 +75,9 @@
         wake: Callable[[], None],
         refuse_waiting: Callable[[NotRunReason], None],
         make_update: Callable[[], UpdateLimit] = make_additive_update,
-        on_slowness_change: Callable[[], None] = lambda: None,
+        on_change: Callable[[], None] = lambda: None,
     ):
-        self._on_slowness_change = on_slowness_change
+        self._on_change = on_change
         self._lease_expired = False
         self._lease_timer = None
         self._lease_until_s = 0.0
@@ -80,6 +86,7 @@
         self._make_update = make_update
         self._observe = observe
         self._refuse_waiting = refuse_waiting
+        self._unknown_departures = {}
         self._unreadable = ()
         self._wake = wake
         self.capacity = None
@@ -113,7 +120,7 @@
 
     def announce(self, announcement: Announcement, cold_limit: int) -> AnnounceResult:
         """Register a server, or renew its registration."""
-        if announcement.start_id == self._left_start_id:
+        if self._has_left(announcement):
             return AnnounceRefused(
                 f"server {announcement.server} has left; restart it to register again"
             )
@@ -143,16 +150,39 @@
         return AnnounceAccepted(RENEW_S, self.capacity.limit)
 
     def leave(self, server: str) -> bool:
-        """Stop new work for the server; False if it is not known."""
+        """Stop new work for the server; False if it is not registered."""
         current = self.announcement
         if current is None or current.server != server:
+            self._record_unknown_departure(server)
             return False
         if not self.leaving:
             self._left_start_id = current.start_id
+            if not current.start_id:
+                self._record_unknown_departure(server)
             self._refuse_waiting(NotRunReason.DRAINING)
             self._observe(ServerLeft(server, current.service, False))
+            self._on_change()
         return True
 
+    def _record_unknown_departure(self, server):
+        now_s = self._loop.time()
+        recent = self._unknown_departures.items()
+        self._unknown_departures = {s: at_s for s, at_s in recent if at_s > now_s}
+        self._unknown_departures[server] = now_s + UNKNOWN_DEPARTURE_S
+
+    def _has_left(self, announcement):
+        if announcement.start_id == self._left_start_id:
+            return True
+        until_s = self._unknown_departures.get(announcement.server, -math.inf)
+        return self._loop.time() < until_s
+
+    def is_registered(self, announcement: Announcement) -> bool:
+        """Tell whether the start that made an announcement is still registered."""
+        current = self.announcement
+        if current is None or current.server != announcement.server:
+            return False
+        return current.is_same_start(announcement)
+
     def extend_lease(self) -> None:
         """Extend the lease, as an answer proves that the server is alive."""
         self._lease_until_s = self._loop.time() + LEASE_S
@@ -176,6 +206,8 @@
             return
         self._report_unreadable(report)
         capacity.update_server_limit(report, source, sent_s)
+        if report.leaving:
+            self.leave(self.announcement.server)
         if report.cold_s is not None:
             capacity.update_cold_time(report.cold_s)
         if report.in_flight is not None:
@@ -184,7 +216,7 @@
             before = capacity.slowness
             capacity.update_slowness(report.slowness)
             if abs(before - report.slowness) > SLOWNESS_TOLERANCE * before:
-                self._on_slowness_change()
+                self._on_change()
 
     def _report_unreadable(self, report):
         # The same malformed value comes with every answer.
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -335,12 +335,10 @@
             self._dialect,
         )
         job.sending = True
-        sent_s = self._loop.time()
+        sent_s, announcement = self._loop.time(), job.capacity.announcement
         result = validate_result(await self._client.send(request), self._dialect)
-        if (
-            isinstance(result, Responded)
-            and job.capacity is self._registration.capacity
-        ):
+        answered = isinstance(result, Responded)
+        if answered and self._registration.is_registered(announcement):
             report = self._dialect.read_report(result)
             self._registration.apply_report(report, ReportSource.ANSWER, sent_s)
         return result
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_limit.py
@@ -1,6 +1,7 @@
 """Limit on requests per second that a server sets in its answers."""
 
 import enum
+import math
 
 from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_coordination.gate._token_bucket import TokenBucket
@@ -67,6 +68,22 @@
         self._set_rate(report.requests_per_s, now_s)
         return True
 
+    def adopt(self, per_s: float, now_s: float) -> bool:
+        """Apply a limit that another node knows; False if this one knows better."""
+        if self.known or self.per_s == per_s:
+            return False
+        self._sources.add(ReportSource.ANSWER)
+        self._set_s = now_s
+        self._set_rate(per_s, now_s)
+        return True
+
+    @property
+    def reported_per_s(self) -> float | None:
+        """The limit as load reports tell it: infinite for none, None if not known."""
+        if self.per_s is not None:
+            return self.per_s
+        return math.inf if self.known else None
+
     @property
     def starts_per_s(self) -> float:
         """Rate at which requests may start; 0 if there is no limit."""
--- a/packages/sapphireway-coordination/tests/test_server_limit.py
+++ b/packages/sapphireway-coordination/tests/test_server_limit.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import math
 
 import pytest
 from tests.gate_bench import Bench
@@ -201,3 +202,30 @@
     server.report = SelfReport(server="", requests_per_s=5.0, leaving=True)
     await server.call("a")
     assert (server.starts_per_s, server.bench.gate.leaving) == (0.0, False)
+
+
+@with_server
+async def test_restarted_node_keeps_to_the_limit_that_its_peers_know(server):
+    bench = server.bench
+    bench.gate.close()
+    bench.peers.close()
+    bench.open_gate("second")
+    bench.announce()
+    bench.send("a", server_limit_per_s=0.5)
+    await asyncio.sleep(0.001)
+    assert bench.gate.get_load().starts_per_s == 0.5
+    server.report = SelfReport(requests_per_s=20.0)
+    await asyncio.sleep(3.0)
+    assert bench.count_runs("a") == 0
+    await server.call("b", 9.0)
+    bench.send("c", server_limit_per_s=0.5)
+    await asyncio.sleep(0.001)
+    assert bench.gate.get_load().starts_per_s == 20.0
+
+
+def test_limit_of_a_peer_does_not_replace_the_servers_own_word(limit):
+    assert limit.reported_per_s is None
+    assert limit.adopt(3.0, 0.0) and limit.starts_per_s == 3.0
+    limit.update(NO_LIMIT, ANSWER, 0.1, 0.2)
+    assert limit.reported_per_s == math.inf
+    assert not limit.adopt(3.0, 0.3) and limit.per_s is None
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -41,6 +41,11 @@
     starts_per_s : float
         Rate limit on request starts, as the server is cold or has set one; 0 if only
         the concurrency limit applies.
+    server_limit_per_s : float or None
+        Rate limit that the server has set; infinite if it set none, None if its
+        answers have not told yet.
+    server_leaving : bool
+        The server, and not only its node, is about to stop.
     """
 
     server: str
@@ -53,6 +58,8 @@
     slowness: float = 0.0
     slow_span_s: float = 0.0
     starts_per_s: float = 0.0
+    server_limit_per_s: float | None = None
+    server_leaving: bool = False
 
 
 class Run(msgspec.Struct, frozen=True, tag="run", array_like=True):
@@ -84,6 +91,9 @@
     target_ms : float or None
         Time left, at the time of sending, until the target latency is exceeded and
         an answer loses value; negative if exceeded, None if there is no target.
+    server_limit_per_s : float or None
+        Rate limit that the server has set, as far as the sender knows, for a receiver
+        that has restarted since; None if none is known.
     """
 
     attempt: str
@@ -100,6 +110,7 @@
     latest_start_s: float = 0.0
     incarnation: str = ""
     target_ms: float | None = None
+    server_limit_per_s: float | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, tag="reply", array_like=True):
--- a/tests/platform_adapter/test_server_limit.py
+++ b/tests/platform_adapter/test_server_limit.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sapphireway_coordination import ReportUnreadable
 from sapphireway_platform._dialects import make_server_dialect
 from sapphireway_transport.memory import run_paused
 from tests.gate_bench import Bench
@@ -40,3 +41,29 @@
         assert most >= min(1.0, per_s) * WINDOW_S / 2
 
     run_paused(check())
+
+
+@pytest.mark.parametrize("value", ["many", "nan", "-1", "9" * 5000])
+def test_malformed_limit_and_departure_change_nothing(value):
+    async def check():
+        bench = Bench(dialect=make_server_dialect())
+        headers = (("Server-Limit", value), ("Server-Leaving", value))
+        bench.server.answer_headers = (SIGNATURE, *headers)
+        for number in range(20):
+            assert (await bench.call(f"c{number}")).outcome == "answered"
+        (event,) = bench.list_events(ReportUnreadable)
+        assert "Server-Limit" in event.detail and "Server-Leaving" in event.detail
+
+    run_paused(check())
+
+
+def test_server_that_leaves_gets_no_request_after_its_answer():
+    async def check():
+        bench = Bench(dialect=make_server_dialect())
+        await bench.call("before")
+        bench.server.answer_headers = (SIGNATURE, ("Server-Leaving", "1"))
+        await bench.call("last")
+        await send_steadily(bench, 60.0, 10.0)
+        assert len(bench.server.arrivals_s) == 2
+
+    run_paused(check())
