Remember at entry nodes what servers said of themselves

The node beside a server that restarts has forgotten that the server leaves, and its limit; it may register the server again until the next answer. Entry nodes forgot both too, as their state of a server ends with the incarnation of its node, or two seconds after the last report. Callers whose entry node had heard of the departure could be sent to the leaving server.

The notices of servers are kept apart from the load of their nodes, by start of the server. An entry node sends nothing to a server that it knows to leave, also no stale attempt again, and tells the limit that it knows with each request.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -166,9 +166,9 @@
         If the refusal also reported the slowness of the host, the call may go to a
         faster server instead.
         """
-        if load in self._resent:
-            return False
         now_s = self._loop.time()
+        if load in self._resent or not load.is_serving(now_s):
+            return False
         self._resendable.append(load)
         candidates = list(self._resendable)
         if (
@@ -289,7 +289,13 @@
             attempt_id, load, cause, incarnation, now_s, self._mailbox.post
         )
         run = create_run(
-            self._call, attempt_id, self._digest, incarnation, clock_s, now_s
+            self._call,
+            attempt_id,
+            self._digest,
+            incarnation,
+            clock_s,
+            now_s,
+            load.server_limit_per_s,
         )
         return attempt, run
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -159,6 +159,7 @@
         return clock.incarnation, clock.compute_lower_bound(now_s)
 
     def _handle_report(self, report: LoadReport):
+        self.loads.notices.record(report)
         load = self.loads.get(report.server)
         if load is not None:
             now_s = asyncio.get_running_loop().time()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
@@ -96,7 +96,7 @@
     """Return one word that says whether a server gets calls, or why not."""
     if load.member.out:
         return "out"
-    if load.member.leaving:
+    if load.leaving:
         return "leaving"
     if not load.is_serving(now_s):
         return "refusing"
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_loads.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_loads.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from sapphireway_coordination.membership import Member
+from sapphireway_coordination.routing._notices import NoticeTable
 from sapphireway_protocol import LoadReport, ServerState
 
 LATENCY_DECAY_S = 0.3
@@ -48,6 +49,11 @@
         True while the server's node does not answer.
     probed_s : float
         When the server was last probed.
+
+    Parameters
+    ----------
+    member : Member
+    notices : NoticeTable or None
     """
 
     __slots__ = (
@@ -55,6 +61,7 @@
         "_abandoned_until_s",
         "_failure_rate_updated_s",
         "_latency_updated_s",
+        "_notices",
         "consecutive_failures",
         "ejected_until_s",
         "ejections",
@@ -70,8 +77,9 @@
         "unresponsive",
     )
 
-    def __init__(self, member: Member):
+    def __init__(self, member: Member, notices: NoticeTable | None = None):
         self.member = member
+        self._notices = NoticeTable() if notices is None else notices
         self.outstanding = {}
         self._latency_updated_s = -math.inf
         self._failure_rate_updated_s = -math.inf
@@ -186,9 +194,19 @@
         """Return whether the server is ejected for failures or as unresponsive."""
         return now_s < self.ejected_until_s
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server, or the node beside it, is about to stop."""
+        return self.member.leaving or self._notices.is_leaving(self.member)
+
+    @property
+    def server_limit_per_s(self) -> float | None:
+        """Rate limit that the server has set; None if none is known."""
+        return self._notices.get_limit(self.member)
+
     def is_serving(self, now_s: float) -> bool:
-        """Return whether membership and the last report allow calls to the server."""
-        if self.member.leaving or self.member.out:
+        """Return whether membership and the last reports allow calls to the server."""
+        if self.leaving or self.member.out:
             return False
         if self.report is None or now_s - self.report_received_s > STATE_AGE_MAX_S:
             return True
@@ -196,11 +214,17 @@
 
 
 class LoadTable:
-    """Loads of the servers of the most recently called services."""
+    """Loads of the servers of the most recently called services.
+
+    Attributes
+    ----------
+    notices : NoticeTable
+    """
 
-    __slots__ = ("_servers", "_services")
+    __slots__ = ("_servers", "_services", "notices")
 
     def __init__(self):
+        self.notices = NoticeTable()
         self._services = collections.OrderedDict()
         self._servers = {}
 
@@ -228,7 +252,7 @@
     def _refresh(self, load_by_server, member):
         load = load_by_server.get(member.server)
         if load is None:
-            load = load_by_server[member.server] = ServerLoad(member)
+            load = load_by_server[member.server] = ServerLoad(member, self.notices)
             self._servers[member.server] = load
         elif load.member is not member:
             restarted = (
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_run_message.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_run_message.py
@@ -17,6 +17,7 @@
     incarnation: str,
     clock_s: float | None,
     now_s: float,
+    server_limit_per_s: float | None = None,
 ) -> Run:
     """Return the message for one attempt of `call`.
 
@@ -31,6 +32,8 @@
         Lower bound of the node's clock reading now; None if unknown.
     now_s : float
         This node's clock.
+    server_limit_per_s : float or None
+        Rate limit of the server, if one is known.
     """
     remaining_s = call.deadline_s - now_s
     return Run(
@@ -48,6 +51,7 @@
         latest_start_s=0.0 if clock_s is None else clock_s + remaining_s,
         incarnation=incarnation,
         target_ms=None if math.isinf(call.target_s) else (call.target_s - now_s) * 1e3,
+        server_limit_per_s=server_limit_per_s,
     )
 
 
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -366,3 +367,60 @@
     outcome, ignored = run_paused(main())
     assert isinstance(outcome, Unknown)
     assert ignored == 1
+
+
+def make_report(server, **fields):
+    return LoadReport(server, 0, 0, 6, 0.0, ServerState.SERVING, "1", **fields)
+
+
+def dispatch_after_report(network, report, on_runs, **call_fields):
+    """Run one call after a load report has arrived; return its outcome and nodes."""
+
+    async def main():
+        nodes = [
+            ScriptedNode(network, f"n{i}", on_run) for i, on_run in enumerate(on_runs)
+        ]
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0"), make_member("n1")]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_first
+        )
+        dispatcher.explain("s")
+        nodes[0].peers.send("entry", LoadUpdate(report))
+        await asyncio.sleep(0.05)
+        # The node beside the server restarts and has forgotten what the server said.
+        members[0] = dataclasses.replace(members[0], incarnation="2", start_id="")
+        nodes[0].peers.send("entry", LoadUpdate(make_report("n0")))
+        await asyncio.sleep(3.0)
+        outcome = await dispatcher.dispatch(make_call(deadline_s=9.0, **call_fields))
+        return outcome, nodes
+
+    return run_paused(main())
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_leaving_server_gets_no_call_after_its_node_restarts(network, idempotent):
+    report = make_report("n0", server_leaving=True)
+    outcome, nodes = dispatch_after_report(
+        network, report, [answer, answer], idempotent=idempotent
+    )
+    assert isinstance(outcome, Answered)
+    assert [len(node.runs) for node in nodes] == [0, 1]
+
+
+def test_run_tells_the_limit_of_the_server_to_a_node_that_has_restarted(network):
+    report = make_report("n0", server_limit_per_s=5.0)
+    _, nodes = dispatch_after_report(network, report, [answer, answer])
+    assert {run.server_limit_per_s for run in nodes[0].runs} == {5.0}
+
+
+def refuse_as_stale_and_leaving(run):
+    report = make_report("n0", server_leaving=True)
+    return [(Reply(run.attempt, "not_run", reason="stale", load=report), b"")]
+
+
+def test_stale_call_is_not_resent_to_a_leaving_server(network):
+    outcome, nodes = dispatch(network, [refuse_as_stale_and_leaving, answer])
+    assert isinstance(outcome, Answered)
+    assert [len(node.runs) for node in nodes] == [1, 1]
