Bound the timeout that a caller states before it is used

A timeout of 400 digits was kept as the longest of its kind, and the target time of every later call of that kind overflowed: this node closed their connections without an answer until it restarted. One of 5,000 digits failed only its own request. Numbers above the maximum count as the maximum, also for the longest timeout seen, which tells retries from first tries.

One malformed message that takes a service down, from the users' list. Five cases of the two tests are red without the change.

--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -32,6 +32,7 @@
 REASON_HEADER = "Sapphireway-Reason"
 TIMEOUT_HEADER = "Request-Timeout-Ms"
 KEY_HEADER = "Idempotency-Key"
+TIMEOUT_DIGITS_MAX = 9  # a longer number is above any maximum
 KEY_MAX_BYTES = 256
 MS_PER_S = 1000
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
@@ -271,10 +272,10 @@
             deadline_s=now_s + timeout_s,
             key=key,
             policy=route.policy,
-            target_s=self._compute_target_time(request, route, now_s),
+            target_s=self._compute_target_time(route, timeout_s * MS_PER_S, now_s),
         )
 
-    def _compute_target_time(self, request, route, now_s):
+    def _compute_target_time(self, route, timeout_ms, now_s):
         """Return the loop time after which an answer is worth less; inf if never.
 
         The target latency counts from the caller's first try. A retry is known by a
@@ -283,13 +284,11 @@
         target_ms = route.policy.target_latency_ms
         if not target_ms:
             return math.inf
-        text = request.get_header(self._dialect.timeout_header)
-        caller_timeout_ms = int(text) if text is not None else route.policy.deadline_ms
         if len(self._longest_timeout_ms) > TRACKED_KINDS_MAX:
             self._longest_timeout_ms.clear()
-        longest_ms = max(self._longest_timeout_ms.get(route.kind, 0), caller_timeout_ms)
+        longest_ms = max(self._longest_timeout_ms.get(route.kind, 0), timeout_ms)
         self._longest_timeout_ms[route.kind] = longest_ms
-        return now_s + (target_ms - (longest_ms - caller_timeout_ms)) / MS_PER_S
+        return now_s + (target_ms - (longest_ms - timeout_ms)) / MS_PER_S
 
     def _choose_call_id(self, request):
         header = self._dialect.id_header
@@ -343,10 +342,12 @@
     """Return the time allowed for a call in seconds, or None if invalid."""
     if text is None:
         return policy.deadline_ms / MS_PER_S
-    text = text.strip()
-    if not (text.isascii() and text.isdigit()) or int(text) == 0:
+    digits = text.strip().lstrip("0")
+    if not (digits.isascii() and digits.isdigit()):
         return None
-    return min(int(text), policy.deadline_max_ms) / MS_PER_S
+    if len(digits) > TIMEOUT_DIGITS_MAX:
+        return policy.deadline_max_ms / MS_PER_S
+    return min(int(digits), policy.deadline_max_ms) / MS_PER_S
 
 
 def filter_headers(headers) -> tuple[tuple[str, str], ...]:
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -50,10 +50,9 @@
     return Metrics()
 
 
-@pytest.fixture
-def api(recorder, metrics):
+def make_api(recorder, metrics, settings):
     return CallerApi(
-        lambda: SettingsView(TREE, 1),
+        lambda: settings,
         "bxl-a",
         lambda: "call-1",
         lambda service, key: f"fences of {key}",
@@ -63,6 +62,11 @@
     )
 
 
+@pytest.fixture
+def api(recorder, metrics):
+    return make_api(recorder, metrics, SettingsView(TREE, 1))
+
+
 def make_request(target="/ledger/photographs", headers=(), body=b"", method="POST"):
     return HttpRequest(method, target, headers, body, "127.0.0.1")
 
@@ -98,6 +102,8 @@
         ((), 0.5),
         ((("request-timeout-ms", "250"),), 0.25),
         ((("Request-Timeout-Ms", "999999"),), 2.0),
+        ((("Request-Timeout-Ms", "9" * 5000),), 2.0),
+        ((("Request-Timeout-Ms", "0" * 5000 + "250"),), 0.25),
     ],
 )
 def test_deadline_is_parsed_and_bounded(api, recorder, headers, timeout_s):
@@ -111,6 +117,24 @@
     assert asyncio.run(handle()) == pytest.approx(timeout_s, abs=0.1)
 
 
+@pytest.mark.parametrize("timeout_ms", ["9" * 12, "9" * 400, "9" * 5000])
+def test_timeout_above_the_maximum_does_not_make_later_calls_late(
+    recorder, metrics, timeout_ms
+):
+    tree = TREE | {"target_latency_ms": 300, "deadline_max_ms": 500}
+    api = make_api(recorder, metrics, SettingsView(tree, 1))
+
+    async def handle():
+        for headers in ((("Request-Timeout-Ms", timeout_ms),), ()):
+            request = make_request(headers=headers)
+            api.prepare(request)
+            started_s = asyncio.get_running_loop().time()
+            assert (await api.handle(request)).status == 200
+        return recorder.calls[-1][0].target_s - started_s
+
+    assert asyncio.run(handle()) == pytest.approx(0.3, abs=0.1)
+
+
 @pytest.mark.parametrize(
     ("request_", "status", "line"),
     [
