Bound the idle time that a server's Keep-Alive states

A time-out that no C long holds was kept for the next request, and libcurl's option refused it: every later request to the server raised until its node restarted. One of 5,000 digits broke the answer that carried it.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_MAX_S = 20  # unless the server sends a Keep-Alive timeout
 IDLE_CONNECTION_MIN_S = 1
+IDLE_CONNECTION_LIMIT_S = 3600  # a server may send any number
+COUNT_DIGITS_MAX = 9
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 
@@ -87,7 +89,7 @@
     for part in value.split(","):
         name, _, number = part.partition("=")
         if name.strip().lower() == "timeout" and _is_count(number):
-            return int(number)
+            return min(int(number.strip()[:COUNT_DIGITS_MAX]), IDLE_CONNECTION_LIMIT_S)
     return None
 
 
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -216,3 +216,16 @@
     assert isinstance(result, NotSent)
     assert server.connections == 1
     await waiting
+
+
+@pytest.mark.parametrize("timeout", ["9" * 12, "9" * 25, "9" * 5000])
+def test_keep_alive_of_any_length_breaks_no_request(timeout):
+    head = f"HTTP/1.1 200 OK\r\nKeep-Alive: timeout={timeout}\r\n"
+    answer = head.encode() + b"Content-Length: 2\r\n\r\nok"
+
+    @run_against(answer)
+    async def check(server):
+        for _ in range(3):
+            assert isinstance(await server.send(), Responded)
+
+    check()
