--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -172,3 +172,21 @@
 def test_malformed_departure_is_an_error(body):
     with pytest.raises(msgspec.MsgspecError):
         decode_departure(body)
+
+
+@pytest.mark.parametrize("field", ["born", "seq", "capacity_slots"])
+@pytest.mark.parametrize(
+    "number", [-1, 10**25, 10**400], ids=["negative", "25_digits", "400_digits"]
+)
+def test_heartbeat_with_an_impossible_number_is_malformed(field, number):
+    """It would order after all later heartbeats of its server."""
+    body = json.dumps(HEARTBEAT | {field: number}).encode()
+    with pytest.raises(msgspec.MsgspecError):
+        decode_heartbeat("i-1", body)
+
+
+@pytest.mark.parametrize("cold_remaining", ["9" * 400 + "ms", "٣s", "1e3ms"])
+def test_heartbeat_with_a_malformed_duration_is_malformed(cold_remaining):
+    body = json.dumps(HEARTBEAT | {"cold_remaining": cold_remaining}).encode()
+    with pytest.raises(ValueError, match="is not a duration"):
+        decode_heartbeat("i-1", body)
