Let servers of the default dialect set a limit, leave and echo the attempt in their answers

Sapphireway-Limit-Per-S and Sapphireway-Leaving mean the same in answers to the project's own requests, and the reading of report headers moves from the adapter to the gate, which both use.

An answer that names another attempt in Sapphireway-Attempt-Id belongs to another request: a server that sends a second copy late, on a connection in use again, could answer the next caller with it (the users' list). The platform's servers echo the caller's id, which was checked already; for the default dialect nothing was. A gauge tells the present start rate.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -38,6 +38,7 @@
     LimitChanged,
     RelapseCause,
     RelapseSeen,
+    ReportHeaders,
     ReportUnreadable,
     SelfReport,
     ServerAnnounced,
@@ -50,6 +51,8 @@
     compute_serve_time,
     discover_local_server,
     fetch_health,
+    parse_count,
+    parse_decimal,
 )
 from sapphireway_coordination.membership import (
     ControlHostList,
@@ -190,6 +193,7 @@
     "ReadResult",
     "RelapseCause",
     "RelapseSeen",
+    "ReportHeaders",
     "ReportUnreadable",
     "RetryDenied",
     "RevokeSent",
@@ -219,4 +223,6 @@
     "make_choose_lowest_cost",
     "make_choose_round_robin",
     "make_member",
+    "parse_count",
+    "parse_decimal",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -33,6 +33,11 @@
 from sapphireway_coordination.gate._health import (
     fetch_health,
 )
+from sapphireway_coordination.gate._report_headers import (
+    ReportHeaders,
+    parse_count,
+    parse_decimal,
+)
 from sapphireway_coordination.gate._self_report import (
     SelfReport,
 )
@@ -62,6 +67,7 @@
     "LimitChanged",
     "RelapseCause",
     "RelapseSeen",
+    "ReportHeaders",
     "ReportUnreadable",
     "SelfReport",
     "ServerAnnounced",
@@ -74,4 +80,6 @@
     "compute_serve_time",
     "discover_local_server",
     "fetch_health",
+    "parse_count",
+    "parse_decimal",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -45,7 +45,7 @@
         body,
         remaining_s,
         body_max_bytes,
-        _find_echo(forwarded, dialect.echo_header),
+        _find_echo((*forwarded, *added), dialect.echo_header),
         dialect.close_delimited_allowed,
     )
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
@@ -3,11 +3,18 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from sapphireway_coordination.gate._report_headers import (
+    ReportHeaders,
+    parse_count,
+    parse_decimal,
+)
 from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_protocol import Run
 from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     Responded,
@@ -36,7 +43,8 @@
     read_report : callable
         Returns the `SelfReport` in an answer.
     echo_header : str
-        Request header that the server echoes; "" if it echoes none.
+        Request header that the server echoes; "" if it echoes none. An answer with
+        another value belongs to another request.
     close_delimited_allowed : bool
         Whether answers without a length may be delimited by connection close.
     """
@@ -68,10 +76,22 @@
     return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers)
 
 
+def read_own_report(answer: Responded) -> SelfReport:
+    """Return what an answer in the default dialect reports of its server."""
+    headers = ReportHeaders(answer.headers)
+    return SelfReport(
+        requests_per_s=headers.read(LIMIT_HEADER, parse_decimal),
+        leaving=bool(headers.read(LEAVING_HEADER, parse_count)),
+        unreadable=tuple(headers.unreadable),
+    )
+
+
 DEFAULT_SERVER_DIALECT = ServerDialect(
     frozenset(
         h.lower() for h in (REQUEST_ID_HEADER, ATTEMPT_ID_HEADER, DEADLINE_HEADER)
     ),
     make_own_headers,
     says_not_run,
+    read_report=read_own_report,
+    echo_header=ATTEMPT_ID_HEADER,
 )
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -17,6 +17,8 @@
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     Broken,
@@ -31,6 +33,8 @@
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
+    "LEAVING_HEADER",
+    "LIMIT_HEADER",
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
     "Broken",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -7,6 +7,8 @@
 ATTEMPT_ID_HEADER = "Sapphireway-Attempt-Id"
 DEADLINE_HEADER = "Sapphireway-Deadline-Ms"
 NOT_RUN_HEADER = "Sapphireway-Not-Run"
+LIMIT_HEADER = "Sapphireway-Limit-Per-S"
+LEAVING_HEADER = "Sapphireway-Leaving"
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -38,10 +38,12 @@
         self.client.close()
         self._server.close()
 
-    async def send(self, method="GET", body=b"", headers=(), *, timeout_s=2.0):
+    async def send(
+        self, method="GET", body=b"", headers=(), *, timeout_s=2.0, echo=None
+    ):
         url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
         return await self.client.send(
-            ServerRequest(url, method, headers, body, timeout_s, 1000)
+            ServerRequest(url, method, headers, body, timeout_s, 1000, echo)
         )
 
     async def _serve(self, reader, writer):
@@ -229,3 +231,26 @@
             assert isinstance(await server.send(), Responded)
 
     check()
+
+
+def make_echoing_answer(attempt, body=b"ok"):
+    head = f"HTTP/1.1 200 OK\r\nAttempt: {attempt}\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+@run_against(make_echoing_answer("1"), make_echoing_answer("1") * 2)
+async def test_late_copy_of_an_answer_reaches_no_other_request(server):
+    first = await server.send(echo=("Attempt", "1"))
+    assert isinstance(first, Responded)
+    late = await server.send(echo=("Attempt", "2"))
+    assert late == Broken("the answer belongs to another request")
+    after = await server.send(echo=("Attempt", "3"))
+    assert isinstance(after, Responded) and server.connections == 2
+
+
+@run_against(make_echoing_answer("1") * 2)
+async def test_extra_answer_on_an_idle_connection_reaches_no_request(server):
+    await server.send(echo=("Attempt", "1"))
+    await asyncio.sleep(0.05)
+    after = await server.send()
+    assert isinstance(after, Responded) and server.connections == 2
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -508,6 +508,9 @@
         self._metrics.register_gauge(
             "sapphireway_claim_bytes", lambda: self._holder.used_bytes
         )
+        self._metrics.register_gauge(
+            "sapphireway_server_starts_per_s", self._get_starts_per_s
+        )
         self._metrics.register_gauge(
             "sapphireway_settings_updates_rejected",
             lambda: self._channel.rejected_updates,
@@ -517,6 +520,10 @@
             lambda: self._peers.malformed_count,
         )
 
+    def _get_starts_per_s(self):
+        load = self._gate.get_load()
+        return 0.0 if load is None else load.starts_per_s
+
     def _may_run_unsure(self, service):
         return self._state.view.resolve("", service, "").claim_run_when_unsure
 
