Poll a server that sets a limit only for a share of it

A server in need took 20 health checks a second from its node while it named a limit of a few requests a second. Its node now polls it for a quarter of its limit at most, and every two seconds at the least, as a health answer may lift the limit. With a limit of 4 a second and requests in plenty 446 of both reached the server in 20 s, now at most 102 (test_server_with_a_limit_is_polled_for_a_share_of_it, red before).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -2,7 +2,8 @@
 
 Polling on the same host sees load that changes within milliseconds; the answers reach
 the entry nodes in load reports. The polling interval is a setting, and rises to
-`IDLE_INTERVAL_S` while the server gets no requests.
+`IDLE_INTERVAL_S` while the server gets no requests. A server that limits the requests
+per second is polled for a share of its limit only, as it can bear little.
 """
 
 import asyncio
@@ -18,6 +19,8 @@
 HEALTH_TIMEOUT_S = 1.0
 IDLE_INTERVAL_S = 0.5
 IDLE_AFTER_S = 1.0
+LIMIT_SHARE = 0.25  # polls per request that a server's own limit allows
+LIMITED_INTERVAL_MAX_S = 2.0
 HEALTH_BODY_MAX_BYTES = 64 * 1024
 DISABLED_CHECK_S = 0.1
 
@@ -85,9 +88,16 @@
             report = await self._poll(announcement)
             if report is not None and announcement is self._registration.announcement:
                 self._registration.apply_report(report, ReportSource.HEALTH, sent_s)
-            if loop.time() - self._get_last_start_s() > IDLE_AFTER_S:
-                interval_s = max(interval_s, IDLE_INTERVAL_S)
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(self._stretch_interval(interval_s, loop.time()))
+
+    def _stretch_interval(self, interval_s, now_s):
+        if now_s - self._get_last_start_s() > IDLE_AFTER_S:
+            interval_s = max(interval_s, IDLE_INTERVAL_S)
+        limit_per_s = self._registration.capacity.server_limit.starts_per_s
+        if not limit_per_s:
+            return interval_s
+        limited_s = min(1.0 / (LIMIT_SHARE * limit_per_s), LIMITED_INTERVAL_MAX_S)
+        return max(interval_s, limited_s)
 
     async def _poll(self, announcement: Announcement) -> SelfReport | None:
         url = announcement.url + announcement.health_path
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -57,3 +57,21 @@
         assert bench.gate.get_load().limit == bench.server.slots - 1
 
     run_paused(main())
+
+
+def test_server_with_a_limit_is_polled_for_a_share_of_it():
+    async def main():
+        bench = PolledBench()
+        arrivals = bench.server.arrivals_s
+        bench.report = SelfReport(requests_per_s=4.0, cold_s=0.0)
+        bench.announce(cold_s=0.0, health_path="/health")
+        started_s = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() < started_s + 20.0:
+            bench.send(f"a{asyncio.get_running_loop().time()}")
+            await asyncio.sleep(0.02)
+        assert len(arrivals) <= 20.0 * 4.0 * 1.25 + 2
+        bench.report = SelfReport(cold_s=0.0)
+        await asyncio.sleep(2.0)
+        assert bench.gate.get_load().starts_per_s == 0.0
+
+    run_paused(main())
