Let servers of the soak set limits and leave by their answers

Drawn apart from the other faults, so that a seed keeps those that it had. Checked from the servers' own records: a limit in windows of four seconds from three seconds after it was set, and no run two seconds after the first that began while the server said that it leaves. Each check has records that turn it red.

--- a/demo/_stand_in.py
+++ b/demo/_stand_in.py
@@ -40,6 +40,10 @@
         Concurrent requests that a cold server withstands; more make it exit.
     answer_bytes : int
         Size of the answer to a request without a body.
+    limit_per_s : float or None
+        Requests per second that its answers say it takes; it runs more all the same.
+    leaving : bool
+        Its answers say that it is about to stop.
     """
 
     latency_ms: float = 5.0
@@ -56,6 +60,8 @@
     cold_requests: int = 0
     cold_slots: int = 1
     answer_bytes: int = 200
+    limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class StandIn:
--- a/demo/server.py
+++ b/demo/server.py
@@ -26,6 +26,8 @@
 from sapphireway_transport import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
 )
@@ -124,6 +126,7 @@
     async def run(self, *path: str) -> None:
         """Run one request according to the behaviour."""
         behaviour = self._stand_in.behaviour
+        self._report()
         if behaviour.shed or behaviour.draining:
             self.set_header(NOT_RUN_HEADER, "shedding")
             self._finish_empty(503)
@@ -136,6 +139,15 @@
 
     get = head = post = put = patch = delete = options = run
 
+    def _report(self):
+        behaviour, headers = self._stand_in.behaviour, self.request.headers
+        if ATTEMPT_ID_HEADER in headers:
+            self.set_header(ATTEMPT_ID_HEADER, headers[ATTEMPT_ID_HEADER])
+        if behaviour.limit_per_s is not None:
+            self.set_header(LIMIT_HEADER, str(behaviour.limit_per_s))
+        if behaviour.leaving:
+            self.set_header(LEAVING_HEADER, "1")
+
     def _record(self, key):
         record_file = self._stand_in.record_file
         if record_file is not None:
@@ -186,6 +198,8 @@
             stream.write(head.encode() + body)
             stream.close()
             return
+        # What it reports may have changed while it ran the request.
+        self._report()
         self.set_header("Content-Type", "application/octet-stream")
         self.set_header(REQUEST_ID_HEADER, self.request.headers[REQUEST_ID_HEADER])
         with contextlib.suppress(tornado.iostream.StreamClosedError):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.processes.harness import edit_settings, read_settings
-from tests.soak.guarantees import Edit, Evacuation, Read
+from tests.soak.guarantees import Departure, Edit, Evacuation, Limit, Read
 from tests.soak.injector import FaultInjector
 from tests.soak.proxy import TO_CLIENT, TO_SERVER
 
@@ -16,6 +16,9 @@
 DELAY_MAX_S = 0.3
 SLOW_FACTORS = (5.0, 30.0)
 EVACUATED_MIN_S, EVACUATED_MAX_S = 6.0, 9.0
+LIMITS_PER_S = (0.0, 1.0, 3.0)  # below the load of a server
+LIMITED_MIN_S, LIMITED_MAX_S = 5.0, 9.0
+LEAVING_MIN_S, LEAVING_MAX_S = 3.0, 6.0
 UNLIMITED = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
 
 Fault = Callable[[FaultInjector], Awaitable[None]]
@@ -125,6 +128,29 @@
         await injector.configure_server(name, slow_factor=1.0, shed=False)
 
 
+async def limit_server(injector: FaultInjector) -> None:
+    """Let a server set a rate limit in its answers, and lift it."""
+    async with injector.inject("limit", injector.pick_server()) as name:
+        per_s = injector.rng.choice(LIMITS_PER_S)
+        await injector.configure_server(name, limit_per_s=per_s)
+        set_s = injector.read_clock()
+        await injector.sleep_random(LIMITED_MIN_S, LIMITED_MAX_S)
+        injector.limits.append(Limit(name, per_s, set_s, injector.read_clock()))
+        await injector.configure_server(name, limit_per_s=None)
+
+
+async def leave(injector: FaultInjector) -> None:
+    """Let a server say in its answers that it leaves, then restart it."""
+    async with injector.inject("leave", injector.pick_server()) as name:
+        await injector.configure_server(name, leaving=True)
+        said_s = injector.read_clock()
+        await injector.sleep_random(LEAVING_MIN_S, LEAVING_MAX_S)
+        injector.departures.append(Departure(name, said_s, injector.read_clock()))
+        injector.fleet.signal(name, signal.SIGTERM)
+        await injector.harness.wait_for_exit(name)
+        injector.restart(name)
+
+
 async def edit(injector: FaultInjector) -> None:
     """Edit the settings, as one operator or as two at once."""
     value = injector.pick_setting_value()
@@ -190,3 +216,6 @@
     evacuate,
 )
 """Faults to choose from; those listed twice are injected twice as often."""
+
+REPORT_FAULTS: tuple[Fault, ...] = (limit_server, leave)
+"""Faults that servers report in their answers; drawn apart from the others."""
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -15,6 +15,11 @@
 FAULT_AFTERMATH_S = 3.0  # a fault that ended longer ago excuses no violation
 RETRY_RESERVE = 10.0  # retries that a node may make before its first call
 RETRY_SHARE = 0.2
+LIMIT_DELAY_MAX_S = 3.0  # from a server's first answer with a limit
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5.0
+DEPARTURE_DELAY_MAX_S = 2.0
 PLANNED_KINDS = frozenset(("stop", "out", "reload"))  # these must fail no calls
 
 
@@ -52,6 +57,38 @@
     return_requested_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class Limit:
+    """A rate limit that a server set in its answers for a while.
+
+    Attributes
+    ----------
+    server : str
+    per_s, set_s, lifted_s : float
+    """
+
+    server: str
+    per_s: float
+    set_s: float
+    lifted_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Departure:
+    """A server that said in its answers that it leaves.
+
+    Attributes
+    ----------
+    server : str
+    said_s, stopped_s : float
+        When it began to say so, and when it was asked to stop.
+    """
+
+    server: str
+    said_s: float
+    stopped_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Edit:
     """An accepted edit of the settings tree.
@@ -150,6 +187,91 @@
     ]
 
 
+def find_runs_above_limits(
+    runs: Iterable[Run],
+    limits: Sequence[Limit],
+    faults: Sequence[InjectedFault],
+    nodes: dict[str, str],
+) -> list[str]:
+    """Return limits that were exceeded in some window well after they were set.
+
+    Parameters
+    ----------
+    runs : iterable of Run
+    limits : sequence of Limit
+    faults : sequence of InjectedFault
+        A fault of the server's node or of the link between them excuses it.
+    nodes : dict of str to str
+        Node beside each server.
+    """
+    violations = []
+    for limit in limits:
+        allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = _count_most(runs, limit)
+        if most > allowed and not _is_disturbed(limit, faults, nodes):
+            violations.append(
+                f"{most} runs in a window, {allowed:.0f} allowed: {limit}"
+            )
+    return violations
+
+
+def _count_most(runs, limit):
+    known_s = limit.set_s + LIMIT_DELAY_MAX_S
+    times_s = [
+        run.time_s
+        for run in runs
+        if run.server == limit.server and known_s <= run.time_s <= limit.lifted_s
+    ]
+    counts = (sum(0 <= t - s < LIMIT_WINDOW_S for t in times_s) for s in times_s)
+    return max(counts, default=0)
+
+
+def _is_disturbed(limit, faults, nodes):
+    names = (limit.server, nodes[limit.server], f"link to {limit.server}")
+    return any(
+        _overlaps(fault, limit.set_s, limit.lifted_s)
+        for fault in faults
+        if fault.target in names and fault.kind not in PLANNED_KINDS | {"limit"}
+    )
+
+
+def find_runs_after_departures(
+    runs: Sequence[Run],
+    departures: Sequence[Departure],
+    faults: Sequence[InjectedFault],
+    nodes: dict[str, str],
+) -> list[str]:
+    """Return runs that began well after an answer had said that the server leaves.
+
+    Parameters
+    ----------
+    runs : sequence of Run
+    departures : sequence of Departure
+    faults : sequence of InjectedFault
+        A fault of any node excuses it, as nodes that have restarted don't know.
+    nodes : dict of str to str
+        Node beside each server.
+    """
+    violations = []
+    for departure in departures:
+        later = sorted(
+            run.time_s
+            for run in runs
+            if run.server == departure.server
+            and departure.said_s <= run.time_s <= departure.stopped_s
+        )
+        late = [at_s for at_s in later if at_s > later[0] + DEPARTURE_DELAY_MAX_S]
+        names = (departure.server, *nodes.values(), f"link to {departure.server}")
+        disturbed = any(
+            _overlaps(fault, departure.said_s, departure.stopped_s)
+            for fault in faults
+            if fault.target in names and fault.kind not in ("leave", "out", "reload")
+        )
+        if late and not disturbed:
+            violations.append(f"{len(late)} runs after {departure}")
+    return violations
+
+
 def find_stale_reads(reads: Iterable[Read], edits: Sequence[Edit]) -> list[str]:
     """Return reads that lack an edit that was accepted well before the read."""
     return [
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -8,7 +8,14 @@
 from dataclasses import dataclass, field
 
 from tests.processes.harness import FleetHarness, wait_until
-from tests.soak.guarantees import Edit, Evacuation, InjectedFault, Read
+from tests.soak.guarantees import (
+    Departure,
+    Edit,
+    Evacuation,
+    InjectedFault,
+    Limit,
+    Read,
+)
 from tests.soak.proxy import Proxy
 
 COMMAND_RETRY_S = 0.5
@@ -28,7 +35,7 @@
     rng : Random
         Determines faults, targets and durations.
     proxies : dict of str to Proxy
-    faults, evacuations, edits, reads : list
+    faults, evacuations, limits, departures, edits, reads : list
         Records for the checks of the guarantees.
     unexpected_exits : list of str
         Processes that exited although no fault targeted them.
@@ -41,6 +48,8 @@
     proxies: dict[str, Proxy]
     faults: list[InjectedFault] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
+    limits: list[Limit] = field(default_factory=list)
+    departures: list[Departure] = field(default_factory=list)
     edits: list[Edit] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,9 +1,11 @@
 """Runs the soak test: load, overlapping faults, recovery, checks of the guarantees."""
 
 import asyncio
+import dataclasses
 import random
 import signal
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 from demo._fleet import DOMAINS, HTTP_PORT, SERVER_PORT, Place
@@ -20,11 +22,13 @@
     run_on_fleet,
     wait_until,
 )
-from tests.soak.faults import FAULTS
+from tests.soak.faults import FAULTS, REPORT_FAULTS, Fault
 from tests.soak.guarantees import (
     find_cut_requests,
     find_excess_retries,
     find_lost_edits,
+    find_runs_above_limits,
+    find_runs_after_departures,
     find_runs_in_evacuated_domains,
     find_stale_reads,
 )
@@ -35,6 +39,7 @@
 SERVER_PROXY_PORT = SERVER_PORT + 100
 RATES_PER_S = {LOOKUP: 30.0, CONFIRM: 20.0, UPLOAD: 0.5}
 FAULT_INTERVAL_MEAN_S = 0.8  # short enough that several faults overlap
+REPORT_INTERVAL_MEAN_S = 6.0  # each of these keeps a server for seconds
 HEAL_TIMEOUT_S = 120.0
 EXIT_POLL_S = 0.1
 RETRY_PERCENT = 20  # must be equal to guarantees.RETRY_SHARE
@@ -95,7 +100,16 @@
         )
         try:
             async with harness.load(RATES_PER_S):
-                await inject_faults(injector, seconds)
+                # Drawn apart, so that a seed keeps the other faults that it had.
+                reports = dataclasses.replace(
+                    injector, rng=random.Random(f"reports {seed}")
+                )
+                await asyncio.gather(
+                    inject_faults(injector, seconds, FAULTS, FAULT_INTERVAL_MEAN_S),
+                    inject_faults(
+                        reports, seconds, REPORT_FAULTS, REPORT_INTERVAL_MEAN_S
+                    ),
+                )
             violations.extend(await find_violations(injector))
         finally:
             record_faults(injector)
@@ -143,13 +157,18 @@
     return entries | servers
 
 
-async def inject_faults(injector: FaultInjector, seconds: float) -> None:
+async def inject_faults(
+    injector: FaultInjector,
+    seconds: float,
+    faults: Sequence[Fault],
+    interval_mean_s: float,
+) -> None:
     """Inject overlapping faults and wait until all of them have ended."""
     tasks = set()
     end_s = injector.read_clock() + seconds
     while injector.read_clock() < end_s:
-        tasks.add(asyncio.create_task(injector.rng.choice(FAULTS)(injector)))
-        pause_s = injector.rng.expovariate(1.0 / FAULT_INTERVAL_MEAN_S)
+        tasks.add(asyncio.create_task(injector.rng.choice(faults)(injector)))
+        pause_s = injector.rng.expovariate(1.0 / interval_mean_s)
         resume_s = injector.read_clock() + pause_s
         while injector.read_clock() < resume_s:
             injector.record_unexpected_exits()
@@ -171,12 +190,15 @@
     runs = harness.read_runs()
     calls = sum(result.path == LOOKUP for result in harness.results)
     entries = {name: place.host for name, place in injector.nodes.items()}
+    nodes = {place.name: name for name, place in injector.nodes.items()}
     return [
         *injector.unexpected_exits,
         *find_cut_requests(harness.results, runs, injector.faults, entries),
         *find_runs_in_evacuated_domains(
             runs, injector.evacuations, domains, injector.faults
         ),
+        *find_runs_above_limits(runs, injector.limits, injector.faults, nodes),
+        *find_runs_after_departures(runs, injector.departures, injector.faults, nodes),
         *find_stale_reads(injector.reads, injector.edits),
         *find_lost_edits(version, tree.get("trace_percent"), injector.edits),
         *find_excess_retries(runs, calls, injector.node_starts),
@@ -197,5 +219,6 @@
     counts = {name: outcomes.count(name) for name in sorted(set(outcomes))}
     return (
         f"{len(injector.faults)} faults, {len(injector.edits)} edits, "
-        f"{len(injector.evacuations)} evacuations, outcomes {counts}"
+        f"{len(injector.evacuations)} evacuations, {len(injector.limits)} limits, "
+        f"{len(injector.departures)} departures, outcomes {counts}"
     )
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -4,13 +4,17 @@
 
 from tests.processes.harness import CONFIRM, LOOKUP, Result, Run
 from tests.soak.guarantees import (
+    Departure,
     Edit,
     Evacuation,
     InjectedFault,
+    Limit,
     Read,
     find_cut_requests,
     find_excess_retries,
     find_lost_edits,
+    find_runs_above_limits,
+    find_runs_after_departures,
     find_runs_in_evacuated_domains,
     find_stale_reads,
 )
@@ -86,3 +90,42 @@
 def test_find_excess_retries_above_the_budget(retries, violations):
     runs = [make_run(1.0, path=LOOKUP) for _ in range(retries + 1)]
     assert len(find_excess_retries(runs, calls=100, node_starts=1)) == violations
+
+
+NODES = {"s1": "node-1", "s2": "node-2"}
+LIMIT = Limit("s1", 1.0, 100.0, 108.0)
+
+
+@pytest.mark.parametrize(
+    ("count", "first_s", "faults", "violations"),
+    [
+        (12, 103.0, [], 1),
+        (11, 103.0, [], 0),
+        (12, 101.0, [], 0),
+        (12, 103.0, [InjectedFault("node-1", "kill", 104.0, 105.0)], 0),
+        (12, 103.0, [InjectedFault("node-2", "kill", 104.0, 105.0)], 1),
+        (12, 103.0, [InjectedFault("s1", "limit", 100.0, 108.0)], 1),
+    ],
+)
+def test_find_runs_above_limits(count, first_s, faults, violations):
+    runs = [make_run(first_s + number * 0.1) for number in range(count)]
+    found = find_runs_above_limits(runs, [LIMIT], faults, NODES)
+    assert len(found) == violations
+
+
+@pytest.mark.parametrize(
+    ("times_s", "faults", "violations"),
+    [
+        ([100.5, 102.6], [], 1),
+        ([100.5, 102.4], [], 0),
+        ([102.6], [], 0),
+        ([100.5, 106.1], [], 0),
+        ([100.5, 102.6], [InjectedFault("node-2", "kill", 101.0, 102.0)], 0),
+        ([100.5, 102.6], [InjectedFault("s1", "leave", 100.0, 106.0)], 1),
+    ],
+)
+def test_find_runs_after_departures(times_s, faults, violations):
+    runs = [make_run(at_s) for at_s in times_s]
+    departures = [Departure("s1", 100.0, 106.0)]
+    found = find_runs_after_departures(runs, departures, faults, NODES)
+    assert len(found) == violations
