Answer work that arrives at a stopping node until other nodes know of the stop

The departure is now announced before the drain (a second, or as much of the grace period as there is), while work is still accepted, so other nodes stop choosing this one; and after the drain the node refuses what still arrives until a second has passed since the announcement and no work came for 0.3 s. A refusal is a promise, and the entry node goes elsewhere.

Views are renewed every 0.4 s and directories share changes ten times a second, so a second is enough for every node in touch.

test_work_that_arrives_during_a_stop_is_answered is red in all four cases without the wait.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -23,6 +23,7 @@
 )
 from sapphireway_coordination.gate import (
     DEFAULT_SERVER_DIALECT,
+    DEPARTURE_SPREAD_S,
     AnnounceAccepted,
     Announcement,
     AnnounceRefused,
@@ -123,6 +124,7 @@
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
     "DEFAULT_SERVER_DIALECT",
+    "DEPARTURE_SPREAD_S",
     "GROUP_PREFIX",
     "KEY_MAX_BYTES",
     "NOT_RUN_HEADER",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -27,6 +27,7 @@
     ServerWarmed,
 )
 from sapphireway_coordination.gate._gate import (
+    DEPARTURE_SPREAD_S,
     Gate,
     GateState,
 )
@@ -52,6 +53,7 @@
 
 __all__ = [
     "DEFAULT_SERVER_DIALECT",
+    "DEPARTURE_SPREAD_S",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -54,6 +54,8 @@
 MS_PER_S = 1000
 PERCENT = 100
 LIVENESS_TIMEOUT_S = 0.1  # a live process answers on its health endpoint immediately
+DEPARTURE_SPREAD_S = 1.0  # until every node in touch has heard that this one leaves
+QUIET_S = 0.3  # without new work, after which a stopping node expects no more
 SENDER_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
 
 GetPolicy = Callable[[str, str], Policy]
@@ -100,6 +102,7 @@
         "_client",
         "_cold_reserve_per_s",
         "_completions",
+        "_departure_s",
         "_draining",
         "_get_policy",
         "_health",
@@ -129,6 +132,7 @@
     ):
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
+        self._departure_s = math.inf
         self._draining = False
         self._get_policy = get_policy
         self._last_run_s = {}
@@ -199,7 +203,8 @@
         announced = (
             self.announcement is not None and not self._registration.lease_expired
         )
-        return announced and not self.leaving and self.state is GateState.OPEN
+        departing = self._departure_s < math.inf or self.leaving
+        return announced and not departing and self.state is GateState.OPEN
 
     @property
     def leaving(self) -> bool:
@@ -240,6 +245,28 @@
             self._runner.refuse_all(NotRunReason.DOMAIN_OUT)
         self._observe(GateChanged(self.state.value, self._count_in_flight()))
 
+    def announce_departure(self) -> None:
+        """Let other nodes know that this one will drain; work is still accepted."""
+        self._departure_s = min(self._departure_s, self._loop.time())
+
+    async def wait_until_unused(self, deadline_s: float) -> None:
+        """Refuse work until other nodes have stopped sending it, after a drain.
+
+        Without an answer, a node that has not heard of the departure could not know
+        that its attempt never ran.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Loop time at which to stop waiting.
+        """
+        while (now_s := self._loop.time()) < deadline_s:
+            last_run_s = max(self._last_run_s.values(), default=-math.inf)
+            until_s = max(self._departure_s + DEPARTURE_SPREAD_S, last_run_s + QUIET_S)
+            if now_s >= until_s:
+                return
+            await asyncio.sleep(min(until_s, deadline_s) - now_s)
+
     async def drain(self, deadline_s: float) -> bool:
         """Refuse new work permanently and wait for attempts in flight.
 
@@ -253,6 +280,7 @@
         bool
             True if all attempts in flight have ended and were answered.
         """
+        self.announce_departure()
         if not self._draining:
             self._draining = True
             self._runner.refuse_all(NotRunReason.DRAINING)
--- a/packages/sapphireway-coordination/tests/test_shutdown.py
+++ b/packages/sapphireway-coordination/tests/test_shutdown.py
@@ -1,6 +1,14 @@
+import asyncio
+
 import pytest
+from tests.gate_bench import Bench
 
-from sapphireway_coordination import compute_drain_time, compute_serve_time
+from sapphireway_coordination import (
+    DEPARTURE_SPREAD_S,
+    compute_drain_time,
+    compute_serve_time,
+)
+from sapphireway_transport.memory import run_paused
 
 
 @pytest.mark.parametrize(
@@ -23,3 +31,68 @@
 )
 def test_drain_ends_shortly_before_the_kill(grace_s, drain_timeout_s, drain_s):
     assert compute_drain_time(grace_s, drain_timeout_s) == pytest.approx(drain_s)
+
+
+async def stop(bench):
+    """Stop the node like the process does; return when it closes."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + 5.0
+    await bench.gate.drain(deadline_s)
+    await bench.gate.wait_until_unused(deadline_s)
+    bench.gate.close()
+    bench.peers.close()
+    return loop.time()
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("busy_s", [0.0, 0.4])
+def test_work_that_arrives_during_a_stop_is_answered(idempotent, busy_s):
+    """A node that has not heard of the stop sends work until its view is renewed."""
+
+    async def main():
+        bench = Bench()
+        await bench.warm()
+        loop = asyncio.get_running_loop()
+        if busy_s:
+            bench.server.slow_factor = busy_s / 0.005
+            bench.send("running", budget_ms=2000.0)
+            await asyncio.sleep(0.01)
+        started_s = loop.time()
+        stopping = asyncio.create_task(stop(bench))
+        count = 0
+        while loop.time() < started_s + 0.95 * DEPARTURE_SPREAD_S:
+            bench.send(f"a{count}", idempotent=idempotent)
+            count += 1
+            await asyncio.sleep(0.02)
+        ended_s = await stopping
+        answered = [f"a{number}" in bench.replies for number in range(count)]
+        assert all(answered)
+        assert DEPARTURE_SPREAD_S <= ended_s - started_s < DEPARTURE_SPREAD_S + 1.0
+
+    run_paused(main())
+
+
+def test_announced_departure_takes_work_but_no_new_members():
+    async def main():
+        bench = Bench()
+        await bench.warm()
+        assert bench.gate.available
+        bench.gate.announce_departure()
+        assert not bench.gate.available
+        assert (await bench.call("a")).outcome == "answered"
+        await asyncio.sleep(DEPARTURE_SPREAD_S)
+        started_s = asyncio.get_running_loop().time()
+        assert await stop(bench) - started_s < 0.5
+
+    run_paused(main())
+
+
+def test_wait_for_unused_node_ends_at_the_deadline():
+    async def main():
+        bench = Bench()
+        loop = asyncio.get_running_loop()
+        await bench.gate.drain(loop.time())
+        await bench.gate.wait_until_unused(loop.time() + 0.2)
+        return loop.time()
+
+    assert run_paused(main()) < 0.3
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -31,6 +31,7 @@
 from sapphireway._registration import ServerRegistration
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import (
+    DEPARTURE_SPREAD_S,
     GROUP_PREFIX,
     RETRY_TOKENS_MAX,
     AppliedState,
@@ -222,6 +223,7 @@
         remaining_s = max(0.0, deadline_s - loop.time())
         drained = await self._claimant.drain(remaining_s) and drained
         await self._wait_for_claim_handover()
+        await self._gate.wait_until_unused(deadline_s)
         await self._close()
         self._log.info("stopped", drained=drained)
         return drained
@@ -231,7 +233,11 @@
         timeouts_s = [
             route.timeout_ms / MS_PER_S for route in self._state.routes.table.routes
         ]
-        await asyncio.sleep(compute_serve_time(grace_s, timeouts_s))
+        serve_s = compute_serve_time(grace_s, timeouts_s)
+        notice_s = min(serve_s, DEPARTURE_SPREAD_S)
+        await asyncio.sleep(serve_s - notice_s)
+        self._gate.announce_departure()
+        await asyncio.sleep(notice_s)
 
     async def _wait_for_claim_handover(self):
         # The control host replaces a leaving holder. If too few other nodes are left,
