--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -19,6 +19,7 @@
 from tests.soak.proxy import Proxy
 
 COMMAND_RETRY_S = 0.5
+COMMAND_TIMEOUT_S = 120.0
 SETTING_VALUES = range(100)
 LOCK_POLL_S = 0.1
 HOLDER_REPLACEMENT_S = 8.0  # until the controller has replaced a claim holder
@@ -176,9 +177,16 @@
         await wait_until(try_set_behaviour, f"answer of {name}")
 
     async def retry_sapphirectl(self, *arguments: str) -> None:
-        """Run a command of sapphirectl until it succeeds."""
-        while (await self.harness.run_sapphirectl(*arguments))[0] != 0:
-            await asyncio.sleep(COMMAND_RETRY_S)
+        """Run a command of sapphirectl until it succeeds; fail after a time."""
+
+        async def run_command():
+            status, _ = await self.harness.run_sapphirectl(*arguments)
+            if status != 0:
+                await asyncio.sleep(COMMAND_RETRY_S)
+            return status == 0
+
+        command = f"success of sapphirectl {' '.join(arguments)}"
+        await wait_until(run_command, command, COMMAND_TIMEOUT_S)
 
     def _list_locks(self, name):
         if name in self.nodes:
