--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -1,41 +1,19 @@
 import asyncio
-import dataclasses
 
-from tests.gate_bench import NODE, Bench
+from tests.gate_bench import ReportingBench
 
-from sapphireway_coordination import DEFAULT_SERVER_DIALECT, Gate, SelfReport
-from sapphireway_protocol import Peers
+from sapphireway_coordination import SelfReport
 from sapphireway_state import Policy
 from sapphireway_transport.memory import run_paused
 
 
-class PolledBench(Bench):
-    """A gate that polls the health of its server."""
-
-    def __init__(self):
-        self.report = SelfReport()
-        super().__init__(policy=Policy(health_interval_ms=50), announced=False)
-
-    def open_gate(self, incarnation):
-        self.incarnation = incarnation
-        self.peers = Peers(self.network.open_endpoint(NODE), incarnation)
-        dialect = dataclasses.replace(
-            DEFAULT_SERVER_DIALECT, read_report=lambda answer: self.report
-        )
-        self.gate = Gate(
-            self.peers,
-            self.server,
-            self.rng,
-            lambda service, kind: self.policy,
-            self.events.append,
-            dialect=dialect,
-        )
-        self.peers.start()
+def make_polled_bench():
+    return ReportingBench(policy=Policy(health_interval_ms=50), announced=False)
 
 
 def test_restarted_node_uses_idle_server_after_first_poll():
     async def main():
-        bench = PolledBench()
+        bench = make_polled_bench()
         bench.report = SelfReport(cold_s=0.0, in_flight=0)
         bench.announce(in_flight=None, cold_s=0.0, health_path="/health")
         assert bench.gate.get_load().limit == 0
@@ -47,7 +25,7 @@
 
 def test_restarted_node_subtracts_requests_still_running():
     async def main():
-        bench = PolledBench()
+        bench = make_polled_bench()
         bench.report = SelfReport(cold_s=0.0, in_flight=4)
         bench.announce(in_flight=None, cold_s=0.0, health_path="/health")
         await asyncio.sleep(0.02)
@@ -61,7 +39,7 @@
 
 def test_server_with_a_limit_is_polled_for_a_share_of_it():
     async def main():
-        bench = PolledBench()
+        bench = make_polled_bench()
         arrivals = bench.server.arrivals_s
         bench.report = SelfReport(requests_per_s=4.0, cold_s=0.0)
         bench.announce(cold_s=0.0, health_path="/health")
--- a/packages/sapphireway-coordination/tests/test_server_limit.py
+++ b/packages/sapphireway-coordination/tests/test_server_limit.py
@@ -1,12 +1,10 @@
 import asyncio
-import dataclasses
 import math
 
 import pytest
-from tests.gate_bench import Bench
+from tests.gate_bench import with_reports
 
 from sapphireway_coordination import (
-    DEFAULT_SERVER_DIALECT,
     ReportUnreadable,
     SelfReport,
     ServerLimited,
@@ -17,7 +15,6 @@
     ServerLimit,
 )
 from sapphireway_protocol import NotRunReason
-from sapphireway_transport.memory import run_paused
 
 ANSWER, HEALTH = ReportSource.ANSWER, ReportSource.HEALTH
 NO_LIMIT = SelfReport()
@@ -85,128 +82,95 @@
     assert limit.get_wait_s(0.2, 100) == limit.starts_per_s == 0.0
 
 
-class LimitingServer:
-    """A gate whose server reports what a test sets."""
-
-    def __init__(self):
-        self.report = NO_LIMIT
-        dialect = dataclasses.replace(
-            DEFAULT_SERVER_DIALECT, read_report=lambda answer: self.report
-        )
-        self.bench = Bench(dialect=dialect)
-
-    def send(self, attempt, budget_s=1.0):
-        latest_start_s = asyncio.get_running_loop().time() + budget_s
-        self.bench.send(
-            attempt,
-            idempotent=True,
-            budget_ms=budget_s * 1000.0,
-            latest_start_s=latest_start_s,
-        )
-
-    async def call(self, attempt, budget_s=1.0):
-        self.send(attempt, budget_s)
-        while attempt not in self.bench.replies:
-            await asyncio.sleep(0.001)
-        return self.bench.replies[attempt][-1]
-
-    @property
-    def starts_per_s(self):
-        return self.bench.gate.get_load().starts_per_s
-
-
-def with_server(test):
-    """Run a test with a new server on the paused clock."""
-
-    def run():
-        async def main():
-            server = LimitingServer()
-            await server.bench.warm()
-            await test(server)
-
-        run_paused(main())
-
-    run.__name__ = test.__name__
-    return run
-
-
-@with_server
-async def test_load_report_tells_the_limit_until_it_is_lifted(server):
-    server.report = SelfReport(requests_per_s=5.0)
-    await server.call("a")
-    assert server.starts_per_s == 5.0
-    server.report = NO_LIMIT
-    await server.call("b")
-    assert server.starts_per_s == 0.0
-    limits = [e.requests_per_s for e in server.bench.list_events(ServerLimited)]
+async def call(bench, attempt, budget_s=1.0):
+    """Send a request that may start during its whole budget; return the reply."""
+    return await bench.call(
+        attempt,
+        idempotent=True,
+        budget_ms=budget_s * 1000.0,
+        latest_start_s=asyncio.get_running_loop().time() + budget_s,
+    )
+
+
+def get_starts_per_s(bench):
+    return bench.gate.get_load().starts_per_s
+
+
+@with_reports
+async def test_load_report_tells_the_limit_until_it_is_lifted(bench):
+    bench.report = SelfReport(requests_per_s=5.0)
+    await call(bench, "a")
+    assert get_starts_per_s(bench) == 5.0
+    bench.report = NO_LIMIT
+    await call(bench, "b")
+    assert get_starts_per_s(bench) == 0.0
+    limits = [e.requests_per_s for e in bench.list_events(ServerLimited)]
     assert limits == [5.0, None]
 
 
-@with_server
-async def test_request_that_the_limit_makes_late_is_refused_at_once(server):
-    server.report = SelfReport(requests_per_s=0.5)
-    await server.call("a")
+@with_reports
+async def test_request_that_the_limit_makes_late_is_refused_at_once(bench):
+    bench.report = SelfReport(requests_per_s=0.5)
+    await call(bench, "a")
     started_s = asyncio.get_running_loop().time()
-    reply = await server.call("b")
+    reply = await call(bench, "b")
     assert asyncio.get_running_loop().time() - started_s < 0.05
     assert (reply.outcome, reply.reason) == ("not_run", NotRunReason.DEADLINE)
     assert reply.retry_after_s > 1.0
 
 
-@with_server
-async def test_queued_requests_that_a_new_limit_makes_late_are_refused(server):
-    slots = server.bench.server.slots
-    server.report = SelfReport(requests_per_s=0.5)
+@with_reports
+async def test_queued_requests_that_a_new_limit_makes_late_are_refused(bench):
+    slots = bench.server.slots
+    bench.report = SelfReport(requests_per_s=0.5)
     started_s = asyncio.get_running_loop().time()
-    replies = await asyncio.gather(*(server.call(f"c{i}") for i in range(slots + 4)))
+    replies = await asyncio.gather(*(call(bench, f"c{i}") for i in range(slots + 4)))
     assert asyncio.get_running_loop().time() - started_s < 0.05
     refused = [reply.reason for reply in replies if reply.outcome == "not_run"]
     assert refused == [NotRunReason.DEADLINE] * 4
 
 
-@with_server
-async def test_lifted_limit_starts_queued_requests_at_once(server):
-    bench = server.bench
-    server.report = SelfReport(requests_per_s=2.0)
-    await server.call("first")
-    server.report = NO_LIMIT
-    replies = await asyncio.gather(*(server.call(f"c{i}", 9.0) for i in range(5)))
+@with_reports
+async def test_lifted_limit_starts_queued_requests_at_once(bench):
+    bench.report = SelfReport(requests_per_s=2.0)
+    await call(bench, "first")
+    bench.report = NO_LIMIT
+    replies = await asyncio.gather(*(call(bench, f"c{i}", 9.0) for i in range(5)))
     assert {reply.outcome for reply in replies} == {"answered"}
     arrivals = bench.server.arrivals_s[-5:]
     assert arrivals[0] - bench.server.arrivals_s[-6] > 0.4
     assert arrivals[4] - arrivals[0] < 0.1
 
 
-@with_server
-async def test_limit_ends_with_the_start_that_set_it(server):
-    server.report = SelfReport(requests_per_s=2.0)
-    await server.call("a")
-    server.bench.announce(start_id="another")
-    assert server.starts_per_s == 0.0
+@with_reports
+async def test_limit_ends_with_the_start_that_set_it(bench):
+    bench.report = SelfReport(requests_per_s=2.0)
+    await call(bench, "a")
+    bench.announce(start_id="another")
+    assert get_starts_per_s(bench) == 0.0
 
 
-@with_server
-async def test_malformed_report_is_logged_once_and_changes_nothing(server):
-    server.report = SelfReport(requests_per_s=20.0)
-    await server.call("a")
-    server.report = SelfReport(unreadable=("limit: 'many'",))
-    await server.call("b")
-    await server.call("c")
-    assert server.starts_per_s == 20.0
-    (event,) = server.bench.list_events(ReportUnreadable)
+@with_reports
+async def test_malformed_report_is_logged_once_and_changes_nothing(bench):
+    bench.report = SelfReport(requests_per_s=20.0)
+    await call(bench, "a")
+    bench.report = SelfReport(unreadable=("limit: 'many'",))
+    await call(bench, "b")
+    await call(bench, "c")
+    assert get_starts_per_s(bench) == 20.0
+    (event,) = bench.list_events(ReportUnreadable)
     assert event.detail == "limit: 'many'"
 
 
-@with_server
-async def test_report_of_another_server_is_ignored(server):
-    server.report = SelfReport(server="", requests_per_s=5.0, leaving=True)
-    await server.call("a")
-    assert (server.starts_per_s, server.bench.gate.leaving) == (0.0, False)
+@with_reports
+async def test_report_of_another_server_is_ignored(bench):
+    bench.report = SelfReport(server="", requests_per_s=5.0, leaving=True)
+    await call(bench, "a")
+    assert (get_starts_per_s(bench), bench.gate.leaving) == (0.0, False)
 
 
-@with_server
-async def test_restarted_node_keeps_to_the_limit_that_its_peers_know(server):
-    bench = server.bench
+@with_reports
+async def test_restarted_node_keeps_to_the_limit_that_its_peers_know(bench):
     bench.gate.close()
     bench.peers.close()
     bench.open_gate("second")
@@ -214,10 +178,10 @@
     bench.send("a", server_limit_per_s=0.5)
     await asyncio.sleep(0.001)
     assert bench.gate.get_load().starts_per_s == 0.5
-    server.report = SelfReport(requests_per_s=20.0)
+    bench.report = SelfReport(requests_per_s=20.0)
     await asyncio.sleep(3.0)
     assert bench.count_runs("a") == 0
-    await server.call("b", 9.0)
+    await call(bench, "b", 9.0)
     bench.send("c", server_limit_per_s=0.5)
     await asyncio.sleep(0.001)
     assert bench.gate.get_load().starts_per_s == 20.0
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -4,7 +4,12 @@
 import dataclasses
 import random
 
-from sapphireway_coordination import DEFAULT_SERVER_DIALECT, Announcement, Gate
+from sapphireway_coordination import (
+    DEFAULT_SERVER_DIALECT,
+    Announcement,
+    Gate,
+    SelfReport,
+)
 from sapphireway_protocol import Peers, Reply, Revoked, Run, ServerState
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
@@ -111,6 +116,37 @@
         return [event for event in self.events if isinstance(event, event_type)]
 
 
+class ReportingBench(Bench):
+    """A bench whose server reports in each answer what a test sets.
+
+    Attributes
+    ----------
+    report : SelfReport
+    """
+
+    def __init__(self, **options):
+        self.report = SelfReport()
+        dialect = dataclasses.replace(
+            DEFAULT_SERVER_DIALECT, read_report=lambda answer: self.report
+        )
+        super().__init__(dialect=dialect, **options)
+
+
+def with_reports(test):
+    """Run a test with a new, warm `ReportingBench` on the paused clock."""
+
+    def run():
+        async def main():
+            bench = ReportingBench()
+            await bench.warm()
+            await test(bench)
+
+        run_paused(main())
+
+    run.__name__ = test.__name__
+    return run
+
+
 def paused(test):
     """Run a test with a new bench on the paused clock."""
 
