Split the composition root of the node into builders

Cause: _node.py had 589 lines; each new part would have been wired there. Change: build_shared_state, build_data_path, build_admin and register_gauges wire one part each; Node keeps start, stop and the control role. test_node takes its address from the process id, as two runs at once collided on 127.0.19.1. Ruled out: one builder for all parts; it would have moved the file, not split it.

--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -0,0 +1,193 @@
+"""Builds the path of a call: callers' interface, dispatcher, claims and gate."""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from sapphireway._callers import CallerApi
+from sapphireway._dialects import Dialects
+from sapphireway._execution import make_call_executor, make_traced_executor
+from sapphireway._logs import EventLog
+from sapphireway._member_view import make_get_members
+from sapphireway._metrics import Metrics
+from sapphireway._shared_state import SharedState
+from sapphireway_coordination import (
+    RETRY_TOKENS_MAX,
+    Choose,
+    Claimant,
+    Dispatcher,
+    Gate,
+    Membership,
+    make_choose_lowest_cost,
+)
+from sapphireway_state import ProcessSettings
+from sapphireway_transport import (
+    CurlServerClient,
+    HttpLimits,
+    HttpListener,
+    ServerClient,
+)
+
+RETRY_TOKENS_MIN = 1.0  # lets a rarely called service retry at all
+WORK_TIME_PERCENTILE = 25.0  # low, so that it reflects calls served by a fast host
+MS_PER_S = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class DataPath:
+    """Components that carry calls.
+
+    Attributes
+    ----------
+    dispatcher : Dispatcher
+    claimant : Claimant
+    client : ServerClient
+    gate : Gate
+    callers : CallerApi
+    listener : HttpListener
+    """
+
+    dispatcher: Dispatcher
+    claimant: Claimant
+    client: ServerClient
+    gate: Gate
+    callers: CallerApi
+    listener: HttpListener
+
+
+def build_data_path(
+    settings: ProcessSettings,
+    shared: SharedState,
+    dialects: Dialects,
+    metrics: Metrics,
+    log: EventLog,
+    observe: Callable[[Any], None],
+    rng: random.Random,
+    tracer: Any,
+) -> DataPath:
+    """Build the components and connect them.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+    shared : SharedState
+    dialects : Dialects
+    metrics : Metrics
+    log : EventLog
+    observe : callable
+        Called with each event.
+    rng : random.Random
+    tracer : CallTracer or None
+    """
+    applied, peers = shared.applied, shared.peers
+    get_members = make_get_members(shared.membership, lambda: applied.view)
+    dispatcher = Dispatcher(
+        peers,
+        get_members,
+        rng,
+        observe,
+        _make_member_chooser(settings.domain, lambda: dispatcher),
+        _make_retry_reserve(settings, shared.membership),
+        lambda node, service, digest: gate.inform_of_suspect(node, service, digest),
+    )
+    claimant = Claimant(peers, applied.get_group, rng, observe=observe)
+    client = _build_client(tracer)
+    gate = Gate(
+        peers,
+        client,
+        rng,
+        lambda service, kind: applied.view.resolve(settings.domain, service, kind),
+        _make_gate_observer(shared.registration, observe),
+        lambda service: [member.node for member in get_members(service)],
+        dialect=dialects.server,
+        cold_reserve_per_s=settings.cold_reserve_per_s,
+    )
+    shared.registration.set_gate(gate)
+    execute_call = make_call_executor(
+        shared.membership, dispatcher, claimant, metrics, log, settings.domain
+    )
+    if tracer is not None:
+        execute_call = make_traced_executor(execute_call, tracer)
+    callers = CallerApi(
+        lambda: applied.view,
+        settings.domain,
+        _make_call_id_generator(peers.incarnation),
+        claimant.get_fences,
+        execute_call,
+        metrics,
+        log,
+        lambda: applied.routes,
+        dialects.callers,
+    )
+    listener = HttpListener(
+        callers.handle,
+        callers.prepare,
+        callers.reject,
+        _make_http_limits(settings, applied),
+    )
+    return DataPath(dispatcher, claimant, client, gate, callers, listener)
+
+
+def _make_member_chooser(
+    domain: str, get_dispatcher: Callable[[], Dispatcher]
+) -> Choose:
+    def get_service(call):
+        return get_dispatcher().services.get(call.service)
+
+    def get_work_s(call):
+        latencies = get_service(call).get_latencies(call.kind)
+        return latencies.get_percentile(WORK_TIME_PERCENTILE)
+
+    def get_answer_bytes(call):
+        return get_service(call).get_answer_bytes(call.kind)
+
+    return make_choose_lowest_cost(domain, get_work_s, get_answer_bytes)
+
+
+def _make_retry_reserve(settings: ProcessSettings, membership: Membership):
+    def get_retry_reserve():
+        if not settings.retry_reserve:
+            return RETRY_TOKENS_MAX
+        share = settings.retry_reserve / membership.count_nodes()
+        return max(share, RETRY_TOKENS_MIN)
+
+    return get_retry_reserve
+
+
+def _make_gate_observer(registration, observe):
+    def observe_gate(event):
+        registration.count(event)
+        observe(event)
+
+    return observe_gate
+
+
+def _build_client(tracer):
+    client = CurlServerClient()
+    if tracer is None:
+        return client
+    from sapphireway._traces import TracedServerClient
+
+    return TracedServerClient(client, tracer)
+
+
+def _make_call_id_generator(incarnation):
+    numbers = itertools.count(1)
+    return lambda: f"{incarnation}-{next(numbers)}"
+
+
+def _make_http_limits(settings, applied):
+    def get_http_limits():
+        routes = applied.routes
+        if not routes.version:
+            return HttpLimits(settings.header_max_bytes)
+        limits = routes.table.limits
+        return HttpLimits(
+            limits.header_max_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        )
+
+    return get_http_limits
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_gauges.py
@@ -0,0 +1,26 @@
+"""Registers the gauges of a node."""
+
+from sapphireway._metrics import Metrics
+from sapphireway._shared_state import SharedState
+from sapphireway_coordination import Gate
+
+
+def register_gauges(metrics: Metrics, shared: SharedState, gate: Gate) -> None:
+    """Register gauges that read the node's components when they are scraped."""
+
+    def get_starts_per_s():
+        load = gate.get_load()
+        return 0.0 if load is None else load.starts_per_s
+
+    peers, channel = shared.peers, shared.channel
+    gauges = {
+        "sapphireway_settings_version": lambda: shared.applied.version,
+        "sapphireway_peer_messages_sent": lambda: peers.messages_sent,
+        "sapphireway_peer_bytes_sent": lambda: peers.bytes_sent,
+        "sapphireway_claim_bytes": lambda: shared.holder.used_bytes,
+        "sapphireway_server_starts_per_s": get_starts_per_s,
+        "sapphireway_settings_updates_rejected": lambda: channel.rejected_updates,
+        "sapphireway_peer_messages_unreadable": lambda: peers.malformed_count,
+    }
+    for name, read in gauges.items():
+        metrics.register_gauge(name, read)
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import os
 
 import pytest
 
@@ -8,7 +9,8 @@
 from sapphireway_coordination import TREE_PREFIX, ControlMachine, GateState
 from sapphireway_state import Edit, ProcessSettings, SetValue, encode_edit
 
-ADDRESS = "127.0.19.1:{}"
+# Depends on the process id, as concurrent runs of the tests must not share it.
+ADDRESS = f"127.19.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}:{{}}"
 
 
 @pytest.fixture
@@ -30,8 +32,8 @@
     machine = ControlMachine()
     edit = Edit("e", 0, [SetValue("", tree)], "an", "", 1.0)
     machine.apply(1, TREE_PREFIX + encode_edit(edit))
-    node._state.apply(machine.make_update(0, 0))
-    assert node._state.version == 1
+    node._shared.applied.apply(machine.make_update(0, 0))
+    assert node._shared.applied.version == 1
 
 
 @pytest.fixture
@@ -54,7 +56,9 @@
 
 def test_claim_memory_comes_from_the_process_settings(inspect_node):
     assert (
-        inspect_node({"weight": 5}, lambda node: node._holder._memory.limit_bytes)
+        inspect_node(
+            {"weight": 5}, lambda node: node._shared.holder._memory.limit_bytes
+        )
         == 3_000_000
     )
 
@@ -78,7 +82,7 @@
 )
 def test_claim_settings_come_from_the_tree(inspect_node, tree, unsure, size):
     def inspect(node):
-        table = node._holder._make_table("ledger/4")
+        table = node._shared.holder._make_table("ledger/4")
         group_controller = node._control._group_controller
         return table._may_run_unsure(), group_controller._get_size("ledger/4")
 
