Add workspaces, server versions and refusal reasons to the shared types

Cause: keys, quotas and rollouts are built side by side and share these types. Change: Workspace and Route.open_access in the routing table, versions of servers in announcements, directory entries and members, three reasons of NotRun, and the workspace of a call.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -33,6 +33,8 @@
         Requests per second that it can take while cold; 0 if unknown.
     health_path : str
         Path of its health endpoint, which answers immediately; "" if there is none.
+    version : str
+        Version of the server's software; "" if unknown.
     """
 
     server: str
@@ -46,6 +48,7 @@
     cold_s: float | None = None
     cold_rate_per_s: float = 0.0
     health_path: str = ""
+    version: str = ""
 
     def is_same_start(self, other: "Announcement") -> bool:
         """Tell whether `other` came from the same start of the server's process."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_members.py
@@ -30,6 +30,8 @@
         True once the server or its node has begun to stop.
     out : bool
         True while operators have taken the server or its failure domain out of service.
+    version : str
+        Version of the server's software; "" if unknown.
     """
 
     server: str
@@ -42,6 +44,7 @@
     slots: int
     leaving: bool = False
     out: bool = False
+    version: str = ""
 
 
 GetMembers = Callable[[str], Sequence[Member]]
@@ -60,6 +63,7 @@
         start_id=server.start_id,
         slots=server.slots,
         leaving=server.leaving,
+        version=server.version,
     )
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call.py
@@ -29,6 +29,8 @@
         infinite if there is no target.
     policy : Policy
         Settings in force for the service and kind when the call arrived.
+    workspace : str
+        Workspace of the caller; "" if the routing table has none.
     """
 
     call_id: str
@@ -42,3 +44,4 @@
     key: str | None
     policy: Policy
     target_s: float = math.inf
+    workspace: str = ""
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_membership.py
@@ -18,6 +18,8 @@
         Requests that the server can run concurrently.
     leaving : bool
         True once the server or its node has begun to shut down.
+    version : str
+        Version of the server's software; "" if unknown.
     """
 
     server: str
@@ -25,6 +27,7 @@
     start_id: str
     slots: int
     leaving: bool = False
+    version: str = ""
 
 
 class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -22,6 +22,9 @@
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CANCELLED = "cancelled"
     STOPPING = "stopping"
+    QUOTA = "quota"
+    UNCONFIRMED = "unconfirmed"
+    VERSION = "version"
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -108,6 +108,7 @@
     RouteTarget,
     ServiceSpec,
     TablePatch,
+    Workspace,
     apply_patch,
     check_table,
 )
@@ -212,6 +213,7 @@
     "UnsetValue",
     "UpdateResult",
     "VoteRecord",
+    "Workspace",
     "apply_operations",
     "apply_patch",
     "check_file",
--- a/packages/sapphireway-state/src/sapphireway_state/_routes.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_routes.py
@@ -55,6 +55,8 @@
         Maximum number of servers to which one request is sent.
     priority : int
         0 is the highest priority.
+    open_access : bool
+        Whether requests need no API key even if the table has workspaces.
     """
 
     name: str
@@ -66,6 +68,30 @@
     target_latency_ms: float = 0.0
     attempts_max: int = 1
     priority: int = 0
+    open_access: bool = False
+
+
+class Workspace(msgspec.Struct, frozen=True, array_like=True):
+    """A group of callers who share API keys and a rate limit.
+
+    Attributes
+    ----------
+    name : str
+    keys : tuple of str
+        API keys; never logged.
+    rate_per_s : float
+        Requests per second that all nodes together admit; 0 for no limit.
+    burst : float
+        Requests that they admit beyond the rate at once.
+    priority : int or None
+        Overrides the priority of the route; None to keep it.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
 
 
 class ServiceSpec(msgspec.Struct, frozen=True, array_like=True):
@@ -115,6 +141,8 @@
         Host names in the order of publication.
     routes : tuple of Route
     limits : CallerLimits
+    workspaces : tuple of Workspace
+        If there are any, requests on routes without open access need an API key.
     """
 
     number: int = 0
@@ -122,6 +150,7 @@
     hosts: tuple[str, ...] = ()
     routes: tuple[Route, ...] = ()
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class TablePatch(msgspec.Struct, frozen=True):
--- a/packages/sapphireway/src/sapphireway/_registration.py
+++ b/packages/sapphireway/src/sapphireway/_registration.py
@@ -72,5 +72,6 @@
                 announcement.start_id,
                 announcement.slots,
                 not self._gate.available,
+                announcement.version,
             )
         ]
