Cut off answers and requests that have no end

Cause: a server in trouble may send without end. libcurl bounds heads, trailers and chunk sizes, and the client a single body; two cases were open: a chunk extension, which libcurl drops without a callback until the deadline, and many large bodies at once, each within 64 MB, on a host of 200 MB. Callers' chunk extensions and trailers were collected without a bound as well. Change: the client counts the bytes of all answers that it receives and the reads of a connection that deliver none; connections of callers count framing and have ten minutes for a body; frames between nodes have a largest size. Ruled out: MAX_RECV_SPEED and XFERINFOFUNCTION of libcurl, which count body bytes only.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -23,6 +23,12 @@
 IDLE_CONNECTION_MIN_S = 1
 IDLE_CONNECTION_LIMIT_S = 3600  # a server may send any number
 COUNT_DIGITS_MAX = 9
+# All answers that are being received; the smallest hosts have 200 MB, of which a node
+# takes up to 50 MB and a single answer may take 64 MB.
+ANSWERS_MAX_BYTES = 64 * 1024 * 1024
+# libcurl drops chunk extensions without a callback. It reads up to 160 KB at an event,
+# so this ends an endless one after some 40 MB.
+FRUITLESS_READS_MAX = 256
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 
@@ -80,6 +86,40 @@
 }
 
 
+class _AnswerMemory:
+    """Bytes of the answers that a client is receiving.
+
+    Parameters
+    ----------
+    max_bytes : int
+
+    Attributes
+    ----------
+    transfers : int
+        Answers that are being received.
+    used_bytes : int
+    has_progress : bool
+        Whether a part of an answer has arrived since the flag was last reset.
+    """
+
+    __slots__ = ("_max_bytes", "has_progress", "transfers", "used_bytes")
+
+    def __init__(self, max_bytes: int):
+        self._max_bytes = max_bytes
+        self.has_progress = False
+        self.transfers = 0
+        self.used_bytes = 0
+
+    def is_exceeded_by(self, answer_bytes: int) -> bool:
+        """Return whether an answer of this size takes more than the memory allows.
+
+        If all answers together are too large, those above the average are.
+        """
+        if self.used_bytes <= self._max_bytes:
+            return False
+        return answer_bytes * self.transfers >= self.used_bytes
+
+
 class _MalformedRequestError(ValueError):
     """The request cannot be encoded as HTTP."""
 
@@ -125,6 +165,7 @@
         "_in_headers",
         "_is_delimited",
         "_is_head_request",
+        "_memory",
         "_on_keep_alive",
         "_status",
         "_too_large",
@@ -133,8 +174,10 @@
         "send_count",
     )
 
-    def __init__(self, on_keep_alive):
+    def __init__(self, on_keep_alive, memory):
         self._on_keep_alive = on_keep_alive
+        self._memory = memory
+        self._bytes_received = 0
         self.easy = easy = pycurl.Curl()
         self.future = None
         self.send_count = 0
@@ -210,6 +253,8 @@
     def release(self) -> None:
         """Drop references to the last exchange."""
         self.future = None
+        self._memory.used_bytes -= self._bytes_received
+        self._bytes_received = 0
         self._chunks = []
         self._headers = []
         # Otherwise the handle keeps the last body in memory.
@@ -234,6 +279,7 @@
 
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
+        self._memory.has_progress = True
         text = line.decode("latin-1").rstrip("\r\n")
         if line.startswith(b"HTTP/"):
             # An interim (1xx) response is followed by another header block.
@@ -266,8 +312,13 @@
         return None
 
     def _receive_body(self, chunk):
+        memory = self._memory
+        memory.has_progress = True
+        memory.used_bytes += len(chunk)
         self._bytes_received += len(chunk)
-        if self._bytes_received > self._body_max_bytes:
+        if self._bytes_received > self._body_max_bytes or memory.is_exceeded_by(
+            self._bytes_received
+        ):
             self._too_large = True
             return 0
         self._chunks.append(chunk)
@@ -281,20 +332,31 @@
     ----------
     connections_max : int, default=200
         Limit on open connections, including idle ones.
+    answers_max_bytes : int, default=64 MiB
+        Limit on the bodies that are being received, all together. Answers of more than
+        the average size are given up beyond it.
     """
 
     __slots__ = (
         "_active_transfers",
+        "_fruitless_reads",
         "_idle_connection_max_s",
         "_idle_transfers",
         "_interests",
         "_loop",
+        "_memory",
         "_multi",
         "_timer",
     )
 
-    def __init__(self, connections_max: int = CONNECTIONS_MAX):
+    def __init__(
+        self,
+        connections_max: int = CONNECTIONS_MAX,
+        answers_max_bytes: int = ANSWERS_MAX_BYTES,
+    ):
         self._active_transfers = {}
+        self._fruitless_reads = {}
+        self._memory = _AnswerMemory(answers_max_bytes)
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
@@ -318,7 +380,7 @@
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
-            else _Transfer(self._handle_keep_alive)
+            else _Transfer(self._handle_keep_alive, self._memory)
         )
         future = self._loop.create_future()
         try:
@@ -328,6 +390,7 @@
             self._idle_transfers.append(transfer)
             return NotSent(f"the request cannot be sent: {error}")
         self._active_transfers[transfer.easy] = transfer
+        self._memory.transfers = len(self._active_transfers)
         self._multi.add_handle(transfer.easy)
         self._perform(pycurl.SOCKET_TIMEOUT, 0)
         try:
@@ -365,6 +428,7 @@
     def _detach(self, transfer):
         # libcurl closes the connection of an unfinished handle that is removed.
         del self._active_transfers[transfer.easy]
+        self._memory.transfers = len(self._active_transfers)
         self._multi.remove_handle(transfer.easy)
         transfer.release()
         self._idle_transfers.append(transfer)
@@ -375,7 +439,7 @@
         after = _INTERESTS_BY_EVENT[event]
         if after.reads != before.reads:
             if after.reads:
-                self._loop.add_reader(fd, self._perform, fd, pycurl.CSELECT_IN)
+                self._loop.add_reader(fd, self._read, fd)
             else:
                 self._loop.remove_reader(fd)
         if after.writes != before.writes:
@@ -385,6 +449,7 @@
                 self._loop.remove_writer(fd)
         if after is _NO_INTEREST:
             self._interests.pop(fd, None)
+            self._fruitless_reads.pop(fd, None)
         else:
             self._interests[fd] = after
 
@@ -397,6 +462,26 @@
                 delay_ms / MS_PER_S, self._perform, pycurl.SOCKET_TIMEOUT, 0
             )
 
+    def _read(self, fd):
+        self._memory.has_progress = False
+        self._perform(fd, pycurl.CSELECT_IN)
+        if self._memory.has_progress or fd not in self._interests:
+            self._fruitless_reads.pop(fd, None)
+            return
+        reads = self._fruitless_reads.get(fd, 0) + 1
+        self._fruitless_reads[fd] = reads
+        if reads >= FRUITLESS_READS_MAX:
+            self._give_up(fd)
+
+    def _give_up(self, fd):
+        """End the request whose connection delivers bytes, but no part of an answer."""
+        for transfer in list(self._active_transfers.values()):
+            if transfer.easy.getinfo(pycurl.ACTIVESOCKET) == fd:
+                future = transfer.future
+                self._detach(transfer)
+                if not future.done():
+                    future.set_result(Broken("the server sends no part of an answer"))
+
     def _perform(self, fd, events):
         self._multi.socket_action(fd, events)
         while True:
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -20,6 +20,10 @@
 
 PIPELINED_MAX = 32  # pending requests on one connection before reading pauses
 LINGER_S = 1.0  # time for the caller to read the last answer without a reset
+BODY_TIME_MAX_S = 600.0  # the longest timeout of a route
+# Chunks of a single byte have 5 bytes of framing; extensions and trailers come on top,
+# up to the limit on headers.
+FRAMING_PER_BODY_BYTE = 5
 BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -52,11 +56,21 @@
 
 @dataclass(slots=True, eq=False)
 class _Exchange:
-    """One request and its answer."""
+    """One request and its answer.
+
+    Attributes
+    ----------
+    framing_bytes : int
+        Chunk sizes, chunk extensions and trailers of the request.
+    body_deadline_s : float
+        Loop time by which the body must have arrived.
+    """
 
     request: HttpRequest
     body_max_bytes: int = 0
     body_bytes: int = 0
+    framing_bytes: int = 0
+    body_deadline_s: float = 0.0
     chunks: list[bytes] = field(default_factory=list)
     is_last: bool = False
     task: asyncio.Task | None = None
@@ -133,7 +147,9 @@
         if self._in_headers:
             self._header_bytes += len(data)
         elif self._reading is not None:
-            self._start_timeout(self._limits.idle_timeout_s)
+            self._start_body_timeout()
+        reading = self._reading
+        body_bytes = reading.body_bytes if reading is not None else 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -147,6 +163,8 @@
             return
         if self._in_headers and self._header_bytes > self._limits.header_max_bytes:
             self._reject_headers()
+        elif reading is not None and reading is self._reading:
+            self._check_framing(reading, len(data) - (reading.body_bytes - body_bytes))
         if len(self._exchanges) >= PIPELINED_MAX and not self._ignores_input:
             self._transport.pause_reading()
 
@@ -196,7 +214,8 @@
         exchange.body_max_bytes = self._state.prepare(request)
         self._reading = exchange
         self._state.reading.add(exchange)
-        self._start_timeout(self._limits.idle_timeout_s)
+        exchange.body_deadline_s = self._loop.time() + BODY_TIME_MAX_S
+        self._start_body_timeout()
         declared = request.get_header("Content-Length") or "0"
         if (
             declared.isascii()
@@ -280,6 +299,12 @@
         limit = self._reading.body_max_bytes
         self._reject(413, f"body is larger than {limit} bytes")
 
+    def _check_framing(self, exchange, received_bytes):
+        exchange.framing_bytes += received_bytes
+        framing_max = FRAMING_PER_BODY_BYTE * exchange.body_bytes
+        if exchange.framing_bytes > framing_max + self._limits.header_max_bytes:
+            self._reject(400, "chunk extensions and trailers are too large")
+
     def _reject(self, status, detail):
         """Answer a request that was not read completely and close the connection."""
         if self._ignores_input:
@@ -310,6 +335,10 @@
                 self._timer.cancel()
             self._timer = self._loop.call_at(self._deadline_s, self._check_timeout)
 
+    def _start_body_timeout(self):
+        remaining_s = self._reading.body_deadline_s - self._loop.time()
+        self._start_timeout(min(self._limits.idle_timeout_s, remaining_s))
+
     def _stop_timeout(self):
         self._deadline_s = float("inf")
 
--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -8,6 +8,7 @@
 
 from sapphireway_transport._endpoint import Receiver
 
+FRAME_MAX_BYTES = 1024 * 1024 * 1024  # largest body that the settings allow
 QUEUE_MESSAGES_MAX = 2000
 RECONNECT_MIN_MS = 20
 RECONNECT_MAX_MS = 200  # a healed link recovers within this and a round trip
@@ -60,6 +61,7 @@
         self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, FRAME_MAX_BYTES)
         self._router.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES_MAX)
         self._router.bind(f"tcp://{self.address}")
         self._loop.add_reader(self._router.getsockopt(zmq.FD), self._drain)
@@ -108,6 +110,7 @@
         socket.setsockopt(zmq.IDENTITY, self.address.encode())
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.MAXMSGSIZE, FRAME_MAX_BYTES)
         socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES_MAX)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -241,3 +241,26 @@
     first, _, second = asyncio.run(run()).rpartition(b"HTTP/1.1 200")
     assert b"/1" in first and b"Connection: close" not in first
     assert b"/2" in second and b"Connection: close" in second
+
+
+@pytest.mark.parametrize(
+    "start, piece",
+    [
+        (b"1;", b"x" * 500),
+        (b"0\r\n", b"A: b\r\n" * 50),
+        (b"0\r\nA: ", b"x" * 500),
+    ],
+    ids=["chunk extension", "trailers", "trailer line"],
+)
+def test_endless_framing_of_a_caller_is_rejected(port, start, piece):
+    head = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+    answer = exchange(port, head, start, *[piece] * 100)
+    assert answer.split()[1] in (b"400", b"431"), answer
+
+
+def test_body_of_small_chunks_is_accepted(port):
+    head = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = b"1\r\nx\r\n"
+    parts = [chunk * 10] * 80
+    answer = exchange(port, head, *parts, b"0\r\n\r\n")
+    assert answer.endswith(b"POST /x 800")
