Name what a stopping node started in its last message

Cause: a `Run` that reached a node just before or after it closed its links was lost without an answer. Its entry node asked the ended process until the deadline and reported unknown, although the request had not run.

It names the receiver's attempts that have started. The entry node ends its other open attempts at that incarnation as not run and sends no more there. Nothing starts after a drain, so this holds however late or often the message arrives. New types of messages only: an older build counts them as unreadable.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_memory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_memory.py
@@ -42,6 +42,10 @@
         Set once it has finished.
     body : bytes or None
         Body of the reply; None once dropped to save memory.
+    sender : str
+        Address of the entry node; "" if the attempt's `Run` has not arrived.
+    latest_start_s : float
+        As in the attempt's `Run`.
     """
 
     attempt: str
@@ -49,6 +53,8 @@
     forget_at_s: float
     reply: Reply | None = None
     body: bytes | None = b""
+    sender: str = ""
+    latest_start_s: float = 0.0
 
 
 class AttemptMemory:
@@ -94,7 +100,7 @@
         return self._records.get(attempt)
 
     def open(
-        self, attempt: str, latest_start_s: float, now_s: float
+        self, attempt: str, latest_start_s: float, now_s: float, sender: str = ""
     ) -> AttemptRecord | None:
         """Return a new record in state WAITING, or None if the table is full.
 
@@ -104,12 +110,18 @@
         latest_start_s : float
             Loop time after which the attempt must not start.
         now_s : float
+        sender : str
+            Address of the entry node; "" if the attempt's `Run` has not arrived.
         """
         self._expire(now_s)
         if len(self._records) >= self._records_max:
             return None
         record = AttemptRecord(
-            attempt, AttemptState.WAITING, max(latest_start_s, now_s) + RETENTION_S
+            attempt,
+            AttemptState.WAITING,
+            max(latest_start_s, now_s) + RETENTION_S,
+            sender=sender,
+            latest_start_s=latest_start_s,
         )
         self._records[attempt] = record
         heapq.heappush(self._expiries, (record.forget_at_s, attempt))
@@ -135,6 +147,18 @@
             self._kept_bytes += len(body)
         self._drop_bodies(now_s)
 
+    def list_started(self, since_s: float) -> dict[str, list[str]]:
+        """Return the ids of the attempts that may have run, by entry node.
+
+        The list is complete for attempts with a latest start of at least `since_s`,
+        if that is at most `RETENTION_S` ago.
+        """
+        started = {}
+        for record in self._records.values():
+            if record.latest_start_s >= since_s and _may_have_run(record):
+                started.setdefault(record.sender, []).append(record.attempt)
+        return started
+
     def _drop_bodies(self, now_s):
         while self._kept_replies:
             finished_s, record = next(iter(self._kept_replies.values()))
@@ -156,3 +180,9 @@
                 heapq.heappush(self._expiries, (next_check_s, attempt))
                 continue
             del self._records[attempt]
+
+
+def _may_have_run(record):
+    if record.state is AttemptState.FINISHED:
+        return record.reply.outcome != "not_run"
+    return record.state is AttemptState.RUNNING
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -223,6 +223,22 @@
     slots: int
 
 
+@dataclass(slots=True, frozen=True)
+class DepartureNotified:
+    """The node has told other nodes which of their attempts it started, and closes.
+
+    Attributes
+    ----------
+    nodes : int
+        Nodes that sent work.
+    acknowledged : int
+        Those that acknowledged the message; the others may have to ask.
+    """
+
+    nodes: int
+    acknowledged: int
+
+
 @dataclass(slots=True, frozen=True)
 class ServerLeft:
     """A server left, or its lease expired.
@@ -267,6 +283,7 @@
     | ServerWarmed
     | ServerAnnounced
     | ServerLeft
+    | DepartureNotified
     | GateChanged
     | SuspectMarked
 )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -19,8 +19,10 @@
     AttemptState,
 )
 from sapphireway_coordination.gate._completion import CompletionHandler
+from sapphireway_coordination.gate._departure import DepartureNotice
 from sapphireway_coordination.gate._events import (
     AttemptRepeated,
+    DepartureNotified,
     GateChanged,
     ObserveGate,
 )
@@ -48,7 +50,7 @@
     Run,
     ServerState,
 )
-from sapphireway_state import Policy
+from sapphireway_state import Policy, check_invariant
 from sapphireway_transport import ServerClient
 
 MS_PER_S = 1000
@@ -57,6 +59,7 @@
 DEPARTURE_SPREAD_S = 1.0  # until every node in touch has heard that this one leaves
 QUIET_S = 0.3  # without new work, after which a stopping node expects no more
 SENDER_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
+CONTACT_WINDOW_S = 300.0  # nodes that sent no work for longer get no last message
 
 GetPolicy = Callable[[str, str], Policy]
 """Returns the policy of a service and kind; kind "" is that of the whole service."""
@@ -102,6 +105,7 @@
         "_client",
         "_cold_reserve_per_s",
         "_completions",
+        "_departure_notice",
         "_departure_s",
         "_draining",
         "_get_policy",
@@ -138,6 +142,7 @@
         self._last_run_s = {}
         self._loop = asyncio.get_running_loop()
         self._memory = AttemptMemory()
+        self._departure_notice = DepartureNotice(peers, self._memory)
         self._observe = observe
         self._out = False
         self._peers = peers
@@ -267,6 +272,22 @@
                 return
             await asyncio.sleep(min(until_s, deadline_s) - now_s)
 
+    async def notify_senders(self, deadline_s: float) -> None:
+        """Tell the nodes that sent work which attempts have started, after a drain.
+
+        It is the last message of this incarnation: what it does not name never runs,
+        so the entry nodes can send it elsewhere at once.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Loop time at which to stop waiting for acknowledgements.
+        """
+        check_invariant(self._draining, "attempts may start after the last message")
+        nodes = self._list_senders(CONTACT_WINDOW_S)
+        acknowledged = await self._departure_notice.send(nodes, deadline_s)
+        self._observe(DepartureNotified(len(nodes), acknowledged))
+
     async def drain(self, deadline_s: float) -> bool:
         """Refuse new work permanently and wait for attempts in flight.
 
@@ -348,6 +369,7 @@
     def _handle_run(self, sender, envelope):
         run = envelope.message
         self._last_run_s[sender] = self._loop.time()
+        self._departure_notice.handle_run(sender)
         record = self._memory.get(run.attempt)
         now_s = self._loop.time()
         if record is not None and not _may_be_forgotten(record, run, now_s):
@@ -365,7 +387,7 @@
         if now_s > run.latest_start_s:
             self._refuse_stale(sender, run, "arrived too late to start")
             return
-        record = self._memory.open(run.attempt, run.latest_start_s, now_s)
+        record = self._memory.open(run.attempt, run.latest_start_s, now_s, sender)
         if record is not None and run.latest_start_s > now_s + START_HORIZON_S:
             # The record of an earlier `Revoke` would expire before this latest start,
             # so the attempt is refused permanently.
@@ -448,13 +470,15 @@
         for node in self._list_senders():
             self._peers.send(node, LoadUpdate(load))
 
-    def _list_senders(self):
-        """Return the nodes that recently sent work."""
-        oldest_s = self._loop.time() - SENDER_WINDOW_S
+    def _list_senders(self, window_s=SENDER_WINDOW_S):
+        """Return the nodes that sent work within `window_s`."""
+        now_s = self._loop.time()
         self._last_run_s = {
-            n: at_s for n, at_s in self._last_run_s.items() if at_s > oldest_s
+            node: at_s
+            for node, at_s in self._last_run_s.items()
+            if at_s > now_s - CONTACT_WINDOW_S
         }
-        return list(self._last_run_s)
+        return [n for n, at_s in self._last_run_s.items() if at_s > now_s - window_s]
 
     def _refuse_stale(self, sender, run, detail):
         reply = make_refusal(run.attempt, NotRunReason.STALE, 0.0, detail)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -10,6 +10,8 @@
 from sapphireway_protocol import (
     Answered,
     Cancel,
+    Departed,
+    DepartedAck,
     Envelope,
     Failed,
     LoadReport,
@@ -169,6 +171,7 @@
         self.ignored = 0
         peers.handle(Reply, self._handle_reply)
         peers.handle(Revoked, self._handle_revoked)
+        peers.handle(Departed, self._handle_departed)
         peers.clocks.add_restart_listener(self._handle_restart)
 
     def __len__(self):
@@ -176,6 +179,8 @@
 
     def send(self, attempt: Attempt, run: Run, body: bytes) -> bool:
         """Send an attempt; return False if it certainly did not leave this process."""
+        if self._peers.clocks.is_superseded(attempt.node, attempt.incarnation):
+            return False
         if not self._peers.send(attempt.node, run, body):
             return False
         attempt.latest_start_s = run.latest_start_s
@@ -240,6 +245,15 @@
             attempt.progress = Progress.STARTED
             attempt.post(attempt)
 
+    def _handle_departed(self, sender, envelope):
+        # Later attempts for this incarnation are not sent.
+        self._peers.clocks.supersede(sender, envelope.incarnation)
+        for attempt in list(self._by_node.get(sender, {}).values()):
+            if excludes_run(envelope, attempt):
+                detail = "the node stopped before it started the attempt"
+                self._end(attempt, NotRun(NotRunReason.DRAINING, detail=detail))
+        self._peers.send(sender, DepartedAck(envelope.incarnation))
+
     def _handle_restart(self, node, clock):
         for attempt in list(self._by_node.get(node, {}).values()):
             if attempt.incarnation != clock.incarnation:
@@ -276,6 +290,22 @@
     return Unknown("the server's node restarted")
 
 
+def excludes_run(envelope: Envelope, attempt: Attempt) -> bool:
+    """Return whether a `Departed` shows that an attempt has not run and never will.
+
+    Its incarnation must be the one that the attempt names. An attempt without a
+    latest start can never start; one whose latest start is older than the message
+    covers may have run and been forgotten.
+    """
+    departed = envelope.message
+    if envelope.incarnation != attempt.incarnation:
+        return False
+    if attempt.attempt_id in departed.started:
+        return False
+    latest_start_s = attempt.latest_start_s
+    return not latest_start_s or latest_start_s >= departed.complete_since_s
+
+
 def read_outcome(envelope: Envelope) -> Outcome:
     """Return the outcome carried by a `Reply` and its body."""
     reply = envelope.message
--- a/packages/sapphireway-coordination/tests/test_gate_machine.py
+++ b/packages/sapphireway-coordination/tests/test_gate_machine.py
@@ -7,7 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from tests.gate_bench import NODE, Bench
 
-from sapphireway_protocol import Cancel, Revoke
+from sapphireway_coordination.routing._attempts import Attempt, excludes_run
+from sapphireway_protocol import Cancel, Departed, Revoke
 from sapphireway_transport.memory import PausedLoop
 
 ATTEMPTS = st.integers(0, 3).map(str)
@@ -21,11 +22,13 @@
         self.loop = PausedLoop()
         asyncio.set_event_loop(self.loop)
         self.starts = 1
+        self.departures = []
         self.bench = self.step(self.open_bench())
 
     async def open_bench(self):
         bench = Bench()
         bench.network.jitter_s = 0.01
+        bench.entry.handle(Departed, lambda sender, e: self.departures.append(e))
         return bench
 
     def step(self, coroutine):
@@ -74,6 +77,16 @@
     def wait(self, delay_s):
         self.step(self.pause(delay_s))
 
+    @rule(drain_s=st.sampled_from([0.0, 0.002, 1.0]))
+    def stop(self, drain_s):
+        """Stop the node gracefully, drained or not, and start it again."""
+        self.step(self.stop_gate(self.loop.time() + drain_s))
+        self.restart_node()
+
+    async def stop_gate(self, deadline_s):
+        await self.bench.gate.drain(deadline_s)
+        await self.bench.gate.notify_senders(deadline_s)
+
     @rule(fault=st.sampled_from(["out", "crash", "freeze", "restart"]))
     def inject_fault(self, fault):
         bench = self.bench
@@ -111,11 +124,24 @@
             if any(answer.never_runs for answer in answers):
                 assert not self.bench.count_runs(attempt), f"{attempt} did run"
 
+    @invariant()
+    def attempts_that_a_departed_node_excludes_never_run(self):
+        for envelope in self.departures:
+            for run in self.bench.sent.values():
+                if excludes_run(envelope, make_attempt(run)):
+                    assert not self.bench.count_runs(run.attempt), f"{run} did run"
+
     @invariant()
     def server_load_is_within_slots(self):
         assert self.bench.server.in_flight_max <= self.bench.server.slots
 
 
+def make_attempt(run):
+    attempt = Attempt(run.attempt, None, None, run.incarnation, 0.0, None)
+    attempt.latest_start_s = run.latest_start_s
+    return attempt
+
+
 AttemptMachine.TestCase.settings = settings(
     max_examples=150, stateful_step_count=30, derandomize=True, deadline=None
 )
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -2,6 +2,8 @@
 
 from sapphireway_protocol._calls import (
     Cancel,
+    Departed,
+    DepartedAck,
     LoadReport,
     LoadUpdate,
     Probe,
@@ -120,6 +122,8 @@
     "Codec",
     "ControlHostState",
     "ControlReply",
+    "Departed",
+    "DepartedAck",
     "EntryKind",
     "Envelope",
     "Failed",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -209,4 +209,40 @@
     load: LoadReport
 
 
-MESSAGES = (LoadUpdate, Run, Reply, Cancel, Revoke, Revoked, Probe, ProbeReply)
+class Departed(msgspec.Struct, frozen=True, tag="departed", array_like=True):
+    """Last message of a node that stops gracefully, to a node that sent it work.
+
+    No attempt starts at the sender's incarnation after this message was made.
+
+    Attributes
+    ----------
+    started : list of str
+        The receiver's attempts that have started, of those with a latest start of at
+        least ``complete_since_s``.
+    complete_since_s : float
+        Reading of the sender's clock. Attempts with an earlier latest start may have
+        started without being named.
+    """
+
+    started: list[str]
+    complete_since_s: float
+
+
+class DepartedAck(msgspec.Struct, frozen=True, tag="departed_ack", array_like=True):
+    """Acknowledgement of `Departed` by the incarnation that it came from."""
+
+    incarnation: str
+
+
+MESSAGES = (
+    LoadUpdate,
+    Run,
+    Reply,
+    Cancel,
+    Revoke,
+    Revoked,
+    Probe,
+    ProbeReply,
+    Departed,
+    DepartedAck,
+)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
@@ -103,7 +103,8 @@
     def supersede(self, peer: str, incarnation: str) -> None:
         """Remember that `incarnation` of `peer` has ended."""
         ended = self._superseded.setdefault(peer, [])
-        ended.append(incarnation)
+        if incarnation not in ended:
+            ended.append(incarnation)
         del ended[:-SUPERSEDED_PER_PEER_MAX]
 
 
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -180,6 +180,7 @@
         drained = await self._data_path.claimant.drain(remaining_s) and drained
         await self._wait_for_claim_handover()
         await self.gate.wait_until_unused(deadline_s)
+        await self.gate.notify_senders(deadline_s)
         await self._close()
         self._log.info("stopped", drained=drained)
         return drained
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -12,6 +12,7 @@
     CallEnded,
     CallHistory,
     ClaimEnded,
+    DepartureNotified,
     GateChanged,
     LimitChanged,
     MemberEjected,
@@ -29,6 +30,7 @@
 """Called with each event dataclass of the coordination layer."""
 
 LOGGED_EVENTS = (
+    DepartureNotified,
     GateChanged,
     MemberEjected,
     RelapseSeen,
