--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -105,6 +105,7 @@
 )
 from sapphireway_coordination.settings import (
     GROUP_PREFIX,
+    ROLLOUT_PREFIX,
     ROUTE_PREFIX,
     TREE_PREFIX,
     AppliedState,
@@ -130,6 +131,7 @@
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
     "RETRY_TOKENS_MAX",
+    "ROLLOUT_PREFIX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AnnounceAccepted",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/__init__.py
@@ -8,6 +8,7 @@
 )
 from sapphireway_coordination.settings._control_machine import (
     GROUP_PREFIX,
+    ROLLOUT_PREFIX,
     ROUTE_PREFIX,
     TREE_PREFIX,
     ControlMachine,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "GROUP_PREFIX",
+    "ROLLOUT_PREFIX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AppliedState",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
@@ -6,11 +6,14 @@
 
 from sapphireway_protocol import ClaimGroup, SettingsUpdate
 from sapphireway_state import (
+    Rollout,
     RouteTable,
     RouteView,
     SettingsFollower,
     SettingsView,
     UpdateResult,
+    decode_rollouts,
+    encode_rollouts,
 )
 
 NO_VERSION = -1  # of a node that has nothing yet; requests the full state
@@ -31,6 +34,7 @@
     groups_version : int
     routes : RouteView
         The current routing table.
+    rollouts_version : int
     rejection_reason : str
         Why the last rejected update could not be applied.
     """
@@ -39,9 +43,11 @@
         "_group_versions",
         "_groups",
         "_on_group",
+        "_rollouts",
         "_tree",
         "groups_version",
         "rejection_reason",
+        "rollouts_version",
         "routes",
         "version",
     )
@@ -50,9 +56,11 @@
         self._group_versions = {}
         self._groups = {}
         self._on_group = on_group
+        self._rollouts = {}
         self._tree = SettingsFollower()
         self.rejection_reason = ""
         self.groups_version = 0
+        self.rollouts_version = 0
         self.routes = RouteView(RouteTable(), 0)
         self.version = 0
 
@@ -65,6 +73,10 @@
         """Return the claim group with this name, if there is one."""
         return self._groups.get(name)
 
+    def get_rollout(self, service: str) -> Rollout | None:
+        """Return the last rollout of a service, if there was one."""
+        return self._rollouts.get(service)
+
     def copy(self) -> "AppliedState":
         """Return an independent copy that does not call `on_group`."""
         copy = AppliedState()
@@ -72,12 +84,18 @@
         copy._groups = dict(self._groups)
         copy._tree = self._tree.copy()
         copy.groups_version = self.groups_version
+        copy._rollouts = self._rollouts
+        copy.rollouts_version = self.rollouts_version
         copy.routes = self.routes
         copy.version = self.version
         return copy
 
     def make_update(
-        self, tree_version: int, groups_version: int, routes_version: int = 0
+        self,
+        tree_version: int,
+        groups_version: int,
+        routes_version: int = 0,
+        rollouts_version: int = 0,
     ) -> SettingsUpdate:
         """Return the changes since the versions that a node has."""
         tree = b""
@@ -97,6 +115,10 @@
             groups,
             self.routes.version,
             encode_routes(self.routes.table, self.routes.version, routes_version),
+            self.rollouts_version,
+            b""
+            if rollouts_version == self.rollouts_version
+            else encode_rollouts(self._rollouts.values()),
         )
 
     def apply(self, update: SettingsUpdate) -> UpdateResult:
@@ -109,6 +131,12 @@
             if routes is None:
                 self.rejection_reason = "the routing table cannot be decoded"
                 return UpdateResult.BROKEN
+        rollouts = None
+        if update.rollouts and update.rollouts_version > self.rollouts_version:
+            rollouts = decode_rollouts(update.rollouts)
+            if rollouts is None:
+                self.rejection_reason = "the rollouts cannot be decoded"
+                return UpdateResult.BROKEN
         if update.tree:
             result = self._tree.apply_update(update.tree)
             if result in (UpdateResult.NEEDS_WHOLE, UpdateResult.BROKEN):
@@ -124,6 +152,9 @@
             self.groups_version = update.groups_version
         if routes is not None:
             self.routes = routes
+        if rollouts is not None:
+            self._rollouts = rollouts
+            self.rollouts_version = update.rollouts_version
         self.version = update.version
         for group in update.groups or ():
             self._on_group(group)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
@@ -1,15 +1,21 @@
-"""Replicated state machine: settings tree, claim groups and routes."""
+"""Replicated state machine: settings tree, claim groups, routes and rollouts."""
 
 import msgspec
 
 from sapphireway_coordination.claims import ClaimGroupMachine
 from sapphireway_coordination.settings._applied_state import encode_routes
 from sapphireway_protocol import SettingsUpdate
-from sapphireway_state import RouteMachine, SettingsMachine
+from sapphireway_state import (
+    RolloutMachine,
+    RouteMachine,
+    SettingsMachine,
+    encode_rollouts,
+)
 
 TREE_PREFIX = b"t"
 GROUP_PREFIX = b"g"
 ROUTE_PREFIX = b"r"
+ROLLOUT_PREFIX = b"v"
 
 
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -17,6 +23,7 @@
     groups: bytes
     groups_version: int
     routes: bytes = b""
+    rollouts: bytes = b""
 
 
 class ControlMachine:
@@ -28,6 +35,7 @@
     groups : ClaimGroupMachine
     groups_version : int
         Journal position of the last change to a claim group.
+    rollouts : RolloutMachine
     routes : RouteMachine
     """
 
@@ -36,6 +44,7 @@
         "_on_change",
         "groups",
         "groups_version",
+        "rollouts",
         "routes",
         "settings",
     )
@@ -45,13 +54,19 @@
         self._on_change = on_change
         self.groups = ClaimGroupMachine()
         self.groups_version = 0
+        self.rollouts = RolloutMachine()
         self.routes = RouteMachine()
         self.settings = SettingsMachine()
 
     @property
     def version(self) -> int:
         """Journal position of the last change to any part."""
-        return max(self.settings.version, self.groups_version, self.routes.version)
+        return max(
+            self.settings.version,
+            self.groups_version,
+            self.routes.version,
+            self.rollouts.version,
+        )
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a prefixed command; the result is empty if the prefix is unknown."""
@@ -64,12 +79,14 @@
             result = self._apply_group(index, content)
         elif prefix == ROUTE_PREFIX:
             result = self.routes.apply(index, content)
+        elif prefix == ROLLOUT_PREFIX:
+            result = self.rollouts.apply(index, content, self._list_services())
         if self.version != before:
             self._on_change()
         return result
 
     def read(self, query: bytes) -> bytes:
-        """Answer a query for the tree, a claim group or the routing table."""
+        """Answer a query for the tree, a claim group, the routes or a rollout."""
         prefix, content = query[:1], query[1:]
         if prefix == TREE_PREFIX:
             return self.settings.read(content)
@@ -78,10 +95,16 @@
             return msgspec.msgpack.encode(group)
         if prefix == ROUTE_PREFIX:
             return self.routes.read(content)
+        if prefix == ROLLOUT_PREFIX:
+            return self.rollouts.read(content)
         return b""
 
     def make_update(
-        self, tree_version: int, groups_version: int, routes_version: int = 0
+        self,
+        tree_version: int,
+        groups_version: int,
+        routes_version: int = 0,
+        rollouts_version: int = 0,
     ) -> SettingsUpdate:
         """Return the changes since the versions that a node has."""
         tree = b""
@@ -95,7 +118,7 @@
                 for group in self.groups.list_groups()
                 if versions[group.name] > groups_version
             ]
-        routes = self.routes
+        routes, rollouts = self.routes, self.rollouts
         return SettingsUpdate(
             self.version,
             tree,
@@ -103,6 +126,10 @@
             groups,
             routes.version,
             encode_routes(routes.table, routes.version, routes_version),
+            rollouts.version,
+            b""
+            if rollouts_version == rollouts.version
+            else encode_rollouts(rollouts.rollouts.values()),
         )
 
     def snapshot(self) -> bytes:
@@ -113,6 +140,7 @@
                 self.groups.snapshot(),
                 self.groups_version,
                 self.routes.snapshot(),
+                self.rollouts.snapshot(),
             )
         )
 
@@ -124,6 +152,8 @@
         self.groups_version = snapshot.groups_version
         if snapshot.routes:
             self.routes.restore(snapshot.routes)
+        if snapshot.rollouts:
+            self.rollouts.restore(snapshot.rollouts)
         # Snapshots lack the groups' own versions. With the latest for all, some groups
         # are sent again.
         self._group_versions = {
@@ -131,6 +161,10 @@
         }
         self._on_change()
 
+    def _list_services(self):
+        tabled = {service.name for service in self.routes.table.services}
+        return tabled | set(self.settings.tree.get("services", {}))
+
     def _apply_group(self, index, content):
         before = {group.name: group for group in self.groups.list_groups()}
         result = self.groups.apply(index, content)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -173,7 +173,11 @@
     async def _fetch_since(self, sender, tree_version):
         state = self._state
         request = FetchSettings(
-            state.version, tree_version, state.groups_version, state.routes.version
+            state.version,
+            tree_version,
+            state.groups_version,
+            state.routes.version,
+            state.rollouts_version,
         )
         reply = await self._peers.request(
             sender, request, FETCH_TIMEOUT_S, resend_s=FETCH_RESEND_S
@@ -204,6 +208,7 @@
             request.tree_version,
             request.groups_version,
             request.routes_version,
+            request.rollouts_version,
         )
         key = self._state.version, *known_versions
         encoded = self._update_cache.get(key)
@@ -229,7 +234,7 @@
         try:
             while saved is not self._latest_state:
                 state = self._latest_state
-                full_update = state.make_update(NO_VERSION, NO_VERSION, NO_VERSION)
+                full_update = state.make_update(*[NO_VERSION] * 4)
                 failed = await self._disk.replace(SETTINGS_FILE, _encode(full_update))
                 if failed is not None:
                     # The next start then fetches the settings from peers.
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -103,7 +103,7 @@
             await asyncio.sleep(0.1)
         return requested, [node.read_deadline() for node in nodes]
 
-    assert run_paused(run()) == ([(0, 0, 0), (7, 0, 0)], [800] * 5)
+    assert run_paused(run()) == ([(0, 0, 0, 0), (7, 0, 0, 0)], [800] * 5)
 
 
 def test_settings_fetched_from_nodes_without_control_host(network, machine):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -19,12 +19,15 @@
         Version of the sender's claim groups.
     routes_version : int
         Version of the sender's routing table.
+    rollouts_version : int
+        Version of the sender's rollouts.
     """
 
     version: int
     tree_version: int
     groups_version: int
     routes_version: int = 0
+    rollouts_version: int = 0
 
 
 class FetchSettingsReply(
@@ -58,6 +61,9 @@
     routes_version : int
     routes : bytes
         The routing table; empty if the requester's version is current.
+    rollouts_version : int
+    rollouts : bytes
+        The rollouts; empty if the requester's version is current.
     """
 
     version: int
@@ -66,6 +72,8 @@
     groups: list[ClaimGroup] | None
     routes_version: int = 0
     routes: bytes = b""
+    rollouts_version: int = 0
+    rollouts: bytes = b""
 
 
 MESSAGES = (FetchSettings, FetchSettingsReply)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -170,7 +170,10 @@
             self._journal_changed.clear()
             state = self._state
             update = self._machine.make_update(
-                state.view.version, state.groups_version, state.routes.version
+                state.view.version,
+                state.groups_version,
+                state.routes.version,
+                state.rollouts_version,
             )
             applied = await self._apply_update(update)
             if applied is UpdateResult.NEEDS_WHOLE:
