Read the version of a server from its heartbeats

Cause: rollouts need to know which servers run which version. Change: the heartbeat's version goes into the announcement; one that is missing or malformed counts as unknown, or as the last one of the same start of the server. Ruled out: a typed field, which rejects the heartbeat of a server with a malformed version, or with a number of 400 digits in its place. Result: 54 tests of heartbeats and the boundary pass.

--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -75,6 +75,38 @@
     assert announcement.health_path == "/h"
 
 
+def test_version_of_the_server_is_announced(registrar, gate):
+    send_heartbeat(registrar, version=" v7 ")
+    assert gate.calls[0].version == "v7"
+
+
+@pytest.mark.parametrize(
+    "version",
+    [None, 7, 10**400, ["v2"], {"v": 2}, True, "", " ", "v" * 201],
+    ids=lambda v: str(v)[:20],
+)
+def test_malformed_version_does_not_cost_the_heartbeat(registrar, gate, version):
+    send_heartbeat(registrar, version=version)
+    assert [announced.version for announced in gate.calls] == [""]
+
+
+def test_heartbeat_without_version_is_announced(registrar, gate):
+    body = {name: value for name, value in HEARTBEAT.items() if name != "version"}
+    heartbeat = decode_heartbeat("i-1", json.dumps(body).encode())
+    registrar.handle_heartbeat("i-1", heartbeat)
+    assert [announced.version for announced in gate.calls] == [""]
+
+
+def test_version_is_kept_for_the_rest_of_the_same_start(registrar, gate):
+    """A heartbeat without it would count a new server among the old ones."""
+    send_heartbeat(registrar)
+    send_heartbeat(registrar, version=None, seq=5)
+    send_heartbeat(registrar, version="v2", seq=6)
+    send_heartbeat(registrar, version=None, seq=1, born=1001)
+    versions = [announced.version for announced in gate.calls]
+    assert versions == ["v1", "v1", "v2", ""]
+
+
 def test_heartbeat_waits_until_its_service_is_known(gate):
     """The rate of a cold server is known from the table only."""
     views = [RouteView(RouteTable(0, ()), 0)]
