Split the attempts of an entry node between versions during a rollout

Cause: a new version may get only its share of the requests, from all nodes together. Change: VersionSplit chooses the version of each attempt (first, retry, hedge, resend, redirect) by an account of this node's attempts, before ejected servers are left out. A call refused for its version waits up to 0.1 s for the newer settings. Services without a rollout get the same list of servers as before. Ruled out: refunds for attempts that were not sent, as calls that wait for probes would share one refund; the choice after ejection, as a bad version whose servers are ejected would get no requests and pass for lack of evidence.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/__init__.py
@@ -22,6 +22,7 @@
     ProbeSent,
     RetryDenied,
     RevokeSent,
+    VersionChosen,
 )
 from sapphireway_coordination.routing._explanation import (
     CallHistory,
@@ -41,6 +42,10 @@
 from sapphireway_coordination.routing._slow_host import (
     estimate_slowed_time,
 )
+from sapphireway_coordination.routing._version_split import (
+    GetRollout,
+    VersionSplit,
+)
 
 __all__ = [
     "RETRY_TOKENS_MAX",
@@ -54,6 +59,7 @@
     "Choose",
     "DenyReason",
     "Dispatcher",
+    "GetRollout",
     "MemberEjected",
     "MemberRestored",
     "ObserveCall",
@@ -61,6 +67,8 @@
     "RetryDenied",
     "RevokeSent",
     "ServerView",
+    "VersionChosen",
+    "VersionSplit",
     "choose_least_in_flight",
     "choose_power_of_two",
     "choose_predicted",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -48,6 +48,8 @@
 HEDGE_SPEEDUP_MIN = 2.5  # times faster that another host must be to hedge at once
 HEDGE_DEFAULT_SHARE = 0.25  # of the time to the deadline, if latencies are unknown
 REFUSALS_MAX = 6  # per call; each costs a round trip between nodes
+# A node that refuses a version has newer settings, which take a few round trips.
+ROLLOUT_WAIT_S = 0.1
 OVERLOAD_REASONS = (
     NotRunReason.OVERLOADED,
     NotRunReason.SHED,
@@ -82,6 +84,7 @@
         "_outcomes",
         "_resendable",
         "_resent",
+        "_rollouts_version",
         "_service",
         "_tried",
         "attempts_sent",
@@ -101,6 +104,7 @@
         self._open = []
         self._resent = []
         self._resendable = []
+        self._rollouts_version = 0
         self._tried = []
         self.attempts_sent = 0
 
@@ -149,6 +153,8 @@
         if isinstance(result, Answered) and not self._call.policy.idempotent:
             return result
         self._outcomes.append(result)
+        if isinstance(result, NotRun) and result.reason is NotRunReason.VERSION:
+            await self._wait_for_rollouts()
         if is_stale(result) and self._try_resend(attempt.load):
             return None
         if self._may_repeat(result) and await self._try_retry():
@@ -157,6 +163,13 @@
             return None
         return self._conclude()
 
+    async def _wait_for_rollouts(self):
+        """Wait for the settings without which the call would be refused again."""
+        remaining_s = self._call.deadline_s - self._loop.time()
+        await self._dispatcher.versions.wait_for_change(
+            self._rollouts_version, min(ROLLOUT_WAIT_S, max(0.0, remaining_s))
+        )
+
     def _may_repeat(self, result):
         return self._call.policy.idempotent or isinstance(result, NotRun)
 
@@ -170,7 +183,13 @@
         if load in self._resent or not load.is_serving(now_s):
             return False
         self._resendable.append(load)
-        candidates = list(self._resendable)
+        candidates = list(
+            self._dispatcher.versions.select(
+                self._call, list(self._resendable), self._observe
+            )
+        )
+        if not candidates:
+            return False
         if (
             reports_slowness(load)
             and self._get_deny_reason(AttemptCause.REDIRECT) is None
@@ -275,6 +294,8 @@
         # The same link keeps the order, so the mark arrives before the request.
         self._dispatcher.inform_of_suspect(attempt.node, run.service, run.digest)
         if self._dispatcher.attempts.send(attempt, run, self._call.body):
+            self._rollouts_version = self._dispatcher.versions.rollouts_version
+            self._dispatcher.versions.record_sent(self._call.service)
             self._record_sent(attempt, candidate_count)
             return True
         self._dispatcher.ejector.record_failure(load, now_s, "not connected")
@@ -387,6 +408,7 @@
             self._call.service, self._dispatcher.get_members(self._call.service)
         )
         now_s = self._loop.time()
+        loads = self._dispatcher.versions.list_serving(self._call.service, loads)
         return any(
             other.report.slowness <= slowness_max
             for other in loads
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_candidates.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_candidates.py
@@ -17,17 +17,25 @@
     """Return the servers to choose from for the next attempt of `call`.
 
     Servers that were tried are excluded, and so are their failure domains if other
-    servers remain. The first attempt may send a load probe.
+    servers remain. During a rollout of the service the servers are of one version. The
+    first attempt may send a load probe.
     """
     members = dispatcher.get_members(call.service)
     loads = dispatcher.loads.list_loads(call.service, members)
     if loads and not tried:
         dispatcher.prober.probe_for_call(loads, call.policy, now_s)
     serving = [load for load in loads if load.is_serving(now_s)]
-    usable = list_usable(serving, call, now_s)
+    untried = [load for load in serving if load not in tried] if tried else serving
+    # Before ejected servers are left out: a version whose servers are all ejected must
+    # not lose its share of the requests, and with it the evidence against it.
+    allowed = dispatcher.versions.select(call, untried, dispatcher.observe)
+    if allowed is untried:
+        usable = list_usable(serving, call, now_s)
+        untried = [load for load in usable if load not in tried]
+    else:
+        untried = list_usable(allowed, call, now_s)
     if not tried:
-        return usable
-    untried = [load for load in usable if load not in tried]
+        return untried
     if any(reports_slowness(load) for load in untried):
         # The slowness of each host matters more than its failure domain.
         return untried
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -18,6 +18,7 @@
 from sapphireway_coordination.routing._probing import Prober
 from sapphireway_coordination.routing._routing import Choose, choose_predicted
 from sapphireway_coordination.routing._services import ServiceTable
+from sapphireway_coordination.routing._version_split import VersionSplit
 from sapphireway_protocol import LoadReport, LoadUpdate, Outcome, Peers, ProbeReply
 from sapphireway_state import Policy
 
@@ -51,6 +52,8 @@
         Returns the retry tokens that one service may hold in reserve at this node.
     inform_of_suspect : callable
         Called with node, service and digest before a request is sent to the node.
+    versions : VersionSplit, optional
+        Chooses between the versions of a service during a rollout.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "prober",
         "rng",
         "services",
+        "versions",
     )
 
     def __init__(
@@ -79,6 +83,7 @@
         choose: Choose = choose_predicted,
         get_retry_reserve: Callable[[], float] = lambda: RETRY_TOKENS_MAX,
         inform_of_suspect: Callable[[str, str, str], None] = _ignore_suspect,
+        versions: VersionSplit | None = None,
     ):
         self.inform_of_suspect = inform_of_suspect
         self.get_retry_reserve = get_retry_reserve
@@ -96,6 +101,7 @@
             peers, choose, asyncio.get_running_loop().time
         )
         self.services = ServiceTable()
+        self.versions = versions or VersionSplit()
         peers.handle(LoadUpdate, self._handle_load_update)
         peers.handle(ProbeReply, self._handle_probe_reply)
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
@@ -63,6 +63,28 @@
     report_age_s: float = math.inf
 
 
+@dataclass(slots=True, frozen=True)
+class VersionChosen:
+    """A running rollout decided which versions an attempt may go to.
+
+    Attributes
+    ----------
+    call_id, service : str
+    role : str
+        ``new`` or ``old``.
+    version : str
+        The new version.
+    share : float
+        Its share of the attempts.
+    """
+
+    call_id: str
+    service: str
+    role: str
+    version: str
+    share: float
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     """An attempt ended, or its outcome can no longer be learned.
@@ -197,6 +219,7 @@
     | MemberEjected
     | MemberRestored
     | ProbeSent
+    | VersionChosen
     | CallEnded
 )
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
@@ -11,6 +11,7 @@
     CallEvent,
     RetryDenied,
     RevokeSent,
+    VersionChosen,
 )
 from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_coordination.routing._routing import estimate_prior, predict
@@ -142,6 +143,11 @@
                 f"{event.cause} attempt {event.attempt} sent to {event.server} in "
                 f"{event.domain}, one of {event.candidates}, {_describe_report(event)}"
             )
+        case VersionChosen():
+            return (
+                f"rollout of {event.version} at {event.share:.0%}: "
+                f"servers of the {event.role} version"
+            )
         case AttemptEnded():
             return (
                 f"attempt {event.attempt} at {event.server} ended {event.outcome} "
--- a/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
@@ -77,17 +77,28 @@
         """Whether the rollout has not ended."""
         return self.state is RolloutState.RUNNING
 
-    def get_role(self, version: str) -> VersionRole:
-        """Return the role of the servers of a version."""
+    def get_role(self, version: str, announced: bool = True) -> VersionRole:
+        """Return the role of the servers of a version.
+
+        Parameters
+        ----------
+        version : str
+            "" if unknown.
+        announced : bool
+            Whether the server has announced itself. One that its node only discovered
+            may be of the new version, so it gets nothing until then.
+        """
         if version == self.version:
             return VersionRole.NEW
+        if not version and not announced:
+            return VersionRole.EXCLUDED
         if version in self.excluded or (self.base and version != self.base):
             return VersionRole.EXCLUDED
         return VersionRole.OLD
 
-    def serves(self, version: str) -> bool:
+    def serves(self, version: str, announced: bool = True) -> bool:
         """Return whether servers of a version may get new requests at all."""
-        role = self.get_role(version)
+        role = self.get_role(version, announced)
         if role is VersionRole.NEW:
             return self.state is not RolloutState.ROLLED_BACK
         moved = self.state is RolloutState.COMPLETED or (
