Refuse work at the gate that a rollout does not allow

Cause: an entry node that is cut off splits by old settings, or knows no rollout. Change: VersionGuard. Beside the new version the gate refuses senders whose settings are older than the order; after a roll back, and beside other versions from share 1 on, it refuses all work, also what waits in its queue. Ruled out: a check in the message handler alone, as a duplicate would start after the refusal; the refusal goes through the attempt's record instead.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -33,6 +33,8 @@
     DEFAULT_SERVER_DIALECT,
     ServerDialect,
 )
+from sapphireway_coordination.gate._version_guard import VersionGuard
+from sapphireway_coordination.routing import GetRollout
 from sapphireway_coordination.suspects import GetNodes, SuspectExchange, SuspectTable
 from sapphireway_protocol import (
     Cancel,
@@ -96,6 +98,8 @@
         HTTP conventions of the server.
     cold_reserve_per_s : float
         Requests per second that a cold server may get beyond its rate.
+    get_rollout : callable
+        Returns the last rollout of a service, or None.
     """
 
     __slots__ = (
@@ -116,6 +120,7 @@
         "_registration",
         "_runner",
         "_suspect_exchange",
+        "_version_guard",
     )
 
     def __init__(
@@ -129,6 +134,7 @@
         make_update: Callable[[], UpdateLimit] = make_additive_update,
         dialect: ServerDialect = DEFAULT_SERVER_DIALECT,
         cold_reserve_per_s: float = 0.0,
+        get_rollout: GetRollout = lambda service: None,
     ):
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
@@ -166,6 +172,7 @@
             observe,
             dialect,
         )
+        self._version_guard = VersionGuard(get_rollout, lambda: self.announcement)
         self._runner = AttemptRunner(
             client,
             self._completions,
@@ -173,7 +180,7 @@
             self._registration,
             suspects,
             self._suspect_exchange,
-            lambda: _CLOSED_REASONS.get(self.state),
+            self._find_closed_reason,
             observe,
             dialect,
         )
@@ -227,6 +234,7 @@
         if started and self.announcement is announcement:
             self._suspect_exchange.service = announcement.service
             self._suspect_exchange.fetch_suspects()
+        self.apply_rollout()
         return result
 
     def leave(self, server: str) -> bool:
@@ -245,6 +253,12 @@
             self._runner.refuse_all(NotRunReason.DOMAIN_OUT)
         self._observe(GateChanged(self.state.value, self._count_in_flight()))
 
+    def apply_rollout(self) -> None:
+        """Refuse what waits if the rollout in force gives the server no work."""
+        refusal = self._version_guard.find_refusal()
+        if refusal is not None:
+            self._runner.refuse_all(refusal)
+
     def announce_departure(self) -> None:
         """Let other nodes know that this one will drain; work is still accepted."""
         self._departure_s = min(self._departure_s, self._loop.time())
@@ -339,6 +353,10 @@
         url = announcement.url + announcement.health_path
         return await fetch_health(self._client, url, LIVENESS_TIMEOUT_S) is not None
 
+    def _find_closed_reason(self):
+        closed = _CLOSED_REASONS.get(self.state)
+        return self._version_guard.find_refusal() if closed is None else closed
+
     def _count_in_flight(self):
         capacity = self._registration.capacity
         return 0 if capacity is None else capacity.in_flight
@@ -376,9 +394,11 @@
             # Without a record, a duplicate message could start it after a refusal.
             self._observe(AttemptRepeated(run.attempt, "run", "no memory"))
             return
-        self._submit(sender, run, envelope.body, record, now_s)
+        outdated = self._version_guard.is_outdated(envelope.settings_version)
+        refusal = NotRunReason.VERSION if outdated else None
+        self._submit(sender, run, envelope.body, record, now_s, refusal)
 
-    def _submit(self, sender, run, body, record, now_s):
+    def _submit(self, sender, run, body, record, now_s, refusal):
         capacity = self._registration.capacity
         if run.server_limit_per_s is not None and capacity is not None:
             capacity.adopt_server_limit(run.server_limit_per_s)
@@ -387,9 +407,9 @@
         target_s = math.inf
         if run.target_ms is not None:
             target_s = now_s + run.target_ms / MS_PER_S
-        self._runner.submit(
-            AttemptJob(sender, run, body, policy, record, now_s, deadline_s, target_s)
-        )
+        job = AttemptJob(sender, run, body, policy, record, now_s, deadline_s, target_s)
+        job.refusal = refusal
+        self._runner.submit(job)
 
     def _handle_cancel(self, sender, envelope):
         attempt = envelope.message.attempt
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -35,10 +35,14 @@
         self.policy = policy or Policy()
         self.dialect = dialect
         self.events = []
+        self.rollout = None
+        self.entry_version = 0
         self.sent = {}
         self.replies = {}
         self.revoked = {}
-        self.entry = Peers(self.network.open_endpoint(ENTRY), "e1")
+        self.entry = Peers(
+            self.network.open_endpoint(ENTRY), "e1", lambda: self.entry_version
+        )
         self.entry.handle(Reply, self._collect(self.replies))
         self.entry.handle(Revoked, self._collect(self.revoked))
         self.entry.start()
@@ -66,6 +70,7 @@
             lambda service, kind: self.policy,
             self.events.append,
             dialect=self.dialect,
+            get_rollout=lambda service: self.rollout,
         )
         self.peers.start()
 
