Report the answers of versions and control rollouts on the leader

Cause: nothing gathered the evidence that decide() needs, or acted on its decisions. Change: VersionReporter beside the gate (cumulative, four times a second, only during a rollout of its service), RolloutController on the control hosts with the reports by start of the node, the age of orders on clocks that may jump, and the check before the end. rollouts may import membership, which test_layers states.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -22,6 +22,7 @@
     ReadGroup,
 )
 from sapphireway_coordination.gate import (
+    CANCELLED_DETAIL,
     DEFAULT_SERVER_DIALECT,
     DEPARTURE_SPREAD_S,
     AnnounceAccepted,
@@ -77,6 +78,13 @@
     StateMachine,
     Unavailable,
 )
+from sapphireway_coordination.rollouts import (
+    ReportedServer,
+    RolloutController,
+    RolloutDecided,
+    RolloutHeld,
+    VersionReporter,
+)
 from sapphireway_coordination.routing import (
     RETRY_TOKENS_MAX,
     AttemptCause,
@@ -126,6 +134,7 @@
 
 __all__ = [
     "ATTEMPT_ID_HEADER",
+    "CANCELLED_DETAIL",
     "DEADLINE_HEADER",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
@@ -203,9 +212,13 @@
     "RelapseSeen",
     "ReportHeaders",
     "ReportUnreadable",
+    "ReportedServer",
     "RetryDenied",
     "RevokeSent",
     "Role",
+    "RolloutController",
+    "RolloutDecided",
+    "RolloutHeld",
     "SelfReport",
     "ServerAnnounced",
     "ServerCold",
@@ -220,6 +233,7 @@
     "SuspectMarked",
     "Unavailable",
     "VersionChosen",
+    "VersionReporter",
     "VersionSplit",
     "choose_least_in_flight",
     "choose_power_of_two",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -26,6 +26,9 @@
     ServerLimited,
     ServerWarmed,
 )
+from sapphireway_coordination.gate._exchange import (
+    CANCELLED_DETAIL,
+)
 from sapphireway_coordination.gate._gate import (
     DEPARTURE_SPREAD_S,
     Gate,
@@ -52,6 +55,7 @@
 )
 
 __all__ = [
+    "CANCELLED_DETAIL",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
     "AnnounceAccepted",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -11,6 +11,9 @@
     ServerResult,
 )
 
+CANCELLED_DETAIL = "cancelled while it ran"
+"""Detail of an attempt whose caller no longer needs its answer."""
+
 
 def make_request(
     run: Run,
@@ -97,7 +100,7 @@
         case Broken(detail):
             pass
         case None:
-            detail = "cancelled while it ran"
+            detail = CANCELLED_DETAIL
     outcome = "failed" if run.idempotent else "unknown"
     return Reply(run.attempt, outcome, detail=detail), b""
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/__init__.py
@@ -1,5 +1,10 @@
 """Rollouts: moves a service's traffic to servers of a new version, or back."""
 
+from sapphireway_coordination.rollouts._controller import (
+    RolloutController,
+    RolloutDecided,
+    RolloutHeld,
+)
 from sapphireway_coordination.rollouts._decision import (
     Action,
     Decision,
@@ -14,15 +19,26 @@
     count_slow,
     find_slow_bound,
 )
+from sapphireway_coordination.rollouts._reporter import (
+    REPORT_INTERVAL_S,
+    ReportedServer,
+    VersionReporter,
+)
 
 __all__ = [
     "LATENCY_BOUNDS_MS",
+    "REPORT_INTERVAL_S",
     "Action",
     "Decision",
     "Evidence",
     "KindStats",
     "LatencyCounts",
+    "ReportedServer",
+    "RolloutController",
+    "RolloutDecided",
+    "RolloutHeld",
     "Sample",
+    "VersionReporter",
     "count_slow",
     "decide",
     "find_slow_bound",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -77,6 +77,7 @@
     VoteReply,
     VoteRequest,
 )
+from sapphireway_protocol._rollouts import KindCounts, VersionReport
 from sapphireway_protocol._settings import (
     FetchSettings,
     FetchSettingsReply,
@@ -132,6 +133,7 @@
     "Join",
     "JoinReply",
     "JournalEntry",
+    "KindCounts",
     "LeaseEntry",
     "ListNodes",
     "ListSuspects",
@@ -173,6 +175,7 @@
     "SyncLeases",
     "SyncedLeases",
     "Unknown",
+    "VersionReport",
     "VoteReply",
     "VoteRequest",
 ]
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -13,6 +13,7 @@
 from sapphireway._logs import EventLog
 from sapphireway_coordination import (
     GROUP_PREFIX,
+    ROLLOUT_PREFIX,
     TREE_PREFIX,
     AppliedState,
     ClaimGroupController,
@@ -26,8 +27,9 @@
     QuorumSettings,
     QuorumStatus,
     Role,
+    RolloutController,
 )
-from sapphireway_protocol import Peers, SettingsUpdate
+from sapphireway_protocol import ListNodes, NodeList, Peers, SettingsUpdate
 from sapphireway_state import (
     OTHER_KIND,
     Edit,
@@ -43,6 +45,7 @@
 CHECK_INTERVAL_S = 0.2
 # Longer than a host's restart, shorter than the time between two losses of hosts.
 SILENT_VOTER_TIMEOUT_S = 3.0
+LIST_NODES_TIMEOUT_S = 0.3  # the end of a rollout waits for it if a host is down
 
 
 class ControlHost:
@@ -73,7 +76,9 @@
         "_journal_changed",
         "_log",
         "_machine",
+        "_peers",
         "_quorum",
+        "_rollout_controller",
         "_settings",
         "_state",
     )
@@ -90,6 +95,7 @@
         hosts: ControlHostList,
     ):
         self._hosts = hosts
+        self._peers = peers
         self._log = log
         self._apply_update = apply_update
         self._settings = settings
@@ -128,6 +134,16 @@
             observe=observe,
             get_losses_max=self._get_losses_max,
         )
+        self._rollout_controller = RolloutController(
+            peers,
+            lambda: self._machine.rollouts.rollouts.values(),
+            self._directory.get_members,
+            self._list_settings_versions,
+            self._propose_rollout,
+            self._is_leader,
+            time.time,
+            observe,
+        )
 
     async def run(self) -> None:
         """Run all components until cancelled."""
@@ -136,6 +152,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._directory.run())
                 group.create_task(self._group_controller.run())
+                group.create_task(self._rollout_controller.run())
                 group.create_task(self._watch_quorum())
                 group.create_task(self._apply_journal())
                 if self._settings.initial_tree is not None:
@@ -197,6 +214,35 @@
         result = await self._quorum.propose(GROUP_PREFIX + command)
         return result.result if isinstance(result, Committed) else None
 
+    async def _propose_rollout(self, command):
+        result = await self._quorum.propose(ROLLOUT_PREFIX + command)
+        return result.result if isinstance(result, Committed) else None
+
+    async def _list_settings_versions(self):
+        """Return the settings version in force at each live node, 0 if unknown."""
+        entries = {entry.node: entry for entry in self._directory.list_entries()}
+        # Only the directory with which a node renews knows its version.
+        replies = await asyncio.gather(
+            *(
+                self._peers.request(host, ListNodes(), LIST_NODES_TIMEOUT_S)
+                for host in self._hosts.addresses
+            )
+        )
+        statuses = [
+            status
+            for reply in replies
+            if reply is not None and isinstance(reply.message, NodeList)
+            for status in reply.message.nodes
+        ]
+        versions = dict.fromkeys(entries, 0)
+        for status in statuses:
+            entry = status.entry
+            known = entries.setdefault(entry.node, entry) if status.alive else None
+            if known is not None and known.incarnation == entry.incarnation:
+                version = max(versions.get(entry.node, 0), status.settings_version)
+                versions[entry.node] = version
+        return versions
+
     def _is_leader(self):
         return self._quorum.get_status().role is Role.LEADER
 
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -12,14 +12,22 @@
 from sapphireway._logs import EventLog
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
+from sapphireway._rollout_reports import (
+    count_answer,
+    make_report_sender,
+    make_version_reporter,
+)
 from sapphireway._shared_state import SharedState
 from sapphireway_coordination import (
     RETRY_TOKENS_MAX,
+    AttemptServed,
     Choose,
     Claimant,
     Dispatcher,
     Gate,
     Membership,
+    VersionReporter,
+    VersionSplit,
     make_choose_lowest_cost,
 )
 from sapphireway_state import ProcessSettings
@@ -47,6 +55,8 @@
     gate : Gate
     callers : CallerApi
     listener : HttpListener
+    versions : VersionSplit
+    version_reporter : VersionReporter
     """
 
     dispatcher: Dispatcher
@@ -55,6 +65,14 @@
     gate: Gate
     callers: CallerApi
     listener: HttpListener
+    versions: VersionSplit
+    version_reporter: VersionReporter
+
+    def apply_rollouts(self) -> None:
+        """Act on the rollouts in force, after they or the server have changed."""
+        self.versions.notify()
+        self.gate.apply_rollout()
+        self.version_reporter.update()
 
 
 def build_data_path(
@@ -83,6 +101,7 @@
     """
     applied, peers = shared.applied, shared.peers
     get_members = make_get_members(shared.membership, lambda: applied.view)
+    versions = VersionSplit(applied.get_rollout, lambda: applied.rollouts_version)
     dispatcher = Dispatcher(
         peers,
         get_members,
@@ -91,6 +110,7 @@
         _make_member_chooser(settings.domain, lambda: dispatcher),
         _make_retry_reserve(settings, shared.membership),
         lambda node, service, digest: gate.inform_of_suspect(node, service, digest),
+        versions,
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
     client = _build_client(tracer)
@@ -99,10 +119,16 @@
         client,
         rng,
         lambda service, kind: applied.view.resolve(settings.domain, service, kind),
-        _make_gate_observer(shared.registration, observe),
+        _make_gate_observer(
+            shared.registration, observe, lambda event: count_answer(reporter, event)
+        ),
         lambda service: [member.node for member in get_members(service)],
         dialect=dialects.server,
         cold_reserve_per_s=settings.cold_reserve_per_s,
+        get_rollout=applied.get_rollout,
+    )
+    reporter = make_version_reporter(
+        gate, applied.get_rollout, make_report_sender(peers, shared.control_hosts)
     )
     shared.registration.set_gate(gate)
     execute_call = make_call_executor(
@@ -127,7 +153,16 @@
         callers.reject,
         _make_http_limits(settings, applied),
     )
-    return DataPath(dispatcher, claimant, client, gate, callers, listener)
+    return DataPath(
+        dispatcher,
+        claimant,
+        client,
+        gate,
+        callers,
+        listener,
+        versions,
+        reporter,
+    )
 
 
 def _make_member_chooser(
@@ -156,9 +191,11 @@
     return get_retry_reserve
 
 
-def _make_gate_observer(registration, observe):
+def _make_gate_observer(registration, observe, count_answer):
     def observe_gate(event):
         registration.count(event)
+        if isinstance(event, AttemptServed):
+            count_answer(event)
         observe(event)
 
     return observe_gate
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -89,6 +89,7 @@
             rng,
             self._tracer,
         )
+        self.add_settings_callback(self._data_path.apply_rollouts)
         self._control = self._build_control(observe)
         self._admin = build_admin(
             settings,
@@ -113,9 +114,7 @@
         await shared.channel.load()
         shared.peers.start()
         self._spawn(shared.membership.run())
-        self._spawn(
-            shared.registration.run(shared.membership, self._update_out_of_service)
-        )
+        self._spawn(shared.registration.run(shared.membership, self._on_server_changed))
         if self._control is not None:
             self._spawn(self._control.run())
         if self._settings.server_url:
@@ -210,6 +209,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._data_path.claimant.close()
         await self._shared.holder.close()
+        self._data_path.version_reporter.close()
         self.gate.close()
         self._data_path.client.close()
         self._admin.stop()
@@ -295,6 +295,10 @@
             table=applied.routes.table.number,
         )
 
+    def _on_server_changed(self):
+        self._update_out_of_service()
+        self._data_path.apply_rollouts()
+
     def _update_out_of_service(self):
         announcement = self.gate.announcement
         server = announcement.server if announcement else ""
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -18,9 +18,12 @@
     RelapseSeen,
     ReportUnreadable,
     RetryDenied,
+    RolloutDecided,
+    RolloutHeld,
     ServerLeft,
     ServerLimited,
     SuspectMarked,
+    VersionChosen,
 )
 
 MS_PER_S = 1000
@@ -33,6 +36,8 @@
     MemberEjected,
     RelapseSeen,
     ReportUnreadable,
+    RolloutDecided,
+    RolloutHeld,
     ServerLeft,
     ServerLimited,
     SuspectMarked,
@@ -44,6 +49,9 @@
     MemberEjected: ("service",),
     RelapseSeen: ("cause",),
     RetryDenied: ("service", "cause", "reason"),
+    RolloutDecided: ("service", "action"),
+    RolloutHeld: ("service",),
+    VersionChosen: ("service", "role"),
 }
 """Fields of each event type that label its counter."""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,7 +24,7 @@
     "membership": set(),
     "quorum": set(),
     "suspects": set(),
-    "rollouts": set(),
+    "rollouts": {"membership"},
     "routing": {"membership"},
     "claims": {"membership", "routing"},
     "gate": {"routing", "suspects"},
