Let operators order rollouts and read their state

Cause: orders must be acknowledged within 4 s, also again after a lost answer, and a read must not return an old state. Change: RolloutOrders (orders and linearizable reads through the quorum, tries of 0.4 s), POST /v1/rollouts, GET /v1/rollouts/SERVICE, sapphirectl rollout start and status with the evidence behind each step, and the platform's two paths with its statuses. Ruled out: one try of 4 s, as a silent control host takes the second that the operator's caller waits at a node.

--- a/packages/sapphirectl/src/sapphirectl/_cli.py
+++ b/packages/sapphirectl/src/sapphirectl/_cli.py
@@ -19,6 +19,7 @@
 from sapphirectl._exits import ExitCode
 from sapphirectl._options import join_repeated
 from sapphirectl._reports import show_explanations, show_status, show_traces
+from sapphirectl._rollouts import show_rollout, start_rollout
 from sapphirectl._settings import (
     edit_settings,
     get_setting,
@@ -46,6 +47,7 @@
         "add": add_control_host,
         "remove": remove_control_host,
     },
+    "rollout": {"start": start_rollout, "status": show_rollout},
     "status": show_status,
     "explain": show_explanations,
     "trace": show_traces,
--- a/packages/sapphirectl/src/sapphirectl/_client.py
+++ b/packages/sapphirectl/src/sapphirectl/_client.py
@@ -22,6 +22,8 @@
     Operation,
     Problem,
     Refused,
+    RolloutOrdered,
+    RolloutRequest,
     SettingsReply,
     format_problem,
     read_token,
@@ -151,6 +153,53 @@
     return Failure(ExitCode.UNREACHABLE, detail)
 
 
+def submit_rollout(
+    connection: Connection, token_file: str | None, request: RolloutRequest
+) -> RolloutOrdered | Failure:
+    """Send an order to one node after another until one acknowledges it.
+
+    The same order is acknowledged again, so it can be repeated.
+    """
+    token = _load_token(token_file)
+    if isinstance(token, Failure):
+        return token
+    body = msgspec.json.encode(request)
+    errors = []
+    maybe_applied = False
+    nodes = tuple(connection.nodes)
+    for attempt in range(TRIES_PER_NODE * len(nodes)):
+        if attempt and attempt % len(nodes) == 0:
+            time.sleep(ROUND_PAUSE_S)
+        node = nodes[attempt % len(nodes)]
+        response = send_request(
+            node, "POST", "/v1/rollouts", body, token, connection.timeout_s
+        )
+        if isinstance(response, NoResponse):
+            maybe_applied |= response.sent
+            errors.append(response.detail)
+        elif response.status == 200:
+            return _decode(node, response, RolloutOrdered)
+        elif response.status < 500:
+            return _describe_rollout_refusal(node, response)
+        else:
+            error = _decode_error(response)
+            maybe_applied |= error.error != "unavailable"
+            errors.append(f"{node}: {error.detail}")
+    if not errors:
+        return _fail_without_nodes()
+    messages = "\n".join(dict.fromkeys(errors))
+    if maybe_applied:
+        detail = "The order may have been accepted; it can be repeated."
+        return Failure(ExitCode.UNKNOWN, f"{messages}\n{detail}")
+    return Failure(ExitCode.UNREACHABLE, f"{messages}\nNothing was ordered.")
+
+
+def _describe_rollout_refusal(node, response):
+    codes = {401: ExitCode.UNAUTHORIZED, 409: ExitCode.CONFLICT}
+    code = codes.get(response.status, ExitCode.REFUSED)
+    return Failure(code, f"{node}: {_decode_error(response).detail}")
+
+
 def _describe_change_refusal(node, response):
     error = _decode_error(response)
     if response.status == 412:
--- a/packages/sapphirectl/tests/test_cli.py
+++ b/packages/sapphirectl/tests/test_cli.py
@@ -362,3 +362,23 @@
     other.chmod(0o600)
     arguments = ("control", "add", "127.0.0.4:7100", "--token-file", str(other))
     assert run(*arguments)[0] == ExitCode.UNAUTHORIZED
+
+
+def test_rollout_is_started_and_shown(run, operator_node):
+    code, out, _ = run("rollout", "start", "ledger", "v2", "--duration-s", "12")
+    assert code == 0 and "v2" in out
+    assert run("rollout", "start", "ledger", "v2", "--duration-s", "12")[0] == 0
+    code, out, _ = run("rollout", "status", "ledger")
+    assert code == 0 and "running" in out and "12 s" in out
+    code, out, _ = run("rollout", "status", "ledger", "--output", "json")
+    assert json.loads(out)["version"] == "v2"
+
+
+def test_rollout_refusals_have_distinct_exit_codes(run, operator_node):
+    run("rollout", "start", "ledger", "v2", "--duration-s", "12")
+    start = ("rollout", "start", "ledger", "v3", "--duration-s")
+    assert run(*start, "12")[0] == ExitCode.CONFLICT
+    assert run(*start, "0")[0] == ExitCode.REFUSED
+    assert run("rollout", "status", "other")[0] == ExitCode.REFUSED
+    operator_node.control.unavailable = True
+    assert run("rollout", "status", "ledger")[0] == ExitCode.UNREACHABLE
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
@@ -202,7 +202,8 @@
             self._report_hold(rollout, case, decision, now_s)
             return
         case.held = ""
-        command = _make_command(rollout, decision, case.age.get_age(now_s))
+        detail = f"{decision.detail} ({_describe_counts(evidence)})"
+        command = _make_command(rollout, decision, detail, case.age.get_age(now_s))
         content = await self._propose(encode_rollout_command(command))
         # Empty from a control host of a release without rollouts.
         result = decode_rollout_result(content) if content else None
@@ -306,18 +307,23 @@
         return asyncio.get_running_loop().time()
 
 
-def _make_command(rollout, decision, age_s):
+def _make_command(rollout, decision, detail, age_s):
+    age_ms = round(age_s * MS_PER_S, 3)
     if decision.action is Action.ADVANCE:
         return StepRollout(
-            rollout.service,
-            rollout.order,
-            decision.share,
-            decision.detail,
-            age_s * MS_PER_S,
+            rollout.service, rollout.order, decision.share, detail, age_ms
         )
     completed = decision.action is Action.COMPLETE
     state = RolloutState.COMPLETED if completed else RolloutState.ROLLED_BACK
-    return EndRollout(rollout.service, rollout.order, state, decision.detail)
+    return EndRollout(rollout.service, rollout.order, state, detail, age_ms)
+
+
+def _describe_counts(evidence):
+    parts = []
+    for name, sample in (("old", evidence.old), ("new", evidence.new)):
+        answers, failures, slow = _sum_counts(sample)
+        parts.append(f"{name}: {answers} answers, {failures} failed, {slow} slow")
+    return "; ".join(parts)
 
 
 def _get_role(rollout, member):
--- a/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
@@ -10,6 +10,8 @@
 
 DURATION_MAX_MS = 7 * 24 * 3600 * 1000.0
 NAME_MAX_CHARACTERS = 200
+DETAIL_MAX_CHARACTERS = 300
+STEPS_MAX = 20  # besides the last one
 EXCLUDED_MAX = 16  # versions rolled back in a row; older ones have left long ago
 
 
@@ -29,6 +31,24 @@
     EXCLUDED = "excluded"
 
 
+class RolloutStep(msgspec.Struct, frozen=True, array_like=True):
+    """A step or the end of a rollout.
+
+    Attributes
+    ----------
+    age_ms : float
+        Age of the order, as measured by the leader.
+    share : float
+        Share from then on.
+    detail : str
+        Evidence behind it.
+    """
+
+    age_ms: float
+    share: float
+    detail: str
+
+
 class Rollout(msgspec.Struct, frozen=True, array_like=True):
     """The last rollout of a service.
 
@@ -57,6 +77,7 @@
         earlier; "" if all may.
     excluded : tuple of str
         Versions that were rolled back since.
+    steps : tuple of RolloutStep
     """
 
     service: str
@@ -71,6 +92,7 @@
     age_ms: float = 0.0
     base: str = ""
     excluded: tuple[str, ...] = ()
+    steps: tuple[RolloutStep, ...] = ()
 
     @property
     def running(self) -> bool:
@@ -153,12 +175,15 @@
     order : int
     state : RolloutState
     detail : str
+    age_ms : float
+        Age of the order, as measured by the leader.
     """
 
     service: str
     order: int
     state: RolloutState
     detail: str
+    age_ms: float = 0.0
 
 
 RolloutCommand = StartRollout | StepRollout | EndRollout
@@ -344,6 +369,7 @@
             detail=step.detail,
             changed=index,
             age_ms=max(current.age_ms, step.age_ms),
+            steps=_add_step(current, step.age_ms, step.share, step.detail),
         )
         return self._store(index, rollout)
 
@@ -355,7 +381,11 @@
                 f"only {current.share:.0%} of the requests were moved"
             )
         rollout = msgspec.structs.replace(
-            current, state=end.state, detail=end.detail, changed=index
+            current,
+            state=end.state,
+            detail=end.detail,
+            changed=index,
+            steps=_add_step(current, end.age_ms, current.share, end.detail),
         )
         return self._store(index, rollout)
 
@@ -365,6 +395,11 @@
         return RolloutAccepted(rollout.order)
 
 
+def _add_step(rollout, age_ms, share, detail):
+    step = RolloutStep(age_ms, share, detail[:DETAIL_MAX_CHARACTERS])
+    return (*rollout.steps[:STEPS_MAX], step)
+
+
 def _find_predecessors(last, version):
     """Return base and excluded versions of a rollout that follows `last`."""
     if last is None:
--- a/packages/sapphireway/src/sapphireway/_admin.py
+++ b/packages/sapphireway/src/sapphireway/_admin.py
@@ -15,6 +15,7 @@
 from sapphireway._operator import OPERATOR_BODY_MAX_BYTES, make_operator_application
 from sapphireway._operator_backend import OperatorBackend
 from sapphireway._operator_token import make_token_reader
+from sapphireway._rollout_api import make_rollout_routes
 from sapphireway._server_api import make_server_routes
 from sapphireway._shared_state import SharedState
 from sapphireway_coordination import Gate
@@ -70,6 +71,8 @@
     )
     application = make_operator_application(backend)
     application.add_handlers(".*", make_server_routes(gate))
+    rollout_routes = make_rollout_routes(backend, shared.rollout_orders)
+    application.add_handlers(".*", rollout_routes)
     return tornado.httpserver.HTTPServer(
         application, max_body_size=OPERATOR_BODY_MAX_BYTES
     )
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -16,6 +16,7 @@
 from sapphireway._metrics import Metrics
 from sapphireway._observations import make_observe
 from sapphireway._publisher import Publisher
+from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._shared_state import build_shared_state
 from sapphireway_coordination import (
     DEPARTURE_SPREAD_S,
@@ -146,6 +147,11 @@
         """Publishes routing tables and failure-domain settings."""
         return self._shared.publisher
 
+    @property
+    def rollout_orders(self) -> RolloutOrders:
+        """Orders rollouts of services and reads their state."""
+        return self._shared.rollout_orders
+
     def add_settings_callback(self, callback: Callable[[], None]) -> None:
         """Call `callback` without arguments whenever new settings come into force."""
         self._settings_callbacks.append(callback)
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -13,6 +13,7 @@
 from sapphireway._logs import EventLog
 from sapphireway._publisher import Publisher, make_edit_id_generator
 from sapphireway._registration import ServerRegistration
+from sapphireway._rollout_orders import RolloutOrders
 from sapphireway_coordination import (
     GROUP_PREFIX,
     AppliedState,
@@ -43,6 +44,7 @@
     control_hosts : ControlHostList
     control_client : ControlClient
     publisher : Publisher
+    rollout_orders : RolloutOrders
     holder : ClaimHolder
     applied : AppliedState
         Settings, claim groups and routes in force at this node.
@@ -57,6 +59,7 @@
     control_hosts: ControlHostList
     control_client: ControlClient
     publisher: Publisher
+    rollout_orders: RolloutOrders
     holder: ClaimHolder
     applied: AppliedState
     disk: FileDisk | None
@@ -127,6 +130,7 @@
         control_hosts,
         control_client,
         publisher,
+        RolloutOrders(control_client),
         holder,
         applied,
         disk,
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -7,6 +7,7 @@
 from sapphireway._node import Node
 from sapphireway._operator_backend import Unavailable
 from sapphireway._publisher import EditRefused, Publisher
+from sapphireway._rollout_orders import RolloutOrders
 
 __all__ = [
     "CallerDialect",
@@ -15,6 +16,7 @@
     "EventLog",
     "Node",
     "Publisher",
+    "RolloutOrders",
     "Unavailable",
     "configure_logs",
     "filter_headers",
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -10,7 +10,7 @@
     r"|Configuration\.(Replace|Update|Read)|Instances\.(Heartbeat|Deregister)"
     r"|Evacuation\.(Start|Finish)|traffic_split|route_paths|virtual_hosts"
     r"|heartbeat_address|capacity_slots|cold_remaining|seed_nodes|initial_bootstrap"
-    r"|SAPPHIREWAY_BOOT"
+    r"|SAPPHIREWAY_BOOT|Rollouts\.(Start|Read)|target_version"
 )
 
 
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -24,7 +24,7 @@
     """Node and its publisher, with preset results and a record of the changes."""
 
     def __init__(self):
-        self.publisher = self
+        self.publisher = self.rollout_orders = self
         self.result = Published(7)
         self.current = CurrentTable(RouteTable(5))
         self.out_result = None
