--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -22,6 +22,7 @@
     ReadGroup,
 )
 from sapphireway_coordination.gate import (
+    CANCELLED_DETAIL,
     DEFAULT_SERVER_DIALECT,
     DEPARTURE_SPREAD_S,
     AnnounceAccepted,
@@ -78,6 +79,13 @@
     StateMachine,
     Unavailable,
 )
+from sapphireway_coordination.rollouts import (
+    ReportedServer,
+    RolloutController,
+    RolloutDecided,
+    RolloutHeld,
+    VersionReporter,
+)
 from sapphireway_coordination.routing import (
     RETRY_TOKENS_MAX,
     AttemptCause,
@@ -90,6 +98,7 @@
     Choose,
     DenyReason,
     Dispatcher,
+    GetRollout,
     MemberEjected,
     MemberRestored,
     ObserveCall,
@@ -97,6 +106,8 @@
     RetryDenied,
     RevokeSent,
     ServerView,
+    VersionChosen,
+    VersionSplit,
     choose_least_in_flight,
     choose_power_of_two,
     choose_predicted,
@@ -106,6 +117,7 @@
 )
 from sapphireway_coordination.settings import (
     GROUP_PREFIX,
+    ROLLOUT_PREFIX,
     ROUTE_PREFIX,
     TREE_PREFIX,
     AppliedState,
@@ -123,6 +135,7 @@
 
 __all__ = [
     "ATTEMPT_ID_HEADER",
+    "CANCELLED_DETAIL",
     "DEADLINE_HEADER",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
@@ -131,6 +144,7 @@
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
     "RETRY_TOKENS_MAX",
+    "ROLLOUT_PREFIX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AnnounceAccepted",
@@ -173,6 +187,7 @@
     "GateEvent",
     "GateState",
     "GetMembers",
+    "GetRollout",
     "GroupChange",
     "GroupChangeResult",
     "GroupControllerSettings",
@@ -199,9 +214,13 @@
     "RelapseSeen",
     "ReportHeaders",
     "ReportUnreadable",
+    "ReportedServer",
     "RetryDenied",
     "RevokeSent",
     "Role",
+    "RolloutController",
+    "RolloutDecided",
+    "RolloutHeld",
     "SelfReport",
     "ServerAnnounced",
     "ServerCold",
@@ -215,6 +234,9 @@
     "SuspectChange",
     "SuspectMarked",
     "Unavailable",
+    "VersionChosen",
+    "VersionReporter",
+    "VersionSplit",
     "choose_least_in_flight",
     "choose_power_of_two",
     "choose_predicted",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -27,6 +27,9 @@
     ServerLimited,
     ServerWarmed,
 )
+from sapphireway_coordination.gate._exchange import (
+    CANCELLED_DETAIL,
+)
 from sapphireway_coordination.gate._gate import (
     DEPARTURE_SPREAD_S,
     Gate,
@@ -53,6 +56,7 @@
 )
 
 __all__ = [
+    "CANCELLED_DETAIL",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
     "AnnounceAccepted",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -79,6 +79,7 @@
     VoteReply,
     VoteRequest,
 )
+from sapphireway_protocol._rollouts import KindCounts, VersionReport
 from sapphireway_protocol._settings import (
     FetchSettings,
     FetchSettingsReply,
@@ -136,6 +137,7 @@
     "Join",
     "JoinReply",
     "JournalEntry",
+    "KindCounts",
     "LeaseEntry",
     "ListNodes",
     "ListSuspects",
@@ -177,6 +179,7 @@
     "SyncLeases",
     "SyncedLeases",
     "Unknown",
+    "VersionReport",
     "VoteReply",
     "VoteRequest",
 ]
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -16,6 +16,7 @@
 from sapphireway._metrics import Metrics
 from sapphireway._observations import make_observe
 from sapphireway._publisher import Publisher
+from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._shared_state import build_shared_state
 from sapphireway_coordination import (
     DEPARTURE_SPREAD_S,
@@ -89,6 +90,7 @@
             rng,
             self._tracer,
         )
+        self.add_settings_callback(self._data_path.apply_rollouts)
         self._control = self._build_control(observe)
         self._admin = build_admin(
             settings,
@@ -113,9 +115,7 @@
         await shared.channel.load()
         shared.peers.start()
         self._spawn(shared.membership.run())
-        self._spawn(
-            shared.registration.run(shared.membership, self._update_out_of_service)
-        )
+        self._spawn(shared.registration.run(shared.membership, self._on_server_changed))
         if self._control is not None:
             self._spawn(self._control.run())
         if self._settings.server_url:
@@ -147,6 +147,11 @@
         """Publishes routing tables and failure-domain settings."""
         return self._shared.publisher
 
+    @property
+    def rollout_orders(self) -> RolloutOrders:
+        """Orders rollouts of services and reads their state."""
+        return self._shared.rollout_orders
+
     def add_settings_callback(self, callback: Callable[[], None]) -> None:
         """Call `callback` without arguments whenever new settings come into force."""
         self._settings_callbacks.append(callback)
@@ -211,6 +216,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._data_path.claimant.close()
         await self._shared.holder.close()
+        self._data_path.version_reporter.close()
         self.gate.close()
         self._data_path.client.close()
         self._admin.stop()
@@ -296,6 +302,10 @@
             table=applied.routes.table.number,
         )
 
+    def _on_server_changed(self):
+        self._update_out_of_service()
+        self._data_path.apply_rollouts()
+
     def _update_out_of_service(self):
         announcement = self.gate.announcement
         server = announcement.server if announcement else ""
