Identify callers by API keys where the routing table has workspaces

Cause: the callers' interface served every request that matched a route. Two hooks, confirm and admit, run before and after the look-up; both let everything pass for now. The key is looked up after the confirmation, because the table may have changed during the wait. With an unconfirmed table an unknown key gets 503, as the node may not know a new key yet; an open route is served without a workspace. A refused request with an idempotency key still asks its claim, as an earlier one may have run. The claim's digest covers the workspace, so that no other workspace gets the recorded answer. Ruled out: a check in prepare, before the body is read; a key removed in the meantime would still be accepted.

--- a/packages/sapphirectl/src/sapphirectl/_timelines.py
+++ b/packages/sapphirectl/src/sapphirectl/_timelines.py
@@ -25,6 +25,7 @@
 SENT_PATTERN = re.compile(r"(\w+) attempt (\S+) sent to (\S+) in (\S+),")
 SILENT_PATTERN = re.compile(r"attempt (\S+) at (\S+) silent")
 DENIED_PATTERN = re.compile(r"no (retry|hedge): (.+)")
+UNAUTHORIZED = 401  # no valid API key
 HIDDEN_FIELDS = frozenset(
     ("time", "level", "event", "call", "decisions", "digest", "trace")
 )
@@ -168,7 +169,10 @@
     for line in relevant_lines:
         by_event[line.event].append(line.fields)
     if "bad_request" in by_event:
-        return f"could not be read: {by_event['bad_request'][0].get('detail', '')}"
+        return _explain_bad_request(by_event["bad_request"][0])
+    if "call_unadmitted" in by_event and "call_ended" not in by_event:
+        unadmitted = by_event["call_unadmitted"][-1]
+        return f"not run ({unadmitted['reason']}): {unadmitted['detail']}"
     if "call_ended" not in by_event:
         return _find_cause_without_end(by_event)
     ended = by_event["call_ended"][-1]
@@ -176,6 +180,14 @@
     return f"{explain(by_event, decisions)}, after {ended['elapsed_ms']:.0f} ms"
 
 
+def _explain_bad_request(fields):
+    detail = fields.get("detail", "")
+    if fields.get("status") != UNAUTHORIZED:
+        return f"could not be read: {detail}"
+    digest = fields.get("key_digest")
+    return f"refused: {detail}" + (f", key sha256 {digest}..." if digest else "")
+
+
 def _explain_not_run(by_event, decisions):
     reasons = collections.Counter(r["reason"] for r in by_event["attempt_refused"])
     final_reason = next((f["reason"] for f in by_event["call_not_answered"]), "")
--- a/packages/sapphirectl/tests/test_timelines.py
+++ b/packages/sapphirectl/tests/test_timelines.py
@@ -114,6 +114,29 @@
             [{"event": "bad_request", "call": "r1", "detail": "no host"}],
             "could not be read: no host",
         ),
+        (
+            [
+                {
+                    "event": "bad_request",
+                    "call": "r1",
+                    "status": 401,
+                    "detail": "no workspace has the API key in Api-Key",
+                    "key_digest": "0123456789ab",
+                }
+            ],
+            "refused: no workspace has the API key in Api-Key, key sha256 0123456789ab",
+        ),
+        (
+            [
+                {
+                    "event": "call_unadmitted",
+                    "call": "r1",
+                    "reason": "unconfirmed",
+                    "detail": "no control host answered",
+                }
+            ],
+            "not run (unconfirmed): no control host answered",
+        ),
     ],
 )
 def test_cause_of_outcome(tmp_path, lines, cause):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_outcomes.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_outcomes.py
@@ -27,6 +27,10 @@
         digest.update(part.encode())
         digest.update(b"\0")
     digest.update(call.body)
+    if call.workspace:
+        # Another workspace must not get the answer to this request.
+        digest.update(b"\0")
+        digest.update(call.workspace.encode())
     return digest.hexdigest()
 
 
--- a/packages/sapphireway-coordination/tests/test_claims.py
+++ b/packages/sapphireway-coordination/tests/test_claims.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -13,8 +14,10 @@
     run_fleet,
 )
 
-from sapphireway_coordination import ClaimEnd, ClaimEnded, HolderSettings
+from sapphireway_coordination import Call, ClaimEnd, ClaimEnded, HolderSettings
+from sapphireway_coordination.claims._outcomes import digest_request
 from sapphireway_protocol import Answered, NotRun, NotRunReason, Unknown
+from sapphireway_state import Policy
 from sapphireway_transport.memory import run_paused
 
 
@@ -168,6 +171,16 @@
     assert run_script(script).reason is NotRunReason.CLAIM_MISMATCH
 
 
+def test_digest_of_a_request_depends_on_its_workspace():
+    # Another workspace with the same idempotency key must not get the answer.
+    call = Call("c", SERVICE, "k", "POST", "/", (), b"x", 1.0, "key", Policy())
+    digests = {
+        digest_request(dataclasses.replace(call, workspace=workspace))
+        for workspace in ("", "north", "south")
+    }
+    assert len(digests) == 3
+
+
 def test_large_answer_is_not_stored():
     async def script(fleet):
         await fleet.ask("k", "n3")
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -6,6 +6,15 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from sapphireway._identity import (
+    Identify,
+    KeyProblem,
+    KeyRefused,
+    Unadmitted,
+    compute_weight,
+    decode_access_key,
+    make_identify,
+)
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call
@@ -39,7 +48,6 @@
 CALL_ID_MAX_BYTES = 128
 TRACKED_KINDS_MAX = 4096  # kinds whose longest caller timeout is stored
 NO_SETTINGS_RETRY_S = 1.0  # a starting node has settings within this time
-TOP_PRIORITY_WEIGHT = 100  # largest weight in the tree; each lower rank has one less
 NO_ROUTES = RouteView(RouteTable(), 0)
 
 HOP_BY_HOP = frozenset(
@@ -68,10 +76,13 @@
         Result of `get_fences` for a request with a key, else None.
     stopping : bool
         Whether the node had begun to stop; such a request is not run.
+    refusal : NotRun or None
+        Why the request must not be run; only its claim may still answer it.
     """
 
     fences: Any
     stopping: bool
+    refusal: NotRun | None = None
 
 
 ExecuteCall = Callable[[Call, Arrival], Awaitable[Outcome]]
@@ -94,6 +105,11 @@
         Header with the caller's request id; "" if the node creates the ids.
     override_headers : tuple of (str, str)
         Headers set on every request in place of the caller's own.
+    access_header : str
+        Header with the caller's API key; read while the routing table has workspaces,
+        and then not sent to servers.
+    workspace_header : str
+        Header that tells servers the caller's workspace, whatever the caller sent.
     """
 
     render: Callable[[Outcome, bool], HttpAnswer]
@@ -101,6 +117,8 @@
     key_header: str = KEY_HEADER
     id_header: str = ""
     override_headers: tuple[tuple[str, str], ...] = ()
+    access_header: str = "Sapphireway-Api-Key"
+    workspace_header: str = "Sapphireway-Workspace"
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +127,7 @@
     kind: str
     policy: Policy
     arrival: Arrival
+    open_access: bool
 
 
 class CallerApi:
@@ -131,6 +150,8 @@
         Returns the `RouteView` in force. Once a table is published, requests are
         matched by it instead of the tree.
     dialect : CallerDialect
+    identify : Identify
+        Identifies callers while the routing table has workspaces.
 
     Attributes
     ----------
@@ -147,6 +168,7 @@
         "_get_fences",
         "_get_routes",
         "_get_settings",
+        "_identify",
         "_log",
         "_longest_timeout_ms",
         "_metrics",
@@ -165,8 +187,12 @@
         log: EventLog,
         get_routes: Callable[[], RouteView] = lambda: NO_ROUTES,
         dialect: CallerDialect | None = None,
+        identify: Identify | None = None,
     ):
         self._dialect = dialect or CallerDialect(render_outcome)
+        self._identify = identify or make_identify(
+            get_routes, self._dialect.access_header, self._dialect.workspace_header
+        )
         self._overridden_names = frozenset(
             name.lower() for name, _ in self._dialect.override_headers
         )
@@ -186,32 +212,32 @@
         matched = self._match(request)
         if matched is None:
             return UNMATCHED_BODY_MAX_BYTES
-        service, kind, policy = matched
+        service, kind, policy, open_access = matched
         key = self._read_key(request)
         fences = None
         if key is not None and is_valid_key(key):
             fences = self._get_fences(service, key)
         # A request whose headers arrived before the stop counts as in flight.
         arrival = Arrival(fences, self.stopping)
-        request.route = _MatchedRoute(service, kind, policy, arrival)
+        request.route = _MatchedRoute(service, kind, policy, arrival, open_access)
         return policy.body_max_bytes
 
     def _match(self, request):
-        """Return service, kind and policy of a request, or None."""
+        """Return service, kind, policy and open access of a request, or None."""
         settings = self._get_settings()
         routes = self._get_routes()
         if not routes.version:
             matched = settings.match(request.method, request.target, request.headers)
             if matched is None:
                 return None
-            return *matched, settings.resolve(self._domain, *matched)
+            return *matched, settings.resolve(self._domain, *matched), True
         route = routes.match(request.get_header("Host") or "", request.target)
         if route is None:
             return None
         service = routes.choose_service(route)
         policy = settings.resolve(self._domain, service, route.name)
         policy = make_route_policy(policy, route, routes.table.limits)
-        return service, route.name, policy
+        return service, route.name, policy, route.open_access
 
     def _read_key(self, request):
         header = self._dialect.key_header
@@ -230,9 +256,31 @@
         call = self._make_call(request, request.route)
         if isinstance(call, str):
             return self._refuse(400, call, request.remote)
+        if self._get_routes().table.workspaces:
+            return await self._handle_identified(call, request)
         outcome = await self._execute_call(call, request.route.arrival)
         return self._dialect.render(outcome, self.stopping)
 
+    async def _handle_identified(self, call, request):
+        """Execute a call if its API key allows it."""
+        arrival = request.route.arrival
+        key = decode_access_key(request.get_header(self._dialect.access_header))
+        identified = await self._identify(call, key, request.route.open_access)
+        if isinstance(identified, KeyRefused):
+            return self._refuse_key(identified, request.remote)
+        if isinstance(identified, Unadmitted):
+            call, refusal = identified.call, identified.refusal
+            if not self._is_claimed(request):
+                return self._dialect.render(refusal, self.stopping)
+            # An earlier request with the same idempotency key may have run.
+            if not call.workspace:
+                return self._dialect.render(Unknown(refusal.detail), self.stopping)
+            arrival = replace(arrival, refusal=refusal)
+        else:
+            call = identified
+        outcome = await self._execute_call(call, arrival)
+        return self._dialect.render(outcome, self.stopping)
+
     def _is_claimed(self, request):
         """Return whether only the key's claim can tell if the request has run."""
         if request.route.policy.idempotent:
@@ -306,14 +354,31 @@
         )
         return kept + self._dialect.override_headers
 
-    def _refuse(self, status, detail, remote):
+    def _refuse_key(self, refused, remote):
+        header = self._dialect.access_header
+        detail = f"this route needs an API key in {header}"
+        if refused.reason is KeyProblem.UNKNOWN:
+            detail = f"no workspace has the API key in {header}"
+        answer = self._refuse(
+            401,
+            detail,
+            remote,
+            refused.reason,
+            call=refused.call_id,
+            key_digest=refused.key_digest,
+        )
+        return replace(answer, headers=(*answer.headers, ("WWW-Authenticate", header)))
+
+    def _refuse(self, status, detail, remote, reason="bad_request", **fields):
         self._metrics.count("sapphireway_bad_requests_total", status=str(status))
-        self._log.warning("bad_request", status=status, detail=detail, remote=remote)
+        self._log.warning(
+            "bad_request", status=status, detail=detail, remote=remote, **fields
+        )
         # Not "not-run": an earlier request with the same key may have run.
         headers = (
             ("Content-Type", "text/plain; charset=utf-8"),
             (OUTCOME_HEADER, "rejected"),
-            (REASON_HEADER, "bad_request"),
+            (REASON_HEADER, reason),
         )
         return HttpAnswer(status, headers, f"{detail}\n".encode())
 
@@ -329,7 +394,7 @@
         target_latency_ms=int(route.target_latency_ms),
         attempts_max=route.attempts_max,
         body_max_bytes=limits.body_max_bytes,
-        weight=max(1, TOP_PRIORITY_WEIGHT - route.priority),
+        weight=compute_weight(route.priority),
     )
 
 
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -9,6 +9,7 @@
 from sapphireway._callers import CallerApi
 from sapphireway._dialects import Dialects
 from sapphireway._execution import make_call_executor, make_traced_executor
+from sapphireway._identity import Admit, Confirm, admit_all, confirm_all, make_identify
 from sapphireway._logs import EventLog
 from sapphireway._member_view import make_get_members
 from sapphireway._metrics import Metrics
@@ -66,6 +67,8 @@
     observe: Callable[[Any], None],
     rng: random.Random,
     tracer: Any,
+    confirm: Confirm = confirm_all,
+    admit: Admit = admit_all,
 ) -> DataPath:
     """Build the components and connect them.
 
@@ -80,6 +83,10 @@
         Called with each event.
     rng : random.Random
     tracer : CallTracer or None
+    confirm : Confirm
+        Confirms the routing table in force before an API key is looked up in it.
+    admit : Admit
+        Called for each request of a workspace before it is executed.
     """
     applied, peers = shared.applied, shared.peers
     get_members = make_get_members(shared.membership, lambda: applied.view)
@@ -120,6 +127,14 @@
         log,
         lambda: applied.routes,
         dialects.callers,
+        make_identify(
+            lambda: applied.routes,
+            dialects.callers.access_header,
+            dialects.callers.workspace_header,
+            confirm,
+            admit,
+            observe,
+        ),
     )
     listener = HttpListener(
         callers.handle,
--- a/packages/sapphireway/src/sapphireway/_execution.py
+++ b/packages/sapphireway/src/sapphireway/_execution.py
@@ -51,6 +51,8 @@
         )
         # A stopping node also consults the claim: the key may have run already.
         dispatch = _answer_stopping if arrival.stopping else dispatcher.dispatch
+        if arrival.refusal is not None:
+            dispatch = _make_answer(arrival.refusal)
         return await claimant.run_claimed(call, dispatch, arrival.fences)
 
     async def execute_call(call: Call, arrival: Arrival) -> Outcome:
@@ -125,3 +127,10 @@
 
 async def _answer_stopping(call):
     return NotRun(NotRunReason.STOPPING)
+
+
+def _make_answer(refusal):
+    async def answer(call):
+        return refusal
+
+    return answer
--- /dev/null
+++ b/packages/sapphireway/src/sapphireway/_identity.py
@@ -0,0 +1,211 @@
+"""Identification of callers by their API keys."""
+
+import enum
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from sapphireway_coordination import Call
+from sapphireway_protocol import NotRun
+from sapphireway_state import RouteView, Workspace, digest_access_key
+
+TOP_PRIORITY_WEIGHT = 100  # largest weight in the tree; each lower rank has one less
+
+Confirm = Callable[[float], Awaitable[NotRun | None]]
+"""Called with the deadline of a request that carries a key, on the event loop's clock.
+
+Returns None if the routing table in force is recent enough to judge the key.
+"""
+
+Admit = Callable[[Workspace, float], Awaitable[NotRun | None]]
+"""Called with an identified request's workspace and deadline; None admits it."""
+
+
+class KeyProblem(enum.StrEnum):
+    """Why a request's API key was not accepted."""
+
+    MISSING = "api_key_missing"
+    UNKNOWN = "api_key_unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class KeyRefused:
+    """A request was refused because of its API key.
+
+    Attributes
+    ----------
+    call_id, service, kind : str
+    reason : KeyProblem
+    key_digest : str
+        Start of the key's SHA-256; "" if the request has no key.
+    """
+
+    call_id: str
+    service: str
+    kind: str
+    reason: KeyProblem
+    key_digest: str
+
+
+@dataclass(slots=True, frozen=True)
+class CallUnadmitted:
+    """A request was refused after its route was found and before it was dispatched.
+
+    Attributes
+    ----------
+    call_id, service, kind : str
+    workspace : str
+        "" if it is not known.
+    reason : NotRunReason
+    retry_after_s : float
+    detail : str
+    """
+
+    call_id: str
+    service: str
+    kind: str
+    workspace: str
+    reason: str
+    retry_after_s: float
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class Unadmitted:
+    """A request that must not be run now.
+
+    Attributes
+    ----------
+    call : Call
+        Its workspace is "" if it is not known.
+    refusal : NotRun
+    """
+
+    call: Call
+    refusal: NotRun
+
+
+Identify = Callable[[Call, str | None, bool], Awaitable[Call | Unadmitted | KeyRefused]]
+"""Called with a call, its API key and whether its route is open.
+
+Returns the call as the server gets it, or why it is refused.
+"""
+
+
+async def admit_all(workspace: Workspace, deadline_s: float) -> NotRun | None:
+    """Admit every request."""
+    return None
+
+
+async def confirm_all(deadline_s: float) -> NotRun | None:
+    """Take every routing table for recent enough."""
+    return None
+
+
+def make_identify(
+    get_routes: Callable[[], RouteView],
+    access_header: str,
+    workspace_header: str,
+    confirm: Confirm = confirm_all,
+    admit: Admit = admit_all,
+    observe: Callable[[Any], None] = lambda event: None,
+) -> Identify:
+    """Return a function that identifies callers while the table has workspaces.
+
+    Parameters
+    ----------
+    get_routes : callable
+        Returns the `RouteView` in force.
+    access_header, workspace_header : str
+        Header with the caller's key, and header that tells servers the workspace.
+    confirm : Confirm
+    admit : Admit
+    observe : callable
+        Called with `KeyRefused` and `CallUnadmitted`.
+    """
+    replaced = frozenset(map(_normalize, (access_header, workspace_header)))
+
+    def refuse_key(call, reason, key_digest):
+        refused = KeyRefused(call.call_id, call.service, call.kind, reason, key_digest)
+        observe(refused)
+        return refused
+
+    def refuse_call(call, workspace, not_run):
+        observe(
+            CallUnadmitted(
+                call.call_id,
+                call.service,
+                call.kind,
+                workspace.name if workspace else "",
+                not_run.reason,
+                not_run.retry_after_s,
+                not_run.detail,
+            )
+        )
+        call = _set_workspace(call, workspace, workspace_header, replaced)
+        return Unadmitted(call, not_run)
+
+    async def identify(
+        call: Call, key: str | None, open_access: bool
+    ) -> Call | Unadmitted | KeyRefused:
+        if not key and not open_access:
+            return refuse_key(call, KeyProblem.MISSING, "")
+        workspace = None
+        if key:
+            unconfirmed = await confirm(call.deadline_s)
+            # The key is looked up after the confirmation, which holds for the table
+            # that is in force now, but maybe not for the one before the wait.
+            workspace = get_routes().find_workspace(key)
+            if open_access:
+                workspace = None if unconfirmed else workspace
+            elif unconfirmed:
+                # An unknown key may be one that this node has not learned of.
+                return refuse_call(call, workspace, unconfirmed)
+            elif workspace is None:
+                return refuse_key(call, KeyProblem.UNKNOWN, digest_access_key(key))
+        if workspace is not None:
+            not_admitted = await admit(workspace, call.deadline_s)
+            if not_admitted:
+                return refuse_call(call, workspace, not_admitted)
+        return _set_workspace(call, workspace, workspace_header, replaced)
+
+    return identify
+
+
+def decode_access_key(value: str | None) -> str | None:
+    """Return the API key in a header value, whose bytes were read as Latin-1."""
+    if value is None or value.isascii():
+        return value
+    return value.encode("latin-1").decode("utf-8", "replace")
+
+
+def compute_weight(priority: int) -> int:
+    """Return the weight of a priority; 0 is the highest priority."""
+    return max(1, TOP_PRIORITY_WEIGHT - priority)
+
+
+def _set_workspace(call, workspace, workspace_header, replaced):
+    headers = _remove_headers(call.headers, replaced)
+    if workspace is None:
+        return replace(call, headers=headers)
+    name = workspace.name.encode().decode("latin-1")
+    policy = call.policy
+    if workspace.priority is not None:
+        policy = replace(policy, weight=compute_weight(workspace.priority))
+    return replace(
+        call,
+        headers=(*headers, (workspace_header, name)),
+        policy=policy,
+        workspace=workspace.name,
+    )
+
+
+def _remove_headers(
+    headers: Iterable[tuple[str, str]], names: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    return tuple(pair for pair in headers if _normalize(pair[0]) not in names)
+
+
+def _normalize(name):
+    # Many servers read an underscore in a header name as a hyphen.
+    return name.lower().replace("_", "-")
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from sapphireway._decisions import DecisionLog
+from sapphireway._identity import CallUnadmitted, KeyRefused
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import (
@@ -40,6 +41,8 @@
 LABEL_FIELDS = {
     AttemptRefused: ("service", "kind", "reason"),
     CallEnded: ("service", "kind", "outcome"),
+    CallUnadmitted: ("service", "kind", "reason"),
+    KeyRefused: ("service", "kind", "reason"),
     LimitChanged: ("cause",),
     MemberEjected: ("service",),
     RelapseSeen: ("cause",),
@@ -92,7 +95,7 @@
 def _is_failure(event):
     if isinstance(event, AttemptServed):
         return event.outcome != "answered"
-    return isinstance(event, AttemptRefused)
+    return isinstance(event, AttemptRefused | CallUnadmitted)
 
 
 def _get_event_name(event_type):
@@ -101,4 +104,8 @@
 
 
 def _get_fields(event):
-    return {name: getattr(event, name) for name in event.__slots__}
+    fields = {name: getattr(event, name) for name in event.__slots__}
+    if isinstance(event, CallUnadmitted):
+        # Timelines find the lines of a request by this field.
+        fields["call"] = fields.pop("call_id")
+    return fields
--- a/packages/sapphireway/tests/test_execution.py
+++ b/packages/sapphireway/tests/test_execution.py
@@ -38,7 +38,7 @@
         self.submissions.append((event, fields))
 
 
-def execute_call(components, key=None, metrics=None):
+def execute_call(components, key=None, metrics=None, refusal=None):
     call = Call(
         "call-1",
         "ledger",
@@ -59,7 +59,7 @@
         components,
         "bxl-a",
     )
-    return asyncio.run(execute(call, Arrival(None, components.stopping)))
+    return asyncio.run(execute(call, Arrival(None, components.stopping, refusal)))
 
 
 @pytest.mark.parametrize(
@@ -94,6 +94,13 @@
     assert not components.dispatched
 
 
+def test_refused_call_with_key_only_asks_its_claim():
+    components = FakeComponents(Answered(200, (), b""))
+    refusal = NotRun(NotRunReason.QUOTA)
+    assert execute_call(components, key="k", refusal=refusal) is refusal
+    assert not components.dispatched
+
+
 def test_call_with_key_leaves_a_line_with_the_digest_of_its_key():
     components = FakeComponents(Answered(200, (), b""))
     execute_call(components, key="a secret")
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -11,6 +11,7 @@
     r"|Evacuation\.(Start|Finish)|traffic_split|route_paths|virtual_hosts"
     r"|heartbeat_address|capacity_slots|cold_remaining|seed_nodes|initial_bootstrap"
     r"|SAPPHIREWAY_BOOT"
+    r"|Tenant-Name|\"Api-Key|anonymous_access|burst_size|api_keys|revocation_strict"
 )
 
 
--- a/tests/platform_adapter/test_dialects.py
+++ b/tests/platform_adapter/test_dialects.py
@@ -51,6 +51,8 @@
     dialect = make_caller_dialect("ledger")
     assert dialect.override_headers == (("Calling-Service", "ledger"),)
     assert dialect.key_header == ""
+    assert dialect.access_header == "Api-Key"
+    assert dialect.workspace_header == "Tenant-Name"
 
 
 @pytest.mark.parametrize("status", [400, 421, 429, 503])
