--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -141,6 +141,7 @@
     Workspace,
     apply_patch,
     check_table,
+    digest_access_key,
 )
 from sapphireway_state._rules import NAME_ALLOWED
 from sapphireway_state._schema import (
@@ -282,6 +283,7 @@
     "decode_rollouts",
     "decode_snapshot",
     "describe_rollout",
+    "digest_access_key",
     "dump_yaml",
     "encode_answer",
     "encode_edit",
