Decide on tokens of limited workspaces

Cause: nothing enforces the rate and burst of a workspace over all nodes. Change: the messages AskTokens and GrantTokens; the owner's buckets (TokenLedger) and a node's tokens (TokenStock) as code without a network; AgeClock over the monotonic clock and CLOCK_BOOTTIME (get_boottime_s). docs/design/quotas.md has the options and the proof. Nothing uses them yet. Ruled out: a share for each node, leases of a rate, counting afterwards; returns that are not bounded by what a bucket can reach without them (tokens then live for ever).

--- /dev/null
+++ b/packages/sapphireway-coordination/tests/test_quota_stock.py
@@ -0,0 +1,88 @@
+import pytest
+
+from sapphireway_coordination.quotas import AgeClock, TokenStock
+from sapphireway_protocol import ReturnedTokens, TokenGrant, TokenWant
+from sapphireway_state import Workspace
+
+W = Workspace("w", (), 50.0, 50.0)
+
+
+def test_take_uses_ready_tokens_until_they_expire():
+    stock = TokenStock(W)
+    stock.add(1, TokenGrant("w", 3), 0.0, 0.4)
+    assert stock.take(0.0, 0.0)
+    assert stock.take(0.3, 0.399)
+    assert not stock.take(0.3, 0.4)
+    assert stock.expired == 1
+
+
+def test_take_uses_later_tokens_when_they_have_accrued():
+    """Guards against use before accrual, which breaks the bound."""
+    stock = TokenStock(W)
+    stock.add(1, TokenGrant("w", 0, 2, 0.1, 0.02), 1.0, 9.0)
+    assert not stock.take(1.09, 1.09)
+    assert stock.take(1.1001, 1.1)
+    assert not stock.take(1.11, 1.11)
+    assert stock.take(1.1201, 1.12)
+    assert not stock.has_tokens(1.2)
+
+
+def test_make_want_fetches_ahead_for_steady_demand():
+    stock = TokenStock(W)
+    for i in range(100):
+        stock.count_arrival(i * 0.02)
+    assert stock.is_low(1.98, 1.98)
+    assert 8 <= stock.make_want(0, 1.98).spare <= 10
+    stock.add(1, TokenGrant("w", 9), 1.98, 9.0)
+    assert not stock.is_low(1.98, 1.98)
+
+
+def test_make_want_fetches_nothing_ahead_for_few_requests():
+    """Guards against tokens that lie unused at many nodes."""
+    stock = TokenStock(W)
+    for i in range(20):
+        stock.count_arrival(i * 0.2)
+    assert not stock.is_low(3.8, 3.8)
+    assert stock.make_want(1, 3.8) == TokenWant("w", 1, 0)
+
+
+def test_make_want_reports_refusals_once():
+    stock = TokenStock(W)
+    stock.add(1, TokenGrant("w", 0, empty_s=0.1, retry_s=0.5), 0.0, 9.0)
+    assert stock.refuse(0.0, 0.0) == pytest.approx(0.5)
+    assert stock.refuse(0.1, 0.5) == pytest.approx(0.4 + 1.5 / 50)
+    assert stock.make_want(0, 0.1).refused == 2
+    assert stock.make_want(0, 0.1).refused == 0
+
+
+def test_is_empty_grows_for_repeated_answers():
+    stock = TokenStock(W)
+    ends_s = []
+    for _ in range(6):
+        stock.add(1, TokenGrant("w", 0, empty_s=0.001), 0.0, 9.0)
+        ends_s.append(max(i for i in range(300) if stock.is_empty(i / 1000)))
+    assert ends_s == [19, 39, 79, 159, 199, 199]
+    stock.add(2, TokenGrant("w", 1), 0.0, 9.0)
+    assert not stock.is_empty(0.0)
+
+
+def test_take_unused_returns_tokens_of_each_grant():
+    stock = TokenStock(W)
+    stock.count_arrival(0.0)
+    stock.add(1, TokenGrant("w", 2, 3, 0.1, 0.02), 0.0, 9.0)
+    assert stock.take_unused(0.05) == []
+    assert stock.take_unused(0.07) == [ReturnedTokens(1, "w", 5)]
+    assert not stock.take(0.07, 0.07)
+
+
+@pytest.mark.parametrize("gains", [(1.0, 3.0), (3.0, 1.0)])
+def test_age_clock_follows_faster_clock(gains):
+    """Guards against a clock that stands still while the host is suspended."""
+    readings = [10.0, 50.0]
+    clock = AgeClock(lambda: readings[0], lambda: readings[1])
+    started_s = clock.read()
+    readings[0] += gains[0]
+    readings[1] += gains[1]
+    assert clock.read() - started_s == 3.0
+    readings[1] -= 20.0
+    assert clock.read() - started_s == 3.0
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -77,6 +77,13 @@
     VoteReply,
     VoteRequest,
 )
+from sapphireway_protocol._quotas import (
+    AskTokens,
+    GrantTokens,
+    ReturnedTokens,
+    TokenGrant,
+    TokenWant,
+)
 from sapphireway_protocol._settings import (
     FetchSettings,
     FetchSettingsReply,
@@ -99,6 +106,7 @@
     "Append",
     "AppendReply",
     "AskRerun",
+    "AskTokens",
     "Bootstrap",
     "BootstrapReply",
     "Cancel",
@@ -126,6 +134,7 @@
     "FetchSettings",
     "FetchSettingsReply",
     "GrantRerun",
+    "GrantTokens",
     "GroupHolder",
     "Hello",
     "HelloReply",
@@ -159,6 +168,7 @@
     "Renewed",
     "Reply",
     "ReturnRerun",
+    "ReturnedTokens",
     "Revoke",
     "Revoked",
     "Run",
@@ -172,6 +182,8 @@
     "SuspectList",
     "SyncLeases",
     "SyncedLeases",
+    "TokenGrant",
+    "TokenWant",
     "Unknown",
     "VoteReply",
     "VoteRequest",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -12,6 +12,7 @@
     _control_hosts,
     _membership,
     _quorum,
+    _quotas,
     _settings,
     _suspects,
 )
@@ -22,6 +23,7 @@
     *_control_hosts.MESSAGES,
     *_membership.MESSAGES,
     *_quorum.MESSAGES,
+    *_quotas.MESSAGES,
     *_settings.MESSAGES,
     *_suspects.MESSAGES,
 )
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -4,6 +4,7 @@
 tests in ``sapphireway_transport.memory``.
 """
 
+from sapphireway_transport._boottime import get_boottime_s
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
@@ -55,4 +56,5 @@
     "ServerRequest",
     "ServerResult",
     "ZmqEndpoint",
+    "get_boottime_s",
 ]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,6 +28,7 @@
     "routing": {"membership"},
     "claims": {"membership", "routing"},
     "gate": {"routing", "suspects"},
+    "quotas": {"membership", "quorum"},
     "settings": {"claims", "membership", "quorum"},
 }
 COORDINATION = ROOT / "packages/sapphireway-coordination/src/sapphireway_coordination"
