--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -77,6 +77,14 @@
     StateMachine,
     Unavailable,
 )
+from sapphireway_coordination.quotas import (
+    AgeClock,
+    QuotaClient,
+    QuotaCounts,
+    QuotaOwner,
+    QuotaRefused,
+    TokenOwnerChanged,
+)
 from sapphireway_coordination.routing import (
     RETRY_TOKENS_MAX,
     AttemptCause,
@@ -132,6 +140,7 @@
     "RETRY_TOKENS_MAX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
+    "AgeClock",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
@@ -191,6 +200,10 @@
     "Quorum",
     "QuorumSettings",
     "QuorumStatus",
+    "QuotaClient",
+    "QuotaCounts",
+    "QuotaOwner",
+    "QuotaRefused",
     "ReadGroup",
     "ReadResult",
     "RelapseCause",
@@ -212,6 +225,7 @@
     "StateMachine",
     "SuspectChange",
     "SuspectMarked",
+    "TokenOwnerChanged",
     "Unavailable",
     "choose_least_in_flight",
     "choose_power_of_two",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_ledger.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_ledger.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Sequence
 
+import msgspec
+
 from sapphireway_coordination.quotas._bucket import (
     HORIZON_S,
     START_TOKENS,
@@ -128,22 +130,14 @@
         if want.refused:
             bucket.add_refusals(want.refused, now_s)
         granted = bucket.grant(node, want.needed, want.spare, now_s)
-        if granted.ready >= want.needed:
-            return TokenGrant(
-                name,
-                granted.ready,
-                granted.later,
-                granted.first_s,
-                1 / bucket.rate_per_s,
-            )
-        return TokenGrant(
-            name,
-            granted.ready,
-            granted.later,
-            granted.first_s,
-            1 / bucket.rate_per_s,
-            bucket.get_empty_s(now_s),
-            bucket.get_retry_s(now_s),
+        step_s = 1.0 / bucket.rate_per_s
+        grant = TokenGrant(name, granted.ready, granted.later, granted.first_s, step_s)
+        if granted.ready >= want.needed and not granted.later:
+            return grant
+        return msgspec.structs.replace(
+            grant,
+            empty_s=bucket.get_empty_s(now_s),
+            retry_s=bucket.get_retry_s(now_s),
         )
 
     def _take_back(self, grants, ask, now_s):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
@@ -17,6 +17,7 @@
 # Nodes that find the bucket empty ask again after 0.02 s, then more seldom.
 EMPTY_MIN_S = 0.02
 EMPTY_MAX_S = 0.2
+EMPTY_COUNT_MAX = 8
 UNUSED_S = 0.06  # without a request for this long, tokens are handed back
 
 
@@ -75,6 +76,13 @@
         self.expired = 0
         self.workspace = workspace
 
+    @property
+    def ahead_s(self) -> float:
+        """Time for which tokens are fetched ahead."""
+        capacity = max(self.workspace.burst, CAPACITY_MIN)
+        full_s = capacity / self.workspace.rate_per_s
+        return min(AHEAD_S, AHEAD_CAPACITY_SHARE * full_s)
+
     def count_arrival(self, now_s: float) -> None:
         """Count a request for the estimate of the demand."""
         decay = math.exp(-(now_s - self._demand_s) / DEMAND_WINDOW_S)
@@ -119,8 +127,10 @@
             self._empty_count = 0
             self._empty_until_s = -math.inf
             return
-        pause_s = min(EMPTY_MIN_S * 2**self._empty_count, EMPTY_MAX_S)
-        self._empty_count = min(self._empty_count + 1, 8)
+        pause_s = 0.0
+        if not grant.ready and not grant.later:
+            pause_s = min(EMPTY_MIN_S * 2**self._empty_count, EMPTY_MAX_S)
+            self._empty_count = min(self._empty_count + 1, EMPTY_COUNT_MAX)
         self._empty_until_s = now_s + max(grant.empty_s, pause_s)
         self._retry_s = now_s + grant.retry_s
         self._retry_taken = 0
@@ -182,9 +192,7 @@
         rate_per_s = self.workspace.rate_per_s
         idle_s = now_s - self._demand_s
         per_s = self._demand * math.exp(-idle_s / DEMAND_WINDOW_S) / DEMAND_WINDOW_S
-        capacity = max(self.workspace.burst, CAPACITY_MIN)
-        ahead_s = min(AHEAD_S, AHEAD_CAPACITY_SHARE * capacity / rate_per_s)
-        ahead = int(min(per_s, rate_per_s) * ahead_s)
+        ahead = int(min(per_s, rate_per_s) * self.ahead_s)
         return ahead if ahead >= SPARE_MIN else 0
 
     def _expire(self, age_s):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_quotas.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_quotas.py
@@ -74,7 +74,7 @@
     first_s, step_s : float
     empty_s : float
         Time during which the owner has no further token for the node; 0 if everything
-        that was needed is granted.
+        that was needed is granted, and nothing that has not accrued.
     retry_s : float
         Time after which a refused request finds a token.
     """
