--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_bucket.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_bucket.py
@@ -14,7 +14,7 @@
 START_TOKENS = 1.6
 # How far ahead tokens are promised before they have accrued; less than the validity
 # that is left under the oldest confirmation of the owner's leadership.
-HORIZON_S = 0.2
+HORIZON_S = 0.25
 # A caller that is told to wait for longer gives up instead.
 RETRY_MAX_S = 5.0
 EPSILON = 1e-9
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_owner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_owner.py
@@ -20,7 +20,7 @@
 from sapphireway_state import Workspace
 
 # Shorter than the quorum's heartbeats, which the confirmations replace.
-CONFIRM_INTERVAL_S = 0.2
+CONFIRM_INTERVAL_S = 0.15
 IDLE_INTERVAL_S = 0.2  # without a limited workspace
 FOLLOWER_INTERVAL_S = 0.05  # until this host notices that it was elected
 CONFIRM_TIMEOUT_S = 0.2
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
@@ -7,18 +7,21 @@
 from sapphireway_protocol import ReturnedTokens, TokenGrant, TokenWant
 from sapphireway_state import Workspace
 
-# Tokens are fetched ahead for this long at most, which makes five asks a second.
-AHEAD_S = 0.2
+# Tokens are fetched ahead for this long at most, which makes less than five asks a
+# second.
+AHEAD_S = 0.3
 # A smaller bucket fills up in less time than this share of its size allows for.
 AHEAD_CAPACITY_SHARE = 0.5
-DEMAND_WINDOW_S = 0.2  # time constant of the estimate
+DEMAND_WINDOW_S = 0.4  # time constant of the estimate
 SPARE_MIN = 2  # with less demand ahead, a token is fetched for each request
-LOW_SHARE = 0.2  # of the tokens wanted ahead; at this level more are fetched
-# Nodes that find the bucket empty ask again after 0.02 s, then more seldom.
-EMPTY_MIN_S = 0.02
+LOW_SHARE = 0.1  # of the tokens wanted ahead; at this level more are fetched
+# Nodes that find the bucket empty ask again after 0.04 s, then more seldom.
+EMPTY_MIN_S = 0.04
 EMPTY_MAX_S = 0.2
 EMPTY_COUNT_MAX = 8
-UNUSED_S = 0.06  # without a request for this long, tokens are handed back
+# Tokens are handed back after as many mean gaps between requests without one.
+UNUSED_GAPS = 3.0
+UNUSED_MIN_S = 0.06
 
 
 @dataclass(slots=True)
@@ -169,7 +172,8 @@
 
     def take_unused(self, now_s: float) -> list[ReturnedTokens]:
         """Remove and return the tokens that are not expected to be used."""
-        if now_s - self._demand_s < UNUSED_S:
+        gap_s = DEMAND_WINDOW_S / max(self._demand, 1.0)
+        if now_s - self._demand_s < max(UNUSED_MIN_S, UNUSED_GAPS * gap_s):
             return []
         name = self.workspace.name
         unused = [
