--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -79,6 +79,14 @@
     StateMachine,
     Unavailable,
 )
+from sapphireway_coordination.quotas import (
+    AgeClock,
+    QuotaClient,
+    QuotaCounts,
+    QuotaOwner,
+    QuotaRefused,
+    TokenOwnerChanged,
+)
 from sapphireway_coordination.rollouts import (
     ReportedServer,
     RolloutController,
@@ -147,6 +155,7 @@
     "ROLLOUT_PREFIX",
     "ROUTE_PREFIX",
     "TREE_PREFIX",
+    "AgeClock",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
@@ -208,6 +217,10 @@
     "Quorum",
     "QuorumSettings",
     "QuorumStatus",
+    "QuotaClient",
+    "QuotaCounts",
+    "QuotaOwner",
+    "QuotaRefused",
     "ReadGroup",
     "ReadResult",
     "RelapseCause",
@@ -233,6 +246,7 @@
     "StateMachine",
     "SuspectChange",
     "SuspectMarked",
+    "TokenOwnerChanged",
     "Unavailable",
     "VersionChosen",
     "VersionReporter",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -79,6 +79,13 @@
     VoteReply,
     VoteRequest,
 )
+from sapphireway_protocol._quotas import (
+    AskTokens,
+    GrantTokens,
+    ReturnedTokens,
+    TokenGrant,
+    TokenWant,
+)
 from sapphireway_protocol._rollouts import KindCounts, VersionReport
 from sapphireway_protocol._settings import (
     FetchSettings,
@@ -102,6 +109,7 @@
     "Append",
     "AppendReply",
     "AskRerun",
+    "AskTokens",
     "Bootstrap",
     "BootstrapReply",
     "Cancel",
@@ -131,6 +139,7 @@
     "FetchSettings",
     "FetchSettingsReply",
     "GrantRerun",
+    "GrantTokens",
     "GroupHolder",
     "Hello",
     "HelloReply",
@@ -165,6 +174,7 @@
     "Renewed",
     "Reply",
     "ReturnRerun",
+    "ReturnedTokens",
     "Revoke",
     "Revoked",
     "Run",
@@ -178,6 +188,8 @@
     "SuspectList",
     "SyncLeases",
     "SyncedLeases",
+    "TokenGrant",
+    "TokenWant",
     "Unknown",
     "VersionReport",
     "VoteReply",
