Tell requesters, electors and lease holders that a process departs

Cause: requests to a process that stops were lost at its close, and their senders waited for a time-out: a proposal for 1 s at a stopping follower, and 3.1 s at a stopping leader. A stopping directory went on to grant leases that it no longer passed on.

Change: `Departed` goes to every peer that was in touch within 300 s, after the background tasks have ended. `Peers` ends the requests to the sender at once, and gives later ones 0.1 s until a successor at the address is heard. Followers hold an election right after their leader departed, and nodes leave a departed directory. A late or repeated message of an earlier incarnation ends nothing.

Ruled out: failing later requests without sending them, as the first message to a successor may be such a request. Claim holders needed no change: a majority of the others votes, before and after the change.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -230,7 +230,7 @@
     Attributes
     ----------
     nodes : int
-        Nodes that sent work.
+        Nodes that were lately in touch.
     acknowledged : int
         Those that acknowledged the message; the others may have to ask.
     """
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -59,7 +59,7 @@
 DEPARTURE_SPREAD_S = 1.0  # until every node in touch has heard that this one leaves
 QUIET_S = 0.3  # without new work, after which a stopping node expects no more
 SENDER_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
-CONTACT_WINDOW_S = 300.0  # nodes that sent no work for longer get no last message
+CONTACT_WINDOW_S = 300.0  # nodes that were silent for longer get no last message
 
 GetPolicy = Callable[[str, str], Policy]
 """Returns the policy of a service and kind; kind "" is that of the whole service."""
@@ -272,8 +272,8 @@
                 return
             await asyncio.sleep(min(until_s, deadline_s) - now_s)
 
-    async def notify_senders(self, deadline_s: float) -> None:
-        """Tell the nodes that sent work which attempts have started, after a drain.
+    async def notify_peers(self, deadline_s: float) -> None:
+        """Tell the nodes in touch which attempts have started, after a drain.
 
         It is the last message of this incarnation: what it does not name never runs,
         so the entry nodes can send it elsewhere at once.
@@ -284,7 +284,8 @@
             Loop time at which to stop waiting for acknowledgements.
         """
         check_invariant(self._draining, "attempts may start after the last message")
-        nodes = self._list_senders(CONTACT_WINDOW_S)
+        nodes = self._peers.clocks.list_recent(self._loop.time() - CONTACT_WINDOW_S)
+        nodes = [node for node in nodes if node != self._peers.address]
         acknowledged = await self._departure_notice.send(nodes, deadline_s)
         self._observe(DepartureNotified(len(nodes), acknowledged))
 
@@ -470,15 +471,13 @@
         for node in self._list_senders():
             self._peers.send(node, LoadUpdate(load))
 
-    def _list_senders(self, window_s=SENDER_WINDOW_S):
-        """Return the nodes that sent work within `window_s`."""
-        now_s = self._loop.time()
+    def _list_senders(self):
+        """Return the nodes that recently sent work."""
+        oldest_s = self._loop.time() - SENDER_WINDOW_S
         self._last_run_s = {
-            node: at_s
-            for node, at_s in self._last_run_s.items()
-            if at_s > now_s - CONTACT_WINDOW_S
+            n: at_s for n, at_s in self._last_run_s.items() if at_s > oldest_s
         }
-        return [n for n, at_s in self._last_run_s.items() if at_s > now_s - window_s]
+        return list(self._last_run_s)
 
     def _refuse_stale(self, sender, run, detail):
         reply = make_refusal(run.attempt, NotRunReason.STALE, 0.0, detail)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_membership.py
@@ -127,6 +127,7 @@
         self._known_services_changed = asyncio.Event()
         self._known_services = frozenset()
         self._renew_early = asyncio.Event()
+        peers.add_departure_listener(self._handle_departed)
         self.directory = rng.choice(directories.addresses)
         self.last_renewed_s = float("-inf")
         self.revision = 0
@@ -172,11 +173,15 @@
         await self._find_initial_directory()
         failures = 0
         while True:
+            directory = self.directory
             if await self._renew():
                 failures = 0
                 self._untried_directories = None
                 await self._wait_until_next_renewal()
                 continue
+            if directory != self.directory:
+                # It has departed, and another one is in use already.
+                continue
             failures += 1
             self._on_renewal_timeout(self.directory)
             # A directory that has not answered yet gets a single try, because the
@@ -197,6 +202,12 @@
             self._on_renewal_timeout(self.directory)
             self._switch_directory()
 
+    def _handle_departed(self, sender, envelope):
+        # A directory that stops no longer passes on the leases that it grants.
+        if sender == self.directory and self._peers.clocks.has_departed(sender):
+            self._switch_directory()
+            self._renew_early.set()
+
     async def _wait_until_next_renewal(self):
         await asyncio.sleep(RENEW_INTERVAL_MIN_S)
         if self._send_entry or self._send_services:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_election.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_election.py
@@ -6,6 +6,8 @@
 from sapphireway_coordination.quorum._types import Role
 from sapphireway_protocol import Envelope, VoteReply, VoteRequest
 
+DEPARTURE_JITTER_S = 0.2  # spreads the campaigns after a leader has departed
+
 
 async def run_elections(replica: Replica, lead) -> None:
     """Campaign after each election timeout, and run `lead` after a won election.
@@ -32,7 +34,15 @@
         left_s = last_contact_s + timeout_s - replica.now()
         if left_s <= 0:
             return
-        await asyncio.sleep(left_s)
+        try:
+            async with asyncio.timeout(left_s):
+                await replica.leader_departed.wait()
+        except TimeoutError:
+            continue
+        replica.leader_departed.clear()
+        await asyncio.sleep(replica.rng.uniform(0.0, DEPARTURE_JITTER_S))
+        if not replica.has_recent_leader():
+            return
 
 
 def _can_campaign(replica):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -127,6 +127,9 @@
         for message_type in _HANDLERS:
             replica.peers.handle(message_type, self._receive)
         replica.peers.handle(Join, self._receive_join)
+        replica.peers.add_departure_listener(
+            lambda sender, envelope: replica.handle_departure(sender)
+        )
         for message_type in (ChangeMembers, Propose, Query):
             replica.peers.handle(message_type, self._receive_request)
         self._spawn(run_startup(replica))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -56,6 +56,7 @@
         "journal",
         "leader",
         "leader_contact_s",
+        "leader_departed",
         "lock",
         "machine",
         "peers",
@@ -97,6 +98,7 @@
         self.journal = Journal(disk, settings.limits)
         self.leader = None
         self.leader_contact_s = float("-inf")
+        self.leader_departed = asyncio.Event()
         self.lock = asyncio.Lock()
         self.machine = machine
         self.pending_members_change = None
@@ -173,6 +175,17 @@
             return True
         return self.now() - self.leader_contact_s < self.settings.election_min_s
 
+    def handle_departure(self, peer: str) -> None:
+        """Let an election begin if `peer` led and has stopped gracefully.
+
+        A late message of an earlier incarnation changes nothing.
+        """
+        led = self.leader is not None and self.leader.address == peer
+        if led and self.peers.clocks.has_departed(peer):
+            self.leader = None
+            self.leader_contact_s = float("-inf")
+            self.leader_departed.set()
+
     def is_quorum(self, disk_ids) -> bool:
         """Whether the disk IDs include a majority of the voters."""
         voters = {member.disk_id for member in self.voters}
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -10,8 +10,6 @@
 from sapphireway_protocol import (
     Answered,
     Cancel,
-    Departed,
-    DepartedAck,
     Envelope,
     Failed,
     LoadReport,
@@ -171,7 +169,7 @@
         self.ignored = 0
         peers.handle(Reply, self._handle_reply)
         peers.handle(Revoked, self._handle_revoked)
-        peers.handle(Departed, self._handle_departed)
+        peers.add_departure_listener(self._handle_departed)
         peers.clocks.add_restart_listener(self._handle_restart)
 
     def __len__(self):
@@ -246,13 +244,10 @@
             attempt.post(attempt)
 
     def _handle_departed(self, sender, envelope):
-        # Later attempts for this incarnation are not sent.
-        self._peers.clocks.supersede(sender, envelope.incarnation)
         for attempt in list(self._by_node.get(sender, {}).values()):
             if excludes_run(envelope, attempt):
                 detail = "the node stopped before it started the attempt"
                 self._end(attempt, NotRun(NotRunReason.DRAINING, detail=detail))
-        self._peers.send(sender, DepartedAck(envelope.incarnation))
 
     def _handle_restart(self, node, clock):
         for attempt in list(self._by_node.get(node, {}).values()):
--- a/packages/sapphireway-coordination/tests/test_gate_machine.py
+++ b/packages/sapphireway-coordination/tests/test_gate_machine.py
@@ -85,7 +85,7 @@
 
     async def stop_gate(self, deadline_s):
         await self.bench.gate.drain(deadline_s)
-        await self.bench.gate.notify_senders(deadline_s)
+        await self.bench.gate.notify_peers(deadline_s)
 
     @rule(fault=st.sampled_from(["out", "crash", "freeze", "restart"]))
     def inject_fault(self, fault):
--- a/packages/sapphireway-coordination/tests/test_orderly_stop.py
+++ b/packages/sapphireway-coordination/tests/test_orderly_stop.py
@@ -1,6 +1,7 @@
 """Calls whose `Run` arrives at any moment of the graceful stop of a node."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -51,7 +52,7 @@
         """Stop like the process does, and lose what arrives afterwards."""
         await self.gate.drain(deadline_s)
         await self.gate.wait_until_unused(deadline_s)
-        await self.gate.notify_senders(deadline_s)
+        await self.gate.notify_peers(deadline_s)
         self.gate.close()
         self.peers.close()
         # A link whose other end has closed accepts messages until it notices.
@@ -63,6 +64,7 @@
 
     def __init__(self):
         self.network = MemoryNetwork(random.Random(1), lambda sender, to: DELAY_S)
+        self.earlier = None
         self.leaving = Place(self.network, "leaving", 2)
         self.other = Place(self.network, "other", 3)
         self.entry = Peers(self.network.open_endpoint("entry"), "e")
@@ -103,7 +105,8 @@
     def count_runs(self, call_id):
         return sum(
             len(place.server.runs.get(call_id, ()))
-            for place in (self.leaving, self.other)
+            for place in (self.earlier, self.leaving, self.other)
+            if place is not None
         )
 
     def stop_leaving(self):
@@ -111,8 +114,18 @@
         loop = asyncio.get_running_loop()
         return loop.create_task(self.leaving.stop(loop.time() + 5.0))
 
+    def replace_leaving(self, learns):
+        """Start the stopped node again; the entry node may learn of it at once."""
+        self.earlier = self.leaving
+        self.leaving = Place(self.network, "leaving", 5, "2")
+        if learns:
+            first, *others = self.members
+            first = dataclasses.replace(first, incarnation="2")
+            self.members = [first, *others]
+
     def close(self):
         self.other.gate.close()
+        self.leaving.gate.close()
 
 
 def list_moments():
@@ -156,6 +169,50 @@
     assert not failed, failed
 
 
+async def call_at_replacement(moment_s, kind, learns):
+    """Replace a stopping node at its address; return what became of a call.
+
+    The links repeat and reorder messages, also those of the earlier incarnation.
+    """
+    fleet = Fleet()
+    await fleet.warm()
+    fleet.network.jitter_s, fleet.network.duplicate_rate = 0.004, 0.5
+    loop = asyncio.get_running_loop()
+    calls = []
+
+    def send():
+        calls.append(asyncio.ensure_future(fleet.call("c", kind)))
+
+    async def replace():
+        await fleet.stop_leaving()
+        fleet.replace_leaving(learns)
+
+    loop.call_later(moment_s, send)
+    replacing = asyncio.ensure_future(replace())
+    await asyncio.sleep(moment_s + 0.001)
+    outcome, elapsed_s = await calls[0]
+    await replacing
+    runs = fleet.count_runs("c")
+    fleet.close()
+    return outcome, elapsed_s, runs
+
+
+@pytest.mark.parametrize("learns", [False, True])
+@pytest.mark.parametrize("kind", POLICIES)
+def test_call_is_served_while_a_node_is_replaced_at_its_address(kind, learns):
+    """Messages of the earlier incarnation must not end attempts at the later one."""
+    failed = []
+    for moment_s in list_moments()[1:]:
+        outcome, elapsed_s, runs = run_paused(
+            call_at_replacement(moment_s, kind, learns)
+        )
+        # A refusal for the earlier incarnation costs one more round trip.
+        in_time = elapsed_s <= 6 * (DELAY_S + 0.004) + SERVICE_S
+        if not (isinstance(outcome, Answered) and in_time and runs == 1):
+            failed.append((round(moment_s, 4), outcome, round(elapsed_s, 4), runs))
+    assert not failed, failed
+
+
 async def call_after_fault(duration_s, kind, begin, end):
     """Stop a node while the entry node has a fault, and call at the fault's end."""
     fleet = Fleet()
@@ -234,7 +291,7 @@
             loop.call_at(sent_s + 0.003, resend, bench, f"a{number}")
         await asyncio.sleep(0.03)
         await bench.gate.drain(loop.time() + drain_s)
-        await bench.gate.notify_senders(loop.time() + 0.05)
+        await bench.gate.notify_peers(loop.time() + 0.05)
         bench.gate.close()
         bench.peers.close()
         await asyncio.sleep(0.1)
@@ -306,7 +363,7 @@
         await asyncio.sleep(100.0)
         bench.send("late", latest_start_s=asyncio.get_running_loop().time() + 0.5)
         await bench.gate.drain(0.0)
-        await bench.gate.notify_senders(0.0)
+        await bench.gate.notify_peers(0.0)
         await asyncio.sleep(0.01)
         return [
             excludes_run(departures[0], make_attempt(bench.sent[attempt]))
@@ -343,13 +400,14 @@
     async def main():
         bench = Bench()
         await bench.call("a")
+        bench.entry.close()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         await bench.gate.drain(started_s + 5.0)
-        await bench.gate.notify_senders(started_s + 5.0)
+        await bench.gate.notify_peers(started_s + 5.0)
         assert 0.4 < loop.time() - started_s < 0.6
         notified = bench.list_events(DepartureNotified)
         assert [(e.nodes, e.acknowledged) for e in notified] == [(1, 0)]
-        await bench.gate.notify_senders(loop.time())
+        await bench.gate.notify_peers(loop.time())
 
     run_paused(main())
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
@@ -69,6 +69,19 @@
         """Return the clock of `peer`, or None if it has not sent any message."""
         return self._clocks.get(peer)
 
+    def has_departed(self, peer: str) -> bool:
+        """Tell whether the last known incarnation of `peer` has ended."""
+        if peer not in self._superseded:
+            return False
+        clock = self._clocks.get(peer)
+        return clock is not None and self.is_superseded(peer, clock.incarnation)
+
+    def list_recent(self, since_s: float) -> list[str]:
+        """Return the peers from which a message was received since `since_s`."""
+        return [
+            peer for peer, clock in self._clocks.items() if clock.received_s >= since_s
+        ]
+
     def is_superseded(self, peer: str, incarnation: str) -> bool:
         """Tell whether `incarnation` is known to have ended."""
         return incarnation in self._superseded.get(peer, ())
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from sapphireway_protocol._calls import Departed, DepartedAck
 from sapphireway_protocol._clocks import PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_transport import Endpoint
 
 FIRST_REQUEST_ID_BYTES = 7  # leaves room to count upwards within 64 bits
+# Enough for a successor at the address to reply; its reply is noticed later, too.
+DEPARTED_TIMEOUT_S = 0.1
 
 Handler = Callable[[str, Envelope], None]
 """Called with the sender's address and the envelope; must not block."""
@@ -40,6 +43,7 @@
 
     __slots__ = (
         "_codec",
+        "_departure_listeners",
         "_endpoint",
         "_get_settings_version",
         "_handlers",
@@ -61,6 +65,7 @@
         get_settings_version: Callable[[], int] = lambda: 0,
     ):
         self._codec = Codec()
+        self._departure_listeners = []
         self._endpoint = endpoint
         self._get_settings_version = get_settings_version
         self._handlers = {}
@@ -73,6 +78,7 @@
         self.malformed_count = 0
         self.messages_sent = 0
         self.observe = lambda sender, envelope: None
+        self.handle(Departed, self._handle_departed)
 
     @property
     def address(self) -> str:
@@ -87,9 +93,7 @@
     def close(self) -> None:
         """Stop receiving; pending requests end without a reply."""
         self._endpoint.close()
-        for future in self._pending_replies.values():
-            if not future.done():
-                future.set_result(None)
+        self._end_requests(self._pending_replies.values())
 
     def connect(self, peer: str) -> None:
         """Prepare a connection to `peer`."""
@@ -104,6 +108,10 @@
         """Register the handler for messages of one type that are not replies."""
         self._handlers[message_type] = handler
 
+    def add_departure_listener(self, listener: Handler) -> None:
+        """Call `listener` with each `Departed`, also a late or repeated one."""
+        self._departure_listeners.append(listener)
+
     def send(
         self,
         peer: str,
@@ -148,15 +156,20 @@
     ) -> Envelope | None:
         """Send a request and wait for the reply; return None on timeout or failure.
 
+        It fails at once if the peer departs, and soon if it has departed before and
+        no successor is known.
+
         Parameters
         ----------
         resend_s : float, optional
             Interval at which an unanswered request is resent; the receiver must
             deduplicate requests.
         """
+        if self.clocks.has_departed(peer):
+            timeout_s = min(timeout_s, DEPARTED_TIMEOUT_S)
         request_id = next(self._request_ids)
         future = asyncio.get_running_loop().create_future()
-        self._pending_replies[request_id] = future
+        self._pending_replies[request_id] = (peer, future)
         try:
             async with asyncio.timeout(timeout_s):
                 while self.send(peer, message, body, request_id=request_id):
@@ -177,7 +190,7 @@
         self.clocks.record(sender, envelope, asyncio.get_running_loop().time())
         self.observe(sender, envelope)
         if envelope.reply_to:
-            future = self._pending_replies.get(envelope.reply_to)
+            _, future = self._pending_replies.get(envelope.reply_to, (None, None))
             if future is not None and not future.done():
                 future.set_result(envelope)
             return
@@ -185,6 +198,23 @@
         if handler is not None:
             handler(sender, envelope)
 
+    def _handle_departed(self, sender, envelope):
+        clock = self.clocks.get(sender)
+        ended = self.clocks.is_superseded(sender, envelope.incarnation)
+        self.clocks.supersede(sender, envelope.incarnation)
+        for listener in self._departure_listeners:
+            listener(sender, envelope)
+        # Requests after a successor's first message are for the successor.
+        if not ended and clock.incarnation == envelope.incarnation:
+            pending = self._pending_replies.values()
+            self._end_requests([each for each in pending if each[0] == sender])
+        self.send(sender, DepartedAck(envelope.incarnation))
+
+    def _end_requests(self, pending):
+        for _, future in pending:
+            if not future.done():
+                future.set_result(None)
+
 
 def _derive_first_request_id(incarnation):
     """Derive the first id from the incarnation.
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -180,7 +180,8 @@
         drained = await self._data_path.claimant.drain(remaining_s) and drained
         await self._wait_for_claim_handover()
         await self.gate.wait_until_unused(deadline_s)
-        await self.gate.notify_senders(deadline_s)
+        await self._end_tasks()
+        await self.gate.notify_peers(deadline_s)
         await self._close()
         self._log.info("stopped", drained=drained)
         return drained
@@ -205,12 +206,15 @@
         while self._shared.holder.active_group_count and loop.time() < end_s:
             await asyncio.sleep(CLAIMS_CHECK_INTERVAL_S)
 
-    async def _close(self):
+    async def _end_tasks(self):
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._data_path.claimant.close()
         await self._shared.holder.close()
+
+    async def _close(self):
+        await self._end_tasks()
         self.gate.close()
         self._data_path.client.close()
         self._admin.stop()
