--- a/packages/sapphireway-coordination/tests/test_gate_machine.py
+++ b/packages/sapphireway-coordination/tests/test_gate_machine.py
@@ -5,9 +5,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from tests.gate_bench import NODE, Bench
+from tests.gate_bench import NODE, Bench, make_attempt
 
-from sapphireway_coordination.routing._attempts import Attempt, excludes_run
+from sapphireway_coordination.routing._attempts import excludes_run
 from sapphireway_protocol import Cancel, Departed, Revoke
 from sapphireway_transport.memory import PausedLoop
 
@@ -136,12 +136,6 @@
         assert self.bench.server.in_flight_max <= self.bench.server.slots
 
 
-def make_attempt(run):
-    attempt = Attempt(run.attempt, None, None, run.incarnation, 0.0, None)
-    attempt.latest_start_s = run.latest_start_s
-    return attempt
-
-
 AttemptMachine.TestCase.settings = settings(
     max_examples=150, stateful_step_count=30, derandomize=True, deadline=None
 )
--- a/packages/sapphireway-coordination/tests/test_orderly_stop.py
+++ b/packages/sapphireway-coordination/tests/test_orderly_stop.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from tests.gate_bench import NODE, Bench
+from tests.gate_bench import NODE, Bench, make_attempt
 
 from sapphireway_coordination import (
     DEPARTURE_SPREAD_S,
@@ -16,7 +16,7 @@
     Gate,
     Member,
 )
-from sapphireway_coordination.routing._attempts import Attempt, excludes_run
+from sapphireway_coordination.routing._attempts import excludes_run
 from sapphireway_protocol import Answered, Departed, Peers, Reply, Run, Unknown
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
@@ -313,12 +313,6 @@
     bench.entry.send(NODE, bench.sent[attempt])
 
 
-def make_attempt(run):
-    attempt = Attempt(run.attempt, None, None, run.incarnation, 0.0, None)
-    attempt.latest_start_s = run.latest_start_s
-    return attempt
-
-
 async def receive_departed(message, incarnation="1", times=1):
     """Return the outcome of a call whose silent node sends `Departed`."""
     fleet = Fleet()
--- a/packages/sapphireway-coordination/tests/test_orderly_stop_roles.py
+++ b/packages/sapphireway-coordination/tests/test_orderly_stop_roles.py
@@ -156,7 +156,6 @@
         second.send("a", Probe("s"))
         await asyncio.sleep(0.1)
         request = asyncio.ensure_future(requester.request("b", Probe("s"), 1.0))
-        first._endpoint._network = network
         for _ in range(2):
             first.send("a", Departed([], 0.0))
         await asyncio.sleep(0.5)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -210,9 +210,10 @@
 
 
 class Departed(msgspec.Struct, frozen=True, tag="departed", array_like=True):
-    """Last message of a node that stops gracefully, to a node that sent it work.
+    """Last message of a process that stops gracefully, to a peer that was in touch.
 
-    No attempt starts at the sender's incarnation after this message was made.
+    No attempt starts at the sender's incarnation after this message was made, and
+    requests that it has not answered get no reply.
 
     Attributes
     ----------
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -10,6 +10,7 @@
     Gate,
     SelfReport,
 )
+from sapphireway_coordination.routing._attempts import Attempt
 from sapphireway_protocol import Peers, Reply, Revoked, Run, ServerState
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, MemoryServer, run_paused
@@ -147,6 +148,13 @@
     return run
 
 
+def make_attempt(run):
+    """Return the entry node's view of an attempt that was sent as `run`."""
+    attempt = Attempt(run.attempt, None, None, run.incarnation, 0.0, None)
+    attempt.latest_start_s = run.latest_start_s
+    return attempt
+
+
 def paused(test):
     """Run a test with a new bench on the paused clock."""
 
