--- a/packages/sapphireway/src/sapphireway/_server_api.py
+++ b/packages/sapphireway/src/sapphireway/_server_api.py
@@ -32,6 +32,8 @@
         Connections that the server accepts concurrently.
     in_flight : int or None
         Requests running now, as counted by the server.
+    version : str
+        Version of the server's software, which rollouts refer to.
     """
 
     service: _Name
@@ -40,6 +42,7 @@
     start_id: _Name
     connections_max: _PositiveCount = 200
     in_flight: _Count | None = None
+    version: Annotated[str, msgspec.Meta(max_length=200)] = ""
 
 
 class ServerHandler(tornado.web.RequestHandler):
--- a/packages/sapphireway/tests/test_server_api.py
+++ b/packages/sapphireway/tests/test_server_api.py
@@ -137,6 +137,16 @@
         await process.wait()
 
 
+@with_api
+async def test_server_may_state_its_version(api):
+    await api.fetch("PUT", "/server/s1", VALID_ANNOUNCEMENT)
+    assert api.gate.announcement.version == ""
+    await api.fetch("PUT", "/server/s1", VALID_ANNOUNCEMENT | {"version": "v2"})
+    assert api.gate.announcement.version == "v2"
+    longest = VALID_ANNOUNCEMENT | {"version": "v" * 201}
+    assert (await api.fetch("PUT", "/server/s1", longest))[0] == 400
+
+
 @with_api
 async def test_demo_server_announces_its_free_port(api):
     async with run_demo_server(api, port=0) as (_, send, _):
