Roll out to servers that do not report their warm-up

Cause: on real processes a rollout waited for new servers that waited for requests to warm up (held for 17 s, rolled back at the deadline); counted as ready, a version ten times slower was completed, as latencies of cold servers do not count. Change: only servers that report their warm-up count as cold. Ruled out: readiness alone, which gave the second fault.

--- a/demo/_fleet.py
+++ b/demo/_fleet.py
@@ -35,6 +35,8 @@
     domain, service : str
     url : str
         URL at which the node reaches the server, if not at its own address.
+    version : str
+        Version of the server's software; "" if it announces none.
     """
 
     name: str
@@ -42,6 +44,7 @@
     domain: str
     service: str
     url: str = ""
+    version: str = ""
 
 
 def make_places() -> list[Place]:
@@ -127,6 +130,7 @@
             "--slots=6",
             f"--url={place.url}",
             f"--record={self.folder / 'runs.jsonl'}",
+            f"--software={place.version}",
         )
 
     def get_pid(self, name: str) -> int:
--- a/demo/server.py
+++ b/demo/server.py
@@ -293,6 +293,7 @@
     connections: int,
     seed: int,
     record: Path | None,
+    version: str = "",
 ) -> None:
     """Serve until SIGTERM, then deregister and drain requests in flight."""
     stand_in = StandIn(slots, random.Random(seed))
@@ -316,6 +317,7 @@
             "connections_max": connections,
             "start_id": start_id,
             "in_flight": stand_in.in_flight,
+            **({"version": version} if version else {}),
         }
 
     stopping = asyncio.Event()
@@ -347,6 +349,7 @@
     connections: int = 200,
     seed: int = 1,
     record: Path | None = None,
+    software: str = "",
 ) -> None:
     """Run a stand-in server beside a node.
 
@@ -370,6 +373,8 @@
         Seed of the random part of its service times.
     record
         File that receives a line for each request when it starts to run.
+    software : str
+        Version of its software to announce; none by default.
     """
     asyncio.run(
         serve(
@@ -383,6 +388,7 @@
             connections=connections,
             seed=seed,
             record=record,
+            version=software,
         )
     )
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_reporter.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_reporter.py
@@ -25,6 +25,9 @@
     in_flight : int
         Requests that run or wait.
     cold : bool
+        Whether it is slower than usual after a start.
+    ready : bool
+        Whether it may get its share of the requests.
     """
 
     server: str
@@ -32,6 +35,7 @@
     version: str
     in_flight: int
     cold: bool
+    ready: bool
 
 
 class _Counts:
@@ -134,7 +138,7 @@
                 server.server,
                 server.in_flight,
                 kinds,
-                server.cold,
+                not server.ready,
             )
         )
         loop = asyncio.get_running_loop()
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_rollouts.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_rollouts.py
@@ -38,7 +38,7 @@
     kinds : dict of str to KindCounts
         Since this start of the node, or the order if that is later.
     cold : bool
-        Whether the server does not take requests at full speed yet, or no more.
+        Whether the server cannot take its share of the requests yet, or no more.
     """
 
     service: str
--- a/packages/sapphireway/src/sapphireway/_rollout_reports.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_reports.py
@@ -25,12 +25,18 @@
         announcement, load = gate.announcement, gate.get_load()
         if announcement is None or load is None:
             return None
+        # One that does not report its warm-up counts as cold until it has answered
+        # enough requests: it would wait for its share, and a slow version would pass.
+        reports_warm_up = announcement.cold_s is not None
+        cold = load.state is ServerState.COLD and reports_warm_up
+        serving = load.state in (ServerState.SERVING, ServerState.COLD)
         return ReportedServer(
             announcement.server,
             announcement.service,
             announcement.version,
             load.in_flight + load.queued,
-            load.state is not ServerState.SERVING,
+            cold,
+            serving and not cold,
         )
 
     return VersionReporter(get_server, get_rollout, send)
--- a/tests/test_version_reports.py
+++ b/tests/test_version_reports.py
@@ -4,7 +4,7 @@
 
 from sapphireway._rollout_reports import count_answer, make_version_reporter
 from sapphireway_coordination import AttemptServed
-from sapphireway_protocol import Cancel
+from sapphireway_protocol import Cancel, ServerState
 from sapphireway_state import Rollout, RolloutState
 from sapphireway_transport.memory import run_paused
 from tests.gate_bench import Bench, paused
@@ -128,7 +128,7 @@
     reports = []
     reporter = make_version_reporter(bench.gate, lambda s: ROLLOUT, reports.append)
     bench.entry_version, bench.rollout = 7, ROLLOUT
-    bench.announce(version="v2")
+    bench.announce(version="v2", cold_s=5.0, cold_rate_per_s=50.0)
     await bench.call("a")
     for event in bench.list_events(AttemptServed):
         count_answer(reporter, event)
@@ -136,3 +136,26 @@
     (counts,) = reports[-1].kinds.values()
     assert (counts.answers, counts.latencies, reports[-1].cold) == (1, [], True)
     reporter.close()
+
+
+@paused
+async def test_server_that_warms_up_by_requests_alone_is_ready_while_cold(bench):
+    """Else it would wait for its share, and its share for it.
+
+    Its latencies count too: a slow version might stay cold until the end.
+    """
+    reports = []
+    reporter = make_version_reporter(bench.gate, lambda s: ROLLOUT, reports.append)
+    bench.announce(version="v2")
+    reporter.update()
+    assert bench.gate.get_load().state is ServerState.COLD
+    assert not reports[-1].cold
+    bench.entry_version, bench.rollout = 7, ROLLOUT
+    await bench.call("a")
+    for event in bench.list_events(AttemptServed):
+        count_answer(reporter, event)
+    reporter.close()
+    reporter.update()
+    (counts,) = reports[-1].kinds.values()
+    assert sum(counts.latencies) == 1
+    reporter.close()
