Refuse keyed requests without a recent proof of the newest routing table

Cause: a node that is cut off went on accepting API keys that a newer table had removed. Change: with key_revocation_ms set, Confirmation asks control hosts for the version of the newest table while keyed requests arrive. ConfirmationSource answers on each control host after a round of the quorum; nodes share a round for 0.4 s, with its age. A proof counts while its age, from the question and on the larger of the monotonic clock and CLOCK_BOOTTIME, is below the bound less 5%, and its table is in force. Requests wait a quarter of their time and at most 1 s for a proof under way, then get 503 unconfirmed. The platform's adapter sets the bound where its settings call it strict. Ruled out: a quorum read per node and leases, see docs/design/keys.md.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/__init__.py
@@ -3,6 +3,14 @@
 from sapphireway_coordination.settings._applied_state import (
     AppliedState,
 )
+from sapphireway_coordination.settings._confirmation import (
+    Confirmation,
+    ConfirmationLost,
+    ConfirmationRegained,
+)
+from sapphireway_coordination.settings._confirmation_source import (
+    ConfirmationSource,
+)
 from sapphireway_coordination.settings._control_client import (
     ControlClient,
 )
@@ -21,6 +29,10 @@
     "ROUTE_PREFIX",
     "TREE_PREFIX",
     "AppliedState",
+    "Confirmation",
+    "ConfirmationLost",
+    "ConfirmationRegained",
+    "ConfirmationSource",
     "ControlClient",
     "ControlMachine",
     "SettingsChannel",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -78,9 +78,11 @@
     VoteRequest,
 )
 from sapphireway_protocol._settings import (
+    AskConfirmation,
     FetchSettings,
     FetchSettingsReply,
     SettingsUpdate,
+    TableConfirmed,
 )
 from sapphireway_protocol._suspects import (
     AskRerun,
@@ -98,6 +100,7 @@
     "Answered",
     "Append",
     "AppendReply",
+    "AskConfirmation",
     "AskRerun",
     "Bootstrap",
     "BootstrapReply",
@@ -172,6 +175,7 @@
     "SuspectList",
     "SyncLeases",
     "SyncedLeases",
+    "TableConfirmed",
     "Unknown",
     "VoteReply",
     "VoteRequest",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -68,4 +68,35 @@
     routes: bytes = b""
 
 
-MESSAGES = (FetchSettings, FetchSettingsReply)
+class AskConfirmation(
+    msgspec.Struct, frozen=True, tag="ask_confirmation", array_like=True
+):
+    """Request to a control host for the version of the newest routing table.
+
+    Attributes
+    ----------
+    forwarded : bool
+        Whether another control host has passed the question on.
+    """
+
+    forwarded: bool = False
+
+
+class TableConfirmed(
+    msgspec.Struct, frozen=True, tag="table_confirmed", array_like=True
+):
+    """Answer to `AskConfirmation`: no newer table had been acknowledged at an instant.
+
+    Attributes
+    ----------
+    version : int
+        Journal index of the publication.
+    age_s : float
+        Age of that instant when the answer was made, on the clocks of the sender.
+    """
+
+    version: int
+    age_s: float
+
+
+MESSAGES = (FetchSettings, FetchSettingsReply, AskConfirmation, TableConfirmed)
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -66,6 +66,10 @@
         node has a fixed reserve of its own.
     cold_reserve_per_s : float
         Requests per second that a cold server may get beyond its rate.
+    key_revocation_ms : int
+        Time after the acknowledgement of a routing table after which requests with
+        API keys that it removed are never run. A node without a recent proof that it
+        has the newest table refuses requests with keys. 0 if no proof is needed.
     server_url : str
         Base URL of the local server, whose health the node queries at startup to
         register it; empty if the server must announce itself first.
@@ -110,6 +114,7 @@
     stop_grace_ms: int = 0
     retry_reserve: int = 0
     cold_reserve_per_s: float = 0.0
+    key_revocation_ms: int = 0
     server_url: str = ""
     server_service: str = ""
     initial_tree: str | None = None
@@ -145,6 +150,7 @@
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "retry_reserve": make_integer(0, 1_000_000),
     "cold_reserve_per_s": make_number(0, 1_000, "per second"),
+    "key_revocation_ms": make_integer(0, 600_000, "ms"),
     "server_url": _URL,
     "server_service": make_name(),
     "initial_tree": _PATH,
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -14,6 +14,13 @@
     HttpRequest,
     RejectedRequest,
 )
+from sapphireway_transport._instant import (
+    Instant,
+    ReadInstant,
+    compute_age,
+    read_instant,
+    shift_back,
+)
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
@@ -47,7 +54,9 @@
     "HttpLimits",
     "HttpListener",
     "HttpRequest",
+    "Instant",
     "NotSent",
+    "ReadInstant",
     "Receiver",
     "RejectedRequest",
     "Responded",
@@ -55,4 +64,7 @@
     "ServerRequest",
     "ServerResult",
     "ZmqEndpoint",
+    "compute_age",
+    "read_instant",
+    "shift_back",
 ]
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -17,6 +17,7 @@
     AppliedState,
     ClaimGroupController,
     Committed,
+    ConfirmationSource,
     ControlHostList,
     ControlMachine,
     Directory,
@@ -37,6 +38,7 @@
     UpdateResult,
     load_tree,
 )
+from sapphireway_transport import read_instant
 
 INITIAL_EDIT_ID = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
@@ -66,6 +68,7 @@
 
     __slots__ = (
         "_apply_update",
+        "_confirmation_source",
         "_directory",
         "_disk",
         "_group_controller",
@@ -116,6 +119,12 @@
             bootstrap=settings.bootstrap,
         )
         self._quorum.serve_queries(self._machine.read)
+        self._confirmation_source = ConfirmationSource(
+            peers,
+            self._quorum.read_barrier,
+            lambda: self._machine.routes.version,
+            read_instant,
+        )
         self._group_controller = ClaimGroupController(
             peers,
             self._list_services,
@@ -136,6 +145,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._directory.run())
                 group.create_task(self._group_controller.run())
+                group.create_task(self._confirmation_source.run())
                 group.create_task(self._watch_quorum())
                 group.create_task(self._apply_journal())
                 if self._settings.initial_tree is not None:
--- a/packages/sapphireway/src/sapphireway/_gauges.py
+++ b/packages/sapphireway/src/sapphireway/_gauges.py
@@ -2,10 +2,15 @@
 
 from sapphireway._metrics import Metrics
 from sapphireway._shared_state import SharedState
-from sapphireway_coordination import Gate
+from sapphireway_coordination import Confirmation, Gate
 
 
-def register_gauges(metrics: Metrics, shared: SharedState, gate: Gate) -> None:
+def register_gauges(
+    metrics: Metrics,
+    shared: SharedState,
+    gate: Gate,
+    confirmation: Confirmation | None = None,
+) -> None:
     """Register gauges that read the node's components when they are scraped."""
 
     def get_starts_per_s():
@@ -22,5 +27,7 @@
         "sapphireway_settings_updates_rejected": lambda: channel.rejected_updates,
         "sapphireway_peer_messages_unreadable": lambda: peers.malformed_count,
     }
+    if confirmation is not None:
+        gauges["sapphireway_table_confirmation_age_s"] = confirmation.compute_age
     for name, read in gauges.items():
         metrics.register_gauge(name, read)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -12,6 +12,7 @@
 from sapphireway._dialects import Dialects
 from sapphireway._exits import EXIT_INVARIANT
 from sapphireway._gauges import register_gauges
+from sapphireway._identity import confirm_all
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway._observations import make_observe
@@ -20,6 +21,7 @@
 from sapphireway_coordination import (
     DEPARTURE_SPREAD_S,
     AppliedState,
+    Confirmation,
     Gate,
     compute_drain_time,
     compute_serve_time,
@@ -27,6 +29,7 @@
     fetch_health,
 )
 from sapphireway_state import ProcessSettings
+from sapphireway_transport import read_instant
 
 CLAIMS_CHECK_INTERVAL_S = 0.1
 CLAIMS_HANDOVER_MAX_S = 3.0
@@ -47,6 +50,7 @@
 
     __slots__ = (
         "_admin",
+        "_confirmation",
         "_control",
         "_data_path",
         "_dialects",
@@ -79,6 +83,7 @@
         self._shared = build_shared_state(
             settings, log, observe, rng, self._on_settings_applied
         )
+        self._confirmation = self._build_confirmation(observe, rng)
         self._data_path = build_data_path(
             settings,
             self._shared,
@@ -88,6 +93,7 @@
             observe,
             rng,
             self._tracer,
+            confirm_all if self._confirmation is None else self._confirmation.confirm,
         )
         self._control = self._build_control(observe)
         self._admin = build_admin(
@@ -99,7 +105,7 @@
             log,
             self._list_spans,
         )
-        register_gauges(self._metrics, self._shared, self.gate)
+        register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
     async def start(self) -> None:
         """Bind the addresses and start all background tasks.
@@ -118,6 +124,8 @@
         )
         if self._control is not None:
             self._spawn(self._control.run())
+        if self._confirmation is not None:
+            self._spawn(self._confirmation.run())
         if self._settings.server_url:
             self._spawn(self._discover_local_server())
         if self._settings.http_address:
@@ -240,6 +248,20 @@
         exporter = JsonLinesExporter(self._settings.trace_file, self._spans.append)
         return CallTracer(self._settings.address, exporter, rng)
 
+    def _build_confirmation(self, observe, rng):
+        if not self._settings.key_revocation_ms:
+            return None
+        shared = self._shared
+        return Confirmation(
+            shared.peers,
+            shared.control_hosts,
+            lambda: shared.applied.routes.version,
+            self._settings.key_revocation_ms / MS_PER_S,
+            rng,
+            read_instant,
+            observe,
+        )
+
     def _build_control(self, observe):
         if not self._settings.control:
             return None
@@ -284,6 +306,8 @@
 
     def _on_settings_applied(self):
         self._update_out_of_service()
+        if self._confirmation is not None:
+            self._confirmation.notify()
         for callback in self._settings_callbacks:
             callback()
         applied = self.applied_state
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -13,6 +13,8 @@
     CallEnded,
     CallHistory,
     ClaimEnded,
+    ConfirmationLost,
+    ConfirmationRegained,
     GateChanged,
     LimitChanged,
     MemberEjected,
@@ -30,6 +32,8 @@
 """Called with each event dataclass of the coordination layer."""
 
 LOGGED_EVENTS = (
+    ConfirmationLost,
+    ConfirmationRegained,
     GateChanged,
     MemberEjected,
     RelapseSeen,
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -154,3 +154,18 @@
     busiest = max(sum(s <= at_s < s + 1.0 for at_s in starts) for s in starts)
     assert busiest + 1 <= rate_per_s * COLD_LOAD_FACTOR + slack
     assert busiest >= rate_per_s
+
+
+@pytest.mark.parametrize(
+    ("bounds", "bound_ms"),
+    [
+        ({}, 0),
+        ({"revocation": "5000ms"}, 0),
+        ({"revocation": "5000ms", "revocation_strict": False}, 0),
+        ({"revocation": "4s", "revocation_strict": True}, 4000),
+        ({"revocation_strict": True}, 5000),
+    ],
+)
+def test_bound_on_revocation_holds_only_where_it_is_strict(load, bounds, bound_ms):
+    process = load(NODE | {"bounds": NODE["bounds"] | bounds}).process
+    assert process.key_revocation_ms == bound_ms
