--- a/packages/sapphireway-state/src/sapphireway_state/_routes.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_routes.py
@@ -95,6 +95,11 @@
     burst: float = 0.0
     priority: int | None = None
 
+    def __repr__(self) -> str:
+        # Tracebacks and messages of errors may hold it.
+        digests = ", ".join(map(digest_access_key, self.keys))
+        return f"Workspace({self.name!r}, keys with SHA-256 {digests or 'none'})"
+
 
 class ServiceSpec(msgspec.Struct, frozen=True, array_like=True):
     """Configuration of the servers of one service.
--- a/packages/sapphireway-state/tests/test_routes.py
+++ b/packages/sapphireway-state/tests/test_routes.py
@@ -137,6 +137,12 @@
     assert len(digest_access_key("secret")) == 12
 
 
+def test_text_of_a_table_has_only_digests_of_keys():
+    table = RouteTable(1, workspaces=(Workspace("a", ("secret",)),))
+    assert "secret" not in f"{table!r} {table}"
+    assert digest_access_key("secret") in repr(table)
+
+
 def test_patch_adds_replaces_and_removes_workspaces():
     workspaces = tuple(Workspace(name, (f"k{name}",)) for name in "abc")
     table = msgspec.structs.replace(make_table(make_route()), workspaces=workspaces)
