--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -88,9 +88,11 @@
 )
 from sapphireway_protocol._rollouts import KindCounts, VersionReport
 from sapphireway_protocol._settings import (
+    AskConfirmation,
     FetchSettings,
     FetchSettingsReply,
     SettingsUpdate,
+    TableConfirmed,
 )
 from sapphireway_protocol._suspects import (
     AskRerun,
@@ -108,6 +110,7 @@
     "Answered",
     "Append",
     "AppendReply",
+    "AskConfirmation",
     "AskRerun",
     "AskTokens",
     "Bootstrap",
@@ -188,6 +191,7 @@
     "SuspectList",
     "SyncLeases",
     "SyncedLeases",
+    "TableConfirmed",
     "TokenGrant",
     "TokenWant",
     "Unknown",
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -15,6 +15,13 @@
     HttpRequest,
     RejectedRequest,
 )
+from sapphireway_transport._instant import (
+    Instant,
+    ReadInstant,
+    compute_age,
+    read_instant,
+    shift_back,
+)
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
@@ -48,7 +55,9 @@
     "HttpLimits",
     "HttpListener",
     "HttpRequest",
+    "Instant",
     "NotSent",
+    "ReadInstant",
     "Receiver",
     "RejectedRequest",
     "Responded",
@@ -56,5 +65,8 @@
     "ServerRequest",
     "ServerResult",
     "ZmqEndpoint",
+    "compute_age",
     "get_boottime_s",
+    "read_instant",
+    "shift_back",
 ]
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -13,6 +13,8 @@
     CallEnded,
     CallHistory,
     ClaimEnded,
+    ConfirmationLost,
+    ConfirmationRegained,
     DepartureNotified,
     GateChanged,
     LimitChanged,
@@ -34,6 +36,8 @@
 """Called with each event dataclass of the coordination layer."""
 
 LOGGED_EVENTS = (
+    ConfirmationLost,
+    ConfirmationRegained,
     DepartureNotified,
     GateChanged,
     MemberEjected,
