Build the quota client and owner in the node

Cause: nothing ran them, and NotRunReason.QUOTA was rendered as 503. Change: SharedState.quotas, the owner on control hosts, 429 in both dialects, events QuotaRefused and TokenOwnerChanged, gauges sapphireway_quota_*. QuotaStatus.settled says that the leader's table includes all that was committed before its term; the owner takes only workspaces of that table for limited under an earlier owner, so that a limit of a new table starts with its burst. Admission of requests is not wired yet. Ruled out: the buckets of the first confirmation (the first limited table then started without a burst); a confirmation per term without limits (a message without need).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -204,6 +204,7 @@
             replica.disk_problem or "ok",
             str(self.failure) if self.failure else replica.detail,
             replica.configurations[0].index,
+            replica.journal.get_term(replica.commit_index) == replica.term,
         )
 
     def _make_refusal(self):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -161,6 +161,9 @@
         nothing does.
     members_index : int
         Journal index of the entry that set the members.
+    settled : bool
+        Whether an entry of the current term is committed, so that the state machine of
+        the leader includes everything that earlier leaders committed.
     """
 
     role: Role
@@ -176,3 +179,4 @@
     disk: str
     detail: str
     members_index: int = 0
+    settled: bool = False
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_owner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_owner.py
@@ -21,8 +21,9 @@
 
 # Shorter than the quorum's heartbeats, which the confirmations replace.
 CONFIRM_INTERVAL_S = 0.15
-IDLE_INTERVAL_S = 0.2  # without a limited workspace
-FOLLOWER_INTERVAL_S = 0.05  # until this host notices that it was elected
+# At this interval a host checks whether it leads. What a new table limits before the
+# check is taken for limited under an earlier leader, and starts without a burst.
+CHECK_INTERVAL_S = 0.05
 CONFIRM_TIMEOUT_S = 0.2
 FORWARD_TIMEOUT_S = 0.1
 WAITING_ASKS_MAX = 1_024
@@ -88,13 +89,11 @@
         """Confirm the leadership of this host until cancelled."""
         try:
             while True:
-                if not self._has_limits():
-                    await asyncio.sleep(IDLE_INTERVAL_S)
-                elif self._get_leading_term() is None:
-                    await asyncio.sleep(FOLLOWER_INTERVAL_S)
-                else:
+                if self._get_leading_term() is not None and self._has_limits():
                     await self._confirm()
                     await asyncio.sleep(CONFIRM_INTERVAL_S)
+                else:
+                    await asyncio.sleep(CHECK_INTERVAL_S)
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -109,8 +108,19 @@
             return None
         if self._elected[0] != status.term:
             self._elected = (status.term, asyncio.get_running_loop().time())
+        if self._term != status.term and status.settled:
+            self._begin(status.term)
         return status.term
 
+    def _begin(self, term):
+        self._term = term
+        self._confirmed = None
+        workspaces = self._get_workspaces()
+        self._ledger = TokenLedger(self._elected[1], workspaces)
+        if self._has_limits():
+            limited = sum(w.rate_per_s > 0 for w in workspaces)
+            self._observe(TokenOwnerChanged(term, limited))
+
     async def _confirm(self):
         """Wait for a confirmation; several callers share one."""
         if self._confirmation is None:
@@ -124,22 +134,12 @@
                 return
             asked_s = self._clock.read()
             result = await self._read_barrier()
-            if isinstance(result, Current) and self._get_leading_term() == term:
-                self._set_confirmed(term, asked_s)
+            leading_term = self._get_leading_term()
+            if isinstance(result, Current) and leading_term == term == self._term:
+                self._confirmed = asked_s
         finally:
             self._confirmation = None
 
-    def _set_confirmed(self, term, asked_s):
-        self._confirmed = asked_s
-        if self._term == term:
-            return
-        # The journal now has all tables that were in force under earlier leaders.
-        self._term = term
-        workspaces = self._get_workspaces()
-        self._ledger = TokenLedger(self._elected[1], workspaces)
-        limited = sum(w.rate_per_s > 0 for w in workspaces)
-        self._observe(TokenOwnerChanged(term, limited))
-
     def _receive(self, sender, envelope):
         if self._get_leading_term() is None:
             self._forward(sender, envelope)
@@ -149,7 +149,7 @@
             self._spawn(self._confirm_and_reply(sender, envelope))
 
     def _is_confirmed(self):
-        if self._confirmed is None or self._term != self._get_leading_term():
+        if self._get_leading_term() != self._term or self._confirmed is None:
             return False
         age_s = self._clock.read() - self._confirmed
         return age_s <= TOKEN_VALIDITY_S - VALID_MIN_S
@@ -163,7 +163,7 @@
         self._reply(sender, envelope, self._answer(envelope.message))
 
     def _answer(self, ask):
-        if self._confirmed is None or self._term != self._get_leading_term():
+        if self._get_leading_term() != self._term or self._confirmed is None:
             return GrantTokens(False, "")
         now_s = asyncio.get_running_loop().time()
         age_s = self._clock.read() - self._confirmed
--- a/packages/sapphireway-coordination/tests/test_quotas.py
+++ b/packages/sapphireway-coordination/tests/test_quotas.py
@@ -261,3 +261,34 @@
         assert len(fleet.passed["w"]) > 300
 
     run_fleet(scenario, nodes=4, seed=seed)
+
+
+def test_limit_of_new_table_starts_with_its_burst():
+    """Guards against refusals below a limit that was published a moment ago."""
+
+    async def scenario(fleet):
+        await fleet.request("n0")
+        fleet.workspaces = (W,)
+        await asyncio.sleep(0.01)
+        results = await asyncio.gather(*(fleet.request("n0") for _ in range(62)))
+        assert results == [None] * 62
+
+    run_fleet(scenario, workspaces=[Workspace("w")])
+
+
+def test_limit_under_earlier_leader_starts_without_burst():
+    """Guards against a burst from each new owner."""
+
+    async def scenario(fleet):
+        await fill(fleet)
+        fleet.crash(fleet.cluster.leader())
+        results = [None]
+        while results[-1] is None or results[-1].reason is NotRunReason.UNCONFIRMED:
+            results.append(await fleet.request("n0"))
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(0.1)
+        passed = len(fleet.passed["w"])
+        await asyncio.gather(*(fleet.request("n0") for _ in range(100)))
+        assert len(fleet.passed["w"]) - passed <= 25
+
+    run_fleet(scenario)
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -402,7 +402,8 @@
     if close:
         extra.append(("Connection", "close"))
     detail = outcome.detail or f"not run: {outcome.reason}"
-    return _render_text(503, "not-run", detail, extra)
+    status = 429 if outcome.reason is NotRunReason.QUOTA else 503
+    return _render_text(status, "not-run", detail, extra)
 
 
 def _render_text(status, outcome, detail, extra=()):
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -14,6 +14,7 @@
 from sapphireway_coordination import (
     GROUP_PREFIX,
     TREE_PREFIX,
+    AgeClock,
     AppliedState,
     ClaimGroupController,
     Committed,
@@ -25,6 +26,7 @@
     Quorum,
     QuorumSettings,
     QuorumStatus,
+    QuotaOwner,
     Role,
 )
 from sapphireway_protocol import Peers, SettingsUpdate
@@ -37,6 +39,7 @@
     UpdateResult,
     load_tree,
 )
+from sapphireway_transport import get_boottime_s
 
 INITIAL_EDIT_ID = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
@@ -74,6 +77,7 @@
         "_log",
         "_machine",
         "_quorum",
+        "_quota_owner",
         "_settings",
         "_state",
     )
@@ -128,6 +132,14 @@
             observe=observe,
             get_losses_max=self._get_losses_max,
         )
+        self._quota_owner = QuotaOwner(
+            peers,
+            self._quorum.get_status,
+            self._quorum.read_barrier,
+            lambda: self._machine.routes.table.workspaces,
+            AgeClock(time.monotonic, get_boottime_s),
+            observe,
+        )
 
     async def run(self) -> None:
         """Run all components until cancelled."""
@@ -136,6 +148,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._directory.run())
                 group.create_task(self._group_controller.run())
+                group.create_task(self._quota_owner.run())
                 group.create_task(self._watch_quorum())
                 group.create_task(self._apply_journal())
                 if self._settings.initial_tree is not None:
--- a/packages/sapphireway/src/sapphireway/_decisions.py
+++ b/packages/sapphireway/src/sapphireway/_decisions.py
@@ -10,7 +10,7 @@
 NOTABLE_EVENTS_MAX = 2048
 NOTABLE_OUTCOMES = frozenset(("NotRun", "Failed", "Unknown"))
 ROUTINE_EVENTS = frozenset(
-    ("AttemptSent", "AttemptStarted", "AttemptFinished", "ProbeSent")
+    ("AttemptSent", "AttemptStarted", "AttemptFinished", "ProbeSent", "QuotaRefused")
 )
 EXPLAINED_EVENTS_MAX = 200
 
--- a/packages/sapphireway/src/sapphireway/_gauges.py
+++ b/packages/sapphireway/src/sapphireway/_gauges.py
@@ -13,6 +13,7 @@
         return 0.0 if load is None else load.starts_per_s
 
     peers, channel = shared.peers, shared.channel
+    quotas = shared.quotas.counts
     gauges = {
         "sapphireway_settings_version": lambda: shared.applied.version,
         "sapphireway_peer_messages_sent": lambda: peers.messages_sent,
@@ -21,6 +22,13 @@
         "sapphireway_server_starts_per_s": get_starts_per_s,
         "sapphireway_settings_updates_rejected": lambda: channel.rejected_updates,
         "sapphireway_peer_messages_unreadable": lambda: peers.malformed_count,
+        "sapphireway_quota_admitted": lambda: quotas.admitted,
+        "sapphireway_quota_refused": lambda: quotas.refused,
+        "sapphireway_quota_unconfirmed": lambda: quotas.unconfirmed,
+        "sapphireway_quota_asks": lambda: quotas.asks,
+        "sapphireway_quota_tokens_granted": lambda: quotas.granted,
+        "sapphireway_quota_tokens_returned": lambda: quotas.returned,
+        "sapphireway_quota_tokens_expired": lambda: quotas.expired,
     }
     for name, read in gauges.items():
         metrics.register_gauge(name, read)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -210,6 +210,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._data_path.claimant.close()
         await self._shared.holder.close()
+        self._shared.quotas.close()
         self.gate.close()
         self._data_path.client.close()
         self._admin.stop()
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -15,12 +15,14 @@
     GateChanged,
     LimitChanged,
     MemberEjected,
+    QuotaRefused,
     RelapseSeen,
     ReportUnreadable,
     RetryDenied,
     ServerLeft,
     ServerLimited,
     SuspectMarked,
+    TokenOwnerChanged,
 )
 
 MS_PER_S = 1000
@@ -36,12 +38,14 @@
     ServerLeft,
     ServerLimited,
     SuspectMarked,
+    TokenOwnerChanged,
 )
 LABEL_FIELDS = {
     AttemptRefused: ("service", "kind", "reason"),
     CallEnded: ("service", "kind", "outcome"),
     LimitChanged: ("cause",),
     MemberEjected: ("service",),
+    QuotaRefused: ("workspace", "reason"),
     RelapseSeen: ("cause",),
     RetryDenied: ("service", "cause", "reason"),
 }
@@ -92,7 +96,7 @@
 def _is_failure(event):
     if isinstance(event, AttemptServed):
         return event.outcome != "answered"
-    return isinstance(event, AttemptRefused)
+    return isinstance(event, AttemptRefused | QuotaRefused)
 
 
 def _get_event_name(event_type):
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -15,18 +15,20 @@
 from sapphireway._registration import ServerRegistration
 from sapphireway_coordination import (
     GROUP_PREFIX,
+    AgeClock,
     AppliedState,
     ClaimHolder,
     ControlClient,
     ControlHostList,
     HolderSettings,
     Membership,
+    QuotaClient,
     ReadResult,
     SettingsChannel,
 )
 from sapphireway_protocol import ClaimGroup, NodeEntry, Peers
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import FileDisk, ZmqEndpoint
+from sapphireway_transport import FileDisk, ZmqEndpoint, get_boottime_s
 
 INCARNATION_BYTES = 8
 CONTROL_READ_TIMEOUT_S = 1.0
@@ -51,6 +53,7 @@
     channel : SettingsChannel
     registration : ServerRegistration
     membership : Membership
+    quotas : QuotaClient
     """
 
     peers: Peers
@@ -63,6 +66,7 @@
     channel: SettingsChannel
     registration: ServerRegistration
     membership: Membership
+    quotas: QuotaClient
 
 
 def build_shared_state(
@@ -122,6 +126,8 @@
         channel.fetch_from,
         lambda host: log.warning("control_host_silent", host=host),
     )
+    clock = AgeClock(time.monotonic, get_boottime_s)
+    quotas = QuotaClient(peers, control_hosts, rng, clock, observe)
     return SharedState(
         peers,
         control_hosts,
@@ -133,6 +139,7 @@
         channel,
         registration,
         membership,
+        quotas,
     )
 
 
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -226,6 +226,8 @@
         (Answered(503, (), b""), 503, "answered"),
         (NotRun(NotRunReason.OVERLOADED, 0.2), 503, "not-run"),
         (NotRun(NotRunReason.CLAIM_MISMATCH), 422, "not-run"),
+        (NotRun(NotRunReason.QUOTA, 0.3), 429, "not-run"),
+        (NotRun(NotRunReason.UNCONFIRMED, 0.3), 503, "not-run"),
         (Failed("cut"), 502, "failed"),
         (Unknown("silent"), 504, "unknown"),
     ],
@@ -243,6 +245,13 @@
     assert headers["Sapphireway-Reason"] == "overloaded"
 
 
+def test_refusal_above_quota_has_retry_after_headers():
+    headers = dict(render_outcome(NotRun(NotRunReason.QUOTA, 0.32)).headers)
+    assert headers["Retry-After"] == "1"
+    assert headers["Retry-After-Ms"] == "320"
+    assert headers["Sapphireway-Reason"] == "quota"
+
+
 def test_answer_headers_are_end_to_end_only():
     headers = (("Content-Length", "3"), ("Keep-Alive", "x"), ("Set-Cookie", "a"))
     assert filter_headers(headers) == (("Set-Cookie", "a"),)
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -6,8 +6,18 @@
 
 from sapphireway._logs import EventLog
 from sapphireway._node import Node
-from sapphireway_coordination import TREE_PREFIX, ControlMachine, GateState
-from sapphireway_state import Edit, ProcessSettings, SetValue, encode_edit
+from sapphireway_coordination import TREE_PREFIX, ControlMachine, GateState, Role
+from sapphireway_protocol import NotRunReason
+from sapphireway_state import (
+    Edit,
+    ProcessSettings,
+    Publish,
+    Published,
+    RouteTable,
+    SetValue,
+    Workspace,
+    encode_edit,
+)
 
 # Depends on the process id, as concurrent runs of the tests must not share it.
 ADDRESS = f"127.19.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}:{{}}"
@@ -105,3 +115,35 @@
     during, after = asyncio.run(run())
     assert during == (False, GateState.OPEN)
     assert after is GateState.DRAINING
+
+
+def test_quota_of_published_table_is_granted_by_the_leader(settings):
+    """Guards against parts that do not meet: table, owner, client, own link."""
+    settings = dataclasses.replace(settings, bootstrap=True)
+    workspace = Workspace("w", ("key",), 10.0, 20.0)
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        loop = asyncio.get_running_loop()
+        try:
+            while node._control.get_status().role is not Role.LEADER:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.5)
+            publish = Publish(b"d", 0, RouteTable(1, workspaces=(workspace,)))
+            result = None
+            while not isinstance(result, Published):
+                result = await node.publisher.publish(publish)
+            admit = node._shared.quotas.admit
+            results = [await admit(workspace, loop.time() + 5.0) for _ in range(60)]
+            return results, node.render_metrics()
+        finally:
+            await node._close()
+
+    results, metrics = asyncio.run(run())
+    admitted = results.count(None)
+    assert 20 <= admitted <= 40
+    assert results[-1].reason is NotRunReason.QUOTA
+    assert 0 < results[-1].retry_after_s <= 5.2
+    assert f"sapphireway_quota_admitted {admitted}" in metrics
+    assert 'event="QuotaRefused",workspace="w",reason="quota"' in metrics
--- a/tests/platform_adapter/test_dialects.py
+++ b/tests/platform_adapter/test_dialects.py
@@ -29,6 +29,8 @@
     ("outcome", "status"),
     [
         (NotRun(NotRunReason.OVERLOADED, 0.25), 503),
+        (NotRun(NotRunReason.QUOTA, 0.25), 429),
+        (NotRun(NotRunReason.UNCONFIRMED, 0.25), 503),
         (Failed("cut"), 502),
         (Unknown("no answer by the deadline"), 504),
     ],
