Hand back tokens before they expire

Cause: at 0.9 of the limit over 10 nodes 3% of the tokens expired unused, and 3 to 17 of 2,300 requests were refused although the workspace was below its limit. Change: tokens with less than 0.08 s of validity left go back to the owner. Ruled out: credit for tokens that have expired (it widens the proven bound by its delay).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
@@ -388,7 +388,7 @@
         left = False
         for queue in self._queues.values():
             if queue.stock.has_tokens(age_s):
-                returns += queue.stock.take_unused(now_s)
+                returns += queue.stock.take_unused(now_s, age_s)
                 left |= queue.stock.has_tokens(age_s)
             self.counts.expired += queue.stock.expired
             queue.stock.expired = 0
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
@@ -22,6 +22,9 @@
 # Tokens are handed back after as many mean gaps between requests without one.
 UNUSED_GAPS = 3.0
 UNUSED_MIN_S = 0.06
+# Tokens that would soon expire are handed back too. Longer than the interval of the
+# checks, plus the way to the owner.
+EXPIRING_S = 0.08
 
 
 @dataclass(slots=True)
@@ -170,18 +173,25 @@
         ahead = self._compute_ahead(now_s)
         return ahead > 0 and self._count() <= ahead * LOW_SHARE
 
-    def take_unused(self, now_s: float) -> list[ReturnedTokens]:
-        """Remove and return the tokens that are not expected to be used."""
-        gap_s = DEMAND_WINDOW_S / max(self._demand, 1.0)
-        if now_s - self._demand_s < max(UNUSED_MIN_S, UNUSED_GAPS * gap_s):
-            return []
-        name = self.workspace.name
-        unused = [
-            ReturnedTokens(batch.number, name, batch.ready + batch.later)
-            for batch in self._batches
+    def take_unused(self, now_s: float, age_s: float) -> list[ReturnedTokens]:
+        """Remove and return the tokens that are not expected to be used in time."""
+        self._expire(age_s)
+        unused = []
+        kept = []
+        is_idle = self._is_idle(now_s)
+        for batch in self._batches:
+            expiring = batch.expires_s - age_s < EXPIRING_S
+            (unused if is_idle or expiring else kept).append(batch)
+        self._batches = kept
+        returned = [
+            ReturnedTokens(b.number, self.workspace.name, b.ready + b.later)
+            for b in unused
         ]
-        self._batches.clear()
-        return [returned for returned in unused if returned.count]
+        return [tokens for tokens in returned if tokens.count]
+
+    def _is_idle(self, now_s):
+        gap_s = DEMAND_WINDOW_S / max(self._demand, 1.0)
+        return now_s - self._demand_s >= max(UNUSED_MIN_S, UNUSED_GAPS * gap_s)
 
     def has_tokens(self, age_s: float) -> bool:
         """Return whether there is any token that has not expired."""
--- a/packages/sapphireway-coordination/tests/test_quota_bound.py
+++ b/packages/sapphireway-coordination/tests/test_quota_bound.py
@@ -134,7 +134,7 @@
 
     def give_back(self, index, owner_index, delay_s):
         node = self.nodes[index]
-        returns = node.stock.take_unused(node.now())
+        returns = node.stock.take_unused(node.now(), node.clock.read())
         self.ask(index, owner_index, 0, (delay_s, 0.0), 2, returns)
 
     def request(self, index, count):
--- a/packages/sapphireway-coordination/tests/test_quota_stock.py
+++ b/packages/sapphireway-coordination/tests/test_quota_stock.py
@@ -71,8 +71,8 @@
     for i in range(100):
         stock.count_arrival(i * 0.02)
     stock.add(1, TokenGrant("w", 2, 3, 0.1, 0.02), 1.98, 9.0)
-    assert stock.take_unused(2.03) == []
-    assert stock.take_unused(2.05) == [ReturnedTokens(1, "w", 5)]
+    assert stock.take_unused(2.03, 2.03) == []
+    assert stock.take_unused(2.05, 2.05) == [ReturnedTokens(1, "w", 5)]
     assert not stock.take(2.05, 2.05)
 
 
@@ -82,7 +82,7 @@
     for i in range(100):
         stock.count_arrival(i * 0.1)
     stock.add(1, TokenGrant("w", 2), 9.9, 19.0)
-    assert stock.take_unused(10.1) == []
+    assert stock.take_unused(10.1, 10.1) == []
 
 
 @pytest.mark.parametrize("gains", [(1.0, 3.0), (3.0, 1.0)])
@@ -96,3 +96,16 @@
     assert clock.read() - started_s == 3.0
     readings[1] -= 20.0
     assert clock.read() - started_s == 3.0
+
+
+def test_take_unused_returns_tokens_that_would_expire():
+    """Guards against tokens that few requests waste."""
+    stock = TokenStock(W)
+    for i in range(102):
+        stock.count_arrival(i * 0.1)
+    stock.add(1, TokenGrant("w", 2), 9.9, 10.3)
+    stock.add(2, TokenGrant("w", 1), 10.0, 10.5)
+    assert stock.take_unused(10.21, 10.21) == []
+    assert stock.take_unused(10.23, 10.23) == [ReturnedTokens(1, "w", 2)]
+    assert stock.take(10.23, 10.23)
+    assert not stock.take(10.23, 10.23)
