--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -15,6 +15,7 @@
     GROUP_PREFIX,
     ROLLOUT_PREFIX,
     TREE_PREFIX,
+    AgeClock,
     AppliedState,
     ClaimGroupController,
     Committed,
@@ -27,6 +28,7 @@
     Quorum,
     QuorumSettings,
     QuorumStatus,
+    QuotaOwner,
     Role,
     RolloutController,
 )
@@ -40,7 +42,7 @@
     UpdateResult,
     load_tree,
 )
-from sapphireway_transport import read_instant
+from sapphireway_transport import get_boottime_s, read_instant
 
 INITIAL_EDIT_ID = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
@@ -81,6 +83,7 @@
         "_machine",
         "_peers",
         "_quorum",
+        "_quota_owner",
         "_rollout_controller",
         "_settings",
         "_state",
@@ -153,6 +156,14 @@
             time.time,
             observe,
         )
+        self._quota_owner = QuotaOwner(
+            peers,
+            self._quorum.get_status,
+            self._quorum.read_barrier,
+            lambda: self._machine.routes.table.workspaces,
+            AgeClock(time.monotonic, get_boottime_s),
+            observe,
+        )
 
     async def run(self) -> None:
         """Run all components until cancelled."""
@@ -163,6 +174,7 @@
                 group.create_task(self._group_controller.run())
                 group.create_task(self._rollout_controller.run())
                 group.create_task(self._confirmation_source.run())
+                group.create_task(self._quota_owner.run())
                 group.create_task(self._watch_quorum())
                 group.create_task(self._apply_journal())
                 if self._settings.initial_tree is not None:
--- a/packages/sapphireway/src/sapphireway/_gauges.py
+++ b/packages/sapphireway/src/sapphireway/_gauges.py
@@ -18,6 +18,7 @@
         return 0.0 if load is None else load.starts_per_s
 
     peers, channel = shared.peers, shared.channel
+    quotas = shared.quotas.counts
     gauges = {
         "sapphireway_settings_version": lambda: shared.applied.version,
         "sapphireway_peer_messages_sent": lambda: peers.messages_sent,
@@ -26,6 +27,13 @@
         "sapphireway_server_starts_per_s": get_starts_per_s,
         "sapphireway_settings_updates_rejected": lambda: channel.rejected_updates,
         "sapphireway_peer_messages_unreadable": lambda: peers.malformed_count,
+        "sapphireway_quota_admitted": lambda: quotas.admitted,
+        "sapphireway_quota_refused": lambda: quotas.refused,
+        "sapphireway_quota_unconfirmed": lambda: quotas.unconfirmed,
+        "sapphireway_quota_asks": lambda: quotas.asks,
+        "sapphireway_quota_tokens_granted": lambda: quotas.granted,
+        "sapphireway_quota_tokens_returned": lambda: quotas.returned,
+        "sapphireway_quota_tokens_expired": lambda: quotas.expired,
     }
     if confirmation is not None:
         gauges["sapphireway_table_confirmation_age_s"] = confirmation.compute_age
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -95,6 +95,7 @@
             rng,
             self._tracer,
             confirm_all if self._confirmation is None else self._confirmation.confirm,
+            self._shared.quotas.admit,
         )
         self.add_settings_callback(self._data_path.apply_rollouts)
         self._control = self._build_control(observe)
@@ -225,6 +226,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._data_path.claimant.close()
         await self._shared.holder.close()
+        self._shared.quotas.close()
 
     async def _close(self):
         await self._end_tasks()
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -19,6 +19,7 @@
     GateChanged,
     LimitChanged,
     MemberEjected,
+    QuotaRefused,
     RelapseSeen,
     ReportUnreadable,
     RetryDenied,
@@ -27,6 +28,7 @@
     ServerLeft,
     ServerLimited,
     SuspectMarked,
+    TokenOwnerChanged,
     VersionChosen,
 )
 
@@ -48,6 +50,7 @@
     ServerLeft,
     ServerLimited,
     SuspectMarked,
+    TokenOwnerChanged,
 )
 LABEL_FIELDS = {
     AttemptRefused: ("service", "kind", "reason"),
@@ -56,6 +59,7 @@
     KeyRefused: ("service", "kind", "reason"),
     LimitChanged: ("cause",),
     MemberEjected: ("service",),
+    QuotaRefused: ("workspace", "reason"),
     RelapseSeen: ("cause",),
     RetryDenied: ("service", "cause", "reason"),
     RolloutDecided: ("service", "action"),
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -16,18 +16,20 @@
 from sapphireway._rollout_orders import RolloutOrders
 from sapphireway_coordination import (
     GROUP_PREFIX,
+    AgeClock,
     AppliedState,
     ClaimHolder,
     ControlClient,
     ControlHostList,
     HolderSettings,
     Membership,
+    QuotaClient,
     ReadResult,
     SettingsChannel,
 )
 from sapphireway_protocol import ClaimGroup, NodeEntry, Peers
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import FileDisk, ZmqEndpoint
+from sapphireway_transport import FileDisk, ZmqEndpoint, get_boottime_s
 
 INCARNATION_BYTES = 8
 CONTROL_READ_TIMEOUT_S = 1.0
@@ -53,6 +55,7 @@
     channel : SettingsChannel
     registration : ServerRegistration
     membership : Membership
+    quotas : QuotaClient
     """
 
     peers: Peers
@@ -66,6 +69,7 @@
     channel: SettingsChannel
     registration: ServerRegistration
     membership: Membership
+    quotas: QuotaClient
 
 
 def build_shared_state(
@@ -125,6 +129,8 @@
         channel.fetch_from,
         lambda host: log.warning("control_host_silent", host=host),
     )
+    clock = AgeClock(time.monotonic, get_boottime_s)
+    quotas = QuotaClient(peers, control_hosts, rng, clock, observe)
     return SharedState(
         peers,
         control_hosts,
@@ -137,6 +143,7 @@
         channel,
         registration,
         membership,
+        quotas,
     )
 
 
