--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -1,13 +1,14 @@
 """Simulation of one service's servers and entry nodes on the paused clock."""
 
 import asyncio
-import dataclasses
 import itertools
 import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from benchmarks._server import ServerFaults, StandInServer
 from sapphireway_coordination import Call, Dispatcher, Member
 from sapphireway_protocol import Answered, Peers
@@ -179,7 +180,7 @@
         self.out_domains.add(domain)
         for name, member in self.members.items():
             if member.domain == domain:
-                self.members[name] = dataclasses.replace(member, out=True)
+                self.members[name] = msgspec.structs.replace(member, out=True)
 
     def isolate_domain(self, domain):
         """Cut all links of a domain without notice; its servers' replies are lost."""
@@ -235,7 +236,7 @@
         loop = asyncio.get_running_loop()
         arrived_s = loop.time()
         read = kind == "read"
-        policy = dataclasses.replace(
+        policy = msgspec.structs.replace(
             self.policy, idempotent=read, weight=10 if read else 50
         )
         deadline_s = arrived_s + DEADLINE_S
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_claimant.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_claimant.py
@@ -4,9 +4,10 @@
 import enum
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from sapphireway_coordination.claims._client import (
     ROUND_TIMEOUT_S,
     Fences,
@@ -53,8 +54,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, frozen=True)
-class ClaimEnded:
+class ClaimEnded(msgspec.Struct, frozen=True):
     """Event: a call acquired its key, or got an outcome without it.
 
     Attributes
@@ -75,8 +75,7 @@
     detail: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class ClaimDelivered:
+class ClaimDelivered(msgspec.Struct, frozen=True):
     """Event: the outcome or release of a claimed call was sent to its holders.
 
     Attributes
@@ -91,8 +90,7 @@
     acknowledged: int
 
 
-@dataclass(slots=True)
-class _PendingClaim:
+class _PendingClaim(msgspec.Struct):
     """A call whose key is being claimed, or is held."""
 
     call: Call
@@ -101,7 +99,7 @@
     started_s: float
     seen_fences: Fences
     round: int = 0
-    votes: Votes = field(default_factory=Votes)
+    votes: Votes = msgspec.field(default_factory=Votes)
 
 
 class Claimant:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_controller.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_controller.py
@@ -4,7 +4,6 @@
 import hashlib
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -33,8 +32,7 @@
 """Commits a command to the journal; None if it is not known to be committed."""
 
 
-@dataclass(slots=True, frozen=True)
-class GroupControllerSettings:
+class GroupControllerSettings(msgspec.Struct, frozen=True):
     """Settings of the group controller.
 
     Attributes
@@ -55,8 +53,7 @@
     rebalance_interval_s: float = 60.0
 
 
-@dataclass(slots=True, frozen=True)
-class GroupProposed:
+class GroupProposed(msgspec.Struct, frozen=True):
     """Event: a change of a claim group was proposed."""
 
     group_name: str
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_holder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_holder.py
@@ -4,7 +4,6 @@
 import enum
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -46,8 +45,7 @@
     RETIRED = "retired"
 
 
-@dataclass(slots=True, frozen=True)
-class HolderChanged:
+class HolderChanged(msgspec.Struct, frozen=True):
     """Event: the node's state in a claim group has changed."""
 
     group_name: str
@@ -56,8 +54,7 @@
     keys: int
 
 
-@dataclass(slots=True, frozen=True)
-class HolderSettings:
+class HolderSettings(msgspec.Struct, frozen=True):
     """Settings of a holder.
 
     Attributes
@@ -77,8 +74,7 @@
     lease_s: float = 3_600.0
 
 
-@dataclass(slots=True)
-class _Replica:
+class _Replica(msgspec.Struct):
     """The replica of one group's claims at this node."""
 
     group: ClaimGroup
@@ -87,7 +83,7 @@
     active_epoch: int = 0  # the newest epoch whose claims are complete here
     sealed: bool = False  # a later epoch has begun to pull the claims
     lease_until_s: float = 0.0
-    tasks: set[asyncio.Task] = field(default_factory=set)
+    tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
 
 
 class ClaimHolder:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_votes.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_votes.py
@@ -3,7 +3,8 @@
 import enum
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import (
     ClaimGroup,
@@ -30,8 +31,7 @@
     RETRY = enum.auto()
 
 
-@dataclass(slots=True, frozen=True)
-class Votes:
+class Votes(msgspec.Struct, frozen=True):
     """The replies of one round.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_admission.py
@@ -10,7 +10,8 @@
 import itertools
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from sapphireway_protocol import NotRunReason
 
@@ -19,8 +20,7 @@
 WAIT_SHARE_MAX = 0.5  # of the budget, so that the caller can still try another server
 
 
-@dataclass(slots=True)
-class Waiter:
+class Waiter(msgspec.Struct):
     """An attempt that waits for a slot.
 
     Attributes
@@ -47,7 +47,7 @@
     deadline_s: float
     latest_start_s: float
     service_s: float
-    decision: asyncio.Future = field(repr=False)
+    decision: asyncio.Future
     target_s: float = math.inf
     arrived_s: float = -math.inf
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -1,10 +1,9 @@
 """Announcements by which a server registers with the node beside it."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True, frozen=True)
-class Announcement:
+class Announcement(msgspec.Struct, frozen=True):
     """One announcement or renewal of a server.
 
     Attributes
@@ -55,8 +54,7 @@
         return other.start_id in ("", self.start_id)
 
 
-@dataclass(slots=True, frozen=True)
-class AnnounceAccepted:
+class AnnounceAccepted(msgspec.Struct, frozen=True):
     """The node serves as the server's proxy.
 
     Attributes
@@ -71,8 +69,7 @@
     limit: int
 
 
-@dataclass(slots=True, frozen=True)
-class AnnounceRefused:
+class AnnounceRefused(msgspec.Struct, frozen=True):
     """The node does not accept the server.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_job.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_job.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.gate._admission import Waiter
 from sapphireway_coordination.gate._attempt_memory import AttemptRecord
@@ -11,8 +12,7 @@
 from sapphireway_state import Policy
 
 
-@dataclass(slots=True)
-class AttemptJob:
+class AttemptJob(msgspec.Struct):
     """An attempt that this node was asked to run.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_memory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_attempt_memory.py
@@ -8,7 +8,8 @@
 import collections
 import enum
 import heapq
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import Reply
 
@@ -28,8 +29,7 @@
     REVOKED = "revoked"
 
 
-@dataclass(slots=True)
-class AttemptRecord:
+class AttemptRecord(msgspec.Struct):
     """State and reply of one attempt.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.gate._announcement import Announcement
 from sapphireway_coordination.gate._cold_rate import ColdRate
@@ -47,8 +48,7 @@
 SPAN_SMOOTHING = 0.1  # weight of one slow period in the moving average
 
 
-@dataclass(slots=True)
-class RunningRequest:
+class RunningRequest(msgspec.Struct):
     """A request that was sent to the server.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.suspects import SuspectMarked
 from sapphireway_protocol import NotRunReason
@@ -20,8 +21,7 @@
     STALLED = "stalled"
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptStarted:
+class AttemptStarted(msgspec.Struct, frozen=True):
     """An attempt was sent to the server.
 
     Attributes
@@ -46,8 +46,7 @@
     alone: bool
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptServed:
+class AttemptServed(msgspec.Struct, frozen=True):
     """A started attempt ended.
 
     Attributes
@@ -73,8 +72,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptRefused:
+class AttemptRefused(msgspec.Struct, frozen=True):
     """An attempt was refused before it was sent to the server.
 
     Attributes
@@ -107,8 +105,7 @@
     digest: str
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptRepeated:
+class AttemptRepeated(msgspec.Struct, frozen=True):
     """A message named an attempt that arrived before.
 
     Attributes
@@ -125,8 +122,7 @@
     state: str
 
 
-@dataclass(slots=True, frozen=True)
-class LimitChanged:
+class LimitChanged(msgspec.Struct, frozen=True):
     """The limit of requests in flight changed.
 
     Attributes
@@ -142,8 +138,7 @@
     cause: str
 
 
-@dataclass(slots=True, frozen=True)
-class RelapseSeen:
+class RelapseSeen(msgspec.Struct, frozen=True):
     """The server was found to be cold again.
 
     Attributes
@@ -159,8 +154,7 @@
     limit: int
 
 
-@dataclass(slots=True, frozen=True)
-class ServerCold:
+class ServerCold(msgspec.Struct, frozen=True):
     """A server reported that it is cold; its request rate is limited.
 
     Attributes
@@ -176,8 +170,7 @@
     rate_per_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class ServerLimited:
+class ServerLimited(msgspec.Struct, frozen=True):
     """A server set, changed or lifted its limit on requests per second.
 
     Attributes
@@ -191,8 +184,7 @@
     requests_per_s: float | None
 
 
-@dataclass(slots=True, frozen=True)
-class ReportUnreadable:
+class ReportUnreadable(msgspec.Struct, frozen=True):
     """A server's answer had malformed values in its report; they were ignored.
 
     Attributes
@@ -205,16 +197,14 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class ServerWarmed:
+class ServerWarmed(msgspec.Struct, frozen=True):
     """The server's limit has reached its slots after a cold start."""
 
     server: str
     limit: int
 
 
-@dataclass(slots=True, frozen=True)
-class ServerAnnounced:
+class ServerAnnounced(msgspec.Struct, frozen=True):
     """A server announced itself for the first time, or after a restart."""
 
     server: str
@@ -223,8 +213,7 @@
     slots: int
 
 
-@dataclass(slots=True, frozen=True)
-class ServerLeft:
+class ServerLeft(msgspec.Struct, frozen=True):
     """A server left, or its lease expired.
 
     Attributes
@@ -239,8 +228,7 @@
     expired: bool
 
 
-@dataclass(slots=True, frozen=True)
-class GateChanged:
+class GateChanged(msgspec.Struct, frozen=True):
     """The node started or stopped refusing new work.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -1,7 +1,6 @@
 """The gate: admission and at-most-once execution of attempts at one server."""
 
 import asyncio
-import dataclasses
 import enum
 import math
 import random
@@ -218,7 +217,7 @@
         rate_per_s = announcement.cold_rate_per_s * policy.cold_rate_percent / PERCENT
         if rate_per_s:
             rate_per_s += self._cold_reserve_per_s
-        announcement = dataclasses.replace(announcement, cold_rate_per_s=rate_per_s)
+        announcement = msgspec.structs.replace(announcement, cold_rate_per_s=rate_per_s)
         result = self._registration.announce(announcement, policy.cold_limit)
         self._health.start()
         started = previous is None or previous.start_id != announcement.start_id
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_limit.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_limit.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 INCREASE_PER_ROUND = 0.5
 DECREASE_FACTOR = 0.7
@@ -15,8 +16,7 @@
 SLOW_ANSWERS_MIN = 5
 
 
-@dataclass(slots=True, frozen=True)
-class Sample:
+class Sample(msgspec.Struct, frozen=True):
     """Outcome of one finished attempt, as input of the limit algorithm.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_self_report.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_self_report.py
@@ -1,10 +1,9 @@
 """Status that a server reports along with its answers."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True, frozen=True)
-class SelfReport:
+class SelfReport(msgspec.Struct, frozen=True):
     """Status in one answer of a server; None for fields that it does not report.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
@@ -1,7 +1,8 @@
 """HTTP conventions for requests to a server and for its answers."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.gate._report_headers import (
     ReportHeaders,
@@ -25,8 +26,7 @@
 NO_REPORT = SelfReport()
 
 
-@dataclass(slots=True, frozen=True)
-class ServerDialect:
+class ServerDialect(msgspec.Struct, frozen=True):
     """HTTP conventions of a deployment's servers.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_members.py
@@ -1,13 +1,13 @@
 """Members of a service: its servers and the nodes beside them."""
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import NodeEntry, ServerEntry
 
 
-@dataclass(slots=True, frozen=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """A server and the node beside it.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_membership.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_membership.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.membership._control_host_list import ControlHostList
 from sapphireway_coordination.membership._members import Member, index_members
@@ -25,8 +26,7 @@
 INITIAL_RENEW_TIMEOUT_S = 0.15  # at start, for one try with each directory
 
 
-@dataclass(slots=True, frozen=True)
-class NodeReport:
+class NodeReport(msgspec.Struct, frozen=True):
     """Status of a node that is shown to operators.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_peer_directories.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_peer_directories.py
@@ -1,7 +1,8 @@
 """Liveness of the other membership directories, as one directory sees it."""
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import ReachableDirectory
 
@@ -9,8 +10,7 @@
 TAKEOVER_GRACE_S = 3.0
 
 
-@dataclass(slots=True)
-class PeerDirectory:
+class PeerDirectory(msgspec.Struct):
     """The directory of another control host.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_progress.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_progress.py
@@ -1,11 +1,11 @@
 """Replication progress of the other members, as tracked by the leader."""
 
 import asyncio
-from dataclasses import dataclass, field
 
+import msgspec
 
-@dataclass(slots=True)
-class Progress:
+
+class Progress(msgspec.Struct):
     """Replication progress of one other member.
 
     Attributes
@@ -32,4 +32,4 @@
     acked_round: int = -1
     acked_version: int = -1
     probing: bool = False
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    wake: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -25,8 +24,7 @@
 from sapphireway_transport import Disk, DiskFailed
 
 
-@dataclass(slots=True, frozen=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """Members of the quorum as of a journal index."""
 
     index: int
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -1,9 +1,10 @@
 """Outcomes, settings and status of the replicated journal."""
 
 import enum
-from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
+
 from sapphireway_protocol import QuorumMember
 from sapphireway_state import JournalLimits
 
@@ -36,8 +37,7 @@
     STOPPED = "stopped"
 
 
-@dataclass(slots=True, frozen=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     """The command is committed and will never be undone.
 
     Attributes
@@ -51,15 +51,13 @@
     result: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class Current:
+class Current(msgspec.Struct, frozen=True):
     """The local state includes everything that was committed before the request."""
 
     index: int
 
 
-@dataclass(slots=True, frozen=True)
-class NotLeader:
+class NotLeader(msgspec.Struct, frozen=True):
     """The host is not the leader; the request had no effect.
 
     Attributes
@@ -71,8 +69,7 @@
     leader: str | None
 
 
-@dataclass(slots=True, frozen=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True):
     """The request was not completed, for example because no quorum answered in time.
 
     Attributes
@@ -87,8 +84,7 @@
     maybe_applied: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class ReadResult:
+class ReadResult(msgspec.Struct, frozen=True):
     """Result of a linearizable read.
 
     Attributes
@@ -102,8 +98,7 @@
     data: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class QuorumSettings:
+class QuorumSettings(msgspec.Struct, frozen=True):
     """Timeouts and size limits of the quorum.
 
     Attributes
@@ -135,13 +130,12 @@
     start_retry_s: float = 0.5
     append_max_bytes: int = 256 * 1024
     chunk_bytes: int = 64 * 1024
-    limits: JournalLimits = field(default_factory=JournalLimits)
+    limits: JournalLimits = msgspec.field(default_factory=JournalLimits)
     admit_unknown_hosts: bool = False
     silent_voter_timeout_s: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class QuorumStatus:
+class QuorumStatus(msgspec.Struct, frozen=True):
     """State of the quorum as one control host knows it.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
@@ -9,7 +9,8 @@
 import enum
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.rollouts._evidence import Evidence, KindStats
 
@@ -40,8 +41,7 @@
     ROLL_BACK = "roll_back"
 
 
-@dataclass(slots=True, frozen=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True):
     """The decision and the evidence behind it.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_evidence.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_evidence.py
@@ -2,7 +2,8 @@
 
 import bisect
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 LATENCY_BOUNDS_MS = tuple(round(2 ** (step / 2), 3) for step in range(33))
 """Upper bounds of the latency buckets, 1 ms to 65 s; the last bucket has none."""
@@ -18,8 +19,7 @@
 """Answers in each latency bucket; one more item than `LATENCY_BOUNDS_MS`."""
 
 
-@dataclass(slots=True, frozen=True)
-class KindStats:
+class KindStats(msgspec.Struct, frozen=True):
     """Answers to requests of one kind.
 
     Attributes
@@ -37,8 +37,7 @@
     slow: int = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Sample:
+class Sample(msgspec.Struct, frozen=True):
     """Answers of the servers of one version, by kind.
 
     Attributes
@@ -54,8 +53,7 @@
     recent: Mapping[str, KindStats]
 
 
-@dataclass(slots=True, frozen=True)
-class Evidence:
+class Evidence(msgspec.Struct, frozen=True):
     """What is known of a running rollout.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call.py
@@ -1,13 +1,13 @@
 """The request of a caller as the entry node routes it."""
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_state import Policy
 
 
-@dataclass(slots=True, frozen=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """One request of a caller at its entry node.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
@@ -3,7 +3,8 @@
 import enum
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 
 class AttemptCause(enum.StrEnum):
@@ -33,8 +34,7 @@
     SUSPECT = "suspect"
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptSent:
+class AttemptSent(msgspec.Struct, frozen=True):
     """An attempt was sent to a server's node.
 
     Attributes
@@ -63,8 +63,7 @@
     report_age_s: float = math.inf
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptEnded:
+class AttemptEnded(msgspec.Struct, frozen=True):
     """An attempt ended, or its outcome can no longer be learned.
 
     Attributes
@@ -85,8 +84,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class RevokeSent:
+class RevokeSent(msgspec.Struct, frozen=True):
     """The server's node was asked never to start an unanswered attempt.
 
     Attributes
@@ -102,8 +100,7 @@
     waited_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class RetryDenied:
+class RetryDenied(msgspec.Struct, frozen=True):
     """A further attempt was needed but not allowed.
 
     Attributes
@@ -119,8 +116,7 @@
     reason: DenyReason
 
 
-@dataclass(slots=True, frozen=True)
-class MemberEjected:
+class MemberEjected(msgspec.Struct, frozen=True):
     """A server was ejected and gets no calls from this node for a while.
 
     Attributes
@@ -136,8 +132,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class MemberRestored:
+class MemberRestored(msgspec.Struct, frozen=True):
     """An ejected server gets calls again.
 
     Attributes
@@ -149,8 +144,7 @@
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class ProbeSent:
+class ProbeSent(msgspec.Struct, frozen=True):
     """A load probe was sent.
 
     Attributes
@@ -165,8 +159,7 @@
     age_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class CallEnded:
+class CallEnded(msgspec.Struct, frozen=True):
     """A call got its outcome.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_explanation.py
@@ -2,7 +2,8 @@
 
 import collections
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.routing._events import (
     AttemptEnded,
@@ -19,8 +20,7 @@
 EVENTS_KEPT = 32  # per call
 
 
-@dataclass(slots=True, frozen=True)
-class ServerView:
+class ServerView(msgspec.Struct, frozen=True):
     """State of one server as an entry node knows it.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_notices.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_notices.py
@@ -1,7 +1,8 @@
 """Notices of servers that outlive a restart of the node beside them."""
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.membership import Member
 from sapphireway_protocol import LoadReport
@@ -9,8 +10,7 @@
 NOTICES_MAX = 4096
 
 
-@dataclass(slots=True, frozen=True)
-class Notice:
+class Notice(msgspec.Struct, frozen=True):
     """What one start of a server has said of itself.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_routing.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_routing.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.routing._call import Call
 from sapphireway_coordination.routing._loads import ServerLoad
@@ -89,8 +90,7 @@
     return drawn[:SAMPLE_MAX]
 
 
-@dataclass(slots=True)
-class Prior:
+class Prior(msgspec.Struct):
     """Expected state of a server without recent data.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_events.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 
 class SuspectChange(enum.StrEnum):
@@ -13,8 +14,7 @@
     CLEARED = "cleared"
 
 
-@dataclass(slots=True, frozen=True)
-class SuspectMarked:
+class SuspectMarked(msgspec.Struct, frozen=True):
     """A digest became suspect of crashing servers, or stopped being so.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_table.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/suspects/_table.py
@@ -4,7 +4,8 @@
 import enum
 import math
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+
+import msgspec
 
 from sapphireway_coordination.suspects._events import (
     ObserveSuspects,
@@ -26,8 +27,7 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True)
-class Suspect:
+class Suspect(msgspec.Struct):
     """The state of one suspect digest.
 
     Attributes
@@ -50,7 +50,7 @@
     ttl_s: float
     expires_s: float
     co_suspects: tuple[str, ...] = ()
-    holders: set[str] = field(default_factory=set)
+    holders: set[str] = msgspec.field(default_factory=set)
 
 
 class SuspectTable:
--- a/packages/sapphireway-coordination/tests/test_claim_group_controller.py
+++ b/packages/sapphireway-coordination/tests/test_claim_group_controller.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 from tests.claims.fleet import SERVICE, Fleet, Server
 
 from sapphireway_coordination import GroupProposed
@@ -113,7 +113,7 @@
         leaving = [h.node for h in fleet.machine.get_group(SERVICE).holders[:2]]
         for name in leaving:
             node = fleet.nodes[name]
-            node.member = dataclasses.replace(node.member, leaving=True)
+            node.member = msgspec.structs.replace(node.member, leaving=True)
         started_s = asyncio.get_running_loop().time()
         while any(fleet.nodes[name].holder.active_group_count for name in leaving):
             await asyncio.sleep(0.01)
--- a/packages/sapphireway-coordination/tests/test_discovery.py
+++ b/packages/sapphireway-coordination/tests/test_discovery.py
@@ -1,6 +1,6 @@
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 from tests.gate_bench import Bench
 
@@ -31,7 +31,7 @@
             fetched.append((url, asyncio.get_running_loop().time()))
             return None if status is None else Responded(status, (), b"")
 
-        dialect = dataclasses.replace(
+        dialect = msgspec.structs.replace(
             DEFAULT_SERVER_DIALECT, read_report=lambda answer: report
         )
         found = await discover_local_server(
@@ -64,9 +64,9 @@
     [
         (HEALTHY_REPORT, 503),
         (HEALTHY_REPORT, None),
-        (dataclasses.replace(HEALTHY_REPORT, server=None), 200),
-        (dataclasses.replace(HEALTHY_REPORT, slots=None), 200),
-        (dataclasses.replace(HEALTHY_REPORT, cold_s=None), 200),
+        (msgspec.structs.replace(HEALTHY_REPORT, server=None), 200),
+        (msgspec.structs.replace(HEALTHY_REPORT, slots=None), 200),
+        (msgspec.structs.replace(HEALTHY_REPORT, cold_s=None), 200),
     ],
 )
 def test_incomplete_answer_does_not_register_server(report, status):
@@ -102,7 +102,7 @@
             bench.announce(slots=3)
             return Responded(200, (), b"")
 
-        dialect = dataclasses.replace(
+        dialect = msgspec.structs.replace(
             DEFAULT_SERVER_DIALECT, read_report=lambda answer: HEALTHY_REPORT
         )
         assert await discover_local_server(
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from sapphireway_coordination import Call, Dispatcher, Member
@@ -390,7 +390,7 @@
         nodes[0].peers.send("entry", LoadUpdate(report))
         await asyncio.sleep(0.05)
         # The node beside the server restarts and has forgotten what the server said.
-        members[0] = dataclasses.replace(members[0], incarnation="2", start_id="")
+        members[0] = msgspec.structs.replace(members[0], incarnation="2", start_id="")
         nodes[0].peers.send("entry", LoadUpdate(make_report("n0")))
         await asyncio.sleep(3.0)
         outcome = await dispatcher.dispatch(make_call(deadline_s=9.0, **call_fields))
--- a/packages/sapphireway-coordination/tests/test_explanation.py
+++ b/packages/sapphireway-coordination/tests/test_explanation.py
@@ -1,6 +1,6 @@
-import dataclasses
 import math
 
+import msgspec
 import pytest
 
 from sapphireway_coordination import (
@@ -31,11 +31,11 @@
 
 
 def make_out(load):
-    load.member = dataclasses.replace(load.member, out=True)
+    load.member = msgspec.structs.replace(load.member, out=True)
 
 
 def make_leaving(load):
-    load.member = dataclasses.replace(load.member, leaving=True)
+    load.member = msgspec.structs.replace(load.member, leaving=True)
 
 
 def make_refusing(load):
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -1,7 +1,6 @@
 """Automatic membership: unknown hosts may join, silent voters are replaced."""
 
 import asyncio
-import dataclasses
 
 import msgspec
 import pytest
@@ -11,7 +10,7 @@
 from sapphireway_transport.memory import MemoryDisk, run_paused
 
 SILENT_VOTER_TIMEOUT_S = 3.0
-AUTO_JOIN_SETTINGS = dataclasses.replace(
+AUTO_JOIN_SETTINGS = msgspec.structs.replace(
     SETTINGS, admit_unknown_hosts=True, silent_voter_timeout_s=SILENT_VOTER_TIMEOUT_S
 )
 
--- a/packages/sapphireway-coordination/tests/test_suspects.py
+++ b/packages/sapphireway-coordination/tests/test_suspects.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -91,7 +91,7 @@
             announcement = Announcement(
                 node, "ledger", "http://s", 6, 200, server.start_id, in_flight=0
             )
-            gate.announce(dataclasses.replace(announcement, **changes))
+            gate.announce(msgspec.structs.replace(announcement, **changes))
 
     def make_run(self, attempt, digest, node, idempotent=True):
         latest_start_s = asyncio.get_running_loop().time() + 0.4
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_clocks.py
@@ -1,7 +1,8 @@
 """Clocks and incarnations of peers, derived from the messages they send."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol._codec import Envelope
 
@@ -13,8 +14,7 @@
 """Called with a peer's address and its new clock after a restart was detected."""
 
 
-@dataclass(slots=True, frozen=True)
-class PeerClock:
+class PeerClock(msgspec.Struct, frozen=True):
     """The last clock reading received from one incarnation of a peer.
 
     Attributes
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -1,7 +1,6 @@
 """Encoding of messages as msgpack frames."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any, Union
 
 import msgspec
@@ -39,8 +38,7 @@
     message: Union[MESSAGES]  # noqa: UP007 (the union is computed)
 
 
-@dataclass(slots=True, frozen=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True):
     """A message with its metadata.
 
     Attributes
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -1,7 +1,8 @@
 """The four possible outcomes of a call."""
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 
 class NotRunReason(enum.StrEnum):
@@ -27,8 +28,7 @@
     VERSION = "version"
 
 
-@dataclass(slots=True, frozen=True)
-class Answered:
+class Answered(msgspec.Struct, frozen=True):
     """The server answered completely.
 
     Attributes
@@ -45,8 +45,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class NotRun:
+class NotRun(msgspec.Struct, frozen=True):
     """No server ran the request, and none will run it later.
 
     Attributes
@@ -63,8 +62,7 @@
     detail: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class Failed:
+class Failed(msgspec.Struct, frozen=True):
     """An idempotent request got no complete answer from the server that ran it.
 
     Attributes
@@ -76,8 +74,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class Unknown:
+class Unknown(msgspec.Struct, frozen=True):
     """The request may or may not have run; this cannot be determined.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_claim_table.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_claim_table.py
@@ -2,7 +2,8 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from sapphireway_protocol import ClaimEntryCopy, ClaimReply, ClaimStatus, StoredOutcome
 
@@ -12,8 +13,7 @@
 RELEASED_PER_KEY_MAX = 16
 
 
-@dataclass(slots=True)
-class ClaimMemory:
+class ClaimMemory(msgspec.Struct):
     """Memory accounting shared by all claim tables of one process.
 
     Attributes
@@ -31,13 +31,12 @@
     used_bytes: int = 0
 
 
-@dataclass(slots=True)
-class _Entry:
+class _Entry(msgspec.Struct):
     key: str
     serial: int
     digest: str = ""
-    claims: dict[str, int] = field(default_factory=dict)
-    released: dict[str, None] = field(default_factory=dict)
+    claims: dict[str, int] = msgspec.field(default_factory=dict)
+    released: dict[str, None] = msgspec.field(default_factory=dict)
     fence: int = 0
     refuse_only: bool = False
     outcome: StoredOutcome | None = None
--- a/packages/sapphireway-state/src/sapphireway_state/_frame.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_frame.py
@@ -2,7 +2,8 @@
 
 import struct
 import zlib
-from dataclasses import dataclass
+
+import msgspec
 
 # Payload length, payload checksum, and a checksum of these two fields.
 _HEADER = struct.Struct("<III")
@@ -10,8 +11,7 @@
 HEADER_BYTES = _HEADER.size
 
 
-@dataclass(slots=True, frozen=True)
-class Scan:
+class Scan(msgspec.Struct, frozen=True):
     """Result of scanning a file of frames.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_journal.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_journal.py
@@ -1,7 +1,6 @@
 """The durable journal (write-ahead log) of one control host."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -22,8 +21,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class JournalLimits:
+class JournalLimits(msgspec.Struct, frozen=True):
     """Bounds on the journal's size.
 
     Attributes
@@ -47,8 +45,7 @@
     snapshot_max_bytes: int = 64 << 20
 
 
-@dataclass(slots=True, frozen=True)
-class JournalDamaged:
+class JournalDamaged(msgspec.Struct, frozen=True):
     """A file is corrupt in a way that an interrupted write does not explain.
 
     Attributes
@@ -72,8 +69,7 @@
     entries: list[JournalEntry]
 
 
-@dataclass(slots=True)
-class _Segment:
+class _Segment(msgspec.Struct):
     name: str
     size: int = 0
     last_index: int = 0
--- a/packages/sapphireway-state/src/sapphireway_state/_leases.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_leases.py
@@ -1,13 +1,13 @@
 """Leases of nodes, as stored by one membership directory."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import LeaseEntry, LoadReport, NodeEntry
 
 
-@dataclass(slots=True)
-class Lease:
+class Lease(msgspec.Struct):
     """Lease of one node, as stored by one directory.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_machine.py
@@ -1,7 +1,6 @@
 """The settings tree as a deterministic, replicated state machine."""
 
 from collections import deque
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -67,8 +66,7 @@
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
 
 
-@dataclass(slots=True, frozen=True)
-class _NextState:
+class _NextState(msgspec.Struct, frozen=True):
     tree: dict[str, Any]
     digest: bytes
     changes: list[Change]
--- a/packages/sapphireway-state/src/sapphireway_state/_policy.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_policy.py
@@ -1,10 +1,9 @@
 """Settings in force for one service and request kind in one failure domain."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True, frozen=True)
-class Policy:
+class Policy(msgspec.Struct, frozen=True):
     """Settings after inheritance; the schema of the tree bounds each value.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_problems.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_problems.py
@@ -1,14 +1,14 @@
 """Problems that validation finds in settings."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+
+import msgspec
 
 TreePath = tuple[str, ...]
 """Names from the root to a value."""
 
 
-@dataclass(slots=True, frozen=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True):
     """One validation error.
 
     Attributes
@@ -32,8 +32,7 @@
     line: int = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Invalid:
+class Invalid(msgspec.Struct, frozen=True):
     """Settings that were rejected as a whole.
 
     Attributes
@@ -56,11 +55,11 @@
     A missing value has no line and gets the line of its closest parent.
     """
     if problem.line:
-        return replace(problem, file=file)
+        return msgspec.structs.replace(problem, file=file)
     path = problem.path
     while path and path not in lines:
         path = path.rpartition("/")[0]
-    return replace(problem, file=file, line=lines.get(path, 1))
+    return msgspec.structs.replace(problem, file=file, line=lines.get(path, 1))
 
 
 def format_problem(problem: Problem) -> str:
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -1,9 +1,10 @@
 """Settings of one process: addresses, failure domain, data folder and roles."""
 
-from dataclasses import MISSING, dataclass, fields
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from sapphireway_state._problems import Invalid, Problem
 from sapphireway_state._rules import (
     Rule,
@@ -26,8 +27,7 @@
 JOURNAL_MAX_BYTES = 64 * MIB
 
 
-@dataclass(slots=True, frozen=True)
-class ProcessSettings:
+class ProcessSettings(msgspec.Struct, frozen=True):
     """Settings of one process.
 
     Attributes
@@ -164,7 +164,7 @@
 PROCESS_PATHS = ("data_folder", "initial_tree", "token_file", "trace_file")
 
 REQUIRED_SETTINGS = tuple(
-    field.name for field in fields(ProcessSettings) if field.default is MISSING
+    field.name for field in msgspec.structs.fields(ProcessSettings) if field.required
 )
 
 
--- a/packages/sapphireway-state/src/sapphireway_state/_recovery.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_recovery.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -17,8 +16,7 @@
 from sapphireway_transport import Disk, DiskFailed
 
 
-@dataclass(slots=True, frozen=True)
-class Recovered:
+class Recovered(msgspec.Struct, frozen=True):
     """The data folder now belongs to a new cluster with one voter.
 
     Attributes
@@ -32,8 +30,7 @@
     last_index: int
 
 
-@dataclass(slots=True, frozen=True)
-class NothingToRecover:
+class NothingToRecover(msgspec.Struct, frozen=True):
     """The data folder belongs to no cluster."""
 
 
--- a/packages/sapphireway-state/src/sapphireway_state/_route_view.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_route_view.py
@@ -1,14 +1,13 @@
 """A routing table, indexed for the data path."""
 
-from dataclasses import dataclass
+import msgspec
 
 from sapphireway_state._routes import Route, RouteTable, ServiceSpec
 
 DEFAULT_SERVICE = ServiceSpec("")
 
 
-@dataclass(slots=True)
-class _RoundRobin:
+class _RoundRobin(msgspec.Struct):
     """Smooth weighted round robin state of one route.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_rules.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rules.py
@@ -5,16 +5,16 @@
 import math
 import re
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 NAME_ALLOWED = "1 to 128 of A-Z a-z 0-9 . _ : -, beginning with a letter or digit"
 VALUE_MAX_CHARACTERS = 60
 
 
-@dataclass(slots=True, frozen=True)
-class Rule:
+class Rule(msgspec.Struct, frozen=True):
     """Type and bounds of one value.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_schema.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_schema.py
@@ -1,7 +1,8 @@
 """Schema of the settings tree: types, units, bounds and scopes of all settings."""
 
 import enum
-from dataclasses import dataclass, fields
+
+import msgspec
 
 from sapphireway_state._policy import Policy
 from sapphireway_state._rules import (
@@ -34,8 +35,7 @@
 KIND_INDEPENDENT_SCOPES = frozenset({Scope.ROOT, Scope.DOMAIN, Scope.SERVICE})
 
 
-@dataclass(slots=True, frozen=True)
-class Setting:
+class Setting(msgspec.Struct, frozen=True):
     """One setting of the tree.
 
     Attributes
@@ -57,7 +57,7 @@
     default: bool | int | float
 
 
-_DEFAULTS = {field.name: field.default for field in fields(Policy)}
+_DEFAULTS = {field.name: field.default for field in msgspec.structs.fields(Policy)}
 
 
 def _make_setting(name, rule, scopes, description):
--- a/packages/sapphireway-state/src/sapphireway_state/_updates.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_updates.py
@@ -3,7 +3,6 @@
 import hashlib
 import itertools
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -52,8 +51,7 @@
 _decoder = msgspec.msgpack.Decoder(Update)
 
 
-@dataclass(slots=True, frozen=True)
-class Step:
+class Step(msgspec.Struct, frozen=True):
     """Operations between two consecutive versions."""
 
     since: int
--- a/packages/sapphireway-state/src/sapphireway_state/_view.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_view.py
@@ -1,9 +1,10 @@
 """One version of the settings tree, indexed for the data path."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from sapphireway_state._matching import make_matcher
 from sapphireway_state._policy import Policy
 from sapphireway_state._schema import SETTINGS
@@ -12,8 +13,7 @@
 """Source of a value that no node of the tree sets."""
 
 
-@dataclass(slots=True, frozen=True)
-class Source:
+class Source(msgspec.Struct, frozen=True):
     """A value in force and the node of the tree that sets it.
 
     Attributes
--- a/packages/sapphireway-state/src/sapphireway_state/_yaml.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_yaml.py
@@ -1,9 +1,9 @@
 """Reads YAML into plain data, with the line of every value."""
 
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import yaml
 
 from sapphireway_state._problems import Invalid, Problem, join_path, locate_problem
@@ -21,8 +21,7 @@
 COLLECTION_TAGS = frozenset(f"tag:yaml.org,2002:{name}" for name in ("map", "seq"))
 
 
-@dataclass(slots=True, frozen=True)
-class Document:
+class Document(msgspec.Struct, frozen=True):
     """Plain data read from YAML.
 
     Attributes
--- a/packages/sapphireway-state/tests/test_view.py
+++ b/packages/sapphireway-state/tests/test_view.py
@@ -1,5 +1,4 @@
-from dataclasses import fields
-
+import msgspec
 import pytest
 
 from sapphireway_state import SETTINGS, Policy, SettingsView, parse_tree
@@ -78,7 +77,7 @@
 
 
 def test_every_policy_value_has_a_bounded_setting():
-    assert {field.name for field in fields(Policy)} == set(SETTINGS)
+    assert {field.name for field in msgspec.structs.fields(Policy)} == set(SETTINGS)
     for setting in SETTINGS.values():
         assert setting.rule.has_type(setting.default)
         assert setting.rule.in_bounds(setting.default)
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
+import msgspec
 import pycurl
 
 from sapphireway_transport._server import (
@@ -62,8 +62,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class _Interest:
+class _Interest(msgspec.Struct, frozen=True):
     """Events of one socket that the event loop watches."""
 
     reads: bool
--- a/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
@@ -5,16 +5,16 @@
 import os
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Protocol
 
+import msgspec
+
 LOCK_NAME = "lock"
 TEMPORARY_SUFFIX = ".tmp"
 
 
-@dataclass(slots=True, frozen=True)
-class DiskFailed:
+class DiskFailed(msgspec.Struct, frozen=True):
     """An operation on the data folder failed; its effect is unknown.
 
     Attributes
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import httptools
+import msgspec
 
 from sapphireway_transport._http_messages import (
     Handle,
@@ -23,8 +23,7 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-@dataclass(slots=True)
-class ListenerState:
+class ListenerState(msgspec.Struct):
     """State that the connections of one listener share.
 
     Attributes
@@ -45,19 +44,18 @@
     reject: Reject
     get_limits: Callable[[], HttpLimits]
     closing: bool = False
-    tasks: set[asyncio.Task] = field(default_factory=set)
-    reading: set["_Exchange"] = field(default_factory=set)
-    connections: set["HttpConnection"] = field(default_factory=set)
+    tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
+    reading: set["_Exchange"] = msgspec.field(default_factory=set)
+    connections: set["HttpConnection"] = msgspec.field(default_factory=set)
 
 
-@dataclass(slots=True, eq=False)
-class _Exchange:
+class _Exchange(msgspec.Struct, eq=False):
     """One request and its answer."""
 
     request: HttpRequest
     body_max_bytes: int = 0
     body_bytes: int = 0
-    chunks: list[bytes] = field(default_factory=list)
+    chunks: list[bytes] = msgspec.field(default_factory=list)
     is_last: bool = False
     task: asyncio.Task | None = None
     answer: HttpAnswer | None = None
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_messages.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_messages.py
@@ -1,12 +1,12 @@
 """HTTP requests of callers, their answers and limits."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 
-@dataclass(slots=True)
-class HttpRequest:
+
+class HttpRequest(msgspec.Struct):
     """One complete request of a caller.
 
     Attributes
@@ -38,8 +38,7 @@
         return None
 
 
-@dataclass(slots=True, frozen=True)
-class HttpAnswer:
+class HttpAnswer(msgspec.Struct, frozen=True):
     """The answer to a caller's request."""
 
     status: int
@@ -47,8 +46,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True, frozen=True)
-class RejectedRequest:
+class RejectedRequest(msgspec.Struct, frozen=True):
     """A request that was rejected while being read.
 
     Attributes
@@ -66,8 +64,7 @@
     remote: str
 
 
-@dataclass(slots=True, frozen=True)
-class HttpLimits:
+class HttpLimits(msgspec.Struct, frozen=True):
     """Size and time limits for requests of callers.
 
     Attributes
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -1,8 +1,9 @@
 """Interface between a node and the server beside it."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 REQUEST_ID_HEADER = "Sapphireway-Request-Id"
 ATTEMPT_ID_HEADER = "Sapphireway-Attempt-Id"
 DEADLINE_HEADER = "Sapphireway-Deadline-Ms"
@@ -11,8 +12,7 @@
 LEAVING_HEADER = "Sapphireway-Leaving"
 
 
-@dataclass(slots=True, frozen=True)
-class ServerRequest:
+class ServerRequest(msgspec.Struct, frozen=True):
     """One HTTP request to a server.
 
     Attributes
@@ -44,8 +44,7 @@
     close_delimited_allowed: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Responded:
+class Responded(msgspec.Struct, frozen=True):
     """The complete answer of the server arrived."""
 
     status: int
@@ -53,15 +52,13 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class NotSent:
+class NotSent(msgspec.Struct, frozen=True):
     """No part of the request was sent, as when no connection could be established."""
 
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class Broken:
+class Broken(msgspec.Struct, frozen=True):
     """The request was sent, at least partly, but no complete answer arrived.
 
     Attributes
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -3,9 +3,10 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
 from typing import Any
 
+import msgspec
+
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
 from sapphireway_coordination import Call
@@ -58,8 +59,7 @@
 NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
 
 
-@dataclass(slots=True, frozen=True)
-class Arrival:
+class Arrival(msgspec.Struct, frozen=True):
     """State of the node when the headers of a request arrived.
 
     Attributes
@@ -78,8 +78,7 @@
 """Executes a call and returns its outcome."""
 
 
-@dataclass(slots=True, frozen=True)
-class CallerDialect:
+class CallerDialect(msgspec.Struct, frozen=True):
     """HTTP conventions of a deployment's callers.
 
     Attributes
@@ -103,8 +102,7 @@
     override_headers: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class _MatchedRoute:
+class _MatchedRoute(msgspec.Struct, frozen=True):
     service: str
     kind: str
     policy: Policy
@@ -321,7 +319,7 @@
 def make_route_policy(policy: Policy, route: Route, limits: CallerLimits) -> Policy:
     """Return the policy from the tree with the route's values in place of its own."""
     timeout_ms = max(1, int(route.timeout_ms))
-    return replace(
+    return msgspec.structs.replace(
         policy,
         idempotent=route.kind is RequestKind.IDEMPOTENT,
         deadline_ms=timeout_ms,
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -3,9 +3,10 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from sapphireway._callers import CallerApi
 from sapphireway._dialects import Dialects
 from sapphireway._execution import make_call_executor, make_traced_executor
@@ -35,8 +36,7 @@
 MS_PER_S = 1000
 
 
-@dataclass(slots=True, frozen=True)
-class DataPath:
+class DataPath(msgspec.Struct, frozen=True):
     """Components that carry calls.
 
     Attributes
--- a/packages/sapphireway/src/sapphireway/_decisions.py
+++ b/packages/sapphireway/src/sapphireway/_decisions.py
@@ -1,11 +1,12 @@
 """Recent events of a node for ``sapphirectl explain``."""
 
 import collections
-import dataclasses
 import time
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 ROUTINE_EVENTS_MAX = 2048
 NOTABLE_EVENTS_MAX = 2048
 NOTABLE_OUTCOMES = frozenset(("NotRun", "Failed", "Unknown"))
@@ -35,7 +36,7 @@
         self._wall_clock = wall_clock
 
     def record(self, event: Any) -> None:
-        """Store an event dataclass."""
+        """Store an event."""
         kept = self._notable if _is_notable(event) else self._routine
         kept.append((self._wall_clock(), event))
 
@@ -75,5 +76,5 @@
 
 
 def _describe(time_s, event):
-    fields = dataclasses.asdict(event)
+    fields = msgspec.to_builtins(event)
     return {"time": time_s, "event": type(event).__name__, **fields}
--- a/packages/sapphireway/src/sapphireway/_dialects.py
+++ b/packages/sapphireway/src/sapphireway/_dialects.py
@@ -1,13 +1,12 @@
 """HTTP conventions between a node and a deployment's callers and servers."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from sapphireway._callers import CallerDialect, render_outcome
 from sapphireway_coordination import DEFAULT_SERVER_DIALECT, ServerDialect
 
 
-@dataclass(slots=True, frozen=True)
-class Dialects:
+class Dialects(msgspec.Struct, frozen=True):
     """HTTP conventions of a deployment's callers and servers.
 
     Attributes
@@ -16,7 +15,7 @@
     server : ServerDialect
     """
 
-    callers: CallerDialect = field(
+    callers: CallerDialect = msgspec.field(
         default_factory=lambda: CallerDialect(render_outcome)
     )
     server: ServerDialect = DEFAULT_SERVER_DIALECT
--- a/packages/sapphireway/src/sapphireway/_execution.py
+++ b/packages/sapphireway/src/sapphireway/_execution.py
@@ -1,10 +1,11 @@
 """Execution of a call: waits for members, claims its key, records and traces it."""
 
 import asyncio
-import dataclasses
 import hashlib
 from typing import Any
 
+import msgspec
+
 from sapphireway._callers import Arrival, ExecuteCall
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
@@ -93,7 +94,7 @@
         if span is None:
             return await execute_call(call, arrival)
         try:
-            traced = dataclasses.replace(call, headers=headers)
+            traced = msgspec.structs.replace(call, headers=headers)
             outcome = await execute_call(traced, arrival)
             span.set_attribute("outcome", type(outcome).__name__)
             return outcome
--- a/packages/sapphireway/src/sapphireway/_logs.py
+++ b/packages/sapphireway/src/sapphireway/_logs.py
@@ -4,9 +4,9 @@
 import logging as standard_logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from absl import flags, logging
 
 from sapphireway._log_stream import LogStream
@@ -20,8 +20,7 @@
 STDOUT = 1
 
 
-@dataclass(slots=True)
-class _TokenBucket:
+class _TokenBucket(msgspec.Struct):
     tokens: float
     refilled_s: float
     suppressed: int = 0
--- a/packages/sapphireway/src/sapphireway/_member_view.py
+++ b/packages/sapphireway/src/sapphireway/_member_view.py
@@ -1,7 +1,8 @@
 """Members of a service, with a mark on those that operators took out of service."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import replace
+
+import msgspec
 
 from sapphireway_coordination import GetMembers, Member, Membership
 from sapphireway_state import SettingsView
@@ -34,7 +35,7 @@
 
 def _mark_out_of_service(members, settings):
     return tuple(
-        replace(member, out=True)
+        msgspec.structs.replace(member, out=True)
         if settings.is_out(member.domain, member.server)
         else member
         for member in members
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -26,7 +26,7 @@
 MS_PER_S = 1000
 
 Observe = Callable[[Any], None]
-"""Called with each event dataclass of the coordination layer."""
+"""Called with each event of the coordination layer."""
 
 LOGGED_EVENTS = (
     GateChanged,
@@ -101,4 +101,4 @@
 
 
 def _get_fields(event):
-    return {name: getattr(event, name) for name in event.__slots__}
+    return {name: getattr(event, name) for name in type(event).__match_args__}
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -1,9 +1,10 @@
 """Interface between the operator API and the node."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from sapphireway_state import (
     ControlHostsChange,
     ControlHostsReport,
@@ -13,8 +14,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True):
     """Result: no quorum of control hosts answered.
 
     Attributes
@@ -28,8 +28,7 @@
     maybe_applied: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class ChangeRefused:
+class ChangeRefused(msgspec.Struct, frozen=True):
     """Result: a change of the control hosts was refused without being tried.
 
     Attributes
@@ -43,8 +42,7 @@
     can_be_forced: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class OperatorBackend:
+class OperatorBackend(msgspec.Struct, frozen=True):
     """Functions of the node that the operator API calls.
 
     Attributes
--- a/packages/sapphireway/src/sapphireway/_publisher.py
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -3,7 +3,6 @@
 import itertools
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -41,8 +40,7 @@
 PUBLISHER_OPERATOR = "platform"
 
 
-@dataclass(slots=True, frozen=True)
-class EditRefused:
+class EditRefused(msgspec.Struct, frozen=True):
     """Result: the edit is invalid and would be refused again.
 
     Attributes
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -4,7 +4,6 @@
 import secrets
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -33,8 +32,7 @@
 STATE_FOLDER_NAME = "state"
 
 
-@dataclass(slots=True, frozen=True)
-class SharedState:
+class SharedState(msgspec.Struct, frozen=True):
     """Components through which a node takes part in the system.
 
     Attributes
--- a/packages/sapphireway/src/sapphireway/_traces.py
+++ b/packages/sapphireway/src/sapphireway/_traces.py
@@ -5,9 +5,9 @@
 import logging.handlers
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import replace
 from typing import Any
 
+import msgspec
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
 from opentelemetry.sdk.trace.export import (
@@ -226,7 +226,9 @@
         if span is None:
             return await self._client.send(request)
         try:
-            result = await self._client.send(replace(request, headers=headers))
+            result = await self._client.send(
+                msgspec.structs.replace(request, headers=headers)
+            )
             span.set_attribute("result", type(result).__name__)
             return result
         finally:
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import os
 
+import msgspec
 import pytest
 
 from sapphireway._logs import EventLog
@@ -91,7 +91,7 @@
 
 def test_stopping_node_keeps_gate_open_during_grace_period(settings):
     """The local server keeps running and stays available to other nodes meanwhile."""
-    settings = dataclasses.replace(settings, stop_grace_ms=1000)
+    settings = msgspec.structs.replace(settings, stop_grace_ms=1000)
 
     async def run():
         node = Node(settings, EventLog())
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -1,9 +1,10 @@
 """Test bench: a gate with an in-memory server, driven by an entry node's messages."""
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
+
 from sapphireway_coordination import (
     DEFAULT_SERVER_DIALECT,
     Announcement,
@@ -74,7 +75,7 @@
             "s1", "ledger", "http://s1", self.server.slots, 200, self.server.start_id
         )
         changes = {"in_flight": self.server.reported_in_flight} | changes
-        return self.gate.announce(dataclasses.replace(announcement, **changes))
+        return self.gate.announce(msgspec.structs.replace(announcement, **changes))
 
     def send(self, attempt, **changes):
         now_s = asyncio.get_running_loop().time()
@@ -126,7 +127,7 @@
 
     def __init__(self, **options):
         self.report = SelfReport()
-        dialect = dataclasses.replace(
+        dialect = msgspec.structs.replace(
             DEFAULT_SERVER_DIALECT, read_report=lambda answer: self.report
         )
         super().__init__(dialect=dialect, **options)
