--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_bucket.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_bucket.py
@@ -2,7 +2,8 @@
 
 import collections
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 # Tokens may be used for this long after the ask. In a window of W seconds a bucket of
 # rate R then lets at most R * (W + 0.5) + burst pass, which for W = 5 is the allowed
@@ -20,8 +21,7 @@
 EPSILON = 1e-9
 
 
-@dataclass(slots=True, frozen=True)
-class BucketGrant:
+class BucketGrant(msgspec.Struct, frozen=True):
     """Tokens taken from a bucket.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
@@ -5,7 +5,6 @@
 import itertools
 import math
 import random
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -36,8 +35,7 @@
 UNCONFIRMED_RETRY_S = 0.5  # if the owner has not said when it will grant
 
 
-@dataclass(slots=True)
-class QuotaCounts:
+class QuotaCounts(msgspec.Struct):
     """Numbers of this node since its start.
 
     Attributes
@@ -59,19 +57,17 @@
     expired: int = 0
 
 
-@dataclass(slots=True)
-class _Queue:
+class _Queue(msgspec.Struct):
     """Requests of one workspace that wait for a token, and asks on the way."""
 
     stock: TokenStock
-    waiting: collections.deque = field(default_factory=collections.deque)
+    waiting: collections.deque = msgspec.field(default_factory=collections.deque)
     asked: int = 0
     ahead_asked: bool = False
     ahead_after_s: float = -math.inf
 
 
-@dataclass(slots=True)
-class _Waiter:
+class _Waiter(msgspec.Struct):
     """A waiting request; the result is the expiry of its token, or a `NotRun`."""
 
     future: asyncio.Future
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_events.py
@@ -1,13 +1,13 @@
 """Events of quotas, for metrics, logs and ``explain``."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_protocol import NotRunReason
 
 
-@dataclass(slots=True, frozen=True)
-class QuotaRefused:
+class QuotaRefused(msgspec.Struct, frozen=True):
     """A request got no token.
 
     Attributes
@@ -27,8 +27,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class TokenOwnerChanged:
+class TokenOwnerChanged(msgspec.Struct, frozen=True):
     """A host has begun to own the tokens of all workspaces, after its election.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
@@ -1,7 +1,8 @@
 """A node's tokens of one workspace, and its estimate of the demand."""
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.quotas._bucket import CAPACITY_MIN
 from sapphireway_protocol import ReturnedTokens, TokenGrant, TokenWant
@@ -27,8 +28,7 @@
 EXPIRING_S = 0.08
 
 
-@dataclass(slots=True)
-class _Batch:
+class _Batch(msgspec.Struct):
     """Tokens of one grant; the next one may be used from `next_s` on."""
 
     number: int
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from sapphireway_coordination.membership import GetMembers
 from sapphireway_coordination.rollouts._decision import Action, Decision, decide
 from sapphireway_coordination.rollouts._evidence import Evidence
@@ -36,8 +37,7 @@
 """Returns the settings version in force at each live node, 0 if unknown."""
 
 
-@dataclass(slots=True, frozen=True)
-class RolloutDecided:
+class RolloutDecided(msgspec.Struct, frozen=True):
     """Event: a step or the end of a rollout was proposed.
 
     Attributes
@@ -70,8 +70,7 @@
     accepted: bool
 
 
-@dataclass(slots=True, frozen=True)
-class RolloutHeld:
+class RolloutHeld(msgspec.Struct, frozen=True):
     """Event: a rollout stays where it is for another reason than before.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_reporter.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_reporter.py
@@ -3,7 +3,8 @@
 import asyncio
 import bisect
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.rollouts._evidence import LATENCY_BOUNDS_MS
 from sapphireway_protocol import KindCounts, VersionReport
@@ -15,8 +16,7 @@
 MS_PER_S = 1000.0
 
 
-@dataclass(slots=True, frozen=True)
-class ReportedServer:
+class ReportedServer(msgspec.Struct, frozen=True):
     """The server beside the node.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_version_split.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_version_split.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from sapphireway_coordination.membership import Member
 from sapphireway_coordination.routing._call import Call
@@ -17,8 +18,7 @@
 """Returns the last rollout of a service, if there was one."""
 
 
-@dataclass(slots=True)
-class _Account:
+class _Account(msgspec.Struct):
     """Attempts that the new version may still get from this node.
 
     Attributes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_confirmation.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_confirmation.py
@@ -5,9 +5,10 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from sapphireway_coordination.membership import ControlHostList
 from sapphireway_protocol import (
     AskConfirmation,
@@ -28,8 +29,7 @@
 PROOFS_MAX = 32
 
 
-@dataclass(slots=True, frozen=True)
-class Proof:
+class Proof(msgspec.Struct, frozen=True):
     """At an instant, no routing table newer than a version was acknowledged.
 
     Attributes
@@ -43,8 +43,7 @@
     since: Instant
 
 
-@dataclass(slots=True, frozen=True)
-class ConfirmationLost:
+class ConfirmationLost(msgspec.Struct, frozen=True):
     """Event: keyed requests are refused, as no proof is young enough.
 
     Attributes
@@ -59,8 +58,7 @@
     version: int
 
 
-@dataclass(slots=True, frozen=True)
-class ConfirmationRegained:
+class ConfirmationRegained(msgspec.Struct, frozen=True):
     """Event: keyed requests are served again.
 
     Attributes
--- a/packages/sapphireway-coordination/tests/test_claims.py
+++ b/packages/sapphireway-coordination/tests/test_claims.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 from tests.claims.faults import BROKEN_VARIANTS, ignore_rounds, leave_old_epoch_open
 from tests.claims.fleet import (
@@ -175,7 +175,7 @@
     # Another workspace with the same idempotency key must not get the answer.
     call = Call("c", SERVICE, "k", "POST", "/", (), b"x", 1.0, "key", Policy())
     digests = {
-        digest_request(dataclasses.replace(call, workspace=workspace))
+        digest_request(msgspec.structs.replace(call, workspace=workspace))
         for workspace in ("", "north", "south")
     }
     assert len(digests) == 3
--- a/packages/sapphireway-coordination/tests/test_orderly_stop.py
+++ b/packages/sapphireway-coordination/tests/test_orderly_stop.py
@@ -1,9 +1,9 @@
 """Calls whose `Run` arrives at any moment of the graceful stop of a node."""
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 from tests.gate_bench import NODE, Bench, make_attempt
 
@@ -120,7 +120,7 @@
         self.leaving = Place(self.network, "leaving", 5, "2")
         if learns:
             first, *others = self.members
-            first = dataclasses.replace(first, incarnation="2")
+            first = msgspec.structs.replace(first, incarnation="2")
             self.members = [first, *others]
 
     def close(self):
--- a/packages/sapphireway-coordination/tests/test_orderly_stop_roles.py
+++ b/packages/sapphireway-coordination/tests/test_orderly_stop_roles.py
@@ -1,9 +1,9 @@
 """Requests to claim holders and control hosts at each moment of their stop."""
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 from tests.claims.fleet import SERVICE, Fleet, Server
 from tests.quorum_cluster import Cluster
@@ -112,7 +112,7 @@
         entry = next(n for n in fleet.names if n != node.name)
 
         async def stop():
-            node.member = dataclasses.replace(node.member, leaving=True)
+            node.member = msgspec.structs.replace(node.member, leaving=True)
             while node.holder.active_group_count:
                 await asyncio.sleep(0.1)
             await node.holder.close()
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import httptools
+import msgspec
 
 from sapphireway_transport._http_messages import (
     Handle,
@@ -27,8 +27,7 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-@dataclass(slots=True)
-class ListenerState:
+class ListenerState(msgspec.Struct):
     """State that the connections of one listener share.
 
     Attributes
@@ -49,13 +48,12 @@
     reject: Reject
     get_limits: Callable[[], HttpLimits]
     closing: bool = False
-    tasks: set[asyncio.Task] = field(default_factory=set)
-    reading: set["_Exchange"] = field(default_factory=set)
-    connections: set["HttpConnection"] = field(default_factory=set)
+    tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
+    reading: set["_Exchange"] = msgspec.field(default_factory=set)
+    connections: set["HttpConnection"] = msgspec.field(default_factory=set)
 
 
-@dataclass(slots=True, eq=False)
-class _Exchange:
+class _Exchange(msgspec.Struct, eq=False):
     """One request and its answer.
 
     Attributes
@@ -71,7 +69,7 @@
     body_bytes: int = 0
     framing_bytes: int = 0
     body_deadline_s: float = 0.0
-    chunks: list[bytes] = field(default_factory=list)
+    chunks: list[bytes] = msgspec.field(default_factory=list)
     is_last: bool = False
     task: asyncio.Task | None = None
     answer: HttpAnswer | None = None
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -3,9 +3,10 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
 from typing import Any
 
+import msgspec
+
 from sapphireway._identity import (
     Identify,
     KeyProblem,
@@ -66,8 +67,7 @@
 NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
 
 
-@dataclass(slots=True, frozen=True)
-class Arrival:
+class Arrival(msgspec.Struct, frozen=True):
     """State of the node when the headers of a request arrived.
 
     Attributes
@@ -89,8 +89,7 @@
 """Executes a call and returns its outcome."""
 
 
-@dataclass(slots=True, frozen=True)
-class CallerDialect:
+class CallerDialect(msgspec.Struct, frozen=True):
     """HTTP conventions of a deployment's callers.
 
     Attributes
@@ -121,8 +120,7 @@
     workspace_header: str = "Sapphireway-Workspace"
 
 
-@dataclass(slots=True, frozen=True)
-class _MatchedRoute:
+class _MatchedRoute(msgspec.Struct, frozen=True):
     service: str
     kind: str
     policy: Policy
@@ -275,7 +273,7 @@
             # An earlier request with the same idempotency key may have run.
             if not call.workspace:
                 return self._dialect.render(Unknown(refusal.detail), self.stopping)
-            arrival = replace(arrival, refusal=refusal)
+            arrival = msgspec.structs.replace(arrival, refusal=refusal)
         else:
             call = identified
         outcome = await self._execute_call(call, arrival)
@@ -367,7 +365,9 @@
             call=refused.call_id,
             key_digest=refused.key_digest,
         )
-        return replace(answer, headers=(*answer.headers, ("WWW-Authenticate", header)))
+        return msgspec.structs.replace(
+            answer, headers=(*answer.headers, ("WWW-Authenticate", header))
+        )
 
     def _refuse(self, status, detail, remote, reason="bad_request", **fields):
         self._metrics.count("sapphireway_bad_requests_total", status=str(status))
@@ -386,7 +386,7 @@
 def make_route_policy(policy: Policy, route: Route, limits: CallerLimits) -> Policy:
     """Return the policy from the tree with the route's values in place of its own."""
     timeout_ms = max(1, int(route.timeout_ms))
-    return replace(
+    return msgspec.structs.replace(
         policy,
         idempotent=route.kind is RequestKind.IDEMPOTENT,
         deadline_ms=timeout_ms,
--- a/packages/sapphireway/src/sapphireway/_identity.py
+++ b/packages/sapphireway/src/sapphireway/_identity.py
@@ -2,9 +2,10 @@
 
 import enum
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, replace
 from typing import Any
 
+import msgspec
+
 from sapphireway_coordination import Call
 from sapphireway_protocol import NotRun
 from sapphireway_state import RouteView, Workspace, digest_access_key
@@ -28,8 +29,7 @@
     UNKNOWN = "api_key_unknown"
 
 
-@dataclass(slots=True, frozen=True)
-class KeyRefused:
+class KeyRefused(msgspec.Struct, frozen=True):
     """A request was refused because of its API key.
 
     Attributes
@@ -47,8 +47,7 @@
     key_digest: str
 
 
-@dataclass(slots=True, frozen=True)
-class CallUnadmitted:
+class CallUnadmitted(msgspec.Struct, frozen=True):
     """A request was refused after its route was found and before it was dispatched.
 
     Attributes
@@ -70,8 +69,7 @@
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class Unadmitted:
+class Unadmitted(msgspec.Struct, frozen=True):
     """A request that must not be run now.
 
     Attributes
@@ -187,12 +185,14 @@
 def _set_workspace(call, workspace, workspace_header, replaced):
     headers = _remove_headers(call.headers, replaced)
     if workspace is None:
-        return replace(call, headers=headers)
+        return msgspec.structs.replace(call, headers=headers)
     name = workspace.name.encode().decode("latin-1")
     policy = call.policy
     if workspace.priority is not None:
-        policy = replace(policy, weight=compute_weight(workspace.priority))
-    return replace(
+        policy = msgspec.structs.replace(
+            policy, weight=compute_weight(workspace.priority)
+        )
+    return msgspec.structs.replace(
         call,
         headers=(*headers, (workspace_header, name)),
         policy=policy,
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -35,7 +35,7 @@
 MS_PER_S = 1000
 
 Observe = Callable[[Any], None]
-"""Called with each event dataclass of the coordination layer."""
+"""Called with each event of the coordination layer."""
 
 LOGGED_EVENTS = (
     ConfirmationLost,
@@ -122,7 +122,7 @@
 
 
 def _get_fields(event):
-    fields = {name: getattr(event, name) for name in event.__slots__}
+    fields = {name: getattr(event, name) for name in type(event).__match_args__}
     if isinstance(event, CallUnadmitted):
         # Timelines find the lines of a request by this field.
         fields["call"] = fields.pop("call_id")
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -1,7 +1,7 @@
 import asyncio
-import dataclasses
 import os
 
+import msgspec
 import pytest
 
 from sapphireway._logs import EventLog
@@ -101,7 +101,7 @@
 
 def test_stopping_node_keeps_gate_open_during_grace_period(settings):
     """The local server keeps running and stays available to other nodes meanwhile."""
-    settings = dataclasses.replace(settings, stop_grace_ms=1000)
+    settings = msgspec.structs.replace(settings, stop_grace_ms=1000)
 
     async def run():
         node = Node(settings, EventLog())
@@ -119,7 +119,7 @@
 
 def test_quota_of_published_table_is_granted_by_the_leader(settings):
     """Guards against parts that do not meet: table, owner, client, own link."""
-    settings = dataclasses.replace(settings, bootstrap=True)
+    settings = msgspec.structs.replace(settings, bootstrap=True)
     workspace = Workspace("w", ("key",), 10.0, 20.0)
 
     async def run():
--- a/tests/test_rollout_faults.py
+++ b/tests/test_rollout_faults.py
@@ -1,8 +1,8 @@
 """Rollouts on a simulated fleet with one fault each."""
 
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 
 from sapphireway_protocol import VersionReport
@@ -203,7 +203,7 @@
 
         def get_busy_server():
             busy = asyncio.get_running_loop().time() < busy_until_s
-            return dataclasses.replace(get_server(), in_flight=int(busy))
+            return msgspec.structs.replace(get_server(), in_flight=int(busy))
 
         node.reporter._get_server = get_busy_server
         rollout, _ = await fleet.wait_for_end(DURATION_S)
