--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -42,6 +42,8 @@
     ServerLimited,
     SuspectMarked,
 )
+UNDISPATCHED_EVENTS = (CallUnadmitted, KeyRefused)
+"""Events that would displace the histories of dispatched calls."""
 LABEL_FIELDS = {
     AttemptRefused: ("service", "kind", "reason"),
     CallEnded: ("service", "kind", "outcome"),
@@ -65,7 +67,8 @@
     def observe(event: Any) -> None:
         event_type = type(event)
         decisions.record(event)
-        history.observe(event)
+        if event_type not in UNDISPATCHED_EVENTS:
+            history.observe(event)
         labels = {
             name: str(getattr(event, name)) for name in LABEL_FIELDS.get(event_type, ())
         }
--- a/packages/sapphireway/tests/test_identity.py
+++ b/packages/sapphireway/tests/test_identity.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sapphireway._callers import CallerApi, CallerDialect, render_outcome
+from sapphireway._decisions import DecisionLog
 from sapphireway._identity import (
     CallUnadmitted,
     KeyRefused,
@@ -11,6 +12,7 @@
 )
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
+from sapphireway._observations import make_observe
 from sapphireway_protocol import Answered, NotRun, NotRunReason
 from sapphireway_state import (
     RequestKind,
@@ -56,7 +58,7 @@
 class Entry:
     """A callers' interface whose confirmation and admission a test decides."""
 
-    def __init__(self, table):
+    def __init__(self, table, observe=None):
         self.calls = []
         self.arrivals = []
         self.events = []
@@ -84,7 +86,7 @@
                 dialect.workspace_header,
                 self._confirm,
                 self._admit,
-                self.events.append,
+                observe or self.events.append,
             ),
         )
 
@@ -243,6 +245,23 @@
     assert entry.calls == []
 
 
+def test_refusal_is_logged_under_its_call_and_explained():
+    logged, decisions, metrics = [], DecisionLog(), Metrics()
+    observe = make_observe(decisions, metrics, RecordingLog(logged))
+    entry = Entry(make_table(), observe)
+    entry.unconfirmed = UNCONFIRMED
+    entry.send("/keyed/1", with_key("key-n"))
+    ((event, fields),) = logged
+    assert (event, fields["call"], fields["workspace"]) == (
+        "call_unadmitted",
+        "call-1",
+        "north",
+    )
+    (explained,) = decisions.explain(call="call-1")
+    assert (explained["event"], explained["detail"]) == ("CallUnadmitted", "no proof")
+    assert 'event="CallUnadmitted",service="s"' in metrics.render()
+
+
 def test_access_key_in_a_header_is_utf8(entry):
     value = "key-ä".encode().decode("latin-1")
     assert decode_access_key(value) == "key-ä"
