--- a/packages/sapphireway/tests/test_identity.py
+++ b/packages/sapphireway/tests/test_identity.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sapphireway._callers import CallerApi, CallerDialect, render_outcome
+from sapphireway._decisions import DecisionLog
 from sapphireway._identity import (
     CallUnadmitted,
     KeyRefused,
@@ -11,6 +12,7 @@
 )
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
+from sapphireway._observations import make_observe
 from sapphireway_protocol import Answered, NotRun, NotRunReason
 from sapphireway_state import (
     RequestKind,
@@ -56,14 +58,14 @@
 class Entry:
     """A callers' interface whose confirmation and admission a test decides."""
 
-    def __init__(self, table):
+    def __init__(self, table, observe=None):
         self.calls = []
         self.arrivals = []
         self.events = []
         self.admitted = []
         self.logged = []
         self.routes = RouteView(table, 1)
-        self.unconfirmed = self.not_admitted = None
+        self.unconfirmed = self.not_recent = self.not_admitted = None
         self.during_confirm = lambda: None
         self.metrics = Metrics()
         log = RecordingLog(self.logged)
@@ -84,7 +86,7 @@
                 dialect.workspace_header,
                 self._confirm,
                 self._admit,
-                self.events.append,
+                observe or self.events.append,
             ),
         )
 
@@ -93,9 +95,9 @@
         self.arrivals.append(arrival)
         return arrival.refusal or Answered(200, (), b"")
 
-    async def _confirm(self, deadline_s):
+    async def _confirm(self, deadline_s, recent):
         self.during_confirm()
-        return self.unconfirmed
+        return self.unconfirmed or (self.not_recent if recent else None)
 
     async def _admit(self, workspace, deadline_s):
         self.admitted.append(workspace.name)
@@ -201,6 +203,12 @@
     assert isinstance(event, CallUnadmitted) and event.reason == "unconfirmed"
 
 
+@pytest.mark.parametrize(("key", "status"), [("key-n", 200), ("key-secret", 503)])
+def test_unknown_key_needs_a_recent_confirmation(entry, key, status):
+    entry.not_recent = UNCONFIRMED
+    assert entry.send("/keyed/1", with_key(key)).status == status
+
+
 def test_unconfirmed_table_still_serves_open_routes_without_identity(entry):
     entry.unconfirmed = UNCONFIRMED
     assert entry.send("/open/1", with_key("key-n")).status == 200
@@ -243,6 +251,23 @@
     assert entry.calls == []
 
 
+def test_refusal_is_logged_under_its_call_and_explained():
+    logged, decisions, metrics = [], DecisionLog(), Metrics()
+    observe = make_observe(decisions, metrics, RecordingLog(logged))
+    entry = Entry(make_table(), observe)
+    entry.unconfirmed = UNCONFIRMED
+    entry.send("/keyed/1", with_key("key-n"))
+    ((event, fields),) = logged
+    assert (event, fields["call"], fields["workspace"]) == (
+        "call_unadmitted",
+        "call-1",
+        "north",
+    )
+    (explained,) = decisions.explain(call="call-1")
+    assert (explained["event"], explained["detail"]) == ("CallUnadmitted", "no proof")
+    assert 'event="CallUnadmitted",service="s"' in metrics.render()
+
+
 def test_access_key_in_a_header_is_utf8(entry):
     value = "key-ä".encode().decode("latin-1")
     assert decode_access_key(value) == "key-ä"
