Check a waiting request against the expiry of its own token

Cause: a request that had waited was checked, when it woke, against the expiry of the last grant, though its token may be of an earlier one, up to 0.2 s older. Change: TokenStock.take returns the expiry of the token. An ask that was put off since four are on the way is sent when one returns, also if no request waits. Ruled out: using the earliest expiry of the stock (it refuses valid tokens).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
@@ -162,7 +162,7 @@
         stock = queue.stock
         stock.count_arrival(now_s)
         if not queue.waiting:
-            if stock.take(now_s, self._clock.read()):
+            if stock.take(now_s, self._clock.read()) is not None:
                 return self._admit(queue, now_s)
             if stock.is_empty(now_s):
                 return self._refuse(queue, now_s)
@@ -302,6 +302,8 @@
         for queue in self._queues.values():
             if len(queue.waiting) > queue.asked:
                 self._schedule_asks(queue)
+        if self._due and self._pump_handle is None:
+            self._pump_handle = asyncio.get_running_loop().call_soon(self._pump)
 
     def _accept(self, host, number, answer, expires_s):
         now_s = asyncio.get_running_loop().time()
@@ -315,11 +317,14 @@
             queue = self._queues[grant.workspace]
             self.counts.granted += grant.ready + grant.later
             queue.stock.add(number, grant, now_s, expires_s)
-            self._serve_waiting(queue, now_s, expires_s)
+            self._serve_waiting(queue, now_s)
         self._schedule_sweep()
 
-    def _serve_waiting(self, queue, now_s, expires_s):
-        while queue.waiting and queue.stock.take(now_s, self._clock.read()):
+    def _serve_waiting(self, queue, now_s):
+        while queue.waiting:
+            expires_s = queue.stock.take(now_s, self._clock.read())
+            if expires_s is None:
+                break
             future = queue.waiting.popleft().future
             if not future.done():
                 future.set_result(expires_s)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_stock.py
@@ -95,15 +95,15 @@
         self._demand = self._demand * decay + 1.0
         self._demand_s = now_s
 
-    def take(self, now_s: float, age_s: float) -> bool:
-        """Use one token; return False if none may be used now."""
+    def take(self, now_s: float, age_s: float) -> float | None:
+        """Use one token; return when it expires, or None if none may be used now."""
         self._expire(age_s)
         for batch in self._batches:
             batch.accrue(now_s)
             if batch.ready:
                 batch.ready -= 1
-                return True
-        return False
+                return batch.expires_s
+        return None
 
     def add(
         self, number: int, grant: TokenGrant, now_s: float, expires_s: float
--- a/packages/sapphireway-coordination/tests/test_quota_bound.py
+++ b/packages/sapphireway-coordination/tests/test_quota_bound.py
@@ -142,7 +142,7 @@
 
         def take():
             for _ in range(count):
-                if not node.stock.take(node.now(), node.clock.read()):
+                if node.stock.take(node.now(), node.clock.read()) is None:
                     return
                 self.passed_s.append(self.now_s)
 
--- a/packages/sapphireway-coordination/tests/test_quota_stock.py
+++ b/packages/sapphireway-coordination/tests/test_quota_stock.py
@@ -10,9 +10,9 @@
 def test_take_uses_ready_tokens_until_they_expire():
     stock = TokenStock(W)
     stock.add(1, TokenGrant("w", 3), 0.0, 0.4)
-    assert stock.take(0.0, 0.0)
-    assert stock.take(0.3, 0.399)
-    assert not stock.take(0.3, 0.4)
+    assert stock.take(0.0, 0.0) is not None
+    assert stock.take(0.3, 0.399) is not None
+    assert stock.take(0.3, 0.4) is None
     assert stock.expired == 1
 
 
@@ -20,10 +20,10 @@
     """Guards against use before accrual, which breaks the bound."""
     stock = TokenStock(W)
     stock.add(1, TokenGrant("w", 0, 2, 0.1, 0.02), 1.0, 9.0)
-    assert not stock.take(1.09, 1.09)
-    assert stock.take(1.1001, 1.1)
-    assert not stock.take(1.11, 1.11)
-    assert stock.take(1.1201, 1.12)
+    assert stock.take(1.09, 1.09) is None
+    assert stock.take(1.1001, 1.1) is not None
+    assert stock.take(1.11, 1.11) is None
+    assert stock.take(1.1201, 1.12) is not None
     assert not stock.has_tokens(1.2)
 
 
@@ -73,7 +73,7 @@
     stock.add(1, TokenGrant("w", 2, 3, 0.1, 0.02), 1.98, 9.0)
     assert stock.take_unused(2.03, 2.03) == []
     assert stock.take_unused(2.05, 2.05) == [ReturnedTokens(1, "w", 5)]
-    assert not stock.take(2.05, 2.05)
+    assert stock.take(2.05, 2.05) is None
 
 
 def test_take_unused_keeps_tokens_of_infrequent_requests():
@@ -107,5 +107,14 @@
     stock.add(2, TokenGrant("w", 1), 10.0, 10.5)
     assert stock.take_unused(10.21, 10.21) == []
     assert stock.take_unused(10.23, 10.23) == [ReturnedTokens(1, "w", 2)]
-    assert stock.take(10.23, 10.23)
-    assert not stock.take(10.23, 10.23)
+    assert stock.take(10.23, 10.23) is not None
+    assert stock.take(10.23, 10.23) is None
+
+
+def test_take_returns_expiry_of_the_token():
+    """Guards against a waiting request that is given the validity of another token."""
+    stock = TokenStock(W)
+    stock.add(1, TokenGrant("w", 0, 1, 0.1, 0.02), 0.0, 0.4)
+    stock.add(2, TokenGrant("w", 1), 0.1, 0.5)
+    assert stock.take(0.2, 0.2) == 0.4
+    assert stock.take(0.2, 0.2) == 0.5
