--- a/packages/sapphireway/tests/test_decisions.py
+++ b/packages/sapphireway/tests/test_decisions.py
@@ -45,3 +45,16 @@
     for number in range(2 * NOTABLE_EVENTS_MAX):
         log.record(RelapseSeen(f"s{number}"))
     assert len(log._notable) == NOTABLE_EVENTS_MAX
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaRefused:
+    workspace: str
+
+
+def test_refusals_above_quota_do_not_evict_other_decisions(log):
+    """Guards against one workspace above its limit that hides everything else."""
+    log.record(RelapseSeen("s1"))
+    for _ in range(NOTABLE_EVENTS_MAX + 1):
+        log.record(QuotaRefused("w"))
+    assert log.explain(server="s1")
