--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_client.py
@@ -43,7 +43,8 @@
     admitted, refused, unconfirmed : int
         Requests of limited workspaces.
     asks : int
-        Messages with asks or returned tokens.
+    returns : int
+        Messages that hand tokens back, which have no answer.
     granted, returned, expired : int
         Tokens.
     """
@@ -52,6 +53,7 @@
     refused: int = 0
     unconfirmed: int = 0
     asks: int = 0
+    returns: int = 0
     granted: int = 0
     returned: int = 0
     expired: int = 0
@@ -67,7 +69,7 @@
     ahead_after_s: float = -math.inf
 
 
-class _Waiter(msgspec.Struct):
+class _Waiter(msgspec.Struct, eq=False):
     """A waiting request; the result is the expiry of its token, or a `NotRun`."""
 
     future: asyncio.Future
@@ -156,7 +158,7 @@
         stock = queue.stock
         stock.count_arrival(now_s)
         if not queue.waiting:
-            if stock.take(now_s, self._clock.read()):
+            if stock.take(now_s, self._clock.read()) is not None:
                 return self._admit(queue, now_s)
             if stock.is_empty(now_s):
                 return self._refuse(queue, now_s)
@@ -296,6 +298,8 @@
         for queue in self._queues.values():
             if len(queue.waiting) > queue.asked:
                 self._schedule_asks(queue)
+        if self._due and self._pump_handle is None:
+            self._pump_handle = asyncio.get_running_loop().call_soon(self._pump)
 
     def _accept(self, host, number, answer, expires_s):
         now_s = asyncio.get_running_loop().time()
@@ -309,11 +313,14 @@
             queue = self._queues[grant.workspace]
             self.counts.granted += grant.ready + grant.later
             queue.stock.add(number, grant, now_s, expires_s)
-            self._serve_waiting(queue, now_s, expires_s)
+            self._serve_waiting(queue, now_s)
         self._schedule_sweep()
 
-    def _serve_waiting(self, queue, now_s, expires_s):
-        while queue.waiting and queue.stock.take(now_s, self._clock.read()):
+    def _serve_waiting(self, queue, now_s):
+        while queue.waiting:
+            expires_s = queue.stock.take(now_s, self._clock.read())
+            if expires_s is None:
+                break
             future = queue.waiting.popleft().future
             if not future.done():
                 future.set_result(expires_s)
@@ -389,7 +396,7 @@
             self.counts.expired += queue.stock.expired
             queue.stock.expired = 0
         if returns and self._host:
-            self.counts.asks += 1
+            self.counts.returns += 1
             self.counts.returned += sum(returned.count for returned in returns)
             number, incarnation = next(self._numbers), self._peers.incarnation
             self._peers.send(self._host, AskTokens(number, incarnation, [], returns))
