Load YAML and the quorum at their first use

Cause: a node that is not a control host imported PyYAML, the tree's parser, the quorum and the control role (some 55 ms of 690 ms in python -X importtime).

Change: sapphireway_state, sapphireway_coordination and its quorum re-export these names by a module __getattr__; __all__ stays.

Ruled out: the same for the directory and the claim group controller (3 ms), and for hdrhistogram, whose 9 ms would move from the import to the first call. OpenTelemetry and defopt were not loaded before either.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -1,5 +1,7 @@
 """Routing, admission, claims, quorum, membership and settings of the nodes."""
 
+from typing import Any
+
 from sapphireway_coordination.claims import (
     KEY_MAX_BYTES,
     Claimant,
@@ -69,7 +71,6 @@
     Committed,
     Current,
     NotLeader,
-    Quorum,
     QuorumSettings,
     QuorumStatus,
     ReadResult,
@@ -228,3 +229,12 @@
     "parse_count",
     "parse_decimal",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # Loaded at its first use, as only control hosts need it.
+    if name != "Quorum":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from sapphireway_coordination.quorum import Quorum
+
+    return Quorum
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
@@ -1,8 +1,7 @@
 """Consensus of the control hosts on one replicated journal."""
 
-from sapphireway_coordination.quorum._quorum import (
-    Quorum,
-)
+from typing import Any
+
 from sapphireway_coordination.quorum._types import (
     Committed,
     Current,
@@ -27,3 +26,12 @@
     "StateMachine",
     "Unavailable",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # Loaded at its first use, as only control hosts need it.
+    if name != "Quorum":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from sapphireway_coordination.quorum._quorum import Quorum
+
+    return Quorum
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -1,6 +1,8 @@
 """State of processes: settings, the journal, and claim, lease and routing tables."""
 
-from sapphireway_state._check import check_file
+import importlib
+from typing import Any
+
 from sapphireway_state._claim_table import ClaimMemory, ClaimTable
 from sapphireway_state._control_api import (
     CONTROL_HOSTS_MAX,
@@ -126,13 +128,6 @@
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
 from sapphireway_state._vote import StartRecord, VoteRecord, load_vote, save_vote
-from sapphireway_state._yaml import (
-    Document,
-    dump_yaml,
-    load_tree,
-    parse_tree,
-    parse_yaml,
-)
 
 __all__ = [
     "CONTROL_HOSTS_MAX",
@@ -258,3 +253,20 @@
     "summarize_domains",
     "takes_out_of_service",
 ]
+
+# Loaded at their first use, as only the command line and control hosts read YAML.
+_LAZY_MODULES = {
+    "Document": "_yaml",
+    "check_file": "_check",
+    "dump_yaml": "_yaml",
+    "load_tree": "_yaml",
+    "parse_tree": "_yaml",
+    "parse_yaml": "_yaml",
+}
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _LAZY_MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_LAZY_MODULES[name]}")
+    return getattr(module, name)
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -20,7 +20,6 @@
     make_pattern,
     suggest_name,
 )
-from sapphireway_state._yaml import parse_yaml, read_text
 
 MIB = 1024 * 1024
 JOURNAL_COMPACT_BYTES = 4 * MIB
@@ -198,6 +197,9 @@
     folder : Path, default=current folder
         Base of relative paths.
     """
+    # Imported here as adapters build the settings from other formats.
+    from sapphireway_state._yaml import parse_yaml
+
     document = parse_yaml(text, file)
     if isinstance(document, Invalid):
         return document
@@ -209,6 +211,8 @@
 
 def load_process_settings(path: Path | str) -> ProcessSettings | Invalid:
     """Load and validate process settings from a YAML file."""
+    from sapphireway_state._yaml import read_text
+
     text = read_text(path)
     if isinstance(text, Invalid):
         return text
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from sapphireway._admin import build_admin
-from sapphireway._control import ControlHost
 from sapphireway._data_path import build_data_path
 from sapphireway._decisions import DecisionLog
 from sapphireway._dialects import Dialects
@@ -243,6 +242,9 @@
     def _build_control(self, observe):
         if not self._settings.control:
             return None
+        # Imported here as only control hosts need the quorum.
+        from sapphireway._control import ControlHost
+
         shared = self._shared
         # The random identities of the quorum must differ after a restart, even with a
         # fixed seed.
