Leave out health checks while answers report the same

Cause: the node polled its server each 50 ms also while answers to requests, which are as fresh, reported its speed.

Change: the poller waits while the last answer is younger than the interval and reports each figure that the last health check did, at most for half a second, as a server may set a limit in one of the two only. The interval and its stretching stay otherwise, so a change of speed is noticed within the interval as before. benchmarks.cost also prints the health checks per call.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -264,9 +264,12 @@
     client = CurlServerClient(400)
     for keyed in (False, True):
         await _send_alternately(clusters, client, WARM_UP_CALLS, keyed, "w")
+        checks = [cluster.checks for cluster in clusters]
         cpu_s = await _send_alternately(clusters, client, CALLS, keyed, "m")
+        checks = [c.checks - n for c, n in zip(clusters, checks, strict=True)]
         name = "keyed call" if keyed else "lookup"
         _print_row(f"{name}: CPU ms", *(s / CALLS * MS_PER_S for s in cpu_s))
+        _print_row(f"{name}: health checks", *(n / CALLS for n in checks))
     checks = [cluster.checks for cluster in clusters]
     cpu_s = await _send_alternately(
         clusters, client, CALM_CALLS, False, "c", CALM_INTERVAL_S
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -2,8 +2,9 @@
 
 Polling on the same host sees load that changes within milliseconds; the answers reach
 the entry nodes in load reports. The polling interval is a setting, and rises to
-`IDLE_INTERVAL_S` while the server gets no requests. A server that limits the requests
-per second is polled for a share of its limit only, as it can bear little.
+`IDLE_INTERVAL_S` while the server gets no requests, or while their answers report what
+health checks would. A server that limits the requests per second is polled for a share
+of its limit only, as it can bear little.
 """
 
 import asyncio
@@ -76,6 +77,8 @@
 
     async def _run(self):
         loop = asyncio.get_running_loop()
+        polled_s = float("-inf")
+        report = None
         while True:
             announcement = self._registration.announcement
             interval_s = 0.0
@@ -84,12 +87,30 @@
             if not interval_s or self._registration.lease_expired:
                 await asyncio.sleep(DISABLED_CHECK_S)
                 continue
-            sent_s = loop.time()
+            unneeded_until_s = min(
+                self._registration.last_answer_s + interval_s,
+                polled_s + IDLE_INTERVAL_S,
+            )
+            if unneeded_until_s > loop.time() and self._is_told_by_answers(report):
+                await asyncio.sleep(unneeded_until_s - loop.time())
+                continue
+            polled_s = sent_s = loop.time()
             report = await self._poll(announcement)
             if report is not None and announcement is self._registration.announcement:
                 self._registration.apply_report(report, ReportSource.HEALTH, sent_s)
             await asyncio.sleep(self._stretch_interval(interval_s, loop.time()))
 
+    def _is_told_by_answers(self, report):
+        """Tell whether the last answer told all that the last health check did."""
+        answered = self._registration.last_answer_report
+        if report is None or report.slowness is None or answered is None:
+            return False
+        return all(
+            getattr(answered, name) is not None
+            for name in SelfReport.__struct_fields__
+            if getattr(report, name) is not None
+        )
+
     def _stretch_interval(self, interval_s, now_s):
         if now_s - self._get_last_start_s() > IDLE_AFTER_S:
             interval_s = max(interval_s, IDLE_INTERVAL_S)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -51,6 +51,10 @@
     ----------
     capacity : ServerCapacity or None
         None until the first announcement.
+    last_answer_report : SelfReport or None
+        Report of the last answer to a request; None before the first.
+    last_answer_s : float
+        Loop time at which that report was applied.
     """
 
     __slots__ = (
@@ -67,6 +71,8 @@
         "_unreadable",
         "_wake",
         "capacity",
+        "last_answer_report",
+        "last_answer_s",
     )
 
     def __init__(
@@ -90,6 +96,8 @@
         self._unreadable = ()
         self._wake = wake
         self.capacity = None
+        self.last_answer_report = None
+        self.last_answer_s = -math.inf
 
     @property
     def announcement(self) -> Announcement | None:
@@ -204,6 +212,9 @@
             return
         if report.server is not None and report.server != self.announcement.server:
             return
+        if source is ReportSource.ANSWER:
+            self.last_answer_report = report
+            self.last_answer_s = self._loop.time()
         self._report_unreadable(report)
         capacity.update_server_limit(report, source, sent_s)
         if report.leaving:
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -1,8 +1,9 @@
 import asyncio
 
-from tests.gate_bench import ReportingBench
+import msgspec
+from tests.gate_bench import Bench, ReportingBench
 
-from sapphireway_coordination import SelfReport
+from sapphireway_coordination import DEFAULT_SERVER_DIALECT, SelfReport
 from sapphireway_state import Policy
 from sapphireway_transport.memory import run_paused
 
@@ -53,3 +54,84 @@
         assert bench.gate.get_load().starts_per_s == 0.0
 
     run_paused(main())
+
+
+class AnsweringBench(Bench):
+    """A polled bench whose answers and health checks report what a test sets."""
+
+    def __init__(self, answer, health):
+        self.answer = answer
+        self.health = health
+        self.polls = 0
+        dialect = msgspec.structs.replace(
+            DEFAULT_SERVER_DIALECT, read_report=self.read_report
+        )
+        policy = Policy(health_interval_ms=50)
+        super().__init__(policy=policy, dialect=dialect, announced=False)
+        self.announce(cold_s=0.0, health_path="/health")
+
+    def read_report(self, answer):
+        # The server echoes the body, which a health check has not.
+        if answer.body:
+            return self.answer
+        self.polls += 1
+        return self.health
+
+    async def send_for(self, seconds, interval_s):
+        """Send requests and return the health checks meanwhile."""
+        before = self.polls
+        for number in range(round(seconds / interval_s)):
+            self.send(f"a{before}-{number}", body=b"x")
+            await asyncio.sleep(interval_s)
+        return self.polls - before
+
+
+def test_server_is_polled_rarely_while_answers_report_the_same():
+    async def main():
+        bench = AnsweringBench(SelfReport(slowness=1.0), SelfReport(slowness=1.0))
+        await bench.send_for(1.0, 0.02)
+        assert await bench.send_for(5.0, 0.02) <= 11
+
+    run_paused(main())
+
+
+def test_change_of_speed_is_noticed_at_once_while_answers_come():
+    async def main():
+        bench = AnsweringBench(SelfReport(slowness=1.0), SelfReport(slowness=1.0))
+        await bench.send_for(1.0, 0.02)
+        bench.answer = bench.health = SelfReport(slowness=3.0)
+        await bench.send_for(0.12, 0.02)
+        assert bench.gate.get_load().slowness == 3.0
+
+    run_paused(main())
+
+
+def test_change_of_speed_is_noticed_within_the_interval_after_the_last_answer():
+    async def main():
+        bench = AnsweringBench(SelfReport(slowness=1.0), SelfReport(slowness=1.0))
+        await bench.send_for(1.0, 0.02)
+        await asyncio.sleep(0.1)
+        bench.answer = bench.health = SelfReport(slowness=3.0)
+        await asyncio.sleep(0.08)
+        assert bench.gate.get_load().slowness == 3.0
+
+    run_paused(main())
+
+
+def test_server_is_polled_at_the_interval_if_answers_report_less():
+    async def main():
+        limited = SelfReport(slowness=1.0, cold_s=0.0)
+        bench = AnsweringBench(SelfReport(slowness=1.0), limited)
+        await bench.send_for(1.0, 0.02)
+        assert await bench.send_for(5.0, 0.02) >= 80
+
+    run_paused(main())
+
+
+def test_server_is_polled_at_the_interval_while_answers_are_further_apart():
+    async def main():
+        bench = AnsweringBench(SelfReport(slowness=1.0), SelfReport(slowness=1.0))
+        await bench.send_for(1.0, 0.25)
+        assert await bench.send_for(5.0, 0.25) >= 60
+
+    run_paused(main())
