--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -99,3 +99,4 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_THRESHOLD, GC_MIDDLE_THRESHOLD, GC_OLD_THRESHOLD)
+    gc.enable()
