Read the defaults of process settings from the struct in the reference page

Cause: since ProcessSettings is a msgspec struct; the generator of the settings reference used dataclasses.fields and tests/test_settings_reference.py failed.

Change: it uses msgspec.structs.fields.

Ruled out: other users outside of the packages; all modules of demo, benchmarks, tools and tests import, and none other reads fields of the node's classes by dataclasses.

Result: tests/test_settings_reference.py fails before and passes after; the page is the same.

--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -1,9 +1,10 @@
 """Generates docs/settings-reference.md from the schema of the settings."""
 
 import re
-from dataclasses import fields
 from pathlib import Path
 
+import msgspec
+
 from sapphireway_state import (
     KIND_MATCH,
     NAME_ALLOWED,
@@ -93,7 +94,8 @@
 
 def _render_process_settings():
     descriptions = _parse_descriptions(ProcessSettings.__doc__)
-    defaults = {field.name: field.default for field in fields(ProcessSettings)}
+    fields = msgspec.structs.fields(ProcessSettings)
+    defaults = {field.name: field.default for field in fields}
     rows = [
         (
             f"`{name}`",
