Clean up after a terminated run of the cost benchmark

Cause: a run that was ended by timeout 60 left its temporary worktree behind.

Change: SIGTERM ends it by SystemExit, so that processes and worktree are removed.

Ruled out: removing stale worktrees at the next start; another run may use them.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shutil
+import signal
 import statistics
 import subprocess
 import sys
@@ -373,6 +374,8 @@
 
 def main(arguments: list[str]) -> None:
     """Print the figures of the revision, of the working tree, and the ratios."""
+    # Otherwise the processes and the temporary worktree would stay behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     revision, *parts = arguments or ["HEAD"]
     parts = parts or PARTS
     print(f"{'':<40}{revision[:9]:>10}{'this tree':>10}{'ratio':>8}", flush=True)
