--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shutil
+import signal
 import statistics
 import subprocess
 import sys
@@ -264,9 +265,12 @@
     client = CurlServerClient(400)
     for keyed in (False, True):
         await _send_alternately(clusters, client, WARM_UP_CALLS, keyed, "w")
+        checks = [cluster.checks for cluster in clusters]
         cpu_s = await _send_alternately(clusters, client, CALLS, keyed, "m")
+        checks = [c.checks - n for c, n in zip(clusters, checks, strict=True)]
         name = "keyed call" if keyed else "lookup"
         _print_row(f"{name}: CPU ms", *(s / CALLS * MS_PER_S for s in cpu_s))
+        _print_row(f"{name}: health checks", *(n / CALLS for n in checks))
     checks = [cluster.checks for cluster in clusters]
     cpu_s = await _send_alternately(
         clusters, client, CALM_CALLS, False, "c", CALM_INTERVAL_S
@@ -370,6 +374,8 @@
 
 def main(arguments: list[str]) -> None:
     """Print the figures of the revision, of the working tree, and the ratios."""
+    # Otherwise the processes and the temporary worktree would stay behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     revision, *parts = arguments or ["HEAD"]
     parts = parts or PARTS
     print(f"{'':<40}{revision[:9]:>10}{'this tree':>10}{'ratio':>8}", flush=True)
