Hold and roll back on suspicion when the deadline of a rollout is near

Cause: hurried steps ignored suspicion, so a version of which a tenth of the answers fail got up to 1.79 of the allowed exposure at 130 requests a second. Change: near the deadline a step still waits while the chance of the answers is below 1%, and at the deadline such a version is rolled back. Ruled out: the usual 5% near the deadline too; more good versions would be late.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
@@ -25,6 +25,9 @@
 SLOW_TOLERATED = 0.05  # share of slow answers by which a good version may be worse
 P_VALUE = 3e-4  # to roll back; small, as the test is repeated several times a second
 SUSPICION_P_VALUE = 0.05  # to hold the share until there is more evidence
+# The same when the deadline is near: a good version that misses it costs less than a
+# bad one that gets all requests.
+SUSPICION_HURRIED_P_VALUE = 0.01
 # Slow answers come in groups, as a slow host delays all requests that it runs, so
 # each counts as half an independent observation.
 SLOW_GROUP_SIZE = 2
@@ -144,8 +147,8 @@
     scarce = _find_scarce_kind(evidence) if evidence.share else ""
     if scarce and not _is_hurried(evidence):
         return Decision(Action.HOLD, evidence.share, f"too few answers to {scarce}")
-    suspicion = find_problem(evidence, SUSPICION_P_VALUE)
-    if suspicion and not _is_hurried(evidence):
+    suspicion = find_problem(evidence, _get_suspicion_p_value(evidence))
+    if suspicion:
         return Decision(Action.HOLD, evidence.share, suspicion)
     if evidence.new_servers < share * evidence.old_servers:
         detail = f"{evidence.new_servers} new servers cannot carry {share:.0%}"
@@ -168,6 +171,9 @@
     if not answers:
         detail = "no server of the new version answered before the deadline"
         return Decision(Action.ROLL_BACK, 0.0, detail)
+    suspicion = find_problem(evidence, SUSPICION_HURRIED_P_VALUE)
+    if suspicion:
+        return Decision(Action.ROLL_BACK, 0.0, f"deadline; {suspicion}")
     if evidence.share >= SHARES[-1]:
         detail = f"deadline; no evidence against it in {answers} answers"
         return Decision(Action.COMPLETE, evidence.share, detail)
@@ -186,6 +192,12 @@
     return STEP_HURRIED_S if _is_hurried(evidence) else STEP_MIN_S
 
 
+def _get_suspicion_p_value(evidence):
+    if _is_hurried(evidence):
+        return SUSPICION_HURRIED_P_VALUE
+    return SUSPICION_P_VALUE
+
+
 def _is_hurried(evidence):
     """Return whether steps of the usual length would miss the deadline."""
     steps_left = sum(share > evidence.share for share in SHARES)
--- a/packages/sapphireway-coordination/tests/test_rollout_decision.py
+++ b/packages/sapphireway-coordination/tests/test_rollout_decision.py
@@ -27,6 +27,7 @@
 SLOW_HOST_SHARE = 0.1  # of the answers of any version, in groups
 OLD_FAILURES = 0.005
 SEEDS = range(40)
+MORE_SEEDS = range(200)  # 40 miss the rare long exposures
 
 
 class Version:
@@ -131,6 +132,32 @@
     assert sum(exposures) / len(exposures) <= EXPOSURE_GOAL
 
 
+@pytest.mark.parametrize(
+    "get_badness, scale",
+    [
+        (lambda kind, time_s, share: (0.1, 0.0), 0.45),
+        (lambda kind, time_s, share: (0.3 * (time_s > 9.0), 0.0), 1.0),
+    ],
+    ids=["a tenth fails with little traffic", "fails shortly before the deadline"],
+)
+def test_version_that_shows_its_fault_late_stays_within_the_exposure(
+    get_badness, scale
+):
+    for seed in MORE_SEEDS:
+        decision, _, exposure = play(seed, get_badness, scale)
+        assert decision.action is Action.ROLL_BACK, (seed, decision)
+        assert exposure <= 1.0, (seed, decision)
+
+
+def test_suspicious_version_is_rolled_back_at_the_deadline():
+    old = {"browse": KindStats(400, 2, 40)}
+    new = {"browse": KindStats(60, 6, 6)}
+    evidence = Evidence(Sample(old, old), Sample(new, new), 0.5, 2.0, 0.0, 36, 36)
+    decision = decide(evidence)
+    assert decision.action is Action.ROLL_BACK
+    assert decision.detail.startswith("deadline; ")
+
+
 @pytest.mark.parametrize("scale", [0.2, 1.0, 3.0])
 def test_good_version_completes_before_the_deadline(scale):
     for seed in SEEDS:
