Use one pair of clocks for ages that protect a guarantee

Cause: keys and quotas were built side by side, each with its own reading of CLOCK_BOOTTIME. Change: AgeClock reads an Instant; get_boottime_s is gone. Ruled out: replacing AgeClock by instants; the stock of tokens needs one number.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_ages.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quotas/_ages.py
@@ -1,6 +1,6 @@
 """A clock for ages that protect a guarantee."""
 
-from collections.abc import Callable
+from sapphireway_transport import ReadInstant, compute_age
 
 
 class AgeClock:
@@ -11,26 +11,20 @@
 
     Parameters
     ----------
-    get_monotonic_s, get_boottime_s : callable
-        Return the time in seconds.
+    read_instant : ReadInstant
     """
 
-    __slots__ = ("_elapsed_s", "_get_readings", "_last")
+    __slots__ = ("_elapsed_s", "_last", "_read_instant")
 
-    def __init__(
-        self,
-        get_monotonic_s: Callable[[], float],
-        get_boottime_s: Callable[[], float],
-    ):
-        self._get_readings = (get_monotonic_s, get_boottime_s)
+    def __init__(self, read_instant: ReadInstant):
+        self._read_instant = read_instant
         self._last = None
         self._elapsed_s = 0.0
 
     def read(self) -> float:
         """Return the time in seconds since an arbitrary start."""
-        readings = [get_reading() for get_reading in self._get_readings]
+        now = self._read_instant()
         if self._last is not None:
-            gains = (now - last for now, last in zip(readings, self._last, strict=True))
-            self._elapsed_s += max(0.0, *gains)
-        self._last = readings
+            self._elapsed_s += max(0.0, compute_age(self._last, now))
+        self._last = now
         return self._elapsed_s
--- a/packages/sapphireway-coordination/tests/test_quota_bound.py
+++ b/packages/sapphireway-coordination/tests/test_quota_bound.py
@@ -28,7 +28,7 @@
         self.world = world
         self.suspended_s = 0.0
         self.frozen_until_s = 0.0
-        self.clock = AgeClock(self.now, lambda: world.now_s)
+        self.clock = AgeClock(lambda: (self.now(), world.now_s))
 
     def now(self):
         return self.world.now_s - self.suspended_s
--- a/packages/sapphireway-coordination/tests/test_quota_stock.py
+++ b/packages/sapphireway-coordination/tests/test_quota_stock.py
@@ -89,7 +89,7 @@
 def test_age_clock_follows_faster_clock(gains):
     """Guards against a clock that stands still while the host is suspended."""
     readings = [10.0, 50.0]
-    clock = AgeClock(lambda: readings[0], lambda: readings[1])
+    clock = AgeClock(lambda: tuple(readings))
     started_s = clock.read()
     readings[0] += gains[0]
     readings[1] += gains[1]
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -4,7 +4,6 @@
 tests in ``sapphireway_transport.memory``.
 """
 
-from sapphireway_transport._boottime import get_boottime_s
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
@@ -66,7 +65,6 @@
     "ServerResult",
     "ZmqEndpoint",
     "compute_age",
-    "get_boottime_s",
     "read_instant",
     "shift_back",
 ]
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -42,7 +42,7 @@
     UpdateResult,
     load_tree,
 )
-from sapphireway_transport import get_boottime_s, read_instant
+from sapphireway_transport import read_instant
 
 INITIAL_EDIT_ID = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
@@ -161,7 +161,7 @@
             self._quorum.get_status,
             self._quorum.read_barrier,
             lambda: self._machine.routes.table.workspaces,
-            AgeClock(time.monotonic, get_boottime_s),
+            AgeClock(read_instant),
             observe,
         )
 
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -28,7 +28,7 @@
 )
 from sapphireway_protocol import ClaimGroup, NodeEntry, Peers
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import FileDisk, ZmqEndpoint, get_boottime_s
+from sapphireway_transport import FileDisk, ZmqEndpoint, read_instant
 
 INCARNATION_BYTES = 8
 CONTROL_READ_TIMEOUT_S = 1.0
@@ -127,7 +127,7 @@
         channel.fetch_from,
         lambda host: log.warning("control_host_silent", host=host),
     )
-    clock = AgeClock(time.monotonic, get_boottime_s)
+    clock = AgeClock(read_instant)
     quotas = QuotaClient(peers, control_hosts, rng, clock, observe)
     return SharedState(
         peers,
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -63,7 +63,7 @@
     def make_clock(self, name):
         loop = asyncio.get_running_loop()
         self.suspended_s[name] = 0.0
-        return AgeClock(loop.time, lambda: loop.time() + self.suspended_s[name])
+        return AgeClock(lambda: (loop.time(), loop.time() + self.suspended_s[name]))
 
     def start_owner(self, address):
         host = self.cluster.hosts[address]
