Count all answers of a new version before the first steps

Cause: on a fleet of 72 nodes 30 recent answers to each kind were rarely reached at a share of 5%, so a rollout waited until its deadline was near: the step to 20% came 10.7 s after the order, the end 0.05 s after the deadline of 16 s. Change: 30 answers to each kind since the order, 10 of them recent. Ruled out: a reserve of 2 s before the deadline; 2 of 200 versions of which a tenth fails were completed. An order that took 0.6 s to be accepted still ends that much later than the operator counts.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
@@ -17,9 +17,10 @@
 SHARES = (0.05, 0.2, 0.5, 1.0)
 STEP_MIN_S = 1.5  # a version that is bad under a step's load shows it within this time
 STEP_HURRIED_S = 0.75  # the shortest step, when the deadline is near
-# Recent answers to each kind of request before the next step; as many good ones rule
-# out a version that fails every tenth.
-KIND_ANSWERS_PER_STEP = 30
+# Answers to each kind of request before the next step; as many good ones rule out a
+# version that fails every tenth.
+KIND_ANSWERS_MIN = 30
+KIND_RECENT_ANSWERS_MIN = 10  # of them under the present load
 KIND_SHARE_MIN = 0.1  # of the old version's answers, for a kind to be waited for
 FAILURES_TOLERATED = 0.02  # share of failures by which a good version may be worse
 SLOW_TOLERATED = 0.05  # share of slow answers by which a good version may be worse
@@ -161,8 +162,11 @@
     old = evidence.old.total
     answers_min = KIND_SHARE_MIN * _add(old.values()).answers
     for kind, stats in old.items():
+        if stats.answers < answers_min:
+            continue
+        total = evidence.new.total.get(kind, KindStats()).answers
         recent = evidence.new.recent.get(kind, KindStats()).answers
-        if stats.answers >= answers_min and recent < KIND_ANSWERS_PER_STEP:
+        if total < KIND_ANSWERS_MIN or recent < KIND_RECENT_ANSWERS_MIN:
             return kind
     return ""
 
