Share the failover of edits and rollout orders in sapphirectl

Cause: the loop over the nodes stood twice. Change: _send_until_answered returns the node and its response, or why there is none. Ruled out: the change of control hosts too; it must not be sent twice.

--- a/packages/sapphirectl/src/sapphirectl/_client.py
+++ b/packages/sapphirectl/src/sapphirectl/_client.py
@@ -3,6 +3,7 @@
 import time
 import urllib.parse
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import msgspec
@@ -98,26 +99,11 @@
             force,
         )
     )
-    errors = []
-    maybe_applied = False
-    nodes = tuple(connection.nodes)
-    for attempt in range(TRIES_PER_NODE * len(nodes)):
-        if attempt and attempt % len(nodes) == 0:
-            time.sleep(ROUND_PAUSE_S)
-        node = nodes[attempt % len(nodes)]
-        response = send_request(
-            node, "POST", "/v1/edits", body, token, connection.timeout_s
-        )
-        if isinstance(response, NoResponse):
-            maybe_applied |= response.sent
-            errors.append(response.detail)
-        elif response.status < 500:
-            return _interpret_response(node, response)
-        else:
-            error = _decode_error(response)
-            maybe_applied |= error.error != "unavailable"
-            errors.append(f"{node}: {error.detail}")
-    return _fail_without_answer(errors, maybe_applied, options, base)
+    sent = _send_until_answered(connection, "/v1/edits", body, token)
+    if isinstance(sent, _Unanswered):
+        return _fail_without_answer(sent.errors, sent.maybe_applied, options, base)
+    node, response = sent
+    return _interpret_response(node, response)
 
 
 def submit_control_change(
@@ -164,6 +150,32 @@
     if isinstance(token, Failure):
         return token
     body = msgspec.json.encode(request)
+    sent = _send_until_answered(connection, "/v1/rollouts", body, token)
+    if isinstance(sent, _Unanswered):
+        return _fail_without_rollout(sent)
+    node, response = sent
+    if response.status == 200:
+        return _decode(node, response, RolloutOrdered)
+    return _describe_rollout_refusal(node, response)
+
+
+@dataclass(slots=True, frozen=True)
+class _Unanswered:
+    """No node answered a change, or none with a status below 500.
+
+    Attributes
+    ----------
+    errors : list of str
+    maybe_applied : bool
+        Whether a node may have applied the change nevertheless.
+    """
+
+    errors: list[str]
+    maybe_applied: bool
+
+
+def _send_until_answered(connection, path, body, token):
+    """Return the node that answered a change and its response, or `_Unanswered`."""
     errors = []
     maybe_applied = False
     nodes = tuple(connection.nodes)
@@ -171,24 +183,24 @@
         if attempt and attempt % len(nodes) == 0:
             time.sleep(ROUND_PAUSE_S)
         node = nodes[attempt % len(nodes)]
-        response = send_request(
-            node, "POST", "/v1/rollouts", body, token, connection.timeout_s
-        )
+        response = send_request(node, "POST", path, body, token, connection.timeout_s)
         if isinstance(response, NoResponse):
             maybe_applied |= response.sent
             errors.append(response.detail)
-        elif response.status == 200:
-            return _decode(node, response, RolloutOrdered)
         elif response.status < 500:
-            return _describe_rollout_refusal(node, response)
+            return node, response
         else:
             error = _decode_error(response)
             maybe_applied |= error.error != "unavailable"
             errors.append(f"{node}: {error.detail}")
-    if not errors:
+    return _Unanswered(errors, maybe_applied)
+
+
+def _fail_without_rollout(unanswered):
+    if not unanswered.errors:
         return _fail_without_nodes()
-    messages = "\n".join(dict.fromkeys(errors))
-    if maybe_applied:
+    messages = "\n".join(dict.fromkeys(unanswered.errors))
+    if unanswered.maybe_applied:
         detail = "The order may have been accepted; it can be repeated."
         return Failure(ExitCode.UNKNOWN, f"{messages}\n{detail}")
     return Failure(ExitCode.UNREACHABLE, f"{messages}\nNothing was ordered.")
