Start the larger shares of a rollout late, and roll back on fewer failures

Cause: each share began as soon as there was evidence, so a version that turned bad shortly before the deadline carried half or all of the requests by then; and 3e-4 is a threshold for slow answers, which come in groups, so a version of which a tenth fails reached the last step where there is little traffic.

Change: a share starts after a part of the rollout's time; failures have thresholds of their own, and three at least show something. Evidence has the age of the rollout.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_controller.py
@@ -220,12 +220,14 @@
             for member in by_role[VersionRole.NEW]
             if self._is_ready(case.ledger, member, now_s)
         ]
+        age_s = case.age.get_age(now_s)
         return Evidence(
             old,
             new,
             rollout.share,
             case.age.get_step_time(now_s),
-            rollout.duration_ms / MS_PER_S - case.age.get_age(now_s),
+            age_s,
+            rollout.duration_ms / MS_PER_S - age_s,
             len(ready),
             len(by_role[VersionRole.OLD]),
         )
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_decision.py
@@ -15,6 +15,10 @@
 from sapphireway_coordination.rollouts._evidence import Evidence, KindStats
 
 SHARES = (0.05, 0.2, 0.5, 1.0)
+# Part of a rollout's time after which each share may start. Until all requests go to
+# the new version it has had less than a tenth of those of the whole time, also if it
+# shows its fault only then: 0.05 for 0.62, 0.2 for 0.13 and 0.5 for 0.07 of the time.
+START_AFTER = {0.05: 0.0, 0.2: 0.62, 0.5: 0.75, 1.0: 0.82}
 STEP_MIN_S = 1.5  # a version that is bad under a step's load shows it within this time
 STEP_HURRIED_S = 0.75  # the shortest step, when the deadline is near
 # Answers to each kind of request before the next step; as many good ones rule out a
@@ -24,16 +28,23 @@
 KIND_SHARE_MIN = 0.1  # of the old version's answers, for a kind to be waited for
 FAILURES_TOLERATED = 0.02  # share of failures by which a good version may be worse
 SLOW_TOLERATED = 0.05  # share of slow answers by which a good version may be worse
-P_VALUE = 3e-4  # to roll back; small, as the test is repeated several times a second
-SUSPICION_P_VALUE = 0.05  # to hold the share until there is more evidence
-# The same when the deadline is near: a good version that misses it costs less than a
-# bad one that gets all requests.
-SUSPICION_HURRIED_P_VALUE = 0.01
+# Chance of so many slow answers, or failures, at a good version, below which a version
+# is rolled back. The test is repeated several times a second, on answers that are slow
+# in groups; a good version fails far less often than is tolerated.
+SLOW_P_VALUE = 3e-4
+FAILURES_P_VALUE = 0.01
+# The same to hold the share until there is more evidence.
+SLOW_SUSPICION_P_VALUE = 0.05
+FAILURES_SUSPICION_P_VALUE = 0.1
+# For slow answers when the deadline is near: a good version that misses it costs less
+# than a bad one that gets all requests.
+SLOW_HURRIED_P_VALUE = 0.01
+FAILURES_MIN = 3  # fewer show nothing, whatever the number of answers
 # Slow answers come in groups, as a slow host delays all requests that it runs, so
 # each counts as half an independent observation.
 SLOW_GROUP_SIZE = 2
 REFERENCE_ANSWERS_MIN = 30  # of the old version, to take its rates as known
-COMPLETION_RESERVE_S = 1.0  # for the end of the requests at the old servers
+COMPLETION_RESERVE_S = 1.5  # for the end of the requests at the old servers
 
 
 class Action(enum.StrEnum):
@@ -64,7 +75,7 @@
 
 def decide(evidence: Evidence) -> Decision:
     """Return what to do with a running rollout."""
-    problem = find_problem(evidence, P_VALUE)
+    problem = find_problem(evidence, FAILURES_P_VALUE, SLOW_P_VALUE)
     if problem:
         return Decision(Action.ROLL_BACK, 0.0, problem)
     answers = sum(stats.answers for stats in evidence.new.total.values())
@@ -78,29 +89,31 @@
     return _decide_step(evidence, answers)
 
 
-def find_problem(evidence: Evidence, p_value: float) -> str:
+def find_problem(evidence: Evidence, p_failures: float, p_slow: float) -> str:
     """Return one line on why the new version is bad; "" if nothing shows it.
 
     Parameters
     ----------
     evidence : Evidence
-    p_value : float
-        Chance of the new version's answers, were it good, below which it is bad.
+    p_failures, p_slow : float
+        Chance of so many failures, and of so many slow answers, at a good version,
+        below which the new version is bad.
     """
     old, new = evidence.old, evidence.new
     for span, sample in (("", new.total), ("recently ", new.recent)):
         for kind, stats in (*sample.items(), ("all kinds", _add(sample.values()))):
             references = [_get(part, kind) for part in (old.total, old.recent)]
-            problem = _compare(stats, references, p_value)
+            problem = _compare(stats, references, p_failures, p_slow)
             if problem:
                 return f"{kind}: {span}{problem}"
     return ""
 
 
-def _compare(stats, references, p_value):
+def _compare(stats, references, p_failures, p_slow):
     failure_rate = _find_highest_rate(references, lambda r: r.failures)
     allowed = failure_rate + FAILURES_TOLERATED
-    if compute_tail(stats.failures, stats.answers, allowed) < p_value:
+    chance = compute_tail(stats.failures, stats.answers, allowed)
+    if stats.failures >= FAILURES_MIN and chance < p_failures:
         return (
             f"{stats.failures} of {stats.answers} answers failed, "
             f"{failure_rate:.1%} at the old version"
@@ -108,7 +121,7 @@
     slow_rate = _find_highest_rate(references, lambda r: r.slow)
     allowed = slow_rate + SLOW_TOLERATED
     events, trials = stats.slow // SLOW_GROUP_SIZE, stats.answers // SLOW_GROUP_SIZE
-    if compute_tail(events, trials, allowed) < p_value:
+    if compute_tail(events, trials, allowed) < p_slow:
         return (
             f"{stats.slow} of {stats.answers} answers were slow, "
             f"{slow_rate:.1%} at the old version"
@@ -145,10 +158,12 @@
         return Decision(Action.HOLD, evidence.share, "waits for the new servers")
     if evidence.share and evidence.step_s < _get_step_time(evidence):
         return Decision(Action.HOLD, evidence.share, "gathers evidence")
+    if evidence.age_s < START_AFTER[share] * (evidence.age_s + evidence.remaining_s):
+        return Decision(Action.HOLD, evidence.share, f"too early for {share:.0%}")
     scarce = _find_scarce_kind(evidence) if evidence.share else ""
     if scarce and not _is_hurried(evidence):
         return Decision(Action.HOLD, evidence.share, f"too few answers to {scarce}")
-    suspicion = find_problem(evidence, _get_suspicion_p_value(evidence))
+    suspicion = _find_suspicion(evidence)
     if suspicion:
         return Decision(Action.HOLD, evidence.share, suspicion)
     if evidence.new_servers < share * evidence.old_servers:
@@ -175,7 +190,7 @@
     if not answers:
         detail = "no server of the new version answered before the deadline"
         return Decision(Action.ROLL_BACK, 0.0, detail)
-    suspicion = find_problem(evidence, SUSPICION_HURRIED_P_VALUE)
+    suspicion = _find_suspicion(evidence)
     if suspicion:
         return Decision(Action.ROLL_BACK, 0.0, f"deadline; {suspicion}")
     if evidence.share >= SHARES[-1]:
@@ -196,10 +211,10 @@
     return STEP_HURRIED_S if _is_hurried(evidence) else STEP_MIN_S
 
 
-def _get_suspicion_p_value(evidence):
-    if _is_hurried(evidence):
-        return SUSPICION_HURRIED_P_VALUE
-    return SUSPICION_P_VALUE
+def _find_suspicion(evidence):
+    hurried = _is_hurried(evidence)
+    p_slow = SLOW_HURRIED_P_VALUE if hurried else SLOW_SUSPICION_P_VALUE
+    return find_problem(evidence, FAILURES_SUSPICION_P_VALUE, p_slow)
 
 
 def _is_hurried(evidence):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_evidence.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/rollouts/_evidence.py
@@ -63,8 +63,8 @@
         Share of the service's requests that the new version may get now.
     step_s : float
         Time since that share was set.
-    remaining_s : float
-        Time until the deadline of the rollout.
+    age_s, remaining_s : float
+        Time since the rollout was ordered, and until its deadline.
     new_servers, old_servers : int
         Servers of each version that take requests at full speed.
     """
@@ -73,6 +73,7 @@
     new: Sample
     share: float
     step_s: float
+    age_s: float
     remaining_s: float
     new_servers: int
     old_servers: int
