Execute callers' requests that a stopping node reads within a second

Cause: a node without a grace period refused every request whose headers it read after the stop had begun.

Change: the entry node goes on for the second in which its gate refuses work anyway, with Connection: close; the servers of other nodes run the requests.

Ruled out: a longer wait of the test, as the callers did nothing too late.

--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -35,6 +35,9 @@
 CLAIMS_HANDOVER_MAX_S = 3.0
 SPANS_MAX = 1000
 MS_PER_S = 1000
+# Callers may have sent requests before the signal that a busy process reads only later.
+# The gate refuses work of other nodes for as long before its links close.
+UNREAD_REQUESTS_S = DEPARTURE_SPREAD_S
 
 
 class Node:
@@ -180,6 +183,8 @@
             # The local server goes on running; other nodes may still use it.
             await self._serve_during_grace(grace_s)
         draining = loop.create_task(self.gate.drain(deadline_s))
+        if not grace_s:
+            await self._serve_unread_requests(deadline_s)
         self._data_path.callers.stopping = True
         self._data_path.listener.stop_accepting()
         drained = await draining
@@ -211,6 +216,12 @@
         self.gate.announce_departure()
         await asyncio.sleep(notice_s)
 
+    async def _serve_unread_requests(self, deadline_s):
+        """Go on sending callers' requests to the servers of other nodes."""
+        self._data_path.listener.closing = True
+        remaining_s = deadline_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, min(UNREAD_REQUESTS_S, remaining_s)))
+
     async def _wait_for_claim_handover(self):
         # The control host replaces a leaving holder. If too few other nodes are left,
         # the rest of the group keeps the claims.
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -117,6 +117,34 @@
     assert after is GateState.DRAINING
 
 
+def test_request_read_after_the_stop_began_is_not_refused_as_stopping(settings):
+    """It may have been sent before the signal, which a busy node handles late."""
+    tree = {
+        "drain_timeout_ms": 5000,
+        "services": {
+            "s": {"match": {"path_prefixes": ["/"]}, "kinds": {"k": {"match": {}}}}
+        },
+    }
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        apply_tree(node, tree)
+        reader, writer = await asyncio.open_connection(
+            *settings.http_address.split(":")
+        )
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(0.3)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = await reader.read()
+        await stopping
+        return answer.lower()
+
+    answer = asyncio.run(run())
+    assert b"sapphireway-reason: no_server" in answer, answer
+    assert b"connection: close" in answer
+
+
 def test_quota_of_published_table_is_granted_by_the_leader(settings):
     """Guards against parts that do not meet: table, owner, client, own link."""
     settings = msgspec.structs.replace(settings, bootstrap=True)
