Model calls within calls, shedding services and impatient clients in the experiment

Change: calls_times and calls_share of a kind; calls halfway through the work, within the time of their request; the event shed; a knee that is a step; clients repeat idempotent requests after failures too, and wait a third of their time at most.

Ruled out: a simulator of its own.

--- a/benchmarks/experiment/_run.py
+++ b/benchmarks/experiment/_run.py
@@ -20,7 +20,7 @@
     make_choose_lowest_cost,
     make_choose_round_robin,
 )
-from sapphireway_protocol import Answered, NotRun, Peers
+from sapphireway_protocol import Answered, NotRun, Outcome, Peers
 from sapphireway_state import Policy
 from sapphireway_transport.memory import MemoryNetwork, run_paused
 
@@ -30,6 +30,7 @@
 CONNECTIONS_MAX = 200
 QUEUE_LIMIT = 64
 HEALTH_INTERVAL_MS = 50
+STATUS_FAILURE_MIN = 500
 WORK_PERCENTILE = 50  # as real nodes estimate the usual service time of a kind
 WEIGHT_PER_WORTH = 10
 MS_PER_S = 1000.0
@@ -109,6 +110,15 @@
     return run_paused(run())
 
 
+def find_retry_wait(outcome: Outcome, idempotent: bool) -> float | None:
+    """Return how long a client waits before it tries again; None if it does not."""
+    if isinstance(outcome, NotRun):
+        return outcome.retry_after_s
+    if isinstance(outcome, Answered) and outcome.status < STATUS_FAILURE_MIN:
+        return None
+    return 0.0 if idempotent else None
+
+
 class _Fleet:
     """All nodes, servers and clients of one run."""
 
@@ -176,12 +186,15 @@
 
     async def _apply_event(self, event):
         await asyncio.sleep(event.at_s)
-        count = round(event.share * len(self.nodes))
-        chosen = self.rng.sample(self.nodes, count)
+        nodes = [n for n in self.nodes if event.service in ("", n.service)]
+        chosen = self.rng.sample(nodes, round(event.share * len(nodes)))
         if event.kind == "burst":
             self.load_factor = event.times
             await asyncio.sleep(event.for_s)
             self.load_factor = 1.0
+        elif event.kind == "shed":
+            for node in nodes:
+                node.server.shed(event.share, event.for_s)
         elif event.kind == "restart":
             for node in chosen:
                 node.restart(event.for_s)
@@ -203,14 +216,12 @@
         target_s = arrived_s + kind.target_ms / MS_PER_S
         for retries_left in range(kind.retries, -1, -1):
             outcome = await node.dispatch(name, deadline_s, target_s)
-            retry_at_s = self.loop.time() + getattr(outcome, "retry_after_s", 0.0)
-            if (
-                not isinstance(outcome, NotRun)
-                or not retries_left
-                or retry_at_s >= deadline_s
-            ):
+            wait_s = find_retry_wait(outcome, kind.idempotent)
+            left_s = deadline_s - self.loop.time()
+            if not retries_left or wait_s is None or wait_s >= left_s:
                 break
-            await asyncio.sleep(retry_at_s - self.loop.time())
+            # Clients wait a third of their time at most, whatever they are told.
+            await asyncio.sleep(min(wait_s, left_s / 3))
         now_s = self.loop.time()
         outcome_name = type(outcome).__name__.lower()
         if isinstance(outcome, Answered):
@@ -311,7 +322,9 @@
 
     async def _call_for_server(self, kind_name, deadline_s):
         kind = self.fleet.scenario.kinds[kind_name]
-        target_s = self.fleet.loop.time() + kind.target_ms / MS_PER_S
+        now_s = self.fleet.loop.time()
+        deadline_s = min(deadline_s, now_s + kind.deadline_ms / MS_PER_S)
+        target_s = now_s + kind.target_ms / MS_PER_S
         outcome = await self.dispatch(kind_name, deadline_s, target_s)
         return isinstance(outcome, Answered) and outcome.status < 400
 
--- a/benchmarks/experiment/_scenario.py
+++ b/benchmarks/experiment/_scenario.py
@@ -57,6 +57,8 @@
         Share of slots in use above which work takes longer.
     knee_times : float
         Factor by which work takes longer with all slots in use.
+    knee_step : bool
+        Whether the full factor applies at once above the knee, instead of rising to it.
     """
 
     servers: int
@@ -64,6 +66,7 @@
     queue: int = 24
     knee: float = 1.0
     knee_times: float = 1.0
+    knee_step: bool = False
 
 
 class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -87,7 +90,11 @@
         that the refusal gives.
     request_bytes : int
     calls : str
-        Kind that a server calls while it runs a request of this kind.
+        Kind that a server calls halfway through a request of this kind.
+    calls_times : int
+        Number of such calls, made at the same time; the request fails if one fails.
+    calls_share : float
+        Share of the requests that make calls.
     """
 
     service: str
@@ -103,6 +110,8 @@
     retries: int = 1
     request_bytes: int = 0
     calls: str = ""
+    calls_times: int = 1
+    calls_share: float = 1.0
 
 
 class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -113,16 +122,20 @@
     at_s : float
     kind : str
         ``burst`` (`times` the load for `for_s`), ``restart`` (`share` of the servers
-        stop and start cold after `for_s`) or ``slow`` (work takes `times` as long on
-        `share` of the servers for `for_s`).
+        stop and start cold after `for_s`), ``slow`` (work takes `times` as long on
+        `share` of the servers for `for_s`) or ``shed`` (all servers reject `share` of
+        the requests for `for_s`).
     for_s, times, share : float
+    service : str
+        Service whose servers are affected; all if empty.
     """
 
     at_s: float
-    kind: Literal["burst", "restart", "slow"]
+    kind: Literal["burst", "restart", "slow", "shed"]
     for_s: float = 1.0
     times: float = 2.0
     share: float = 1.0
+    service: str = ""
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/benchmarks/experiment/_server.py
+++ b/benchmarks/experiment/_server.py
@@ -48,7 +48,7 @@
     kinds : dict of str to Kind
     call : callable
         ``await call(kind, deadline_s)`` calls another kind and returns whether it
-        was answered.
+        was answered; it is made for a request that must end by `deadline_s`.
 
     Attributes
     ----------
@@ -70,6 +70,7 @@
         self._noise_drawn_s = -rng.uniform(0.0, noise.span_ms / MS_PER_S)
         self._noise_factor = 1.0
         self._slowdown = (0.0, 1.0)
+        self._shedding = (0.0, 0.0)
         self._cold_until_s = -math.inf
         self.runs = 0
         self.falls = 0
@@ -88,6 +89,10 @@
         """Multiply the time that work takes by a factor for `for_s`."""
         self._slowdown = (self._loop.time() + for_s, factor)
 
+    def shed(self, share: float, for_s: float) -> None:
+        """Reject a share of the requests for `for_s`."""
+        self._shedding = (self._loop.time() + for_s, share)
+
     def get_cold_s(self) -> float:
         """Return for how much longer the server is cold."""
         return max(0.0, self._cold_until_s - self._loop.time())
@@ -101,7 +106,8 @@
             return self._respond(200)
         try:
             async with asyncio.timeout(request.timeout_s):
-                return await self._run(dict(request.headers)["Model-Kind"])
+                kind = dict(request.headers)["Model-Kind"]
+                return await self._run(kind, self._loop.time() + request.timeout_s)
         except TimeoutError:
             return Broken("no answer in time", timed_out=True)
 
@@ -111,10 +117,13 @@
     def close(self):
         """Do nothing, as the model opens no connections."""
 
-    async def _run(self, kind_name):
+    async def _run(self, kind_name, deadline_s):
         start_id = self.start_id
         if self._crash_if_overloaded():
             return Broken("connection reset", disconnected=True)
+        until_s, shed_share = self._shedding
+        if self._loop.time() < until_s and self._rng.random() < shed_share:
+            return self._respond(503, ((NOT_RUN_HEADER, "shed"),))
         if self._waiting >= self._service.queue:
             return self._respond(503, ((NOT_RUN_HEADER, "full"),))
         slots = self._slots
@@ -126,7 +135,7 @@
                 self._waiting -= 1
         self._running += 1
         try:
-            succeeded = await self._work(kind_name, start_id)
+            succeeded = await self._work(kind_name, start_id, deadline_s)
         finally:
             slots.release()
             if start_id == self.start_id:
@@ -135,21 +144,26 @@
             return Broken("connection reset", disconnected=True)
         return self._respond(200 if succeeded else 500)
 
-    async def _work(self, kind_name, start_id):
+    async def _work(self, kind_name, start_id, deadline_s):
         kind = self._kinds[kind_name]
         self.runs += 1
         mu = math.log(kind.work_ms / MS_PER_S) - kind.spread**2 / 2
-        left_s = self._rng.lognormvariate(mu, kind.spread)
-        if kind.calls:
-            deadline_s = self._loop.time() + kind.deadline_ms / MS_PER_S
-            if not await self._call(kind.calls, deadline_s):
-                return False
+        work_s = self._rng.lognormvariate(mu, kind.spread)
+        if not kind.calls or self._rng.random() >= kind.calls_share:
+            await self._compute(work_s, start_id)
+            return True
+        await self._compute(work_s / 2, start_id)
+        calls = (self._call(kind.calls, deadline_s) for _ in range(kind.calls_times))
+        succeeded = all(await asyncio.gather(*calls))
+        await self._compute(work_s / 2, start_id)
+        return succeeded
+
+    async def _compute(self, left_s, start_id):
         while left_s > 0.0 and start_id == self.start_id:
             factor = self._get_slowness() * self._get_load_factor()
             step_s = min(PROGRESS_STEP_S, left_s * factor)
             await asyncio.sleep(step_s)
             left_s -= step_s / factor + 1e-9
-        return True
 
     def _crash_if_overloaded(self):
         now_s = self._loop.time()
@@ -182,6 +196,8 @@
         share = self._running / self._service.slots
         if share <= self._service.knee:
             return 1.0
+        if self._service.knee_step:
+            return self._service.knee_times
         excess = (share - self._service.knee) / (1.0 - self._service.knee)
         return 1.0 + excess * (self._service.knee_times - 1.0)
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -12,9 +12,11 @@
     summarize,
 )
 from benchmarks.experiment import _command as command
-from benchmarks.experiment._run import Record, RunResult
+from benchmarks.experiment._run import Record, RunResult, find_retry_wait
 from benchmarks.experiment._scenario import Event, list_scenarios
 
+from sapphireway_protocol import Answered, NotRun, NotRunReason, Unknown
+
 
 @pytest.fixture
 def load_short():
@@ -75,6 +77,34 @@
     assert 0.0 < summary.worth < 0.9
 
 
+def test_request_fails_if_one_of_its_calls_is_rejected(load_short):
+    """Each request makes two calls, so far fewer succeed than calls are served."""
+    events = [Event(0.0, "shed", share=0.5, for_s=9.0, service="orders")]
+    scenario = load_short("nested", events=events)
+    kinds = {
+        name: msgspec.structs.replace(kind, calls_share=1.0, retries=0)
+        for name, kind in scenario.kinds.items()
+        if name in ("read", "stock")
+    }
+    scenario = msgspec.structs.replace(scenario, kinds=kinds)
+    summary = summarize(scenario, [run_scenario(scenario, "placed", 1)])
+    assert summary.outcomes["failed"] > 0.25
+
+
+@pytest.mark.parametrize(
+    ("outcome", "idempotent", "wait_s"),
+    [
+        (NotRun(NotRunReason.OVERLOADED, 0.4), False, 0.4),
+        (Unknown("cut"), True, 0.0),
+        (Unknown("cut"), False, None),
+        (Answered(500, (), b""), True, 0.0),
+        (Answered(200, (), b""), True, None),
+    ],
+)
+def test_clients_repeat_only_what_may_run_again(outcome, idempotent, wait_s):
+    assert find_retry_wait(outcome, idempotent) == wait_s
+
+
 def test_unknown_event_is_rejected_with_its_name(tmp_path):
     path = tmp_path / "x.yaml"
     events = "[{at_s: 1, kind: flood}]"
