Hedge calls only to servers that have room

Cause: after a percentile of the latencies a hedge went to the best of all servers, also if all were full. In the first second after a loss of all nodes nearly every call was hedged into queues, and hedges had spent the tokens when a service began to shed.

Change: without an untried server that would run the call at once (or whose load is not known) there is no hedge; the decision is logged as no hedge: load.

Ruled out: no hedges to servers of unknown load (a node that freezes right after the start then delays calls, test_idempotent_call_is_hedged_before_latencies_are_known).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -223,12 +223,14 @@
 
     def _check_allowed(self, cause):
         reason = self._get_deny_reason(cause)
-        if reason is None:
-            return True
+        if reason is not None:
+            self._deny(cause, reason)
+        return reason is None
+
+    def _deny(self, cause, reason):
         self._observe(
             RetryDenied(self._call.call_id, self._call.service, cause, reason)
         )
-        return False
 
     def _get_deny_reason(self, cause):
         if self._count_servers_reached() >= self._call.policy.attempts_max:
@@ -404,20 +406,29 @@
         slowness_max = load.report.slowness / HEDGE_SPEEDUP_MIN
         if slowness_max < 1.0:
             return False
+        return any(
+            reports_slowness(other) and other.report.slowness <= slowness_max
+            for other in self._list_hedge_servers()
+        )
+
+    def _list_hedge_servers(self):
+        """Return the untried servers that would run another request at once.
+
+        A hedge that has to queue takes the place of calls that run nowhere yet.
+        """
         loads = self._dispatcher.loads.list_loads(
             self._call.service, self._dispatcher.get_members(self._call.service)
         )
         now_s = self._loop.time()
         loads = self._dispatcher.versions.list_serving(self._call.service, loads)
-        return any(
-            other.report.slowness <= slowness_max
-            for other in loads
-            if reports_slowness(other)
-            and has_free_slot(other)
-            and other not in self._tried
-            and other.is_serving(now_s)
-            and not other.is_ejected(now_s)
-        )
+        return [
+            load
+            for load in loads
+            if (load.report is None or has_free_slot(load))
+            and load not in self._tried
+            and load.is_serving(now_s)
+            and not load.is_ejected(now_s)
+        ]
 
     async def _send_hedge(self, now_s):
         self._hedged = True
@@ -427,7 +438,9 @@
         )
         if now_s - load.report_received_s > report_age_max_s:
             self._dispatcher.check_liveness(load, self._call.policy)
-        if self._check_allowed(AttemptCause.HEDGE):
+        if not self._list_hedge_servers():
+            self._deny(AttemptCause.HEDGE, DenyReason.LOAD)
+        elif self._check_allowed(AttemptCause.HEDGE):
             await self._send_attempt(AttemptCause.HEDGE)
 
     async def _handle_timer(self):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_events.py
@@ -32,6 +32,7 @@
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
     SUSPECT = "suspect"
+    LOAD = "load"
 
 
 class AttemptSent(msgspec.Struct, frozen=True):
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sapphireway_coordination import Call, Dispatcher, Member
+from sapphireway_coordination.routing._events import DenyReason, RetryDenied
 from sapphireway_protocol import (
     Answered,
     Cancel,
@@ -267,6 +268,39 @@
     assert len(nodes[0].runs) == 1
 
 
+@pytest.mark.parametrize(("in_flight", "runs"), [(1, 1), (4, 0)])
+def test_call_is_hedged_only_to_a_server_with_room(network, in_flight, runs):
+    """Hedges that queue at full servers delay the calls that run nowhere yet."""
+
+    async def main():
+        silent = ScriptedNode(network, "n0", keep_silent)
+        other = ScriptedNode(network, "n1", answer)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0"), make_member("n1")]
+        events = []
+        dispatcher = Dispatcher(
+            peers,
+            lambda service: members,
+            random.Random(2),
+            events.append,
+            choose=lambda candidates, call, rng, now_s: candidates[0],
+        )
+        call = make_call(idempotent=True, deadline_s=1.5, hedge_percentile=95.0)
+        task = asyncio.create_task(dispatcher.dispatch(call))
+        await asyncio.sleep(0.05)
+        load = LoadReport("n1", in_flight, 0, 4, 10.0, ServerState.SERVING, "1")
+        other.peers.send("entry", LoadUpdate(load))
+        await task
+        denied = [e.reason for e in events if isinstance(e, RetryDenied)]
+        return len(silent.runs), len(other.runs), denied
+
+    silent_runs, other_runs, denied = run_paused(main())
+    assert silent_runs == 1
+    assert other_runs == runs
+    assert (DenyReason.LOAD in denied) is not bool(runs)
+
+
 def test_failed_idempotent_call_goes_to_another_server(network):
     outcome, _ = dispatch(network, [fail, answer], make_call(idempotent=True))
     assert isinstance(outcome, Answered)
