Apply the cold limit of settings that arrive after the announcement

Cause: a node that hears of its server before it has settings starts it at the default cold limit of one. Beside servers with a higher limit it looked full, got no request, and stayed cold for good. Seen in one of four new servers of a process test of a rollout, beside load: matching-v2-1 announced 7 ms before the settings, limit 1, ran nothing in 16 s.

Change: a renewal with another cold limit starts a cold server at that limit.

Result: test_cold_limit_follows_settings_that_come_after_the_announcement was red before (limit 1).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -336,6 +336,7 @@
         """Apply an announcement; a new start id means a cold start."""
         restarted = not announcement.is_same_start(self.announcement)
         self.announcement = announcement
+        changed = cold_limit != self._cold_limit
         self._cold_limit = cold_limit
         self._refused_s = None
         self._limit.set_ceiling(self._get_ceiling())
@@ -347,6 +348,10 @@
             self.relapse(RelapseCause.RESTARTED)
         elif announcement.in_flight is not None:
             self.update_server_in_flight(announcement.in_flight)
+        if changed and not restarted and self._limit.cold:
+            # It was announced before the settings were in force at this node. At the
+            # default limit it might get no work, and never warm up.
+            self._limit.start_cold(self._get_cold_limit())
         self._wake()
 
     def relapse(self, cause: RelapseCause) -> None:
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import msgspec
 import pytest
 from tests.gate_bench import NODE, Bench, paused
 
@@ -277,6 +278,15 @@
     assert (await bench.call("a")).outcome == "answered"
 
 
+@paused
+async def test_cold_limit_follows_settings_that_come_after_the_announcement(bench):
+    """At the default limit a new server got no work beside others, and stayed cold."""
+    default = bench.gate.get_load().limit
+    bench.policy = msgspec.structs.replace(bench.policy, cold_limit=4)
+    bench.announce()
+    assert (default, bench.gate.get_load().limit) == (1, 4)
+
+
 @paused
 async def test_server_returns_cold_after_lease_expiry(bench):
     await bench.warm()
