--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -4,6 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from sapphireway_coordination.quorum._election import handle_vote, run_elections
 from sapphireway_coordination.quorum._follower import (
@@ -79,6 +80,8 @@
     bootstrap : bool, default=False
         Whether a new cluster may be formed if the data folders of all control hosts
         are empty.
+    observe : callable
+        Called with each `EntriesUnanswered`.
 
     Attributes
     ----------
@@ -104,6 +107,7 @@
         rng: random.Random,
         settings: QuorumSettings | None = None,
         bootstrap: bool = False,
+        observe: Callable[[Any], None] = lambda event: None,
     ):
         self._inboxes = {}
         self._query_handler = None
@@ -115,6 +119,7 @@
             rng,
             settings or QuorumSettings(),
             bootstrap,
+            observe,
         )
         self._active_requests = 0
         self._tasks = set()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -57,6 +58,7 @@
         "leader_departed",
         "lock",
         "machine",
+        "observe",
         "peers",
         "pending_commits",
         "pending_members_change",
@@ -79,6 +81,7 @@
         rng: random.Random,
         settings: QuorumSettings,
         bootstrap: bool,
+        observe: Callable[[Any], None] = lambda event: None,
     ):
         self._changed = asyncio.Event()
         self.acked = {}
@@ -99,6 +102,7 @@
         self.leader_departed = asyncio.Event()
         self.lock = asyncio.Lock()
         self.machine = machine
+        self.observe = observe
         self.pending_members_change = None
         self.peers = peers
         self.progress = {}
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replication.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replication.py
@@ -4,6 +4,7 @@
 
 from sapphireway_coordination.quorum._progress import Progress
 from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._types import EntriesUnanswered
 from sapphireway_protocol import (
     AckedPosition,
     Append,
@@ -68,6 +69,11 @@
     sent_s = replica.now()
     reply = await _request(replica, member, message, AppendReply, term)
     if reply is None:
+        if entries:
+            size_bytes = sum(len(entry.data) for entry in entries)
+            replica.observe(
+                EntriesUnanswered(member.address, first, len(entries), size_bytes)
+            )
         return False
     progress.last_contact_s = sent_s
     progress.acked_round = max(progress.acked_round, read_round)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -98,6 +98,24 @@
     data: bytes
 
 
+class EntriesUnanswered(msgspec.Struct, frozen=True):
+    """Event: a member has not answered new entries in time.
+
+    Attributes
+    ----------
+    member : str
+    first : int
+        Journal index of the first of these entries.
+    entries : int
+    size_bytes : int
+    """
+
+    member: str
+    first: int
+    entries: int
+    size_bytes: int
+
+
 class QuorumSettings(msgspec.Struct, frozen=True):
     """Timeouts and size limits of the quorum.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -25,15 +25,23 @@
     peers : Peers
     control_hosts : ControlHostList
     rng : random.Random
+    on_unanswered : callable
+        Called with a host's address, the type of the request, its size in bytes and the
+        seconds waited whenever the host has not answered in time.
     """
 
-    __slots__ = ("_control_hosts", "_leader", "_peers", "_rng")
+    __slots__ = ("_control_hosts", "_leader", "_on_unanswered", "_peers", "_rng")
 
     def __init__(
-        self, peers: Peers, control_hosts: ControlHostList, rng: random.Random
+        self,
+        peers: Peers,
+        control_hosts: ControlHostList,
+        rng: random.Random,
+        on_unanswered: Callable[[str, str, int, float], None] = lambda *fields: None,
     ):
         self._control_hosts = control_hosts
         self._leader = None
+        self._on_unanswered = on_unanswered
         self._peers = peers
         self._rng = rng
 
@@ -103,6 +111,8 @@
                     return last, reply.body, False
                 maybe_applied |= last.maybe_applied
             else:
+                waited_s = loop.time() - sent_s
+                self._on_unanswered(host, type(request).__name__, len(body), waited_s)
                 maybe_applied = True
                 self._leader = None
             if maybe_applied and not resend:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -51,6 +51,9 @@
         Called with the reason when a version is applied without being saved.
     on_fetch_failed : callable
         Called with the address of a peer that did not answer.
+    on_fetched : callable
+        Called with the address of a peer, the bytes of its update and the seconds that
+        the fetch took.
 
     Attributes
     ----------
@@ -68,6 +71,7 @@
         "_latest_state",
         "_on_change",
         "_on_fetch_failed",
+        "_on_fetched",
         "_on_save_failed",
         "_peers",
         "_save_task",
@@ -87,12 +91,14 @@
         disk: Disk | None = None,
         on_save_failed: Callable[[DiskFailed], None] = lambda failed: None,
         on_fetch_failed: Callable[[str], None] = lambda peer: None,
+        on_fetched: Callable[[str, int, float], None] = lambda peer, size, took_s: None,
     ):
         self._disk = disk
         self._update_cache = {}
         self._last_fetch_s = 0.0
         self._fetch_tasks = {}
         self._on_fetch_failed = on_fetch_failed
+        self._on_fetched = on_fetched
         self._on_change = on_change
         self._on_save_failed = on_save_failed
         self._peers = peers
@@ -179,6 +185,8 @@
             state.routes.version,
             state.rollouts_version,
         )
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
         reply = await self._peers.request(
             sender, request, FETCH_TIMEOUT_S, resend_s=FETCH_RESEND_S
         )
@@ -186,6 +194,7 @@
             self._on_fetch_failed(sender)
         if reply is None or not reply.body:
             return None
+        self._on_fetched(sender, len(reply.body), loop.time() - sent_s)
         update = _decode(reply.body)
         if update is None:
             # The next message from any peer with a newer version triggers a fetch.
--- a/packages/sapphireway-coordination/tests/test_control_client.py
+++ b/packages/sapphireway-coordination/tests/test_control_client.py
@@ -127,3 +127,19 @@
     result, elapsed_s = run_paused(run())
     assert result == ReadResult(7, b"state")
     assert elapsed_s <= 1.0 + ATTEMPT_TIMEOUT_S + 1.0
+
+
+def test_unanswered_attempts_are_reported_with_host_and_wait():
+    async def run():
+        cluster = await start_cluster()
+        client = cluster.open_client()
+        reported = []
+        client._on_unanswered = lambda *fields: reported.append(fields)
+        for address in cluster.addresses:
+            cluster.network.cut(address, "client0")
+        await client.propose(b"abc", 3.0)
+        return reported
+
+    reported = run_paused(run())
+    assert {host for host, *_ in reported} == {"c0", "c1", "c2"}
+    assert all(fields[1:] == ("Propose", 3, 1.0) for fields in reported[:2])
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -106,6 +106,23 @@
     assert run_paused(run()) == ([(0, 0, 0, 0), (7, 0, 0, 0)], [800] * 5)
 
 
+def test_fetch_reports_peer_size_and_duration(network, machine):
+    async def run():
+        source, node = Node(network, "source"), Node(network, "node")
+        fetched = []
+        node.channel._on_fetched = lambda *fields: fetched.append(fields)
+        set_deadline(machine, 7, 700)
+        await source.sync_from(machine)
+        source.peers.send("node", Probe("s"))
+        await asyncio.sleep(0.1)
+        return fetched
+
+    ((peer, size, took_s),) = run_paused(run())
+    assert peer == "source"
+    assert size > 0
+    assert took_s == pytest.approx(0.001)  # one round trip
+
+
 def test_settings_fetched_from_nodes_without_control_host(network, machine):
     async def run():
         nodes = {name: Node(network, name) for name in ("control", "a", "b")}
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -126,6 +126,7 @@
                 else 0.0,
             ),
             bootstrap=settings.bootstrap,
+            observe=self._log_entries_unanswered,
         )
         self._quorum.serve_queries(self._machine.read)
         self._confirmation_source = ConfirmationSource(
@@ -187,6 +188,9 @@
         """Return the quorum's status as known to this host."""
         return self._quorum.get_status()
 
+    def _log_entries_unanswered(self, event):
+        self._log.warning("entries_unanswered", **msgspec.structs.asdict(event))
+
     async def _watch_quorum(self):
         logged = None
         while True:
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -93,7 +93,7 @@
     endpoint = ZmqEndpoint(settings.address)
     peers = Peers(endpoint, incarnation, lambda: applied.version)
     control_hosts = ControlHostList(settings.control_hosts)
-    control_client = ControlClient(peers, control_hosts, rng)
+    control_client = ControlClient(peers, control_hosts, rng, _make_unanswered_log(log))
     publisher = Publisher(control_client, make_edit_id_generator(incarnation))
     holder = ClaimHolder(
         peers,
@@ -115,6 +115,7 @@
         disk,
         _make_save_failure_log(log),
         lambda peer: log.warning("settings_not_fetched", peer=peer),
+        _make_fetch_log(log),
     )
     peers.observe = channel.observe
     registration = ServerRegistration(lambda: channel.in_force_since_s)
@@ -156,6 +157,28 @@
     return read_group
 
 
+def _make_unanswered_log(log):
+    def log_unanswered(host, request, size, waited_s):
+        log.warning(
+            "control_request_unanswered",
+            host=host,
+            request=request,
+            bytes=size,
+            waited_ms=round(1000 * waited_s, 1),
+        )
+
+    return log_unanswered
+
+
+def _make_fetch_log(log):
+    def log_fetch(peer, size, took_s):
+        log.info(
+            "settings_fetched", peer=peer, bytes=size, took_ms=round(1000 * took_s, 1)
+        )
+
+    return log_fetch
+
+
 def _make_save_failure_log(log):
     def log_save_failure(failed):
         log.warning("settings_not_saved", file=failed.name, detail=failed.detail)
