--- a/packages/sapphireway-transport/src/sapphireway_transport/memory/_network.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/memory/_network.py
@@ -7,6 +7,7 @@
 from sapphireway_transport._endpoint import Receiver
 
 DEFAULT_DELAY_S = 0.0005
+FRAMING_BYTES = 60  # of each message on a link with a rate
 
 
 def _get_default_delay(sender, receiver):
@@ -22,6 +23,12 @@
         Source of every random decision.
     delay : callable, default=0.5 ms for all pairs
         ``delay(sender, receiver)`` returns the one-way delay in seconds.
+
+    Attributes
+    ----------
+    rates : dict of str to float
+        Bytes per second in each direction of the link of an address; messages queue
+        for it. Links of other addresses have no limit.
     """
 
     __slots__ = (
@@ -30,12 +37,14 @@
         "_endpoints",
         "_frozen",
         "_held_back",
+        "_link_free_s",
         "_rng",
         "bytes_sent",
         "drop_rate",
         "duplicate_rate",
         "jitter_s",
         "messages_sent",
+        "rates",
     )
 
     def __init__(
@@ -49,11 +58,13 @@
         self._cut_links = set()
         self._frozen = set()
         self._held_back = {}
+        self._link_free_s = {}
         self.drop_rate = 0.0
         self.duplicate_rate = 0.0
         self.jitter_s = 0.0
         self.messages_sent = 0
         self.bytes_sent = 0
+        self.rates = {}
 
     def open_endpoint(self, address: str) -> "MemoryEndpoint":
         """Return an endpoint that replaces any earlier one at `address`."""
@@ -97,11 +108,24 @@
         for _ in range(copies):
             delay_s = self._delay(sender, receiver)
             delay_s += self._rng.random() * self.jitter_s
+            delay_s += self._queue(sender, receiver, frames)
             asyncio.get_running_loop().call_later(
                 delay_s, self._deliver, sender, receiver, frames
             )
         return True
 
+    def _queue(self, sender, receiver, frames):
+        """Return how long a message takes to pass both links with their queues."""
+        now_s = asyncio.get_running_loop().time()
+        size = FRAMING_BYTES + sum(map(len, frames))
+        passed_s = now_s
+        for link in (("out", sender), ("in", receiver)):
+            rate = self.rates.get(link[1])
+            if rate is not None:
+                passed_s = max(passed_s, self._link_free_s.get(link, 0.0)) + size / rate
+                self._link_free_s[link] = passed_s
+        return passed_s - now_s
+
     def remove(self, endpoint: "MemoryEndpoint") -> None:
         """Forget a closed endpoint."""
         if self._endpoints.get(endpoint.address) is endpoint:
