Send a large settings reply once for each request, and use a late one

Callers saw 504 and 404 for most requests: after a change over thousands of routes nodes were seconds behind, or never caught up, and tables filled the links that requests use.

Cause: a fetch repeats its request every 150 ms, and the peer sent the table again for each copy; a reply after the second that a fetch waits was dropped and requested again. Once a table took longer than that on a link, its copies kept every later one from arriving.

Change: a reply above 4 KiB is sent once for each request, and a late reply is applied. A reply that was lost is still requested again after a second, and from other peers after 250 ms.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -24,6 +24,9 @@
 COMPRESSION_LEVEL = 6
 DECOMPRESSED_UPDATE_MAX_BYTES = 16 * 1024 * 1024
 CACHED_UPDATES_MAX = 8
+# A larger reply is sent once for each request: on a weak link, copies of it delay the
+# first one by more than a lost reply would.
+REPEATED_REPLY_MAX_BYTES = 4096
 SETTINGS_FILE = "settings"
 # Longest that a version waits for the disk before it is applied: much longer than an
 # fsync, and below the second within which an edit is in force on most nodes.
@@ -64,10 +67,12 @@
     """
 
     __slots__ = (
+        "_answered_requests",
         "_apply_lock",
         "_disk",
         "_fetch_tasks",
         "_last_fetch_s",
+        "_late_tasks",
         "_latest_state",
         "_on_change",
         "_on_fetch_failed",
@@ -93,9 +98,11 @@
         on_fetch_failed: Callable[[str], None] = lambda peer: None,
         on_fetched: Callable[[str, int, float], None] = lambda peer, size, took_s: None,
     ):
+        self._answered_requests = {}
         self._disk = disk
         self._update_cache = {}
         self._last_fetch_s = 0.0
+        self._late_tasks = set()
         self._fetch_tasks = {}
         self._on_fetch_failed = on_fetch_failed
         self._on_fetched = on_fetched
@@ -110,6 +117,7 @@
         self.in_force_since_s = 0.0
         self.rejected_updates = 0
         peers.handle(FetchSettings, self._handle_fetch)
+        peers.handle_late_reply(FetchSettingsReply, self._handle_late_reply)
 
     async def load(self) -> None:
         """Apply the settings that were saved before the last restart."""
@@ -124,6 +132,8 @@
 
     def observe(self, sender: str, envelope: Envelope) -> None:
         """Fetch the settings of the sender if its version is newer."""
+        if isinstance(envelope.message, FetchSettingsReply):
+            return  # it brings the settings along
         if envelope.settings_version > self._state.version:
             self.fetch_from(sender)
 
@@ -195,21 +205,34 @@
         if reply is None or not reply.body:
             return None
         self._on_fetched(sender, len(reply.body), loop.time() - sent_s)
-        update = _decode(reply.body)
+        return await self._decode_and_apply(reply.body)
+
+    async def _decode_and_apply(self, body):
+        update = _decode(body)
         if update is None:
             # The next message from any peer with a newer version triggers a fetch.
             self.rejected_updates += 1
             return None
         return await self.save_and_apply(update)
 
+    def _handle_late_reply(self, sender, envelope):
+        if envelope.message.version > self._state.version and envelope.body:
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._decode_and_apply(envelope.body))
+            self._late_tasks.add(task)
+            task.add_done_callback(self._late_tasks.discard)
+
     def _handle_fetch(self, sender, envelope):
         request = envelope.message
         body = b""
         if self._state.version > request.version:
             body = self._get_encoded_update(request)
-        self._peers.reply(
-            sender, envelope, FetchSettingsReply(self._state.version), body
-        )
+        if len(body) > REPEATED_REPLY_MAX_BYTES:
+            if self._answered_requests.get(sender) == envelope.request_id:
+                return
+        reply = FetchSettingsReply(self._state.version)
+        if self._peers.reply(sender, envelope, reply, body):
+            self._answered_requests[sender] = envelope.request_id
 
     def _get_encoded_update(self, request):
         # After an edit, hundreds of nodes fetch the same update from a control host.
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -1,11 +1,13 @@
 import asyncio
 import random
+import zlib
 
 import msgspec
 import pytest
 
 from sapphireway_coordination import (
     GROUP_PREFIX,
+    ROUTE_PREFIX,
     TREE_PREFIX,
     AppliedState,
     ControlHostList,
@@ -23,7 +25,18 @@
     ServerEntry,
     SettingsUpdate,
 )
-from sapphireway_state import Edit, SetValue, UpdateResult
+from sapphireway_state import (
+    Edit,
+    Publish,
+    RequestKind,
+    Route,
+    RouteTable,
+    RouteTarget,
+    ServiceSpec,
+    SetValue,
+    UpdateResult,
+    encode_publish,
+)
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, run_paused
 
 
@@ -353,3 +366,40 @@
         return node.read_deadline()
 
     assert run_paused(run()) == 700
+
+
+def publish_routes(machine, index, count):
+    routes = tuple(
+        Route(
+            f"r{i:x}-{random.Random(i).randbytes(6).hex()}",
+            "host",
+            f"/{i:x}/",
+            RequestKind.IDEMPOTENT,
+            1000.0,
+            (RouteTarget("s"),),
+        )
+        for i in range(count)
+    )
+    current = machine.routes.table.number
+    table = RouteTable(current + 1, (ServiceSpec("s"),), ("host",), routes)
+    order = Publish(b"%d" % index, current, table)
+    machine.apply(index, ROUTE_PREFIX + encode_publish(order))
+
+
+def test_copies_of_a_request_get_one_large_reply(network, machine):
+    # Guards against copies of a table that fill the link of a slow node.
+    async def run():
+        source, node = Node(network, "source"), Node(network, "node")
+        publish_routes(machine, 3, 2000)
+        await source.sync_from(machine)
+        network.rates["node"] = 25_000  # the table takes longer than a request waits
+        before = network.bytes_sent
+        source.peers.send("node", Probe("s"))
+        await asyncio.sleep(5.0)
+        size = len(zlib.compress(msgspec.msgpack.encode(machine.make_update(0, 0))))
+        return node.state.version, size, network.bytes_sent - before
+
+    version, size, sent = run_paused(run())
+    assert version == 3
+    assert size > 25_000
+    assert sent < 1.5 * size
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_peers.py
@@ -47,6 +47,7 @@
         "_endpoint",
         "_get_settings_version",
         "_handlers",
+        "_late_reply_handlers",
         "_pending_replies",
         "_request_ids",
         "_started_s",
@@ -69,6 +70,7 @@
         self._endpoint = endpoint
         self._get_settings_version = get_settings_version
         self._handlers = {}
+        self._late_reply_handlers = {}
         self._request_ids = itertools.count(_derive_first_request_id(incarnation))
         self._pending_replies = {}
         self._started_s = None
@@ -108,6 +110,14 @@
         """Register the handler for messages of one type that are not replies."""
         self._handlers[message_type] = handler
 
+    def handle_late_reply(self, message_type: type, handler: Handler) -> None:
+        """Register the handler for replies of one type to requests that have ended.
+
+        A large reply over a slow link may take longer than its request waits. Copies of
+        a reply, and replies to an earlier process at this address, are passed on too.
+        """
+        self._late_reply_handlers[message_type] = handler
+
     def add_departure_listener(self, listener: Handler) -> None:
         """Call `listener` with each `Departed`, also a late or repeated one."""
         self._departure_listeners.append(listener)
@@ -193,8 +203,9 @@
             _, future = self._pending_replies.get(envelope.reply_to, (None, None))
             if future is not None and not future.done():
                 future.set_result(envelope)
-            return
-        handler = self._handlers.get(type(envelope.message))
+                return
+        handlers = self._late_reply_handlers if envelope.reply_to else self._handlers
+        handler = handlers.get(type(envelope.message))
         if handler is not None:
             handler(sender, envelope)
 
--- a/packages/sapphireway-protocol/tests/test_peers.py
+++ b/packages/sapphireway-protocol/tests/test_peers.py
@@ -86,3 +86,21 @@
         return peers.malformed_count
 
     assert run_paused(exchange()) == 1
+
+
+def test_late_reply_reaches_its_handler(network):
+    async def exchange():
+        requester, responder = open_peers(network, "a"), open_peers(network, "b")
+        late = []
+        requester.handle_late_reply(ProbeReply, lambda *reply: late.append(reply))
+        responder.handle(
+            Probe,
+            lambda sender, envelope: asyncio.get_running_loop().call_later(
+                0.5, responder.reply, sender, envelope, ProbeReply(None), b"body"
+            ),
+        )
+        reply = await requester.request("b", Probe("s"), timeout_s=0.1)
+        await asyncio.sleep(1.0)
+        return reply, [(sender, envelope.body) for sender, envelope in late]
+
+    assert run_paused(exchange()) == (None, [("b", b"body")])
