Send the changes between routing tables instead of whole tables

Cause: each change of one route sent the table of all routes to every node, over links of 2 Mbit/s: with 1,900 routes 25 kB for each node and change.

Change: a node keeps the steps between its last 32 tables and sends the steps that a peer lacks, where they are shorter than the table. The steps of the versions between travel along, so that any node can serve any other. A digest guards against steps that lead from another table of the same version; then the whole table is fetched. Peers of an earlier release, which don't ask for steps, get whole tables as before.

Ruled out: one combined patch from the peer's version.

Tests: test_change_of_one_route_sends_that_route_only (red without the change: the second fetch sends the whole table), test_patch_of_another_table_is_ replaced_by_the_whole_one, test_peer_of_an_earlier_release_gets_the_whole_table.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
@@ -1,5 +1,7 @@
 """The replicated state that a node has applied."""
 
+import collections
+import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -11,12 +13,49 @@
     RouteView,
     SettingsFollower,
     SettingsView,
+    TablePatch,
     UpdateResult,
+    apply_patch,
     decode_rollouts,
+    digest_table,
     encode_rollouts,
+    make_patch,
+    reuse_items,
 )
 
 NO_VERSION = -1  # of a node that has nothing yet; requests the full state
+# In a storm of changes, a node that is some seconds behind still gets patches.
+STEPS_MAX = 32
+
+
+class RoutesStep(msgspec.Struct, frozen=True, array_like=True):
+    """Changes between two versions of the routing table.
+
+    Attributes
+    ----------
+    since, version : int
+    patch : TablePatch
+    """
+
+    since: int
+    version: int
+    patch: TablePatch
+
+
+class RoutesPatch(msgspec.Struct, frozen=True, array_like=True):
+    """Consecutive steps from one version of the routing table to another.
+
+    The receiver passes them on to nodes that have one of the versions between.
+
+    Attributes
+    ----------
+    steps : list of RoutesStep
+    digest : bytes
+        Digest of the resulting table.
+    """
+
+    steps: list[RoutesStep]
+    digest: bytes
 
 
 class AppliedState:
@@ -44,6 +83,7 @@
         "_groups",
         "_on_group",
         "_rollouts",
+        "_routes_steps",
         "_tree",
         "groups_version",
         "rejection_reason",
@@ -57,6 +97,7 @@
         self._groups = {}
         self._on_group = on_group
         self._rollouts = {}
+        self._routes_steps = collections.deque(maxlen=STEPS_MAX)
         self._tree = SettingsFollower()
         self.rejection_reason = ""
         self.groups_version = 0
@@ -86,6 +127,7 @@
         copy.groups_version = self.groups_version
         copy._rollouts = self._rollouts
         copy.rollouts_version = self.rollouts_version
+        copy._routes_steps = self._routes_steps.copy()
         copy.routes = self.routes
         copy.version = self.version
         return copy
@@ -96,8 +138,15 @@
         groups_version: int,
         routes_version: int = 0,
         rollouts_version: int = 0,
+        accepts_patch: bool = False,
     ) -> SettingsUpdate:
         """Return the changes since the versions that a node has."""
+        routes = encode_routes(self.routes.table, self.routes.version, routes_version)
+        routes_since = 0
+        if routes and routes_version > 0 and accepts_patch:
+            patch = self._encode_patch(routes_version)
+            if patch and len(patch) < len(routes):
+                routes, routes_since = patch, routes_version
         tree = b""
         if tree_version != self.view.version:
             tree = self._tree.encode_changes(tree_version)
@@ -114,23 +163,27 @@
             self.groups_version,
             groups,
             self.routes.version,
-            encode_routes(self.routes.table, self.routes.version, routes_version),
+            routes,
             self.rollouts_version,
             b""
             if rollouts_version == self.rollouts_version
             else encode_rollouts(self._rollouts.values()),
+            routes_since,
         )
 
     def apply(self, update: SettingsUpdate) -> UpdateResult:
         """Apply an update atomically."""
         if update.version <= self.version:
             return UpdateResult.OLD
-        routes = None
+        routes, routes_steps = None, ()
         if update.routes and update.routes_version > self.routes.version:
-            routes = _decode_routes(update)
-            if routes is None:
+            decoded = self._decode_routes(update)
+            if decoded is None:
                 self.rejection_reason = "the routing table cannot be decoded"
                 return UpdateResult.BROKEN
+            if decoded is UpdateResult.NEEDS_WHOLE:
+                return decoded
+            routes, routes_steps = decoded
         rollouts = None
         if update.rollouts and update.rollouts_version > self.rollouts_version:
             rollouts = decode_rollouts(update.rollouts)
@@ -152,6 +205,9 @@
             self.groups_version = update.groups_version
         if routes is not None:
             self.routes = routes
+            if not routes_steps:
+                self._routes_steps.clear()
+            self._routes_steps.extend(routes_steps)
         if rollouts is not None:
             self._rollouts = rollouts
             self.rollouts_version = update.rollouts_version
@@ -160,15 +216,46 @@
             self._on_group(group)
         return UpdateResult.NEW
 
+    def _encode_patch(self, since):
+        """Return the steps since a version; empty if they aren't known."""
+        steps = list(
+            itertools.dropwhile(lambda step: step.since != since, self._routes_steps)
+        )
+        if not steps:
+            return b""
+        return msgspec.msgpack.encode(
+            RoutesPatch(steps, digest_table(self.routes.table))
+        )
+
+    def _decode_routes(self, update):
+        """Return the view of an update's table, and the steps that lead to it.
+
+        Returns None if the update can't be decoded, and `NEEDS_WHOLE` if its steps lead
+        from another table.
+        """
+        try:
+            if not update.routes_since:
+                table = msgspec.msgpack.decode(update.routes, type=RouteTable)
+                return self._compare_routes(table, update.routes_version)
+            change = msgspec.msgpack.decode(update.routes, type=RoutesPatch)
+        except msgspec.MsgspecError:
+            return None
+        table, version = self.routes.table, self.routes.version
+        for step in change.steps:
+            if step.since != version:
+                return UpdateResult.NEEDS_WHOLE
+            table, version = apply_patch(table, step.patch), step.version
+        if digest_table(table) != change.digest:
+            return UpdateResult.NEEDS_WHOLE
+        return RouteView(table, version), change.steps
+
+    def _compare_routes(self, table, version):
+        table = reuse_items(table, self.routes.table)
+        patch = make_patch(self.routes.table, table)
+        steps = [RoutesStep(self.routes.version, version, patch)] if patch else []
+        return RouteView(table, version), steps
+
 
 def encode_routes(table: RouteTable, version: int, known_version: int) -> bytes:
     """Return an encoded routing table; empty if `known_version` is current."""
     return b"" if version == known_version else msgspec.msgpack.encode(table)
-
-
-def _decode_routes(update):
-    try:
-        table = msgspec.msgpack.decode(update.routes, type=RouteTable)
-    except msgspec.MsgspecError:
-        return None
-    return RouteView(table, update.routes_version)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -180,13 +180,17 @@
     async def _fetch(self, sender):
         try:
             state = self._state
-            result = await self._fetch_since(sender, state.view.version)
+            version = state.version
+            result = await self._fetch_since(sender, state.view.version, True)
             if result is UpdateResult.NEEDS_WHOLE:
-                await self._fetch_since(sender, NO_VERSION)
+                # The update of another peer may have been applied meanwhile.
+                moved = state.version != version
+                tree_version = state.view.version if moved else NO_VERSION
+                await self._fetch_since(sender, tree_version, moved)
         finally:
             del self._fetch_tasks[sender]
 
-    async def _fetch_since(self, sender, tree_version):
+    async def _fetch_since(self, sender, tree_version, accepts_patch):
         state = self._state
         request = FetchSettings(
             state.version,
@@ -194,6 +198,7 @@
             state.groups_version,
             state.routes.version,
             state.rollouts_version,
+            accepts_patch,
         )
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
@@ -241,6 +246,7 @@
             request.groups_version,
             request.routes_version,
             request.rollouts_version,
+            request.accepts_patch,
         )
         key = self._state.version, *known_versions
         encoded = self._update_cache.get(key)
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -18,6 +18,7 @@
     SettingsChannel,
 )
 from sapphireway_protocol import (
+    FetchSettings,
     GroupHolder,
     NodeEntry,
     Peers,
@@ -116,7 +117,8 @@
             await asyncio.sleep(0.1)
         return requested, [node.read_deadline() for node in nodes]
 
-    assert run_paused(run()) == ([(0, 0, 0, 0), (7, 0, 0, 0)], [800] * 5)
+    expected = [(0, 0, 0, 0, True), (7, 0, 0, 0, True)]
+    assert run_paused(run()) == (expected, [800] * 5)
 
 
 def test_fetch_reports_peer_size_and_duration(network, machine):
@@ -403,3 +405,52 @@
     assert version == 3
     assert size > 25_000
     assert sent < 1.5 * size
+
+
+def test_change_of_one_route_sends_that_route_only(network, machine):
+    # Guards against tables of thousands of routes that are sent whole for each change.
+    async def run():
+        source, node = Node(network, "source"), Node(network, "node")
+        sent = []
+        for index, count in ((3, 2000), (4, 2001)):
+            publish_routes(machine, index, count)
+            update = machine.make_update(0, 0, source.state.routes.version)
+            await source.channel.save_and_apply(update)
+            before = network.bytes_sent
+            source.peers.send("node", Probe("s"))
+            await asyncio.sleep(1.0)
+            sent.append(network.bytes_sent - before)
+        return node.state.routes.table, sent
+
+    table, (whole, change) = run_paused(run())
+    assert table == machine.routes.table
+    assert change < whole / 20
+
+
+def test_patch_of_another_table_is_replaced_by_the_whole_one(network, machine):
+    async def run():
+        source, node = Node(network, "source"), Node(network, "node")
+        other = ControlMachine()
+        publish_routes(other, 3, 5)
+        await node.channel.save_and_apply(other.make_update(0, 0))
+        for index, count in ((3, 7), (4, 8)):
+            publish_routes(machine, index, count)
+            update = machine.make_update(0, 0, source.state.routes.version)
+            await source.channel.save_and_apply(update)
+        source.peers.send("node", Probe("s"))
+        await asyncio.sleep(1.0)
+        return node.state.routes.table
+
+    assert run_paused(run()) == machine.routes.table
+
+
+def test_peer_of_an_earlier_release_gets_the_whole_table(machine):
+    state = AppliedState()
+    for index, count in ((3, 7), (4, 8)):
+        publish_routes(machine, index, count)
+        state.apply(machine.make_update(0, 0, state.routes.version))
+    content = msgspec.msgpack.encode(["fetch_settings", 3, 0, 0, 3])
+    request = msgspec.msgpack.decode(content, type=FetchSettings)
+    update = state.make_update(0, 0, 3, 0, request.accepts_patch)
+    assert update.routes_since == 0
+    assert msgspec.msgpack.decode(update.routes, type=RouteTable) == state.routes.table
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_settings.py
@@ -21,6 +21,9 @@
         Version of the sender's routing table.
     rollouts_version : int
         Version of the sender's rollouts.
+    accepts_patch : bool
+        Whether the reply may hold the changes to the sender's routing table instead of
+        the whole one.
     """
 
     version: int
@@ -28,6 +31,7 @@
     groups_version: int
     routes_version: int = 0
     rollouts_version: int = 0
+    accepts_patch: bool = False
 
 
 class FetchSettingsReply(
@@ -60,10 +64,14 @@
         None if that version is current.
     routes_version : int
     routes : bytes
-        The routing table; empty if the requester's version is current.
+        The routing table, or a `RoutesPatch`; empty if the requester's version is
+        current.
     rollouts_version : int
     rollouts : bytes
         The rollouts; empty if the requester's version is current.
+    routes_since : int
+        Version of the table that the steps in `routes` lead from; 0 if `routes` is a
+        whole table.
     """
 
     version: int
@@ -74,6 +82,7 @@
     routes: bytes = b""
     rollouts_version: int = 0
     rollouts: bytes = b""
+    routes_since: int = 0
 
 
 class AskConfirmation(
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -139,9 +139,7 @@
     RouteTable,
     RouteTarget,
     ServiceSpec,
-    TablePatch,
     Workspace,
-    apply_patch,
     check_table,
     digest_access_key,
 )
@@ -155,6 +153,13 @@
 )
 from sapphireway_state._service_loss import takes_out_of_service
 from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
+from sapphireway_state._table_patch import (
+    TablePatch,
+    apply_patch,
+    digest_table,
+    make_patch,
+    reuse_items,
+)
 from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
@@ -279,6 +284,7 @@
     "decode_snapshot",
     "describe_rollout",
     "digest_access_key",
+    "digest_table",
     "dump_yaml",
     "encode_answer",
     "encode_edit",
@@ -302,11 +308,13 @@
     "load_process_settings",
     "load_tree",
     "load_vote",
+    "make_patch",
     "parse_process_settings",
     "parse_tree",
     "parse_yaml",
     "read_token",
     "recover_as_sole_voter",
+    "reuse_items",
     "save_vote",
     "summarize_domains",
     "takes_out_of_service",
--- a/packages/sapphireway-state/src/sapphireway_state/_routes.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_routes.py
@@ -160,67 +160,11 @@
     workspaces: tuple[Workspace, ...] = ()
 
 
-class TablePatch(msgspec.Struct, frozen=True):
-    """Items to add, replace or remove by name.
-
-    Attributes
-    ----------
-    number : int
-        Number of the resulting table.
-    services, routes : tuple
-        Items to add, or to replace those with the same name.
-    limits : CallerLimits or None
-    removed_services, removed_routes, removed_hosts : tuple of str
-    workspaces : tuple of Workspace
-        Workspaces to add, or to replace those with the same name.
-    removed_workspaces : tuple of str
-    """
-
-    number: int
-    services: tuple[ServiceSpec, ...] = ()
-    routes: tuple[Route, ...] = ()
-    limits: CallerLimits | None = None
-    removed_services: tuple[str, ...] = ()
-    removed_routes: tuple[str, ...] = ()
-    removed_hosts: tuple[str, ...] = ()
-    workspaces: tuple[Workspace, ...] = ()
-    removed_workspaces: tuple[str, ...] = ()
-
-
 def digest_access_key(key: str) -> str:
     """Return the start of an API key's SHA-256, which may be logged."""
     return hashlib.sha256(key.encode()).hexdigest()[:ACCESS_DIGEST_CHARS]
 
 
-def apply_patch(table: RouteTable, patch: TablePatch) -> RouteTable:
-    """Return a copy of `table` with the patch applied."""
-    services = {
-        s.name: s for s in table.services if s.name not in patch.removed_services
-    }
-    services |= {service.name: service for service in patch.services}
-    routes = {
-        route.name: route
-        for route in table.routes
-        if route.name not in patch.removed_routes
-        and route.host not in patch.removed_hosts
-    }
-    routes |= {route.name: route for route in patch.routes}
-    hosts = dict.fromkeys(h for h in table.hosts if h not in patch.removed_hosts)
-    hosts |= dict.fromkeys(route.host for route in patch.routes)
-    workspaces = {
-        w.name: w for w in table.workspaces if w.name not in patch.removed_workspaces
-    }
-    workspaces |= {workspace.name: workspace for workspace in patch.workspaces}
-    return RouteTable(
-        patch.number,
-        tuple(services.values()),
-        tuple(hosts),
-        tuple(routes.values()),
-        patch.limits or table.limits,
-        tuple(workspaces.values()),
-    )
-
-
 def check_table(table: RouteTable) -> list[Problem]:
     """Return up to `PROBLEMS_MAX` problems of a table."""
     problems = []
--- a/packages/sapphireway-state/tests/test_routes.py
+++ b/packages/sapphireway-state/tests/test_routes.py
@@ -13,6 +13,7 @@
     apply_patch,
     check_table,
     digest_access_key,
+    make_patch,
 )
 
 SERVICES = (ServiceSpec("ledger"), ServiceSpec("matching"))
@@ -150,3 +151,25 @@
     patch = TablePatch(2, workspaces=(changed, added), removed_workspaces=("c",))
     assert apply_patch(table, patch).workspaces == (workspaces[0], changed, added)
     assert apply_patch(table, TablePatch(2)).workspaces == workspaces
+
+
+@pytest.mark.parametrize(
+    "new",
+    [
+        make_table(make_route("a"), make_route("b", timeout_ms=5.0), number=2),
+        make_table(make_route("b"), make_route("d", host="d.example"), number=2),
+        make_table(make_route("a"), number=2, services=SERVICES[:1]),
+        RouteTable(2, SERVICES, ("a.example", "empty.example"), (make_route("a"),)),
+        RouteTable(2, SERVICES, limits=CallerLimits(5), workspaces=(Workspace("w"),)),
+    ],
+    ids=["changed", "other-route", "removed", "host", "limits"],
+)
+def test_patch_between_two_tables_gives_the_new_one(new):
+    old = make_table(make_route("a"), make_route("b"))
+    old = msgspec.structs.replace(old, workspaces=(Workspace("v"),))
+    assert apply_patch(old, make_patch(old, new)) == new
+
+
+def test_no_patch_for_reordered_routes():
+    old = make_table(make_route("a"), make_route("b"))
+    assert make_patch(old, make_table(make_route("b"), make_route("a"))) is None
