Count entries that a member confirms late

Operators got no acknowledgement of a large configuration, however long they waited: 960 kB to four members over links of 4 MB/s was not committed in 30 s.

Cause: the leader waits 250 ms for the reply to entries, and a later reply was dropped. The heartbeats that follow confirm only what came before the entries, so the leader sent them again and again, though members had stored them.

Change: a late reply of the leader's term counts. It names the last entry that the member holds durably, so what is counted is as durable as before.

Test: test_large_command_is_committed_over_slow_links[12000-4000000.0], red before, green now. [5000-1000000.0] stays listed: the command is committed, the client doesn't hear of it in time.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -4,6 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 from sapphireway_coordination.quorum._election import handle_vote, run_elections
@@ -15,6 +16,7 @@
 from sapphireway_coordination.quorum._leader import confirm_leadership, lead
 from sapphireway_coordination.quorum._members import change_members, handle_join
 from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._replication import handle_late_reply
 from sapphireway_coordination.quorum._requests import handle_change, handle_query
 from sapphireway_coordination.quorum._start import (
     handle_bootstrap,
@@ -34,6 +36,7 @@
 )
 from sapphireway_protocol import (
     Append,
+    AppendReply,
     Bootstrap,
     ChangeMembers,
     EntryKind,
@@ -131,6 +134,9 @@
         await open_data_folder(replica)
         for message_type in _HANDLERS:
             replica.peers.handle(message_type, self._receive)
+        replica.peers.handle_late_reply(
+            AppendReply, partial(handle_late_reply, replica)
+        )
         replica.peers.handle(Join, self._receive_join)
         replica.peers.add_departure_listener(
             lambda sender, envelope: replica.handle_departure(sender)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replication.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replication.py
@@ -9,6 +9,7 @@
     AckedPosition,
     Append,
     AppendReply,
+    Envelope,
     QuorumMember,
     SnapshotChunk,
     SnapshotReply,
@@ -83,6 +84,20 @@
     return True
 
 
+def handle_late_reply(replica: Replica, sender: str, envelope: Envelope) -> None:
+    """Count entries that a member has confirmed later than the leader waited for it.
+
+    Otherwise entries that take longer than that on a link are sent again without end.
+    """
+    reply = envelope.message
+    progress = replica.progress.get(reply.disk_id)
+    if progress is None or not reply.ok or not replica.is_leading(reply.term):
+        return
+    _record_confirmed(replica, reply.disk_id, progress, reply.index)
+    replica.notify()
+    progress.wake.set()
+
+
 def _list_acked(replica):
     return [
         AckedPosition(member.disk_id, *replica.acked[member.disk_id])
@@ -95,16 +110,20 @@
     if not reply.ok:
         progress.next_index = max(1, min(reply.index, progress.next_index - 1))
         return
+    _record_confirmed(replica, member.disk_id, progress, reply.index)
+
+
+def _record_confirmed(replica, disk_id, progress, index):
     last_index = replica.journal.last_index
     check_invariant(
-        reply.index <= last_index,
-        f"{member.address} acknowledged entry {reply.index} beyond the journal's end",
+        index <= last_index,
+        f"disk {disk_id} acknowledged entry {index} beyond the journal's end",
     )
-    progress.match_index = max(progress.match_index, reply.index)
+    progress.match_index = max(progress.match_index, index)
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     local_term = replica.journal.get_term(progress.match_index)
     if local_term is not None:
-        replica.record_ack(member.disk_id, local_term, progress.match_index)
+        replica.record_ack(disk_id, local_term, progress.match_index)
 
 
 async def _send_snapshot(replica, member, progress, term):
