Commit copies of an open command once

Cause: a client, and an operator through other hosts, sends a command again each second. The leader appended each copy, so a command that was slow to replicate was followed by copies of the same size on the same links.

Change: copies of a command that is not committed yet share its entry and its outcome. A caller that gives up no longer cancels the outcome for the others. Commands carry the id of their edit or the digest of their order, so equal commands are the same one.

Test: test_copies_of_an_open_command_are_committed_once, red without the change.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -156,7 +156,11 @@
         self._replica.role = Role.STOPPED
 
     async def propose(self, command: bytes) -> Committed | NotLeader | Unavailable:
-        """Commit a command and wait until it is applied locally."""
+        """Commit a command and wait until it is applied locally.
+
+        A copy of a command that is not committed yet shares its outcome: clients send a
+        command again while a slow link still carries it to the members.
+        """
         replica = self._replica
         if replica.role != Role.LEADER:
             return self._make_refusal()
@@ -167,9 +171,14 @@
             )
         if replica.proposals.qsize() >= QUEUED_PROPOSALS_MAX:
             return Unavailable("too many commands are queued at the leader; try again")
-        future = asyncio.get_running_loop().create_future()
-        replica.proposals.put_nowait((EntryKind.COMMAND, command, future))
-        return await future
+        future = replica.open_commands.get(command)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            replica.open_commands[command] = future
+            future.add_done_callback(lambda _: replica.open_commands.pop(command))
+            replica.proposals.put_nowait((EntryKind.COMMAND, command, future))
+        # The caller's timeout must not cancel the outcome for the others.
+        return await asyncio.shield(future)
 
     async def read_barrier(self) -> Current | NotLeader | Unavailable:
         """Wait until the local state includes everything committed before the call."""
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -59,6 +59,7 @@
         "lock",
         "machine",
         "observe",
+        "open_commands",
         "peers",
         "pending_commits",
         "pending_members_change",
@@ -103,6 +104,7 @@
         self.lock = asyncio.Lock()
         self.machine = machine
         self.observe = observe
+        self.open_commands = {}
         self.pending_members_change = None
         self.peers = peers
         self.progress = {}
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -574,3 +574,22 @@
         assert commands in (acked, [*acked, command])
 
     run_paused(run())
+
+
+def test_copies_of_an_open_command_are_committed_once():
+    # Guards against a large command that fills the links with its own copies.
+    async def run():
+        cluster = await start_cluster(3)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        before = cluster.status(leader).last_index
+        cancelled = asyncio.ensure_future(quorum.propose(b"a"))
+        copies = [asyncio.ensure_future(quorum.propose(b"a")) for _ in range(3)]
+        await asyncio.sleep(0)
+        cancelled.cancel()
+        outcomes = await asyncio.gather(*copies)
+        assert all(outcome == Committed(before + 1, b"0") for outcome in outcomes)
+        assert cluster.status(leader).last_index == before + 1
+        assert (await quorum.propose(b"a")).index == before + 2
+
+    run_paused(run())
