Check hosts without routes that an update adds

Cause: an update's hosts reached the table through their routes only, so one with an empty name and no routes was dropped before the check, and the invalid update was accepted; a valid host without routes was lost.

Test: test_update_keeps_added_hosts_without_routes, red before in both cases.

--- a/tests/platform_adapter/test_tables.py
+++ b/tests/platform_adapter/test_tables.py
@@ -14,6 +14,7 @@
     Workspace,
     apply_patch,
     check_table,
+    check_table,
 )
 
 ROUTE = {
@@ -117,6 +118,16 @@
     assert [service.name for service in result.services][-1] == "third"
 
 
+@pytest.mark.parametrize("host", ["", "new.example"])
+def test_update_keeps_added_hosts_without_routes(host):
+    # Guards against an update with an invalid host that is accepted.
+    table = decode_table(encode(make_document()))
+    update = {"version": 9, "upsert": {"virtual_hosts": [{"host": host}]}}
+    result = apply_patch(table, decode_patch(encode(update)))
+    assert result.hosts == (*table.hosts, host)
+    assert bool(check_table(result)) == (host == "")
+
+
 @pytest.mark.parametrize(
     "change",
     [
