Test two lost disks beside a loss of power on all other hosts

Three of five hosts hold the acknowledged commands, one of them with a slow disk; two of the three lose their disks and all others their power at the moment of the acknowledgement. The commands are read back, for each pair.

--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import random
 from functools import partial
 
@@ -593,3 +594,27 @@
         assert (await quorum.propose(b"a")).index == before + 2
 
     run_paused(run())
+
+
+@pytest.mark.parametrize("lost", list(itertools.combinations(range(3), 2)), ids=str)
+def test_two_lost_disks_beside_a_power_loss_of_all_keep_acked_commands(lost):
+    # Guards against an acknowledgement before enough disks hold the command.
+    async def run():
+        cluster = await start_cluster(5, seed=sum(lost))
+        leader = cluster.leader()
+        fast, slow, *cut_off = (a for a in cluster.addresses if a != leader)
+        for address in cut_off:
+            cluster.isolate(address)
+        cluster.hosts[slow].disk.sync_delay_s = 0.2
+        commands = await propose_many(cluster, 3)
+        holders = (leader, fast, slow)
+        for address in cluster.addresses:
+            if address in [holders[number] for number in lost]:
+                lose_disk(cluster, address)
+            cluster.crash(address)
+        cluster.network.heal_all()
+        await cluster.start(bootstrap=False)
+        assert await read_commands(cluster) == commands
+        await cluster.wait_until(cluster.is_healthy, LONG_WAIT_S)
+
+    run_paused(run())
--- a/tests/platform_adapter/test_tables.py
+++ b/tests/platform_adapter/test_tables.py
@@ -14,7 +14,6 @@
     Workspace,
     apply_patch,
     check_table,
-    check_table,
 )
 
 ROUTE = {
