Keep the place in a split over new routing tables

Cause: each new table started its weighted round robin from the beginning, with the heaviest target. In a storm of changes, most nodes see a request or two of a route per table, and nearly all requests of a split go to one target.

Change: routes whose targets are the same go on where the table before stopped.

Test: test_split_holds_when_every_request_meets_a_new_table, red before (100 of 100 requests to the target of weight 60).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
@@ -247,13 +247,13 @@
             table, version = apply_patch(table, step.patch), step.version
         if digest_table(table) != change.digest:
             return UpdateResult.NEEDS_WHOLE
-        return RouteView(table, version), change.steps
+        return RouteView(table, version, self.routes), change.steps
 
     def _compare_routes(self, table, version):
         table = reuse_items(table, self.routes.table)
         patch = make_patch(self.routes.table, table)
         steps = [RoutesStep(self.routes.version, version, patch)] if patch else []
-        return RouteView(table, version), steps
+        return RouteView(table, version, self.routes), steps
 
 
 def encode_routes(table: RouteTable, version: int, known_version: int) -> bytes:
--- a/packages/sapphireway-state/src/sapphireway_state/_route_view.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_route_view.py
@@ -28,6 +28,10 @@
         Table in which `check_table` finds no problem.
     version : int
         Journal index of its publication; 0 for no table.
+    previous : RouteView, optional
+        View of the table before; routes with the same targets go on splitting requests
+        where it stopped. From the start, each table would send its first requests to
+        the heaviest target, and a storm of tables nearly all of them.
     """
 
     __slots__ = (
@@ -39,7 +43,9 @@
         "version",
     )
 
-    def __init__(self, table: RouteTable, version: int):
+    def __init__(
+        self, table: RouteTable, version: int, previous: "RouteView | None" = None
+    ):
         self.table = table
         self.version = version
         self._by_host = {}
@@ -51,6 +57,8 @@
             key: workspace for workspace in table.workspaces for key in workspace.keys
         }
         self._round_robins = {}
+        if previous is not None:
+            self._round_robins = previous._get_round_robins(table)
 
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any.
@@ -95,6 +103,16 @@
         round_robin.current_weights[chosen] -= sum(target.weight for target in targets)
         return targets[chosen].service
 
+    def _get_round_robins(self, table):
+        """Return the state of the routes that have the same targets in `table`."""
+        targets = {route.name: route.targets for route in table.routes}
+        return {
+            route.name: self._round_robins[route.name]
+            for route in self.table.routes
+            if route.name in self._round_robins
+            and targets.get(route.name) == route.targets
+        }
+
     def get_service(self, name: str) -> ServiceSpec:
         """Return the configuration of a service, or the defaults."""
         return self._services.get(name, DEFAULT_SERVICE)
--- a/packages/sapphireway-state/tests/test_route_view.py
+++ b/packages/sapphireway-state/tests/test_route_view.py
@@ -61,3 +61,26 @@
     found = [view.find_workspace(key) for key in ("k1", "k2", "k3", "k", "")]
     names = [workspace.name if workspace else None for workspace in found]
     assert names == ["a", "a", "b", None, None]
+
+
+def test_split_holds_when_every_request_meets_a_new_table():
+    # Guards against a storm of tables that sends nearly all requests to one target.
+    targets = (RouteTarget("a", 60), RouteTarget("b", 40))
+    view, chosen = None, []
+    for number in range(1, 101):
+        routes = (
+            make_route("split", "/split/", targets),
+            make_route(f"other-{number}", "/other/"),
+        )
+        view = RouteView(RouteTable(number, routes=routes), number, view)
+        chosen.append(view.choose_service(routes[0]))
+    assert chosen.count("a") == 60
+
+
+def test_split_starts_anew_with_other_targets():
+    first = make_route("r", "/r/", (RouteTarget("a", 1), RouteTarget("b", 1)))
+    second = make_route("r", "/r/", (RouteTarget("a", 1), RouteTarget("c", 3)))
+    view = RouteView(RouteTable(1, routes=(first,)), 1)
+    view.choose_service(first)
+    view = RouteView(RouteTable(2, routes=(second,)), 2, view)
+    assert [view.choose_service(second) for _ in range(4)].count("c") == 3
