--- a/packages/sapphireway-state/src/sapphireway_state/_table_patch.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_table_patch.py
@@ -47,6 +47,8 @@
 
 def apply_patch(table: RouteTable, patch: TablePatch) -> RouteTable:
     """Return a copy of `table` with the patch applied."""
+    removed_routes = frozenset(patch.removed_routes)
+    removed_hosts = frozenset(patch.removed_hosts)
     services = {
         s.name: s for s in table.services if s.name not in patch.removed_services
     }
@@ -54,11 +56,10 @@
     routes = {
         route.name: route
         for route in table.routes
-        if route.name not in patch.removed_routes
-        and route.host not in patch.removed_hosts
+        if route.name not in removed_routes and route.host not in removed_hosts
     }
     routes |= {route.name: route for route in patch.routes}
-    hosts = dict.fromkeys(h for h in table.hosts if h not in patch.removed_hosts)
+    hosts = dict.fromkeys(h for h in table.hosts if h not in removed_hosts)
     hosts |= dict.fromkeys(patch.hosts)
     hosts |= dict.fromkeys(route.host for route in patch.routes)
     workspaces = {
