--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,124 +1,70 @@
-"""A few uploads within the configured limit take more memory than a machine has."""
+"""A frozen control host carries out an order that later orders have overtaken."""
 
 import asyncio
-import contextlib
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from stand_ins import (
-    OUTBOUND_PORT,
-    RESTART_S,
-    deploy,
-    format_request,
-    make_id,
-    make_route,
-    read_answer,
-    run_case,
-)
+from stand_ins import CaseNotRunError, deploy, run_case
 
-MEMORY_MB = 300
-CHECK_S = 0.01
-LARGE_BYTES, SMALL_BYTES = 60 * 2**20, 60_000  # the limit is 64 MiB
-UPLOADERS = 4
-KEPT_CONNECTIONS = 10
-ROUNDS, ROUND_S = 3, 8.0
-LOST_MAX = 3
+FROZEN_S = 4.0
+EVACUATION_DEADLINE_S = 5.0
+OUTER_BOUND_S = 5.0  # the core was unstable
+ORDER_TIMEOUT_S = 1.0  # then the operator goes on to another node
+ORDER_MAX_S = 4.0  # an order is resent for this long at most
+ZONE = "b"
 
 
-def read_memory_mb(pid):
-    """Return the resident memory of a process."""
-    with contextlib.suppress(OSError, IndexError):
-        status = Path(f"/proc/{pid}/status").read_text()
-        return int(status.split("VmRSS:")[1].split()[0]) / 1024
-    return 0.0
-
-
-async def limit_memory(fleet):
-    """Kill and restart processes beside servers that use too much memory."""
-    kills = 0
-    try:
-        while True:
-            await asyncio.sleep(CHECK_S)
-            for node in fleet.nodes:
-                used_mb = read_memory_mb(fleet.processes[node].pid)
-                if used_mb > MEMORY_MB:
-                    kills += 1
-                    fleet.record.write("over_memory_limit", node=node, mb=used_mb)
-                    fleet.kill_process(node)
-                    await asyncio.sleep(RESTART_S)
-                    fleet.start_process(node)
-    finally:
-        print(f"{kills} processes used more than {MEMORY_MB} MB")
-
-
-async def call_on_kept_connection(fleet, node, end_s, cut):
-    """Send small requests on one connection after the other."""
-    reader = writer = None
-    while time.monotonic() < end_s:
-        request_id = make_id()
-        headers = {"Request-Id": request_id, "Deadline-Remaining-Ms": "2000"}
-        content = format_request("POST", "/order/1", headers, b"order")
-        try:
-            async with asyncio.timeout(3.0):
-                if writer is None:
-                    reader, writer = await asyncio.open_connection(node, OUTBOUND_PORT)
-                    is_kept = False
-                fleet.record.write("sent", request=request_id, node=node, kept=is_kept)
-                writer.write(content)
-                answer = await read_answer(reader)
-        except OSError:
-            writer = None
-            await asyncio.sleep(0.1)
-            continue
-        fleet.record.write("answered", request=request_id, answer=answer)
-        if not answer.status and is_kept:
-            cut.append(request_id)
-        is_kept = True
-        if not answer.status or answer.headers.get("connection") == "close":
-            writer.close()
-            writer = None
+async def order(fleet, verb, hosts):
+    """Send an order of the operator until it is acknowledged; return when that was."""
+    end_s = time.monotonic() + ORDER_MAX_S
+    for host in hosts:
+        path = f"/Evacuation.{verb}/{ZONE}"
+        answer = await fleet.send_order(path, control=host, timeout_s=ORDER_TIMEOUT_S)
+        if 200 <= answer.status < 300:
+            return time.monotonic()
+        if time.monotonic() > end_s:
+            break
+    raise CaseNotRunError(f"{verb} was not acknowledged")
 
 
 async def play(record, trouble):
-    """Return the requests that ran and whose kept connections ended without answer."""
-    routes = [
-        make_route("photo", "upload", timeout="5000ms"),
-        make_route("order", "non_idempotent"),
-    ]
-    server = {"work_s": 0.15, "slots": 12}
-    async with deploy(record, ["a", "a", "b"], routes=routes, server=server) as fleet:
-        node = fleet.nodes[0]
-        watching = asyncio.create_task(limit_memory(fleet))
-        end_s = time.monotonic() + ROUNDS * ROUND_S
-        cut = []
-        load = asyncio.gather(
-            *(
-                call_on_kept_connection(fleet, node, end_s, cut)
-                for _ in range(KEPT_CONNECTIONS)
-            )
-        )
-        body = b"p" * (LARGE_BYTES if trouble else SMALL_BYTES)
-        for _ in range(ROUNDS):
-            await asyncio.sleep(2.0)
-            uploads = (
-                fleet.call(node, "/photo/1", body=body, timeout_ms=5000)
-                for _ in range(UPLOADERS)
-            )
-            answers = await asyncio.gather(*uploads)
-            print(f"uploads: {[answer.status for _, answer in answers]}")
-            await asyncio.sleep(2.0)
+    """Return the requests that reach the zone too late."""
+    async with deploy(record, ["a", "a", "b", "b"]) as fleet:
+        frozen, other, third = fleet.controls
+        load = asyncio.create_task(fleet.drive("/buy/1", 24.0, 2, 0.05))
+        await asyncio.sleep(1.0)
+        await order(fleet, "Start", [other, third])
+        await asyncio.sleep(3.0)
+        frozen_s = time.monotonic()
+        if trouble:
+            fleet.signal_process(frozen, signal.SIGSTOP)
+        finished_s = await order(fleet, "Finish", [frozen, other, third])
+        await asyncio.sleep(0.5)
+        evacuated_s = await order(fleet, "Start", [other, third, other])
+        if trouble:
+            if evacuated_s > frozen_s + FROZEN_S:
+                raise CaseNotRunError("the orders took longer than the freeze")
+            await asyncio.sleep(frozen_s + FROZEN_S - time.monotonic())
+            fleet.signal_process(frozen, signal.SIGCONT)
+        bound_s = evacuated_s + EVACUATION_DEADLINE_S + OUTER_BOUND_S
+        record.write("evacuated", after_finish_s=evacuated_s - finished_s)
         await load
-        watching.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await watching
-        ran = {request_id for _, _, request_id in fleet.list_runs()}
-    lost = [request_id for request_id in cut if request_id in ran]
-    if len(lost) <= LOST_MAX:
-        return []
-    return [f"LOST: request {r} ran, and its connection ended" for r in lost]
+        late = [
+            (time_s - evacuated_s, server, request_id)
+            for time_s, server, request_id in fleet.list_runs()
+            if time_s > bound_s
+            and any(s.id == server and s.zone == ZONE for s in fleet.servers.values())
+        ]
+    print(f"{len(late)} late arrivals in zone {ZONE}")
+    return [
+        f"EVAC: request {request_id} reached {server} {late_s:.1f} s after the"
+        f" evacuation of its zone was acknowledged"
+        for late_s, server, request_id in late
+    ]
 
 
 if __name__ == "__main__":
