--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""Extra answers take the place of health answers, which then answer requests."""
+"""Clients offer an upgrade to HTTP/2 with a request that has a body."""
 
-import asyncio
-import random
+import hashlib
 import sys
 from pathlib import Path
 
@@ -9,80 +8,45 @@
 
 from stand_ins import Server, deploy, run_case
 
-EXTRA_SHARE = 0.03  # of the answers of a doubling server are sent twice
-DOUBLING_SERVERS = 4  # of 7
-DOUBLING_S, LYING_S, PAUSE_S, SPANS = 5.0, 6.5, 0.5, 10
-
-
-class DoublingServer(Server):
-    """Sends some answers twice, the second where the next one is expected."""
-
-    doubling = False
-    rng = random.Random()
-
-    async def _serve(self, reader, writer):
-        extra = None
-        self.connections.add(writer)
-        try:
-            while (request := await self._read(reader, writer)) is not None:
-                if extra is not None:
-                    writer.write(extra)
-                    self.deployment.record.write(
-                        "extra_answer", server=self.id, instead_of=request.path
-                    )
-                    extra = None
-                await self.handle(request)
-                await writer.drain()
-                if request.path == "/health" or not self.doubling:
-                    continue
-                if self.rng.random() < EXTRA_SHARE:
-                    body = f"ran {request.id}".encode()
-                    extra = self.format_answer(request, 200, body)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.connections.discard(writer)
-            writer.close()
-
-
-async def disturb(fleet):
-    """Let servers send answers twice, one of which says that it is ill and is well."""
-    servers = list(fleet.servers.values())
-    for _ in range(SPANS):
-        doubling = random.sample(servers, DOUBLING_SERVERS)
-        lying = doubling[0]
-        ids = [server.id for server in doubling]
-        fleet.record.write("faulty", doubling=ids, lying=lying.id)
-        lying.healthy = False
-        for server in doubling:
-            server.doubling = True
-        await asyncio.sleep(DOUBLING_S)
-        for server in doubling:
-            server.doubling = False
-        await asyncio.sleep(LYING_S - DOUBLING_S)
-        lying.healthy = True
-        await asyncio.sleep(PAUSE_S)
+LOAD_S = 10.0
+BODY = b'{"offer": 4711, "hours": 2}'
+# As clients send it that speak HTTP/2 without TLS where a server accepts it, and go on
+# with HTTP/1.1 where it ignores the offer.
+OFFER = {
+    "Connection": "Upgrade, HTTP2-Settings",
+    "Upgrade": "h2c",
+    "HTTP2-Settings": "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA",
+}
+
+
+class RecordingServer(Server):
+    """Records the bodies of the requests that it runs."""
+
+    def note_run(self, request):
+        """Record that a request has begun to run."""
+        super().note_run(request)
+        self.deployment.bodies[request.id] = request.body
+        self.deployment.record.write(
+            "body",
+            request=request.id,
+            length=len(request.body),
+            sha256=hashlib.sha256(request.body).hexdigest(),
+        )
 
 
 async def play(record, trouble):
-    """Return the requests that ran and were answered with 429 or 503."""
-    server = {"tells_load": False, "work_s": 0.06, "slots": 3}
-    places = ["a", "a", "a", "b", "b", "c", "c"]
-    async with deploy(record, places, DoublingServer, server) as fleet:
-        load = asyncio.create_task(
-            fleet.drive("/buy/1", SPANS * (LYING_S + PAUSE_S), 4, 0.02)
-        )
-        if trouble:
-            await disturb(fleet)
-        answers = await load
-        runs = {request_id for _, _, request_id in fleet.list_runs()}
+    """Return the requests that were run with another body."""
+    offer = OFFER if trouble else {}
+    async with deploy(record, ["a", "b"], RecordingServer) as fleet:
+        fleet.bodies = {}
+        answers = await fleet.drive("/buy/1", LOAD_S, 2, 0.1, body=BODY, **offer)
     statuses = [answer.status for answer in answers.values()]
-    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    print(f"answers by status: {counts}")
+    print(f"{len(answers)} requests, {statuses.count(200)} successes")
     return [
-        f"REFUSED: request {request_id} ran and got {answer.status}"
-        for request_id, answer in answers.items()
-        if answer.status in (408, 421, 429, 503) and request_id in runs
+        f"UNASKED: request {request_id} ran with {len(body)} bytes of {len(BODY)};"
+        f" its client got {answers[request_id].status}"
+        for request_id, body in fleet.bodies.items()
+        if request_id in answers and body != BODY
     ]
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,69 +1,88 @@
-"""A frozen control host carries out an order that later orders have overtaken."""
+"""Extra answers take the place of health answers, which then answer requests."""
 
 import asyncio
-import signal
+import random
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from stand_ins import CaseNotRunError, deploy, run_case
+from stand_ins import Server, deploy, run_case
 
-FROZEN_S = 4.0
-EVACUATION_DEADLINE_S = 5.0
-OUTER_BOUND_S = 5.0  # the core was unstable
-ORDER_TIMEOUT_S = 1.0  # then the operator goes on to another node
-ORDER_MAX_S = 4.0  # an order is resent for this long at most
-ZONE = "b"
+EXTRA_SHARE = 0.03  # of the answers of a doubling server are sent twice
+DOUBLING_SERVERS = 4  # of 7
+DOUBLING_S, LYING_S, PAUSE_S, SPANS = 5.0, 6.5, 0.5, 10
 
 
-async def order(fleet, verb, hosts):
-    """Send an order of the operator until it is acknowledged; return when that was."""
-    end_s = time.monotonic() + ORDER_MAX_S
-    for host in hosts:
-        path = f"/Evacuation.{verb}/{ZONE}"
-        answer = await fleet.send_order(path, control=host, timeout_s=ORDER_TIMEOUT_S)
-        if 200 <= answer.status < 300:
-            return time.monotonic()
-        if time.monotonic() > end_s:
-            break
-    raise CaseNotRunError(f"{verb} was not acknowledged")
+class DoublingServer(Server):
+    """Sends some answers twice, the second where the next one is expected."""
+
+    doubling = False
+    rng = random.Random()
+
+    async def _serve(self, reader, writer):
+        extra = None
+        self.connections.add(writer)
+        try:
+            while (request := await self._read(reader, writer)) is not None:
+                if extra is not None:
+                    writer.write(extra)
+                    self.deployment.record.write(
+                        "extra_answer", server=self.id, instead_of=request.path
+                    )
+                    extra = None
+                await self.handle(request)
+                await writer.drain()
+                if request.path == "/health" or not self.doubling:
+                    continue
+                if self.rng.random() < EXTRA_SHARE:
+                    body = f"ran {request.id}".encode()
+                    extra = self.format_answer(request, 200, body)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+
+async def disturb(fleet):
+    """Let servers send answers twice, one of which says that it is ill and is well."""
+    servers = list(fleet.servers.values())
+    for _ in range(SPANS):
+        doubling = random.sample(servers, DOUBLING_SERVERS)
+        lying = doubling[0]
+        ids = [server.id for server in doubling]
+        fleet.record.write("faulty", doubling=ids, lying=lying.id)
+        lying.healthy = False
+        for server in doubling:
+            server.doubling = True
+        await asyncio.sleep(DOUBLING_S)
+        for server in doubling:
+            server.doubling = False
+        await asyncio.sleep(LYING_S - DOUBLING_S)
+        lying.healthy = True
+        await asyncio.sleep(PAUSE_S)
 
 
 async def play(record, trouble):
-    """Return the requests that reach the zone too late."""
-    async with deploy(record, ["a", "a", "b", "b"]) as fleet:
-        frozen, other, third = fleet.controls
-        load = asyncio.create_task(fleet.drive("/buy/1", 24.0, 2, 0.05))
-        await asyncio.sleep(1.0)
-        await order(fleet, "Start", [other, third])
-        await asyncio.sleep(3.0)
-        frozen_s = time.monotonic()
-        if trouble:
-            fleet.signal_process(frozen, signal.SIGSTOP)
-        finished_s = await order(fleet, "Finish", [frozen, other, third])
-        await asyncio.sleep(0.5)
-        evacuated_s = await order(fleet, "Start", [other, third, other])
+    """Return the requests that ran and were answered with 429 or 503."""
+    server = {"tells_load": False, "work_s": 0.06, "slots": 3}
+    places = ["a", "a", "a", "b", "b", "c", "c"]
+    async with deploy(record, places, DoublingServer, server) as fleet:
+        load = asyncio.create_task(
+            fleet.drive("/buy/1", SPANS * (LYING_S + PAUSE_S), 4, 0.02)
+        )
         if trouble:
-            if evacuated_s > frozen_s + FROZEN_S:
-                raise CaseNotRunError("the orders took longer than the freeze")
-            await asyncio.sleep(frozen_s + FROZEN_S - time.monotonic())
-            fleet.signal_process(frozen, signal.SIGCONT)
-        bound_s = evacuated_s + EVACUATION_DEADLINE_S + OUTER_BOUND_S
-        record.write("evacuated", after_finish_s=evacuated_s - finished_s)
-        await load
-        late = [
-            (time_s - evacuated_s, server, request_id)
-            for time_s, server, request_id in fleet.list_runs()
-            if time_s > bound_s
-            and any(s.id == server and s.zone == ZONE for s in fleet.servers.values())
-        ]
-    print(f"{len(late)} late arrivals in zone {ZONE}")
+            await disturb(fleet)
+        answers = await load
+        runs = {request_id for _, _, request_id in fleet.list_runs()}
+    statuses = [answer.status for answer in answers.values()]
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
+    print(f"answers by status: {counts}")
     return [
-        f"EVAC: request {request_id} reached {server} {late_s:.1f} s after the"
-        f" evacuation of its zone was acknowledged"
-        for late_s, server, request_id in late
+        f"REFUSED: request {request_id} ran and got {answer.status}"
+        for request_id, answer in answers.items()
+        if answer.status in (408, 421, 429, 503) and request_id in runs
     ]
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,54 +1,69 @@
-"""One heartbeat from another writer hides that a server leaves."""
+"""A frozen control host carries out an order that later orders have overtaken."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from stand_ins import SERVICE, deploy, run_case
+from stand_ins import CaseNotRunError, deploy, run_case
 
-DRAIN_TIMEOUT_S = 2.0
-SERVES_ON_S = 6.0  # after the acknowledgement that it is draining
-OTHER_SERVICE = "reports"  # in no configuration
-OTHER_SEQ = 1_000_000  # the other writer counts for itself
+FROZEN_S = 4.0
+EVACUATION_DEADLINE_S = 5.0
+OUTER_BOUND_S = 5.0  # the core was unstable
+ORDER_TIMEOUT_S = 1.0  # then the operator goes on to another node
+ORDER_MAX_S = 4.0  # an order is resent for this long at most
+ZONE = "b"
+
+
+async def order(fleet, verb, hosts):
+    """Send an order of the operator until it is acknowledged; return when that was."""
+    end_s = time.monotonic() + ORDER_MAX_S
+    for host in hosts:
+        path = f"/Evacuation.{verb}/{ZONE}"
+        answer = await fleet.send_order(path, control=host, timeout_s=ORDER_TIMEOUT_S)
+        if 200 <= answer.status < 300:
+            return time.monotonic()
+        if time.monotonic() > end_s:
+            break
+    raise CaseNotRunError(f"{verb} was not acknowledged")
 
 
 async def play(record, trouble):
-    """Return the requests that reach the server too late, and those that are lost."""
-    assert OTHER_SERVICE != SERVICE
-    async with deploy(record, ["a", "a", "b"]) as fleet:
-        leaving = fleet.servers[fleet.nodes[0]]
-        load = asyncio.create_task(fleet.drive("/buy/1", 14.0, 3, 0.02))
+    """Return the requests that reach the zone too late."""
+    async with deploy(record, ["a", "a", "b", "b"]) as fleet:
+        frozen, other, third = fleet.controls
+        load = asyncio.create_task(fleet.drive("/buy/1", 24.0, 2, 0.05))
+        await asyncio.sleep(1.0)
+        await order(fleet, "Start", [other, third])
         await asyncio.sleep(3.0)
+        frozen_s = time.monotonic()
         if trouble:
-            body = leaving.make_heartbeat(service=OTHER_SERVICE, seq=OTHER_SEQ)
-            leaving.seq -= 1  # it isn't one of the server's own
-            await leaving.send_heartbeat(body)
-        await asyncio.sleep(3.5)
-        leaving.draining = True
-        while await leaving.send_heartbeat() != 200:
-            await asyncio.sleep(0.1)
-        acknowledged_s = time.monotonic()
-        record.write("draining_acknowledged", server=leaving.id)
-        await asyncio.sleep(SERVES_ON_S)
-        await leaving.stop()
-        record.write("server_exits", server=leaving.id)
-        answers = await load
-    late = [
-        (time_s - acknowledged_s, request_id)
-        for time_s, request_id in leaving.runs
-        if time_s > acknowledged_s + DRAIN_TIMEOUT_S
-    ]
-    statuses = [answer.status for answer in answers.values()]
-    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    print(f"answers by status: {counts}; {len(late)} late arrivals")
+            fleet.signal_process(frozen, signal.SIGSTOP)
+        finished_s = await order(fleet, "Finish", [frozen, other, third])
+        await asyncio.sleep(0.5)
+        evacuated_s = await order(fleet, "Start", [other, third, other])
+        if trouble:
+            if evacuated_s > frozen_s + FROZEN_S:
+                raise CaseNotRunError("the orders took longer than the freeze")
+            await asyncio.sleep(frozen_s + FROZEN_S - time.monotonic())
+            fleet.signal_process(frozen, signal.SIGCONT)
+        bound_s = evacuated_s + EVACUATION_DEADLINE_S + OUTER_BOUND_S
+        record.write("evacuated", after_finish_s=evacuated_s - finished_s)
+        await load
+        late = [
+            (time_s - evacuated_s, server, request_id)
+            for time_s, server, request_id in fleet.list_runs()
+            if time_s > bound_s
+            and any(s.id == server and s.zone == ZONE for s in fleet.servers.values())
+        ]
+    print(f"{len(late)} late arrivals in zone {ZONE}")
     return [
-        f"DRAIN: request {request_id} reached {leaving.id} {late_s:.1f} s after it was"
-        f" acknowledged as draining; its client got {answers[request_id].status}"
-        for late_s, request_id in late
-        if request_id in answers
+        f"EVAC: request {request_id} reached {server} {late_s:.1f} s after the"
+        f" evacuation of its zone was acknowledged"
+        for late_s, server, request_id in late
     ]
 
 
