--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,83 +1,96 @@
-"""A server breaks off some of its answers; some of them in the head."""
+"""A control host that was away for some seconds never votes again."""
 
 import asyncio
-import random
+import json
+import os
+import shutil
+import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from stand_ins import Server, deploy, run_case
-
-SERVERS_SHARE = 0.5  # of the servers are faulty at a time
-BROKEN_OFF_SHARE = 0.02  # of the answers of a faulty server
-FAULTY_S, SOUND_S, SPANS = 5.0, 1.0, 12
-BODY_BYTES = 200
-
-
-def make_body(request_id):
-    """Return the whole answer to a request."""
-    return f"confirmed {request_id} ".encode().ljust(BODY_BYTES, b".")
-
-
-class BreakingServer(Server):
-    """Breaks off some answers at any byte, and closes the connection."""
-
-    faulty = False
-    rng = random.Random()
-
-    def answer(self, request, status, body, headers=None):
-        """Write an answer, or a part of it."""
-        if request.path == "/health" or status != 200:
-            super().answer(request, status, body, headers)
-            return
-        headers = {
-            "Date": "Fri, 04 Dec 2026 12:00:00 GMT",
-            "Content-Type": "application/octet-stream",
-        }
-        content = self.format_answer(request, status, make_body(request.id), headers)
-        if not self.faulty or self.rng.random() >= BROKEN_OFF_SHARE:
-            request.writer.write(content)
-            return
-        sent = content[: self.rng.randrange(1, len(content))]
-        self.deployment.record.write(
-            "broken_off", server=self.id, request=request.id, sent=sent
-        )
-        request.writer.write(sent)
-        request.writer.close()
-
-
-async def disturb(fleet):
-    """Let other servers be faulty in each span."""
-    servers = list(fleet.servers.values())
-    for _ in range(SPANS):
-        chosen = random.sample(servers, int(len(servers) * SERVERS_SHARE))
-        fleet.record.write("faulty", servers=[server.id for server in chosen])
-        for server in chosen:
-            server.faulty = True
-        await asyncio.sleep(FAULTY_S)
-        for server in chosen:
-            server.faulty = False
-        await asyncio.sleep(SOUND_S)
+from stand_ins import CONTROL_PORT, CaseNotRunError, deploy, exchange, run_case
+
+AWAY_S = 3.0  # of a machine that loses its disk
+FROZEN_S = 5.0
+CATCH_UP_S = 4.0
+RECOVERY_S = 15.0
+READ_S = 6.0  # the operator reads for at least contact_window, 3 s
+DOUBLE_LOSS_ONLY = os.environ.get("DOUBLE_LOSS_ONLY") == "1"
+
+
+async def lose_disks(fleet, hosts):
+    """Let machines lose power and their disks at once, and start again."""
+    for host in hosts:
+        fleet.kill_process(host)
+        shutil.rmtree(fleet.folder / f"data-{host}")
+        fleet.record.write("disk_lost", host=host)
+    await asyncio.sleep(AWAY_S)
+    for host in hosts:
+        fleet.start_process(host)
+
+
+async def freeze(fleet, host, after_s):
+    """Freeze a machine for some seconds."""
+    await asyncio.sleep(after_s)
+    fleet.signal_process(host, signal.SIGSTOP)
+    await asyncio.sleep(FROZEN_S)
+    fleet.signal_process(host, signal.SIGCONT)
+
+
+async def publish(fleet, seconds):
+    """Publish a configuration, at one host after the other; return whether it was."""
+    end_s = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < end_s:
+        if await fleet.publish(number % len(fleet.controls)):
+            return True
+        number += 1
+        await asyncio.sleep(0.2)
+    return False
+
+
+async def read(fleet):
+    """Read the configuration at any host; return its version, or None."""
+    end_s = time.monotonic() + READ_S
+    while time.monotonic() < end_s:
+        for host in fleet.controls:
+            answer = await exchange(
+                (host, CONTROL_PORT), "GET", "/Configuration.Read", timeout_s=1.0
+            )
+            fleet.record.write("read", host=host, status=answer.status)
+            if answer.status == 200:
+                return json.loads(answer.body)["version"]
+        await asyncio.sleep(0.2)
+    return None
 
 
 async def play(record, trouble):
-    """Return the successes whose body is not the server's whole body."""
-    options = {"work_s": 0.02}
-    async with deploy(record, ["a", "a", "b", "b"], BreakingServer, options) as fleet:
-        load = asyncio.create_task(
-            fleet.drive("/buy/1", SPANS * (FAULTY_S + SOUND_S), 4)
-        )
+    """Return what became of an acknowledged configuration."""
+    async with deploy(record, ["a", "b"], controls=5) as fleet:
+        _, second, third, fourth, fifth = fleet.controls
+        await asyncio.sleep(2.0)
+        if trouble and not DOUBLE_LOSS_ONLY:
+            await asyncio.gather(
+                lose_disks(fleet, [fourth]), freeze(fleet, fifth, after_s=1.4)
+            )
+        await asyncio.sleep(2 * CATCH_UP_S)
+        if not await publish(fleet, 10.0):
+            raise CaseNotRunError("a configuration was not acknowledged")
+        acknowledged = fleet.version
         if trouble:
-            await disturb(fleet)
-        answers = await load
-    served = [a for a in answers.values() if a.status == 200]
-    print(f"{len(answers)} requests, {len(served)} successes")
+            await lose_disks(fleet, [second, third])
+            await asyncio.sleep(CATCH_UP_S + RECOVERY_S)
+        version = await read(fleet)
+        accepted = await publish(fleet, 8.0)
+        print(f"acknowledged {acknowledged}, read {version}, next accepted: {accepted}")
+    if version is not None and version >= acknowledged:
+        return []
     return [
-        f"MIXED: request {request_id} got 200 with {len(answer.body)} bytes"
-        f" of {BODY_BYTES}, headers {answer.headers}"
-        for request_id, answer in answers.items()
-        if 200 <= answer.status < 300 and answer.body != make_body(request_id)
+        f"CONFIG: version {acknowledged} was acknowledged; read back: {version};"
+        f" a further change was accepted: {accepted}"
     ]
 
 
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -611,7 +611,8 @@
         yield deployment
     finally:
         await deployment.stop()
-        shutil.rmtree(deployment.folder, ignore_errors=True)
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(deployment.folder, ignore_errors=True)
 
 
 def run_case(play):
