--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,6 +11,7 @@
 import os
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -627,6 +628,8 @@
     folder = Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # So that a case that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         breaks = asyncio.run(play(record, trouble))
     except CaseNotRunError as error:
