Tell where in an answer a server broke it off

A broken answer was logged with libcurl's message alone, which doesn't tell whether the head had ended, nor how many bytes of how many had arrived. The detail of the attempt now names the position: the head, or the body with its bytes received and its length. The new test failed before the change in all its four cases.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -23,6 +23,7 @@
 IDLE_CONNECTION_MIN_S = 1
 IDLE_CONNECTION_LIMIT_S = 3600  # a server may send any number
 COUNT_DIGITS_MAX = 9
+LENGTH_DIGITS_MAX = 19  # of the largest length that libcurl follows
 # All answers that are being received; the smallest hosts have 200 MB, of which a node
 # takes up to 50 MB and a single answer may take 64 MB.
 ANSWERS_MAX_BYTES = 64 * 1024 * 1024
@@ -160,10 +161,12 @@
         "_close_delimited_allowed",
         "_echo_mismatch",
         "_expected_echo",
+        "_head_bytes",
         "_headers",
         "_in_headers",
         "_is_delimited",
         "_is_head_request",
+        "_length",
         "_memory",
         "_on_keep_alive",
         "_status",
@@ -207,8 +210,10 @@
         self._echo_mismatch = False
         self._is_delimited = False
         self._is_head_request = request.method == "HEAD"
+        self._head_bytes = 0
         self._headers = []
         self._in_headers = False
+        self._length = None
         self._status = 0
         self._too_large = False
         self._close_delimited_allowed = request.close_delimited_allowed
@@ -242,12 +247,15 @@
             if self._is_complete():
                 headers = tuple(self._headers)
                 return Responded(self._status, headers, b"".join(self._chunks))
-            return Broken("the answer has no length, so it may be incomplete")
+            progress = self._describe_progress()
+            return Broken(f"the answer may be incomplete; {progress}")
+        message = message or f"libcurl error {code}"
         if self.send_count == 0:
-            return NotSent(message or f"libcurl error {code}")
+            return NotSent(message)
         timed_out = code == pycurl.E_OPERATION_TIMEDOUT
         disconnected = code in _DISCONNECTED_CODES
-        return Broken(message or f"libcurl error {code}", timed_out, disconnected)
+        detail = f"{message}; {self._describe_progress()}"
+        return Broken(detail, timed_out, disconnected)
 
     def release(self) -> None:
         """Drop references to the last exchange."""
@@ -268,6 +276,14 @@
             return True
         return self._close_delimited_allowed
 
+    def _describe_progress(self):
+        if not self._status:
+            return "no part of an answer was received"
+        if self._in_headers:
+            return f"ended in the head of the answer, after {self._head_bytes} bytes"
+        of_length = "" if self._length is None else f" of {self._length}"
+        return f"ended after {self._bytes_received}{of_length} bytes of the body"
+
     def _allow_first_send(self, *addresses):
         # libcurl resends a request by itself if a reused connection is closed before
         # the first byte of the answer, although the request may already have run.
@@ -283,12 +299,15 @@
         if line.startswith(b"HTTP/"):
             # An interim (1xx) response is followed by another header block.
             self._status = int(text.split(None, 2)[1])
+            self._head_bytes = len(line)
             self._headers = []
             self._is_delimited = False
+            self._length = None
             self._in_headers = True
         elif not text:
             self._in_headers = False
         elif self._in_headers:
+            self._head_bytes += len(line)
             name, _, value = text.partition(":")
             lowered = name.lower()
             if (
@@ -304,6 +323,8 @@
                 self._on_keep_alive(value)
             if lowered in ("content-length", "transfer-encoding"):
                 self._is_delimited = True
+            if lowered == "content-length" and _is_count(value):
+                self._length = int(value.strip()[:LENGTH_DIGITS_MAX])
             if lowered not in _CONNECTION_HEADERS or (
                 self._is_head_request and lowered[0] == "c"
             ):
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -13,6 +13,7 @@
 
 CRASH = b"crash"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class RawServer:
@@ -151,6 +152,24 @@
     send()
 
 
+@pytest.mark.parametrize(
+    ("answer", "position"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "after 5 of 9 bytes"),
+        (CHUNKED_HEAD + b"9\r\nshort", "after 5 bytes of the body"),
+        (b"HTTP/1.1 200 OK\r\nA: 1\r\nB", "in the head of the answer, after 23 bytes"),
+        (None, "no part of an answer"),
+    ],
+    ids=["length", "chunk", "head", "nothing"],
+)
+def test_broken_answer_is_reported_with_the_position_of_its_end(answer, position):
+    @run_against(answer)
+    async def send(server):
+        assert position in (await server.send("POST", b"1")).detail
+
+    send()
+
+
 @run_against(ANSWER, CRASH)
 async def test_server_crash_on_reused_connection_is_disconnection(server):
     await server.send()
