--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -1,5 +1,7 @@
 import asyncio
 import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -16,6 +18,14 @@
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+class CutOff(bytes):
+    """Part of an answer, after which the server closes the connection."""
+
+
+class Reset(bytes):
+    """Part of an answer, after which the server resets the connection."""
+
+
 class RawServer:
     """Sends raw answers from a list, one per request, and `ANSWER` after the last.
 
@@ -40,11 +50,20 @@
         self._server.close()
 
     async def send(
-        self, method="GET", body=b"", headers=(), *, timeout_s=2.0, echo=None
+        self,
+        method="GET",
+        body=b"",
+        headers=(),
+        *,
+        timeout_s=2.0,
+        echo=None,
+        close_delimited=False,
     ):
         url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
         return await self.client.send(
-            ServerRequest(url, method, headers, body, timeout_s, 1000, echo)
+            ServerRequest(
+                url, method, headers, body, timeout_s, 1000, echo, close_delimited
+            )
         )
 
     async def _serve(self, reader, writer):
@@ -64,12 +83,24 @@
                     self._server.close()
                     break
                 writer.write(answer)
+                if isinstance(answer, Reset):
+                    await writer.drain()
+                    set_reset_on_close(writer)
+                if isinstance(answer, CutOff | Reset):
+                    break
                 if answer.startswith(b"HTTP") and not answer.endswith(b"ok"):
                     break
         writer.close()
         self.closed.set()
 
 
+def set_reset_on_close(writer):
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+
+
 def run_against(*answers):
     def decorate(test):
         def run():
@@ -152,6 +183,74 @@
     send()
 
 
+FRAMED_ANSWERS = {
+    "length": (b"Content-Length: 9\r\n\r\n", b"some text"),
+    "chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"4;a=b\r\nsome\r\n5\r\n text\r\n0\r\nA: 1\r\nHTTP/1: 2\r\n\r\n",
+    ),
+    "close": (b"\r\n", b"some text"),
+}
+INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
+STATUS_HEAD = b"HTTP/1.1 200 OK\r\nAttempt: 1\r\n"
+
+
+@pytest.mark.parametrize("framing", FRAMED_ANSWERS)
+@pytest.mark.parametrize("end", [CutOff, Reset])
+@pytest.mark.parametrize("method", ["GET", "POST", "HEAD"])
+def test_answer_broken_off_at_any_byte_is_no_success(framing, end, method):
+    head_end, body = FRAMED_ANSWERS[framing]
+    head = INTERIM_HEADS + STATUS_HEAD + head_end
+    whole = head + body
+    # A close can't be told from the end of a body that the connection delimits, and a
+    # HEAD request's answer ends with the head.
+    ends_with_head = method == "HEAD" or (framing == "close" and end is CutOff)
+    count = len(head) if ends_with_head else len(whole)
+
+    @run_against(*(end(whole[:number]) for number in range(count)))
+    async def send(server):
+        for number in range(count):
+            result = await server.send(
+                method, echo=("Attempt", "1"), close_delimited=True
+            )
+            assert isinstance(result, Broken), (whole[:number], result)
+
+    send()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+    ],
+    ids=["unreadable_length", "upgrade", "interim"],
+)
+def test_answer_without_a_readable_end_is_no_success(head):
+    @run_against(CutOff(head + b"text"))
+    async def send(server):
+        assert isinstance(await server.send(close_delimited=True), Broken)
+
+    send()
+
+
+@run_against(CutOff(STATUS_HEAD + b"\r\ntext"))
+async def test_answer_that_a_close_delimits_is_complete(server):
+    result = await server.send(close_delimited=True)
+    assert result == Responded(200, (("Attempt", "1"),), b"text")
+
+
+@run_against(CutOff(CHUNKED_HEAD + b"2\r\nok\r\n0\r\nHTTP/1: 5\r\n\r\n"))
+async def test_trailer_does_not_change_the_status(server):
+    assert await server.send() == Responded(200, (), b"ok")
+
+
+@run_against(CutOff(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\ntext"))
+async def test_coding_other_than_chunks_delimits_no_answer(server):
+    assert isinstance(await server.send(), Broken)
+
+
 @pytest.mark.parametrize(
     ("answer", "position"),
     [
