Take an answer for whole only after its head and framing have ended

Cause: libcurl ends a transfer without an error if the connection closes inside the head. The client took 'no error' for 'whole' where a connection may delimit a body, and callers got 200 with the signature and an empty body, framed as complete. In the project's own dialect the same happened once the line of Content-Length had arrived with a length of 0, and for HEAD.

Ruled out: chunks and trailers that end early (libcurl reports them at each byte) and resets (reported at each byte and in each framing).

An answer is now whole only if a final head has ended, interim heads aside, and the framing was fulfilled: all bytes of the length, the last chunk, or, where it is allowed, the orderly end of the connection. A length that can't be read, a switch of protocols and other transfer codings are no end. Trailers are no longer read as headers.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -23,7 +23,8 @@
 IDLE_CONNECTION_MIN_S = 1
 IDLE_CONNECTION_LIMIT_S = 3600  # a server may send any number
 COUNT_DIGITS_MAX = 9
-LENGTH_DIGITS_MAX = 19  # of the largest length that libcurl follows
+LENGTH_DIGITS_MAX = 18  # libcurl ignores lengths beyond 64 bits
+FINAL_STATUS_MIN = 200
 # All answers that are being received; the smallest hosts have 200 MB, of which a node
 # takes up to 50 MB and a single answer may take 64 MB.
 ANSWERS_MAX_BYTES = 64 * 1024 * 1024
@@ -161,10 +162,12 @@
         "_close_delimited_allowed",
         "_echo_mismatch",
         "_expected_echo",
+        "_has_length",
         "_head_bytes",
+        "_head_ended",
         "_headers",
-        "_in_headers",
-        "_is_delimited",
+        "_in_head",
+        "_is_chunked",
         "_is_head_request",
         "_length",
         "_memory",
@@ -208,11 +211,13 @@
         self._chunks = []
         self._expected_echo = request.echo_header
         self._echo_mismatch = False
-        self._is_delimited = False
+        self._has_length = False
+        self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
         self._head_bytes = 0
         self._headers = []
-        self._in_headers = False
+        self._head_ended = False
+        self._in_head = False
         self._length = None
         self._status = 0
         self._too_large = False
@@ -247,8 +252,8 @@
             if self._is_complete():
                 headers = tuple(self._headers)
                 return Responded(self._status, headers, b"".join(self._chunks))
-            progress = self._describe_progress()
-            return Broken(f"the answer may be incomplete; {progress}")
+            detail = f"the answer may be incomplete; {self._describe_progress()}"
+            return Broken(detail, disconnected=not self._head_ended)
         message = message or f"libcurl error {code}"
         if self.send_count == 0:
             return NotSent(message)
@@ -268,18 +273,22 @@
         self.easy.setopt(pycurl.POSTFIELDS, b"")
 
     def _is_complete(self):
-        if (
-            self._is_delimited
-            or self._is_head_request
-            or self._status in _BODILESS_STATUSES
-        ):
+        # libcurl reports no error if the connection closes inside the head, or if it
+        # can't read the length. It does if the last chunk is missing.
+        if not self._head_ended:
+            return False
+        if self._is_head_request or self._status in _BODILESS_STATUSES:
             return True
+        if self._is_chunked:
+            return True
+        if self._has_length:
+            return self._bytes_received == self._length
         return self._close_delimited_allowed
 
     def _describe_progress(self):
         if not self._status:
             return "no part of an answer was received"
-        if self._in_headers:
+        if not self._head_ended:
             return f"ended in the head of the answer, after {self._head_bytes} bytes"
         of_length = "" if self._length is None else f" of {self._length}"
         return f"ended after {self._bytes_received}{of_length} bytes of the body"
@@ -295,42 +304,56 @@
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
         self._memory.has_progress = True
+        if self._head_ended:
+            return None  # a trailer
         text = line.decode("latin-1").rstrip("\r\n")
-        if line.startswith(b"HTTP/"):
-            # An interim (1xx) response is followed by another header block.
-            self._status = int(text.split(None, 2)[1])
-            self._head_bytes = len(line)
-            self._headers = []
-            self._is_delimited = False
-            self._length = None
-            self._in_headers = True
-        elif not text:
-            self._in_headers = False
-        elif self._in_headers:
-            self._head_bytes += len(line)
-            name, _, value = text.partition(":")
-            lowered = name.lower()
-            if (
-                self._expected_echo is not None
-                and lowered == self._expected_echo[0].lower()
-            ):
-                if value.strip() != self._expected_echo[1]:
-                    # A second, late answer to an earlier request of the connection.
-                    # Later answers on it could not be attributed either.
-                    self._echo_mismatch = True
-                    return -1
-            if lowered == "keep-alive":
-                self._on_keep_alive(value)
-            if lowered in ("content-length", "transfer-encoding"):
-                self._is_delimited = True
-            if lowered == "content-length" and _is_count(value):
-                self._length = int(value.strip()[:LENGTH_DIGITS_MAX])
-            if lowered not in _CONNECTION_HEADERS or (
-                self._is_head_request and lowered[0] == "c"
-            ):
-                self._headers.append((name, value.strip()))
+        if not self._in_head:
+            self._begin_head(text)
+        elif text:
+            if not self._receive_field(text):
+                return -1
+        else:
+            self._in_head = False
+            # The head of an interim answer is followed by another one.
+            self._head_ended = self._status >= FINAL_STATUS_MIN
+        self._head_bytes += len(line)
         return None
 
+    def _begin_head(self, status_line):
+        self._status = int(status_line.split(None, 2)[1])
+        self._head_bytes = 0
+        self._headers = []
+        self._has_length = False
+        self._is_chunked = False
+        self._length = None
+        self._in_head = True
+
+    def _receive_field(self, text):
+        """Record a header field; return False if it belongs to another request."""
+        name, _, value = text.partition(":")
+        lowered = name.lower()
+        if (
+            self._expected_echo is not None
+            and lowered == self._expected_echo[0].lower()
+            and value.strip() != self._expected_echo[1]
+        ):
+            # A second, late answer to an earlier request of the connection.
+            # Later answers on it could not be attributed either.
+            self._echo_mismatch = True
+            return False
+        if lowered == "keep-alive":
+            self._on_keep_alive(value)
+        elif lowered == "content-length":
+            self._has_length = True
+            self._length = _parse_length(value)
+        elif lowered == "transfer-encoding":
+            self._is_chunked = value.strip().lower() == "chunked"
+        if lowered not in _CONNECTION_HEADERS or (
+            self._is_head_request and lowered[0] == "c"
+        ):
+            self._headers.append((name, value.strip()))
+        return True
+
     def _receive_body(self, chunk):
         memory = self._memory
         memory.has_progress = True
@@ -522,6 +545,14 @@
             future.set_result(result)
 
 
+def _parse_length(text):
+    """Return the number of bytes, or None if it can't be read."""
+    digits = text.strip()
+    if len(digits) > LENGTH_DIGITS_MAX or not _is_count(digits):
+        return None
+    return int(digits)
+
+
 def _is_count(text):
     """Return whether `text` is a decimal number; `str.isdigit` also accepts "²"."""
     text = text.strip()
