Report a failed disk of a control host with its operation

The log told of a failed disk only where the role changed at the same time, and never which operation on which file. An event disk_failed now tells both and the role before it, and the quorum line also follows changes of the detail, such as that too few members answer.

No change of logic. packages/sapphireway-coordination/tests/test_quorum.py passes.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
@@ -5,6 +5,8 @@
 from sapphireway_coordination.quorum._types import (
     Committed,
     Current,
+    DiskFailureSeen,
+    EntriesUnanswered,
     NotLeader,
     QuorumSettings,
     QuorumStatus,
@@ -17,6 +19,8 @@
 __all__ = [
     "Committed",
     "Current",
+    "DiskFailureSeen",
+    "EntriesUnanswered",
     "NotLeader",
     "Quorum",
     "QuorumSettings",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -84,7 +84,7 @@
         Whether a new cluster may be formed if the data folders of all control hosts
         are empty.
     observe : callable
-        Called with each `EntriesUnanswered`.
+        Called with each `EntriesUnanswered` and `DiskFailureSeen`.
 
     Attributes
     ----------
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -9,6 +9,7 @@
 
 from sapphireway_coordination.quorum._types import (
     Committed,
+    DiskFailureSeen,
     QuorumSettings,
     Role,
     StateMachine,
@@ -240,6 +241,11 @@
         if not self.disk_problem:
             name = f" {failure.name}" if failure.name else ""
             self.disk_problem = f"{failure.operation}{name}: {failure.detail}"
+            self.observe(
+                DiskFailureSeen(
+                    failure.operation, failure.name, failure.detail, self.role
+                )
+            )
         self.step_down()
 
     async def append(self, first: int, entries: Sequence[JournalEntry]) -> bool:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -116,6 +116,23 @@
     size_bytes: int
 
 
+class DiskFailureSeen(msgspec.Struct, frozen=True):
+    """Event: the data folder refused an operation; this host stops participating.
+
+    Attributes
+    ----------
+    operation, name, detail : str
+        As in `DiskFailed`.
+    role : Role
+        Role before the failure.
+    """
+
+    operation: str
+    name: str
+    detail: str
+    role: Role
+
+
 class QuorumSettings(msgspec.Struct, frozen=True):
     """Timeouts and size limits of the quorum.
 
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -10,6 +10,7 @@
 from sapphireway_coordination import (
     Committed,
     Current,
+    DiskFailureSeen,
     NotLeader,
     ReadResult,
     Role,
@@ -430,6 +431,20 @@
     run_paused(run())
 
 
+def test_failed_disk_is_reported_with_its_operation():
+    # Guards against a host that stops participating without a line in its log.
+    async def run():
+        cluster = await start_cluster(3)
+        address = cluster.leader()
+        break_disk(cluster, address, "full")
+        await propose_many(cluster, 1)
+        first = cluster.list_events(address, DiskFailureSeen)[0]
+        assert (first.operation, first.role) == ("append", Role.LEADER)
+        assert first.name.startswith("journal-")
+
+    run_paused(run())
+
+
 def test_slow_fsync_keeps_leader():
     async def run():
         cluster = await start_cluster(3)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -23,6 +23,8 @@
     ControlHostList,
     ControlMachine,
     Directory,
+    DiskFailureSeen,
+    EntriesUnanswered,
     GroupControllerSettings,
     HolderSettings,
     Quorum,
@@ -51,6 +53,11 @@
 SILENT_VOTER_TIMEOUT_S = 3.0
 LIST_NODES_TIMEOUT_S = 0.3  # the end of a rollout waits for it if a host is down
 
+_QUORUM_EVENT_NAMES = {
+    DiskFailureSeen: "disk_failed",
+    EntriesUnanswered: "entries_unanswered",
+}
+
 
 class ControlHost:
     """Components that a process with the control role runs in addition to its node.
@@ -126,7 +133,7 @@
                 else 0.0,
             ),
             bootstrap=settings.bootstrap,
-            observe=self._log_entries_unanswered,
+            observe=self._log_quorum_event,
         )
         self._quorum.serve_queries(self._machine.read)
         self._confirmation_source = ConfirmationSource(
@@ -188,8 +195,9 @@
         """Return the quorum's status as known to this host."""
         return self._quorum.get_status()
 
-    def _log_entries_unanswered(self, event):
-        self._log.warning("entries_unanswered", **msgspec.structs.asdict(event))
+    def _log_quorum_event(self, event):
+        name = _QUORUM_EVENT_NAMES[type(event)]
+        self._log.warning(name, **msgspec.structs.asdict(event))
 
     async def _watch_quorum(self):
         logged = None
@@ -200,10 +208,14 @@
                 self._log.info("control_hosts", hosts=self._hosts.addresses)
             if self._quorum.failure is not None:
                 raise self._quorum.failure
-            if logged is None or (current.role, current.term) != logged:
-                logged = (current.role, current.term)
+            if (current.role, current.term, current.detail) != logged:
+                logged = (current.role, current.term, current.detail)
                 self._log.info(
-                    "quorum", role=current.role, term=current.term, disk=current.disk
+                    "quorum",
+                    role=current.role,
+                    term=current.term,
+                    disk=current.disk,
+                    detail=current.detail,
                 )
             await asyncio.sleep(CHECK_INTERVAL_S)
 
--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
@@ -74,6 +75,7 @@
         self.applied_commands = {}
         self.leaders_by_term = {}
         self.crashed_quorums = []
+        self.events = []
         self.client_count = 0
 
     async def start(self, *addresses, bootstrap=True):
@@ -92,6 +94,7 @@
                 rng,
                 self.settings,
                 bootstrap,
+                partial(self.record_event, address),
             )
             host.quorum.serve_queries(host.machine.query)
             host.peers.start()
@@ -100,6 +103,12 @@
             except PowerCutError:
                 self.crash(address)
 
+    def record_event(self, address, event):
+        self.events.append((address, event))
+
+    def list_events(self, address, event_type):
+        return [e for a, e in self.events if a == address and type(e) is event_type]
+
     def crash(self, address):
         """Stop a host by a power cut."""
         host = self.hosts[address]
