--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -445,6 +445,74 @@
     run_paused(run())
 
 
+def heal_disk(cluster, address):
+    disk = cluster.hosts[address].disk
+    disk.capacity_bytes = None
+    disk.sync_fails = disk.unreadable = False
+
+
+@pytest.mark.parametrize("fault", ["full", "fsync"])
+def test_disks_that_fail_in_turn_end_no_quorum(fault):
+    # Guards against hosts that stay out after a passing fault of their disks.
+    async def run():
+        cluster = await start_cluster(5)
+        commands = await propose_many(cluster, 3)
+        for turn in range(8):
+            address = cluster.addresses[turn % 5] if turn else cluster.leader()
+            break_disk(cluster, address, fault)
+            commands += await propose_many(cluster, 2, f"during{turn}-")
+            await asyncio.sleep(3)
+            heal_disk(cluster, address)
+            await asyncio.sleep(4)
+            assert cluster.status(address).disk == "ok"
+        await cluster.wait_until(cluster.is_healthy)
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("fault", ["full", "fsync"])
+def test_disks_that_fail_together_end_no_quorum(fault):
+    # Guards against hosts that stay out after a passing fault of their disks.
+    async def run():
+        cluster = await start_cluster(3)
+        commands = await propose_many(cluster, 3)
+        for address in cluster.addresses:
+            break_disk(cluster, address, fault)
+        outcome = await cluster.open_client().propose(b"refused", 3.0)
+        assert isinstance(outcome, Unavailable)
+        await asyncio.sleep(60)
+        assert cluster.leader() is None
+        for address in cluster.addresses:
+            heal_disk(cluster, address)
+        await asyncio.sleep(6)
+        commands += await propose_many(cluster, 2, "after")
+        await cluster.wait_until(cluster.is_healthy)
+        read = [c for c in await read_commands(cluster) if c != b"refused"]
+        assert read == commands
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("fault", ["full", "fsync", "unreadable"])
+def test_host_that_starts_on_a_failing_disk_joins_once_it_works(fault):
+    # Guards against a start that gives up at the first refused operation.
+    async def run():
+        cluster = await start_cluster(3)
+        address = cluster.leader()
+        cluster.crash(address)
+        break_disk(cluster, address, fault)
+        commands = await propose_many(cluster, 2)
+        await cluster.start(address)
+        await asyncio.sleep(20)
+        assert cluster.status(address).disk != "ok"
+        heal_disk(cluster, address)
+        await cluster.wait_until(cluster.is_healthy, 10.0)
+        assert await read_commands(cluster) == commands
+
+    run_paused(run())
+
+
 def test_slow_fsync_keeps_leader():
     async def run():
         cluster = await start_cluster(3)
