Open a control host's data folder again after a failure of its disk

Cause: Replica.fail_disk set a lasting state on the first refused write. The host took no part in the quorum until its process started again, and nothing started it again; two hosts of three, or three of five, one after the other, ended the control plane for good.

Ruled out: writing on after a failed write. Ruled out as well: to end the process. It takes the host's node with it, which carries calls, and a new process has forgotten which entries it acknowledged.

What the process knows to be durable and the folder lacks is written again. The host takes part once the start count is durable and a majority has confirmed, as at any start, that the folder is up to date. A damaged folder stays a lasting state. The status says what failed, for how long, and that it is retried; disk_reopened is logged.

An emptied or exchanged folder, or one of which others know a newer state, ends the process, as the state machine can't be emptied.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Any
 
+from sapphireway_coordination.quorum._data_folder import open_data_folder
 from sapphireway_coordination.quorum._election import handle_vote, run_elections
 from sapphireway_coordination.quorum._follower import (
     handle_append,
@@ -21,7 +22,6 @@
 from sapphireway_coordination.quorum._start import (
     handle_bootstrap,
     handle_hello,
-    open_data_folder,
     run_startup,
 )
 from sapphireway_coordination.quorum._types import (
@@ -84,7 +84,7 @@
         Whether a new cluster may be formed if the data folders of all control hosts
         are empty.
     observe : callable
-        Called with each `EntriesUnanswered` and `DiskFailureSeen`.
+        Called with each `EntriesUnanswered`, `DiskFailureSeen` and `DiskReopened`.
 
     Attributes
     ----------
@@ -224,7 +224,7 @@
             replica.journal.snapshot.index,
             tuple(member for member in members if member.voter),
             tuple(member for member in members if not member.voter),
-            replica.disk_problem or "ok",
+            replica.describe_disk(),
             str(self.failure) if self.failure else replica.detail,
             replica.configurations[0].index,
             replica.journal.get_term(replica.commit_index) == replica.term,
@@ -233,7 +233,7 @@
     def _make_refusal(self):
         replica = self._replica
         if replica.disk_problem:
-            return Unavailable(replica.disk_problem)
+            return Unavailable(replica.describe_disk())
         if replica.role == Role.STOPPED:
             return Unavailable("this host has stopped")
         leader = replica.leader.address if replica.leader else None
@@ -338,6 +338,8 @@
             )
         )
         async with replica.lock:
+            if not replica.can_participate:
+                continue
             index = replica.applied_index
             term = replica.journal.get_term(index)
             members = list(replica.configurations[0].members)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -10,6 +10,7 @@
 from sapphireway_coordination.quorum._types import (
     Committed,
     DiskFailureSeen,
+    DiskReopened,
     QuorumSettings,
     Role,
     StateMachine,
@@ -17,6 +18,7 @@
 from sapphireway_protocol import EntryKind, JournalEntry, Peers, QuorumMember
 from sapphireway_state import (
     Journal,
+    JournalDamaged,
     Snapshot,
     VoteRecord,
     check_invariant,
@@ -50,6 +52,7 @@
         "control_hosts",
         "detail",
         "disk",
+        "disk_failed_s",
         "disk_problem",
         "disk_verified",
         "incoming_snapshot",
@@ -96,6 +99,7 @@
         self.control_hosts = tuple(control_hosts)
         self.detail = ""
         self.disk = disk
+        self.disk_failed_s = None
         self.disk_problem = ""
         self.incoming_snapshot = None
         self.journal = Journal(disk, settings.limits)
@@ -153,6 +157,11 @@
             self.disk_verified and not self.disk_problem and self.role != Role.STOPPED
         )
 
+    @property
+    def is_damaged(self) -> bool:
+        """Whether the data folder needs an operator, so that it isn't opened again."""
+        return bool(self.disk_problem) and self.disk_failed_s is None
+
     def now(self) -> float:
         """Return the time of the event loop."""
         return asyncio.get_running_loop().time()
@@ -208,6 +217,8 @@
 
     async def save_vote(self, **changes) -> bool:
         """Update the vote record durably; return False if the disk fails."""
+        if self.disk_problem:
+            return False
         record = msgspec.structs.replace(self.vote, **changes)
         check_invariant(
             record.term >= self.vote.term,
@@ -237,16 +248,43 @@
         self.notify()
 
     def fail_disk(self, failure: DiskFailed) -> None:
-        """Stop participating, as the data folder can no longer be trusted."""
-        if not self.disk_problem:
-            name = f" {failure.name}" if failure.name else ""
-            self.disk_problem = f"{failure.operation}{name}: {failure.detail}"
-            self.observe(
-                DiskFailureSeen(
-                    failure.operation, failure.name, failure.detail, self.role
-                )
-            )
+        """Stop participating until the data folder was opened and verified again."""
+        name = f" {failure.name}" if failure.name else ""
+        problem = f"{failure.operation}{name}: {failure.detail}"
+        if self.disk_failed_s is None:
+            self.disk_failed_s = self.now()
+        self._stop_participating(
+            problem, failure.operation, failure.name, failure.detail
+        )
+
+    def report_damage(self, damage: JournalDamaged) -> None:
+        """Stop participating until an operator has mended the data folder."""
+        detail = f"is damaged at byte {damage.offset}: {damage.detail}"
+        self.disk_failed_s = None
+        self._stop_participating(f"{damage.name} {detail}", "read", damage.name, detail)
+
+    def _stop_participating(self, problem, operation, name, detail):
+        if problem != self.disk_problem:
+            self.disk_problem = problem
+            self.observe(DiskFailureSeen(operation, name, detail, self.role))
+        self.disk_verified = False
         self.step_down()
+        if self.role != Role.STOPPED:
+            self.role = Role.STARTING
+
+    def clear_disk_failure(self) -> None:
+        """Note that the data folder was opened; it is still to be verified."""
+        if self.disk_failed_s is not None:
+            self.observe(DiskReopened(self.now() - self.disk_failed_s))
+        self.disk_failed_s = None
+        self.disk_problem = ""
+
+    def describe_disk(self) -> str:
+        """Return ``ok``, or what is wrong with the data folder and since when."""
+        if self.disk_failed_s is None:
+            return self.disk_problem or "ok"
+        failed_s = self.now() - self.disk_failed_s
+        return f"{self.disk_problem}; for {failed_s:.0f} s, opening it is retried"
 
     async def append(self, first: int, entries: Sequence[JournalEntry]) -> bool:
         """Durably replace the entries from `first` on; return False on failure."""
@@ -278,10 +316,15 @@
         self.commit_index = index
         while self.applied_index < index:
             self._apply(self.applied_index + 1)
-        while len(self.configurations) > 1 and self.configurations[1].index <= index:
-            del self.configurations[0]
+        self._drop_replaced_configurations()
         self.notify()
 
+    def _drop_replaced_configurations(self):
+        later = self.configurations[1:]
+        for configuration in later:
+            if configuration.index <= self.commit_index:
+                del self.configurations[0]
+
     def _apply(self, index):
         entry = self.journal.get_entry(index)
         result = b""
@@ -306,6 +349,19 @@
         self.rebuild_configurations()
         self.notify()
 
+    def replace_journal(self, journal: Journal) -> None:
+        """Continue with a journal that was read again from the data folder."""
+        check_invariant(
+            all(
+                self.journal.get_term(index) in (None, journal.get_term(index))
+                for index in range(journal.snapshot.index + 1, self.commit_index + 1)
+            ),
+            "the data folder lacks committed entries",
+        )
+        self.journal = journal
+        self.incoming_snapshot = None
+        self.rebuild_configurations()
+
     def rebuild_configurations(self) -> None:
         """Derive the configurations from the vote record, snapshot and journal."""
         snapshot = self.journal.snapshot
@@ -316,3 +372,4 @@
             if entry.kind == EntryKind.MEMBERS:
                 members = decode_members(entry.data)
                 self.configurations.append(Configuration(index, members))
+        self._drop_replaced_configurations()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+from sapphireway_coordination.quorum._data_folder import (
+    generate_id,
+    open_data_folder,
+    reset_identity,
+)
 from sapphireway_coordination.quorum._replica import Replica
 from sapphireway_coordination.quorum._types import Role
 from sapphireway_protocol import (
@@ -14,62 +19,52 @@
     JoinReply,
     QuorumMember,
 )
-from sapphireway_state import (
-    JournalDamaged,
-    StartRecord,
-    VoteRecord,
-    load_vote,
-)
-from sapphireway_transport import DiskFailed
-
-
-async def open_data_folder(replica: Replica) -> None:
-    """Read the data folder and durably increment its start count."""
-    problem = await _load_data_folder(replica)
-    if isinstance(problem, DiskFailed):
-        replica.fail_disk(problem)
-    elif isinstance(problem, JournalDamaged):
-        replica.disk_problem = (
-            f"{problem.name} is damaged at byte {problem.offset}: {problem.detail}"
-        )
+from sapphireway_state import StartRecord
 
-
-async def _load_data_folder(replica):
-    record = await load_vote(replica.disk)
-    if isinstance(record, DiskFailed | JournalDamaged):
-        return record
-    if record is None:
-        replica.vote = VoteRecord("")
-        await replica.save_vote(disk_id=_generate_id(replica))
-        return None
-    replica.vote = record
-    if record.wiping:
-        await _finish_wipe(replica)
-    problem = await replica.journal.open()
-    if problem is not None:
-        return problem
-    replica.rebuild_configurations()
-    await replica.save_vote(start_count=record.start_count + 1)
-    return None
-
-
-def _generate_id(replica):
-    return f"{replica.rng.getrandbits(64):016x}"
+# A disk that fails again and again is opened less and less often, down to this rate,
+# as each time the whole journal may be read and the last segment rewritten.
+REOPEN_WAIT_MAX_S = 2.0
+# Time in use after which a failure of the disk counts as the first one.
+DISK_STABLE_S = 10.0
 
 
 async def run_startup(replica: Replica) -> None:
+    """Start up and keep this host a member, anew after each failure of its disk."""
+    wait_s = replica.settings.start_retry_s
+    while True:
+        began_s = replica.now()
+        if not replica.disk_problem:
+            await _start_until_disk_fails(replica)
+        if replica.now() - began_s > DISK_STABLE_S:
+            wait_s = replica.settings.start_retry_s
+        await replica.wait_until(lambda: not replica.is_damaged)
+        await asyncio.sleep(wait_s * replica.rng.uniform(0.8, 1.2))
+        await open_data_folder(replica)
+        wait_s = min(2 * wait_s, REOPEN_WAIT_MAX_S)
+
+
+async def _start_until_disk_fails(replica):
+    tasks = [
+        asyncio.create_task(_start(replica)),
+        asyncio.create_task(replica.wait_until(lambda: replica.disk_problem)),
+    ]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        await replica.cancel(tasks)
+
+
+async def _start(replica):
     """Start up until this host can participate, then rejoin when not a member."""
-    if replica.disk_problem:
-        return
     while not replica.vote.cluster_id and not await _try_form_cluster(replica):
         await _wait_before_retry(replica)
     if not replica.members and replica.vote.start_count > 1:
         # The folder names no members that could tell whether it is up to date. It
         # holds no entries, so a new identity loses nothing.
-        await _reset_identity(replica)
+        await reset_identity(replica)
     while replica.members and not await _try_verify_disk(replica):
         await _wait_before_retry(replica)
-    if replica.journal.snapshot.index:
+    if replica.journal.snapshot.index > replica.applied_index:
         replica.restore(replica.journal.snapshot)
     replica.disk_verified = True
     replica.role = Role.FOLLOWER
@@ -129,7 +124,7 @@
         if replica.vote.cluster_id:
             return True
         saved = await replica.save_vote(
-            cluster_id=_generate_id(replica), initial=members, founding=True
+            cluster_id=generate_id(replica), initial=members, founding=True
         )
         replica.rebuild_configurations()
         return saved
@@ -203,7 +198,7 @@
     if replica.disk_problem:
         return False
     if any(_has_seen_newer_state(replica, reply) for reply in replies.values()):
-        await _reset_identity(replica)
+        await reset_identity(replica)
         return not replica.disk_problem
     answered = {reply.disk_id for reply in replies.values()}
     if replica.is_quorum({*answered, replica.disk_id}):
@@ -226,25 +221,6 @@
     return (reply.seen_term, reply.seen_index) > local_position
 
 
-async def _reset_identity(replica):
-    """Wipe the data folder and continue under a new disk ID."""
-    async with replica.lock:
-        saved = await replica.save_vote(
-            disk_id=_generate_id(replica), start_count=1, initial=[], wiping=True
-        )
-        if saved:
-            await _finish_wipe(replica)
-            replica.rebuild_configurations()
-
-
-async def _finish_wipe(replica):
-    failure = await replica.journal.remove_all()
-    if failure is not None:
-        replica.fail_disk(failure)
-        return
-    await replica.save_vote(wiping=False)
-
-
 async def _try_join(replica):
     """Ask every host that is reported as the leader to add this host as a learner."""
     addresses = {*replica.control_hosts, *(m.address for m in replica.members)}
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -117,7 +117,9 @@
 
 
 class DiskFailureSeen(msgspec.Struct, frozen=True):
-    """Event: the data folder refused an operation; this host stops participating.
+    """Event: the data folder refused an operation or is damaged.
+
+    The host stops participating. The event is repeated only for another reason.
 
     Attributes
     ----------
@@ -133,6 +135,18 @@
     role: Role
 
 
+class DiskReopened(msgspec.Struct, frozen=True):
+    """Event: the data folder was opened again after a failure of the disk.
+
+    Attributes
+    ----------
+    failed_s : float
+        Seconds since the failure.
+    """
+
+    failed_s: float
+
+
 class QuorumSettings(msgspec.Struct, frozen=True):
     """Timeouts and size limits of the quorum.
 
@@ -184,7 +198,7 @@
     voters, learners : tuple of QuorumMember
         As of the latest membership change that this host knows to be committed.
     disk : str
-        ``ok``, or a description of the failure.
+        ``ok``, or a description of the failure, since when, and whether it is retried.
     detail : str
         What keeps the host from participating fully, apart from its disk; empty if
         nothing does.
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -163,7 +163,13 @@
 from sapphireway_state._token import read_token
 from sapphireway_state._tree import OTHER_KIND, check_tree
 from sapphireway_state._view import SettingsView, Source
-from sapphireway_state._vote import StartRecord, VoteRecord, load_vote, save_vote
+from sapphireway_state._vote import (
+    StartRecord,
+    VoteRecord,
+    load_vote,
+    merge_votes,
+    save_vote,
+)
 
 __all__ = [
     "CONTROL_HOSTS_MAX",
@@ -309,6 +315,7 @@
     "load_tree",
     "load_vote",
     "make_patch",
+    "merge_votes",
     "parse_process_settings",
     "parse_tree",
     "parse_yaml",
--- a/packages/sapphireway-state/src/sapphireway_state/_journal.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_journal.py
@@ -212,6 +212,27 @@
         del self._entries[:covered]
         return await self._remove_covered_segments()
 
+    async def append_missing(self, earlier: "Journal") -> DiskFailed | None:
+        """Durably write what an earlier reading of the same folder holds beyond this.
+
+        Entries that a later append has replaced are not written again.
+        """
+        failure = await self.save_snapshot(earlier.snapshot)
+        if failure is not None:
+            return failure
+        end = (self.last_term, self.last_index)
+        if end >= (earlier.last_term, earlier.last_index):
+            return None
+        first = max(self.snapshot.index, earlier.snapshot.index) + 1
+        while first <= earlier.last_index:
+            if self.get_term(first) != earlier.get_term(first):
+                break
+            first += 1
+        else:
+            return None  # a snapshot has replaced the rest
+        entries = earlier.list_entries(first, self.limits.journal_max_bytes)
+        return await self.append(first, entries)
+
     async def remove_all(self) -> DiskFailed | None:
         """Remove the snapshot and all segments."""
         names = await self._disk.list()
--- a/packages/sapphireway-state/src/sapphireway_state/_vote.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_vote.py
@@ -4,6 +4,7 @@
 
 from sapphireway_protocol import QuorumMember
 from sapphireway_state._frame import encode_frame, scan_frames
+from sapphireway_state._invariants import check_invariant
 from sapphireway_state._journal import JournalDamaged
 from sapphireway_transport import Disk, DiskFailed
 
@@ -73,3 +74,39 @@
     """Durably replace the record."""
     payload = msgspec.msgpack.encode(record)
     return await disk.replace(VOTE_NAME, encode_frame(payload))
+
+
+def merge_votes(remembered: VoteRecord, stored: VoteRecord) -> VoteRecord:
+    """Return a record that keeps the promises of two records of one data folder.
+
+    After a failed write, the folder may hold the record from before or after it, while
+    the process remembers the last one that was written durably. If the stored record
+    has another identity than the remembered one, it replaces that identity.
+    """
+    if remembered.disk_id != stored.disk_id:
+        return stored
+    check_invariant(
+        remembered.term != stored.term
+        or len({remembered.voted_for, stored.voted_for} - {""}) <= 1,
+        f"the data folder has voted twice in term {stored.term}",
+    )
+    newer = max(stored, remembered, key=lambda record: (record.term, record.voted_for))
+    first = stored if stored.cluster_id else remembered
+    return msgspec.structs.replace(
+        newer,
+        start_count=max(remembered.start_count, stored.start_count),
+        cluster_id=first.cluster_id,
+        initial=first.initial,
+        founding=first.founding,
+        known_starts=_merge_starts(remembered.known_starts, stored.known_starts),
+        wiping=stored.wiping,
+    )
+
+
+def _merge_starts(remembered, stored):
+    merged = dict(stored)
+    for disk_id, start in remembered.items():
+        known = merged.setdefault(disk_id, start)
+        if start.start_count > known.start_count:
+            merged[disk_id] = start
+    return merged
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -24,6 +24,7 @@
     ControlMachine,
     Directory,
     DiskFailureSeen,
+    DiskReopened,
     EntriesUnanswered,
     GroupControllerSettings,
     HolderSettings,
@@ -55,6 +56,7 @@
 
 _QUORUM_EVENT_NAMES = {
     DiskFailureSeen: "disk_failed",
+    DiskReopened: "disk_reopened",
     EntriesUnanswered: "entries_unanswered",
 }
 
