--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
@@ -5,6 +5,9 @@
 from sapphireway_coordination.quorum._types import (
     Committed,
     Current,
+    DiskFailureSeen,
+    DiskReopened,
+    EntriesUnanswered,
     NotLeader,
     QuorumSettings,
     QuorumStatus,
@@ -17,6 +20,9 @@
 __all__ = [
     "Committed",
     "Current",
+    "DiskFailureSeen",
+    "DiskReopened",
+    "EntriesUnanswered",
     "NotLeader",
     "Quorum",
     "QuorumSettings",
