--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -18,6 +18,7 @@
 from sapphireway._publisher import Publisher
 from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._shared_state import build_shared_state
+from sapphireway._standstills import StandstillWatch
 from sapphireway_coordination import (
     DEPARTURE_SPREAD_S,
     AppliedState,
@@ -63,6 +64,7 @@
         "_settings_callbacks",
         "_shared",
         "_spans",
+        "_standstill_watch",
         "_stopping",
         "_tasks",
         "_tracer",
@@ -81,6 +83,7 @@
         self._metrics = Metrics()
         decisions = DecisionLog()
         observe = make_observe(decisions, self._metrics, log)
+        self._standstill_watch = StandstillWatch(read_instant, observe)
         self._spans = collections.deque(maxlen=SPANS_MAX)
         self._tracer = self._build_tracer(rng)
         self._shared = build_shared_state(
@@ -123,6 +126,7 @@
         shared = self._shared
         await shared.channel.load()
         shared.peers.start()
+        self._spawn(self._standstill_watch.run())
         self._spawn(shared.membership.run())
         self._spawn(shared.registration.run(shared.membership, self._on_server_changed))
         if self._control is not None:
@@ -163,6 +167,11 @@
         """Orders rollouts of services and reads their state."""
         return self._shared.rollout_orders
 
+    @property
+    def standstill_watch(self) -> StandstillWatch:
+        """Measures how old requests can be that this process has just read."""
+        return self._standstill_watch
+
     def add_settings_callback(self, callback: Callable[[], None]) -> None:
         """Call `callback` without arguments whenever new settings come into force."""
         self._settings_callbacks.append(callback)
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -8,6 +8,7 @@
 from sapphireway._operator_backend import Unavailable
 from sapphireway._publisher import EditRefused, Publisher
 from sapphireway._rollout_orders import RolloutOrders
+from sapphireway._standstills import StandstillWatch
 
 __all__ = [
     "CallerDialect",
@@ -17,6 +18,7 @@
     "Node",
     "Publisher",
     "RolloutOrders",
+    "StandstillWatch",
     "Unavailable",
     "configure_logs",
     "filter_headers",
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -7,7 +7,7 @@
 import tornado.web
 
 from sapphireway._logs import EventLog
-from sapphireway.hosting import EditRefused, Unavailable
+from sapphireway.hosting import EditRefused, StandstillWatch, Unavailable
 from sapphireway_platform._main import _make_operator_routes
 from sapphireway_state import (
     CurrentTable,
@@ -29,6 +29,8 @@
         self.current = CurrentTable(RouteTable(5))
         self.out_result = None
         self.published, self.out = [], []
+        self.now_s = 0.0
+        self.standstill_watch = StandstillWatch(lambda: (self.now_s, self.now_s))
 
     async def publish(self, publish):
         self.published.append(publish)
--- a/tests/platform_adapter/test_rollouts.py
+++ b/tests/platform_adapter/test_rollouts.py
@@ -7,7 +7,7 @@
 import tornado.web
 
 from sapphireway._logs import EventLog
-from sapphireway.hosting import RolloutOrders
+from sapphireway.hosting import RolloutOrders, StandstillWatch
 from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import ROLLOUT_PREFIX
 from sapphireway_platform._main import _make_operator_routes
@@ -24,6 +24,7 @@
     def __init__(self):
         self.control = MemoryControlClient(["ledger"])
         self.publisher = None
+        self.standstill_watch = StandstillWatch(lambda: (0.0, 0.0))
         self.rollout_orders = RolloutOrders(self.control, lambda: 50.0)
 
     def end(self, state):
