Show by tests that overtaken orders are carried out

The tests show four ways without a process: the order conflicts with later ones and is tried again on what they left; the later order changed nothing, so that nothing conflicts; the sender has left; the order was read right after a standstill.

--- a/packages/sapphireway/tests/test_publisher.py
+++ b/packages/sapphireway/tests/test_publisher.py
@@ -5,8 +5,10 @@
 
 from sapphireway._operator_backend import Unavailable
 from sapphireway._publisher import CONFLICTS_MAX, EditRefused, Publisher
+from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import Committed, ReadResult
 from sapphireway_state import Accepted, Conflict, CurrentTree, Problem, Refused
+from sapphireway_transport.memory import run_paused
 
 
 class ScriptedClient:
@@ -44,3 +46,49 @@
     result = asyncio.run(publisher.set_out("bxl-a", True))
     assert isinstance(result, result_type)
     assert len(client.answers) == left
+
+
+class HeldClient(MemoryControlClient):
+    """Delivers proposals only once `released` is set, as a frozen leader does."""
+
+    def __init__(self):
+        super().__init__(["ledger"])
+        self.released = asyncio.Event()
+        self.released.set()
+
+    async def propose(self, command, timeout_s):
+        await self.released.wait()
+        return await super().propose(command, timeout_s)
+
+
+def order_twice(overtaken, *later):
+    """Return what is out after `overtaken` arrived behind `later`, and its result."""
+
+    async def main():
+        client = HeldClient()
+        first, second = (
+            Publisher(client, iter([f"{host}-{i}" for i in range(9)]).__next__)
+            for host in "ab"
+        )
+        assert await first.set_out("bxl-a", True) is None
+        client.released.clear()
+        held = asyncio.create_task(first.set_out("bxl-a", overtaken))
+        await asyncio.sleep(1.0)
+        frozen, client.released = client.released, asyncio.Event()
+        client.released.set()
+        for out in later:
+            assert await second.set_out("bxl-a", out) is None
+        frozen.set()
+        result = await held
+        return client.machine.settings.tree["domains"]["bxl-a"]["out"], result
+
+    return run_paused(main())
+
+
+@pytest.mark.parametrize(
+    "later", [(False, True), (True,)], ids=["reversed", "unchanged"]
+)
+def test_order_is_not_carried_out_after_later_acknowledged_ones(later):
+    out, result = order_twice(False, *later)
+    assert out is True
+    assert isinstance(result, Unavailable)
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -7,7 +7,13 @@
 import tornado.web
 
 from sapphireway._logs import EventLog
-from sapphireway.hosting import EditRefused, StandstillWatch, Unavailable
+from sapphireway.hosting import (
+    EditRefused,
+    Publisher,
+    StandstillWatch,
+    Unavailable,
+)
+from sapphireway.memory import MemoryControlClient
 from sapphireway_platform._main import _make_operator_routes
 from sapphireway_state import (
     CurrentTable,
@@ -49,16 +55,21 @@
     return FakeNode()
 
 
+def listen(node):
+    """Return a server of the operator's interface and its port."""
+    routes = _make_operator_routes(node, EventLog(lambda: 0.0))
+    server = tornado.httpserver.HTTPServer(
+        tornado.web.Application(routes, log_function=lambda handler: None)
+    )
+    server.listen(0, "127.0.0.1")
+    return server, next(iter(server._sockets.values())).getsockname()[1]
+
+
 def send(node, *requests):
     """Send requests in sequence and return the answers."""
 
     async def run():
-        routes = _make_operator_routes(node, EventLog(lambda: 0.0))
-        server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=lambda handler: None)
-        )
-        server.listen(0, "127.0.0.1")
-        port = next(iter(server._sockets.values())).getsockname()[1]
+        server, port = listen(node)
         client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
         answers = []
         for method, path, headers, body in requests:
@@ -187,3 +198,48 @@
     (answer,) = send(node, ("POST", f"/Evacuation.{verb}/rincon", {}, ""))
     assert answer.code == status
     assert node.out == [("rincon", out)]
+
+
+class SlowReadClient(MemoryControlClient):
+    """Its reads take a round trip, as those of a quorum do."""
+
+    async def read(self, query, timeout_s):
+        await asyncio.sleep(0.02)
+        return await super().read(query, timeout_s)
+
+
+def send_evacuation_and_wait(closes):
+    """Send an order, close its connection or not; return whether it was carried out."""
+
+    async def run():
+        node = FakeNode()
+        client = SlowReadClient([])
+        node.publisher = Publisher(client, lambda: "edit-1")
+        server, port = listen(node)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /Evacuation.Start/rincon HTTP/1.1\r\n")
+        writer.write(b"Host: x\r\nContent-Length: 0\r\n\r\n")
+        if closes:
+            writer.close()
+        else:
+            assert b" 200 " in await reader.readline()
+        await asyncio.sleep(0.3)
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+        return "domains" in client.machine.settings.tree
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_order_is_not_carried_out_once_its_sender_has_left(closes):
+    assert send_evacuation_and_wait(closes) is not closes
+
+
+@pytest.mark.parametrize(("frozen_s", "status"), [(0.0, 200), (4.0, 503)])
+def test_order_read_right_after_a_standstill_is_not_carried_out(node, frozen_s, status):
+    node.now_s += frozen_s
+    (answer,) = send(node, ("POST", "/Evacuation.Start/rincon", {}, ""))
+    assert answer.code == status
+    assert (node.out == []) is (status == 503)
