Carry out an evacuation only while its sender waits for it

Cause: set_out read the version that it built on whenever its process ran again, tried a conflicting edit again on what later orders had left, and nobody looked whether the sender had closed the connection. An order that changed nothing was acknowledged without an edit, so an earlier one on its way could still be accepted behind it. Callers of an evacuated zone were sent there until the operator evacuated it once more.

The edit is accepted on exactly the version for which this held, and one is made even if the domain is as ordered. Whatever is ordered after the sender has left then makes a later version, wherever the earlier order waits: in a frozen handler, a frozen leader or a copy sent again.

Ruled out: a limit of the age alone, as an order may be overtaken within it; a redirect that carries the version, as it costs a round trip and not all operators follow one.

--- a/packages/sapphireway/src/sapphireway/_publisher.py
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -39,6 +39,9 @@
 CONFLICTS_MAX = 5  # conflicts with other edits before a change of a domain fails
 PUBLISHER_OPERATOR = "platform"
 
+FindStaleness = Callable[[int], Awaitable[str | None]]
+"""Returns why an order must not be carried out on a version any more, or None."""
+
 
 class EditRefused(msgspec.Struct, frozen=True):
     """Result: the edit is invalid and would be refused again.
@@ -90,17 +93,32 @@
             return answer
         return decode_current_table(answer)
 
-    async def set_out(self, domain: str, out: bool) -> Unavailable | EditRefused | None:
-        """Take a failure domain out of service or back in; return None if accepted."""
+    async def set_out(
+        self, domain: str, out: bool, find_staleness: FindStaleness
+    ) -> Unavailable | EditRefused | None:
+        """Take a failure domain out of service or back in; return None if accepted.
+
+        The edit is accepted only on the version for which `find_staleness` found the
+        order valid. It is made even if the domain is as ordered, so that no earlier
+        order that is still on its way can be accepted afterwards.
+
+        Parameters
+        ----------
+        domain : str
+        out : bool
+        find_staleness : callable
+            Called with each version of the tree before an edit is based on it; returns
+            why the order must not be carried out any more, or None.
+        """
         for _ in range(CONFLICTS_MAX):
             tree = await self._read(TREE_PREFIX + encode_query(ReadTree()))
             if isinstance(tree, Unavailable):
                 return tree
-            current = msgspec.msgpack.decode(tree, type=CurrentTree)
-            spec = current.tree.get("domains", {}).get(domain, {})
-            if bool(spec.get("out")) == out:
-                return None
-            answer = await self._edit(current.version, domain, out)
+            version = msgspec.msgpack.decode(tree, type=CurrentTree).version
+            staleness = await find_staleness(version)
+            if staleness is not None:
+                return Unavailable(staleness)
+            answer = await self._edit(version, domain, out)
             if not isinstance(answer, Conflict):
                 return answer
         return Unavailable(
--- a/packages/sapphireway/tests/test_publisher.py
+++ b/packages/sapphireway/tests/test_publisher.py
@@ -11,6 +11,16 @@
 from sapphireway_transport.memory import run_paused
 
 
+def make_check(*results):
+    """Return a check of an order that finds these, and then the last one again."""
+    remaining = list(results)
+
+    async def find_staleness(version):
+        return remaining.pop(0) if len(remaining) > 1 else remaining[0]
+
+    return find_staleness
+
+
 class ScriptedClient:
     """Answers edits of the settings tree one after the other."""
 
@@ -43,7 +53,7 @@
 ):
     client = ScriptedClient(*answers)
     publisher = Publisher(client, lambda: "edit-1")
-    result = asyncio.run(publisher.set_out("bxl-a", True))
+    result = asyncio.run(publisher.set_out("bxl-a", True, make_check(None)))
     assert isinstance(result, result_type)
     assert len(client.answers) == left
 
@@ -70,14 +80,16 @@
             Publisher(client, iter([f"{host}-{i}" for i in range(9)]).__next__)
             for host in "ab"
         )
-        assert await first.set_out("bxl-a", True) is None
+        valid = make_check(None)
+        assert await first.set_out("bxl-a", True, valid) is None
         client.released.clear()
-        held = asyncio.create_task(first.set_out("bxl-a", overtaken))
+        given_up = make_check(None, "the sender has left")
+        held = asyncio.create_task(first.set_out("bxl-a", overtaken, given_up))
         await asyncio.sleep(1.0)
         frozen, client.released = client.released, asyncio.Event()
         client.released.set()
         for out in later:
-            assert await second.set_out("bxl-a", out) is None
+            assert await second.set_out("bxl-a", out, valid) is None
         frozen.set()
         result = await held
         return client.machine.settings.tree["domains"]["bxl-a"]["out"], result
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -45,7 +45,10 @@
     async def read_table(self, digest=b""):
         return self.current
 
-    async def set_out(self, domain, out):
+    async def set_out(self, domain, out, find_staleness):
+        staleness = await find_staleness(3)
+        if staleness is not None:
+            return Unavailable(staleness)
         self.out.append((domain, out))
         return self.out_result
 
