Show by a test that an evacuation waits too long for a silent host

The control client waits for a silent host for a second, as long as operators wait at all, both for the read and for the edit. Orders of rollouts have short tries for this reason.

--- a/packages/sapphireway/tests/test_publisher.py
+++ b/packages/sapphireway/tests/test_publisher.py
@@ -7,6 +7,8 @@
 from sapphireway._publisher import CONFLICTS_MAX, EditRefused, Publisher
 from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import Committed, ReadResult
+from sapphireway_coordination import Unavailable as NoQuorum
+from sapphireway_coordination.settings._control_client import ATTEMPT_TIMEOUT_S
 from sapphireway_state import Accepted, Conflict, CurrentTree, Problem, Refused
 from sapphireway_transport.memory import run_paused
 
@@ -104,3 +106,39 @@
     out, result = order_twice(False, *later)
     assert out is True
     assert isinstance(result, Unavailable)
+
+
+class SilentLeaderClient(MemoryControlClient):
+    """The first request of each kind goes to a host that doesn't answer."""
+
+    def __init__(self):
+        super().__init__(["ledger"])
+        self.asked = set()
+
+    async def wait_for_silent_host(self, kind, timeout_s):
+        if kind in self.asked:
+            return False
+        self.asked.add(kind)
+        await asyncio.sleep(min(ATTEMPT_TIMEOUT_S, timeout_s))
+        return timeout_s <= ATTEMPT_TIMEOUT_S
+
+    async def read(self, query, timeout_s):
+        if await self.wait_for_silent_host("read", timeout_s):
+            return NoQuorum("no control host answered")
+        return await super().read(query, timeout_s)
+
+    async def propose(self, command, timeout_s):
+        if await self.wait_for_silent_host("propose", timeout_s):
+            return NoQuorum("no control host answered", maybe_applied=True)
+        return await super().propose(command, timeout_s)
+
+
+def test_silent_control_host_does_not_take_the_time_of_an_evacuation():
+    """Its operator waits for a second at each node."""
+
+    async def main():
+        publisher = Publisher(SilentLeaderClient(), lambda: "edit-1")
+        assert await publisher.set_out("bxl-a", True, make_check(None)) is None
+        assert asyncio.get_running_loop().time() < 1.0
+
+    run_paused(main())
