Test a stop beside a configuration that raises timeouts

The time for which a stopping node takes work follows from the timeouts in force at the signal. Where a configuration raises them during that time, the entry node closed 8 of 10 requests that it had passed on, and the node beside the server left attempts unanswered.

--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -116,11 +116,9 @@
 
     def serve(self, timeouts_s):
         """Publish routes and wait until the node's server answers on them."""
-        configuration = make_configuration(timeouts_s)
 
         def publish():
-            answer = self.publish("/Configuration.Replace", configuration, 0)
-            return answer is not None and answer[0] == 200
+            return self.publish_routes(timeouts_s, 1)
 
         def is_served():
             self.announce()
@@ -131,6 +129,12 @@
         wait_until(publish, "accepted configuration")
         wait_until(is_served, "answer")
 
+    def publish_routes(self, timeouts_s, version):
+        """Publish routes; return whether they were accepted."""
+        document = make_configuration(timeouts_s) | {"version": version}
+        answer = self.publish("/Configuration.Replace", document, version - 1)
+        return answer is not None and answer[0] == 200
+
     def announce(self):
         host, port = self.server.server_address
         heartbeat = {
@@ -256,6 +260,28 @@
     assert asyncio.run(run()) == [504, 504]
 
 
+@pytest.mark.parametrize("stopped", ["entry", "beside"])
+def test_stop_takes_no_request_whose_timeout_was_raised_beyond_its_end(system, stopped):
+    system.serve({"non_idempotent": TIMEOUT_S})
+
+    async def run():
+        stopping = asyncio.create_task(system.stop_node(stopped))
+        await asyncio.sleep(0.1)
+        raised = {"non_idempotent": LONG_TIMEOUT_S}
+        assert await asyncio.to_thread(system.publish_routes, raised, 2)
+        requests = []
+        for number in range(10):
+            request = system.request(f"q{number}", "/non_idempotent/1.6")
+            requests.append(asyncio.create_task(request))
+            await asyncio.sleep(0.08)
+        killed = await stopping
+        return killed, await asyncio.gather(*requests)
+
+    killed, statuses = asyncio.run(run())
+    assert not killed and not system.list_faults()
+    assert 503 in statuses and 504 not in statuses, statuses
+
+
 @pytest.mark.parametrize("stopped", ["entry", "beside"])
 @pytest.mark.parametrize("timeout_s", [TIMEOUT_S, LONG_TIMEOUT_S])
 def test_requests_at_every_moment_of_a_stop_are_answered_or_refused(
