Refuse what cannot end before a stopping node does

Cause: how long a stopping node takes work was decided once, at the signal, from the timeouts of that moment, and for an upload when its headers arrived. Both were acted on later: an upload whose last byte came late, or a request whose timeout a configuration had raised meanwhile, was passed on and cut when the grace period ended. With a settings tree instead of routes no timeout was looked at.

Change: each request is judged when it is complete, and each attempt when it arrives at the gate and again when it starts. If its deadline is later than the end of the stop it is refused as not run. A request with a key that must not run twice asks its claim, as at any stopping node.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -263,6 +263,13 @@
         if refusal is not None:
             self._runner.refuse_all(refusal)
 
+    def limit_work(self, end_s: float) -> None:
+        """Refuse attempts whose deadline is later than `end_s`, a loop time.
+
+        A stopping node doesn't wait for them, so they may be cut once started.
+        """
+        self._runner.end_s = end_s
+
     def announce_departure(self) -> None:
         """Let other nodes know that this one will drain; work is still accepted."""
         self._departure_s = min(self._departure_s, self._loop.time())
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -1,6 +1,7 @@
 """Execution of attempts, from their arrival at the gate to their completion."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from sapphireway_coordination.gate._admission import AdmissionQueue, Waiter
@@ -47,6 +48,8 @@
 
     Attributes
     ----------
+    end_s : float
+        Loop time by which attempts must end; no attempt with a later deadline starts.
     idle : Event
         Set while there is no attempt.
     """
@@ -66,6 +69,7 @@
         "_started_work",
         "_suspect_exchange",
         "_suspects",
+        "end_s",
         "idle",
     )
 
@@ -95,6 +99,7 @@
         self._registration = registration
         self._started_work = StartedWork(self._loop.time)
         self._suspects = suspects
+        self.end_s = math.inf
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -266,6 +271,8 @@
         closed = self._get_closed_reason()
         if closed is not None:
             return closed
+        if job.deadline_s > self.end_s:
+            return NotRunReason.DRAINING
         if job.policy.out:
             return NotRunReason.DOMAIN_OUT
         unavailable = self._registration.find_unavailability(run.service)
@@ -303,6 +310,8 @@
         # may have passed since the last check. This check enforces the latest start.
         if now_s > run.latest_start_s:
             return NotRunReason.DEADLINE
+        if job.deadline_s > self.end_s:
+            return NotRunReason.DRAINING
         record.state = AttemptState.RUNNING
         capacity = self._registration.capacity
         job.capacity = capacity
--- a/packages/sapphireway-coordination/tests/test_shutdown.py
+++ b/packages/sapphireway-coordination/tests/test_shutdown.py
@@ -8,6 +8,7 @@
     compute_drain_time,
     compute_serve_time,
 )
+from sapphireway_protocol import NotRunReason
 from sapphireway_transport.memory import run_paused
 
 
@@ -96,3 +97,26 @@
         return loop.time()
 
     assert run_paused(main()) < 0.3
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_stopping_gate_starts_no_attempt_that_outlasts_it(waits):
+    """Such an attempt was cut when the process ended."""
+
+    async def main():
+        bench = Bench(slots=1)
+        await bench.warm()
+        bench.server.slow_factor = 20.0
+        if waits:
+            bench.send("first", budget_ms=1000.0)
+            bench.send("long", budget_ms=3000.0)
+            await asyncio.sleep(0.01)
+        bench.gate.limit_work(asyncio.get_running_loop().time() + 2.0)
+        if not waits:
+            bench.send("long", budget_ms=3000.0)
+        short = await bench.call("short", budget_ms=1500.0)
+        return bench.replies["long"][0], short
+
+    long, short = run_paused(main())
+    assert (long.outcome, long.reason) == ("not_run", NotRunReason.DRAINING)
+    assert short.outcome == "answered"
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -156,6 +156,9 @@
     stopping : bool
         True once the node refuses new calls. Calls with a key that must not run
         twice are still executed, as the claim records whether the key has run.
+    end_s : float
+        Loop time at which the node stops waiting for calls in progress; infinite until
+        it stops. A call with a later deadline is refused like one to a stopping node.
     stop_refusals : int
         Requests that were refused because the node is stopping.
     """
@@ -173,6 +176,7 @@
         "_longest_timeout_ms",
         "_metrics",
         "_overridden_names",
+        "end_s",
         "stop_refusals",
         "stopping",
     )
@@ -206,6 +210,7 @@
         self._log = log
         self._metrics = metrics
         self._get_fences = get_fences
+        self.end_s = math.inf
         self.stop_refusals = 0
         self.stopping = False
 
@@ -253,19 +258,24 @@
         """Execute one request and return its answer."""
         if request.route is None:
             return self._handle_unmatched(request)
-        if request.route.arrival.stopping and not self._is_claimed(request):
+        arrival = request.route.arrival
+        if arrival.stopping and not self._is_claimed(request):
             return self._refuse_stopping()
         call = self._make_call(request, request.route)
         if isinstance(call, str):
             return self._refuse(400, call, request.remote)
+        if call.deadline_s > self.end_s:
+            # The body of a request in flight may arrive too late to run the request.
+            if not self._is_claimed(request):
+                return self._refuse_stopping()
+            arrival = msgspec.structs.replace(arrival, stopping=True)
         if self._get_routes().table.workspaces:
-            return await self._handle_identified(call, request)
-        outcome = await self._execute_call(call, request.route.arrival)
+            return await self._handle_identified(call, request, arrival)
+        outcome = await self._execute_call(call, arrival)
         return self._dialect.render(outcome, self.stopping)
 
-    async def _handle_identified(self, call, request):
+    async def _handle_identified(self, call, request, arrival):
         """Execute a call if its API key allows it."""
-        arrival = request.route.arrival
         key = decode_access_key(request.get_header(self._dialect.access_header))
         identified = await self._identify(call, key, request.route.open_access)
         if isinstance(identified, KeyRefused):
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -179,6 +179,8 @@
         grace_s = self._settings.stop_grace_ms / MS_PER_S
         deadline_s = loop.time() + compute_drain_time(grace_s, drain_s)
         self._stopping = True
+        self._data_path.callers.end_s = deadline_s
+        self.gate.limit_work(deadline_s)
         answers_before = self._data_path.listener.answer_count
         if grace_s:
             # The local server goes on running; other nodes may still use it.
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -8,6 +8,7 @@
 from sapphireway_protocol import Answered, Failed, NotRun, NotRunReason, Unknown
 from sapphireway_state import SettingsView
 from sapphireway_transport import HttpRequest, RejectedRequest
+from sapphireway_transport.memory import run_paused
 
 TREE = {
     "deadline_ms": 500,
@@ -170,6 +171,35 @@
     assert dict(answer.headers)["Connection"] == "close"
 
 
+@pytest.mark.parametrize(
+    ("headers", "body_s", "outcome", "stopping"),
+    [
+        ((), 0.4, "answered", False),
+        ((), 0.6, "not-run", None),
+        ((("Request-Timeout-Ms", "300"),), 0.6, "answered", False),
+        ((("Idempotency-Key", "k"),), 0.6, "answered", True),
+    ],
+)
+def test_body_that_arrives_too_late_in_a_stop_is_not_run(
+    api, recorder, headers, body_s, outcome, stopping
+):
+    """An upload whose headers came before the stop was passed on and cut."""
+
+    async def handle():
+        request = make_request(headers=headers)
+        api.prepare(request)
+        api.end_s = asyncio.get_running_loop().time() + 1.0
+        await asyncio.sleep(body_s)
+        return await api.handle(request)
+
+    headers = dict(run_paused(handle()).headers)
+    assert headers["Sapphireway-Outcome"] == outcome
+    assert [arrival.stopping for _, arrival in recorder.calls] == (
+        [] if stopping is None else [stopping]
+    )
+    assert outcome == "answered" or {"Retry-After", "Connection"} <= headers.keys()
+
+
 @pytest.mark.parametrize(
     ("headers", "outcome"),
     [((), "not-run"), ((("Idempotency-Key", "k"),), "unknown")],
