--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -56,6 +56,7 @@
         "disk_problem",
         "disk_verified",
         "incoming_snapshot",
+        "join_answer",
         "journal",
         "leader",
         "leader_contact_s",
@@ -102,6 +103,7 @@
         self.disk_failed_s = None
         self.disk_problem = ""
         self.incoming_snapshot = None
+        self.join_answer = None
         self.journal = Journal(disk, settings.limits)
         self.leader = None
         self.leader_contact_s = float("-inf")
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -8,7 +8,7 @@
     reset_identity,
 )
 from sapphireway_coordination.quorum._replica import Replica
-from sapphireway_coordination.quorum._types import Role
+from sapphireway_coordination.quorum._types import JoinAnswered, Role
 from sapphireway_protocol import (
     Bootstrap,
     BootstrapReply,
@@ -225,14 +225,22 @@
     """Ask every host that is reported as the leader to add this host as a learner."""
     addresses = {*replica.control_hosts, *(m.address for m in replica.members)}
     replies = await _exchange_hellos(replica, addresses)
-    leaders = sorted({r.leader for r in replies.values() if r.leader})
+    leaders = {r.leader for r in replies.values() if r.leader}
     join = Join(replica.vote.cluster_id, replica.disk_id)
-    for leader in leaders:
+    for leader in sorted(leaders):
         reply = await replica.peers.request(
             leader, join, replica.settings.start_retry_s
         )
         if reply is not None and isinstance(reply.message, JoinReply):
-            replica.detail = "" if reply.message.accepted else reply.message.detail
+            _record_join_reply(replica, leader, reply.message)
+
+
+def _record_join_reply(replica, leader, reply):
+    replica.detail = "" if reply.accepted else reply.detail
+    answer = JoinAnswered(leader, reply.accepted, reply.detail)
+    if answer != replica.join_answer:
+        replica.join_answer = answer
+        replica.observe(answer)
 
 
 async def handle_hello(replica: Replica, sender: str, envelope: Envelope) -> None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -147,6 +147,22 @@
     failed_s: float
 
 
+class JoinAnswered(msgspec.Struct, frozen=True):
+    """Event: a leader's answer to this host's request to join has changed.
+
+    Attributes
+    ----------
+    leader : str
+    accepted : bool
+    detail : str
+        One-line explanation for operators.
+    """
+
+    leader: str
+    accepted: bool
+    detail: str
+
+
 class QuorumSettings(msgspec.Struct, frozen=True):
     """Timeouts and size limits of the quorum.
 
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -28,6 +28,7 @@
     EntriesUnanswered,
     GroupControllerSettings,
     HolderSettings,
+    JoinAnswered,
     Quorum,
     QuorumSettings,
     QuorumStatus,
@@ -58,6 +59,7 @@
     DiskFailureSeen: "disk_failed",
     DiskReopened: "disk_reopened",
     EntriesUnanswered: "entries_unanswered",
+    JoinAnswered: "join_answered",
 }
 
 
@@ -202,7 +204,7 @@
         self._log.warning(name, **msgspec.structs.asdict(event))
 
     async def _watch_quorum(self):
-        logged = None
+        logged = logged_members = None
         while True:
             current = self._quorum.get_status()
             addresses = [m.address for m in (*current.voters, *current.learners)]
@@ -219,6 +221,15 @@
                     disk=current.disk,
                     detail=current.detail,
                 )
+            if current.members_index != logged_members:
+                logged_members = current.members_index
+                self._log.info(
+                    "quorum_members",
+                    index=current.members_index,
+                    is_member=_is_member(current),
+                    voters=_describe_members(current.voters),
+                    learners=_describe_members(current.learners),
+                )
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _apply_journal(self):
@@ -301,3 +312,13 @@
             for kind in (*kinds, OTHER_KIND)
         ]
         return max(ttls) + HolderSettings().lease_s
+
+
+def _is_member(status):
+    """Return whether a host's own journal lists its disk as a member."""
+    members = (*status.voters, *status.learners)
+    return any(member.disk_id == status.disk_id for member in members)
+
+
+def _describe_members(members):
+    return [f"{member.address} {member.disk_id}" for member in members]
