Let a control host that was removed while it was away join again

Cause: a leader removed a silent voter from an even number of voters, and nobody told the removed host.

Hosts report a leader only while they hear it, so that a joining host isn't sent to one that is gone.

Ruled out: to notify a host at its removal, as it is away just then.

test_host_removed_while_away_joins_again failed in all four cases without the change and passes with it.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -55,7 +55,10 @@
 
 
 async def _start(replica):
-    """Start up until this host can participate, then rejoin when not a member."""
+    """Start up until this host can participate, then join whenever no leader is heard.
+
+    The leader adds this host only if it is not a member.
+    """
     while not replica.vote.cluster_id and not await _try_form_cluster(replica):
         await _wait_before_retry(replica)
     if not replica.members and replica.vote.start_count > 1:
@@ -73,9 +76,9 @@
         await _wait_before_retry(replica)
     while True:
         await _wait_before_retry(replica)
-        own = (replica.peers.address, replica.disk_id)
-        is_member = any((m.address, m.disk_id) == own for m in replica.members)
-        if not is_member and not replica.has_recent_leader():
+        # A host that was removed while it was away still finds itself in its own
+        # journal's members, and no leader sends to it. Only a leader can tell.
+        if replica.can_participate and not replica.has_recent_leader():
             await _try_join(replica)
 
 
@@ -225,7 +228,7 @@
     """Ask every host that is reported as the leader to add this host as a learner."""
     addresses = {*replica.control_hosts, *(m.address for m in replica.members)}
     replies = await _exchange_hellos(replica, addresses)
-    leaders = {r.leader for r in replies.values() if r.leader}
+    leaders = {r.leader for r in replies.values()} - {"", replica.peers.address}
     join = Join(replica.vote.cluster_id, replica.disk_id)
     for leader in sorted(leaders):
         reply = await replica.peers.request(
@@ -254,13 +257,14 @@
             if not await _record_start(replica, hello):
                 return
     acked_term, acked_index = replica.acked.get(hello.disk_id, (0, 0))
+    leader = replica.leader
     reply = HelloReply(
         replica.vote.cluster_id,
         replica.disk_id,
         replica.bootstrap,
         list(replica.control_hosts),
         replica.vote.initial,
-        replica.leader.address if replica.leader else "",
+        leader.address if leader and replica.has_recent_leader() else "",
         seen.start_count,
         seen.start_id,
         acked_term,
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -6,10 +6,15 @@
 import pytest
 from tests.quorum_cluster import SETTINGS, Cluster
 
-from sapphireway_coordination import Committed, ReadResult, Role
+from sapphireway_coordination import (
+    Committed,
+    ReadResult,
+    Role,
+)
 from sapphireway_transport.memory import MemoryDisk, run_paused
 
 SILENT_VOTER_TIMEOUT_S = 3.0
+CATCH_UP_S = 4.0  # within which a host that is back must count again
 AUTO_JOIN_SETTINGS = msgspec.structs.replace(
     SETTINGS, admit_unknown_hosts=True, silent_voter_timeout_s=SILENT_VOTER_TIMEOUT_S
 )
@@ -146,3 +151,44 @@
         assert cluster.status(leader).role is not Role.LEADER
 
     run_paused(run())
+
+
+async def start_six_voters(cluster):
+    await cluster.wait_until(cluster.is_healthy)
+    await cluster.start("c5", bootstrap=False)
+    await cluster.wait_until(lambda: count_voters(cluster) == 6)
+    await cluster.wait_until(cluster.is_healthy)
+
+
+@pytest.mark.parametrize("away", ["cut", "unpowered"])
+@pytest.mark.parametrize("drop_rate", [0.0, 0.3])
+def test_host_removed_while_away_joins_again(away, drop_rate):
+    """Nobody tells the removed host, and its own journal still lists it as a voter."""
+
+    async def run():
+        cluster = await start_cluster()
+        await start_six_voters(cluster)
+        removed = next(a for a in sorted(cluster.hosts) if a != cluster.leader())
+        disk_id = cluster.status(removed).disk_id
+        term = cluster.status(cluster.leader()).term
+        if away == "cut":
+            cluster.isolate(removed)
+        else:
+            cluster.crash(removed)
+        await cluster.wait_until(lambda: count_voters(cluster) == 5)
+        await propose(cluster, b"while away")
+        cluster.network.heal_all()
+        cluster.network.drop_rate = drop_rate
+        if away == "unpowered":
+            await cluster.start(removed, bootstrap=False)
+        back_s = asyncio.get_running_loop().time()
+        await cluster.wait_until(cluster.is_healthy, timeout_s=15.0)
+        took_s = asyncio.get_running_loop().time() - back_s
+        assert count_voters(cluster) == 6
+        assert cluster.status(removed).disk_id == disk_id
+        if not drop_rate:
+            assert cluster.status(cluster.leader()).term == term
+            assert took_s < CATCH_UP_S
+        cluster.check()
+
+    run_paused(run())
