Remove a silent voter only after another host votes in its place

Cause: when a learner had caught up, a silent voter was removed for it first, whichever voter had lost its disk.

Change: a learner is promoted first; only a voter with the learner's own address goes before it. A silent voter is removed if the number of voters is even and above 2 * control_losses_max + 1, the one that has been silent for longest first, and not while a learner catches up. control_losses_max follows from the platform's fault tolerance. members_proposed logs each automatic change with its reason.

Ruled out: no automatic removal at all, as hosts that are replaced one after the other would leave voters that never come back.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -3,25 +3,43 @@
 import asyncio
 from collections.abc import Sequence
 
+import msgspec
+
 from sapphireway_coordination.quorum._replica import Replica
-from sapphireway_coordination.quorum._types import Committed, NotLeader, Unavailable
+from sapphireway_coordination.quorum._types import (
+    Committed,
+    MembersProposed,
+    NotLeader,
+    Unavailable,
+)
 from sapphireway_protocol import EntryKind, Envelope, JoinReply, QuorumMember
 from sapphireway_state import check_invariant, encode_members
 
-VOTERS_MIN = 3  # kept by automatic removal; fewer tolerate no failure
+VOTERS_MIN = 3  # left by automatic removal; fewer tolerate no failure
+
+
+class _Change(msgspec.Struct, frozen=True):
+    """Next step of an automatic change of the members."""
+
+    members: tuple[QuorumMember, ...]
+    action: str
+    member: QuorumMember
+    reason: str
 
 
 async def maintain_members(replica: Replica, term: int) -> None:
-    """Promote learners that have caught up, after removing voters they replace.
+    """Promote learners that have caught up, and remove voters that they replace.
 
-    If `silent_voter_timeout_s` is set, voters that no longer respond are replaced or
-    removed as well.
+    If `silent_voter_timeout_s` is set, voters that no longer respond are removed as
+    well while more voters are left than the tolerated losses need. Each step follows
+    from the members alone, so that a new leader goes on where the last one stopped.
     """
     while replica.is_leading(term):
         await asyncio.sleep(replica.settings.heartbeat_s)
-        members = _plan_change(replica)
-        if members is not None:
-            await _propose_members(replica, members)
+        change = _plan_change(replica)
+        if change is not None:
+            _report_change(replica, change)
+            await _propose_members(replica, change.members)
 
 
 async def change_members(
@@ -66,27 +84,65 @@
     if _is_change_pending(replica):
         return False, "another membership change is in progress"
     remaining = (m for m in replica.members if m.voter or m.address != address)
-    _enqueue(replica, (*remaining, QuorumMember(address, disk_id, False)))
+    learner = QuorumMember(address, disk_id, False)
+    change = _Change((*remaining, learner), "add", learner, "the host asked to join")
+    _report_change(replica, change)
+    _enqueue(replica, change.members)
     return True, "the host is being added as a learner"
 
 
+def _report_change(replica, change):
+    voters = sum(member.voter for member in change.members)
+    address, disk_id = change.member.address, change.member.disk_id
+    replica.observe(
+        MembersProposed(change.action, address, disk_id, change.reason, voters)
+    )
+
+
 def _plan_change(replica):
-    """Return the members after the next pending change, or None."""
+    """Return the next `_Change` that is due, or None."""
     promoted = _plan_promotion(replica)
     return promoted if promoted is not None else _plan_voter_removal(replica)
 
 
 def _plan_voter_removal(replica):
-    """Return the members without one silent voter, or None.
+    """Return the removal of the voter that has been silent for longest, or None.
 
     Removes only from an even number of voters: an even one tolerates no more failures
-    than the next smaller odd one.
+    than the next smaller odd one. A learner that still catches up may make the number
+    odd, and a voter that is only away is then kept.
     """
     silent = _list_silent_voters(replica)
-    if not silent or len(replica.voters) % 2 or len(replica.voters) <= VOTERS_MIN:
+    voter_count = len(replica.voters)
+    if not silent or voter_count % 2 or voter_count <= _get_voters_min(replica):
+        return None
+    if any(_is_catching_up(replica, member) for member in replica.members):
         return None
-    members = tuple(m for m in replica.members if m != silent[0])
-    return members if _can_commit(replica, members) else None
+    longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
+    return _make_removal(replica, longest, "silent; the number of voters is even")
+
+
+def _get_voters_min(replica):
+    """Return how many voters automatic removal leaves.
+
+    The losses that are tolerated leave a majority of them.
+    """
+    return max(VOTERS_MIN, 2 * replica.settings.losses_max + 1)
+
+
+def _is_catching_up(replica, member):
+    progress = replica.progress.get(member.disk_id)
+    return (
+        not member.voter and progress is not None and _is_responsive(replica, progress)
+    )
+
+
+def _make_removal(replica, member, reason):
+    """Return the removal of a member, or None if it couldn't be committed."""
+    members = tuple(m for m in replica.members if m != member)
+    if not _can_commit(replica, members):
+        return None
+    return _Change(members, "remove", member, reason)
 
 
 def _list_silent_voters(replica):
@@ -104,27 +160,36 @@
 
 
 def _plan_promotion(replica):
-    """Return the members after the next step towards a promotion, or None.
+    """Return the next step towards a promotion, or None.
 
-    A voter that the learner replaces is removed first, in a change of its own.
+    A voter with the learner's address, whose disk is gone, is removed first, in a
+    change of its own: one host must not have two votes. A voter that is silent is
+    removed only after the promotion, as it may come back.
     """
     learners = (m for m in replica.members if m.disk_id and not m.voter)
     for learner in learners:
         if not _has_caught_up(replica, learner):
             continue
-        others = tuple(m for m in replica.members if m != learner)
-        displaced = [m for m in others if m.voter and m.address == learner.address]
-        displaced = displaced or _list_silent_voters(replica)[:1]
-        if displaced:
-            members = tuple(m for m in replica.members if m not in displaced)
+        same_address = [v for v in replica.voters if v.address == learner.address]
+        if same_address:
+            reason = f"disk {learner.disk_id} of {learner.address} takes its place"
+            change = _make_removal(replica, same_address[0], reason)
         else:
-            promoted = QuorumMember(learner.address, learner.disk_id, True)
-            members = (*others, promoted)
-        if _can_commit(replica, members):
-            return members
+            change = _make_promotion(replica, learner)
+        if change is not None:
+            return change
     return None
 
 
+def _make_promotion(replica, learner):
+    """Return the promotion of a learner, or None if it couldn't be committed."""
+    promoted = QuorumMember(learner.address, learner.disk_id, True)
+    members = (*(m for m in replica.members if m != learner), promoted)
+    if not _can_commit(replica, members):
+        return None
+    return _Change(members, "promote", learner, "caught up")
+
+
 def _has_caught_up(replica, member):
     progress = replica.progress.get(member.disk_id)
     return (
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -84,8 +84,8 @@
         Whether a new cluster may be formed if the data folders of all control hosts
         are empty.
     observe : callable
-        Called with each `EntriesUnanswered`, `DiskFailureSeen`, `DiskReopened` and
-        `JoinAnswered`.
+        Called with each `EntriesUnanswered`, `DiskFailureSeen`, `DiskReopened`,
+        `MembersProposed` and `JoinAnswered`.
 
     Attributes
     ----------
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -147,6 +147,27 @@
     failed_s: float
 
 
+class MembersProposed(msgspec.Struct, frozen=True):
+    """Event: the leader proposes a change of the members that nobody ordered.
+
+    Attributes
+    ----------
+    action : str
+        ``add``, ``promote`` or ``remove``.
+    member, disk_id : str
+        Address and disk of the member that is added, promoted or removed.
+    reason : str
+    voters : int
+        Number of voters after the change.
+    """
+
+    action: str
+    member: str
+    disk_id: str
+    reason: str
+    voters: int
+
+
 class JoinAnswered(msgspec.Struct, frozen=True):
     """Event: a leader's answer to this host's request to join has changed.
 
@@ -184,9 +205,10 @@
     admit_unknown_hosts : bool
         Whether a host that no operator has added may join as a learner.
     silent_voter_timeout_s : float
-        Time without a response after which a voter is replaced by a learner that
-        has caught up, or removed if the number of voters is even; 0 if only
-        operators remove voters.
+        Time without a response after which a voter is removed if the number of voters
+        is even and above ``2 * losses_max + 1``; 0 if only operators remove voters.
+    losses_max : int
+        Number of voters whose simultaneous loss, that of their disks too, is tolerated.
     """
 
     heartbeat_s: float = 0.25
@@ -198,6 +220,7 @@
     limits: JournalLimits = msgspec.field(default_factory=JournalLimits)
     admit_unknown_hosts: bool = False
     silent_voter_timeout_s: float = 0.0
+    losses_max: int = 1
 
 
 class QuorumStatus(msgspec.Struct, frozen=True):
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -1,6 +1,7 @@
 """Automatic membership: unknown hosts may join, silent voters are replaced."""
 
 import asyncio
+import random
 
 import msgspec
 import pytest
@@ -8,6 +9,8 @@
 
 from sapphireway_coordination import (
     Committed,
+    JoinAnswered,
+    MembersProposed,
     ReadResult,
     Role,
 )
@@ -19,6 +22,8 @@
     SETTINGS, admit_unknown_hosts=True, silent_voter_timeout_s=SILENT_VOTER_TIMEOUT_S
 )
 
+TWO_LOSSES_SETTINGS = msgspec.structs.replace(AUTO_JOIN_SETTINGS, losses_max=2)
+
 
 async def start_cluster(settings=AUTO_JOIN_SETTINGS):
     """Form a quorum of three seed hosts, then start two more."""
@@ -153,6 +158,30 @@
     run_paused(run())
 
 
+def list_proposed(cluster):
+    return [event for _, event in cluster.events if type(event) is MembersProposed]
+
+
+def test_replacement_of_a_voter_is_reported_with_its_reasons():
+    async def run():
+        cluster = await start_cluster()
+        await cluster.wait_until(cluster.is_healthy)
+        cluster.events.clear()
+        await cluster.restart("c4", MemoryDisk(0.002), bootstrap=False)
+        await cluster.wait_until(cluster.is_healthy)
+        new_disk = cluster.status("c4").disk_id
+        proposed = list_proposed(cluster)
+        assert [(e.action, e.member, e.voters) for e in proposed] == [
+            ("add", "c4", 5),
+            ("remove", "c4", 4),
+            ("promote", "c4", 5),
+        ]
+        assert new_disk in proposed[1].reason
+        assert any(e.accepted for e in cluster.list_events("c4", JoinAnswered))
+
+    run_paused(run())
+
+
 async def start_six_voters(cluster):
     await cluster.wait_until(cluster.is_healthy)
     await cluster.start("c5", bootstrap=False)
@@ -192,3 +221,74 @@
         cluster.check()
 
     run_paused(run())
+
+
+def list_voter_disks(cluster):
+    leader = cluster.leader()
+    return {v.disk_id for v in cluster.status(leader).voters} if leader else set()
+
+
+@pytest.mark.parametrize(
+    "settings", [AUTO_JOIN_SETTINGS, TWO_LOSSES_SETTINGS], ids=["one", "two"]
+)
+@pytest.mark.parametrize("seed", range(4))
+def test_voter_keeps_its_vote_while_away_beside_a_lost_disk(settings, seed):
+    async def run():
+        cluster = Cluster(5, seed, settings)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        wiped, away = random.Random(seed).sample(cluster.addresses, 2)
+        away_disk = cluster.status(away).disk_id
+        cluster.isolate(away)
+        cluster.crash(wiped)
+        await asyncio.sleep(SILENT_VOTER_TIMEOUT_S)
+        await cluster.restart(wiped, MemoryDisk(0.002), bootstrap=False)
+        wiped_disk = cluster.status(wiped).disk_id
+        await cluster.wait_until(
+            lambda: wiped_disk in list_voter_disks(cluster), timeout_s=CATCH_UP_S
+        )
+        await asyncio.sleep(2 * SILENT_VOTER_TIMEOUT_S)
+        assert away_disk in list_voter_disks(cluster)
+        assert count_voters(cluster) == 5
+
+    run_paused(run())
+
+
+def test_replacement_votes_before_the_silent_voter_is_removed():
+    async def run():
+        cluster = await start_cluster(TWO_LOSSES_SETTINGS)
+        await cluster.wait_until(cluster.is_healthy)
+        cluster.events.clear()
+        away = next(a for a in sorted(cluster.hosts) if a != cluster.leader())
+        cluster.isolate(away)
+        await asyncio.sleep(2 * SILENT_VOTER_TIMEOUT_S)
+        await cluster.start("c5", bootstrap=False)
+        await cluster.wait_until(
+            lambda: "c5" in {v.address for v in cluster.status("c5").voters}
+        )
+        await asyncio.sleep(SILENT_VOTER_TIMEOUT_S)
+        proposed = list_proposed(cluster)
+        assert [(e.action, e.member, e.voters) for e in proposed] == [
+            ("add", "c5", 5),
+            ("promote", "c5", 6),
+            ("remove", away, 5),
+        ]
+        cluster.network.heal_all()
+        await cluster.wait_until(cluster.is_healthy, timeout_s=CATCH_UP_S)
+
+    run_paused(run())
+
+
+def test_silent_voter_is_kept_where_all_voters_are_needed():
+    """Four voters become five with the next host; three would need two more."""
+
+    async def run():
+        cluster = Cluster(4, settings=TWO_LOSSES_SETTINGS)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        away = next(a for a in cluster.addresses if a != cluster.leader())
+        cluster.isolate(away)
+        await asyncio.sleep(5 * SILENT_VOTER_TIMEOUT_S)
+        assert count_voters(cluster) == 4
+
+    run_paused(run())
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -55,6 +55,9 @@
         Whether control hosts join the quorum automatically, and are replaced or
         removed automatically when they stop responding. Otherwise operators add and
         remove them.
+    control_losses_max : int
+        Number of control hosts whose simultaneous loss, that of their disks too, is
+        tolerated. Voters are removed automatically only as long as enough are left.
     stop_grace_ms : int
         Time from the stop signal until the process is killed; the node uses part of
         it to serve callers that have not yet learned of the stop. 0 if the process is
@@ -110,6 +113,7 @@
     control: bool = False
     bootstrap: bool = False
     open_control: bool = False
+    control_losses_max: int = 1
     stop_grace_ms: int = 0
     retry_reserve: int = 0
     cold_reserve_per_s: float = 0.0
@@ -146,6 +150,7 @@
     "control": make_boolean(),
     "bootstrap": make_boolean(),
     "open_control": make_boolean(),
+    "control_losses_max": make_integer(0, 10),
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "retry_reserve": make_integer(0, 1_000_000),
     "cold_reserve_per_s": make_number(0, 1_000, "per second"),
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -29,6 +29,7 @@
     GroupControllerSettings,
     HolderSettings,
     JoinAnswered,
+    MembersProposed,
     Quorum,
     QuorumSettings,
     QuorumStatus,
@@ -60,6 +61,7 @@
     DiskReopened: "disk_reopened",
     EntriesUnanswered: "entries_unanswered",
     JoinAnswered: "join_answered",
+    MembersProposed: "members_proposed",
 }
 
 
@@ -135,6 +137,7 @@
                 silent_voter_timeout_s=SILENT_VOTER_TIMEOUT_S
                 if settings.open_control
                 else 0.0,
+                losses_max=settings.control_losses_max,
             ),
             bootstrap=settings.bootstrap,
             observe=self._log_quorum_event,
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -110,6 +110,20 @@
     assert process.http_address == ""
 
 
+@pytest.mark.parametrize(
+    ("fault_tolerance", "losses_max"),
+    [
+        ({"machines": 2, "zones": 1}, 2),
+        ({"machines": 40}, 10),
+        ({"machines": None}, 1),
+        (None, 1),
+    ],
+)
+def test_tolerated_losses_reach_the_quorum(load, fault_tolerance, losses_max):
+    process = load(CONTROL | {"fault_tolerance": fault_tolerance}).process
+    assert process.control_losses_max == losses_max
+
+
 @pytest.mark.parametrize("missing", ["ip_address", "seed_nodes", "bounds"])
 def test_missing_field_is_rejected(load, missing):
     document = {name: value for name, value in NODE.items() if name != missing}
