Acknowledge evacuations while a control host is silent

Cause: the control client waits a second for a host that doesn't answer, which is as long as an operator waits at a node; the read and the edit of an evacuation each took that second.

Change: evacuations read and edit in tries of 0.4 s, as orders of rollouts do; the tries have a module of their own.

Ruled out: shorter tries for configurations, as large ones take longer on narrow links.

--- a/packages/sapphireway/src/sapphireway/_publisher.py
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -3,10 +3,12 @@
 import itertools
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 
 from sapphireway._operator_backend import Unavailable
+from sapphireway._short_tries import repeat_in_short_tries
 from sapphireway_coordination import (
     ROUTE_PREFIX,
     TREE_PREFIX,
@@ -111,10 +113,10 @@
             why the order must not be carried out any more, or None.
         """
         for _ in range(CONFLICTS_MAX):
-            tree = await self._read(TREE_PREFIX + encode_query(ReadTree()))
+            tree = await self._read_tree()
             if isinstance(tree, Unavailable):
                 return tree
-            version = msgspec.msgpack.decode(tree, type=CurrentTree).version
+            version = tree.version
             staleness = await find_staleness(version)
             if staleness is not None:
                 return Unavailable(staleness)
@@ -139,7 +141,9 @@
             force=True,
         )
         command = TREE_PREFIX + encode_edit(edit)
-        result = await self._control_client.propose(command, PROPOSE_TIMEOUT_S)
+        result = await repeat_in_short_tries(
+            partial(self._control_client.propose, command), PROPOSE_TIMEOUT_S
+        )
         if not isinstance(result, Committed):
             return Unavailable(result.detail, result.maybe_applied)
         answer = decode_answer(result.result)
@@ -152,6 +156,15 @@
                 return EditRefused(format_problem(first))
         return EditRefused(type(answer).__name__)
 
+    async def _read_tree(self):
+        query = TREE_PREFIX + encode_query(ReadTree())
+        result = await repeat_in_short_tries(
+            partial(self._control_client.read, query), READ_TIMEOUT_S
+        )
+        if not isinstance(result, ReadResult):
+            return Unavailable(result.detail)
+        return msgspec.msgpack.decode(result.data, type=CurrentTree)
+
     async def _read(self, query):
         result = await self._control_client.read(query, READ_TIMEOUT_S)
         if isinstance(result, ReadResult):
--- a/packages/sapphireway/src/sapphireway/_rollout_orders.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_orders.py
@@ -1,10 +1,10 @@
 """Orders of rollouts and linearizable reads of their state, through the quorum."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
 from sapphireway._operator_backend import Unavailable
+from sapphireway._short_tries import repeat_in_short_tries
 from sapphireway_coordination import (
     ROLLOUT_PREFIX,
     Committed,
@@ -24,10 +24,6 @@
 
 ORDER_TIMEOUT_S = 4.0
 READ_TIMEOUT_S = 1.5
-# Operators go on to another node after a second. A host that does not answer must not
-# take all of it, and an order that was committed twice is acknowledged twice.
-TRY_TIMEOUT_S = 0.4
-RETRY_WAIT_S = 0.02
 
 
 class RolloutOrders:
@@ -59,7 +55,7 @@
             return RolloutRefused(error)
         start = StartRollout(service, version, duration_ms, self._wall_clock())
         command = ROLLOUT_PREFIX + encode_rollout_command(start)
-        result = await _repeat(
+        result = await repeat_in_short_tries(
             lambda timeout_s: self._control_client.propose(command, timeout_s),
             ORDER_TIMEOUT_S,
         )
@@ -72,7 +68,7 @@
     async def read(self, service: str) -> Rollout | Unavailable | None:
         """Return the last rollout of a service, or None if there was none."""
         query = ROLLOUT_PREFIX + service.encode()
-        result = await _repeat(
+        result = await repeat_in_short_tries(
             lambda timeout_s: self._control_client.read(query, timeout_s),
             READ_TIMEOUT_S,
         )
@@ -81,19 +77,3 @@
         if not result.data:
             return Unavailable("the control hosts run an older version")
         return decode_current_rollout(result.data).rollout
-
-
-async def _repeat(request, timeout_s):
-    """Repeat a request until it succeeds; return the last result after the timeout."""
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + timeout_s
-    maybe_applied = False
-    while True:
-        remaining_s = deadline_s - loop.time()
-        result = await request(min(TRY_TIMEOUT_S, remaining_s))
-        if isinstance(result, Committed | ReadResult):
-            return result
-        maybe_applied |= result.maybe_applied
-        if loop.time() + RETRY_WAIT_S >= deadline_s:
-            return Unavailable(result.detail, maybe_applied)
-        await asyncio.sleep(RETRY_WAIT_S)
--- a/packages/sapphireway/tests/test_rollout_orders.py
+++ b/packages/sapphireway/tests/test_rollout_orders.py
@@ -4,11 +4,8 @@
 import pytest
 
 from sapphireway._operator_backend import Unavailable
-from sapphireway._rollout_orders import (
-    ORDER_TIMEOUT_S,
-    TRY_TIMEOUT_S,
-    RolloutOrders,
-)
+from sapphireway._rollout_orders import ORDER_TIMEOUT_S, RolloutOrders
+from sapphireway._short_tries import TRY_TIMEOUT_S
 from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import ROLLOUT_PREFIX
 from sapphireway_state import (
