Verify a control host's disk with the members that there are now

Callers saw a quorum that bore one loss less than it has to, for good: a control host that came back said "too few members answer to verify that the disk is up to date" without end, kept a vote that it couldn't use, and never asked to join.

While it is away, these disks may all be replaced, one after the other, each within the losses that are to be borne. Then no majority of them exists any more.

The host also asks the configured control hosts, as the members that it knows may be gone.

Ruled out: giving up the folder's identity. Asking the leader only: after a loss of power there is none until enough hosts are verified.

test_host_takes_part_after_other_members_lost_their_disks failed in all six cases (cut off and restarted, unpowered, full disk; three and four other disks lost) and passes with the change; the quorum's other tests pass.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -204,8 +204,7 @@
 
     def is_quorum(self, disk_ids) -> bool:
         """Whether the disk IDs include a majority of the voters."""
-        voters = {member.disk_id for member in self.voters}
-        return len(voters.intersection(disk_ids)) > len(voters) // 2
+        return is_majority(disk_ids, self.members)
 
     async def cancel(self, tasks) -> None:
         """Cancel tasks, but none during a change under the lock; raise their errors."""
@@ -375,3 +374,9 @@
                 members = decode_members(entry.data)
                 self.configurations.append(Configuration(index, members))
         self._drop_replaced_configurations()
+
+
+def is_majority(disk_ids: Iterable[str], members: Iterable[QuorumMember]) -> bool:
+    """Whether the disk IDs include a majority of the voters among `members`."""
+    voters = {member.disk_id for member in members if member.voter}
+    return len(voters.intersection(disk_ids)) > len(voters) // 2
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -7,7 +7,11 @@
     open_data_folder,
     reset_identity,
 )
-from sapphireway_coordination.quorum._replica import Replica
+from sapphireway_coordination.quorum._replica import (
+    Configuration,
+    Replica,
+    is_majority,
+)
 from sapphireway_coordination.quorum._types import JoinAnswered, Role
 from sapphireway_protocol import (
     Bootstrap,
@@ -195,22 +199,41 @@
     """Verify with the other members that this data folder is up to date.
 
     A data folder that lags behind what another member has seen of it gets a new
-    identity.
+    identity. If another host knows later members than this journal, a majority of
+    these is asked: the disks that this journal names may all have been replaced.
     """
-    replies = await _exchange_hellos(replica, [m.address for m in replica.members])
+    asked = _list_known_addresses(replica)
+    replies = await _exchange_hellos(replica, asked)
+    members = _find_latest_members(replica, replies)
+    unasked = {member.address for member in members} - asked
+    replies |= await _exchange_hellos(replica, unasked)
     if replica.disk_problem:
         return False
     if any(_has_seen_newer_state(replica, reply) for reply in replies.values()):
         await reset_identity(replica)
         return not replica.disk_problem
     answered = {reply.disk_id for reply in replies.values()}
-    if replica.is_quorum({*answered, replica.disk_id}):
+    if is_majority({*answered, replica.disk_id}, members):
         replica.detail = ""
         return True
     replica.detail = "too few members answer to verify that the disk is up to date"
     return False
 
 
+def _list_known_addresses(replica):
+    return {*replica.control_hosts, *(member.address for member in replica.members)}
+
+
+def _find_latest_members(replica, replies):
+    """Return the latest members that this journal or a reply in this cluster names."""
+    latest = replica.configurations[-1]
+    for reply in replies.values():
+        same_cluster = reply.cluster_id == replica.vote.cluster_id
+        if same_cluster and reply.members_index > latest.index:
+            latest = Configuration(reply.members_index, tuple(reply.members))
+    return latest.members
+
+
 def _has_seen_newer_state(replica, reply):
     if reply.cluster_id != replica.vote.cluster_id:
         return False
@@ -226,8 +249,7 @@
 
 async def _try_join(replica):
     """Ask every host that is reported as the leader to add this host as a learner."""
-    addresses = {*replica.control_hosts, *(m.address for m in replica.members)}
-    replies = await _exchange_hellos(replica, addresses)
+    replies = await _exchange_hellos(replica, _list_known_addresses(replica))
     leaders = {r.leader for r in replies.values()} - {"", replica.peers.address}
     join = Join(replica.vote.cluster_id, replica.disk_id)
     for leader in sorted(leaders):
@@ -269,6 +291,8 @@
         seen.start_id,
         acked_term,
         acked_index,
+        list(replica.configurations[0].members),
+        replica.configurations[0].index,
     )
     replica.peers.reply(sender, envelope, reply)
 
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_quorum.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_quorum.py
@@ -85,6 +85,10 @@
     seen_start_id : str
     seen_term, seen_index : int
         Highest journal position known to be durable in that data folder.
+    members : list of QuorumMember
+        Latest members that the replying host knows to be committed.
+    members_index : int
+        Journal position that set them.
     """
 
     cluster_id: str
@@ -97,6 +101,8 @@
     seen_start_id: str = ""
     seen_term: int = 0
     seen_index: int = 0
+    members: list[QuorumMember] = []
+    members_index: int = 0
 
 
 class Bootstrap(msgspec.Struct, frozen=True, tag="q_found", array_like=True):
