Refuse to send where no descriptor is left for a connection

A message to a node without an open connection raised ZMQError when the process had no file descriptor left, as it may have for a moment while many callers connect. The exception ended the background task that sent, such as the renewal of the lease, and with it the process, which carries calls (Node._check_task).

Change: send returns False, "certainly not sent", and the next message tries again. Other errors of libzmq still raise.

Ruled out: to catch it in each background task, as every sender is hit alike.

test_send_without_free_descriptors_fails_until_there_are_some failed with "Too many open files" without the change and passes with it.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import errno
 from collections.abc import Sequence
 
 import zmq
@@ -19,6 +20,7 @@
 DRAIN_BATCH_MESSAGES_MAX = 64
 PENDING_MESSAGES_MAX = 64
 CLOSE_LINGER_MS = 300
+NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 
 
 class _Connection:
@@ -70,7 +72,7 @@
     def connect(self, peer: str) -> None:
         """Open a connection to `peer` in the background."""
         if peer not in self._connections:
-            self._connections[peer] = self._open(peer)
+            self._open(peer)
 
     def disconnect(self, peer: str) -> None:
         """Close the connection to `peer`, if there is one."""
@@ -83,9 +85,9 @@
         if peer == self.address:
             self._loop.call_soon(self._receive, peer, frames)
             return True
-        connection = self._connections.get(peer)
+        connection = self._connections.get(peer) or self._open(peer)
         if connection is None:
-            connection = self._connections[peer] = self._open(peer)
+            return False
         if connection.pending:
             return self._defer(connection, frames)
         if self._try_send(connection, frames):
@@ -106,7 +108,13 @@
         self._context.term()
 
     def _open(self, peer):
-        socket = self._context.socket(zmq.DEALER)
+        """Return a new connection, or None if there is no descriptor left for it."""
+        try:
+            socket = self._context.socket(zmq.DEALER)
+        except zmq.ZMQError as error:
+            if error.errno not in NO_DESCRIPTOR_ERRORS:
+                raise
+            return None
         socket.setsockopt(zmq.IDENTITY, self.address.encode())
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.LINGER, 0)
@@ -125,6 +133,7 @@
         connection.connect_timer = self._loop.call_later(
             PENDING_MAX_S, self._drop_pending, connection
         )
+        self._connections[peer] = connection
         return connection
 
     def _close_connection(self, connection, linger_ms=0):
--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -1,4 +1,5 @@
 import asyncio
+import resource
 import socket
 
 import pytest
@@ -6,6 +7,7 @@
 
 from sapphireway_transport import ZmqEndpoint
 
+STANDARD_DESCRIPTORS = 3
 RECOVERY_MAX_MS = 3000  # a host must be reachable again within a lease time
 
 
@@ -65,6 +67,35 @@
     assert all(sender == "peer" or not sender.isascii() for sender, _ in received)
 
 
+def test_send_without_free_descriptors_fails_until_there_are_some():
+    """An exception here would end the background task that sends, and the process."""
+
+    async def run():
+        address = f"127.0.0.1:{find_free_port()}"
+        receiver, sender = ZmqEndpoint(address), ZmqEndpoint("127.0.0.1:0")
+        received = []
+        receiver.start(lambda _, frames: received.append(frames))
+        sender._loop = asyncio.get_running_loop()
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        try:
+            sender.connect("127.0.0.1:9")
+            resource.setrlimit(resource.RLIMIT_NOFILE, (STANDARD_DESCRIPTORS, hard))
+            sender.connect(address)
+            refused = [sender.send(address, [b"lost"]) for _ in range(3)]
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            assert sender.send(address, [b"hello"])
+            async with asyncio.timeout(5.0):
+                while [b"hello"] not in received:
+                    await asyncio.sleep(0.01)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            sender.close()
+            receiver.close()
+        return refused
+
+    assert asyncio.run(run()) == [False] * 3
+
+
 def find_free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
