Read on after a message whose handling raised

An exception of a receiver left the rest of the queue unread: libzmq's descriptor is edge-triggered and tells of it only with the next message. Renewals, votes and answers behind such a message waited until then and timed out.

Change: the reader schedules itself again before it passes the exception on to the event loop's handler, which logs it, and ends the process for a broken invariant as before.

test_messages_are_read_on_after_a_receiver_raised failed without the change (one of six messages was read within 1 s) and passes with it. No handler that raises on a message of a node of this release is known.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -172,15 +172,18 @@
         return True
 
     def _drain(self):
-        for _ in range(DRAIN_BATCH_MESSAGES_MAX):
-            # Polling is cheaper than an exception for every drained queue.
-            if self._router is None or not self._has_message():
-                return
-            sender, *frames = self._router.recv_multipart(zmq.NOBLOCK)
-            # An exception here would leave the rest of the queue unread, because the
-            # descriptor is edge-triggered.
-            if not sender.startswith(GENERATED_IDENTITY_PREFIX):
-                self._receive(sender.decode(errors="replace"), frames)
+        try:
+            for _ in range(DRAIN_BATCH_MESSAGES_MAX):
+                # Polling is cheaper than an exception for every drained queue.
+                if self._router is None or not self._has_message():
+                    return
+                sender, *frames = self._router.recv_multipart(zmq.NOBLOCK)
+                if not sender.startswith(GENERATED_IDENTITY_PREFIX):
+                    self._receive(sender.decode(errors="replace"), frames)
+        except Exception:
+            # The descriptor is edge-triggered: it doesn't tell again of what is queued.
+            self._loop.call_soon(self._drain)
+            raise
         self._loop.call_soon(self._drain)
 
     def _has_message(self):
--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -96,6 +96,37 @@
     assert asyncio.run(run()) == [False] * 3
 
 
+def test_messages_are_read_on_after_a_receiver_raised():
+    """The descriptor is edge-triggered: nothing would wake the reader again."""
+
+    async def run():
+        address = f"127.0.0.1:{find_free_port()}"
+        endpoint, peer = ZmqEndpoint(address), ZmqEndpoint("127.0.0.1:9")
+        received, failures = [], []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+
+        def receive(sender, frames):
+            received.append(frames)
+            if frames == [b"bad"]:
+                raise ValueError("bad")
+
+        endpoint.start(receive)
+        peer._loop = loop
+        try:
+            for content in (b"bad", *[b"good"] * 5):
+                peer.send(address, [content])
+            await asyncio.sleep(1.0)
+        finally:
+            peer.close()
+            endpoint.close()
+        return received, failures
+
+    received, failures = asyncio.run(run())
+    assert received == [[b"bad"], *[[b"good"]] * 5]
+    assert len(failures) == 1
+
+
 def find_free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
