Save the settings once a disk that refused them works again

Cause: a version that a full or failing disk refused was put in force without being saved, and only the next change was saved again. Without one, a node that restarted hours later started with the older settings, and used them until a peer told it of newer ones.

Change: the latest version is saved again every 2 s until that succeeds; each failure is reported. Hanging disks are as before. The retry ends before the node closes its disk.

Ruled out: to wait with putting a version in force until it is saved, as a full disk must not hold up a change.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -31,6 +31,7 @@
 # Longest that a version waits for the disk before it is applied: much longer than an
 # fsync, and below the second within which an edit is in force on most nodes.
 SAVE_TIMEOUT_S = 0.5
+SAVE_RETRY_S = 2.0  # a save compresses and writes all settings
 
 
 class SettingsChannel:
@@ -38,7 +39,7 @@
 
     With a disk, a version is saved before it is applied, so that a restart never
     brings back an older one. A disk that fails or hangs delays versions, but does not
-    block them.
+    block them; the latest version is saved once the disk works again.
 
     Parameters
     ----------
@@ -51,7 +52,7 @@
     disk : Disk or None
         Keeps the settings across restarts.
     on_save_failed : callable
-        Called with the reason when a version is applied without being saved.
+        Called with the reason whenever the latest version could not be saved.
     on_fetch_failed : callable
         Called with the address of a peer that did not answer.
     on_fetched : callable
@@ -79,6 +80,7 @@
         "_on_fetched",
         "_on_save_failed",
         "_peers",
+        "_save_retry",
         "_save_task",
         "_state",
         "_update_cache",
@@ -109,6 +111,7 @@
         self._on_change = on_change
         self._on_save_failed = on_save_failed
         self._peers = peers
+        self._save_retry = None
         self._save_task = None
         self._state = state
         self._apply_lock = asyncio.Lock()
@@ -130,6 +133,10 @@
         if update is not None:
             self._apply(update)
 
+    def close(self) -> None:
+        """Save nothing more; must be called before the disk is closed."""
+        self._cancel_retry()
+
     def observe(self, sender: str, envelope: Envelope) -> None:
         """Fetch the settings of the sender if its version is newer."""
         if isinstance(envelope.message, FetchSettingsReply):
@@ -259,14 +266,22 @@
 
     async def _save(self, state):
         self._latest_state = state
-        if self._save_task is None:
-            loop = asyncio.get_running_loop()
-            self._save_task = loop.create_task(self._save_latest())
+        self._start_saving()
         _, pending = await asyncio.wait([self._save_task], timeout=SAVE_TIMEOUT_S)
         if pending:
             detail = f"the disk has not answered for {SAVE_TIMEOUT_S} s"
             self._on_save_failed(DiskFailed("replace", SETTINGS_FILE, detail))
 
+    def _start_saving(self):
+        if self._save_task is None:
+            loop = asyncio.get_running_loop()
+            self._save_task = loop.create_task(self._save_latest())
+
+    def _cancel_retry(self):
+        if self._save_retry is not None:
+            self._save_retry.cancel()
+            self._save_retry = None
+
     async def _save_latest(self):
         saved = None
         try:
@@ -274,9 +289,12 @@
                 state = self._latest_state
                 full_update = state.make_update(*[NO_VERSION] * 4)
                 failed = await self._disk.replace(SETTINGS_FILE, _encode(full_update))
+                self._cancel_retry()
                 if failed is not None:
-                    # The next start then fetches the settings from peers.
+                    # A start before the retry fetches the settings from peers.
                     self._on_save_failed(failed)
+                    loop = asyncio.get_running_loop()
+                    self._save_retry = loop.call_later(SAVE_RETRY_S, self._start_saving)
                 saved = state
         finally:
             self._save_task = None
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -352,6 +352,31 @@
     assert run_paused(run()) == (300, 1)
 
 
+@pytest.mark.parametrize("fault", ["full", "failing"])
+def test_version_is_saved_once_the_disk_works_again(network, machine, fault):
+    """Else a restart brings back older settings until the next edit."""
+
+    async def run():
+        disk = MemoryDisk()
+        node = Node(network, "n0", disk)
+        set_deadline(machine, 3, 300)
+        await node.sync_from(machine)
+        if fault == "full":
+            disk.capacity_bytes = 0
+        else:
+            disk.sync_fails = True
+        set_deadline(machine, 4, 400)
+        await node.sync_from(machine)
+        await asyncio.sleep(5.0)
+        disk.capacity_bytes, disk.sync_fails = None, False
+        await asyncio.sleep(3.0)
+        restarted = Node(network, "n1", disk.cut_power(random.Random(0)))
+        await restarted.channel.load()
+        return node.state.version, restarted.state.version
+
+    assert run_paused(run()) == (4, 4)
+
+
 def test_silent_peer_does_not_block_fetch_from_others(network, machine):
     async def run():
         node = Node(network, "node")
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -271,6 +271,7 @@
         self._data_path.client.close()
         self._admin.stop()
         self._shared.peers.close()
+        self._shared.channel.close()
         if self._shared.disk is not None:
             self._shared.disk.close()
         if self._tracer is not None:
