Remove silent voters while several hosts are replaced together

Cause: since a learner is promoted before a silent voter is removed, and a learner that catches up keeps silent voters in place. Two hosts that were replaced together both voted before any removal: seven voters with two dead ones, an odd number from which nothing is removed. The next two losses, which are to be borne, ended the quorum.

Change: with two or more silent voters, one of an even number is removed before the next promotion. While it isn't known yet whether several unresponsive voters are silent, only hosts that come back at a voter's address are promoted.

Ruled out: removal from odd numbers, as voters that are only away would lose their votes (test_silent_voters_of_odd_number_are_kept).

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -101,23 +101,27 @@
 
 def _plan_change(replica):
     """Return the next `_Change` that is due, or None."""
-    promoted = _plan_promotion(replica)
-    return promoted if promoted is not None else _plan_voter_removal(replica)
-
-
-def _plan_voter_removal(replica):
+    silent = _list_silent_voters(replica)
+    if len(silent) > 1:
+        # A promotion would make the number odd, and all silent voters would stay.
+        change = _plan_voter_removal(replica, silent)
+        return change if change is not None else _plan_promotion(replica)
+    change = _plan_promotion(replica)
+    if change is not None or any(_is_catching_up(replica, m) for m in replica.members):
+        # The learner may make the number odd; a voter that is only away is then kept.
+        return change
+    return _plan_voter_removal(replica, silent)
+
+
+def _plan_voter_removal(replica, silent):
     """Return the removal of the voter that has been silent for longest, or None.
 
     Removes only from an even number of voters: an even one tolerates no more failures
-    than the next smaller odd one. A learner that still catches up may make the number
-    odd, and a voter that is only away is then kept.
+    than the next smaller odd one.
     """
-    silent = _list_silent_voters(replica)
     voter_count = len(replica.voters)
     if not silent or voter_count % 2 or voter_count <= _get_voters_min(replica):
         return None
-    if any(_is_catching_up(replica, member) for member in replica.members):
-        return None
     longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
     return _make_removal(replica, longest, "silent; the number of voters is even")
 
@@ -164,8 +168,10 @@
 
     A voter with the learner's address, whose disk is gone, is removed first, in a
     change of its own: one host must not have two votes. A voter that is silent is
-    removed only after the promotion, as it may come back.
+    removed only after the promotion, as it may come back. While several voters may
+    turn out to be silent, hosts with other addresses wait.
     """
+    is_settled = _is_silence_settled(replica)
     learners = (m for m in replica.members if m.disk_id and not m.voter)
     for learner in learners:
         if not _has_caught_up(replica, learner):
@@ -174,6 +180,8 @@
         if same_address:
             reason = f"disk {learner.disk_id} of {learner.address} takes its place"
             change = _make_removal(replica, same_address[0], reason)
+        elif not is_settled:
+            continue
         else:
             change = _make_promotion(replica, learner)
         if change is not None:
@@ -181,6 +189,18 @@
     return None
 
 
+def _is_silence_settled(replica):
+    """Whether it is known of all voters, but for one at most, if they are silent."""
+    unresponsive = [
+        voter
+        for voter in replica.voters
+        if voter.disk_id in replica.progress
+        and not _is_responsive(replica, replica.progress[voter.disk_id])
+    ]
+    silent = _list_silent_voters(replica)
+    return len(unresponsive) < 2 or len(silent) == len(unresponsive)
+
+
 def _make_promotion(replica, learner):
     """Return the promotion of a learner, or None if it couldn't be committed."""
     promoted = QuorumMember(learner.address, learner.disk_id, True)
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -292,3 +292,28 @@
         assert count_voters(cluster) == 4
 
     run_paused(run())
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("absence_s", [1.5, 5.0])
+def test_two_hosts_replaced_together_leave_a_quorum_that_bears_two_losses(
+    absence_s, seed
+):
+    async def run():
+        cluster = Cluster(5, seed, TWO_LOSSES_SETTINGS)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        gone = [a for a in cluster.addresses if a != cluster.leader()][:2]
+        for address in gone:
+            cluster.crash(address)
+        await asyncio.sleep(absence_s)
+        await cluster.start("n5", "n6", bootstrap=False)
+        await asyncio.sleep(2 * SILENT_VOTER_TIMEOUT_S)
+        for address in gone:
+            del cluster.hosts[address]
+        assert count_voters(cluster) == 5
+        for address in [a for a in cluster.hosts if a != cluster.leader()][:2]:
+            cluster.crash(address)
+        await propose(cluster, b"after two losses")
+
+    run_paused(run())
