Report no refusal to join once a control host hears a leader

Cause: since members ask to join as well while they hear no leader. A refusal during an election, such as that the asked host doesn't lead, stayed in the status of a healthy member for good.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -82,7 +82,11 @@
         await _wait_before_retry(replica)
         # A host that was removed while it was away still finds itself in its own
         # journal's members, and no leader sends to it. Only a leader can tell.
-        if replica.can_participate and not replica.has_recent_leader():
+        if not replica.can_participate:
+            continue
+        if replica.has_recent_leader():
+            replica.detail = ""  # why a leader refused to let it join
+        else:
             await _try_join(replica)
 
 
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -317,3 +317,26 @@
         await propose(cluster, b"after two losses")
 
     run_paused(run())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_members_report_no_refused_join_once_they_hear_a_leader(seed):
+    async def run():
+        rng = random.Random(seed)
+        cluster = await start_cluster()
+        await cluster.wait_until(cluster.is_healthy)
+        for _ in range(20):
+            leader = cluster.leader()
+            if leader:
+                cluster.isolate(leader)
+            cluster.network.drop_rate = 0.3
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            cluster.network.heal_all()
+            cluster.network.drop_rate = 0.0
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+        await cluster.wait_until(cluster.is_healthy)
+        await asyncio.sleep(10.0)
+        details = {a: cluster.status(a).detail for a in cluster.addresses}
+        assert not any(details.values()), details
+
+    run_paused(run())
