Derive the next members only when no change of them is under way

Two removals asked for at once stopped the leading control host with "more than one voter changed at once", and with it its node. If the caller of the first gave up while the leader's disk was slow, the second was accepted beside it: four voters were left in place of three, and two voters changed in one step, which the safety argument rules out.

Cause: the next members were computed before the wait for the change under way, so they didn't contain it. And a caller's timeout cancelled the future of a change that was still queued, which then counted as ended.

Change: operators' and automatic changes are computed after the wait, and a caller that gives up leaves the queued change alone.

Ruled out: to drop the invariant, as it is what point 5 of the safety argument stands on.

test_removal_waits_for_one_under_way and test_removal_given_up_by_its_caller_is_not_replaced_by_another failed without the change and pass with it, as do the quorum's other tests.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -36,10 +36,12 @@
     """
     while replica.is_leading(term):
         await asyncio.sleep(replica.settings.heartbeat_s)
+        if _is_change_pending(replica):
+            continue
         change = _plan_change(replica)
         if change is not None:
             _report_change(replica, change)
-            await _propose_members(replica, change.members)
+            await _enqueue(replica, change.members)
 
 
 async def change_members(
@@ -51,12 +53,16 @@
     """
     outcome = Committed(replica.commit_index, b"")
     if add:
+        if not await _wait_for_earlier_change(replica):
+            return _make_refusal(replica)
         known = {member.address for member in replica.members}
         new = [QuorumMember(a, "", False) for a in add if a not in known]
         outcome = await _propose_members(replica, (*replica.members, *new))
     for address in remove:
         if not isinstance(outcome, Committed):
             return outcome
+        if not await _wait_for_earlier_change(replica):
+            return _make_refusal(replica)
         members = tuple(m for m in replica.members if m.address != address)
         if not _can_commit(replica, members):
             return Unavailable(f"without {address} no quorum would be reachable")
@@ -64,6 +70,10 @@
     return outcome
 
 
+def _make_refusal(replica):
+    return NotLeader(replica.leader.address if replica.leader else None)
+
+
 def handle_join(replica: Replica, sender: str, envelope: Envelope) -> None:
     """Add a host with a new disk as a learner, if its address may join."""
     accepted, detail = _decide_join(replica, sender, envelope.message.disk_id)
@@ -230,14 +240,21 @@
     )
 
 
-async def _propose_members(replica, members):
+async def _wait_for_earlier_change(replica):
+    """Wait until the members may be changed; return False if no longer leading.
+
+    The next members must be derived from the present ones after the wait.
+    """
     term = replica.term
     await replica.wait_until(
         lambda: not replica.is_leading(term) or not _is_change_pending(replica)
     )
-    if not replica.is_leading(term):
-        return NotLeader(replica.leader.address if replica.leader else None)
-    return await _enqueue(replica, members)
+    return replica.is_leading(term)
+
+
+async def _propose_members(replica, members):
+    # A caller that gives up doesn't end the change, which is queued already.
+    return await asyncio.shield(_enqueue(replica, members))
 
 
 def _enqueue(replica, members):
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -590,6 +590,48 @@
     run_paused(run())
 
 
+def test_removal_given_up_by_its_caller_is_not_replaced_by_another():
+    """Two removals under way at once would change two voters in one step."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        first, second = sorted(set(cluster.addresses) - {leader})[:2]
+        quorum = cluster.hosts[leader].quorum
+        cluster.hosts[leader].disk.sync_delay_s = 2.0
+        outcomes = [asyncio.create_task(quorum.propose(b"slow"))]
+        await asyncio.sleep(0.1)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await quorum.change_members(remove=[first])
+        outcomes.append(asyncio.create_task(quorum.change_members(remove=[second])))
+        await asyncio.gather(*outcomes)
+        return {v.address for v in cluster.status(leader).voters}, {first, second}
+
+    voters, removed = run_paused(run())
+    assert len(voters) == 3
+    assert not voters & removed
+
+
+def test_removal_waits_for_one_under_way():
+    """Members computed before the wait would change two voters and stop the host."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        removed = sorted(set(cluster.addresses) - {leader})[:2]
+        changes = (quorum.change_members(remove=[address]) for address in removed)
+        outcomes = await asyncio.gather(*changes)
+        cluster.check()
+        assert all(isinstance(outcome, Committed) for outcome in outcomes)
+        return {v.address for v in cluster.status(leader).voters}, {*removed}
+
+    voters, removed = run_paused(run())
+    assert len(voters) == 3
+    assert not voters & removed
+
+
 def test_read_barrier_requires_confirmation_after_request():
     async def run():
         cluster = await start_cluster(3)
