Remove the temporary file of a replacement that failed

The record of votes, a few hundred bytes, is also written to a temporary file first; it then found no space, also after other files had been removed by less than that. A process that ended in the middle of a replacement left such a file as well.

Change: the temporary file is removed if the replacement fails before its rename, and all of them when the folder is opened under its lock.

Ruled out: to reserve space for the record of votes, as this needs a second file format.

test_failed_replace_leaves_no_space_in_use (a limit on file sizes in place of a full disk) and test_first_operation_removes_temporary_files failed without the change and pass with it.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_disk.py
@@ -148,6 +148,8 @@
         lock_fd = os.open(self._folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            for temporary in self._folder.glob("*" + TEMPORARY_SUFFIX):
+                temporary.unlink()
             self._folder_fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
         except OSError:
             os.close(lock_fd)
@@ -170,10 +172,15 @@
 
     def _replace(self, name, data):
         temporary = self._folder / (name + TEMPORARY_SUFFIX)
-        with open(temporary, "wb", buffering=0) as file:
-            _write_all(file, data)
-            os.fsync(file.fileno())
-        os.replace(temporary, self._folder / name)
+        try:
+            with open(temporary, "wb", buffering=0) as file:
+                _write_all(file, data)
+                os.fsync(file.fileno())
+            os.replace(temporary, self._folder / name)
+        except OSError:
+            # A partial file would take the space that the next writes need.
+            temporary.unlink(missing_ok=True)
+            raise
         os.fsync(self._folder_fd)
         self._new_names.discard(name)
 
--- a/packages/sapphireway-transport/tests/test_disk.py
+++ b/packages/sapphireway-transport/tests/test_disk.py
@@ -1,6 +1,7 @@
 import asyncio
 import os
 import random
+import resource
 import time
 
 import pytest
@@ -61,6 +62,44 @@
     second.close()
 
 
+@pytest.fixture
+def file_size_max():
+    """Limit the size of files, as a full disk does; 0 lifts the limit."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+
+    def set_limit(size):
+        resource.setrlimit(resource.RLIMIT_FSIZE, (size or soft, hard))
+
+    yield set_limit
+    set_limit(0)
+
+
+def test_failed_replace_leaves_no_space_in_use(tmp_path, file_size_max):
+    """A partial snapshot would keep a full disk full, and a host out of the quorum."""
+    disk = FileDisk(tmp_path)
+
+    async def fail():
+        assert await disk.replace("snapshot", b"old") is None
+        file_size_max(1_000)
+        return await disk.replace("snapshot", bytes(5_000))
+
+    failure = asyncio.run(fail())
+    file_size_max(0)
+    disk.close()
+    assert isinstance(failure, DiskFailed)
+    assert sorted(os.listdir(tmp_path)) == ["lock", "snapshot"]
+    assert (tmp_path / "snapshot").read_bytes() == b"old"
+
+
+def test_first_operation_removes_temporary_files(tmp_path):
+    """They are left by a process that ended in the middle of a replacement."""
+    (tmp_path / "snapshot.tmp").write_bytes(b"part")
+    disk = FileDisk(tmp_path)
+    assert asyncio.run(disk.list()) == []
+    disk.close()
+    assert os.listdir(tmp_path) == ["lock"]
+
+
 def test_slow_fsync_does_not_block_event_loop(tmp_path, monkeypatch):
     monkeypatch.setattr(os, "fsync", lambda fd: time.sleep(0.1))
 
