--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -52,9 +52,9 @@
     bootstrap : bool
         Whether this control host may bootstrap a new cluster with `control_hosts`.
     open_control : bool
-        Whether control hosts join the quorum automatically, and are replaced or
-        removed automatically when they stop responding. Otherwise operators add and
-        remove them.
+        Whether control hosts join the quorum automatically, and are removed
+        automatically when they stop responding. Otherwise operators add and remove
+        them.
     control_losses_max : int
         Number of control hosts whose simultaneous loss, that of their disks too, is
         tolerated. Voters are removed automatically only as long as enough are left.
