--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -36,10 +36,12 @@
     """
     while replica.is_leading(term):
         await asyncio.sleep(replica.settings.heartbeat_s)
+        if _is_change_pending(replica):
+            continue
         change = _plan_change(replica)
         if change is not None:
             _report_change(replica, change)
-            await _propose_members(replica, change.members)
+            await _enqueue(replica, change.members)
 
 
 async def change_members(
@@ -51,12 +53,16 @@
     """
     outcome = Committed(replica.commit_index, b"")
     if add:
+        if not await _wait_for_earlier_change(replica):
+            return _make_refusal(replica)
         known = {member.address for member in replica.members}
         new = [QuorumMember(a, "", False) for a in add if a not in known]
         outcome = await _propose_members(replica, (*replica.members, *new))
     for address in remove:
         if not isinstance(outcome, Committed):
             return outcome
+        if not await _wait_for_earlier_change(replica):
+            return _make_refusal(replica)
         members = tuple(m for m in replica.members if m.address != address)
         if not _can_commit(replica, members):
             return Unavailable(f"without {address} no quorum would be reachable")
@@ -64,6 +70,10 @@
     return outcome
 
 
+def _make_refusal(replica):
+    return NotLeader(replica.leader.address if replica.leader else None)
+
+
 def handle_join(replica: Replica, sender: str, envelope: Envelope) -> None:
     """Add a host with a new disk as a learner, if its address may join."""
     accepted, detail = _decide_join(replica, sender, envelope.message.disk_id)
@@ -101,23 +111,27 @@
 
 def _plan_change(replica):
     """Return the next `_Change` that is due, or None."""
-    promoted = _plan_promotion(replica)
-    return promoted if promoted is not None else _plan_voter_removal(replica)
-
-
-def _plan_voter_removal(replica):
+    silent = _list_silent_voters(replica)
+    if len(silent) > 1:
+        # A promotion would make the number odd, and all silent voters would stay.
+        change = _plan_voter_removal(replica, silent)
+        return change if change is not None else _plan_promotion(replica)
+    change = _plan_promotion(replica)
+    if change is not None or any(_is_catching_up(replica, m) for m in replica.members):
+        # The learner may make the number odd; a voter that is only away is then kept.
+        return change
+    return _plan_voter_removal(replica, silent)
+
+
+def _plan_voter_removal(replica, silent):
     """Return the removal of the voter that has been silent for longest, or None.
 
     Removes only from an even number of voters: an even one tolerates no more failures
-    than the next smaller odd one. A learner that still catches up may make the number
-    odd, and a voter that is only away is then kept.
+    than the next smaller odd one.
     """
-    silent = _list_silent_voters(replica)
     voter_count = len(replica.voters)
     if not silent or voter_count % 2 or voter_count <= _get_voters_min(replica):
         return None
-    if any(_is_catching_up(replica, member) for member in replica.members):
-        return None
     longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
     return _make_removal(replica, longest, "silent; the number of voters is even")
 
@@ -164,8 +178,10 @@
 
     A voter with the learner's address, whose disk is gone, is removed first, in a
     change of its own: one host must not have two votes. A voter that is silent is
-    removed only after the promotion, as it may come back.
+    removed only after the promotion, as it may come back. While several voters may
+    turn out to be silent, hosts with other addresses wait.
     """
+    is_settled = _is_silence_settled(replica)
     learners = (m for m in replica.members if m.disk_id and not m.voter)
     for learner in learners:
         if not _has_caught_up(replica, learner):
@@ -174,6 +190,8 @@
         if same_address:
             reason = f"disk {learner.disk_id} of {learner.address} takes its place"
             change = _make_removal(replica, same_address[0], reason)
+        elif not is_settled:
+            continue
         else:
             change = _make_promotion(replica, learner)
         if change is not None:
@@ -181,6 +199,18 @@
     return None
 
 
+def _is_silence_settled(replica):
+    """Whether it is known of all voters, but for one at most, if they are silent."""
+    unresponsive = [
+        voter
+        for voter in replica.voters
+        if voter.disk_id in replica.progress
+        and not _is_responsive(replica, replica.progress[voter.disk_id])
+    ]
+    silent = _list_silent_voters(replica)
+    return len(unresponsive) < 2 or len(silent) == len(unresponsive)
+
+
 def _make_promotion(replica, learner):
     """Return the promotion of a learner, or None if it couldn't be committed."""
     promoted = QuorumMember(learner.address, learner.disk_id, True)
@@ -230,14 +260,21 @@
     )
 
 
-async def _propose_members(replica, members):
+async def _wait_for_earlier_change(replica):
+    """Wait until the members may be changed; return False if no longer leading.
+
+    The next members must be derived from the present ones after the wait.
+    """
     term = replica.term
     await replica.wait_until(
         lambda: not replica.is_leading(term) or not _is_change_pending(replica)
     )
-    if not replica.is_leading(term):
-        return NotLeader(replica.leader.address if replica.leader else None)
-    return await _enqueue(replica, members)
+    return replica.is_leading(term)
+
+
+async def _propose_members(replica, members):
+    # A caller that gives up doesn't end the change, which is queued already.
+    return await asyncio.shield(_enqueue(replica, members))
 
 
 def _enqueue(replica, members):
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -36,6 +36,7 @@
     recover_as_sole_voter,
     save_vote,
 )
+from sapphireway_transport import DiskFailed
 from sapphireway_transport.memory import MemoryDisk, run_paused
 
 LONG_WAIT_S = 120.0
@@ -590,6 +591,48 @@
     run_paused(run())
 
 
+def test_removal_given_up_by_its_caller_is_not_replaced_by_another():
+    """Two removals under way at once would change two voters in one step."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        first, second = sorted(set(cluster.addresses) - {leader})[:2]
+        quorum = cluster.hosts[leader].quorum
+        cluster.hosts[leader].disk.sync_delay_s = 2.0
+        outcomes = [asyncio.create_task(quorum.propose(b"slow"))]
+        await asyncio.sleep(0.1)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await quorum.change_members(remove=[first])
+        outcomes.append(asyncio.create_task(quorum.change_members(remove=[second])))
+        await asyncio.gather(*outcomes)
+        return {v.address for v in cluster.status(leader).voters}, {first, second}
+
+    voters, removed = run_paused(run())
+    assert len(voters) == 3
+    assert not voters & removed
+
+
+def test_removal_waits_for_one_under_way():
+    """Members computed before the wait would change two voters and stop the host."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        removed = sorted(set(cluster.addresses) - {leader})[:2]
+        changes = (quorum.change_members(remove=[address]) for address in removed)
+        outcomes = await asyncio.gather(*changes)
+        cluster.check()
+        assert all(isinstance(outcome, Committed) for outcome in outcomes)
+        return {v.address for v in cluster.status(leader).voters}, {*removed}
+
+    voters, removed = run_paused(run())
+    assert len(voters) == 3
+    assert not voters & removed
+
+
 def test_read_barrier_requires_confirmation_after_request():
     async def run():
         cluster = await start_cluster(3)
@@ -701,3 +744,37 @@
         await cluster.wait_until(cluster.is_healthy, LONG_WAIT_S)
 
     run_paused(run())
+
+
+class RenamedVoteDisk(MemoryDisk):
+    """Reports a failure of one vote record after the new content is in place."""
+
+    armed = False
+
+    async def replace(self, name, data):
+        failure = await super().replace(name, data)
+        if self.armed and name == "vote" and failure is None:
+            self.armed = False
+            return DiskFailed("replace", name, "input/output error")
+        return failure
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_term_found_on_a_reopened_disk_has_no_leader_of_an_earlier_term(seed):
+    async def run():
+        cluster = Cluster(5, seed)
+        for host in cluster.hosts.values():
+            host.disk = RenamedVoteDisk(0.002)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        leader = cluster.leader()
+        failing = next(a for a in cluster.addresses if a != leader)
+        cluster.hosts[failing].disk.armed = True
+        cluster.crash(leader)
+        await asyncio.sleep(20.0)
+        await cluster.start(leader)
+        await cluster.wait_until(cluster.is_healthy)
+        assert cluster.hosts[failing].quorum.failure is None
+        cluster.check()
+
+    run_paused(run())
