Remove the votes of all hosts that were replaced together

Two of five control hosts that were replaced at once by hosts at new addresses kept their votes for good: seven voters, two of them gone, bear one more loss, not the two that control_losses_max asks for. The next losses that are to be borne then ended the quorum.

Cause: learners are promoted before silent voters are removed, and silent ones only from an even number. With two learners, the number went from five over six to seven before the first voter counted as silent (3 s).

Change: at an even number above the minimum, while two or more voters miss heartbeats, a learner at a new address waits for the removal of the voter that has been silent for longest. With one that is missing it is promoted at once as before: the odd number then still tolerates what is needed.

Ruled out: removal from an odd number, as five voters tolerate two that are only away. To wait beside a single missing voter: this took the vote of a voter that was away beside a lost disk (test_voter_keeps_its_vote_while_away_beside_a_lost_disk failed in 4 of 8 cases).

test_hosts_that_were_replaced_together_keep_no_votes failed in all nine cases without the change and passes with it.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -16,6 +16,7 @@
 from sapphireway_state import check_invariant, encode_members
 
 VOTERS_MIN = 3  # left by automatic removal; fewer tolerate no failure
+MISSED_HEARTBEATS = 2  # of a voter that may be gone
 
 
 class _Change(msgspec.Struct, frozen=True):
@@ -122,16 +123,26 @@
     than the next smaller odd one. A learner that still catches up may make the number
     odd, and a voter that is only away is then kept.
     """
-    silent = _list_silent_voters(replica)
-    voter_count = len(replica.voters)
-    if not silent or voter_count % 2 or voter_count <= _get_voters_min(replica):
-        return None
     if any(_is_catching_up(replica, member) for member in replica.members):
         return None
+    return _plan_silent_removal(replica)
+
+
+def _plan_silent_removal(replica):
+    """Return the removal of the longest silent one of an even number, or None."""
+    silent = _list_silent_voters(replica)
+    if not silent or not _has_spare_voter(replica):
+        return None
     longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
     return _make_removal(replica, longest, "silent; the number of voters is even")
 
 
+def _has_spare_voter(replica):
+    """Whether one voter less tolerates as many losses, and those that are needed."""
+    voter_count = len(replica.voters)
+    return voter_count % 2 == 0 and voter_count > _get_voters_min(replica)
+
+
 def _get_voters_min(replica):
     """Return how many voters automatic removal leaves.
 
@@ -174,7 +185,9 @@
 
     A voter with the learner's address, whose disk is gone, is removed first, in a
     change of its own: one host must not have two votes. A voter that is silent is
-    removed only after the promotion, as it may come back.
+    removed only after the promotion, as it may come back. If several are silent, a
+    further learner waits for that removal: the next odd number, from which none is
+    removed, would tolerate fewer losses than the present one without them.
     """
     learners = (m for m in replica.members if m.disk_id and not m.voter)
     for learner in learners:
@@ -184,6 +197,8 @@
         if same_address:
             reason = f"disk {learner.disk_id} of {learner.address} takes its place"
             change = _make_removal(replica, same_address[0], reason)
+        elif _has_spare_voter(replica) and _count_missing_voters(replica) > 1:
+            change = _plan_silent_removal(replica)
         else:
             change = _make_promotion(replica, learner)
         if change is not None:
@@ -191,6 +206,17 @@
     return None
 
 
+def _count_missing_voters(replica):
+    """Count the voters that may be removed for their silence and missed a heartbeat."""
+    if not replica.settings.silent_voter_timeout_s:
+        return 0
+    since_s = replica.now() - MISSED_HEARTBEATS * replica.settings.heartbeat_s
+    known = (replica.progress.get(voter.disk_id) for voter in replica.voters)
+    return sum(
+        progress is not None and progress.last_contact_s < since_s for progress in known
+    )
+
+
 def _make_promotion(replica, learner):
     """Return the promotion of a learner, or None if it couldn't be committed."""
     promoted = QuorumMember(learner.address, learner.disk_id, True)
--- a/packages/sapphireway-coordination/tests/test_quorum_recovery.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_recovery.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from tests.quorum_cluster import SETTINGS, Cluster
+from tests.quorum_cluster import SETTINGS, Cluster, Host
 
 from sapphireway_coordination import Committed, ReadResult
 from sapphireway_transport.memory import MemoryDisk, run_paused
@@ -94,16 +94,39 @@
     assert commands == [b"before", *(address.encode() for address in wiped)]
 
 
+@pytest.mark.parametrize(("size", "lost"), [(5, 2), (7, 2), (7, 3)])
+@pytest.mark.parametrize("pause_s", [0.0, 1.5, 3.5])
+def test_hosts_that_were_replaced_together_keep_no_votes(size, lost, pause_s):
+    """With their votes, the quorum bears fewer losses than it has to, for good."""
+
+    async def run():
+        cluster = await start_cluster(size, (size - 1) // 2)
+        await propose(cluster, b"kept")
+        gone = [a for a in cluster.addresses if a != cluster.leader()][:lost]
+        for address in gone:
+            cluster.crash(address)
+            del cluster.hosts[address]
+        await asyncio.sleep(pause_s)
+        await cluster.start(*[f"{a}n" for a in gone], bootstrap=False)
+        await cluster.wait_until(cluster.is_healthy, timeout_s=20.0)
+        assert len(cluster.status(cluster.leader()).voters) == size
+        return await read(cluster)
+
+    assert run_paused(run()) == [b"kept"]
+
+
 class Faults:
     """Random faults of which never more than `losses_max` hosts are lost at once.
 
     A host stays lost until the cluster has caught up behind its return. Where
-    more than one may be lost, one is away until the end once it was lost.
+    more than one may be lost, one is away until the end once it was lost. With
+    `replace`, empty hosts at new addresses take the place of some.
     """
 
-    def __init__(self, cluster, losses_max, rng):
+    def __init__(self, cluster, losses_max, rng, replace):
         self.cluster = cluster
         self.losses_max = losses_max
+        self.replace = replace
         self.rng = rng
         self.away = {}
         self.acked = []
@@ -147,6 +170,7 @@
         kinds = ["cut", "unpowered", "full", "failing"]
         if address != self.long_away:
             kinds += ["wiped"] * len(kinds)
+            kinds += ["replaced"] * 2 * self.replace
         kind = self.rng.choice(kinds)
         self.steps.append((kind, address))
         host = self.cluster.hosts[address]
@@ -160,8 +184,17 @@
             self.cluster.crash(address)
             if kind == "wiped":
                 host.disk = MemoryDisk(0.002)
+            elif kind == "replaced":
+                address = self.take_place(address)
         self.away[address] = kind
 
+    def take_place(self, address):
+        del self.cluster.hosts[address]
+        new = f"{address}n"
+        self.cluster.hosts[new] = Host(MemoryDisk(0.002))
+        self.cluster.addresses[self.cluster.addresses.index(address)] = new
+        return new
+
     def isolate(self, address):
         for other in [*self.cluster.hosts, *self.list_clients()]:
             if other != address:
@@ -234,10 +267,10 @@
         self.cluster.check()
 
 
-async def run_faults(size, losses_max, seed):
+async def run_faults(size, losses_max, seed, replace=False):
     cluster = await start_cluster(size, losses_max, seed)
     await propose(cluster, b"first")
-    faults = Faults(cluster, losses_max, random.Random(seed))
+    faults = Faults(cluster, losses_max, random.Random(seed), replace)
     try:
         await faults.run()
         leader = cluster.leader()
@@ -254,3 +287,10 @@
 def test_all_voters_are_back_after_random_faults(size, losses_max, seed):
     """Lost disks, full disks, cuts and power cuts leave no host out for good."""
     run_paused(run_faults(size, losses_max, seed))
+
+
+@pytest.mark.parametrize(("size", "losses_max"), [(3, 1), (5, 2), (7, 3)])
+@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEED_COUNT))
+def test_all_voters_are_there_after_hosts_were_replaced(size, losses_max, seed):
+    """No voter of a host that is gone stays, and none that is away is given up."""
+    run_paused(run_faults(size, losses_max, seed, replace=True))
