--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -54,6 +54,9 @@
 QUEUED_PROPOSALS_MAX = 4_096
 CONCURRENT_REQUESTS_MAX = 1_024
 INBOX_MESSAGES_MAX = 64
+# After a failed write the host takes no part until its folder is opened again. So a
+# snapshot for which a disk has no room must not be tried often.
+SNAPSHOT_RETRY_S = 30.0
 
 _HANDLERS = {
     Append: handle_append,
@@ -348,3 +351,5 @@
             failure = await replica.journal.save_snapshot(snapshot)
             if failure is not None:
                 replica.fail_disk(failure)
+        if failure is not None:
+            await asyncio.sleep(SNAPSHOT_RETRY_S)
--- a/packages/sapphireway-coordination/tests/test_quorum_recovery.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_recovery.py
@@ -8,7 +8,9 @@
 import pytest
 from tests.quorum_cluster import SETTINGS, Cluster, Host
 
-from sapphireway_coordination import Committed, ReadResult
+from sapphireway_coordination import Committed, DiskFailureSeen, ReadResult
+from sapphireway_state._snapshot import SNAPSHOT_NAME
+from sapphireway_transport import DiskFailed
 from sapphireway_transport.memory import MemoryDisk, run_paused
 
 SEED_COUNT = int(os.environ.get("SAPPHIREWAY_SEEDS", "2"))
@@ -115,6 +117,41 @@
     assert run_paused(run()) == [b"kept"]
 
 
+class SnapshotRefusingDisk(MemoryDisk):
+    """A disk with room for the journal's entries, but not for a snapshot."""
+
+    __slots__ = ()
+
+    async def replace(self, name, data):
+        if name == SNAPSHOT_NAME:
+            return DiskFailed("replace", name, "no space left on device")
+        return await super().replace(name, data)
+
+
+@pytest.mark.parametrize("disk_count", [1, 3])
+def test_refused_snapshot_leaves_a_host_in_the_quorum(disk_count):
+    """Hosts that try it again at once would be out of the quorum most of the time."""
+
+    async def run():
+        cluster = Cluster(3, 0, make_settings(1))
+        for address in cluster.addresses[:disk_count]:
+            cluster.hosts[address].disk = SnapshotRefusingDisk(0.002)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        client = cluster.open_client()
+        committed = 0
+        for number in range(60):
+            command = b"%d" % number + bytes(100)
+            committed += isinstance(await client.propose(command, 1.0), Committed)
+            await asyncio.sleep(0.5)
+        cluster.check()
+        return committed, len(cluster.list_events("c0", DiskFailureSeen))
+
+    committed, failures = run_paused(run())
+    assert failures <= 2
+    assert committed >= 57
+
+
 class Faults:
     """Random faults of which never more than `losses_max` hosts are lost at once.
 
