Answer a query for a claim group whose name is not UTF-8

A malformed query for a group raised UnicodeDecodeError in the leading control host, which counts as a broken invariant and ends its process; the next leader got the same query from the client's next attempt.

Change: bytes that aren't UTF-8 are replaced, so that no group is found.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
@@ -91,7 +91,7 @@
         if prefix == TREE_PREFIX:
             return self.settings.read(content)
         if prefix == GROUP_PREFIX:
-            group = self.groups.get_group(content.decode())
+            group = self.groups.get_group(content.decode(errors="replace"))
             return msgspec.msgpack.encode(group)
         if prefix == ROUTE_PREFIX:
             return self.routes.read(content)
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -288,6 +288,15 @@
     assert run_paused(run()) == 0
 
 
+@pytest.mark.parametrize(
+    "query",
+    [GROUP_PREFIX + b"\xff", ROUTE_PREFIX + b"\xff", TREE_PREFIX + b"\xff", b""],
+)
+def test_malformed_query_is_answered(machine, query):
+    """An exception in a query stops the control host, and its process."""
+    assert isinstance(machine.read(query), bytes)
+
+
 def test_control_machine_snapshot_round_trip(machine):
     set_deadline(machine, 3, 300)
     restored = ControlMachine()
