Drop the spans that a full disk refuses

Cause: the library's handler writes a traceback to standard error for each record that it can't write, in the event loop, where a reader that is slow or stopped blocks the process. What it could not write stayed in the stream, and closing it raised at the end of an orderly stop.

Change: a span that the disk refuses is counted and dropped, and the file is opened again with the next one.

Ruled out: logging.raiseExceptions, as it is global, and as the stop would still fail.

test_full_disk_drops_spans_and_no_more (on /dev/full) failed without the change and passes with it.

--- a/packages/sapphireway/src/sapphireway/_traces.py
+++ b/packages/sapphireway/src/sapphireway/_traces.py
@@ -1,5 +1,6 @@
 """Tracing: spans of calls at the entry node and of attempts at the server's node."""
 
+import contextlib
 import json
 import logging
 import logging.handlers
@@ -112,6 +113,25 @@
         return self._rng.getrandbits(128) or 1
 
 
+class _SpanFile(logging.handlers.RotatingFileHandler):
+    """Rotated files that drop what the disk refuses and are opened again after it.
+
+    The base class writes a traceback for each record to standard error, where a slow
+    reader would block the process.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.dropped = 0
+
+    def handleError(self, record):
+        self.dropped += 1
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            with contextlib.suppress(OSError):
+                stream.close()
+
+
 class JsonLinesExporter(SpanExporter):
     """Writes spans as OTLP JSON, one export request per line, to rotated files.
 
@@ -128,11 +148,16 @@
     def __init__(self, path: str | None, on_span: Callable[[dict], None] | None = None):
         self._handler = None
         if path is not None:
-            self._handler = logging.handlers.RotatingFileHandler(
+            self._handler = _SpanFile(
                 path, maxBytes=FILE_MAX_BYTES, backupCount=BACKUP_FILES, delay=True
             )
         self._on_span = on_span
 
+    @property
+    def dropped(self) -> int:
+        """Number of spans that the file's disk refused."""
+        return 0 if self._handler is None else self._handler.dropped
+
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Write finished spans."""
         for span in spans:
--- a/packages/sapphireway/tests/test_traces.py
+++ b/packages/sapphireway/tests/test_traces.py
@@ -58,3 +58,18 @@
     server = MemoryServer(random.Random(1))
     TracedServerClient(server, tracer).set_connections_max(7)
     assert server.connections_max == 7
+
+
+def test_full_disk_drops_spans_and_no_more(path, capfd):
+    """A traceback for each span blocks on a slow reader; the stop failed at the end."""
+    exporter = JsonLinesExporter("/dev/full")
+    tracer = CallTracer("n1", exporter, random.Random(1))
+    for _ in range(3):
+        tracer.start_call((), 100.0)[1].end()
+    # The disk takes writes again.
+    exporter._handler.baseFilename = str(path)
+    tracer.start_call((), 100.0)[1].end()
+    tracer.close()
+    assert exporter.dropped == 3
+    assert len(path.read_text().splitlines()) == 1
+    assert capfd.readouterr().err == ""
