Remove learners of the quorum that have fallen silent

A host that asked to join and was gone before it voted, such as one that was replaced again, stayed a learner for good. The leader sent to it four times a second, and nodes counted it among the control hosts, so that each change of their directory and each order could lose a try on it.

Change: where silent voters are removed, a learner that has been silent as long is removed too. One that was only away joins again, as any host that finds itself without a leader. Learners that an operator added and that have not joined yet are kept.

test_learner_that_is_gone_does_not_stay_a_member failed in both cases without the change and passes with it.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -112,8 +112,22 @@
 
 def _plan_change(replica):
     """Return the next `_Change` that is due, or None."""
-    promoted = _plan_promotion(replica)
-    return promoted if promoted is not None else _plan_voter_removal(replica)
+    for plan in (_plan_promotion, _plan_voter_removal, _plan_learner_removal):
+        change = plan(replica)
+        if change is not None:
+            return change
+    return None
+
+
+def _plan_learner_removal(replica):
+    """Return the removal of a silent learner, which may be gone, or None.
+
+    One that is only away joins again.
+    """
+    for member in _list_silent_members(replica):
+        if not member.voter:
+            return _make_removal(replica, member, "a silent learner")
+    return None
 
 
 def _plan_voter_removal(replica):
@@ -130,7 +144,7 @@
 
 def _plan_silent_removal(replica):
     """Return the removal of the longest silent one of an even number, or None."""
-    silent = _list_silent_voters(replica)
+    silent = [member for member in _list_silent_members(replica) if member.voter]
     if not silent or not _has_spare_voter(replica):
         return None
     longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
@@ -166,15 +180,15 @@
     return _Change(members, "remove", member, reason)
 
 
-def _list_silent_voters(replica):
-    """Return the voters that have not responded within the silent voter timeout."""
+def _list_silent_members(replica):
+    """Return the members that have not responded within the silent voter timeout."""
     timeout_s = replica.settings.silent_voter_timeout_s
     if not timeout_s:
         return []
     now_s = replica.now()
     return [
         member
-        for member in replica.voters
+        for member in replica.members
         if member.disk_id in replica.progress
         and now_s - replica.progress[member.disk_id].last_contact_s > timeout_s
     ]
--- a/packages/sapphireway-coordination/tests/test_quorum_open.py
+++ b/packages/sapphireway-coordination/tests/test_quorum_open.py
@@ -279,6 +279,32 @@
     run_paused(run())
 
 
+@pytest.mark.parametrize("returns", [False, True])
+def test_learner_that_is_gone_does_not_stay_a_member(returns):
+    """Nodes would go on to ask it, as they use all members as control hosts."""
+
+    async def run():
+        cluster = Cluster(3, settings=AUTO_JOIN_SETTINGS)
+        await cluster.start()
+        await cluster.wait_until(cluster.is_healthy)
+        await cluster.start("c3", bootstrap=False)
+        leader = cluster.leader()
+        await cluster.wait_until(
+            lambda: cluster.status(leader).learners, timeout_s=5.0, poll_s=0.01
+        )
+        cluster.crash("c3")
+        await asyncio.sleep(2 * SILENT_VOTER_TIMEOUT_S)
+        learners = cluster.status(leader).learners
+        if returns:
+            await cluster.start("c3", bootstrap=False)
+        else:
+            del cluster.hosts["c3"]
+        await cluster.wait_until(cluster.is_healthy, timeout_s=10.0)
+        return learners
+
+    assert run_paused(run()) == ()
+
+
 def test_silent_voter_is_kept_where_all_voters_are_needed():
     """Four voters become five with the next host; three would need two more."""
 
