--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -16,6 +16,7 @@
 from sapphireway_state import check_invariant, encode_members
 
 VOTERS_MIN = 3  # left by automatic removal; fewer tolerate no failure
+MISSED_HEARTBEATS = 2  # of a voter that may be gone
 
 
 class _Change(msgspec.Struct, frozen=True):
@@ -111,31 +112,51 @@
 
 def _plan_change(replica):
     """Return the next `_Change` that is due, or None."""
-    silent = _list_silent_voters(replica)
-    if len(silent) > 1:
-        # A promotion would make the number odd, and all silent voters would stay.
-        change = _plan_voter_removal(replica, silent)
-        return change if change is not None else _plan_promotion(replica)
-    change = _plan_promotion(replica)
-    if change is not None or any(_is_catching_up(replica, m) for m in replica.members):
-        # The learner may make the number odd; a voter that is only away is then kept.
-        return change
-    return _plan_voter_removal(replica, silent)
-
-
-def _plan_voter_removal(replica, silent):
+    for plan in (_plan_promotion, _plan_voter_removal, _plan_learner_removal):
+        change = plan(replica)
+        if change is not None:
+            return change
+    return None
+
+
+def _plan_learner_removal(replica):
+    """Return the removal of a silent learner, which may be gone, or None.
+
+    One that is only away joins again.
+    """
+    for member in _list_silent_members(replica):
+        if not member.voter:
+            return _make_removal(replica, member, "a silent learner")
+    return None
+
+
+def _plan_voter_removal(replica):
     """Return the removal of the voter that has been silent for longest, or None.
 
     Removes only from an even number of voters: an even one tolerates no more failures
-    than the next smaller odd one.
+    than the next smaller odd one. A learner that still catches up may make the number
+    odd, and a voter that is only away is then kept.
     """
-    voter_count = len(replica.voters)
-    if not silent or voter_count % 2 or voter_count <= _get_voters_min(replica):
+    if any(_is_catching_up(replica, member) for member in replica.members):
+        return None
+    return _plan_silent_removal(replica)
+
+
+def _plan_silent_removal(replica):
+    """Return the removal of the longest silent one of an even number, or None."""
+    silent = [member for member in _list_silent_members(replica) if member.voter]
+    if not silent or not _has_spare_voter(replica):
         return None
     longest = min(silent, key=lambda m: replica.progress[m.disk_id].last_contact_s)
     return _make_removal(replica, longest, "silent; the number of voters is even")
 
 
+def _has_spare_voter(replica):
+    """Whether one voter less tolerates as many losses, and those that are needed."""
+    voter_count = len(replica.voters)
+    return voter_count % 2 == 0 and voter_count > _get_voters_min(replica)
+
+
 def _get_voters_min(replica):
     """Return how many voters automatic removal leaves.
 
@@ -159,15 +180,15 @@
     return _Change(members, "remove", member, reason)
 
 
-def _list_silent_voters(replica):
-    """Return the voters that have not responded within the silent voter timeout."""
+def _list_silent_members(replica):
+    """Return the members that have not responded within the silent voter timeout."""
     timeout_s = replica.settings.silent_voter_timeout_s
     if not timeout_s:
         return []
     now_s = replica.now()
     return [
         member
-        for member in replica.voters
+        for member in replica.members
         if member.disk_id in replica.progress
         and now_s - replica.progress[member.disk_id].last_contact_s > timeout_s
     ]
@@ -178,10 +199,10 @@
 
     A voter with the learner's address, whose disk is gone, is removed first, in a
     change of its own: one host must not have two votes. A voter that is silent is
-    removed only after the promotion, as it may come back. While several voters may
-    turn out to be silent, hosts with other addresses wait.
+    removed only after the promotion, as it may come back. If several are silent, a
+    further learner waits for that removal: the next odd number, from which none is
+    removed, would tolerate fewer losses than the present one without them.
     """
-    is_settled = _is_silence_settled(replica)
     learners = (m for m in replica.members if m.disk_id and not m.voter)
     for learner in learners:
         if not _has_caught_up(replica, learner):
@@ -190,8 +211,8 @@
         if same_address:
             reason = f"disk {learner.disk_id} of {learner.address} takes its place"
             change = _make_removal(replica, same_address[0], reason)
-        elif not is_settled:
-            continue
+        elif _has_spare_voter(replica) and _count_missing_voters(replica) > 1:
+            change = _plan_silent_removal(replica)
         else:
             change = _make_promotion(replica, learner)
         if change is not None:
@@ -199,16 +220,15 @@
     return None
 
 
-def _is_silence_settled(replica):
-    """Whether it is known of all voters, but for one at most, if they are silent."""
-    unresponsive = [
-        voter
-        for voter in replica.voters
-        if voter.disk_id in replica.progress
-        and not _is_responsive(replica, replica.progress[voter.disk_id])
-    ]
-    silent = _list_silent_voters(replica)
-    return len(unresponsive) < 2 or len(silent) == len(unresponsive)
+def _count_missing_voters(replica):
+    """Count the voters that may be removed for their silence and missed a heartbeat."""
+    if not replica.settings.silent_voter_timeout_s:
+        return 0
+    since_s = replica.now() - MISSED_HEARTBEATS * replica.settings.heartbeat_s
+    known = (replica.progress.get(voter.disk_id) for voter in replica.voters)
+    return sum(
+        progress is not None and progress.last_contact_s < since_s for progress in known
+    )
 
 
 def _make_promotion(replica, learner):
