Reject an answer that is cut before the last byte of its head

Callers got a success with an empty body when a server closed the connection between the last CR and LF of the head of a chunked or close-delimited answer, or of one to HEAD.

Cause: at a close, libcurl passes on the unfinished line, and a lone CR was taken as the empty line that ends the head. Only a line that ends with LF ends the head now.

The test of answers that are broken off at any byte did not show it: each cut was sent on a connection that the server had just closed, so every other request ended before its answer. The new test, with a connection of its own for each answer, failed before for five of six cases (an answer with a length was complete only if its length was zero).

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -312,7 +312,7 @@
         elif text:
             if not self._receive_field(text):
                 return -1
-        else:
+        elif line.endswith(b"\n"):  # libcurl also passes on a line that a close cut
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -235,6 +235,19 @@
     send()
 
 
+@pytest.mark.parametrize("framing", FRAMED_ANSWERS)
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_answer_cut_before_the_last_byte_of_its_head_is_no_success(framing, method):
+    head = STATUS_HEAD + FRAMED_ANSWERS[framing][0]
+
+    @run_against(CutOff(head[:-1]))
+    async def send(server):
+        result = await server.send(method, close_delimited=True)
+        assert isinstance(result, Broken), result
+
+    send()
+
+
 @run_against(CutOff(STATUS_HEAD + b"\r\ntext"))
 async def test_answer_that_a_close_delimits_is_complete(server):
     result = await server.send(close_delimited=True)
