Send no id twice on a connection to a server

Cause: an answer was matched by the connection and its id, and ids of callers are forwarded as sent, so two attempts of one request have the same.

Change: the client remembers the ids that it sent, and a request whose id was sent before gets a new connection, as does one without an id, whose answer may bear none either.

Ruled out: an id for each attempt, as callers' ids must arrive unchanged; to close the connection after each refusal, which costs a connection for each refusal of a full server, not only for repeats, and leaves copies of other answers; ids kept for each connection, which libcurl doesn't tell before it has chosen one.

Of the new tests, those of a copy, of a request without an id and of forgotten ids failed before.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -57,7 +57,8 @@
     if not echo_header:
         return None
     lowered = echo_header.lower()
-    return next(((n, v.strip()) for n, v in headers if n.lower() == lowered), None)
+    found = ((n, v.strip()) for n, v in headers if n.lower() == lowered)
+    return next(found, (echo_header, ""))
 
 
 def validate_result(result: ServerResult, dialect: ServerDialect) -> ServerResult:
--- a/packages/sapphireway-coordination/tests/test_server_dialect.py
+++ b/packages/sapphireway-coordination/tests/test_server_dialect.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 from tests.gate_bench import Bench
 
@@ -48,5 +49,12 @@
     assert request.echo_header == ("Sapphireway-Attempt-Id", "a-1")
 
 
+def test_request_without_an_id_expects_no_id_in_its_answer():
+    dialect = msgspec.structs.replace(DEFAULT_SERVER_DIALECT, echo_header="Request-Id")
+    run = Run("a-1", "c", "s", "k", "GET", "/", [], True, 1, "", 500.0)
+    request = make_request(run, b"", run_paused(_announce()), 0.5, 1000, dialect)
+    assert request.echo_header == ("Request-Id", "")
+
+
 async def _announce():
     return Bench().gate.announcement
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import math
 
 import msgspec
 import pycurl
 
+from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
     Broken,
     NotSent,
@@ -160,7 +162,7 @@
         "_bytes_received",
         "_chunks",
         "_close_delimited_allowed",
-        "_echo_mismatch",
+        "_echo_fault",
         "_expected_echo",
         "_has_length",
         "_head_bytes",
@@ -172,6 +174,7 @@
         "_length",
         "_memory",
         "_on_keep_alive",
+        "_on_send",
         "_status",
         "_too_large",
         "easy",
@@ -179,8 +182,9 @@
         "send_count",
     )
 
-    def __init__(self, on_keep_alive, memory):
+    def __init__(self, on_keep_alive, on_send, memory):
         self._on_keep_alive = on_keep_alive
+        self._on_send = on_send
         self._memory = memory
         self._bytes_received = 0
         self.easy = easy = pycurl.Curl()
@@ -201,16 +205,24 @@
         easy.setopt(pycurl.WRITEFUNCTION, self._receive_body)
 
     def prepare(
-        self, request: ServerRequest, future, idle_connection_max_s: int
+        self,
+        request: ServerRequest,
+        future,
+        idle_connection_max_s: int,
+        connection_age_max_s: int | None,
     ) -> None:
-        """Set up the handle for a request."""
+        """Set up the handle for a request.
+
+        Only connections that were opened at most `connection_age_max_s` ago are used
+        again: 0 for none, None for any.
+        """
         self.future = future
         self.send_count = 0
         self._body_max_bytes = request.body_max_bytes
         self._bytes_received = 0
         self._chunks = []
         self._expected_echo = request.echo_header
-        self._echo_mismatch = False
+        self._echo_fault = ""
         self._has_length = False
         self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
@@ -228,6 +240,8 @@
         easy.setopt(pycurl.HTTPHEADER, _format_headers(request.headers))
         easy.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         easy.setopt(pycurl.MAXAGE_CONN, idle_connection_max_s)
+        easy.setopt(pycurl.FRESH_CONNECT, connection_age_max_s == 0)
+        easy.setopt(pycurl.MAXLIFETIME_CONN, connection_age_max_s or 0)
         easy.setopt(
             pycurl.CONNECTTIMEOUT_MS, min(timeout_ms, int(CONNECT_TIMEOUT_S * MS_PER_S))
         )
@@ -246,8 +260,8 @@
         """Return the result of the request after libcurl ended with `code`."""
         if self._too_large:
             return Broken("the answer is larger than allowed")
-        if self._echo_mismatch:
-            return Broken("the answer belongs to another request")
+        if self._echo_fault:
+            return Broken(self._echo_fault)
         if code == pycurl.E_OK and self._status:
             if self._is_complete():
                 headers = tuple(self._headers)
@@ -299,6 +313,8 @@
         self.send_count += 1
         if self.send_count > 1:
             return pycurl.PREREQFUNC_ABORT
+        if self._expected_echo is not None:
+            self._on_send(self._expected_echo[1])
         return pycurl.PREREQFUNC_OK
 
     def _receive_header(self, line):
@@ -335,12 +351,12 @@
         if (
             self._expected_echo is not None
             and lowered == self._expected_echo[0].lower()
-            and value.strip() != self._expected_echo[1]
         ):
-            # A second, late answer to an earlier request of the connection.
-            # Later answers on it could not be attributed either.
-            self._echo_mismatch = True
-            return False
+            if value.strip() != self._expected_echo[1]:
+                # A second, late answer to an earlier request of the connection.
+                # Later answers on it could not be attributed either.
+                self._echo_fault = "the answer belongs to another request"
+                return False
         if lowered == "keep-alive":
             self._on_keep_alive(value)
         elif lowered == "content-length":
@@ -378,6 +394,9 @@
     answers_max_bytes : int, default=64 MiB
         Limit on the bodies that are being received, all together. Answers of more than
         the average size are given up beyond it.
+    sent_ids_max : int, default=8192
+        Values of `ServerRequest.echo_header` of which all are remembered. Older
+        connections are not used again.
     """
 
     __slots__ = (
@@ -389,6 +408,8 @@
         "_loop",
         "_memory",
         "_multi",
+        "_sent_ids",
+        "_sent_ids_max",
         "_timer",
     )
 
@@ -396,6 +417,7 @@
         self,
         connections_max: int = CONNECTIONS_MAX,
         answers_max_bytes: int = ANSWERS_MAX_BYTES,
+        sent_ids_max: int = SENT_IDS_MAX,
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
@@ -403,6 +425,8 @@
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
+        self._sent_ids = None
+        self._sent_ids_max = sent_ids_max
         self._timer = None
         self._interests = {}
         self._multi = pycurl.CurlMulti()
@@ -420,14 +444,16 @@
         """Send one request; if the task is cancelled, the connection is closed."""
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
+            self._sent_ids = SentIds(self._loop.time(), self._sent_ids_max)
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
-            else _Transfer(self._handle_keep_alive, self._memory)
+            else _Transfer(self._handle_keep_alive, self._record_id, self._memory)
         )
         future = self._loop.create_future()
+        age_max_s = self._limit_connection_age(request.echo_header)
         try:
-            transfer.prepare(request, future, self._idle_connection_max_s)
+            transfer.prepare(request, future, self._idle_connection_max_s, age_max_s)
         except (pycurl.error, ValueError) as error:
             transfer.release()
             self._idle_transfers.append(transfer)
@@ -459,6 +485,27 @@
         self._idle_transfers.clear()
         self._multi.close()
 
+    def _limit_connection_age(self, echo_header):
+        """Return how old a connection may be that never carried this id.
+
+        In whole seconds; 0 for a new connection, None for any.
+        """
+        if echo_header is None:
+            return None
+        value = echo_header[1]
+        if not value or value in self._sent_ids:
+            # A copy of the answer to the earlier request has the same id.
+            return 0
+        self._record_id(value)
+        age_s = self._loop.time() - self._sent_ids.complete_since_s
+        # libcurl ignores the fraction of a connection's age.
+        return None if math.isinf(age_s) else max(0, int(age_s) - 1)
+
+    def _record_id(self, value):
+        # Recorded when the request is made, for repeats that are made before it is
+        # sent, and when it is sent, as its connection may be as new as that.
+        self._sent_ids.add(value, self._loop.time())
+
     def _handle_keep_alive(self, value):
         # A request that is sent while the server closes the connection may or may not
         # have run, so idle connections are closed earlier than the server does.
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -12,6 +12,14 @@
 LEAVING_HEADER = "Sapphireway-Leaving"
 
 
+class Responded(msgspec.Struct, frozen=True):
+    """The complete answer of the server arrived."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 class ServerRequest(msgspec.Struct, frozen=True):
     """One HTTP request to a server.
 
@@ -28,7 +36,8 @@
         Largest body of an answer that is accepted.
     echo_header : tuple of (str, str) or None
         Header that the server sends back; an answer with a different value belongs to
-        another request.
+        another request. No connection carries a value twice, and a request with an
+        empty value gets a connection of its own.
     close_delimited_allowed : bool
         Whether an answer without a length, delimited by the end of its connection, is
         accepted as complete.
@@ -44,14 +53,6 @@
     close_delimited_allowed: bool = False
 
 
-class Responded(msgspec.Struct, frozen=True):
-    """The complete answer of the server arrived."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 class NotSent(msgspec.Struct, frozen=True):
     """No part of the request was sent, as when no connection could be established."""
 
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -62,7 +62,14 @@
         url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
         return await self.client.send(
             ServerRequest(
-                url, method, headers, body, timeout_s, 1000, echo, close_delimited
+                url,
+                method,
+                headers,
+                body,
+                timeout_s,
+                1000,
+                echo,
+                close_delimited,
             )
         )
 
@@ -385,3 +392,47 @@
     await asyncio.sleep(0.05)
     after = await server.send()
     assert isinstance(after, Responded) and server.connections == 2
+
+
+@run_against(make_echoing_answer("1"), make_echoing_answer("2"))
+async def test_copy_of_an_answer_is_not_read_by_a_repeat_of_its_request(server):
+    await server.send(echo=("Attempt", "1"))
+    await server.send(echo=("Attempt", "2"))
+    assert server.connections == 1
+    server.answers.append(make_echoing_answer("1"))
+    assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
+    assert server.connections == 2
+
+
+@run_against(b"", make_echoing_answer("1"))
+async def test_repeat_beside_its_request_waits_for_no_connection_of_it(server):
+    server.client.set_connections_max(1)
+    first = asyncio.create_task(server.send(echo=("Attempt", "1"), timeout_s=0.1))
+    while not server.requests:
+        await asyncio.sleep(0.001)
+    repeat = await server.send(echo=("Attempt", "1"))
+    assert isinstance(repeat, Responded) and server.connections == 2
+    assert isinstance(await first, Broken)
+
+
+@run_against(make_echoing_answer("1"), ANSWER)
+async def test_request_without_an_id_gets_no_copy_of_an_earlier_answer(server):
+    await server.send(echo=("Attempt", "1"))
+    assert isinstance(await server.send(echo=("Attempt", "")), Responded)
+    assert server.connections == 2
+
+
+@run_against(make_echoing_answer("1"))
+async def test_answer_with_an_id_is_not_that_of_a_request_without_one(server):
+    result = await server.send(echo=("Attempt", ""))
+    assert result == Broken("the answer belongs to another request")
+
+
+@run_against(*(make_echoing_answer(number) for number in (1, 2, 3, 4, 5, 1)))
+async def test_connection_is_not_reused_once_its_ids_are_forgotten(server):
+    server.client = CurlServerClient(sent_ids_max=2)
+    for number in (1, 2, 3, 4, 5):
+        await server.send(echo=("Attempt", str(number)))
+    before = server.connections
+    assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
+    assert server.connections == before + 1
