Reject an answer that may belong to an earlier request

Cause: an answer with another id was rejected, one without an id was not.

Change: on a connection that has carried an earlier request, an answer without the id ends the request as broken and closes the connection. Servers of the platform send the id back always; those of the default dialect may leave it out, but not in a refusal, as only a refusal makes a promise. The first answer on a connection can belong to nothing else and needs no id, so a server's own 400 or 431 still arrives there.

Ruled out: to require the id of all servers, as it is optional in the default dialect; to learn from earlier answers whether a server sends it, as a server may be replaced by one that doesn't.

The tests of a refusal without an id and of an interim answer's id failed before.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -50,6 +50,7 @@
         body_max_bytes,
         _find_echo((*forwarded, *added), dialect.echo_header),
         dialect.close_delimited_allowed,
+        dialect.needs_echo,
     )
 
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_server_dialect.py
@@ -18,7 +18,9 @@
     LIMIT_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
+    NeedsEcho,
     Responded,
+    needs_no_echo,
 )
 
 MS_PER_S = 1000
@@ -45,6 +47,9 @@
     echo_header : str
         Request header that the server echoes; "" if it echoes none. An answer with
         another value belongs to another request.
+    needs_echo : callable
+        Tells whether an answer without `echo_header`, on a connection that carried an
+        earlier request, is rejected.
     close_delimited_allowed : bool
         Whether answers without a length may be delimited by connection close.
     """
@@ -56,6 +61,7 @@
     read_report: Callable[[Responded], SelfReport] = lambda answer: NO_REPORT
     echo_header: str = ""
     close_delimited_allowed: bool = False
+    needs_echo: NeedsEcho = needs_no_echo
 
 
 def make_own_headers(
@@ -94,4 +100,6 @@
     says_not_run,
     read_report=read_own_report,
     echo_header=ATTEMPT_ID_HEADER,
+    # The echo is optional, but a refusal of another attempt must not be passed on.
+    needs_echo=says_not_run,
 )
--- a/packages/sapphireway-coordination/tests/test_server_dialect.py
+++ b/packages/sapphireway-coordination/tests/test_server_dialect.py
@@ -49,6 +49,16 @@
     assert request.echo_header == ("Sapphireway-Attempt-Id", "a-1")
 
 
+def test_refusal_of_the_default_dialect_must_name_its_attempt():
+    run = Run("a-1", "c", "s", "k", "GET", "/", [], True, 1, "", 500.0)
+    request = make_request(
+        run, b"", run_paused(_announce()), 0.5, 1000, DEFAULT_SERVER_DIALECT
+    )
+    refusal = Responded(503, (("Sapphireway-Not-Run", "full"),), b"")
+    assert request.needs_echo(refusal)
+    assert not request.needs_echo(Responded(503, (), b""))
+
+
 def test_request_without_an_id_expects_no_id_in_its_answer():
     dialect = msgspec.structs.replace(DEFAULT_SERVER_DIALECT, echo_header="Request-Id")
     run = Run("a-1", "c", "s", "k", "GET", "/", [], True, 1, "", 500.0)
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -29,11 +29,13 @@
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     Broken,
+    NeedsEcho,
     NotSent,
     Responded,
     ServerClient,
     ServerRequest,
     ServerResult,
+    needs_no_echo,
 )
 from sapphireway_transport._zmq import ZmqEndpoint
 
@@ -55,6 +57,7 @@
     "HttpListener",
     "HttpRequest",
     "Instant",
+    "NeedsEcho",
     "NotSent",
     "ReadInstant",
     "Receiver",
@@ -65,6 +68,7 @@
     "ServerResult",
     "ZmqEndpoint",
     "compute_age",
+    "needs_no_echo",
     "read_instant",
     "shift_back",
 ]
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -163,6 +163,7 @@
         "_chunks",
         "_close_delimited_allowed",
         "_echo_fault",
+        "_echoed",
         "_expected_echo",
         "_has_length",
         "_head_bytes",
@@ -173,8 +174,10 @@
         "_is_head_request",
         "_length",
         "_memory",
+        "_needs_echo",
         "_on_keep_alive",
         "_on_send",
+        "_opened_connection",
         "_status",
         "_too_large",
         "easy",
@@ -201,6 +204,7 @@
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.TCP_NODELAY, 1)
         easy.setopt(pycurl.PREREQFUNCTION, self._allow_first_send)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, self._note_new_connection)
         easy.setopt(pycurl.HEADERFUNCTION, self._receive_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._receive_body)
 
@@ -223,6 +227,9 @@
         self._chunks = []
         self._expected_echo = request.echo_header
         self._echo_fault = ""
+        self._echoed = False
+        self._needs_echo = request.needs_echo
+        self._opened_connection = False
         self._has_length = False
         self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
@@ -317,6 +324,10 @@
             self._on_send(self._expected_echo[1])
         return pycurl.PREREQFUNC_OK
 
+    def _note_new_connection(self, fd, purpose):
+        self._opened_connection = True
+        return pycurl.SOCKOPT_OK
+
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
         self._memory.has_progress = True
@@ -332,6 +343,9 @@
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
+            if self._head_ended and self._lacks_echo():
+                self._echo_fault = "the answer names no request"
+                return -1
         self._head_bytes += len(line)
         return None
 
@@ -339,11 +353,18 @@
         self._status = int(status_line.split(None, 2)[1])
         self._head_bytes = 0
         self._headers = []
+        self._echoed = False
         self._has_length = False
         self._is_chunked = False
         self._length = None
         self._in_head = True
 
+    def _lacks_echo(self):
+        """Tell whether the answer may be that of an earlier request."""
+        if self._expected_echo is None or self._echoed or self._opened_connection:
+            return False
+        return self._needs_echo(Responded(self._status, tuple(self._headers), b""))
+
     def _receive_field(self, text):
         """Record a header field; return False if it belongs to another request."""
         name, _, value = text.partition(":")
@@ -357,6 +378,7 @@
                 # Later answers on it could not be attributed either.
                 self._echo_fault = "the answer belongs to another request"
                 return False
+            self._echoed = True
         if lowered == "keep-alive":
             self._on_keep_alive(value)
         elif lowered == "content-length":
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -1,5 +1,6 @@
 """Interface between a node and the server beside it."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -20,6 +21,15 @@
     body: bytes
 
 
+NeedsEcho = Callable[[Responded], bool]
+"""Tells from an answer without its body whether it must name its request."""
+
+
+def needs_no_echo(answer: Responded) -> bool:
+    """Accept an answer that does not name its request."""
+    return False
+
+
 class ServerRequest(msgspec.Struct, frozen=True):
     """One HTTP request to a server.
 
@@ -41,6 +51,9 @@
     close_delimited_allowed : bool
         Whether an answer without a length, delimited by the end of its connection, is
         accepted as complete.
+    needs_echo : callable
+        Tells whether an answer without `echo_header` is rejected. The first answer on
+        a connection is accepted without.
     """
 
     url: str
@@ -51,6 +64,7 @@
     body_max_bytes: int
     echo_header: tuple[str, str] | None = None
     close_delimited_allowed: bool = False
+    needs_echo: NeedsEcho = needs_no_echo
 
 
 class NotSent(msgspec.Struct, frozen=True):
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -58,6 +58,7 @@
         timeout_s=2.0,
         echo=None,
         close_delimited=False,
+        needs_echo=lambda answer: False,
     ):
         url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
         return await self.client.send(
@@ -70,6 +71,7 @@
                 1000,
                 echo,
                 close_delimited,
+                needs_echo,
             )
         )
 
@@ -394,6 +396,45 @@
     assert isinstance(after, Responded) and server.connections == 2
 
 
+def says_not_run(answer):
+    return answer.status == 503
+
+
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nok"
+
+
+@run_against(make_echoing_answer("1"), REFUSAL, ANSWER)
+async def test_refusal_without_an_id_on_a_used_connection_refuses_no_request(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    late = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert late == Broken("the answer names no request")
+    after = await server.send(echo=("Attempt", "3"), needs_echo=says_not_run)
+    assert isinstance(after, Responded) and server.connections == 2
+
+
+@run_against(REFUSAL)
+async def test_first_answer_of_a_connection_needs_no_id(server):
+    refused = await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    assert refused == Responded(503, (), b"ok")
+
+
+@run_against(make_echoing_answer("1"), ANSWER)
+async def test_answer_without_an_id_is_accepted_where_none_is_needed(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    after = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert isinstance(after, Responded) and server.connections == 1
+
+
+INTERIM_ECHO = b"HTTP/1.1 103 Early Hints\r\nAttempt: 2\r\n\r\n"
+
+
+@run_against(make_echoing_answer("1"), INTERIM_ECHO + REFUSAL)
+async def test_id_of_an_interim_answer_does_not_identify_the_final_one(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    late = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert isinstance(late, Broken)
+
+
 @run_against(make_echoing_answer("1"), make_echoing_answer("2"))
 async def test_copy_of_an_answer_is_not_read_by_a_repeat_of_its_request(server):
     await server.send(echo=("Attempt", "1"))
--- a/tests/platform_adapter/test_dialects.py
+++ b/tests/platform_adapter/test_dialects.py
@@ -78,3 +78,8 @@
 def test_answer_error_of_foreign_answer(answer, error):
     actual = find_answer_error(answer)
     assert error in actual and bool(actual) == bool(error)
+
+
+@pytest.mark.parametrize("status", [200, 400, 421, 503])
+def test_answer_of_a_platform_server_must_name_its_request(status):
+    assert make_server_dialect().needs_echo(Responded(status, SIGNED, b""))
