Test a refusal that a server writes once more

The server refuses a request and writes the refusal again at the next one on that connection, which has the same id. Without the memory of sent ids, the copy is taken as the answer to the repeat; with it, the repeat goes over a new connection and is answered.

--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -445,6 +445,38 @@
     assert server.connections == 2
 
 
+REFUSAL_OF_1 = b"HTTP/1.1 503 Full\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+async def refuse_twice(reader, writer):
+    """Refuse the first request of a connection, and again in place of each answer."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(REFUSAL_OF_1)
+    writer.close()
+
+
+async def accept(reader, writer):
+    """Answer the first request of a connection."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(make_echoing_answer("1"))
+
+
+@run_against()
+async def test_refusal_written_once_more_refuses_no_repeat_that_runs(server):
+    serve = iter((refuse_twice, accept))
+    other = await asyncio.start_server(
+        lambda *streams: next(serve)(*streams), "127.0.0.1", 0
+    )
+    server.port = other.sockets[0].getsockname()[1]
+    refused = await server.send("POST", b"", echo=("Attempt", "1"))
+    assert refused.status == 503
+    repeat = await server.send("POST", b"", echo=("Attempt", "1"))
+    assert isinstance(repeat, Responded) and repeat.status == 200
+    other.close()
+
+
 @run_against(b"", make_echoing_answer("1"))
 async def test_repeat_beside_its_request_waits_for_no_connection_of_it(server):
     server.client.set_connections_max(1)
