Report a response that a node breaks off as no response

sapphirectl took a cut response of a node as a whole one: it decoded what there was and went by the status, instead of asking the next node or saying that a change may have been made.

Cause: http.client reports no early end for a read with a limit, and takes a head that is cut before its length as one whose body ends with the connection.

Change: a response without a length or chunks, or with fewer bytes than its length, is none; nodes always send one of the two.

Both cases of the new test of cut responses failed before. Ruled out: that a response could belong to an earlier request, as each connection carries one.

--- a/packages/sapphirectl/src/sapphirectl/_http.py
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -51,7 +51,11 @@
         sent = True
         connection.request(method, path, body, _make_headers(token))
         response = connection.getresponse()
+        has_end = response.chunked or response.length is not None
         content = response.read(RESPONSE_MAX_BYTES)
+        # `read` with a limit reports no error if the connection ends early.
+        if not has_end or response.length:
+            return NoResponse(f"{address}: the response is incomplete", sent)
     except (OSError, http.client.HTTPException) as error:
         return NoResponse(f"{address}: {error or type(error).__name__}", sent)
     finally:
