Give health checks connections and ids of their own

Cause: health checks shared connections with requests and carried no id. An extra answer to a request was taken for the health answer, the health answer for that of the next request, and the connection stayed one answer behind.

Change: health checks, those at the start of a node included, go over a client with one connection, which is taken off those that requests may use. Each carries an id in the header that servers send back; an answer with another id is dropped and its connection closed, so that it changes nothing of what the node knows.

Ruled out: a new connection for each check, as it may hold a slot and costs a connection each; a second connection for the check whether a server is up, as a server that holds up one check for its 0.1 s does not answer the other either.

The tests of the ids and of the two clients need the new class.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -1,6 +1,7 @@
 """The gate of a node beside one server: admission, limits, cold start, drain."""
 
 from sapphireway_coordination.gate._announcement import (
+    HEALTH_CONNECTIONS_MAX,
     AnnounceAccepted,
     Announcement,
     AnnounceRefused,
@@ -36,7 +37,7 @@
     GateState,
 )
 from sapphireway_coordination.gate._health import (
-    fetch_health,
+    HealthClient,
 )
 from sapphireway_coordination.gate._report_headers import (
     ReportHeaders,
@@ -59,6 +60,7 @@
     "CANCELLED_DETAIL",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
+    "HEALTH_CONNECTIONS_MAX",
     "AnnounceAccepted",
     "AnnounceRefused",
     "AnnounceResult",
@@ -72,6 +74,7 @@
     "GateChanged",
     "GateEvent",
     "GateState",
+    "HealthClient",
     "LimitChanged",
     "RelapseCause",
     "RelapseSeen",
@@ -87,7 +90,6 @@
     "compute_drain_time",
     "compute_serve_time",
     "discover_local_server",
-    "fetch_health",
     "parse_count",
     "parse_decimal",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+HEALTH_CONNECTIONS_MAX = 1  # health checks share no connections with requests
+
 
 class Announcement(msgspec.Struct, frozen=True):
     """One announcement or renewal of a server.
@@ -49,6 +51,12 @@
     health_path: str = ""
     version: str = ""
 
+    @property
+    def request_connections_max(self) -> int:
+        """Concurrent connections that requests may use beside health checks."""
+        reserved = HEALTH_CONNECTIONS_MAX if self.health_path else 0
+        return max(1, self.connections_max - reserved)
+
     def is_same_start(self, other: "Announcement") -> bool:
         """Tell whether `other` came from the same start of the server's process."""
         return other.start_id in ("", self.start_id)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -428,7 +428,7 @@
 
     def _get_ceiling(self):
         announcement = self.announcement
-        return max(1, min(announcement.slots, announcement.connections_max))
+        return max(1, min(announcement.slots, announcement.request_connections_max))
 
     def _end_answered(self, running, status, elapsed_s):
         self._refused_s = None
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -26,7 +26,7 @@
     ObserveGate,
 )
 from sapphireway_coordination.gate._exchange import make_refusal
-from sapphireway_coordination.gate._health import HealthPoller, fetch_health
+from sapphireway_coordination.gate._health import HealthClient, HealthPoller
 from sapphireway_coordination.gate._limit import UpdateLimit, make_additive_update
 from sapphireway_coordination.gate._registration import Registration
 from sapphireway_coordination.gate._runner import AttemptRunner
@@ -102,6 +102,9 @@
         Requests per second that a cold server may get beyond its rate.
     get_rollout : callable
         Returns the last rollout of a service, or None.
+    health_client : HealthClient, optional
+        Its connections carry no requests. By default, `client` sends health checks
+        too, which is meant for clients without connections.
     """
 
     __slots__ = (
@@ -113,6 +116,7 @@
         "_draining",
         "_get_policy",
         "_health",
+        "_health_client",
         "_last_run_s",
         "_loop",
         "_memory",
@@ -138,6 +142,7 @@
         dialect: ServerDialect = DEFAULT_SERVER_DIALECT,
         cold_reserve_per_s: float = 0.0,
         get_rollout: GetRollout = lambda service: None,
+        health_client: HealthClient | None = None,
     ):
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
@@ -158,8 +163,9 @@
             make_update,
             self._send_load_update,
         )
+        self._health_client = health_client or HealthClient(client, dialect.echo_header)
         self._health = HealthPoller(
-            client,
+            self._health_client,
             self._registration,
             dialect,
             lambda service: get_policy(service, "").health_interval_ms / MS_PER_S,
@@ -234,7 +240,7 @@
         self._health.start()
         started = previous is None or previous.start_id != announcement.start_id
         if self.announcement is announcement:
-            self._client.set_connections_max(announcement.connections_max)
+            self._client.set_connections_max(announcement.request_connections_max)
         if started and self.announcement is announcement:
             self._suspect_exchange.service = announcement.service
             self._suspect_exchange.fetch_suspects()
@@ -383,7 +389,8 @@
         if announcement is None or not announcement.health_path:
             return False
         url = announcement.url + announcement.health_path
-        return await fetch_health(self._client, url, LIVENESS_TIMEOUT_S) is not None
+        answer = await self._health_client.fetch(url, LIVENESS_TIMEOUT_S)
+        return answer is not None
 
     def _find_closed_reason(self):
         closed = _CLOSED_REASONS.get(self.state)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -5,9 +5,13 @@
 `IDLE_INTERVAL_S` while the server gets no requests, or while their answers report what
 health checks would. A server that limits the requests per second is polled for a share
 of its limit only, as it can bear little.
+
+Health checks share no connections with requests, so that neither's answer can be taken
+for the other's.
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 from sapphireway_coordination.gate._announcement import Announcement
@@ -26,12 +30,62 @@
 DISABLED_CHECK_S = 0.1
 
 
+class HealthClient:
+    """Asks a server for its health.
+
+    Parameters
+    ----------
+    client : ServerClient
+        Its connections must carry nothing but health checks.
+    echo_header : str, default=""
+        Header of the id that each check carries; "" for none. An answer with another
+        id is dropped, one without an id is accepted.
+    """
+
+    __slots__ = ("_client", "_echo_header", "_numbers")
+
+    def __init__(self, client: ServerClient, echo_header: str = ""):
+        self._client = client
+        self._echo_header = echo_header
+        self._numbers = itertools.count(1)
+
+    async def fetch(
+        self, url: str, timeout_s: float = HEALTH_TIMEOUT_S
+    ) -> Responded | None:
+        """Return the answer of a health endpoint, or None if there is none.
+
+        Parameters
+        ----------
+        url : str
+            Of the health endpoint.
+        timeout_s : float
+        """
+        echo = None
+        if self._echo_header:
+            echo = (self._echo_header, f"health-{next(self._numbers)}")
+        request = ServerRequest(
+            url,
+            "GET",
+            () if echo is None else (echo,),
+            b"",
+            timeout_s,
+            HEALTH_BODY_MAX_BYTES,
+            echo,
+        )
+        result = await self._client.send(request)
+        return result if isinstance(result, Responded) else None
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+
 class HealthPoller:
     """Polls the registered server, one request at a time.
 
     Parameters
     ----------
-    client : ServerClient
+    client : HealthClient
     registration : Registration
     dialect : ServerDialect
     get_interval_s : callable
@@ -51,7 +105,7 @@
 
     def __init__(
         self,
-        client: ServerClient,
+        client: HealthClient,
         registration: Registration,
         dialect: ServerDialect,
         get_interval_s: Callable[[str], float],
@@ -122,22 +176,5 @@
 
     async def _poll(self, announcement: Announcement) -> SelfReport | None:
         url = announcement.url + announcement.health_path
-        result = await fetch_health(self._client, url)
+        result = await self._client.fetch(url)
         return None if result is None else self._dialect.read_report(result)
-
-
-async def fetch_health(
-    client: ServerClient, url: str, timeout_s: float = HEALTH_TIMEOUT_S
-) -> Responded | None:
-    """Return the answer of a health endpoint, or None if there is none.
-
-    Parameters
-    ----------
-    client : ServerClient
-    url : str
-        Of the health endpoint.
-    timeout_s : float
-    """
-    request = ServerRequest(url, "GET", (), b"", timeout_s, HEALTH_BODY_MAX_BYTES)
-    result = await client.send(request)
-    return result if isinstance(result, Responded) else None
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -556,6 +556,9 @@
     assert bench.server.connections_max == 200
     bench.announce(connections_max=3)
     assert bench.server.connections_max == 3
+    bench.announce(connections_max=3, health_path="/health")
+    assert bench.server.connections_max == 2
+    bench.announce(connections_max=3)
     refused = bench.announce(server="s2", connections_max=9)
     assert isinstance(refused, AnnounceRefused)
     assert bench.server.connections_max == 3
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -3,8 +3,13 @@
 import msgspec
 from tests.gate_bench import Bench, ReportingBench
 
-from sapphireway_coordination import DEFAULT_SERVER_DIALECT, SelfReport
+from sapphireway_coordination import (
+    DEFAULT_SERVER_DIALECT,
+    HealthClient,
+    SelfReport,
+)
 from sapphireway_state import Policy
+from sapphireway_transport import Broken, Responded
 from sapphireway_transport.memory import run_paused
 
 
@@ -135,3 +140,67 @@
         assert await bench.send_for(5.0, 0.25) >= 60
 
     run_paused(main())
+
+
+class RecordingClient:
+    """Records requests and returns the results in `results`, then 200."""
+
+    def __init__(self, *results):
+        self.requests = []
+        self.results = list(results)
+
+    async def send(self, request):
+        self.requests.append(request)
+        return self.results.pop(0) if self.results else Responded(200, (), b"")
+
+
+def test_each_health_check_carries_an_id_of_its_own():
+    async def main():
+        client = RecordingClient()
+        health = HealthClient(client, "Attempt")
+        await health.fetch("http://s1/health")
+        await health.fetch("http://s1/health")
+        echoes = [request.echo_header for request in client.requests]
+        assert echoes == [("Attempt", "health-1"), ("Attempt", "health-2")]
+        assert [request.headers for request in client.requests] == [
+            (echo,) for echo in echoes
+        ]
+
+    run_paused(main())
+
+
+def test_health_answer_that_belongs_to_another_check_is_dropped():
+    async def main():
+        health = HealthClient(RecordingClient(Broken("of another request")), "Attempt")
+        assert await health.fetch("http://s1/health") is None
+        assert await health.fetch("http://s1/health") is not None
+
+    run_paused(main())
+
+
+def test_health_check_without_echo_carries_no_id():
+    async def main():
+        client = RecordingClient()
+        await HealthClient(client).fetch("http://s1/health")
+        assert client.requests[0].headers == ()
+        assert client.requests[0].echo_header is None
+
+    run_paused(main())
+
+
+def test_health_checks_and_requests_use_different_clients():
+    async def main():
+        client = RecordingClient()
+        bench = Bench(
+            policy=Policy(health_interval_ms=50),
+            announced=False,
+            health_client=HealthClient(client),
+        )
+        bench.announce(cold_s=0.0, health_path="/health")
+        await bench.call("a")
+        await asyncio.sleep(0.2)
+        assert await bench.gate._is_server_up()
+        assert len(bench.server.arrivals_s) == 1
+        assert {request.url for request in client.requests} == {"http://s1/health"}
+
+    run_paused(main())
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -21,12 +21,14 @@
 )
 from sapphireway._shared_state import SharedState
 from sapphireway_coordination import (
+    HEALTH_CONNECTIONS_MAX,
     RETRY_TOKENS_MAX,
     AttemptServed,
     Choose,
     Claimant,
     Dispatcher,
     Gate,
+    HealthClient,
     Membership,
     VersionReporter,
     VersionSplit,
@@ -53,6 +55,7 @@
     dispatcher : Dispatcher
     claimant : Claimant
     client : ServerClient
+    health_client : HealthClient
     gate : Gate
     callers : CallerApi
     listener : HttpListener
@@ -63,6 +66,7 @@
     dispatcher: Dispatcher
     claimant: Claimant
     client: ServerClient
+    health_client: HealthClient
     gate: Gate
     callers: CallerApi
     listener: HttpListener
@@ -121,6 +125,9 @@
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
     client = _build_client(tracer)
+    health_client = HealthClient(
+        CurlServerClient(HEALTH_CONNECTIONS_MAX), dialects.server.echo_header
+    )
     gate = Gate(
         peers,
         client,
@@ -133,6 +140,7 @@
         dialect=dialects.server,
         cold_reserve_per_s=settings.cold_reserve_per_s,
         get_rollout=applied.get_rollout,
+        health_client=health_client,
     )
     reporter = make_version_reporter(
         gate, applied.get_rollout, make_report_sender(peers, shared.control_hosts)
@@ -172,6 +180,7 @@
         dispatcher,
         claimant,
         client,
+        health_client,
         gate,
         callers,
         listener,
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -27,7 +27,6 @@
     compute_drain_time,
     compute_serve_time,
     discover_local_server,
-    fetch_health,
 )
 from sapphireway_state import ProcessSettings
 from sapphireway_transport import read_instant
@@ -269,6 +268,7 @@
         self._data_path.version_reporter.close()
         self.gate.close()
         self._data_path.client.close()
+        self._data_path.health_client.close()
         self._admin.stop()
         self._shared.peers.close()
         if self._shared.disk is not None:
@@ -337,7 +337,7 @@
             self.gate,
             self._settings.server_url,
             self._get_local_service,
-            lambda url: fetch_health(self._data_path.client, url),
+            self._data_path.health_client.fetch,
             self._dialects.server,
         )
         announcement = self.gate.announcement
--- a/tests/gate_bench.py
+++ b/tests/gate_bench.py
@@ -30,12 +30,14 @@
         policy=None,
         announced=True,
         dialect=DEFAULT_SERVER_DIALECT,
+        health_client=None,
     ):
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.rng)
         self.server = MemoryServer(self.rng, slots)
         self.policy = policy or Policy()
         self.dialect = dialect
+        self.health_client = health_client
         self.events = []
         self.rollout = None
         self.entry_version = 0
@@ -73,6 +75,7 @@
             self.events.append,
             dialect=self.dialect,
             get_rollout=lambda service: self.rollout,
+            health_client=self.health_client,
         )
         self.peers.start()
 
