Use no connection again that has unread input

A caller got 503 for a request that ran: a faulty server sent the cut head of a refusal after a complete answer, and libcurl read it as the start of the next answer, which brought the right id.

Cause: libcurl drops extra bytes that come with an answer, but does not look for bytes that arrive later, unless a connection has been idle for long.

If there is input or the connection is closed, nothing is sent on it, and the request gets a new connection. The socket is found by its local port; one that is not known counts as having input.

Ruled out: to watch idle sockets in the event loop, as libcurl closes them without notice.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import math
+import select
+import socket
 
 import msgspec
 import pycurl
@@ -33,6 +35,7 @@
 # libcurl drops chunk extensions without a callback. It reads up to 160 KB at an event,
 # so this ends an endless one after some 40 MB.
 FRUITLESS_READS_MAX = 256
+SOCKETS_MAX = 1024  # more than any server accepts from one node
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 
@@ -123,6 +126,41 @@
         return answer_bytes * self.transfers >= self.used_bytes
 
 
+class _OpenSockets:
+    """File descriptors of connections, by their local port."""
+
+    __slots__ = ("_fds",)
+
+    def __init__(self):
+        self._fds = {}
+
+    def add(self, port: int, fds: list[int]) -> None:
+        """Record the one of `fds` that is bound to a new connection's port."""
+        fd = next((fd for fd in fds if _get_local_port(fd) == port), None)
+        self._fds.pop(port, None)
+        if fd is not None:
+            self._fds[port] = fd
+        if len(self._fds) > SOCKETS_MAX:
+            del self._fds[next(iter(self._fds))]
+
+    def has_input(self, port: int) -> bool:
+        """Tell whether a connection may have something to read, or be closed."""
+        fd = self._fds.get(port)
+        if fd is None:
+            return True
+        poll = select.poll()
+        poll.register(fd, select.POLLIN)
+        return bool(poll.poll(0))
+
+
+def _get_local_port(fd):
+    view = socket.socket(fileno=fd)
+    try:
+        return view.getsockname()[1]
+    finally:
+        view.detach()
+
+
 class _MalformedRequestError(ValueError):
     """The request cannot be encoded as HTTP."""
 
@@ -177,18 +215,21 @@
         "_needs_echo",
         "_on_keep_alive",
         "_on_send",
-        "_opened_connection",
+        "_opened_fds",
+        "_sockets",
         "_status",
         "_too_large",
         "easy",
+        "found_input",
         "future",
         "send_count",
     )
 
-    def __init__(self, on_keep_alive, on_send, memory):
+    def __init__(self, on_keep_alive, on_send, memory, sockets):
         self._on_keep_alive = on_keep_alive
         self._on_send = on_send
         self._memory = memory
+        self._sockets = sockets
         self._bytes_received = 0
         self.easy = easy = pycurl.Curl()
         self.future = None
@@ -211,6 +252,7 @@
     def prepare(
         self,
         request: ServerRequest,
+        timeout_s: float,
         future,
         idle_connection_max_s: int,
         connection_age_max_s: int | None,
@@ -229,7 +271,8 @@
         self._echo_fault = ""
         self._echoed = False
         self._needs_echo = request.needs_echo
-        self._opened_connection = False
+        self._opened_fds = []
+        self.found_input = False
         self._has_length = False
         self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
@@ -242,7 +285,7 @@
         self._too_large = False
         self._close_delimited_allowed = request.close_delimited_allowed
         easy = self.easy
-        timeout_ms = max(1, int(request.timeout_s * MS_PER_S))
+        timeout_ms = max(1, int(timeout_s * MS_PER_S))
         easy.setopt(pycurl.URL, request.url.encode("latin-1"))
         easy.setopt(pycurl.HTTPHEADER, _format_headers(request.headers))
         easy.setopt(pycurl.TIMEOUT_MS, timeout_ms)
@@ -314,18 +357,24 @@
         of_length = "" if self._length is None else f" of {self._length}"
         return f"ended after {self._bytes_received}{of_length} bytes of the body"
 
-    def _allow_first_send(self, *addresses):
+    def _allow_first_send(self, remote_ip, local_ip, remote_port, local_port):
         # libcurl resends a request by itself if a reused connection is closed before
         # the first byte of the answer, although the request may already have run.
         self.send_count += 1
         if self.send_count > 1:
             return pycurl.PREREQFUNC_ABORT
+        if self._opened_fds:
+            self._sockets.add(local_port, self._opened_fds)
+        elif self._sockets.has_input(local_port):
+            # libcurl would read it as the start of the answer to this request.
+            self.found_input = True
+            return pycurl.PREREQFUNC_ABORT
         if self._expected_echo is not None:
             self._on_send(self._expected_echo[1])
         return pycurl.PREREQFUNC_OK
 
     def _note_new_connection(self, fd, purpose):
-        self._opened_connection = True
+        self._opened_fds.append(fd)
         return pycurl.SOCKOPT_OK
 
     def _receive_header(self, line):
@@ -361,7 +410,7 @@
 
     def _lacks_echo(self):
         """Tell whether the answer may be that of an earlier request."""
-        if self._expected_echo is None or self._echoed or self._opened_connection:
+        if self._expected_echo is None or self._echoed or self._opened_fds:
             return False
         return self._needs_echo(Responded(self._status, tuple(self._headers), b""))
 
@@ -432,6 +481,7 @@
         "_multi",
         "_sent_ids",
         "_sent_ids_max",
+        "_sockets",
         "_timer",
     )
 
@@ -449,6 +499,7 @@
         self._loop = None
         self._sent_ids = None
         self._sent_ids_max = sent_ids_max
+        self._sockets = _OpenSockets()
         self._timer = None
         self._interests = {}
         self._multi = pycurl.CurlMulti()
@@ -467,15 +518,26 @@
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
             self._sent_ids = SentIds(self._loop.time(), self._sent_ids_max)
+        end_s = self._loop.time() + request.timeout_s
+        age_max_s = self._limit_connection_age(request.echo_header)
+        result = await self._send(request, request.timeout_s, age_max_s)
+        if result is None:
+            result = await self._send(request, end_s - self._loop.time(), 0)
+        return result
+
+    async def _send(self, request, timeout_s, age_max_s):
+        """Send a request; return None if its connection had input before."""
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
-            else _Transfer(self._handle_keep_alive, self._record_id, self._memory)
+            else _Transfer(
+                self._handle_keep_alive, self._record_id, self._memory, self._sockets
+            )
         )
         future = self._loop.create_future()
-        age_max_s = self._limit_connection_age(request.echo_header)
+        idle_max_s = self._idle_connection_max_s
         try:
-            transfer.prepare(request, future, self._idle_connection_max_s, age_max_s)
+            transfer.prepare(request, timeout_s, future, idle_max_s, age_max_s)
         except (pycurl.error, ValueError) as error:
             transfer.release()
             self._idle_transfers.append(transfer)
@@ -607,7 +669,9 @@
 
     def _finish(self, easy, code, message):
         transfer = self._active_transfers[easy]
-        result = transfer.build_result(code, message)
+        result = None
+        if not transfer.found_input:
+            result = transfer.build_result(code, message)
         future = transfer.future
         self._detach(transfer)
         if not future.done():
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -477,6 +477,57 @@
     other.close()
 
 
+def answer_then_send(extra):
+    """Return a server that sends this after its first answer, unasked."""
+    later = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            for number in ("1", "2") if not later else ("2",):
+                later.append(number)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(make_echoing_answer(number))
+                if number == "1":
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                    writer.write(extra)
+        await reader.read()
+        writer.close()
+
+    return serve
+
+
+CUT_REFUSAL = b"HTTP/1.1 503 Full\r\nSapphireway-Not-Run: "
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [b"bytes", b"\r\n", REFUSAL_OF_1, CUT_REFUSAL],
+    ids=["bytes", "line", "answer", "head"],
+)
+def test_bytes_on_an_idle_connection_are_read_by_no_request(extra):
+    @run_against()
+    async def send(server):
+        other = await asyncio.start_server(answer_then_send(extra), "127.0.0.1", 0)
+        server.port = other.sockets[0].getsockname()[1]
+        first = await server.send("POST", echo=("Attempt", "1"))
+        await asyncio.sleep(0.1)
+        after = await server.send("POST", echo=("Attempt", "2"))
+        assert (first.status, after.status) == (200, 200)
+        server.client.close()
+        other.close()
+
+    send()
+
+
+@run_against(ANSWER)
+async def test_request_is_sent_once_if_its_connection_is_not_known(server):
+    await server.send("POST")
+    server.client._sockets._fds.clear()
+    assert isinstance(await server.send("POST"), Responded)
+    assert server.connections == 2 and len(server.requests) == 2
+
+
 @run_against(b"", make_echoing_answer("1"))
 async def test_repeat_beside_its_request_waits_for_no_connection_of_it(server):
     server.client.set_connections_max(1)
