Reject an answer whose head is joined to the cut head of another

A caller got 503 for a request that ran: the cut head of a late, extra answer came right before the head of the true one.

Change: on a used connection, a head in which a second status line begins inside a line ends the request as broken and closes the connection.

Ruled out: to wait for input after the request is sent, as the bytes may come at any time.

Two of the four cases of the new test failed before (cut in the status line and in a field); libcurl itself rejects the others.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import re
 import select
 import socket
 
@@ -40,6 +41,7 @@
 MS_PER_S = 1000
 
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 _BODILESS_STATUSES = frozenset({204, 304})
 _CONNECTION_HEADERS = frozenset(
     {
@@ -383,6 +385,9 @@
         if self._head_ended:
             return None  # a trailer
         text = line.decode("latin-1").rstrip("\r\n")
+        if self._joins_heads(text):
+            self._echo_fault = "the head of another answer was cut before this one"
+            return -1
         if not self._in_head:
             self._begin_head(text)
         elif text:
@@ -408,6 +413,12 @@
         self._length = None
         self._in_head = True
 
+    def _joins_heads(self, text):
+        """Tell whether a line begins in an earlier, cut head and ends in the next."""
+        if self._opened_fds:
+            return False
+        return _STATUS_LINE.search(text, 0 if self._in_head else 1) is not None
+
     def _lacks_echo(self):
         """Tell whether the answer may be that of an earlier request."""
         if self._expected_echo is None or self._echoed or self._opened_fds:
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -520,6 +520,32 @@
     send()
 
 
+CUT_HEADS = {
+    "status": b"HTTP/1.1 503 Fu",
+    "field": CUT_REFUSAL,
+    "name": b"HTTP/1.1 503 Full\r\nContent-Ty",
+    "line": b"HTTP/1.1 503 Full\r\nSapphireway-Not-Run: 1\r\n",
+}
+
+
+@pytest.mark.parametrize("cut", CUT_HEADS)
+def test_cut_head_of_another_answer_is_not_joined_to_the_next_one(cut):
+    @run_against(make_echoing_answer("1"), CUT_HEADS[cut] + make_echoing_answer("2"))
+    async def send(server):
+        await server.send(echo=("Attempt", "1"))
+        late = await server.send(echo=("Attempt", "2"))
+        assert isinstance(late, Broken), late
+        after = await server.send(echo=("Attempt", "3"))
+        assert isinstance(after, Responded) and server.connections == 2
+
+    send()
+
+
+@run_against(b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 a\r\nContent-Length: 2\r\n\r\nok")
+async def test_field_that_names_the_protocol_is_no_second_head(server):
+    assert isinstance(await server.send(), Responded)
+
+
 @run_against(ANSWER)
 async def test_request_is_sent_once_if_its_connection_is_not_known(server):
     await server.send("POST")
