--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -50,6 +50,7 @@
         body_max_bytes,
         _find_echo((*forwarded, *added), dialect.echo_header),
         dialect.close_delimited_allowed,
+        dialect.needs_echo,
     )
 
 
@@ -57,7 +58,8 @@
     if not echo_header:
         return None
     lowered = echo_header.lower()
-    return next(((n, v.strip()) for n, v in headers if n.lower() == lowered), None)
+    found = ((n, v.strip()) for n, v in headers if n.lower() == lowered)
+    return next(found, (echo_header, ""))
 
 
 def validate_result(result: ServerResult, dialect: ServerDialect) -> ServerResult:
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -5,10 +5,15 @@
 """
 
 import asyncio
+import math
+import re
+import select
+import socket
 
 import msgspec
 import pycurl
 
+from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
     Broken,
     NotSent,
@@ -31,10 +36,12 @@
 # libcurl drops chunk extensions without a callback. It reads up to 160 KB at an event,
 # so this ends an endless one after some 40 MB.
 FRUITLESS_READS_MAX = 256
+SOCKETS_MAX = 1024  # more than any server accepts from one node
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 _BODILESS_STATUSES = frozenset({204, 304})
 _CONNECTION_HEADERS = frozenset(
     {
@@ -121,6 +128,41 @@
         return answer_bytes * self.transfers >= self.used_bytes
 
 
+class _OpenSockets:
+    """File descriptors of connections, by their local port."""
+
+    __slots__ = ("_fds",)
+
+    def __init__(self):
+        self._fds = {}
+
+    def add(self, port: int, fds: list[int]) -> None:
+        """Record the one of `fds` that is bound to a new connection's port."""
+        fd = next((fd for fd in fds if _get_local_port(fd) == port), None)
+        self._fds.pop(port, None)
+        if fd is not None:
+            self._fds[port] = fd
+        if len(self._fds) > SOCKETS_MAX:
+            del self._fds[next(iter(self._fds))]
+
+    def has_input(self, port: int) -> bool:
+        """Tell whether a connection may have something to read, or be closed."""
+        fd = self._fds.get(port)
+        if fd is None:
+            return True
+        poll = select.poll()
+        poll.register(fd, select.POLLIN)
+        return bool(poll.poll(0))
+
+
+def _get_local_port(fd):
+    view = socket.socket(fileno=fd)
+    try:
+        return view.getsockname()[1]
+    finally:
+        view.detach()
+
+
 class _MalformedRequestError(ValueError):
     """The request cannot be encoded as HTTP."""
 
@@ -160,7 +202,8 @@
         "_bytes_received",
         "_chunks",
         "_close_delimited_allowed",
-        "_echo_mismatch",
+        "_echo_fault",
+        "_echoed",
         "_expected_echo",
         "_has_length",
         "_head_bytes",
@@ -171,17 +214,24 @@
         "_is_head_request",
         "_length",
         "_memory",
+        "_needs_echo",
         "_on_keep_alive",
+        "_on_send",
+        "_opened_fds",
+        "_sockets",
         "_status",
         "_too_large",
         "easy",
+        "found_input",
         "future",
         "send_count",
     )
 
-    def __init__(self, on_keep_alive, memory):
+    def __init__(self, on_keep_alive, on_send, memory, sockets):
         self._on_keep_alive = on_keep_alive
+        self._on_send = on_send
         self._memory = memory
+        self._sockets = sockets
         self._bytes_received = 0
         self.easy = easy = pycurl.Curl()
         self.future = None
@@ -197,20 +247,34 @@
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.TCP_NODELAY, 1)
         easy.setopt(pycurl.PREREQFUNCTION, self._allow_first_send)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, self._note_new_connection)
         easy.setopt(pycurl.HEADERFUNCTION, self._receive_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._receive_body)
 
     def prepare(
-        self, request: ServerRequest, future, idle_connection_max_s: int
+        self,
+        request: ServerRequest,
+        timeout_s: float,
+        future,
+        idle_connection_max_s: int,
+        connection_age_max_s: int | None,
     ) -> None:
-        """Set up the handle for a request."""
+        """Set up the handle for a request.
+
+        Only connections that were opened at most `connection_age_max_s` ago are used
+        again: 0 for none, None for any.
+        """
         self.future = future
         self.send_count = 0
         self._body_max_bytes = request.body_max_bytes
         self._bytes_received = 0
         self._chunks = []
         self._expected_echo = request.echo_header
-        self._echo_mismatch = False
+        self._echo_fault = ""
+        self._echoed = False
+        self._needs_echo = request.needs_echo
+        self._opened_fds = []
+        self.found_input = False
         self._has_length = False
         self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
@@ -223,11 +287,13 @@
         self._too_large = False
         self._close_delimited_allowed = request.close_delimited_allowed
         easy = self.easy
-        timeout_ms = max(1, int(request.timeout_s * MS_PER_S))
+        timeout_ms = max(1, int(timeout_s * MS_PER_S))
         easy.setopt(pycurl.URL, request.url.encode("latin-1"))
         easy.setopt(pycurl.HTTPHEADER, _format_headers(request.headers))
         easy.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         easy.setopt(pycurl.MAXAGE_CONN, idle_connection_max_s)
+        easy.setopt(pycurl.FRESH_CONNECT, connection_age_max_s == 0)
+        easy.setopt(pycurl.MAXLIFETIME_CONN, connection_age_max_s or 0)
         easy.setopt(
             pycurl.CONNECTTIMEOUT_MS, min(timeout_ms, int(CONNECT_TIMEOUT_S * MS_PER_S))
         )
@@ -246,8 +312,8 @@
         """Return the result of the request after libcurl ended with `code`."""
         if self._too_large:
             return Broken("the answer is larger than allowed")
-        if self._echo_mismatch:
-            return Broken("the answer belongs to another request")
+        if self._echo_fault:
+            return Broken(self._echo_fault)
         if code == pycurl.E_OK and self._status:
             if self._is_complete():
                 headers = tuple(self._headers)
@@ -293,29 +359,47 @@
         of_length = "" if self._length is None else f" of {self._length}"
         return f"ended after {self._bytes_received}{of_length} bytes of the body"
 
-    def _allow_first_send(self, *addresses):
+    def _allow_first_send(self, remote_ip, local_ip, remote_port, local_port):
         # libcurl resends a request by itself if a reused connection is closed before
         # the first byte of the answer, although the request may already have run.
         self.send_count += 1
         if self.send_count > 1:
             return pycurl.PREREQFUNC_ABORT
+        if self._opened_fds:
+            self._sockets.add(local_port, self._opened_fds)
+        elif self._sockets.has_input(local_port):
+            # libcurl would read it as the start of the answer to this request.
+            self.found_input = True
+            return pycurl.PREREQFUNC_ABORT
+        if self._expected_echo is not None:
+            self._on_send(self._expected_echo[1])
         return pycurl.PREREQFUNC_OK
 
+    def _note_new_connection(self, fd, purpose):
+        self._opened_fds.append(fd)
+        return pycurl.SOCKOPT_OK
+
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
         self._memory.has_progress = True
         if self._head_ended:
             return None  # a trailer
         text = line.decode("latin-1").rstrip("\r\n")
+        if self._joins_heads(text):
+            self._echo_fault = "the head of another answer was cut before this one"
+            return -1
         if not self._in_head:
             self._begin_head(text)
         elif text:
             if not self._receive_field(text):
                 return -1
-        else:
+        elif line.endswith(b"\n"):  # libcurl also passes on a line that a close cut
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
+            if self._head_ended and self._lacks_echo():
+                self._echo_fault = "the answer names no request"
+                return -1
         self._head_bytes += len(line)
         return None
 
@@ -323,11 +407,24 @@
         self._status = int(status_line.split(None, 2)[1])
         self._head_bytes = 0
         self._headers = []
+        self._echoed = False
         self._has_length = False
         self._is_chunked = False
         self._length = None
         self._in_head = True
 
+    def _joins_heads(self, text):
+        """Tell whether a line begins in an earlier, cut head and ends in the next."""
+        if self._opened_fds:
+            return False
+        return _STATUS_LINE.search(text, 0 if self._in_head else 1) is not None
+
+    def _lacks_echo(self):
+        """Tell whether the answer may be that of an earlier request."""
+        if self._expected_echo is None or self._echoed or self._opened_fds:
+            return False
+        return self._needs_echo(Responded(self._status, tuple(self._headers), b""))
+
     def _receive_field(self, text):
         """Record a header field; return False if it belongs to another request."""
         name, _, value = text.partition(":")
@@ -335,12 +432,13 @@
         if (
             self._expected_echo is not None
             and lowered == self._expected_echo[0].lower()
-            and value.strip() != self._expected_echo[1]
         ):
-            # A second, late answer to an earlier request of the connection.
-            # Later answers on it could not be attributed either.
-            self._echo_mismatch = True
-            return False
+            if value.strip() != self._expected_echo[1]:
+                # A second, late answer to an earlier request of the connection.
+                # Later answers on it could not be attributed either.
+                self._echo_fault = "the answer belongs to another request"
+                return False
+            self._echoed = True
         if lowered == "keep-alive":
             self._on_keep_alive(value)
         elif lowered == "content-length":
@@ -378,6 +476,9 @@
     answers_max_bytes : int, default=64 MiB
         Limit on the bodies that are being received, all together. Answers of more than
         the average size are given up beyond it.
+    sent_ids_max : int, default=8192
+        Values of `ServerRequest.echo_header` of which all are remembered. Older
+        connections are not used again.
     """
 
     __slots__ = (
@@ -389,6 +490,9 @@
         "_loop",
         "_memory",
         "_multi",
+        "_sent_ids",
+        "_sent_ids_max",
+        "_sockets",
         "_timer",
     )
 
@@ -396,6 +500,7 @@
         self,
         connections_max: int = CONNECTIONS_MAX,
         answers_max_bytes: int = ANSWERS_MAX_BYTES,
+        sent_ids_max: int = SENT_IDS_MAX,
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
@@ -403,6 +508,9 @@
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
+        self._sent_ids = None
+        self._sent_ids_max = sent_ids_max
+        self._sockets = _OpenSockets()
         self._timer = None
         self._interests = {}
         self._multi = pycurl.CurlMulti()
@@ -420,14 +528,27 @@
         """Send one request; if the task is cancelled, the connection is closed."""
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
+            self._sent_ids = SentIds(self._loop.time(), self._sent_ids_max)
+        end_s = self._loop.time() + request.timeout_s
+        age_max_s = self._limit_connection_age(request.echo_header)
+        result = await self._send(request, request.timeout_s, age_max_s)
+        if result is None:
+            result = await self._send(request, end_s - self._loop.time(), 0)
+        return result
+
+    async def _send(self, request, timeout_s, age_max_s):
+        """Send a request; return None if its connection had input before."""
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
-            else _Transfer(self._handle_keep_alive, self._memory)
+            else _Transfer(
+                self._handle_keep_alive, self._record_id, self._memory, self._sockets
+            )
         )
         future = self._loop.create_future()
+        idle_max_s = self._idle_connection_max_s
         try:
-            transfer.prepare(request, future, self._idle_connection_max_s)
+            transfer.prepare(request, timeout_s, future, idle_max_s, age_max_s)
         except (pycurl.error, ValueError) as error:
             transfer.release()
             self._idle_transfers.append(transfer)
@@ -459,6 +580,27 @@
         self._idle_transfers.clear()
         self._multi.close()
 
+    def _limit_connection_age(self, echo_header):
+        """Return how old a connection may be that never carried this id.
+
+        In whole seconds; 0 for a new connection, None for any.
+        """
+        if echo_header is None:
+            return None
+        value = echo_header[1]
+        if not value or value in self._sent_ids:
+            # A copy of the answer to the earlier request has the same id.
+            return 0
+        self._record_id(value)
+        age_s = self._loop.time() - self._sent_ids.complete_since_s
+        # libcurl ignores the fraction of a connection's age.
+        return None if math.isinf(age_s) else max(0, int(age_s) - 1)
+
+    def _record_id(self, value):
+        # Recorded when the request is made, for repeats that are made before it is
+        # sent, and when it is sent, as its connection may be as new as that.
+        self._sent_ids.add(value, self._loop.time())
+
     def _handle_keep_alive(self, value):
         # A request that is sent while the server closes the connection may or may not
         # have run, so idle connections are closed earlier than the server does.
@@ -538,7 +680,9 @@
 
     def _finish(self, easy, code, message):
         transfer = self._active_transfers[easy]
-        result = transfer.build_result(code, message)
+        result = None
+        if not transfer.found_input:
+            result = transfer.build_result(code, message)
         future = transfer.future
         self._detach(transfer)
         if not future.done():
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -1,5 +1,6 @@
 """Interface between a node and the server beside it."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -12,6 +13,23 @@
 LEAVING_HEADER = "Sapphireway-Leaving"
 
 
+class Responded(msgspec.Struct, frozen=True):
+    """The complete answer of the server arrived."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+NeedsEcho = Callable[[Responded], bool]
+"""Tells from an answer without its body whether it must name its request."""
+
+
+def needs_no_echo(answer: Responded) -> bool:
+    """Accept an answer that does not name its request."""
+    return False
+
+
 class ServerRequest(msgspec.Struct, frozen=True):
     """One HTTP request to a server.
 
@@ -28,10 +46,14 @@
         Largest body of an answer that is accepted.
     echo_header : tuple of (str, str) or None
         Header that the server sends back; an answer with a different value belongs to
-        another request.
+        another request. No connection carries a value twice, and a request with an
+        empty value gets a connection of its own.
     close_delimited_allowed : bool
         Whether an answer without a length, delimited by the end of its connection, is
         accepted as complete.
+    needs_echo : callable
+        Tells whether an answer without `echo_header` is rejected. The first answer on
+        a connection is accepted without.
     """
 
     url: str
@@ -42,14 +64,7 @@
     body_max_bytes: int
     echo_header: tuple[str, str] | None = None
     close_delimited_allowed: bool = False
-
-
-class Responded(msgspec.Struct, frozen=True):
-    """The complete answer of the server arrived."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
+    needs_echo: NeedsEcho = needs_no_echo
 
 
 class NotSent(msgspec.Struct, frozen=True):
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -58,11 +58,20 @@
         timeout_s=2.0,
         echo=None,
         close_delimited=False,
+        needs_echo=lambda answer: False,
     ):
         url = f"http://127.0.0.1:{self.port}/a/../b?c=%20d"
         return await self.client.send(
             ServerRequest(
-                url, method, headers, body, timeout_s, 1000, echo, close_delimited
+                url,
+                method,
+                headers,
+                body,
+                timeout_s,
+                1000,
+                echo,
+                close_delimited,
+                needs_echo,
             )
         )
 
@@ -235,6 +244,19 @@
     send()
 
 
+@pytest.mark.parametrize("framing", FRAMED_ANSWERS)
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_answer_cut_before_the_last_byte_of_its_head_is_no_success(framing, method):
+    head = STATUS_HEAD + FRAMED_ANSWERS[framing][0]
+
+    @run_against(CutOff(head[:-1]))
+    async def send(server):
+        result = await server.send(method, close_delimited=True)
+        assert isinstance(result, Broken), result
+
+    send()
+
+
 @run_against(CutOff(STATUS_HEAD + b"\r\ntext"))
 async def test_answer_that_a_close_delimits_is_complete(server):
     result = await server.send(close_delimited=True)
@@ -372,3 +394,195 @@
     await asyncio.sleep(0.05)
     after = await server.send()
     assert isinstance(after, Responded) and server.connections == 2
+
+
+def says_not_run(answer):
+    return answer.status == 503
+
+
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nok"
+
+
+@run_against(make_echoing_answer("1"), REFUSAL, ANSWER)
+async def test_refusal_without_an_id_on_a_used_connection_refuses_no_request(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    late = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert late == Broken("the answer names no request")
+    after = await server.send(echo=("Attempt", "3"), needs_echo=says_not_run)
+    assert isinstance(after, Responded) and server.connections == 2
+
+
+@run_against(REFUSAL)
+async def test_first_answer_of_a_connection_needs_no_id(server):
+    refused = await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    assert refused == Responded(503, (), b"ok")
+
+
+@run_against(make_echoing_answer("1"), ANSWER)
+async def test_answer_without_an_id_is_accepted_where_none_is_needed(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    after = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert isinstance(after, Responded) and server.connections == 1
+
+
+INTERIM_ECHO = b"HTTP/1.1 103 Early Hints\r\nAttempt: 2\r\n\r\n"
+
+
+@run_against(make_echoing_answer("1"), INTERIM_ECHO + REFUSAL)
+async def test_id_of_an_interim_answer_does_not_identify_the_final_one(server):
+    await server.send(echo=("Attempt", "1"), needs_echo=says_not_run)
+    late = await server.send(echo=("Attempt", "2"), needs_echo=says_not_run)
+    assert isinstance(late, Broken)
+
+
+@run_against(make_echoing_answer("1"), make_echoing_answer("2"))
+async def test_copy_of_an_answer_is_not_read_by_a_repeat_of_its_request(server):
+    await server.send(echo=("Attempt", "1"))
+    await server.send(echo=("Attempt", "2"))
+    assert server.connections == 1
+    server.answers.append(make_echoing_answer("1"))
+    assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
+    assert server.connections == 2
+
+
+REFUSAL_OF_1 = b"HTTP/1.1 503 Full\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+async def refuse_twice(reader, writer):
+    """Refuse the first request of a connection, and again in place of each answer."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(REFUSAL_OF_1)
+    writer.close()
+
+
+async def accept(reader, writer):
+    """Answer the first request of a connection."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(make_echoing_answer("1"))
+
+
+@run_against()
+async def test_refusal_written_once_more_refuses_no_repeat_that_runs(server):
+    serve = iter((refuse_twice, accept))
+    other = await asyncio.start_server(
+        lambda *streams: next(serve)(*streams), "127.0.0.1", 0
+    )
+    server.port = other.sockets[0].getsockname()[1]
+    refused = await server.send("POST", b"", echo=("Attempt", "1"))
+    assert refused.status == 503
+    repeat = await server.send("POST", b"", echo=("Attempt", "1"))
+    assert isinstance(repeat, Responded) and repeat.status == 200
+    other.close()
+
+
+def answer_then_send(extra):
+    """Return a server that sends this after its first answer, unasked."""
+    later = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            for number in ("1", "2") if not later else ("2",):
+                later.append(number)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(make_echoing_answer(number))
+                if number == "1":
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                    writer.write(extra)
+        await reader.read()
+        writer.close()
+
+    return serve
+
+
+CUT_REFUSAL = b"HTTP/1.1 503 Full\r\nSapphireway-Not-Run: "
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [b"bytes", b"\r\n", REFUSAL_OF_1, CUT_REFUSAL],
+    ids=["bytes", "line", "answer", "head"],
+)
+def test_bytes_on_an_idle_connection_are_read_by_no_request(extra):
+    @run_against()
+    async def send(server):
+        other = await asyncio.start_server(answer_then_send(extra), "127.0.0.1", 0)
+        server.port = other.sockets[0].getsockname()[1]
+        first = await server.send("POST", echo=("Attempt", "1"))
+        await asyncio.sleep(0.1)
+        after = await server.send("POST", echo=("Attempt", "2"))
+        assert (first.status, after.status) == (200, 200)
+        server.client.close()
+        other.close()
+
+    send()
+
+
+CUT_HEADS = {
+    "status": b"HTTP/1.1 503 Fu",
+    "field": CUT_REFUSAL,
+    "name": b"HTTP/1.1 503 Full\r\nContent-Ty",
+    "line": b"HTTP/1.1 503 Full\r\nSapphireway-Not-Run: 1\r\n",
+}
+
+
+@pytest.mark.parametrize("cut", CUT_HEADS)
+def test_cut_head_of_another_answer_is_not_joined_to_the_next_one(cut):
+    @run_against(make_echoing_answer("1"), CUT_HEADS[cut] + make_echoing_answer("2"))
+    async def send(server):
+        await server.send(echo=("Attempt", "1"))
+        late = await server.send(echo=("Attempt", "2"))
+        assert isinstance(late, Broken), late
+        after = await server.send(echo=("Attempt", "3"))
+        assert isinstance(after, Responded) and server.connections == 2
+
+    send()
+
+
+@run_against(b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 a\r\nContent-Length: 2\r\n\r\nok")
+async def test_field_that_names_the_protocol_is_no_second_head(server):
+    assert isinstance(await server.send(), Responded)
+
+
+@run_against(ANSWER)
+async def test_request_is_sent_once_if_its_connection_is_not_known(server):
+    await server.send("POST")
+    server.client._sockets._fds.clear()
+    assert isinstance(await server.send("POST"), Responded)
+    assert server.connections == 2 and len(server.requests) == 2
+
+
+@run_against(b"", make_echoing_answer("1"))
+async def test_repeat_beside_its_request_waits_for_no_connection_of_it(server):
+    server.client.set_connections_max(1)
+    first = asyncio.create_task(server.send(echo=("Attempt", "1"), timeout_s=0.1))
+    while not server.requests:
+        await asyncio.sleep(0.001)
+    repeat = await server.send(echo=("Attempt", "1"))
+    assert isinstance(repeat, Responded) and server.connections == 2
+    assert isinstance(await first, Broken)
+
+
+@run_against(make_echoing_answer("1"), ANSWER)
+async def test_request_without_an_id_gets_no_copy_of_an_earlier_answer(server):
+    await server.send(echo=("Attempt", "1"))
+    assert isinstance(await server.send(echo=("Attempt", "")), Responded)
+    assert server.connections == 2
+
+
+@run_against(make_echoing_answer("1"))
+async def test_answer_with_an_id_is_not_that_of_a_request_without_one(server):
+    result = await server.send(echo=("Attempt", ""))
+    assert result == Broken("the answer belongs to another request")
+
+
+@run_against(*(make_echoing_answer(number) for number in (1, 2, 3, 4, 5, 1)))
+async def test_connection_is_not_reused_once_its_ids_are_forgotten(server):
+    server.client = CurlServerClient(sent_ids_max=2)
+    for number in (1, 2, 3, 4, 5):
+        await server.send(echo=("Attempt", str(number)))
+    before = server.connections
+    assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
+    assert server.connections == before + 1
