Stop the read timeout when a request is rejected

Callers saw: a request at work was cut without an answer when a malformed, oversized or too slow request followed it on its connection.

Cause: the rejection waits for the answer before it, but the timeout of its headers or body went on and closed the connection.

Change: a rejection ends the timeout. The linger time after the last answer is set afterwards, as before.

Ruled out: a caller that sends no byte after the rejection holds the connection no longer than the earlier request runs.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -323,6 +323,8 @@
         if self._reading is not None:
             self._state.reading.discard(self._reading)
             self._reading = None
+        # An earlier request may still be at work.
+        self._stop_timeout()
         request = HttpRequest("", "", (), b"", self._remote)
         answer = self._state.reject(RejectedRequest(status, detail, self._remote))
         self._exchanges.append(_Exchange(request, is_last=True, answer=answer))
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -264,3 +264,23 @@
     parts = [chunk * 10] * 80
     answer = exchange(port, head, *parts, b"0\r\n\r\n")
     assert answer.endswith(b"POST /x 800")
+
+
+def test_malformed_request_does_not_cut_the_one_before_it(port):
+    """Its header timeout went on and closed the connection of a request at work."""
+
+    async def run():
+        async def work(request):
+            await asyncio.sleep(3 * HEADER_TIMEOUT_S)
+            return HttpAnswer(200, (), b"first")
+
+        listener = make_listener(work)
+        await listener.listen("127.0.0.1", port)
+        first = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = await send(port, first, b"GET /y HTTP/1.1\r\nbroken\r\n\r\n")
+        listener.stop_accepting()
+        await listener.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert answer.index(b"first") < answer.index(b"400"), answer
