Answer unread requests before the listener closes

Cause: a listener that closes could only cut requests whose body is incomplete, and connections whose last answer had been written were closed at once: with unread bytes that is a reset, which destroys the answer at the caller.

Change: `refuse_unread` answers incomplete requests with what its caller decides, behind the answers of earlier requests on the connection. `close` takes a time for which callers may read their last answers; what they still send is read and dropped. Idle connections are closed at once.

Ruled out: closing without reading on. Reading of a connection that had been paused for too many pipelined requests is resumed for the same reason.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -12,7 +12,9 @@
 from sapphireway_transport._http_connection import HttpConnection, ListenerState
 from sapphireway_transport._http_messages import (
     Handle,
+    HttpAnswer,
     HttpLimits,
+    HttpRequest,
     PendingRequests,
     Prepare,
     Reject,
@@ -90,8 +92,35 @@
         while self._state.tasks or self._state.reading:
             await asyncio.sleep(FINISH_CHECK_INTERVAL_S)
 
-    async def close(self) -> None:
-        """Close every connection."""
+    def refuse_unread(self, refuse: Callable[[HttpRequest], HttpAnswer | None]) -> None:
+        """Answer requests whose body is not complete and close their connections.
+
+        Parameters
+        ----------
+        refuse : callable
+            Returns the answer to a request, or None if its body may still be read.
+        """
+        for exchange, connection in list(self._state.reading.items()):
+            answer = refuse(exchange.request)
+            if answer is not None:
+                connection.refuse_unread(answer)
+
+    async def close(self, linger_s: float = 0.0) -> None:
+        """Close every connection.
+
+        Parameters
+        ----------
+        linger_s : float, default=0
+            How long callers may take to read the answers of their connections, in
+            seconds. Connections without a request are closed at once.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + linger_s
+        for connection in list(self._state.connections):
+            if connection.is_idle:
+                connection.close()
+        while self._state.connections and (now_s := loop.time()) < end_s:
+            await asyncio.sleep(min(FINISH_CHECK_INTERVAL_S, end_s - now_s))
         for connection in list(self._state.connections):
             connection.close()
         await asyncio.sleep(0)
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -38,7 +38,7 @@
         Whether connections are closed after their last pending answer.
     tasks : set of Task
         Requests that are being handled.
-    reading : set of _Exchange
+    reading : dict of _Exchange to HttpConnection
         Requests whose headers have arrived, but not yet the complete body.
     connections : set of HttpConnection
     answer_count : int
@@ -51,7 +51,7 @@
     get_limits: Callable[[], HttpLimits]
     closing: bool = False
     tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
-    reading: set["_Exchange"] = msgspec.field(default_factory=set)
+    reading: dict["_Exchange", "HttpConnection"] = msgspec.field(default_factory=dict)
     connections: set["HttpConnection"] = msgspec.field(default_factory=set)
     answer_count: int = 0
 
@@ -123,6 +123,16 @@
             self._transport is not None and self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request was read that still needs an answer, or a part of it."""
+        return (
+            not self._exchanges
+            and self._reading is None
+            and not self._ignores_input
+            and not self.is_sending
+        )
+
     # Transport callbacks.
 
     def connection_made(self, transport):
@@ -141,7 +151,7 @@
             self._timer.cancel()
             self._timer = None
         if self._reading is not None:
-            self._state.reading.discard(self._reading)
+            del self._state.reading[self._reading]
             self._reading = None
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -181,6 +191,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    def refuse_unread(self, answer: HttpAnswer) -> None:
+        """Answer the request whose body is being read, and close the connection.
+
+        Requests before it on the connection are answered first.
+        """
+        self._end_reading(answer)
+
     # Parser callbacks.
 
     def on_message_begin(self):
@@ -221,7 +238,7 @@
         exchange = _Exchange(request, is_last=not self._parser.should_keep_alive())
         exchange.body_max_bytes = self._state.prepare(request)
         self._reading = exchange
-        self._state.reading.add(exchange)
+        self._state.reading[exchange] = self
         exchange.body_deadline_s = self._loop.time() + BODY_TIME_MAX_S
         self._start_body_timeout()
         declared = request.get_header("Content-Length") or "0"
@@ -249,7 +266,7 @@
         if self._ignores_input or exchange is None:
             return
         self._reading = None
-        self._state.reading.discard(exchange)
+        del self._state.reading[exchange]
         exchange.request.body = b"".join(exchange.chunks)
         exchange.chunks.clear()
         self._exchanges.append(exchange)
@@ -316,23 +333,28 @@
 
     def _reject(self, status, detail):
         """Answer a request that was not read completely and close the connection."""
-        if self._ignores_input:
-            return
+        if not self._ignores_input:
+            rejected = RejectedRequest(status, detail, self._remote)
+            self._end_reading(self._state.reject(rejected))
+
+    def _end_reading(self, answer):
+        """Read no further request; answer the one that is incomplete."""
         self._ignores_input = True
         self._in_headers = False
         if self._reading is not None:
-            self._state.reading.discard(self._reading)
+            del self._state.reading[self._reading]
             self._reading = None
         # An earlier request may still be at work.
         self._stop_timeout()
         request = HttpRequest("", "", (), b"", self._remote)
-        answer = self._state.reject(RejectedRequest(status, detail, self._remote))
         self._exchanges.append(_Exchange(request, is_last=True, answer=answer))
         self._flush()
 
     def _close_gracefully(self):
         """Close after the last answer, without a reset that could discard it."""
         self._ignores_input = True
+        # Bytes that are not read would cause a reset.
+        self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._start_timeout(LINGER_S)
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -266,6 +266,103 @@
     assert answer.endswith(b"POST /x 800")
 
 
+async def wait_until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_refusal_of_an_unread_request_is_not_destroyed_by_its_later_bytes(port):
+    """Closed with unread bytes, the connection is reset and the answer lost."""
+
+    async def run():
+        listener = make_listener()
+        await listener.listen("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: 1000\r\n\r\na")
+        await wait_until(lambda: listener._state.reading)
+        refused = HttpAnswer(503, (), b"late")
+        listener.refuse_unread(lambda request: refused)
+        pending = listener.count_pending()
+        closing = asyncio.create_task(listener.close(1.0))
+        for _ in range(20):
+            writer.write(b"b" * 10)
+            await asyncio.sleep(0.005)
+        answer = await reader.read()
+        writer.close()
+        await closing
+        return pending.reading, answer
+
+    reading, answer = asyncio.run(run())
+    assert not reading
+    assert answer.startswith(b"HTTP/1.1 503") and answer.endswith(b"late")
+    assert b"Connection: close" in answer
+
+
+def test_refusal_of_an_unread_request_follows_the_answer_before_it(port):
+    """The first request was passed on and must not be cut by the second."""
+
+    async def run():
+        release = asyncio.Event()
+
+        async def hold(request):
+            await release.wait()
+            return HttpAnswer(200, (), b"first")
+
+        listener = make_listener(hold)
+        await listener.listen("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write(POST + b"Content-Length: 2\r\n\r\na")
+        await wait_until(lambda: listener._state.reading)
+        listener.refuse_unread(lambda request: HttpAnswer(503, (), b"late"))
+        closing = asyncio.create_task(listener.close(1.0))
+        await asyncio.sleep(0.1)
+        release.set()
+        answer = await reader.read()
+        writer.close()
+        await closing
+        return answer
+
+    answer = asyncio.run(run())
+    assert answer.index(b"first") < answer.index(b"late"), answer
+
+
+def test_unread_request_that_may_still_be_read_is_not_refused(port):
+    async def run():
+        listener = make_listener()
+        await listener.listen("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: 2\r\n\r\na")
+        await wait_until(lambda: listener._state.reading)
+        listener.refuse_unread(lambda request: None)
+        writer.write(b"b")
+        answer = await reader.read()
+        writer.close()
+        await listener.close()
+        return answer
+
+    assert b"POST /x 2" in asyncio.run(run())
+
+
+def test_close_waits_for_a_last_answer_but_not_for_idle_connections(port):
+    async def run():
+        listener = make_listener()
+        await listener.listen("127.0.0.1", port)
+        _, idle = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET + b"\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        loop.call_later(0.2, writer.close)
+        await listener.close(5.0)
+        idle.close()
+        return loop.time() - started_s
+
+    assert 0.1 < asyncio.run(run()) < 1.0
+
+
 def test_malformed_request_does_not_cut_the_one_before_it(port):
     """Its header timeout went on and closed the connection of a request at work."""
 
