Refuse uploads that are still being read when a stop ends

Callers saw: uploads whose body was incomplete when a planned stop ended were closed without an answer.

Cause: a request was judged only when it was complete, and the stop cut what was not.

Change: while it stops, a node looks every 0.02 s at the requests that it is still reading. It refuses as not run those whose timeout, counted from now, ends after the stop, and at the end all others; one with a key that must not run twice is answered as unknown then. The listener waits 0.15 s longer, half of the margin before the kill, for callers to read these answers.

Ruled out: an estimate from the rate of the body, as rates change; the timeout makes it certain. Refusing keyed requests as not run, as an earlier request with the key may have run.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -24,6 +24,7 @@
     ReadGroup,
 )
 from sapphireway_coordination.gate import (
+    ANSWER_TIME_S,
     CANCELLED_DETAIL,
     DEFAULT_SERVER_DIALECT,
     DEPARTURE_SPREAD_S,
@@ -152,6 +153,7 @@
 )
 
 __all__ = [
+    "ANSWER_TIME_S",
     "ATTEMPT_ID_HEADER",
     "CANCELLED_DETAIL",
     "DEADLINE_HEADER",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -51,11 +51,13 @@
     ServerDialect,
 )
 from sapphireway_coordination.gate._shutdown import (
+    ANSWER_TIME_S,
     compute_drain_time,
     compute_serve_time,
 )
 
 __all__ = [
+    "ANSWER_TIME_S",
     "CANCELLED_DETAIL",
     "DEFAULT_SERVER_DIALECT",
     "DEPARTURE_SPREAD_S",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_shutdown.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_shutdown.py
@@ -4,6 +4,9 @@
 
 SERVE_MAX_S = 3.0  # callers learn within two seconds that the node is not ready
 STOP_MARGIN_S = 0.3  # to write the last answers before the process is killed
+# For callers to read their last answers; the rest of the margin is for the last message
+# to other nodes and the end of the process.
+ANSWER_TIME_S = STOP_MARGIN_S / 2
 
 
 def compute_serve_time(grace_s: float, timeouts_s: Iterable[float]) -> float:
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -254,6 +254,35 @@
         """Return the answer to a request that was too large to be read."""
         return self._refuse(rejected.status, rejected.detail, rejected.remote)
 
+    def refuse_unread(self, request: HttpRequest) -> HttpAnswer | None:
+        """Refuse a request that can't run any more, although its body is incomplete.
+
+        Returns
+        -------
+        HttpAnswer or None
+            None if the request may still run once it is complete, or if only its
+            claim can tell whether an earlier one with its key has run.
+        """
+        route, now_s = request.route, asyncio.get_running_loop().time()
+        if route is None:
+            is_claimed = self._read_key(request) is not None
+        else:
+            is_claimed = self._is_claimed(request)
+        if now_s >= self.end_s:
+            if not is_claimed:
+                return self._refuse_stopping()
+            unknown = Unknown("the node stopped before the request was complete")
+            return self._dialect.render(unknown, True)
+        if route is None or is_claimed:
+            return None
+        timeout_s = parse_timeout(
+            request.get_header(self._dialect.timeout_header), route.policy
+        )
+        is_late = timeout_s is not None and now_s + timeout_s > self.end_s
+        if is_late or route.arrival.stopping:
+            return self._refuse_stopping()
+        return None
+
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Execute one request and return its answer."""
         if request.route is None:
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -20,6 +20,7 @@
 from sapphireway._shared_state import build_shared_state
 from sapphireway._standstills import StandstillWatch
 from sapphireway_coordination import (
+    ANSWER_TIME_S,
     DEPARTURE_SPREAD_S,
     AppliedState,
     Confirmation,
@@ -33,6 +34,7 @@
 from sapphireway_transport import read_instant
 
 CLAIMS_CHECK_INTERVAL_S = 0.1
+UNREAD_CHECK_INTERVAL_S = 0.02
 CLAIMS_HANDOVER_MAX_S = 3.0
 SPANS_MAX = 1000
 MS_PER_S = 1000
@@ -191,6 +193,7 @@
         self._data_path.callers.end_s = deadline_s
         self.gate.limit_work(deadline_s)
         answers_before = self._data_path.listener.answer_count
+        self._spawn(self._refuse_unread_requests())
         if grace_s:
             # The local server goes on running; other nodes may still use it.
             await self._serve_during_grace(grace_s)
@@ -200,13 +203,12 @@
         self._data_path.callers.stopping = True
         self._data_path.listener.stop_accepting()
         drained = await draining
-        try:
-            async with asyncio.timeout_at(deadline_s):
-                await self._data_path.listener.finish_requests()
-        except TimeoutError:
-            drained = False
+        drained = await self._finish_requests(deadline_s) and drained
+        # What is still being read is refused now, and callers can read the answer.
+        close_s = deadline_s + ANSWER_TIME_S
+        await self._finish_requests(close_s)
         report = self._make_stop_report(answers_before)
-        await self._data_path.listener.close()
+        await self._data_path.listener.close(max(0.0, close_s - loop.time()))
         remaining_s = max(0.0, deadline_s - loop.time())
         drained = await self._data_path.claimant.drain(remaining_s) and drained
         await self._wait_for_claim_handover()
@@ -230,6 +232,22 @@
             "cut_attempts": self.gate.count_attempts(),
         }
 
+    async def _finish_requests(self, deadline_s):
+        """Wait for callers' requests; return whether all were answered in time."""
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                await self._data_path.listener.finish_requests()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _refuse_unread_requests(self):
+        """Refuse requests as soon as they arrive too slowly to end before the stop."""
+        while True:
+            refuse = self._data_path.callers.refuse_unread
+            self._data_path.listener.refuse_unread(refuse)
+            await asyncio.sleep(UNREAD_CHECK_INTERVAL_S)
+
     async def _serve_during_grace(self, grace_s):
         self._data_path.listener.closing = True
         timeouts_s = [
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -200,6 +200,49 @@
     assert outcome == "answered" or {"Retry-After", "Connection"} <= headers.keys()
 
 
+@pytest.mark.parametrize(
+    ("target", "headers", "stopping", "refusals"),
+    [
+        ("/ledger/photographs", (), False, [None, "not-run", "not-run"]),
+        ("/ledger/photographs", (), True, ["not-run"] * 3),
+        (
+            "/ledger/photographs",
+            (("Request-Timeout-Ms", "300"),),
+            False,
+            [None, None, "not-run"],
+        ),
+        (
+            "/ledger/photographs",
+            (("Idempotency-Key", "k"),),
+            True,
+            [None, None, "unknown"],
+        ),
+        ("/unmatched", (), False, [None, None, "not-run"]),
+        ("/unmatched", (("Idempotency-Key", "k"),), False, [None, None, "unknown"]),
+    ],
+)
+def test_incomplete_request_is_refused_once_it_cannot_end_before_a_stop(
+    api, target, headers, stopping, refusals
+):
+    """A body that was still being read when the stop ended was cut unanswered."""
+
+    async def refuse():
+        api.stopping = stopping
+        request = make_request(target, headers)
+        api.prepare(request)
+        api.end_s = asyncio.get_running_loop().time() + 1.0
+        answers = []
+        for wait_s in (0.4, 0.2, 0.5):
+            await asyncio.sleep(wait_s)
+            answers.append(api.refuse_unread(request))
+        return answers
+
+    answers = run_paused(refuse())
+    found = [dict(a.headers)["Sapphireway-Outcome"] if a else None for a in answers]
+    assert found == refusals
+    assert all(dict(a.headers)["Connection"] == "close" for a in answers if a)
+
+
 @pytest.mark.parametrize(
     ("headers", "outcome"),
     [((), "not-run"), ((("Idempotency-Key", "k"),), "unknown")],
