Answer the calls in progress when a stop ends

Callers saw: requests whose server still worked when a planned stop ended were closed without an answer.

Cause: the stop waited for calls until its end and then closed their connections; nothing ended the calls themselves.

Change: the end of the stop counts as the deadline of every call, so its attempts are revoked in time and its outcome is the honest one; attempts sent meanwhile get the time until then. Calls that wait for something else than an attempt are ended 0.03 s later, as not run if they were not passed on.

Ruled out: to answer all as unknown, which forbids repeats of what never ran; an end before the margin of the kill, as a server's silence is no reason for it.

On a paused clock calls end within 1 µs of the stop.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -193,6 +193,11 @@
             attempt = self._open[attempt_id]
             attempt.post(attempt)
 
+    def wake_all(self) -> None:
+        """Wake the calls with open attempts so that they re-evaluate them."""
+        for attempt in self._open.values():
+            attempt.post(attempt)
+
     def send_revoke(self, attempt: Attempt, now_s: float, keep_waiting: bool) -> None:
         """Ask the server's node never to start an attempt.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import msgspec
+
 from sapphireway_coordination.routing._attempts import Attempt, Mailbox
 from sapphireway_coordination.routing._call import Call
 from sapphireway_coordination.routing._candidates import (
@@ -113,7 +115,7 @@
         self._budget.deposit(
             self._call.policy.retry_budget_percent, self._dispatcher.get_retry_reserve()
         )
-        if self._loop.time() >= self._call.deadline_s:
+        if self._loop.time() >= self._get_deadline():
             return self._refuse(NotRunReason.DEADLINE, "no time left on arrival")
         if not self._admit():
             return self._refuse(NotRunReason.OVERLOADED, "the service is overloaded")
@@ -133,6 +135,10 @@
         rng = self._dispatcher.rng
         return self._service.shedder.admit(weight, rng, self._loop.time())
 
+    def _get_deadline(self):
+        """Return the loop time at which the call ends, answered or not."""
+        return min(self._call.deadline_s, self._dispatcher.end_s)
+
     def close(self) -> None:
         """Cancel the attempts that are still in progress."""
         now_s = self._loop.time()
@@ -165,7 +171,7 @@
 
     async def _wait_for_rollouts(self):
         """Wait for the settings without which the call would be refused again."""
-        remaining_s = self._call.deadline_s - self._loop.time()
+        remaining_s = self._get_deadline() - self._loop.time()
         await self._dispatcher.versions.wait_for_change(
             self._rollouts_version, min(ROLLOUT_WAIT_S, max(0.0, remaining_s))
         )
@@ -243,7 +249,7 @@
         if self._may_crash_servers():
             return DenyReason.SUSPECT
         expected_s = self._latencies.get_percentile(50) or 0.0
-        if self._loop.time() + expected_s >= self._call.deadline_s:
+        if self._loop.time() + expected_s >= self._get_deadline():
             return DenyReason.DEADLINE
         if cause is not AttemptCause.REDIRECT and not self._budget.can_withdraw():
             return DenyReason.BUDGET
@@ -311,8 +317,11 @@
         attempt = Attempt(
             attempt_id, load, cause, incarnation, now_s, self._mailbox.post
         )
+        deadline_s = self._get_deadline()
         run = create_run(
-            self._call,
+            msgspec.structs.replace(self._call, deadline_s=deadline_s)
+            if deadline_s < self._call.deadline_s
+            else self._call,
             attempt_id,
             self._digest,
             incarnation,
@@ -378,7 +387,7 @@
         )
 
     def _get_next_timer(self):
-        timer_s = self._call.deadline_s
+        timer_s = self._get_deadline()
         for attempt in self._open:
             timer_s = min(timer_s, self._get_revoke_time(attempt))
         return min(timer_s, self._get_hedge_time())
@@ -395,7 +404,7 @@
         wait_s = self._latencies.get_percentile(policy.hedge_percentile)
         sent_s = self._open[0].sent_s
         if wait_s is None:
-            wait_s = HEDGE_DEFAULT_SHARE * (self._call.deadline_s - sent_s)
+            wait_s = HEDGE_DEFAULT_SHARE * (self._get_deadline() - sent_s)
         return sent_s + wait_s
 
     def _has_faster_server(self):
@@ -445,7 +454,7 @@
 
     async def _handle_timer(self):
         now_s = self._loop.time()
-        if now_s >= self._call.deadline_s:
+        if now_s >= self._get_deadline():
             return self._conclude()
         for attempt in self._open:
             if now_s >= self._get_revoke_time(attempt):
@@ -457,7 +466,7 @@
     def _get_revoke_time(self, attempt):
         if attempt.revokes:
             return get_next_revoke_time(attempt)
-        final_s = get_final_revoke_time(attempt, self._call.deadline_s)
+        final_s = get_final_revoke_time(attempt, self._get_deadline())
         if self._get_deny_reason(AttemptCause.RETRY) is not None:
             return final_s
         policy = self._call.policy
@@ -473,7 +482,7 @@
             self._dispatcher.ejector.eject_unresponsive(attempt.load, now_s)
         # A queued attempt keeps its place until the final revoke: one that lost it
         # would start at the end of another queue, and every server might refuse it.
-        final_s = get_final_revoke_time(attempt, self._call.deadline_s)
+        final_s = get_final_revoke_time(attempt, self._get_deadline())
         self._dispatcher.attempts.send_revoke(attempt, now_s, now_s < final_s)
         self._observe(
             RevokeSent(
@@ -486,7 +495,8 @@
 
     def _conclude(self):
         if self._open:
-            return Unknown("no answer by the deadline")
+            stops = self._dispatcher.end_s <= self._call.deadline_s
+            return Unknown(f"no answer by the {'stop' if stops else 'deadline'}")
         return combine_outcomes(self._outcomes, self._call, self._dispatcher.rng)
 
     def _conclude_unsent(self):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -54,6 +55,11 @@
         Called with node, service and digest before a request is sent to the node.
     versions : VersionSplit, optional
         Chooses between the versions of a service during a rollout.
+
+    Attributes
+    ----------
+    end_s : float
+        Loop time at which every call ends; infinite until `end_calls`.
     """
 
     __slots__ = (
@@ -63,6 +69,7 @@
         "choice_prober",
         "choose",
         "ejector",
+        "end_s",
         "get_members",
         "get_retry_reserve",
         "inform_of_suspect",
@@ -97,6 +104,7 @@
         self.ejector = Ejector(rng, observe)
         self.loads = LoadTable()
         self.prober = Prober(peers, observe)
+        self.end_s = math.inf
         self.choice_prober = ChoiceProber(
             peers, choose, asyncio.get_running_loop().time
         )
@@ -129,6 +137,15 @@
         )
         return outcome
 
+    def end_calls(self, end_s: float) -> None:
+        """End every call at `end_s`, a loop time, as if it were its deadline.
+
+        Attempts that wait are revoked just before, so that their calls end as not run
+        or answered; a call with an attempt that may run ends as unknown.
+        """
+        self.end_s = end_s
+        self.attempts.wake_all()
+
     def explain(self, service: str) -> list[ServerView]:
         """Return the state of each server of a service as this node knows it."""
         loads = self.loads.list_loads(service, self.get_members(service))
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -130,6 +130,57 @@
     return run_paused(main())
 
 
+@pytest.mark.parametrize(
+    ("on_revoke", "outcome"), [(reply_started, Unknown), (reply_never_runs, NotRun)]
+)
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_call_in_progress_ends_with_its_outcome_when_the_node_stops(
+    network, on_revoke, outcome, idempotent
+):
+    """It was cut without an answer; its attempt could still start afterwards."""
+
+    async def main():
+        node = ScriptedNode(network, "n0", keep_silent, on_revoke)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        dispatcher = Dispatcher(
+            peers, lambda service: [make_member("n0")], random.Random(2)
+        )
+        loop = asyncio.get_running_loop()
+        call = make_call(idempotent, deadline_s=loop.time() + 5.0)
+        task = asyncio.create_task(dispatcher.dispatch(call))
+        await asyncio.sleep(0.01)
+        end_s = loop.time() + 0.05
+        dispatcher.end_calls(end_s)
+        result = await task
+        return result, loop.time() - end_s, node
+
+    result, late_s, node = run_paused(main())
+    assert isinstance(result, outcome), result
+    assert late_s <= 1e-6 and node.revokes
+    assert len(node.runs) == 1
+
+
+def test_attempt_that_is_sent_during_a_stop_gets_the_time_until_its_end(network):
+    """Sent with the caller's time, it could start after its entry node had gone."""
+
+    async def main():
+        node = ScriptedNode(network, "n0", keep_silent)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        dispatcher = Dispatcher(
+            peers, lambda service: [make_member("n0")], random.Random(2)
+        )
+        now_s = asyncio.get_running_loop().time()
+        dispatcher.end_calls(now_s + 0.5)
+        result = await dispatcher.dispatch(make_call(deadline_s=now_s + 5.0))
+        return result, node.runs[0].budget_ms
+
+    result, budget_ms = run_paused(main())
+    assert isinstance(result, Unknown) and "stop" in result.detail
+    assert budget_ms == pytest.approx(500.0)
+
+
 def test_answer_reaches_its_call_once(network):
     outcome, _ = dispatch(network, [answer_twice_and_for_other_attempt])
     assert outcome == Answered(200, (), b"call-1")
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -48,6 +48,7 @@
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 CALL_ID_MAX_BYTES = 128
 TRACKED_KINDS_MAX = 4096  # kinds whose longest caller timeout is stored
+STOPPED_DETAIL = "no answer by the stop of the node"
 NO_SETTINGS_RETRY_S = 1.0  # a starting node has settings within this time
 NO_ROUTES = RouteView(RouteTable(), 0)
 
@@ -167,6 +168,7 @@
         "_create_call_id",
         "_dialect",
         "_domain",
+        "_ended",
         "_execute_call",
         "_get_fences",
         "_get_routes",
@@ -175,6 +177,7 @@
         "_log",
         "_longest_timeout_ms",
         "_metrics",
+        "_outcomes_if_ended",
         "_overridden_names",
         "end_s",
         "stop_refusals",
@@ -203,6 +206,8 @@
         )
         self._get_routes = get_routes
         self._longest_timeout_ms = {}
+        self._ended = set()
+        self._outcomes_if_ended = {}
         self._create_call_id = create_call_id
         self._execute_call = execute_call
         self._domain = domain
@@ -298,8 +303,41 @@
             if not self._is_claimed(request):
                 return self._refuse_stopping()
             arrival = msgspec.structs.replace(arrival, stopping=True)
-        if self._get_routes().table.workspaces:
-            return await self._handle_identified(call, request, arrival)
+        return await self._handle_until_end(call, request, arrival)
+
+    def end_calls(self) -> int:
+        """End the calls in progress with what is certain; return how many there are.
+
+        A call that was not passed on yet ends as not run, any other as unknown.
+        """
+        tasks = list(self._outcomes_if_ended)
+        for task in tasks:
+            self._ended.add(task)
+            task.cancel()
+        return len(tasks)
+
+    async def _handle_until_end(self, call, request, arrival):
+        task = asyncio.current_task()
+        self._outcomes_if_ended[task] = (
+            Unknown(STOPPED_DETAIL)
+            if self._is_claimed(request)
+            else NotRun(NotRunReason.STOPPING)
+        )
+        try:
+            if self._get_routes().table.workspaces:
+                return await self._handle_identified(call, request, arrival)
+            return await self._execute(call, arrival)
+        except asyncio.CancelledError:
+            if task not in self._ended:
+                raise  # the caller has closed its connection
+            task.uncancel()
+            return self._dialect.render(self._outcomes_if_ended[task], True)
+        finally:
+            self._ended.discard(task)
+            del self._outcomes_if_ended[task]
+
+    async def _execute(self, call, arrival):
+        self._outcomes_if_ended[asyncio.current_task()] = Unknown(STOPPED_DETAIL)
         outcome = await self._execute_call(call, arrival)
         return self._dialect.render(outcome, self.stopping)
 
@@ -319,8 +357,7 @@
             arrival = msgspec.structs.replace(arrival, refusal=refusal)
         else:
             call = identified
-        outcome = await self._execute_call(call, arrival)
-        return self._dialect.render(outcome, self.stopping)
+        return await self._execute(call, arrival)
 
     def _refuse_stopping(self):
         self.stop_refusals += 1
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -35,6 +35,7 @@
 
 CLAIMS_CHECK_INTERVAL_S = 0.1
 UNREAD_CHECK_INTERVAL_S = 0.02
+END_WAIT_S = 0.03  # for calls to end by themselves at the end of a stop
 CLAIMS_HANDOVER_MAX_S = 3.0
 SPANS_MAX = 1000
 MS_PER_S = 1000
@@ -191,6 +192,7 @@
         deadline_s = loop.time() + compute_drain_time(grace_s, drain_s)
         self._stopping = True
         self._data_path.callers.end_s = deadline_s
+        self._data_path.dispatcher.end_calls(deadline_s)
         self.gate.limit_work(deadline_s)
         answers_before = self._data_path.listener.answer_count
         self._spawn(self._refuse_unread_requests())
@@ -204,10 +206,12 @@
         self._data_path.listener.stop_accepting()
         drained = await draining
         drained = await self._finish_requests(deadline_s) and drained
-        # What is still being read is refused now, and callers can read the answer.
+        # What is left ends now, and callers can read the answers.
         close_s = deadline_s + ANSWER_TIME_S
+        await self._finish_requests(min(close_s, loop.time() + END_WAIT_S))
+        ended = self._data_path.callers.end_calls()
         await self._finish_requests(close_s)
-        report = self._make_stop_report(answers_before)
+        report = self._make_stop_report(answers_before) | {"ended": ended}
         await self._data_path.listener.close(max(0.0, close_s - loop.time()))
         remaining_s = max(0.0, deadline_s - loop.time())
         drained = await self._data_path.claimant.drain(remaining_s) and drained
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -243,6 +243,44 @@
     assert all(dict(a.headers)["Connection"] == "close" for a in answers if a)
 
 
+def test_call_in_progress_is_answered_as_unknown_when_the_stop_ends(api, recorder):
+    """A call that waited for what has no end of its own was cut unanswered."""
+
+    async def hold(call, arrival):
+        await asyncio.Event().wait()
+
+    async def end():
+        api._execute_call = hold
+        request = make_request()
+        api.prepare(request)
+        task = asyncio.create_task(api.handle(request))
+        await asyncio.sleep(0.1)
+        ended = api.end_calls()
+        answer = await task
+        return ended, answer, task.cancelling(), api.end_calls()
+
+    ended, answer, cancelling, left = run_paused(end())
+    assert (ended, answer.status, cancelling, left) == (1, 504, 0, 0)
+    assert dict(answer.headers)["Sapphireway-Outcome"] == "unknown"
+
+
+def test_caller_that_leaves_still_cancels_its_call(api):
+    async def hold(call, arrival):
+        await asyncio.Event().wait()
+
+    async def leave():
+        api._execute_call = hold
+        request = make_request()
+        api.prepare(request)
+        task = asyncio.create_task(api.handle(request))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.wait([task])
+        return task.cancelled(), api.end_calls()
+
+    assert run_paused(leave()) == (True, 0)
+
+
 @pytest.mark.parametrize(
     ("headers", "outcome"),
     [((), "not-run"), ((("Idempotency-Key", "k"),), "unknown")],
