Reply to attempts that a stop breaks off

Callers saw: a request whose server stood beside a node that stopped was answered only at its deadline, seconds after that node had gone.

Cause: at the end of a stop the node closed its links with attempts at work. Its last message names them as started, so their entry nodes asked on until the deadline.

Change: when the drain ends late, the gate aborts these attempts and replies, as unknown or, if they may be repeated, as failed.

Ruled out: to leave them open in case the server's answer comes, as nobody is left to pass it on.

The test at the gate was red as no such step existed.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -1,6 +1,7 @@
 """The gate: admission and at-most-once execution of attempts at one server."""
 
 import asyncio
+import contextlib
 import enum
 import math
 import random
@@ -58,6 +59,7 @@
 PERCENT = 100
 LIVENESS_TIMEOUT_S = 0.1  # a live process answers on its health endpoint immediately
 DEPARTURE_SPREAD_S = 1.0  # until every node in touch has heard that this one leaves
+REPLY_TIME_S = 0.05  # for replies to attempts that a stop breaks off
 QUIET_S = 0.3  # without new work, after which a stopping node expects no more
 SENDER_WINDOW_S = 3.0  # nodes that sent no work for longer get no load updates
 CONTACT_WINDOW_S = 300.0  # nodes that were silent for longer get no last message
@@ -334,6 +336,18 @@
             return False
         return True
 
+    async def end_attempts(self) -> None:
+        """Break off the attempts that a drain has left and reply to their entry nodes.
+
+        They may have run, so each ends as unknown, or as failed if it is idempotent.
+        """
+        check_invariant(self._draining, "attempts may start after the last ones ended")
+        self._runner.cancel_all()
+        # Each attempt replies after its exchange with the server has ended.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPLY_TIME_S):
+                await self._runner.idle.wait()
+
     def count_attempts(self) -> int:
         """Count the attempts that wait or run."""
         return self._runner.count_attempts()
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_runner.py
@@ -116,6 +116,11 @@
         if job.sending:
             job.task.cancel()
 
+    def cancel_all(self) -> None:
+        """Abort the requests of all running attempts."""
+        for attempt in list(self._jobs):
+            self.cancel(attempt)
+
     def refuse(self, attempt: str, reason: NotRunReason) -> None:
         """Refuse an attempt that has not started."""
         job = self._jobs[attempt]
--- a/packages/sapphireway-coordination/tests/test_shutdown.py
+++ b/packages/sapphireway-coordination/tests/test_shutdown.py
@@ -120,3 +120,24 @@
     long, short = run_paused(main())
     assert (long.outcome, long.reason) == ("not_run", NotRunReason.DRAINING)
     assert short.outcome == "answered"
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_attempt_at_work_when_a_stop_ends_gets_a_reply(idempotent):
+    """Without one its entry node asked a node that was gone, until the deadline."""
+
+    async def main():
+        bench = Bench()
+        await bench.warm()
+        bench.server.slow_factor = 1000.0
+        bench.send("long", budget_ms=8000.0, idempotent=idempotent)
+        await asyncio.sleep(0.01)
+        drained = await bench.gate.drain(asyncio.get_running_loop().time() + 1.0)
+        before = "long" in bench.replies
+        await bench.gate.end_attempts()
+        await asyncio.sleep(0.01)
+        return drained, before, bench.replies["long"][0], bench.gate.count_attempts()
+
+    drained, before, reply, left = run_paused(main())
+    assert (drained, before, left) == (False, False, 0)
+    assert reply.outcome == ("failed" if idempotent else "unknown")
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -210,8 +210,11 @@
         close_s = deadline_s + ANSWER_TIME_S
         await self._finish_requests(min(close_s, loop.time() + END_WAIT_S))
         ended = self._data_path.callers.end_calls()
+        cut_attempts = self.gate.count_attempts()
+        await self.gate.end_attempts()
         await self._finish_requests(close_s)
-        report = self._make_stop_report(answers_before) | {"ended": ended}
+        report = self._make_stop_report(answers_before)
+        report |= {"ended": ended, "cut_attempts": cut_attempts}
         await self._data_path.listener.close(max(0.0, close_s - loop.time()))
         remaining_s = max(0.0, deadline_s - loop.time())
         drained = await self._data_path.claimant.drain(remaining_s) and drained
@@ -233,7 +236,6 @@
             "cut_reading": pending.reading,
             "cut_running": pending.running,
             "cut_unsent": pending.unsent,
-            "cut_attempts": self.gate.count_attempts(),
         }
 
     async def _finish_requests(self, deadline_s):
--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -262,6 +262,19 @@
     assert asyncio.run(run()) == [504, 504]
 
 
+def test_request_at_work_beside_a_node_that_stops_is_answered_at_its_end(system):
+    system.serve({"non_idempotent": LONG_TIMEOUT_S})
+
+    async def run():
+        request = asyncio.create_task(system.request("r", "/non_idempotent/4"))
+        await asyncio.sleep(0.3)
+        assert not await system.stop_node("beside")
+        return await request
+
+    assert asyncio.run(run()) == 504
+    assert system.durations_s["r"] < GRACE_S + 1.0
+
+
 @pytest.mark.parametrize("stopped", ["entry", "beside"])
 def test_stop_takes_no_request_whose_timeout_was_raised_beyond_its_end(system, stopped):
     system.serve({"non_idempotent": TIMEOUT_S})
