--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -48,6 +48,7 @@
 UNMATCHED_BODY_MAX_BYTES = 64 * 1024
 CALL_ID_MAX_BYTES = 128
 TRACKED_KINDS_MAX = 4096  # kinds whose longest caller timeout is stored
+STOPPED_DETAIL = "no answer by the stop of the node"
 NO_SETTINGS_RETRY_S = 1.0  # a starting node has settings within this time
 NO_ROUTES = RouteView(RouteTable(), 0)
 
@@ -167,6 +168,7 @@
         "_create_call_id",
         "_dialect",
         "_domain",
+        "_ended",
         "_execute_call",
         "_get_fences",
         "_get_routes",
@@ -175,6 +177,7 @@
         "_log",
         "_longest_timeout_ms",
         "_metrics",
+        "_outcomes_if_ended",
         "_overridden_names",
         "end_s",
         "stop_refusals",
@@ -203,6 +206,8 @@
         )
         self._get_routes = get_routes
         self._longest_timeout_ms = {}
+        self._ended = set()
+        self._outcomes_if_ended = {}
         self._create_call_id = create_call_id
         self._execute_call = execute_call
         self._domain = domain
@@ -254,6 +259,35 @@
         """Return the answer to a request that was too large to be read."""
         return self._refuse(rejected.status, rejected.detail, rejected.remote)
 
+    def refuse_unread(self, request: HttpRequest) -> HttpAnswer | None:
+        """Refuse a request that can't run any more, although its body is incomplete.
+
+        Returns
+        -------
+        HttpAnswer or None
+            None if the request may still run once it is complete, or if only its
+            claim can tell whether an earlier one with its key has run.
+        """
+        route, now_s = request.route, asyncio.get_running_loop().time()
+        if route is None:
+            is_claimed = self._read_key(request) is not None
+        else:
+            is_claimed = self._is_claimed(request)
+        if now_s >= self.end_s:
+            if not is_claimed:
+                return self._refuse_stopping()
+            unknown = Unknown("the node stopped before the request was complete")
+            return self._dialect.render(unknown, True)
+        if route is None or is_claimed:
+            return None
+        timeout_s = parse_timeout(
+            request.get_header(self._dialect.timeout_header), route.policy
+        )
+        is_late = timeout_s is not None and now_s + timeout_s > self.end_s
+        if is_late or route.arrival.stopping:
+            return self._refuse_stopping()
+        return None
+
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Execute one request and return its answer."""
         if request.route is None:
@@ -269,8 +303,41 @@
             if not self._is_claimed(request):
                 return self._refuse_stopping()
             arrival = msgspec.structs.replace(arrival, stopping=True)
-        if self._get_routes().table.workspaces:
-            return await self._handle_identified(call, request, arrival)
+        return await self._handle_until_end(call, request, arrival)
+
+    def end_calls(self) -> int:
+        """End the calls in progress with what is certain; return how many there are.
+
+        A call that was not passed on yet ends as not run, any other as unknown.
+        """
+        tasks = list(self._outcomes_if_ended)
+        for task in tasks:
+            self._ended.add(task)
+            task.cancel()
+        return len(tasks)
+
+    async def _handle_until_end(self, call, request, arrival):
+        task = asyncio.current_task()
+        self._outcomes_if_ended[task] = (
+            Unknown(STOPPED_DETAIL)
+            if self._is_claimed(request)
+            else NotRun(NotRunReason.STOPPING)
+        )
+        try:
+            if self._get_routes().table.workspaces:
+                return await self._handle_identified(call, request, arrival)
+            return await self._execute(call, arrival)
+        except asyncio.CancelledError:
+            if task not in self._ended:
+                raise  # the caller has closed its connection
+            task.uncancel()
+            return self._dialect.render(self._outcomes_if_ended[task], True)
+        finally:
+            self._ended.discard(task)
+            del self._outcomes_if_ended[task]
+
+    async def _execute(self, call, arrival):
+        self._outcomes_if_ended[asyncio.current_task()] = Unknown(STOPPED_DETAIL)
         outcome = await self._execute_call(call, arrival)
         return self._dialect.render(outcome, self.stopping)
 
@@ -290,8 +357,7 @@
             arrival = msgspec.structs.replace(arrival, refusal=refusal)
         else:
             call = identified
-        outcome = await self._execute_call(call, arrival)
-        return self._dialect.render(outcome, self.stopping)
+        return await self._execute(call, arrival)
 
     def _refuse_stopping(self):
         self.stop_refusals += 1
--- a/packages/sapphireway/tests/test_callers.py
+++ b/packages/sapphireway/tests/test_callers.py
@@ -200,6 +200,87 @@
     assert outcome == "answered" or {"Retry-After", "Connection"} <= headers.keys()
 
 
+@pytest.mark.parametrize(
+    ("target", "headers", "stopping", "refusals"),
+    [
+        ("/ledger/photographs", (), False, [None, "not-run", "not-run"]),
+        ("/ledger/photographs", (), True, ["not-run"] * 3),
+        (
+            "/ledger/photographs",
+            (("Request-Timeout-Ms", "300"),),
+            False,
+            [None, None, "not-run"],
+        ),
+        (
+            "/ledger/photographs",
+            (("Idempotency-Key", "k"),),
+            True,
+            [None, None, "unknown"],
+        ),
+        ("/unmatched", (), False, [None, None, "not-run"]),
+        ("/unmatched", (("Idempotency-Key", "k"),), False, [None, None, "unknown"]),
+    ],
+)
+def test_incomplete_request_is_refused_once_it_cannot_end_before_a_stop(
+    api, target, headers, stopping, refusals
+):
+    """A body that was still being read when the stop ended was cut unanswered."""
+
+    async def refuse():
+        api.stopping = stopping
+        request = make_request(target, headers)
+        api.prepare(request)
+        api.end_s = asyncio.get_running_loop().time() + 1.0
+        answers = []
+        for wait_s in (0.4, 0.2, 0.5):
+            await asyncio.sleep(wait_s)
+            answers.append(api.refuse_unread(request))
+        return answers
+
+    answers = run_paused(refuse())
+    found = [dict(a.headers)["Sapphireway-Outcome"] if a else None for a in answers]
+    assert found == refusals
+    assert all(dict(a.headers)["Connection"] == "close" for a in answers if a)
+
+
+def test_call_in_progress_is_answered_as_unknown_when_the_stop_ends(api, recorder):
+    """A call that waited for what has no end of its own was cut unanswered."""
+
+    async def hold(call, arrival):
+        await asyncio.Event().wait()
+
+    async def end():
+        api._execute_call = hold
+        request = make_request()
+        api.prepare(request)
+        task = asyncio.create_task(api.handle(request))
+        await asyncio.sleep(0.1)
+        ended = api.end_calls()
+        answer = await task
+        return ended, answer, task.cancelling(), api.end_calls()
+
+    ended, answer, cancelling, left = run_paused(end())
+    assert (ended, answer.status, cancelling, left) == (1, 504, 0, 0)
+    assert dict(answer.headers)["Sapphireway-Outcome"] == "unknown"
+
+
+def test_caller_that_leaves_still_cancels_its_call(api):
+    async def hold(call, arrival):
+        await asyncio.Event().wait()
+
+    async def leave():
+        api._execute_call = hold
+        request = make_request()
+        api.prepare(request)
+        task = asyncio.create_task(api.handle(request))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.wait([task])
+        return task.cancelled(), api.end_calls()
+
+    assert run_paused(leave()) == (True, 0)
+
+
 @pytest.mark.parametrize(
     ("headers", "outcome"),
     [((), "not-run"), ((("Idempotency-Key", "k"),), "unknown")],
