Count the grace period from the signal

Callers saw: a node that was frozen when its signal came was killed with requests at work, which were closed without an answer.

Cause: the stop counted the grace period from the moment at which it began, after the freeze or after the end of the start.

Change: the handler keeps the time of the signal. The stop's deadline and the time for which it takes work count from there.

Ruled out: the sending time of the signal, which the kernel doesn't tell.

--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -58,10 +58,15 @@
         Called with the node once it has started. If it raises an OSError, the start
         has failed.
     """
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    signalled = loop.create_future()
+
+    def begin_stop():
+        if not signalled.done():
+            signalled.set_result(node.find_earliest_signal_time())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, begin_stop)
     loop.add_signal_handler(signal.SIGHUP, log.info, "reload_asked")
     loop.set_exception_handler(make_exception_handler(log))
     node = Node(settings, log, dialects)
@@ -72,8 +77,7 @@
         log.error("start_failed", detail=str(error))
         return EXIT_FAILED
     _tune_garbage_collector()
-    await stop.wait()
-    drained = await node.stop()
+    drained = await node.stop(await signalled)
     return EXIT_OK if drained else EXIT_FAILED
 
 
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -183,13 +183,35 @@
         """Return all metrics in the Prometheus text format."""
         return self._metrics.render()
 
-    async def stop(self) -> bool:
-        """Stop gracefully; return whether all requests in flight ended in time."""
-        self._log.info("stopping", address=self._settings.address)
+    def find_earliest_signal_time(self) -> float:
+        """Return the earliest loop time at which a signal handled now can have come.
+
+        A frozen process handles it only after the freeze.
+        """
+        earliest = self._standstill_watch.find_earliest_arrival()
+        age_s = self._standstill_watch.compute_age(earliest)
+        return asyncio.get_running_loop().time() - age_s
+
+    async def stop(self, signalled_s: float | None = None) -> bool:
+        """Stop gracefully; return whether all requests in flight ended in time.
+
+        Parameters
+        ----------
+        signalled_s : float, default=now
+            Loop time of the signal, from which the grace period counts.
+        """
         loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        signalled_s = now_s if signalled_s is None else signalled_s
+        self._log.info(
+            "stopping",
+            address=self._settings.address,
+            signal_age_ms=round((now_s - signalled_s) * MS_PER_S),
+        )
         drain_s = self._get_policy().drain_timeout_ms / MS_PER_S
         grace_s = self._settings.stop_grace_ms / MS_PER_S
-        deadline_s = loop.time() + compute_drain_time(grace_s, drain_s)
+        begin_s = signalled_s if grace_s else now_s
+        deadline_s = begin_s + compute_drain_time(grace_s, drain_s)
         self._stopping = True
         self._data_path.callers.end_s = deadline_s
         self._data_path.dispatcher.end_calls(deadline_s)
@@ -198,7 +220,7 @@
         self._spawn(self._refuse_unread_requests())
         if grace_s:
             # The local server goes on running; other nodes may still use it.
-            await self._serve_during_grace(grace_s)
+            await self._serve_during_grace(grace_s, signalled_s)
         draining = loop.create_task(self.gate.drain(deadline_s))
         if not grace_s:
             await self._serve_unread_requests(deadline_s)
@@ -254,13 +276,14 @@
             self._data_path.listener.refuse_unread(refuse)
             await asyncio.sleep(UNREAD_CHECK_INTERVAL_S)
 
-    async def _serve_during_grace(self, grace_s):
+    async def _serve_during_grace(self, grace_s, signalled_s):
         self._data_path.listener.closing = True
         timeouts_s = [
             route.timeout_ms / MS_PER_S
             for route in self.applied_state.routes.table.routes
         ]
-        serve_s = compute_serve_time(grace_s, timeouts_s)
+        spent_s = asyncio.get_running_loop().time() - signalled_s
+        serve_s = max(0.0, compute_serve_time(grace_s, timeouts_s) - spent_s)
         notice_s = min(serve_s, DEPARTURE_SPREAD_S)
         await asyncio.sleep(serve_s - notice_s)
         self.gate.announce_departure()
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -117,6 +117,21 @@
     assert after is GateState.DRAINING
 
 
+def test_grace_period_counts_from_the_signal(settings):
+    """A process that was starting or frozen would be killed at work."""
+    settings = msgspec.structs.replace(settings, stop_grace_ms=2000)
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        loop = asyncio.get_running_loop()
+        signalled_s = loop.time() - 1.5
+        await node.stop(signalled_s)
+        return loop.time() - signalled_s
+
+    assert asyncio.run(run()) < 2.0
+
+
 def test_request_read_after_the_stop_began_is_not_refused_as_stopping(settings):
     """It may have been sent before the signal, which a busy node handles late."""
     tree = {
--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -275,6 +275,42 @@
     assert system.durations_s["r"] < GRACE_S + 1.0
 
 
+def test_stop_of_a_frozen_node_ends_before_the_kill(system):
+    """Its grace period counted from the end of the freeze: it was killed at work."""
+    system.serve({"non_idempotent": LONG_TIMEOUT_S})
+
+    async def run():
+        request = asyncio.create_task(system.request("r", "/non_idempotent/4"))
+        await asyncio.sleep(0.3)
+        process = system.processes["entry"]
+        process.send_signal(signal.SIGSTOP)
+        stopping = asyncio.create_task(system.stop_node())
+        await asyncio.sleep(0.6 * GRACE_S)
+        process.send_signal(signal.SIGCONT)
+        return await stopping, await request
+
+    assert asyncio.run(run()) == (False, 504)
+
+
+def test_further_signals_change_nothing_about_a_stop(system):
+    """A second signal must not cut, or prolong, what the first one began to end."""
+    system.serve({"non_idempotent": LONG_TIMEOUT_S})
+
+    async def run():
+        requests = [
+            asyncio.create_task(system.request(name, f"/non_idempotent/{work_s}"))
+            for name, work_s in (("short", 1.0), ("long", 4))
+        ]
+        await asyncio.sleep(0.3)
+        stopping = asyncio.create_task(system.stop_node())
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            await asyncio.sleep(0.2)
+            system.processes["entry"].send_signal(number)
+        return await stopping, await asyncio.gather(*requests)
+
+    assert asyncio.run(run()) == (False, [200, 504])
+
+
 @pytest.mark.parametrize("stopped", ["entry", "beside"])
 def test_stop_takes_no_request_whose_timeout_was_raised_beyond_its_end(system, stopped):
     system.serve({"non_idempotent": TIMEOUT_S})
