End the wait for the handover of claims before the kill

Callers saw: nothing was reported; found by reading the stop's steps for decisions that are carried out late.

Cause: a holder of claims for which no successor is found waited up to 3 s after the end of its grace period. It was killed before its last message, so the entry nodes of attempts that never ran were not told; and outcomes of keyed calls got no time at all to reach the holders.

Change: with a grace period both waits end half of the margin before the kill, and the last message is repeated until then.

--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Callable
 
@@ -238,12 +239,12 @@
         report = self._make_stop_report(answers_before)
         report |= {"ended": ended, "cut_attempts": cut_attempts}
         await self._data_path.listener.close(max(0.0, close_s - loop.time()))
-        remaining_s = max(0.0, deadline_s - loop.time())
+        remaining_s = max(0.0, close_s - loop.time())
         drained = await self._data_path.claimant.drain(remaining_s) and drained
-        await self._wait_for_claim_handover()
+        await self._wait_for_claim_handover(close_s if grace_s else math.inf)
         await self.gate.wait_until_unused(deadline_s)
         await self._end_tasks()
-        await self.gate.notify_peers(deadline_s)
+        await self.gate.notify_peers(close_s)
         await self._close()
         self._log.info("stopped", drained=drained, **report)
         return drained
@@ -295,13 +296,13 @@
         remaining_s = deadline_s - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, min(UNREAD_REQUESTS_S, remaining_s)))
 
-    async def _wait_for_claim_handover(self):
+    async def _wait_for_claim_handover(self, close_s):
         # The control host replaces a leaving holder. If too few other nodes are left,
         # the rest of the group keeps the claims.
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + CLAIMS_HANDOVER_MAX_S
-        while self._shared.holder.active_group_count and loop.time() < end_s:
-            await asyncio.sleep(CLAIMS_CHECK_INTERVAL_S)
+        end_s = min(loop.time() + CLAIMS_HANDOVER_MAX_S, close_s)
+        while self._shared.holder.active_group_count and (now_s := loop.time()) < end_s:
+            await asyncio.sleep(min(CLAIMS_CHECK_INTERVAL_S, end_s - now_s))
 
     async def _end_tasks(self):
         for task in self._tasks:
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -132,6 +132,22 @@
     assert asyncio.run(run()) < 2.0
 
 
+def test_wait_for_the_handover_of_claims_ends_before_the_kill(settings, monkeypatch):
+    """The last message to other nodes was not sent when no successor was found."""
+    settings = msgspec.structs.replace(settings, stop_grace_ms=1000)
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        holder_type = type(node._shared.holder)
+        monkeypatch.setattr(holder_type, "active_group_count", property(lambda _: 1))
+        started_s = asyncio.get_running_loop().time()
+        await node.stop()
+        return asyncio.get_running_loop().time() - started_s
+
+    assert asyncio.run(run()) < 1.0
+
+
 def test_request_read_after_the_stop_began_is_not_refused_as_stopping(settings):
     """It may have been sent before the signal, which a busy node handles late."""
     tree = {
