Plan a change of the members only once no other one is pending

Operators saw a control host's process end with "more than one voter changed at once" when a second change of the members was ordered while the first was not committed yet. A host added in between could be dropped again though its addition had been acknowledged.

Cause: change_members, and the leader's own promotions and removals, computed the members and then waited for the pending change; what they proposed was the list from before it.

Change: the members are computed after the wait, in the step that proposes them.

Ruled out: refusing a second change while one is pending, as an operator who sends an order again after a lost answer would be refused while the first copy commits.

test_change_that_waited_does_not_undo_the_one_before failed for both counts before and passes; the 262 tests of the quorum and of claim groups pass.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from functools import partial
 
 import msgspec
 
@@ -36,10 +37,7 @@
     """
     while replica.is_leading(term):
         await asyncio.sleep(replica.settings.heartbeat_s)
-        change = _plan_change(replica)
-        if change is not None:
-            _report_change(replica, change)
-            await _propose_members(replica, change.members)
+        await _propose_members(replica, lambda: _plan_and_report_change(replica))
 
 
 async def change_members(
@@ -51,19 +49,30 @@
     """
     outcome = Committed(replica.commit_index, b"")
     if add:
-        known = {member.address for member in replica.members}
-        new = [QuorumMember(a, "", False) for a in add if a not in known]
-        outcome = await _propose_members(replica, (*replica.members, *new))
+        outcome = await _propose_members(replica, partial(_add_members, replica, add))
     for address in remove:
         if not isinstance(outcome, Committed):
             return outcome
-        members = tuple(m for m in replica.members if m.address != address)
-        if not _can_commit(replica, members):
+        outcome = await _propose_members(
+            replica, partial(_remove_member, replica, address)
+        )
+        if outcome is None:
             return Unavailable(f"without {address} no quorum would be reachable")
-        outcome = await _propose_members(replica, members)
     return outcome
 
 
+def _add_members(replica, addresses):
+    known = {member.address for member in replica.members}
+    new = [QuorumMember(a, "", False) for a in addresses if a not in known]
+    return (*replica.members, *new)
+
+
+def _remove_member(replica, address):
+    """Return the members without an address, or None if that couldn't be committed."""
+    members = tuple(m for m in replica.members if m.address != address)
+    return members if _can_commit(replica, members) else None
+
+
 def handle_join(replica: Replica, sender: str, envelope: Envelope) -> None:
     """Add a host with a new disk as a learner, if its address may join."""
     accepted, detail = _decide_join(replica, sender, envelope.message.disk_id)
@@ -99,6 +108,14 @@
     )
 
 
+def _plan_and_report_change(replica):
+    change = _plan_change(replica)
+    if change is None:
+        return None
+    _report_change(replica, change)
+    return change.members
+
+
 def _plan_change(replica):
     """Return the next `_Change` that is due, or None."""
     promoted = _plan_promotion(replica)
@@ -230,14 +247,19 @@
     )
 
 
-async def _propose_members(replica, members):
+async def _propose_members(replica, plan):
+    """Commit the members that `plan` returns, if any, once no change is pending.
+
+    Members that were planned earlier could undo the change that was waited for.
+    """
     term = replica.term
     await replica.wait_until(
         lambda: not replica.is_leading(term) or not _is_change_pending(replica)
     )
     if not replica.is_leading(term):
         return NotLeader(replica.leader.address if replica.leader else None)
-    return await _enqueue(replica, members)
+    members = plan()
+    return None if members is None else await _enqueue(replica, members)
 
 
 def _enqueue(replica, members):
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -590,6 +590,28 @@
     run_paused(run())
 
 
+@pytest.mark.parametrize("removed_count", [1, 2])
+def test_change_that_waited_does_not_undo_the_one_before(removed_count):
+    """An accepted addition or removal was lost, or the leader stopped itself."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        followers = [a for a in cluster.addresses if a != leader]
+        removals = [
+            quorum.change_members(remove=[a]) for a in followers[:removed_count]
+        ]
+        outcomes = await asyncio.gather(quorum.change_members(add=["c9"]), *removals)
+        assert all(isinstance(outcome, Committed) for outcome in outcomes)
+        status = cluster.status(leader)
+        voters = {member.address for member in status.voters}
+        assert voters == {leader, *followers[removed_count:]}
+        assert [member.address for member in status.learners] == ["c9"]
+
+    run_paused(run())
+
+
 def test_read_barrier_requires_confirmation_after_request():
     async def run():
         cluster = await start_cluster(3)
