Order a rollout only while its sender waits for it

A control host or node that stood still started, on waking, a rollout that its operator had sent elsewhere meanwhile. If later rollouts of the service had ended by then, its requests were moved back to a version that they had replaced.

Cause: the order named no state that it builds on, so it was accepted whenever no other rollout ran; and nobody looked whether its sender had closed the connection.

Change: as evacuations do, the handler reads the last rollout, looks whether the sender is connected and the order young enough, and the order names the rollout that it follows. The state machine ignores it after any other. The check of the sender has a module of its own, which the platform's and the project's own interface share. The latter gives up after the 10 s that sapphirectl waits by default.

Ruled out: an id for each order, as the platform's operators send none.

Mixed releases: control hosts of an earlier release don't look at the new field, so that an order which is overtaken during an upgrade can be taken by some hosts only.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -10,6 +10,7 @@
 from sapphireway._operator import make_operator_application
 from sapphireway._rollout_api import make_rollout_routes
 from sapphireway._rollout_orders import RolloutOrders
+from sapphireway._standstills import StandstillWatch
 from sapphireway.memory import MemoryControlClient, MemoryOperatorBackend
 
 TOKEN = "0123456789abcdef-token"
@@ -19,8 +20,9 @@
     """Serve until `running.stop` is set."""
     backend = state.make_backend()
     application = make_operator_application(backend)
+    running.watch = StandstillWatch(lambda: (state.time_s, state.time_s))
     orders = RolloutOrders(running.control, lambda: 50.0)
-    application.add_handlers(".*", make_rollout_routes(backend, orders))
+    application.add_handlers(".*", make_rollout_routes(backend, orders, running.watch))
     server = HTTPServer(application, max_body_size=1_000_000)
     server.listen(0, "127.0.0.1")
     running.port = next(iter(server._sockets.values())).getsockname()[1]
--- a/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
@@ -138,12 +138,16 @@
     duration_ms : float
     ordered_s : float
         Wall-clock time at the node that proposes the order.
+    after : int or None
+        Journal index of the order before it for this service, 0 if there was none;
+        the order is ignored after any other. None accepts any.
     """
 
     service: str
     version: str
     duration_ms: float
     ordered_s: float
+    after: int | None = None
 
 
 class StepRollout(msgspec.Struct, frozen=True, tag="step", array_like=True):
@@ -209,7 +213,10 @@
 
 
 class RolloutIgnored(msgspec.Struct, frozen=True, tag="ignored"):
-    """The rollout has ended, is not current, or has this share already."""
+    """The rollout has ended, is not current, or has this share already.
+
+    For an order: another rollout was ordered since the one that it follows.
+    """
 
 
 RolloutResult = RolloutAccepted | RolloutConflict | RolloutRefused | RolloutIgnored
@@ -346,6 +353,9 @@
             return RolloutAccepted(current.order)
         if current is not None and current.running:
             return RolloutConflict(current.version, current.order)
+        last_order = 0 if current is None else current.order
+        if start.after not in (None, last_order):
+            return RolloutIgnored()
         base, excluded = _find_predecessors(current, start.version)
         rollout = Rollout(
             start.service,
--- a/packages/sapphireway-state/tests/test_rollout_machine.py
+++ b/packages/sapphireway-state/tests/test_rollout_machine.py
@@ -68,6 +68,16 @@
     assert start(machine, 7, "v3") == RolloutAccepted(7)
 
 
+@pytest.mark.parametrize(("after", "started"), [(0, False), (3, True), (None, True)])
+def test_order_is_ignored_if_another_rollout_was_ordered_since(machine, after, started):
+    """An order that a frozen host holds back must not undo later ones."""
+    end(machine, 4, 3, RolloutState.ROLLED_BACK)
+    result = apply(machine, 5, StartRollout("ledger", "v3", 1000.0, 50.0, after))
+    assert result == (RolloutAccepted(5) if started else RolloutIgnored())
+    repeated = apply(machine, 6, StartRollout("ledger", "v2", 1000.0, 50.0, 0))
+    assert repeated == (RolloutConflict("v3", 5) if started else RolloutAccepted(3))
+
+
 @pytest.mark.parametrize(
     ("changes", "wrong"),
     [
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -112,6 +112,7 @@
             self._metrics,
             log,
             self._list_spans,
+            self._standstill_watch,
         )
         register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
--- a/packages/sapphireway/src/sapphireway/_rollout_api.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_api.py
@@ -5,6 +5,8 @@
 from sapphireway._operator import OperatorHandler
 from sapphireway._operator_backend import OperatorBackend, Unavailable
 from sapphireway._rollout_orders import RolloutOrders
+from sapphireway._senders import Sender
+from sapphireway._standstills import StandstillWatch
 from sapphireway_state import (
     RolloutConflict,
     RolloutOrdered,
@@ -13,10 +15,15 @@
     describe_rollout,
 )
 
+# sapphirectl waits for as long by default, and may then ask another node.
+SENDER_WAIT_MAX_S = 10.0
 
-def make_rollout_routes(backend: OperatorBackend, orders: RolloutOrders) -> list:
+
+def make_rollout_routes(
+    backend: OperatorBackend, orders: RolloutOrders, watch: StandstillWatch
+) -> list:
     """Return the routes to add to the application of the admin address."""
-    arguments = {"backend": backend, "orders": orders}
+    arguments = {"backend": backend, "orders": orders, "watch": watch}
     return [
         ("/v1/rollouts", RolloutsHandler, arguments),
         ("/v1/rollouts/([^/]+)", RolloutHandler, arguments),
@@ -24,9 +31,10 @@
 
 
 class _OrderHandler(OperatorHandler):
-    def initialize(self, backend, orders):
+    def initialize(self, backend, orders, watch):
         super().initialize(backend)
         self.orders = orders
+        self.sender = Sender(self.request, watch, SENDER_WAIT_MAX_S)
 
 
 class RolloutsHandler(_OrderHandler):
@@ -40,7 +48,10 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             self.fail(400, "bad_request", str(error))
         result = await self.orders.start(
-            request.service, request.version, request.duration_ms
+            request.service,
+            request.version,
+            request.duration_ms,
+            self.sender.find_staleness,
         )
         self.backend.log_event(
             "rollout_ordered",
--- a/packages/sapphireway/src/sapphireway/_rollout_orders.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_orders.py
@@ -1,7 +1,7 @@
 """Orders of rollouts and linearizable reads of their state, through the quorum."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from sapphireway._operator_backend import Unavailable
 from sapphireway._short_tries import repeat_in_short_tries
@@ -13,6 +13,7 @@
 )
 from sapphireway_state import (
     Rollout,
+    RolloutIgnored,
     RolloutRefused,
     RolloutResult,
     StartRollout,
@@ -24,6 +25,7 @@
 
 ORDER_TIMEOUT_S = 4.0
 READ_TIMEOUT_S = 1.5
+OVERTAKEN_MAX = 3  # later orders of a service before an order fails
 
 
 class RolloutOrders:
@@ -47,13 +49,44 @@
         self._wall_clock = wall_clock
 
     async def start(
-        self, service: str, version: str, duration_ms: float
+        self,
+        service: str,
+        version: str,
+        duration_ms: float,
+        find_staleness: Callable[[], Awaitable[str | None]],
     ) -> RolloutResult | Unavailable:
-        """Order a rollout; the same order is acknowledged again."""
+        """Order a rollout; the same order is acknowledged again.
+
+        The order is accepted only behind the rollout of the service that was the last
+        one when `find_staleness` found the order valid.
+
+        Parameters
+        ----------
+        service, version : str
+        duration_ms : float
+        find_staleness : callable
+            Returns why the order must not be carried out any more, or None.
+        """
         error = find_order_error(service, version, duration_ms)
         if error:
             return RolloutRefused(error)
-        start = StartRollout(service, version, duration_ms, self._wall_clock())
+        for _ in range(OVERTAKEN_MAX):
+            last = await self.read(service)
+            if isinstance(last, Unavailable):
+                return last
+            staleness = await find_staleness()
+            if staleness is not None:
+                return Unavailable(staleness)
+            after = 0 if last is None else last.order
+            start = StartRollout(
+                service, version, duration_ms, self._wall_clock(), after
+            )
+            result = await self._propose(start)
+            if not isinstance(result, RolloutIgnored):
+                return result
+        return Unavailable(f"later orders of {service!r} overtook this one")
+
+    async def _propose(self, start):
         command = ROLLOUT_PREFIX + encode_rollout_command(start)
         result = await repeat_in_short_tries(
             lambda timeout_s: self._control_client.propose(command, timeout_s),
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -8,6 +8,7 @@
 from sapphireway._operator_backend import Unavailable
 from sapphireway._publisher import EditRefused, Publisher
 from sapphireway._rollout_orders import RolloutOrders
+from sapphireway._senders import Sender
 from sapphireway._standstills import StandstillWatch
 
 __all__ = [
@@ -18,6 +19,7 @@
     "Node",
     "Publisher",
     "RolloutOrders",
+    "Sender",
     "StandstillWatch",
     "Unavailable",
     "configure_logs",
--- a/packages/sapphireway/tests/test_rollout_orders.py
+++ b/packages/sapphireway/tests/test_rollout_orders.py
@@ -1,3 +1,4 @@
+import asyncio
 import http.client
 import json
 
@@ -27,12 +28,16 @@
     return MemoryControlClient(["ledger"])
 
 
+async def find_none():
+    """Find that an order is valid."""
+
+
 def run(client, *orders):
     """Start rollouts one after the other; return results and the rollout read last."""
 
     async def main():
         rollout_orders = RolloutOrders(client, lambda: 50.0)
-        results = [await rollout_orders.start(*order) for order in orders]
+        results = [await rollout_orders.start(*order, find_none) for order in orders]
         return results, await rollout_orders.read("ledger")
 
     return run_paused(main())
@@ -78,6 +83,48 @@
     assert timeouts[0] == TRY_TIMEOUT_S < ORDER_TIMEOUT_S / 4
 
 
+class FrozenClient(MemoryControlClient):
+    """Holds commands back while it is frozen, as a control host that stands still."""
+
+    def __init__(self):
+        super().__init__(["ledger"])
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def propose(self, command, timeout_s):
+        await self.thawed.wait()
+        return await super().propose(command, timeout_s)
+
+
+def test_order_is_not_carried_out_after_later_rollouts():
+    """The service was moved back to a version that later orders had replaced."""
+    remaining = [None]
+
+    async def find_staleness():
+        return remaining.pop() if remaining else "the sender has left"
+
+    async def main():
+        client = FrozenClient()
+        frozen, other = (RolloutOrders(client, lambda: 50.0) for _ in range(2))
+        client.thawed.clear()
+        held = asyncio.create_task(
+            frozen.start("ledger", "v2", 12000.0, find_staleness)
+        )
+        await asyncio.sleep(1.0)
+        thawed, client.thawed = client.thawed, asyncio.Event()
+        client.thawed.set()
+        for version in ("v2", "v3"):
+            result = await other.start("ledger", version, 12000.0, find_none)
+            end = EndRollout("ledger", result.order, RolloutState.ROLLED_BACK, "why")
+            client.apply(ROLLOUT_PREFIX + encode_rollout_command(end))
+        thawed.set()
+        return await held, await other.read("ledger")
+
+    result, rollout = run_paused(main())
+    assert (rollout.version, rollout.running) == ("v3", False)
+    assert result == Unavailable("the sender has left")
+
+
 def test_racing_order_conflicts_and_invalid_ones_are_refused(client):
     results, rollout = run(
         client,
--- a/tests/platform_adapter/test_rollouts.py
+++ b/tests/platform_adapter/test_rollouts.py
@@ -24,7 +24,8 @@
     def __init__(self):
         self.control = MemoryControlClient(["ledger"])
         self.publisher = None
-        self.standstill_watch = StandstillWatch(lambda: (0.0, 0.0))
+        self.now_s = 0.0
+        self.standstill_watch = StandstillWatch(lambda: (self.now_s, self.now_s))
         self.rollout_orders = RolloutOrders(self.control, lambda: 50.0)
 
     def end(self, state):
@@ -38,16 +39,21 @@
     return FakeNode()
 
 
+def listen(node):
+    """Return a server of the operator's interface and its port."""
+    routes = _make_operator_routes(node, EventLog(lambda: 0.0))
+    server = tornado.httpserver.HTTPServer(
+        tornado.web.Application(routes, log_function=lambda handler: None)
+    )
+    server.listen(0, "127.0.0.1")
+    return server, next(iter(server._sockets.values())).getsockname()[1]
+
+
 def send(node, *requests):
     """Send requests, each a path and an order or None; return status and content."""
 
     async def run():
-        routes = _make_operator_routes(node, EventLog(lambda: 0.0))
-        server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=lambda handler: None)
-        )
-        server.listen(0, "127.0.0.1")
-        port = next(iter(server._sockets.values())).getsockname()[1]
+        server, port = listen(node)
         client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
         answers = []
         for path, body in requests:
@@ -87,6 +93,38 @@
     assert len(node.control.machine.rollouts.rollouts) == 1
 
 
+@pytest.mark.parametrize("closes", [False, True])
+def test_order_is_not_carried_out_once_its_sender_has_left(node, closes):
+    """It may have gone on to another node, and a later rollout may have ended since."""
+    body = json.dumps(ORDER).encode()
+
+    async def run():
+        server, port = listen(node)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /Rollouts.Start HTTP/1.1\r\nHost: x\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        if closes:
+            writer.close()
+        else:
+            assert b" 200 " in await reader.readline()
+        await asyncio.sleep(0.3)
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
+    assert ("ledger" in node.control.machine.rollouts.rollouts) is not closes
+
+
+@pytest.mark.parametrize(("frozen_s", "status"), [(0.0, 200), (4.0, 503)])
+def test_order_read_right_after_a_standstill_is_not_carried_out(node, frozen_s, status):
+    node.now_s += frozen_s
+    ((answered, _),) = send(node, (START, ORDER))
+    assert answered == status
+    ordered = "ledger" in node.control.machine.rollouts.rollouts
+    assert ordered is (status == 200)
+
+
 def test_racing_order_is_a_conflict_until_the_first_has_ended(node):
     other = ORDER | {"target_version": "v3"}
     (_, (status, content)) = send(node, (START, ORDER), (START, other))
