Read the renewals of a standstill before leases are ended

Nodes lost live servers from their views when a directory had stood still for longer than a lease lasts: with all directories frozen for 1.6, 4 and 30 s, the smallest view of a fleet of 12 nodes held 8 members afterwards.

Cause: on waking, the check of the leases ran before the renewals that waited in the socket were read; the directory took its own silence for that of the nodes.

Change: a check that comes more than half a second late extends the leases that this directory grants by one duration. A node that died meanwhile is removed that much later. Leases of other directories were kept already, as a directory that hears no majority trusts all.

Ruled out: a longer lease, as a death would be noticed later at all times.

test_standstill_of_directories_removes_no_members failed for all three durations and passes; the other tests of memberships and control hosts pass.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_directory.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/membership/_directory.py
@@ -29,6 +29,9 @@
 
 LEASE_DURATION_S = 1.3
 EXPIRY_CHECK_INTERVAL_S = 0.1
+# After a longer pause, renewals that arrived meanwhile may not have been read yet. A
+# shorter one leaves each lease time for another renewal.
+PAUSE_MAX_S = 0.5
 SYNC_INTERVAL_S = 0.1
 HEARTBEAT_INTERVAL_S = 0.5
 SYNC_TIMEOUT_S = 0.5
@@ -201,9 +204,14 @@
         return self._peer_directories.has_complete_majority() or age_s >= WARM_UP_MAX_S
 
     async def _check_expiry(self):
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
         while True:
+            checked_s = now_s
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            now_s = asyncio.get_running_loop().time()
+            now_s = loop.time()
+            if now_s - checked_s > PAUSE_MAX_S:
+                self._extend_leases(now_s + LEASE_DURATION_S)
             self._peer_directories.update_trust(now_s)
             trusted = self._peer_directories.are_all_trusted(now_s)
             # Renewals only postpone expiry, so no lease is due before the earliest
@@ -211,6 +219,11 @@
             if now_s > self._next_expiry_s or not trusted:
                 self._expire_leases(now_s)
 
+    def _extend_leases(self, expires_s):
+        for lease in self._table.list_all():
+            if lease.alive and lease.owner == self._peers.address:
+                lease.expires_s = expires_s
+
     def _expire_leases(self, now_s):
         self._next_expiry_s = now_s + LEASE_DURATION_S
         for lease in self._table.list_all():
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -118,6 +118,18 @@
     assert all("n3" not in view for view in run_paused(run()))
 
 
+@pytest.mark.parametrize("frozen_s", [1.6, 4.0, 30.0])
+def test_standstill_of_directories_removes_no_members(frozen_s):
+    """Renewals that arrived meanwhile were read after the leases had been ended."""
+
+    async def run():
+        fleet = await start_fleet(12)
+        asyncio.get_running_loop().advance(frozen_s)
+        assert await measure_smallest_view(fleet, 8.0) == 12
+
+    run_paused(run())
+
+
 def test_restarted_node_has_new_incarnation():
     async def run():
         fleet = await start_fleet(6)
