Refuse changes of the control hosts that waited in a standstill

A control host was removed from the quorum though it had been added again since: another control host had stood still with the order to remove it in its socket, and passed it on to the leader when it woke.

Cause: a change of the members names no state that it builds on, and the host that reads it cannot tell how long it has waited.

Change: the control host measures, with the watch that orders of the platform use, when a message that it reads can have arrived, and refuses the change if its sender no longer waits for it. The sender's client tries the next host.

Ruled out: the members that the change is based on, as a host that is removed and joins again with the same disk makes the same list; refusing commands too, as each names its version, epoch, order or digest.

test_change_held_by_a_frozen_host_is_not_made_when_it_wakes failed before and passes; the 256 tests of control hosts, the quorum, standstills and nodes that were run pass.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -86,6 +86,8 @@
     observe : callable
         Called with each `EntriesUnanswered`, `DiskFailureSeen`, `DiskReopened`,
         `MembersProposed` and `JoinAnswered`.
+    compute_read_delay : callable
+        Returns how many seconds ago a message that is read now can have arrived.
 
     Attributes
     ----------
@@ -95,6 +97,7 @@
 
     __slots__ = (
         "_active_requests",
+        "_compute_read_delay",
         "_inboxes",
         "_query_handler",
         "_replica",
@@ -112,7 +115,9 @@
         settings: QuorumSettings | None = None,
         bootstrap: bool = False,
         observe: Callable[[Any], None] = lambda event: None,
+        compute_read_delay: Callable[[], float] = lambda: 0.0,
     ):
+        self._compute_read_delay = compute_read_delay
         self._inboxes = {}
         self._query_handler = None
         self._replica = Replica(
@@ -298,12 +303,21 @@
             change = self.propose(envelope.body)
             await handle_change(replica, change, sender, envelope)
         elif isinstance(message, ChangeMembers):
-            change = self.change_members(message.add, message.remove)
+            change = self._make_members_change(message)
             await handle_change(replica, change, sender, envelope)
         elif self._query_handler is not None:
             read = self.read_barrier()
             await handle_query(replica, read, self._query_handler, sender, envelope)
 
+    async def _make_members_change(self, message):
+        # Unlike a command, it names no state that it builds on.
+        delay_s = self._compute_read_delay()
+        if delay_s >= message.timeout_s:
+            return Unavailable(
+                f"this host stood still; the change may be {delay_s:.1f} s old"
+            )
+        return await self.change_members(message.add, message.remove)
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -11,6 +11,7 @@
 from sapphireway._control_hosts import make_control_host_state
 from sapphireway._journal_folder import make_journal_disk, make_journal_limits
 from sapphireway._logs import EventLog
+from sapphireway._standstills import StandstillWatch
 from sapphireway_coordination import (
     GROUP_PREFIX,
     ROLLOUT_PREFIX,
@@ -82,6 +83,7 @@
     log : EventLog
     hosts : ControlHostList
         Updated whenever the quorum's members change.
+    watch : StandstillWatch
     """
 
     __slots__ = (
@@ -112,6 +114,7 @@
         observe: Callable[[Any], None],
         log: EventLog,
         hosts: ControlHostList,
+        watch: StandstillWatch,
     ):
         self._hosts = hosts
         self._peers = peers
@@ -141,6 +144,7 @@
             ),
             bootstrap=settings.bootstrap,
             observe=self._log_quorum_event,
+            compute_read_delay=watch.compute_read_delay,
         )
         self._quorum.serve_queries(self._machine.read)
         self._confirmation_source = ConfirmationSource(
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -331,6 +331,7 @@
             observe,
             self._log,
             shared.control_hosts,
+            self._standstill_watch,
         )
 
     async def _discover_local_server(self):
--- a/packages/sapphireway/src/sapphireway/_standstills.py
+++ b/packages/sapphireway/src/sapphireway/_standstills.py
@@ -58,6 +58,10 @@
             return self._before
         return now
 
+    def compute_read_delay(self) -> float:
+        """Return how many seconds ago what is read now can have arrived."""
+        return self.compute_age(self.find_earliest_arrival())
+
     def compute_age(self, since: Instant) -> float:
         """Return the seconds since an instant, including suspensions."""
         return compute_age(since, self._read_instant())
--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -18,7 +18,12 @@
     Directory,
     Membership,
 )
-from sapphireway_protocol import ControlHostState, NodeEntry, QuorumMember
+from sapphireway_protocol import (
+    ChangeMembers,
+    ControlHostState,
+    NodeEntry,
+    QuorumMember,
+)
 from sapphireway_state import ControlHostsChange
 from sapphireway_transport.memory import run_paused
 
@@ -160,6 +165,28 @@
     assert members == {"c0": "none", "c1": "voter", "c2": "voter", "c3": "voter"}
 
 
+@run_on_cluster(4)
+async def test_change_held_by_a_frozen_host_is_not_made_when_it_wakes(env):
+    """A control host was removed though it had been added again since."""
+    cluster = env.cluster
+    await asyncio.sleep(1.0)
+    frozen, moved = [a for a in cluster.addresses if a != cluster.leader()][:2]
+    replica = cluster.hosts[frozen].quorum._replica
+    leader = replica.leader
+    cluster.network.freeze(frozen)
+    await asyncio.sleep(0.5)  # the leader's next message waits before the change
+    held = ChangeMembers(1.0, [], [moved])
+    assert await env.hosts._control_client._peers.request(frozen, held, 1.0) is None
+    await env.change(remove=[moved])
+    await env.change(add=[moved])
+    await env.wait_for(moved, "voter")
+    cluster.standstills_s[frozen] = 4.0
+    replica.leader = leader  # only the network is frozen here
+    cluster.network.thaw(frozen)
+    await asyncio.sleep(2.0)
+    assert (await env.list_members())[moved] == "voter"
+
+
 def test_latest_term_takes_precedence_over_isolated_leader():
     def make_host_state(term, member):
         members = [QuorumMember(member, "d", True)]
--- a/packages/sapphireway/tests/test_standstills.py
+++ b/packages/sapphireway/tests/test_standstills.py
@@ -38,7 +38,7 @@
         await asyncio.sleep(3.0)
         clocks.stand_still(duration_s, suspended)
         await asyncio.sleep(wait_s)
-        age_s = watch.compute_age(watch.find_earliest_arrival())
+        age_s = watch.compute_read_delay()
         task.cancel()
         return age_s, events
 
