Change the control hosts only while the operator waits for it

A node that stood still added or removed control hosts on waking, though its operator had closed the connection and ordered otherwise elsewhere.

Cause: the operator interface did not look whether the sender of a change still waited, and a change of the members names no state that it builds on.

Change: the handler passes a check of the sender on, which runs after the state of the hosts was read and right before the change is sent. Rollouts and changes of the control hosts share the handler's base. Edits need no check, as they name their base version.

test_order_read_right_after_a_long_standstill_is_not_carried_out[/v1/control-hosts] failed before and passes; the tests of sapphireway, sapphirectl and the platform's operator interface pass.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -19,8 +19,8 @@
 async def serve(state, ready, running):
     """Serve until `running.stop` is set."""
     backend = state.make_backend()
-    application = make_operator_application(backend)
     running.watch = StandstillWatch(lambda: (state.time_s, state.time_s))
+    application = make_operator_application(backend, running.watch)
     orders = RolloutOrders(running.control, lambda: 50.0)
     application.add_handlers(".*", make_rollout_routes(backend, orders, running.watch))
     server = HTTPServer(application, max_body_size=1_000_000)
--- a/packages/sapphireway/src/sapphireway/_admin.py
+++ b/packages/sapphireway/src/sapphireway/_admin.py
@@ -72,7 +72,7 @@
         wall_clock=time.time,
         log_event=log.info,
     )
-    application = make_operator_application(backend)
+    application = make_operator_application(backend, watch)
     application.add_handlers(".*", make_server_routes(gate))
     rollout_routes = make_rollout_routes(backend, shared.rollout_orders, watch)
     application.add_handlers(".*", rollout_routes)
--- a/packages/sapphireway/src/sapphireway/_control_hosts.py
+++ b/packages/sapphireway/src/sapphireway/_control_hosts.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Iterable, Sequence
 
-from sapphireway._operator_backend import ChangeRefused, Unavailable
+from sapphireway._operator_backend import (
+    ChangeRefused,
+    FindStaleness,
+    Unavailable,
+)
 from sapphireway_coordination import Committed, ControlClient, QuorumStatus, Role
 from sapphireway_protocol import (
     ControlHostState,
@@ -57,7 +61,7 @@
         return _make_report(self._configured, states)
 
     async def change(
-        self, change: ControlHostsChange
+        self, change: ControlHostsChange, find_staleness: FindStaleness
     ) -> ControlHostsReport | ChangeRefused | Unavailable:
         """Add and remove control hosts and return the resulting report."""
         report = await self.list_hosts()
@@ -69,6 +73,9 @@
         if leaves_too_few_voters(change, report) and not change.force:
             detail = f"fewer than {CONTROL_VOTERS_MIN} voters would be left"
             return ChangeRefused(detail, can_be_forced=True)
+        staleness = await find_staleness()
+        if staleness is not None:
+            return Unavailable(staleness)
         result = await self._control_client.change_members(
             change.add, change.remove, CHANGE_TIMEOUT_S
         )
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -11,6 +11,8 @@
     OperatorBackend,
     Unavailable,
 )
+from sapphireway._senders import Sender
+from sapphireway._standstills import StandstillWatch
 from sapphireway_state import (
     Accepted,
     Conflict,
@@ -41,6 +43,8 @@
 
 OPERATOR_BODY_MAX_BYTES = 1024 * 1024
 ENTRIES_MAX = 1_000
+# sapphirectl waits for as long by default, and may then ask another node.
+SENDER_WAIT_MAX_S = 10.0
 
 STATUS_BY_ANSWER = {
     Accepted: 200,
@@ -51,27 +55,30 @@
 }
 
 
-def make_operator_application(backend: OperatorBackend) -> Application:
+def make_operator_application(
+    backend: OperatorBackend, watch: StandstillWatch
+) -> Application:
     """Return the web application of the admin address.
 
     Create its server with ``max_body_size=OPERATOR_BODY_MAX_BYTES``.
     """
     arguments = {"backend": backend}
+    order_arguments = {"backend": backend, "watch": watch}
     routes = [
-        ("/v1/settings", SettingsHandler),
-        ("/v1/edits", EditsHandler),
-        ("/v1/history", HistoryHandler),
-        ("/v1/changes", ChangesHandler),
-        ("/v1/status", StatusHandler),
-        ("/v1/control-hosts", ControlHostsHandler),
-        ("/v1/explanations", ExplanationsHandler),
-        ("/v1/traces", TracesHandler),
-        ("/metrics", MetricsHandler),
-        ("/metrics/histograms", HistogramsHandler),
-        ("/health", HealthHandler),
+        ("/v1/settings", SettingsHandler, arguments),
+        ("/v1/edits", EditsHandler, arguments),
+        ("/v1/history", HistoryHandler, arguments),
+        ("/v1/changes", ChangesHandler, arguments),
+        ("/v1/status", StatusHandler, arguments),
+        ("/v1/control-hosts", ControlHostsHandler, order_arguments),
+        ("/v1/explanations", ExplanationsHandler, arguments),
+        ("/v1/traces", TracesHandler, arguments),
+        ("/metrics", MetricsHandler, arguments),
+        ("/metrics/histograms", HistogramsHandler, arguments),
+        ("/health", HealthHandler, arguments),
     ]
     return Application(
-        [(path, handler, arguments) for path, handler in routes],
+        routes,
         default_handler_class=UnknownHandler,
         default_handler_args=arguments,
         log_function=lambda handler: None,
@@ -231,7 +238,21 @@
         self.reply(await self.backend.get_status())
 
 
-class ControlHostsHandler(OperatorHandler):
+class OrderHandler(OperatorHandler):
+    """Base of the handlers of orders that are carried out only while they are awaited.
+
+    Attributes
+    ----------
+    sender : Sender
+    """
+
+    def initialize(self, backend, watch):
+        """Store the dependencies."""
+        super().initialize(backend)
+        self.sender = Sender(self.request, watch, SENDER_WAIT_MAX_S)
+
+
+class ControlHostsHandler(OrderHandler):
     """Lists, adds and removes control hosts."""
 
     async def get(self):
@@ -242,7 +263,9 @@
         """Add and remove control hosts and reply with a `ControlHostsReport`."""
         self.require_token()
         change = self._parse_change()
-        result = await self.backend.change_control_hosts(change)
+        result = await self.backend.change_control_hosts(
+            change, self.sender.find_staleness
+        )
         if isinstance(result, ChangeRefused):
             if result.can_be_forced:
                 self.fail(412, "force_needed", result.detail)
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -42,6 +42,10 @@
     can_be_forced: bool = False
 
 
+FindStaleness = Callable[[], Awaitable[str | None]]
+"""Returns why an order must not be carried out any more, or None."""
+
+
 class OperatorBackend(msgspec.Struct, frozen=True):
     """Functions of the node that the operator API calls.
 
@@ -58,7 +62,8 @@
     get_status : callable
     list_control_hosts : callable
     change_control_hosts : callable
-        Adds and removes control hosts and returns the resulting report.
+        Adds and removes control hosts and returns the resulting report; takes the
+        change and a function that returns why it must not be made any more, or None.
     get_explanations : callable
         Takes service, server and call id, each possibly None; returns recent decisions
         as flat JSON objects.
@@ -85,7 +90,7 @@
     get_status: Callable[[], Awaitable[StatusReport]]
     list_control_hosts: Callable[[], Awaitable[ControlHostsReport]]
     change_control_hosts: Callable[
-        [ControlHostsChange],
+        [ControlHostsChange, FindStaleness],
         Awaitable[ControlHostsReport | ChangeRefused | Unavailable],
     ]
     get_explanations: Callable[
--- a/packages/sapphireway/src/sapphireway/_rollout_api.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_api.py
@@ -2,10 +2,9 @@
 
 import msgspec
 
-from sapphireway._operator import OperatorHandler
+from sapphireway._operator import OrderHandler
 from sapphireway._operator_backend import OperatorBackend, Unavailable
 from sapphireway._rollout_orders import RolloutOrders
-from sapphireway._senders import Sender
 from sapphireway._standstills import StandstillWatch
 from sapphireway_state import (
     RolloutConflict,
@@ -15,9 +14,6 @@
     describe_rollout,
 )
 
-# sapphirectl waits for as long by default, and may then ask another node.
-SENDER_WAIT_MAX_S = 10.0
-
 
 def make_rollout_routes(
     backend: OperatorBackend, orders: RolloutOrders, watch: StandstillWatch
@@ -30,14 +26,13 @@
     ]
 
 
-class _OrderHandler(OperatorHandler):
+class _RolloutOrderHandler(OrderHandler):
     def initialize(self, backend, orders, watch):
-        super().initialize(backend)
+        super().initialize(backend, watch)
         self.orders = orders
-        self.sender = Sender(self.request, watch, SENDER_WAIT_MAX_S)
 
 
-class RolloutsHandler(_OrderHandler):
+class RolloutsHandler(_RolloutOrderHandler):
     """Orders rollouts."""
 
     async def post(self):
@@ -74,7 +69,7 @@
         self.reply(RolloutOrdered(request.service, request.version, result.order))
 
 
-class RolloutHandler(_OrderHandler):
+class RolloutHandler(_RolloutOrderHandler):
     """Returns the last rollout of a service."""
 
     async def get(self, service: str):
--- a/packages/sapphireway/src/sapphireway/_rollout_orders.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_orders.py
@@ -1,9 +1,9 @@
 """Orders of rollouts and linearizable reads of their state, through the quorum."""
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
-from sapphireway._operator_backend import Unavailable
+from sapphireway._operator_backend import FindStaleness, Unavailable
 from sapphireway._short_tries import repeat_in_short_tries
 from sapphireway_coordination import (
     ROLLOUT_PREFIX,
@@ -53,7 +53,7 @@
         service: str,
         version: str,
         duration_ms: float,
-        find_staleness: Callable[[], Awaitable[str | None]],
+        find_staleness: FindStaleness,
     ) -> RolloutResult | Unavailable:
         """Order a rollout; the same order is acknowledged again.
 
--- a/packages/sapphireway/src/sapphireway/memory/_operator.py
+++ b/packages/sapphireway/src/sapphireway/memory/_operator.py
@@ -91,7 +91,10 @@
     async def _list_control_hosts(self):
         return self.control_hosts
 
-    async def _change_control_hosts(self, change):
+    async def _change_control_hosts(self, change, find_staleness):
+        staleness = await find_staleness()
+        if staleness is not None:
+            return Unavailable(staleness)
         self.changes.append(change)
         return self.change_result or self.control_hosts
 
--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -75,7 +75,10 @@
 
     async def change(self, *, add=(), remove=(), force=False):
         change = ControlHostsChange("an", list(add), list(remove), "", force)
-        return await self.hosts.change(change)
+        return await self.hosts.change(change, self.find_staleness)
+
+    async def find_staleness(self):
+        return None
 
     async def wait_for(self, address, member):
         async with asyncio.timeout(30.0):
@@ -187,6 +190,17 @@
     assert (await env.list_members())[moved] == "voter"
 
 
+@run_on_cluster(4)
+async def test_change_is_not_made_once_its_sender_has_left(env):
+    async def find_staleness():
+        return "the sender has left"
+
+    change = ControlHostsChange("an", [], ["c0"], "", False)
+    result = await env.hosts.change(change, find_staleness)
+    assert result == Unavailable("the sender has left")
+    assert (await env.list_members())["c0"] == "voter"
+
+
 def test_latest_term_takes_precedence_over_isolated_leader():
     def make_host_state(term, member):
         members = [QuorumMember(member, "d", True)]
--- a/packages/sapphireway/tests/test_operator.py
+++ b/packages/sapphireway/tests/test_operator.py
@@ -169,6 +169,21 @@
     assert (fields["operator"], fields["reason"]) == ("an", "bxl-b moves")
 
 
+@pytest.mark.parametrize("path", ["/v1/control-hosts", "/v1/rollouts"])
+def test_order_read_right_after_a_long_standstill_is_not_carried_out(
+    ask, operator_node, path
+):
+    """Its sender has gone on, and later orders may have overtaken it."""
+    bodies = {
+        "/v1/control-hosts": {"operator": "an", "remove": ["127.0.0.4:7100"]},
+        "/v1/rollouts": {"service": "ledger", "version": "v2", "duration_ms": 9e3},
+    }
+    operator_node.state.time_s += 11.0
+    status, reply = ask("POST", path, bodies[path], operator_node.token)
+    assert (status, reply["error"]) == (503, "unavailable")
+    assert operator_node.state.changes == []
+
+
 @pytest.mark.parametrize(
     ("result", "status", "error"),
     [
