Run processes on a clock that counts suspensions

After a suspension of its host a process takes leases, deadlines and latest starts for valid that have passed everywhere else: an entry node can dispatch a keyed request whose claim has expired at the holders, where a resend may have run, and a claim holder can vote on a lease that has run out for all others.

Cause: all of these are measured on the event loop's clock, the monotonic one, which may stand still during a suspension. A sender's lower bound of another node's clock is too high then too, so that a latest start is too late.

Change: the event loop of a process reads CLOCK_BOOTTIME, so that a suspension looks like a freeze, which these parts were built and tested for.

Ruled out: AgeClock in each of the places, as deadlines pass through all of them; the wall clock, which jumps.

The fault was found by reading: no test can suspend a host.

--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -7,6 +7,7 @@
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
+from sapphireway_transport._event_loop import BootTimeLoop
 from sapphireway_transport._http import HttpListener
 from sapphireway_transport._http_messages import (
     HttpAnswer,
@@ -44,6 +45,7 @@
     "LIMIT_HEADER",
     "NOT_RUN_HEADER",
     "REQUEST_ID_HEADER",
+    "BootTimeLoop",
     "Broken",
     "CurlServerClient",
     "Disk",
--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -24,6 +24,7 @@
     format_problem,
     load_process_settings,
 )
+from sapphireway_transport import BootTimeLoop
 
 GC_YOUNG_THRESHOLD = 20_000
 GC_MIDDLE_THRESHOLD = 20
@@ -38,7 +39,8 @@
             print(format_problem(problem), file=sys.stderr)
         return EXIT_INVALID
     configure_logs(settings.log_format, settings.log_level)
-    return asyncio.run(run_node(settings, EventLog()))
+    with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+        return runner.run(run_node(settings, EventLog()))
 
 
 async def run_node(
