Read waiting announcements before a server's lease ends

After a standstill of a node for longer than the lease of the server beside it, requests were refused as if there was no server, and the server was taken for cold again on its next announcement.

Cause: the timer of the lease ran before the announcements that waited in the socket were read. A freeze of 4 s is enough if the last announcement was 3 s old.

Change: once the lease has run out, the node goes on for half a second before it takes the server for gone. A server that fell silent is taken for gone that much later.

Ruled out: the lateness of the timer as a sign of a standstill, as a standstill that ends right after the lease makes it hardly late.

test_standstill_of_the_node_does_not_end_its_servers_lease failed before and passes; 105 tests of the gate, health, cold servers and limits pass.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -25,6 +25,9 @@
 
 RENEW_S = 2.0
 LEASE_S = 7.0
+# The node may have stood still when the lease ran out; within this time it reads the
+# announcements that arrived meanwhile.
+LEASE_GRACE_S = 0.5
 SLOWNESS_TOLERANCE = 0.25  # smaller changes would not redirect any request
 # How long announcements are refused after the departure of a server whose start was not
 # known: they may have been sent before it.
@@ -58,6 +61,7 @@
     """
 
     __slots__ = (
+        "_in_grace",
         "_lease_expired",
         "_lease_timer",
         "_lease_until_s",
@@ -84,6 +88,7 @@
         on_change: Callable[[], None] = lambda: None,
     ):
         self._on_change = on_change
+        self._in_grace = False
         self._lease_expired = False
         self._lease_timer = None
         self._lease_until_s = 0.0
@@ -194,6 +199,7 @@
     def extend_lease(self) -> None:
         """Extend the lease, as an answer proves that the server is alive."""
         self._lease_until_s = self._loop.time() + LEASE_S
+        self._in_grace = False
 
     def apply_report(
         self, report: SelfReport, source: ReportSource, sent_s: float
@@ -289,10 +295,11 @@
             self._lease_timer = self._loop.call_later(LEASE_S, self._check_lease)
 
     def _check_lease(self):
-        if self._loop.time() < self._lease_until_s:
-            self._lease_timer = self._loop.call_at(
-                self._lease_until_s, self._check_lease
-            )
+        now_s = self._loop.time()
+        if now_s < self._lease_until_s or not self._in_grace:
+            self._in_grace = now_s >= self._lease_until_s
+            check_s = now_s + LEASE_GRACE_S if self._in_grace else self._lease_until_s
+            self._lease_timer = self._loop.call_at(check_s, self._check_lease)
             return
         self._lease_timer = None
         self._lease_expired = True
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -297,6 +297,19 @@
     assert (await bench.call("b")).outcome == "answered"
 
 
+@paused
+async def test_standstill_of_the_node_does_not_end_its_servers_lease(bench):
+    """Heartbeats that waited in the socket were read after the lease had been ended."""
+    await bench.warm()
+    limit = bench.gate.get_load().limit
+    for frozen_s in (7.1, 20.0):
+        asyncio.get_running_loop().advance(frozen_s)
+        await asyncio.sleep(0.05)
+        assert (await bench.call(f"a{frozen_s}")).outcome == "answered"
+        bench.announce()
+        assert bench.gate.get_load().limit >= limit > 1
+
+
 @paused
 async def test_announcement_of_other_server_is_refused(bench):
     assert isinstance(bench.announce(server="s2"), AnnounceRefused)
