Show by a test that a leader removes no voters after a standstill

A leader that stood still for longer than voters may be silent must not take its own silence for theirs. It doesn't: it steps down before it hears from a majority again, and without one no removal is planned.

--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -5,12 +5,13 @@
 
 import msgspec
 import pytest
-from tests.quorum_cluster import Cluster
+from tests.quorum_cluster import SETTINGS, Cluster
 
 from sapphireway_coordination import (
     Committed,
     Current,
     DiskFailureSeen,
+    MembersProposed,
     NotLeader,
     ReadResult,
     Role,
@@ -590,6 +591,24 @@
     run_paused(run())
 
 
+@pytest.mark.parametrize("frozen_s", [2.5, 4.0, 30.0])
+@pytest.mark.parametrize("size", [4, 6])
+def test_leader_removes_no_voters_after_a_standstill(size, frozen_s):
+    """They could not answer as this host itself stood still."""
+
+    async def run():
+        settings = msgspec.structs.replace(SETTINGS, silent_voter_timeout_s=2.0)
+        cluster = await start_cluster(size, settings=settings)
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            asyncio.get_running_loop().advance(frozen_s)
+            await asyncio.sleep(4.0)
+        assert not [e for _, e in cluster.events if type(e) is MembersProposed]
+        assert len(cluster.status(cluster.leader()).voters) == size
+
+    run_paused(run())
+
+
 @pytest.mark.parametrize("removed_count", [1, 2])
 def test_change_that_waited_does_not_undo_the_one_before(removed_count):
     """An accepted addition or removal was lost, or the leader stopped itself."""
