Show by tests that rate limits save up one burst in a standstill

Cold servers and servers with a limit of their own must not get, from a node that wakes, what it did not send while it stood still. The buckets hold 0.15 s of the rate, or one request.

--- a/packages/sapphireway-coordination/tests/test_cold_rate.py
+++ b/packages/sapphireway-coordination/tests/test_cold_rate.py
@@ -27,6 +27,18 @@
     assert len(starts) >= per_s * 3.0 - 2
 
 
+@pytest.mark.parametrize("per_s", [1.0, 17.0, 100.0])
+def test_standstill_saves_up_one_burst_at_most(per_s):
+    """A node that wakes must not make up for what a cold server did not get."""
+    rate = ColdRate()
+    rate.start(per_s, 60.0, 0.0)
+    starts = 0
+    while rate.has_room(30.0):
+        rate.take(30.0)
+        starts += 1
+    assert 1 <= starts <= max(1.0, per_s * 0.15)
+
+
 def test_repeated_start_while_cold_adds_no_tokens():
     rate = ColdRate()
     rate.start(2.0, 3.0, 0.0)
--- a/packages/sapphireway-coordination/tests/test_server_limit.py
+++ b/packages/sapphireway-coordination/tests/test_server_limit.py
@@ -75,6 +75,17 @@
     assert limit.get_wait_s(now_s, 3) == pytest.approx(4.0 / rate)
 
 
+@pytest.mark.parametrize("per_s", [0.2, 5.0, 100.0])
+def test_standstill_saves_up_one_burst_at_most(limit, per_s):
+    """A node that wakes must not exceed the limit by what it did not use meanwhile."""
+    limit.update(SelfReport(requests_per_s=per_s), ANSWER, 0.0, 0.0)
+    starts = 0
+    while not limit.get_wait_s(30.0):
+        limit.take(30.0)
+        starts += 1
+    assert 1 <= starts <= max(1.0, per_s * 0.15)
+
+
 def test_lifted_limit_bounds_nothing(limit):
     limit.update(SelfReport(requests_per_s=1.0), ANSWER, 0.0, 0.0)
     assert limit.get_wait_s(0.0) == pytest.approx(1.0)
