--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -5,12 +5,13 @@
 
 import msgspec
 import pytest
-from tests.quorum_cluster import Cluster
+from tests.quorum_cluster import SETTINGS, Cluster
 
 from sapphireway_coordination import (
     Committed,
     Current,
     DiskFailureSeen,
+    MembersProposed,
     NotLeader,
     ReadResult,
     Role,
@@ -778,3 +779,43 @@
         cluster.check()
 
     run_paused(run())
+
+
+@pytest.mark.parametrize("frozen_s", [2.5, 4.0, 30.0])
+@pytest.mark.parametrize("size", [4, 6])
+def test_leader_removes_no_voters_after_a_standstill(size, frozen_s):
+    """They could not answer as this host itself stood still."""
+
+    async def run():
+        settings = msgspec.structs.replace(SETTINGS, silent_voter_timeout_s=2.0)
+        cluster = await start_cluster(size, settings=settings)
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            asyncio.get_running_loop().advance(frozen_s)
+            await asyncio.sleep(4.0)
+        assert not [e for _, e in cluster.events if type(e) is MembersProposed]
+        assert len(cluster.status(cluster.leader()).voters) == size
+
+    run_paused(run())
+
+
+@pytest.mark.parametrize("removed_count", [1, 2])
+def test_change_that_waited_does_not_undo_the_one_before(removed_count):
+    """An accepted addition or removal was lost, or the leader stopped itself."""
+
+    async def run():
+        cluster = await start_cluster(5)
+        leader = cluster.leader()
+        quorum = cluster.hosts[leader].quorum
+        followers = [a for a in cluster.addresses if a != leader]
+        removals = [
+            quorum.change_members(remove=[a]) for a in followers[:removed_count]
+        ]
+        outcomes = await asyncio.gather(quorum.change_members(add=["c9"]), *removals)
+        assert all(isinstance(outcome, Committed) for outcome in outcomes)
+        status = cluster.status(leader)
+        voters = {member.address for member in status.voters}
+        assert voters == {leader, *followers[removed_count:]}
+        assert [member.address for member in status.learners] == ["c9"]
+
+    run_paused(run())
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -115,6 +115,7 @@
             self._metrics,
             log,
             self._list_spans,
+            self._standstill_watch,
         )
         register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
@@ -379,6 +380,7 @@
             observe,
             self._log,
             shared.control_hosts,
+            self._standstill_watch,
         )
 
     async def _discover_local_server(self):
--- a/packages/sapphireway/src/sapphireway/_rollout_api.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_api.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from sapphireway._operator import OperatorHandler
+from sapphireway._operator import OrderHandler
 from sapphireway._operator_backend import OperatorBackend, Unavailable
 from sapphireway._rollout_orders import RolloutOrders
+from sapphireway._standstills import StandstillWatch
 from sapphireway_state import (
     RolloutConflict,
     RolloutOrdered,
@@ -14,22 +15,24 @@
 )
 
 
-def make_rollout_routes(backend: OperatorBackend, orders: RolloutOrders) -> list:
+def make_rollout_routes(
+    backend: OperatorBackend, orders: RolloutOrders, watch: StandstillWatch
+) -> list:
     """Return the routes to add to the application of the admin address."""
-    arguments = {"backend": backend, "orders": orders}
+    arguments = {"backend": backend, "orders": orders, "watch": watch}
     return [
         ("/v1/rollouts", RolloutsHandler, arguments),
         ("/v1/rollouts/([^/]+)", RolloutHandler, arguments),
     ]
 
 
-class _OrderHandler(OperatorHandler):
-    def initialize(self, backend, orders):
-        super().initialize(backend)
+class _RolloutOrderHandler(OrderHandler):
+    def initialize(self, backend, orders, watch):
+        super().initialize(backend, watch)
         self.orders = orders
 
 
-class RolloutsHandler(_OrderHandler):
+class RolloutsHandler(_RolloutOrderHandler):
     """Orders rollouts."""
 
     async def post(self):
@@ -40,7 +43,10 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             self.fail(400, "bad_request", str(error))
         result = await self.orders.start(
-            request.service, request.version, request.duration_ms
+            request.service,
+            request.version,
+            request.duration_ms,
+            self.sender.find_staleness,
         )
         self.backend.log_event(
             "rollout_ordered",
@@ -63,7 +69,7 @@
         self.reply(RolloutOrdered(request.service, request.version, result.order))
 
 
-class RolloutHandler(_OrderHandler):
+class RolloutHandler(_RolloutOrderHandler):
     """Returns the last rollout of a service."""
 
     async def get(self, service: str):
--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -18,7 +18,12 @@
     Directory,
     Membership,
 )
-from sapphireway_protocol import ControlHostState, NodeEntry, QuorumMember
+from sapphireway_protocol import (
+    ChangeMembers,
+    ControlHostState,
+    NodeEntry,
+    QuorumMember,
+)
 from sapphireway_state import ControlHostsChange
 from sapphireway_transport.memory import run_paused
 
@@ -70,7 +75,10 @@
 
     async def change(self, *, add=(), remove=(), force=False):
         change = ControlHostsChange("an", list(add), list(remove), "", force)
-        return await self.hosts.change(change)
+        return await self.hosts.change(change, self.find_staleness)
+
+    async def find_staleness(self):
+        return None
 
     async def wait_for(self, address, member):
         async with asyncio.timeout(30.0):
@@ -160,6 +168,39 @@
     assert members == {"c0": "none", "c1": "voter", "c2": "voter", "c3": "voter"}
 
 
+@run_on_cluster(4)
+async def test_change_held_by_a_frozen_host_is_not_made_when_it_wakes(env):
+    """A control host was removed though it had been added again since."""
+    cluster = env.cluster
+    await asyncio.sleep(1.0)
+    frozen, moved = [a for a in cluster.addresses if a != cluster.leader()][:2]
+    replica = cluster.hosts[frozen].quorum._replica
+    leader = replica.leader
+    cluster.network.freeze(frozen)
+    await asyncio.sleep(0.5)  # the leader's next message waits before the change
+    held = ChangeMembers(1.0, [], [moved])
+    assert await env.hosts._control_client._peers.request(frozen, held, 1.0) is None
+    await env.change(remove=[moved])
+    await env.change(add=[moved])
+    await env.wait_for(moved, "voter")
+    cluster.standstills_s[frozen] = 4.0
+    replica.leader = leader  # only the network is frozen here
+    cluster.network.thaw(frozen)
+    await asyncio.sleep(2.0)
+    assert (await env.list_members())[moved] == "voter"
+
+
+@run_on_cluster(4)
+async def test_change_is_not_made_once_its_sender_has_left(env):
+    async def find_staleness():
+        return "the sender has left"
+
+    change = ControlHostsChange("an", [], ["c0"], "", False)
+    result = await env.hosts.change(change, find_staleness)
+    assert result == Unavailable("the sender has left")
+    assert (await env.list_members())["c0"] == "voter"
+
+
 def test_latest_term_takes_precedence_over_isolated_leader():
     def make_host_state(term, member):
         members = [QuorumMember(member, "d", True)]
