Close a connection once its last answer is sent

Cause: a listener that closes looked once for idle connections. One that was still sending an answer, on a connection that may be kept, then held up the stop for all of its time.

Ruled out: to close at once what is sending; half of a long answer would be in the process when it ends, which a test now guards against.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -116,11 +116,15 @@
         """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + linger_s
-        for connection in list(self._state.connections):
-            if connection.is_idle:
-                connection.close()
+        self._close_idle()
         while self._state.connections and (now_s := loop.time()) < end_s:
             await asyncio.sleep(min(FINISH_CHECK_INTERVAL_S, end_s - now_s))
+            self._close_idle()
         for connection in list(self._state.connections):
             connection.close()
         await asyncio.sleep(0)
+
+    def _close_idle(self):
+        for connection in list(self._state.connections):
+            if connection.is_idle:
+                connection.close()
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -25,12 +25,12 @@
     return HttpAnswer(200, (("X-Kept", "1"),), body)
 
 
-def make_listener(handle=echo):
+def make_listener(handle=echo, idle_timeout_s=IDLE_TIMEOUT_S):
     return HttpListener(
         handle,
         lambda request: BODY_MAX_BYTES,
         lambda rejected: HttpAnswer(rejected.status, (), rejected.detail.encode()),
-        lambda: HttpLimits(HEADER_MAX_BYTES, HEADER_TIMEOUT_S, IDLE_TIMEOUT_S),
+        lambda: HttpLimits(HEADER_MAX_BYTES, HEADER_TIMEOUT_S, idle_timeout_s),
     )
 
 
@@ -381,3 +381,34 @@
 
     answer = asyncio.run(run())
     assert answer.index(b"first") < answer.index(b"400"), answer
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_close_waits_until_a_long_answer_is_sent(port, closing):
+    """Half of the answer was in the process when it ended."""
+    size = 20_000_000
+
+    async def run():
+        async def answer_long(request):
+            return HttpAnswer(200, (), b"a" * size)
+
+        listener = make_listener(answer_long, idle_timeout_s=10.0)
+        await listener.listen("127.0.0.1", port)
+        listener.closing = closing
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        pending = listener.count_pending()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        finishing = asyncio.create_task(listener.close(5.0))
+        await asyncio.sleep(0.2)
+        waited = not finishing.done()
+        body = await reader.readexactly(size)
+        await finishing
+        writer.close()
+        return pending.unsent, waited, len(body), loop.time() - started_s
+
+    unsent, waited, length, elapsed_s = asyncio.run(run())
+    assert unsent and waited and length == size
+    assert elapsed_s < 2.0
