--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -1,6 +1,6 @@
 """Planned stops of a real node on the platform: every request that is read is answered.
 
-The process is killed `GRACE_S` after its signal, as the platform does.
+The process is killed the grace period after its signal, as the platform does.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 from tests.platform_adapter.test_settings import CONTROL, NODE
 
 GRACE_S = 2.0
+LONG_GRACE_S = 6.0
 TIMEOUT_S = 0.4
 LONG_TIMEOUT_S = 5.0  # of a route whose requests may outlast the grace period
 INTERVAL_S = 0.02
@@ -93,9 +94,10 @@
         self.server.RequestHandlerClass.runs = self.runs
         self.results = {}
         self.durations_s = {}
+        self.grace_s = GRACE_S
 
     def start_all(self):
-        bounds = NODE["bounds"] | {"grace_period": f"{GRACE_S:.0f}s"}
+        bounds = NODE["bounds"] | {"grace_period": f"{self.grace_s:.0f}s"}
         common = {"seed_nodes": [self.operator], "bounds": bounds}
         control = {
             "ip_address": self.control_host,
@@ -154,7 +156,7 @@
         process = self.processes[name]
         self.timeline.record("signal", process=name, signal="SIGTERM")
         process.send_signal(signal.SIGTERM)
-        end_s = time.monotonic() + GRACE_S
+        end_s = time.monotonic() + self.grace_s
         while process.poll() is None and time.monotonic() < end_s:
             await asyncio.sleep(0.005)
         killed = process.poll() is None
@@ -220,6 +222,7 @@
 @pytest.fixture
 def system(tmp_path, request):
     system = StoppedSystem(tmp_path)
+    system.grace_s = getattr(request, "param", GRACE_S)
     failed = request.session.testsfailed
     try:
         system.start_all()
@@ -336,19 +339,30 @@
     assert not outlasting, (outlasting, system.results)
 
 
-@pytest.mark.parametrize("stopped", ["entry", "beside"])
-@pytest.mark.parametrize("timeout_s", [TIMEOUT_S, LONG_TIMEOUT_S])
+@pytest.mark.parametrize(
+    ("system", "timeout_s", "stopped"),
+    [
+        (GRACE_S, TIMEOUT_S, "entry"),
+        (GRACE_S, TIMEOUT_S, "beside"),
+        (GRACE_S, LONG_TIMEOUT_S, "entry"),
+        (GRACE_S, LONG_TIMEOUT_S, "beside"),
+        (LONG_GRACE_S, TIMEOUT_S, "entry"),
+        (LONG_GRACE_S, LONG_TIMEOUT_S, "entry"),
+    ],
+    indirect=["system"],
+)
+@pytest.mark.parametrize("kept", [False, True])
 def test_requests_at_every_moment_of_a_stop_are_answered_or_refused(
-    system, timeout_s, stopped
+    system, timeout_s, stopped, kept
 ):
     kinds = ("idempotent", "non_idempotent")
     system.serve({kind: timeout_s for kind in kinds})
 
-    async def send_all(stopping, kept):
+    async def send_all(stopping, connections):
         tasks, number = [], 0
         while not stopping.done():
             kind, work_s = kinds[number % 2], (0.01, 0.1, 0.3)[number % 3]
-            connection = kept.pop() if kept and number % 20 == 19 else None
+            connection = connections.pop() if connections else None
             request = system.request(f"q{number}", f"/{kind}/{work_s}", 0.0, connection)
             tasks.append(asyncio.create_task(request))
             number += 1
@@ -357,11 +371,12 @@
 
     async def run():
         address = system.entry.split(":")
-        kept = [await asyncio.open_connection(*address) for _ in range(4)]
+        count = int(system.grace_s / INTERVAL_S) if kept else 0
+        connections = [await asyncio.open_connection(*address) for _ in range(count)]
         stopping = asyncio.create_task(system.stop_node(stopped))
-        await send_all(stopping, kept)
+        await send_all(stopping, connections)
         return await stopping
 
     assert not asyncio.run(run())
     assert not system.list_faults()
-    assert timeout_s > GRACE_S or 200 in system.results.values()
+    assert timeout_s > system.grace_s or 200 in system.results.values()
