Leave time for the last answers of a stop that was frozen

Callers saw: nothing was reported; found by looking for times that are decided at the signal and used later.

Cause: the time for the last answers ended at a fixed moment. If a freeze went on beyond it, connections were closed in the same turn of the loop in which the answers were written; with a caller that still sent, the connection was reset.

Change: the time counts from the deadline or the moment at which the process runs again, the later one. The kill may still come first.

Ruled out: calls at work, which were answered in that turn (the test's other case, green before).

--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -229,8 +229,9 @@
         self._data_path.listener.stop_accepting()
         drained = await draining
         drained = await self._finish_requests(deadline_s) and drained
-        # What is left ends now, and callers can read the answers.
-        close_s = deadline_s + ANSWER_TIME_S
+        # What is left ends now, and callers can read the answers, also if the deadline
+        # passed while the process was frozen.
+        close_s = max(deadline_s, loop.time()) + ANSWER_TIME_S
         await self._finish_requests(min(close_s, loop.time() + END_WAIT_S))
         ended = self._data_path.callers.end_calls()
         cut_attempts = self.gate.count_attempts()
--- a/packages/sapphireway/tests/test_node.py
+++ b/packages/sapphireway/tests/test_node.py
@@ -132,6 +132,42 @@
     assert asyncio.run(run()) < 2.0
 
 
+@pytest.mark.parametrize("body_bytes", [0, 1000], ids=["at_work", "upload"])
+def test_request_is_answered_by_a_stop_whose_end_is_over(settings, body_bytes):
+    """After a freeze until then, the answer had no time to reach its caller."""
+    settings = msgspec.structs.replace(settings, stop_grace_ms=1000)
+    tree = {
+        "services": {
+            "s": {"match": {"path_prefixes": ["/"]}, "kinds": {"k": {"match": {}}}}
+        }
+    }
+
+    async def run():
+        node = Node(settings, EventLog())
+        await node.start()
+        apply_tree(node, tree)
+        reader, writer = await asyncio.open_connection(
+            *settings.http_address.split(":")
+        )
+        head = f"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: {body_bytes}\r\n\r\n"
+        writer.write(head.encode())
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.create_task(node.stop(loop.time() - 3.0))
+        for _ in range(10 if body_bytes else 0):
+            await asyncio.sleep(0.01)
+            writer.write(b"a")
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+            await stopping
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 50")
+
+
 def test_wait_for_the_handover_of_claims_ends_before_the_kill(settings, monkeypatch):
     """The last message to other nodes was not sent when no successor was found."""
     settings = msgspec.structs.replace(settings, stop_grace_ms=1000)
