Try no save of the settings again once its channel is closed

Cause: close ended a retry that was waiting, but a save in progress that failed afterwards set the next one.

test_save_that_fails_after_the_close_is_not_tried_again failed before and passes.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -70,6 +70,7 @@
     __slots__ = (
         "_answered_requests",
         "_apply_lock",
+        "_closed",
         "_disk",
         "_fetch_tasks",
         "_last_fetch_s",
@@ -115,6 +116,7 @@
         self._save_task = None
         self._state = state
         self._apply_lock = asyncio.Lock()
+        self._closed = False
         self._latest_state = None
         self._wall_clock = wall_clock
         self.in_force_since_s = 0.0
@@ -135,6 +137,7 @@
 
     def close(self) -> None:
         """Save nothing more; must be called before the disk is closed."""
+        self._closed = True
         self._cancel_retry()
 
     def observe(self, sender: str, envelope: Envelope) -> None:
@@ -277,6 +280,11 @@
             loop = asyncio.get_running_loop()
             self._save_task = loop.create_task(self._save_latest())
 
+    def _retry_later(self):
+        if not self._closed:
+            loop = asyncio.get_running_loop()
+            self._save_retry = loop.call_later(SAVE_RETRY_S, self._start_saving)
+
     def _cancel_retry(self):
         if self._save_retry is not None:
             self._save_retry.cancel()
@@ -293,8 +301,7 @@
                 if failed is not None:
                     # A start before the retry fetches the settings from peers.
                     self._on_save_failed(failed)
-                    loop = asyncio.get_running_loop()
-                    self._save_retry = loop.call_later(SAVE_RETRY_S, self._start_saving)
+                    self._retry_later()
                 saved = state
         finally:
             self._save_task = None
--- a/packages/sapphireway-coordination/tests/test_settings_channel.py
+++ b/packages/sapphireway-coordination/tests/test_settings_channel.py
@@ -386,6 +386,28 @@
     assert run_paused(run()) == (4, 4)
 
 
+class CountingDisk(MemoryDisk):
+    replaced = 0
+
+    async def replace(self, name, data):
+        self.replaced += 1
+        return await super().replace(name, data)
+
+
+def test_save_that_fails_after_the_close_is_not_tried_again(network, machine):
+    async def run():
+        disk = CountingDisk(sync_delay_s=1.0)
+        disk.sync_fails = True
+        node = Node(network, "n0", disk)
+        set_deadline(machine, 3, 300)
+        await node.sync_from(machine)  # waits for half a second
+        node.channel.close()
+        await asyncio.sleep(10.0)
+        return disk.replaced
+
+    assert run_paused(run()) == 1
+
+
 def test_silent_peer_does_not_block_fetch_from_others(network, machine):
     async def run():
         node = Node(network, "node")
