--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -10,7 +10,7 @@
 from sapphireway._operator import make_operator_application
 from sapphireway._rollout_api import make_rollout_routes
 from sapphireway._rollout_orders import RolloutOrders
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway.memory import MemoryControlClient, MemoryOperatorBackend
 
 TOKEN = "0123456789abcdef-token"
@@ -19,7 +19,7 @@
 async def serve(state, ready, running):
     """Serve until `running.stop` is set."""
     backend = state.make_backend()
-    running.watch = StandstillWatch(lambda: (state.time_s, state.time_s))
+    running.watch = StallWatch(lambda: (state.time_s, state.time_s))
     application = make_operator_application(backend, running.watch)
     orders = RolloutOrders(running.control, lambda: 50.0)
     application.add_handlers(".*", make_rollout_routes(backend, orders, running.watch))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -25,7 +25,7 @@
 
 RENEW_S = 2.0
 LEASE_S = 7.0
-# The node may have stood still when the lease ran out; within this time it reads the
+# The node may have stalled when the lease ran out; within this time it reads the
 # announcements that arrived meanwhile.
 LEASE_GRACE_S = 0.5
 SLOWNESS_TOLERANCE = 0.25  # smaller changes would not redirect any request
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -317,7 +317,7 @@
         delay_s = self._compute_read_delay()
         if delay_s >= message.timeout_s:
             return Unavailable(
-                f"this host stood still; the change may be {delay_s:.1f} s old"
+                f"this host stalled; the change may be {delay_s:.1f} s old"
             )
         return await self.change_members(message.add, message.remove)
 
--- a/packages/sapphireway-coordination/tests/test_cold_rate.py
+++ b/packages/sapphireway-coordination/tests/test_cold_rate.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("per_s", [1.0, 17.0, 100.0])
-def test_standstill_saves_up_one_burst_at_most(per_s):
+def test_stall_saves_up_one_burst_at_most(per_s):
     """A node that wakes must not make up for what a cold server did not get."""
     rate = ColdRate()
     rate.start(per_s, 60.0, 0.0)
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -298,7 +298,7 @@
 
 
 @paused
-async def test_standstill_of_the_node_does_not_end_its_servers_lease(bench):
+async def test_stall_of_the_node_does_not_end_its_servers_lease(bench):
     """Heartbeats that waited in the socket were read after the lease had been ended."""
     await bench.warm()
     limit = bench.gate.get_load().limit
--- a/packages/sapphireway-coordination/tests/test_membership.py
+++ b/packages/sapphireway-coordination/tests/test_membership.py
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize("frozen_s", [1.6, 4.0, 30.0])
-def test_standstill_of_directories_removes_no_members(frozen_s):
+def test_stall_of_directories_removes_no_members(frozen_s):
     """Renewals that arrived meanwhile were read after the leases had been ended."""
 
     async def run():
--- a/packages/sapphireway-coordination/tests/test_quorum.py
+++ b/packages/sapphireway-coordination/tests/test_quorum.py
@@ -783,8 +783,8 @@
 
 @pytest.mark.parametrize("frozen_s", [2.5, 4.0, 30.0])
 @pytest.mark.parametrize("size", [4, 6])
-def test_leader_removes_no_voters_after_a_standstill(size, frozen_s):
-    """They could not answer as this host itself stood still."""
+def test_leader_removes_no_voters_after_a_stall(size, frozen_s):
+    """They could not answer as this host itself stalled."""
 
     async def run():
         settings = msgspec.structs.replace(SETTINGS, silent_voter_timeout_s=2.0)
--- a/packages/sapphireway-coordination/tests/test_server_limit.py
+++ b/packages/sapphireway-coordination/tests/test_server_limit.py
@@ -76,7 +76,7 @@
 
 
 @pytest.mark.parametrize("per_s", [0.2, 5.0, 100.0])
-def test_standstill_saves_up_one_burst_at_most(limit, per_s):
+def test_stall_saves_up_one_burst_at_most(limit, per_s):
     """A node that wakes must not exceed the limit by what it did not use meanwhile."""
     limit.update(SelfReport(requests_per_s=per_s), ANSWER, 0.0, 0.0)
     starts = 0
--- a/packages/sapphireway/src/sapphireway/_admin.py
+++ b/packages/sapphireway/src/sapphireway/_admin.py
@@ -18,7 +18,7 @@
 from sapphireway._rollout_api import make_rollout_routes
 from sapphireway._server_api import make_server_routes
 from sapphireway._shared_state import SharedState
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway_coordination import Gate
 from sapphireway_state import ProcessSettings
 
@@ -33,7 +33,7 @@
     metrics: Metrics,
     log: EventLog,
     list_spans: Callable[[str | None, int], list[dict[str, Any]]],
-    watch: StandstillWatch,
+    watch: StallWatch,
 ) -> tornado.httpserver.HTTPServer:
     """Return the server of the admin address, which does not listen yet.
 
@@ -47,7 +47,7 @@
     log : EventLog
     list_spans : callable
         Returns the spans of a trace, or of all if it is None, up to a limit.
-    watch : StandstillWatch
+    watch : StallWatch
     """
     operations = Operations(
         shared.peers, shared.control_client, settings.control_hosts, shared.applied
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -11,7 +11,7 @@
 from sapphireway._control_hosts import make_control_host_state
 from sapphireway._journal_folder import make_journal_disk, make_journal_limits
 from sapphireway._logs import EventLog
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway_coordination import (
     GROUP_PREFIX,
     ROLLOUT_PREFIX,
@@ -83,7 +83,7 @@
     log : EventLog
     hosts : ControlHostList
         Updated whenever the quorum's members change.
-    watch : StandstillWatch
+    watch : StallWatch
     """
 
     __slots__ = (
@@ -114,7 +114,7 @@
         observe: Callable[[Any], None],
         log: EventLog,
         hosts: ControlHostList,
-        watch: StandstillWatch,
+        watch: StallWatch,
     ):
         self._hosts = hosts
         self._peers = peers
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -19,7 +19,7 @@
 from sapphireway._publisher import Publisher
 from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._shared_state import build_shared_state
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway_coordination import (
     ANSWER_TIME_S,
     DEPARTURE_SPREAD_S,
@@ -67,7 +67,7 @@
         "_settings_callbacks",
         "_shared",
         "_spans",
-        "_standstill_watch",
+        "_stall_watch",
         "_stopping",
         "_tasks",
         "_tracer",
@@ -86,7 +86,7 @@
         self._metrics = Metrics()
         decisions = DecisionLog()
         observe = make_observe(decisions, self._metrics, log)
-        self._standstill_watch = StandstillWatch(read_instant, observe)
+        self._stall_watch = StallWatch(read_instant, observe)
         self._spans = collections.deque(maxlen=SPANS_MAX)
         self._tracer = self._build_tracer(rng)
         self._shared = build_shared_state(
@@ -115,7 +115,7 @@
             self._metrics,
             log,
             self._list_spans,
-            self._standstill_watch,
+            self._stall_watch,
         )
         register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
@@ -130,7 +130,7 @@
         shared = self._shared
         await shared.channel.load()
         shared.peers.start()
-        self._spawn(self._standstill_watch.run())
+        self._spawn(self._stall_watch.run())
         self._spawn(shared.membership.run())
         self._spawn(shared.registration.run(shared.membership, self._on_server_changed))
         if self._control is not None:
@@ -172,9 +172,9 @@
         return self._shared.rollout_orders
 
     @property
-    def standstill_watch(self) -> StandstillWatch:
+    def stall_watch(self) -> StallWatch:
         """Measures how old requests can be that this process has just read."""
-        return self._standstill_watch
+        return self._stall_watch
 
     def add_settings_callback(self, callback: Callable[[], None]) -> None:
         """Call `callback` without arguments whenever new settings come into force."""
@@ -189,8 +189,8 @@
 
         A frozen process handles it only after the freeze.
         """
-        earliest = self._standstill_watch.find_earliest_arrival()
-        age_s = self._standstill_watch.compute_age(earliest)
+        earliest = self._stall_watch.find_earliest_arrival()
+        age_s = self._stall_watch.compute_age(earliest)
         return asyncio.get_running_loop().time() - age_s
 
     async def stop(self, signalled_s: float | None = None) -> bool:
@@ -381,7 +381,7 @@
             observe,
             self._log,
             shared.control_hosts,
-            self._standstill_watch,
+            self._stall_watch,
         )
 
     async def _discover_local_server(self):
--- a/packages/sapphireway/src/sapphireway/_observations.py
+++ b/packages/sapphireway/src/sapphireway/_observations.py
@@ -7,7 +7,7 @@
 from sapphireway._identity import CallUnadmitted, KeyRefused
 from sapphireway._logs import EventLog
 from sapphireway._metrics import Metrics
-from sapphireway._standstills import StoodStill
+from sapphireway._stalls import ProcessStalled
 from sapphireway_coordination import (
     AttemptRefused,
     AttemptServed,
@@ -50,7 +50,7 @@
     RolloutHeld,
     ServerLeft,
     ServerLimited,
-    StoodStill,
+    ProcessStalled,
     SuspectMarked,
     TokenOwnerChanged,
 )
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -12,7 +12,7 @@
     Unavailable,
 )
 from sapphireway._senders import Sender
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway_state import (
     Accepted,
     Conflict,
@@ -56,7 +56,7 @@
 
 
 def make_operator_application(
-    backend: OperatorBackend, watch: StandstillWatch
+    backend: OperatorBackend, watch: StallWatch
 ) -> Application:
     """Return the web application of the admin address.
 
--- a/packages/sapphireway/src/sapphireway/_rollout_api.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_api.py
@@ -5,7 +5,7 @@
 from sapphireway._operator import OrderHandler
 from sapphireway._operator_backend import OperatorBackend, Unavailable
 from sapphireway._rollout_orders import RolloutOrders
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 from sapphireway_state import (
     RolloutConflict,
     RolloutOrdered,
@@ -16,7 +16,7 @@
 
 
 def make_rollout_routes(
-    backend: OperatorBackend, orders: RolloutOrders, watch: StandstillWatch
+    backend: OperatorBackend, orders: RolloutOrders, watch: StallWatch
 ) -> list:
     """Return the routes to add to the application of the admin address."""
     arguments = {"backend": backend, "orders": orders, "watch": watch}
--- a/packages/sapphireway/src/sapphireway/_senders.py
+++ b/packages/sapphireway/src/sapphireway/_senders.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 
 
 class Sender:
@@ -16,7 +16,7 @@
     ----------
     request : HTTPServerRequest
         The order; create the sender as soon as its head was read.
-    watch : StandstillWatch
+    watch : StallWatch
     wait_max_s : float
         Age of an order at which its sender counts as gone.
     """
@@ -24,7 +24,7 @@
     __slots__ = ("_arrived", "_request", "_wait_max_s", "_watch")
 
     def __init__(
-        self, request: HTTPServerRequest, watch: StandstillWatch, wait_max_s: float
+        self, request: HTTPServerRequest, watch: StallWatch, wait_max_s: float
     ):
         self._arrived = watch.find_earliest_arrival()
         self._request = request
@@ -37,7 +37,7 @@
         return stream is not None and not stream.closed()
 
     def compute_age(self) -> float:
-        """Return the age in seconds that the order may have, with any standstill."""
+        """Return the age in seconds that the order may have, with any stall."""
         return self._watch.compute_age(self._arrived)
 
     async def find_staleness(self) -> str | None:
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -9,7 +9,7 @@
 from sapphireway._publisher import EditRefused, Publisher
 from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._senders import Sender
-from sapphireway._standstills import StandstillWatch
+from sapphireway._stalls import StallWatch
 
 __all__ = [
     "CallerDialect",
@@ -20,7 +20,7 @@
     "Publisher",
     "RolloutOrders",
     "Sender",
-    "StandstillWatch",
+    "StallWatch",
     "Unavailable",
     "configure_logs",
     "filter_headers",
--- a/packages/sapphireway/tests/test_control_hosts.py
+++ b/packages/sapphireway/tests/test_control_hosts.py
@@ -183,7 +183,7 @@
     await env.change(remove=[moved])
     await env.change(add=[moved])
     await env.wait_for(moved, "voter")
-    cluster.standstills_s[frozen] = 4.0
+    cluster.stalls_s[frozen] = 4.0
     replica.leader = leader  # only the network is frozen here
     cluster.network.thaw(frozen)
     await asyncio.sleep(2.0)
--- a/packages/sapphireway/tests/test_operator.py
+++ b/packages/sapphireway/tests/test_operator.py
@@ -170,7 +170,7 @@
 
 
 @pytest.mark.parametrize("path", ["/v1/control-hosts", "/v1/rollouts"])
-def test_order_read_right_after_a_long_standstill_is_not_carried_out(
+def test_order_read_right_after_a_long_stall_is_not_carried_out(
     ask, operator_node, path
 ):
     """Its sender has gone on, and later orders may have overtaken it."""
--- a/packages/sapphireway/tests/test_standstills.py
+++ b/packages/sapphireway/tests/test_stalls.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from sapphireway._standstills import (
+from sapphireway._stalls import (
     CATCH_UP_S,
-    STANDSTILL_MIN_S,
-    StandstillWatch,
-    StoodStill,
+    STALL_MIN_S,
+    ProcessStalled,
+    StallWatch,
 )
 from sapphireway_transport.memory import run_paused
 
@@ -29,11 +29,11 @@
 
 
 def run_watch(duration_s, suspended, wait_s):
-    """Stand still, then wait; return the age of what is read then, and the events."""
+    """Stall, then wait; return the age of what is read then, and the events."""
 
     async def main():
         clocks, events = Clocks(), []
-        watch = StandstillWatch(clocks.read_instant, events.append)
+        watch = StallWatch(clocks.read_instant, events.append)
         task = asyncio.create_task(watch.run())
         await asyncio.sleep(3.0)
         clocks.stand_still(duration_s, suspended)
@@ -46,11 +46,11 @@
 
 
 @pytest.mark.parametrize("suspended", [False, True])
-def test_what_is_read_after_a_standstill_can_be_as_old_as_it(suspended):
+def test_what_is_read_after_a_stall_can_be_as_old_as_it(suspended):
     age_s, events = run_watch(4.0, suspended, 0.0)
-    assert 4.0 <= age_s < 4.0 + STANDSTILL_MIN_S
-    ((standstill_s, suspended_s),) = [(e.standstill_s, e.suspended_s) for e in events]
-    assert 4.0 <= standstill_s < 4.0 + STANDSTILL_MIN_S
+    assert 4.0 <= age_s < 4.0 + STALL_MIN_S
+    ((stall_s, suspended_s),) = [(e.stall_s, e.suspended_s) for e in events]
+    assert 4.0 <= stall_s < 4.0 + STALL_MIN_S
     assert suspended_s == pytest.approx(4.0 if suspended else 0.0)
 
 
@@ -58,8 +58,8 @@
 def test_age_counts_anew_once_the_process_has_caught_up(suspended):
     age_s, events = run_watch(4.0, suspended, CATCH_UP_S + 0.1)
     assert age_s == 0.0
-    assert [type(event) for event in events] == [StoodStill]
+    assert [type(event) for event in events] == [ProcessStalled]
 
 
-def test_late_turn_of_the_loop_is_no_standstill():
-    assert run_watch(STANDSTILL_MIN_S / 2, False, 0.0) == (0.0, [])
+def test_late_turn_of_the_loop_is_no_stall():
+    assert run_watch(STALL_MIN_S / 2, False, 0.0) == (0.0, [])
--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -10,7 +10,7 @@
 from sapphireway.hosting import (
     EditRefused,
     Publisher,
-    StandstillWatch,
+    StallWatch,
     Unavailable,
 )
 from sapphireway.memory import MemoryControlClient
@@ -36,7 +36,7 @@
         self.out_result = None
         self.published, self.out = [], []
         self.now_s = 0.0
-        self.standstill_watch = StandstillWatch(lambda: (self.now_s, self.now_s))
+        self.stall_watch = StallWatch(lambda: (self.now_s, self.now_s))
 
     async def publish(self, publish):
         self.published.append(publish)
@@ -241,7 +241,7 @@
 
 
 @pytest.mark.parametrize(("frozen_s", "status"), [(0.0, 200), (4.0, 503)])
-def test_order_read_right_after_a_standstill_is_not_carried_out(node, frozen_s, status):
+def test_order_read_right_after_a_stall_is_not_carried_out(node, frozen_s, status):
     node.now_s += frozen_s
     (answer,) = send(node, ("POST", "/Evacuation.Start/rincon", {}, ""))
     assert answer.code == status
--- a/tests/platform_adapter/test_rollouts.py
+++ b/tests/platform_adapter/test_rollouts.py
@@ -7,7 +7,7 @@
 import tornado.web
 
 from sapphireway._logs import EventLog
-from sapphireway.hosting import RolloutOrders, StandstillWatch
+from sapphireway.hosting import RolloutOrders, StallWatch
 from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import ROLLOUT_PREFIX
 from sapphireway_platform._main import _make_operator_routes
@@ -25,7 +25,7 @@
         self.control = MemoryControlClient(["ledger"])
         self.publisher = None
         self.now_s = 0.0
-        self.standstill_watch = StandstillWatch(lambda: (self.now_s, self.now_s))
+        self.stall_watch = StallWatch(lambda: (self.now_s, self.now_s))
         self.rollout_orders = RolloutOrders(self.control, lambda: 50.0)
 
     def end(self, state):
@@ -117,7 +117,7 @@
 
 
 @pytest.mark.parametrize(("frozen_s", "status"), [(0.0, 200), (4.0, 503)])
-def test_order_read_right_after_a_standstill_is_not_carried_out(node, frozen_s, status):
+def test_order_read_right_after_a_stall_is_not_carried_out(node, frozen_s, status):
     node.now_s += frozen_s
     ((answered, _),) = send(node, (START, ORDER))
     assert answered == status
--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -75,7 +75,7 @@
         self.applied_commands = {}
         self.leaders_by_term = {}
         self.crashed_quorums = []
-        self.standstills_s = {}
+        self.stalls_s = {}
         self.events = []
         self.client_count = 0
 
@@ -96,7 +96,7 @@
                 self.settings,
                 bootstrap,
                 partial(self.record_event, address),
-                partial(self.standstills_s.get, address, 0.0),
+                partial(self.stalls_s.get, address, 0.0),
             )
             host.quorum.serve_queries(host.machine.query)
             host.peers.start()
