Accept a status line inside a field behind the id of the answer

Callers got 502 for a request that ran: on a connection in use again, an answer with the right id and a field such as 'X-Upstream: HTTP/1.1 404 Not Found' ended as broken ("the head of another answer was cut before this one").

Cause: since any line of a head with a second status line inside is taken for the cut head of an earlier answer, joined to the next one.

Change: the check ends with the line that names this request, as the head of an earlier answer would have named another.

Ruled out: to decide at the end of the head, as only earlier lines count; to reject only possible refusals, as the joined head of an earlier 500 is no answer to this request either.

test_status_line_in_a_field_behind_the_id_is_no_second_head failed before. The cases of joined heads were rejected before and still are; without the exception for status lines, the case behind an interim answer fails.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -414,8 +414,12 @@
         self._in_head = True
 
     def _joins_heads(self, text):
-        """Tell whether a line begins in an earlier, cut head and ends in the next."""
-        if self._opened_fds:
+        """Tell whether a line may begin in an earlier, cut head and end in the next.
+
+        A head that has named this request before is not that of an earlier answer. An
+        id in a later line may be that of the second head.
+        """
+        if self._opened_fds or (self._in_head and self._echoed):
             return False
         return _STATUS_LINE.search(text, 0 if self._in_head else 1) is not None
 
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -581,6 +581,53 @@
     assert isinstance(await server.send(), Responded)
 
 
+def make_answer_with_lines(*lines):
+    head = "\r\n".join(("HTTP/1.1 200 OK", *lines, "Content-Length: 2"))
+    return head.encode() + b"\r\n\r\nok"
+
+
+UPSTREAM_FIELD = "X-Upstream: HTTP/1.1 404 Not Found"
+
+
+@run_against(
+    make_echoing_answer("1"), make_answer_with_lines("Attempt: 2", UPSTREAM_FIELD)
+)
+async def test_status_line_in_a_field_behind_the_id_is_no_second_head(server):
+    await server.send(echo=("Attempt", "1"))
+    proxied = await server.send(echo=("Attempt", "2"))
+    headers = (("Attempt", "2"), ("X-Upstream", "HTTP/1.1 404 Not Found"))
+    assert proxied == Responded(200, headers, b"ok")
+    assert server.connections == 1
+
+
+JOINED_HEADS = {
+    "id_after": make_answer_with_lines(UPSTREAM_FIELD, "Attempt: 2"),
+    "id_of_interim": INTERIM_ECHO
+    + make_answer_with_lines(UPSTREAM_FIELD, "Attempt: 2"),
+    "status_after_interim": INTERIM_ECHO
+    + b"HTTP/1.1 503 Fu"
+    + make_answer_with_lines("Attempt: 2"),
+    "cut_id": make_answer_with_lines("Attempt: HTTP/1.1 200 OK", "Attempt: 2"),
+    "other_id": make_answer_with_lines("Attempt: 1", UPSTREAM_FIELD, "Attempt: 2"),
+    "other_id_after": make_answer_with_lines(
+        "Attempt: 2", UPSTREAM_FIELD, "Attempt: 1"
+    ),
+}
+
+
+@pytest.mark.parametrize("head", JOINED_HEADS)
+def test_id_that_may_be_of_a_second_head_does_not_identify_the_first(head):
+    @run_against(make_echoing_answer("1"), JOINED_HEADS[head])
+    async def send(server):
+        await server.send(echo=("Attempt", "1"))
+        joined = await server.send(echo=("Attempt", "2"))
+        assert isinstance(joined, Broken), joined
+        after = await server.send(echo=("Attempt", "3"))
+        assert isinstance(after, Responded) and server.connections == 2
+
+    send()
+
+
 @run_against(ANSWER)
 async def test_request_is_sent_once_if_its_connection_is_not_known(server):
     await server.send("POST")
