Send requests to a host of which one address is silent

Callers got 502 for a request that was not sent: for a host name with two addresses, the first request of a connection ended as broken and disconnected, which counts as a crash of the server.

Cause: libcurl opens sockets to both addresses and closes the slower one before its pre-request callback, which looks for the socket of the connection among them. The closed descriptor raised "Bad file descriptor", and an exception in the callback aborts the request.

Change: a descriptor that is closed, no socket, or no internet socket is passed over. It may be in use again by then: the name of a nameless Unix socket raised an IndexError. A connection whose socket is not found counts as having input, as before.

Ruled out: to forget descriptors when libcurl closes them, as its close callback would have to close each socket from Python.

test_request_is_sent_if_another_address_of_its_host_is_silent (Broken in place of 200) and test_descriptor_that_was_used_again_is_not_taken_for_a_connection (IndexError) failed before.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -40,6 +40,7 @@
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 
+_INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -156,9 +157,17 @@
 
 
 def _get_local_port(fd):
-    view = socket.socket(fileno=fd)
+    """Return the port of a connection; None if its descriptor was closed since.
+
+    libcurl closes the sockets to the other addresses of a host before it sends, and
+    their descriptors may be in use again. An exception here would end the request.
+    """
+    try:
+        view = socket.socket(fileno=fd)
+    except OSError:  # closed, or no socket
+        return None
     try:
-        return view.getsockname()[1]
+        return view.getsockname()[1] if view.family in _INTERNET_FAMILIES else None
     finally:
         view.detach()
 
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -1,8 +1,10 @@
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 
+import pycurl
 import pytest
 
 from sapphireway_transport import (
@@ -12,6 +14,7 @@
     Responded,
     ServerRequest,
 )
+from sapphireway_transport._curl import _OpenSockets, _Transfer
 
 CRASH = b"crash"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -636,6 +639,55 @@
     assert server.connections == 2 and len(server.requests) == 2
 
 
+@contextlib.contextmanager
+def listen_silently(address):
+    """Let connections to an address wait, as its queue of them is full."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(address)
+        listener.listen(0)
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+        yield
+
+
+@run_against()
+async def test_request_is_sent_if_another_address_of_its_host_is_silent(server):
+    prepare = _Transfer.prepare
+
+    def resolve(transfer, *arguments):
+        prepare(transfer, *arguments)
+        addresses = f"two.test:{server.port}:127.0.0.2,127.0.0.1"
+        transfer.easy.setopt(pycurl.RESOLVE, [addresses])
+
+    request = ServerRequest(f"http://two.test:{server.port}/", "GET", (), b"", 2.0, 9)
+    with listen_silently(("127.0.0.2", server.port)), pytest.MonkeyPatch.context() as p:
+        p.setattr(_Transfer, "prepare", resolve)
+        for _ in range(2):
+            # libcurl closes the socket to the silent address before it sends.
+            assert await server.client.send(request) == Responded(200, (), b"ok")
+    assert server.connections == 1
+
+
+def test_descriptor_that_was_used_again_is_not_taken_for_a_connection():
+    connected, peer = socket.socketpair()
+    reader, writer = os.pipe()
+    with (
+        connected,
+        peer,
+        os.fdopen(reader),
+        os.fdopen(writer, "w"),
+        socket.socket() as s,
+    ):
+        s.bind(("127.0.0.1", 0))
+        port = s.getsockname()[1]
+        sockets = _OpenSockets()
+        sockets.add(port, [connected.fileno(), reader, s.fileno()])
+        assert sockets._fds == {port: s.fileno()}
+
+
 @run_against(b"", make_echoing_answer("1"))
 async def test_repeat_beside_its_request_waits_for_no_connection_of_it(server):
     server.client.set_connections_max(1)
