Send nothing from a closed client to a server

Callers of CurlServerClient.send got a pycurl.error, which its interface doesn't name, for a request that was made or repeated after close(). A repeat is made if the connection had unread input; close() in the same turn as the end of the first try came in between.

Cause: the handle was added to the closed multi handle.

Change: a closed client answers NotSent.

Ruled out: to catch the error of libcurl, as the transfer would be counted as active before.

test_request_is_not_sent_once_more_by_a_closed_client and test_request_to_a_closed_client_is_not_sent failed before.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -39,6 +39,7 @@
 SOCKETS_MAX = 1024  # more than any server accepts from one node
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
+CLOSED_DETAIL = "the client closed"
 
 _INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -506,6 +507,7 @@
     __slots__ = (
         "_active_transfers",
         "_fruitless_reads",
+        "_has_closed",
         "_idle_connection_max_s",
         "_idle_transfers",
         "_interests",
@@ -526,6 +528,7 @@
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
+        self._has_closed = False
         self._memory = _AnswerMemory(answers_max_bytes)
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
@@ -560,6 +563,8 @@
 
     async def _send(self, request, timeout_s, age_max_s):
         """Send a request; return None if its connection had input before."""
+        if self._has_closed:
+            return NotSent(CLOSED_DETAIL)
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
@@ -588,12 +593,13 @@
 
     def close(self) -> None:
         """Close all connections; requests that were sent end as `Broken`."""
+        self._has_closed = True
         for transfer in list(self._active_transfers.values()):
             future = transfer.future
             sent = transfer.send_count > 0
             self._detach(transfer)
             if not future.done():
-                future.set_result((Broken if sent else NotSent)("the client closed"))
+                future.set_result((Broken if sent else NotSent)(CLOSED_DETAIL))
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -541,6 +541,31 @@
 CUT_REFUSAL = b"HTTP/1.1 503 Full\r\nSapphireway-Not-Run: "
 
 
+@run_against()
+async def test_request_is_not_sent_once_more_by_a_closed_client(server):
+    finish = CurlServerClient._finish
+
+    def finish_and_close(client, easy, *arguments):
+        found_input = client._active_transfers[easy].found_input
+        finish(client, easy, *arguments)
+        if found_input:
+            client.close()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(CurlServerClient, "_finish", finish_and_close)
+        async with serve_by(answer_then_send(b"bytes")) as server.port:
+            await server.send("POST", echo=("Attempt", "1"))
+            await asyncio.sleep(0.1)
+            result = await server.send("POST", echo=("Attempt", "2"))
+    assert result == NotSent("the client closed")
+
+
+@run_against()
+async def test_request_to_a_closed_client_is_not_sent(server):
+    server.client.close()
+    assert await server.send() == NotSent("the client closed")
+
+
 @pytest.mark.parametrize(
     "extra",
     [b"bytes", b"\r\n", REFUSAL_OF_1, CUT_REFUSAL],
