Use the same clock as libcurl for the ages of connections

After a suspension of the host, a request could be sent on a connection that had carried the same id before, where a copy of the earlier answer is taken for its own; a caller could be told of a refusal for a request that ran.

Cause: how old a connection may be, as ids are forgotten, was computed by the event loop's clock, which counts suspensions. libcurl's ages of connections don't count them, so a connection that is older than the forgotten ids appeared newer.

Change: the client reads the monotonic clock for it; another one can be passed in.

Ruled out: to close all connections after a suspension, as the client isn't told of one.

test_suspension_of_the_host_makes_no_connection_older_than_its_ids failed before: the connection was used again. A suspension was played by the loop's clock in the test, not by a host.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -9,6 +9,8 @@
 import re
 import select
 import socket
+import time
+from collections.abc import Callable
 
 import msgspec
 import pycurl
@@ -502,11 +504,16 @@
     sent_ids_max : int, default=8192
         Values of `ServerRequest.echo_header` of which all are remembered. Older
         connections are not used again.
+    get_time : callable, default=time.monotonic
+        Returns the time in seconds, as libcurl measures the ages of connections. By a
+        clock that counts suspensions of the host, a connection could be used again
+        that is older than the ids remembered.
     """
 
     __slots__ = (
         "_active_transfers",
         "_fruitless_reads",
+        "_get_time",
         "_has_closed",
         "_idle_connection_max_s",
         "_idle_transfers",
@@ -515,7 +522,6 @@
         "_memory",
         "_multi",
         "_sent_ids",
-        "_sent_ids_max",
         "_sockets",
         "_timer",
     )
@@ -525,16 +531,17 @@
         connections_max: int = CONNECTIONS_MAX,
         answers_max_bytes: int = ANSWERS_MAX_BYTES,
         sent_ids_max: int = SENT_IDS_MAX,
+        get_time: Callable[[], float] = time.monotonic,
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
+        self._get_time = get_time
         self._has_closed = False
         self._memory = _AnswerMemory(answers_max_bytes)
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
-        self._sent_ids = None
-        self._sent_ids_max = sent_ids_max
+        self._sent_ids = SentIds(get_time(), sent_ids_max)
         self._sockets = _OpenSockets()
         self._timer = None
         self._interests = {}
@@ -553,7 +560,6 @@
         """Send one request; if the task is cancelled, the connection is closed."""
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
-            self._sent_ids = SentIds(self._loop.time(), self._sent_ids_max)
         end_s = self._loop.time() + request.timeout_s
         age_max_s = self._limit_connection_age(request.echo_header)
         result = await self._send(request, request.timeout_s, age_max_s)
@@ -620,14 +626,14 @@
             # A copy of the answer to the earlier request has the same id.
             return 0
         self._record_id(value)
-        age_s = self._loop.time() - self._sent_ids.complete_since_s
+        age_s = self._get_time() - self._sent_ids.complete_since_s
         # libcurl ignores the fraction of a connection's age.
         return None if math.isinf(age_s) else max(0, int(age_s) - 1)
 
     def _record_id(self, value):
         # Recorded when the request is made, for repeats that are made before it is
         # sent, and when it is sent, as its connection may be as new as that.
-        self._sent_ids.add(value, self._loop.time())
+        self._sent_ids.add(value, self._get_time())
 
     def _handle_keep_alive(self, value):
         # A request that is sent while the server closes the connection may or may not
--- a/packages/sapphireway-transport/src/sapphireway_transport/_sent_ids.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_sent_ids.py
@@ -13,14 +13,14 @@
     Parameters
     ----------
     now_s : float
-        Loop time.
+        Time of the clock by which the ages of connections are measured.
     ids_max : int, default=8192
         Ids of one generation.
 
     Attributes
     ----------
     complete_since_s : float
-        Loop time after which all ids are remembered; minus infinity until one is
+        Time after which all ids are remembered; minus infinity until one is
         forgotten.
     """
 
@@ -39,7 +39,7 @@
         return digest in self._newer or digest in self._older
 
     def add(self, value: str, now_s: float) -> None:
-        """Record an id that is sent at loop time `now_s`."""
+        """Record an id that is sent at time `now_s`."""
         # Ids of callers may be long, so only hashes are kept.
         self._newer.add(hash(value))
         if len(self._newer) < self._ids_max:
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -3,6 +3,7 @@
 import os
 import socket
 import struct
+import time
 
 import pycurl
 import pytest
@@ -765,3 +766,31 @@
     before = server.connections
     assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
     assert server.connections == before + 1
+
+
+@run_against(*(make_echoing_answer(number) for number in (1, 2, 3, 4, 5, 1)))
+async def test_suspension_of_the_host_makes_no_connection_older_than_its_ids(server):
+    server.client = CurlServerClient(sent_ids_max=2)
+    for number in (1, 2, 3, 4, 5):
+        await server.send(echo=("Attempt", str(number)))
+    before = server.connections
+    loop = asyncio.get_running_loop()
+    read_time = loop.time
+    # The loop counts a suspension; libcurl, in the age of a connection, does not.
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(loop, "time", lambda: read_time() + 100)
+        assert isinstance(await server.send(echo=("Attempt", "1")), Responded)
+    assert server.connections == before + 1
+
+
+@run_against(*(make_echoing_answer(number) for number in (1, 2, 3, 4, 5, 6)))
+async def test_connection_is_reused_once_it_is_newer_than_the_forgotten_ids(server):
+    now_s = time.monotonic()
+    server.client = CurlServerClient(sent_ids_max=2, get_time=lambda: now_s)
+    for number in (1, 2, 3, 4, 5):
+        await server.send(echo=("Attempt", str(number)))
+    before = server.connections
+    # libcurl counts an age below a second, so the connection was opened after them.
+    now_s += 100
+    assert isinstance(await server.send(echo=("Attempt", "6")), Responded)
+    assert server.connections == before
