--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -9,6 +9,8 @@
 import re
 import select
 import socket
+import time
+from collections.abc import Callable
 
 import msgspec
 import pycurl
@@ -39,7 +41,9 @@
 SOCKETS_MAX = 1024  # more than any server accepts from one node
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
+CLOSED_DETAIL = "the client closed"
 
+_INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -156,9 +160,17 @@
 
 
 def _get_local_port(fd):
-    view = socket.socket(fileno=fd)
+    """Return the port of a connection; None if its descriptor was closed since.
+
+    libcurl closes the sockets to the other addresses of a host before it sends, and
+    their descriptors may be in use again. An exception here would end the request.
+    """
     try:
-        return view.getsockname()[1]
+        view = socket.socket(fileno=fd)
+    except OSError:  # closed, or no socket
+        return None
+    try:
+        return view.getsockname()[1] if view.family in _INTERNET_FAMILIES else None
     finally:
         view.detach()
 
@@ -414,8 +426,12 @@
         self._in_head = True
 
     def _joins_heads(self, text):
-        """Tell whether a line begins in an earlier, cut head and ends in the next."""
-        if self._opened_fds:
+        """Tell whether a line may begin in an earlier, cut head and end in the next.
+
+        A head that has named this request before is not that of an earlier answer. An
+        id in a later line may be that of the second head.
+        """
+        if self._opened_fds or (self._in_head and self._echoed):
             return False
         return _STATUS_LINE.search(text, 0 if self._in_head else 1) is not None
 
@@ -433,7 +449,7 @@
             self._expected_echo is not None
             and lowered == self._expected_echo[0].lower()
         ):
-            if value.strip() != self._expected_echo[1]:
+            if not self._is_expected_echo(value.strip()):
                 # A second, late answer to an earlier request of the connection.
                 # Later answers on it could not be attributed either.
                 self._echo_fault = "the answer belongs to another request"
@@ -452,6 +468,15 @@
             self._headers.append((name, value.strip()))
         return True
 
+    def _is_expected_echo(self, value):
+        expected = self._expected_echo[1]
+        if expected or not self._opened_fds:
+            return value == expected
+        # A server may make up an id for a request without one, and only this request
+        # was sent on its new connection. A copy of the answer bears the same id.
+        self._on_send(value)
+        return True
+
     def _receive_body(self, chunk):
         memory = self._memory
         memory.has_progress = True
@@ -479,11 +504,17 @@
     sent_ids_max : int, default=8192
         Values of `ServerRequest.echo_header` of which all are remembered. Older
         connections are not used again.
+    get_time : callable, default=time.monotonic
+        Returns the time in seconds, as libcurl measures the ages of connections. By a
+        clock that counts suspensions of the host, a connection could be used again
+        that is older than the ids remembered.
     """
 
     __slots__ = (
         "_active_transfers",
         "_fruitless_reads",
+        "_get_time",
+        "_has_closed",
         "_idle_connection_max_s",
         "_idle_transfers",
         "_interests",
@@ -491,7 +522,6 @@
         "_memory",
         "_multi",
         "_sent_ids",
-        "_sent_ids_max",
         "_sockets",
         "_timer",
     )
@@ -501,15 +531,17 @@
         connections_max: int = CONNECTIONS_MAX,
         answers_max_bytes: int = ANSWERS_MAX_BYTES,
         sent_ids_max: int = SENT_IDS_MAX,
+        get_time: Callable[[], float] = time.monotonic,
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
+        self._get_time = get_time
+        self._has_closed = False
         self._memory = _AnswerMemory(answers_max_bytes)
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
-        self._sent_ids = None
-        self._sent_ids_max = sent_ids_max
+        self._sent_ids = SentIds(get_time(), sent_ids_max)
         self._sockets = _OpenSockets()
         self._timer = None
         self._interests = {}
@@ -528,7 +560,6 @@
         """Send one request; if the task is cancelled, the connection is closed."""
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
-            self._sent_ids = SentIds(self._loop.time(), self._sent_ids_max)
         end_s = self._loop.time() + request.timeout_s
         age_max_s = self._limit_connection_age(request.echo_header)
         result = await self._send(request, request.timeout_s, age_max_s)
@@ -538,6 +569,8 @@
 
     async def _send(self, request, timeout_s, age_max_s):
         """Send a request; return None if its connection had input before."""
+        if self._has_closed:
+            return NotSent(CLOSED_DETAIL)
         transfer = (
             self._idle_transfers.pop()
             if self._idle_transfers
@@ -566,12 +599,13 @@
 
     def close(self) -> None:
         """Close all connections; requests that were sent end as `Broken`."""
+        self._has_closed = True
         for transfer in list(self._active_transfers.values()):
             future = transfer.future
             sent = transfer.send_count > 0
             self._detach(transfer)
             if not future.done():
-                future.set_result((Broken if sent else NotSent)("the client closed"))
+                future.set_result((Broken if sent else NotSent)(CLOSED_DETAIL))
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -592,14 +626,14 @@
             # A copy of the answer to the earlier request has the same id.
             return 0
         self._record_id(value)
-        age_s = self._loop.time() - self._sent_ids.complete_since_s
+        age_s = self._get_time() - self._sent_ids.complete_since_s
         # libcurl ignores the fraction of a connection's age.
         return None if math.isinf(age_s) else max(0, int(age_s) - 1)
 
     def _record_id(self, value):
         # Recorded when the request is made, for repeats that are made before it is
         # sent, and when it is sent, as its connection may be as new as that.
-        self._sent_ids.add(value, self._loop.time())
+        self._sent_ids.add(value, self._get_time())
 
     def _handle_keep_alive(self, value):
         # A request that is sent while the server closes the connection may or may not
