End a health poll for the check whether a server is up

A node took a live server for crashed when it cut a connection while a health check had no answer yet, and marked the digest of the cut request as suspect of crashing servers; its repeats were then held back until they could run alone.

Cause: health checks have one connection. The check whether the server is up waited in libcurl for the one in progress, which may take 1 s, and gave up after 0.1 s. Some servers never answer a request that they can't queue, nor any that follows it on its connection.

Change: the check whether the server is up ends the polls in progress, which closes their connection, and is sent on a new one. Checks take turns under a lock, so that the time of each begins when it is sent; two checks whether the server is up no longer share 0.1 s. A poll that is ended counts as one without an answer, and polling goes on.

Ruled out: a second client for these checks, as it takes another of the server's connections; the answer to the poll in progress, as it may have been sent before the crash; more time for the check, as the reply to the cut request waits for it. Answers are still matched by the id of their check, and the connection of an ended check carries no other.

The test of the suspect mark failed before: the digest was marked. That of the checks' times fails without the lock. The test of a cancelled check guards the lock; it needs the new method.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -403,8 +403,7 @@
         if announcement is None or not announcement.health_path:
             return False
         url = announcement.url + announcement.health_path
-        answer = await self._health_client.fetch(url, LIVENESS_TIMEOUT_S)
-        return answer is not None
+        return await self._health_client.ask_if_up(url, LIVENESS_TIMEOUT_S)
 
     def _find_closed_reason(self):
         closed = _CLOSED_REASONS.get(self.state)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -7,10 +7,13 @@
 of its limit only, as it can bear little.
 
 Health checks share no connections with requests, so that neither's answer can be taken
-for the other's.
+for the other's. They take turns on one connection. The check whether the server is up
+ends one that polls: a server may never answer that one, nor anything that follows it on
+its connection.
 """
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Callable
 
@@ -42,24 +45,58 @@
         id is dropped, one without an id is accepted.
     """
 
-    __slots__ = ("_client", "_echo_header", "_numbers")
+    __slots__ = ("_client", "_echo_header", "_lock", "_numbers", "_polls")
 
     def __init__(self, client: ServerClient, echo_header: str = ""):
         self._client = client
         self._echo_header = echo_header
+        self._lock = asyncio.Lock()  # held during a check
         self._numbers = itertools.count(1)
+        self._polls = set()  # timeouts of the calls of `fetch`, to end them early
 
-    async def fetch(
-        self, url: str, timeout_s: float = HEALTH_TIMEOUT_S
-    ) -> Responded | None:
-        """Return the answer of a health endpoint, or None if there is none.
+    async def fetch(self, url: str) -> Responded | None:
+        """Return the answer of a health endpoint.
+
+        Returns None if there is none within `HEALTH_TIMEOUT_S`, or if `ask_if_up` is
+        called meanwhile.
+
+        Parameters
+        ----------
+        url : str
+            Of the health endpoint.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(None) as poll:
+                self._polls.add(poll)
+                try:
+                    return await self._send(url, HEALTH_TIMEOUT_S)
+                finally:
+                    self._polls.discard(poll)
+        return None
+
+    async def ask_if_up(self, url: str, timeout_s: float) -> bool:
+        """Tell whether a health endpoint answers.
+
+        Ends the calls of `fetch` in progress, which closes their connection.
 
         Parameters
         ----------
         url : str
             Of the health endpoint.
         timeout_s : float
+            Time for the answer, once earlier checks have ended.
         """
+        now_s = asyncio.get_running_loop().time()
+        for poll in self._polls:
+            poll.reschedule(now_s)
+        self._polls.clear()  # a timeout that expires can't be changed again
+        return await self._send(url, timeout_s) is not None
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def _send(self, url, timeout_s):
         echo = None
         if self._echo_header:
             echo = (self._echo_header, f"health-{next(self._numbers)}")
@@ -72,13 +109,10 @@
             HEALTH_BODY_MAX_BYTES,
             echo,
         )
-        result = await self._client.send(request)
+        async with self._lock:
+            result = await self._client.send(request)
         return result if isinstance(result, Responded) else None
 
-    def close(self) -> None:
-        """Close all connections."""
-        self._client.close()
-
 
 class HealthPoller:
     """Polls the registered server, one request at a time.
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import msgspec
 from tests.gate_bench import Bench, ReportingBench
@@ -7,9 +8,10 @@
     DEFAULT_SERVER_DIALECT,
     HealthClient,
     SelfReport,
+    SuspectMarked,
 )
 from sapphireway_state import Policy
-from sapphireway_transport import Broken, Responded
+from sapphireway_transport import Broken, CurlServerClient, Responded
 from sapphireway_transport.memory import run_paused
 
 
@@ -204,3 +206,105 @@
         assert {request.url for request in client.requests} == {"http://s1/health"}
 
     run_paused(main())
+
+
+class HealthServer:
+    """Answers health checks on real connections, but for those in `unanswered`.
+
+    Attributes
+    ----------
+    asked : int
+        Health checks that arrived.
+    unanswered : set of int
+        Numbers of the checks that get no answer, nor do later ones on the connection.
+    connections : int
+        Open now.
+    """
+
+    def __init__(self, *unanswered):
+        self.asked = 0
+        self.unanswered = set(unanswered)
+        self.connections = 0
+
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        async with server:
+            yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _handle(self, reader, writer):
+        self.connections += 1
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    self.asked += 1
+                    if self.asked in self.unanswered:
+                        await reader.read()
+                        return
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        finally:
+            self.connections -= 1
+            writer.close()
+
+
+async def wait_for_check(server, number):
+    async with asyncio.timeout(5.0):
+        while server.asked < number:
+            await asyncio.sleep(0.005)
+
+
+def test_cut_request_is_not_suspect_while_a_health_check_gets_no_answer():
+    # The check whether the server is up waited for the connection of the other one.
+    async def main():
+        server = HealthServer(1)
+        health = HealthClient(CurlServerClient(1), "Attempt")
+        async with server.listen() as url:
+            bench = Bench(
+                policy=Policy(health_interval_ms=20),
+                announced=False,
+                health_client=health,
+            )
+            bench.announce(url=url, cold_s=0.0, health_path="/health")
+            await wait_for_check(server, 1)
+            bench.server.crash_on = lambda request: True
+            async with asyncio.timeout(0.5):  # half of what the other check may take
+                await bench.call("a", digest="d" * 16)
+            assert bench.list_events(SuspectMarked) == []
+            # Polling goes on after the check that was given up, on one connection.
+            await wait_for_check(server, 4)
+            assert server.connections == 1
+            bench.gate.close()
+            health.close()
+
+    asyncio.run(main())
+
+
+def test_checks_whether_the_server_is_up_have_their_time_each():
+    # A second one within the time of the first shared what was left of its own.
+    async def main():
+        server = HealthServer(1)
+        health = HealthClient(CurlServerClient(1), "Attempt")
+        async with server.listen() as url:
+            asks = [health.ask_if_up(url, 0.1) for _ in range(2)]
+            assert await asyncio.gather(*asks) == [False, True]
+            health.close()
+
+    asyncio.run(main())
+
+
+def test_cancelled_health_check_leaves_the_connection_to_the_next():
+    # A node that stops during a check must not hold it, and a gate that is closed and
+    # opened again must be able to ask.
+    async def main():
+        server = HealthServer(1)
+        health = HealthClient(CurlServerClient(1), "Attempt")
+        async with server.listen() as url:
+            poll = asyncio.create_task(health.fetch(url))
+            await wait_for_check(server, 1)
+            poll.cancel()
+            assert await health.ask_if_up(url, 0.1)
+            assert poll.cancelled()
+            health.close()
+
+    asyncio.run(main())
