Keep the only connection of a server for requests

Calls to a server that accepts a single connection got 503: its requests ended as unknown.

Cause: health checks keep a connection, which is taken off those that requests may use, but requests always get one. A server that accepts one resets the second, which is that of each request while the health connection is open.

Change: a server is asked for its health only if it accepts more connections than health checks keep. With one, it is served as if it had no health path: its load and limits are known from announcements and answers, a cut connection counts as a crash, and a node that starts waits for its announcement instead of polling it.

Ruled out: a health connection that is closed after each check, for this case and for a limit equal to the slots. The idle connections of requests count too, so a check would have to share their client; each would then open a connection, which may hold a slot; and under full load the check whether the server is up would find no connection and take a live server for crashed. So a limit equal to the slots still leaves one slot unused; the pages now say that the limit should be at least the slots + 1.

Limits of 2 and above are used as before.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -34,6 +34,7 @@
         Requests per second that it can take while cold; 0 if unknown.
     health_path : str
         Path of its health endpoint, which answers immediately; "" if there is none.
+        A server that accepts `HEALTH_CONNECTIONS_MAX` connections is not asked.
     version : str
         Version of the server's software; "" if unknown.
     """
@@ -51,10 +52,20 @@
     health_path: str = ""
     version: str = ""
 
+    @property
+    def health_url(self) -> str:
+        """URL of its health endpoint; "" if it can't be asked for its health.
+
+        The connection of the health checks is kept. It must leave one for requests.
+        """
+        if not self.health_path or self.connections_max <= HEALTH_CONNECTIONS_MAX:
+            return ""
+        return self.url + self.health_path
+
     @property
     def request_connections_max(self) -> int:
         """Concurrent connections that requests may use beside health checks."""
-        reserved = HEALTH_CONNECTIONS_MAX if self.health_path else 0
+        reserved = HEALTH_CONNECTIONS_MAX if self.health_url else 0
         return max(1, self.connections_max - reserved)
 
     def is_same_start(self, other: "Announcement") -> bool:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
@@ -8,7 +8,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from sapphireway_coordination.gate._announcement import Announcement
+from sapphireway_coordination.gate._announcement import (
+    HEALTH_CONNECTIONS_MAX,
+    Announcement,
+)
 from sapphireway_coordination.gate._gate import Gate
 from sapphireway_coordination.gate._server_dialect import ServerDialect
 from sapphireway_state import ServiceSpec
@@ -45,7 +48,8 @@
     end_s = loop.time() + DISCOVERY_TIMEOUT_S
     while gate.announcement is None and loop.time() < end_s:
         spec = get_spec()
-        if spec is not None:
+        # The connection of the poll stays open, and must leave one for requests.
+        if spec is not None and spec.connections_max > HEALTH_CONNECTIONS_MAX:
             answer = await fetch(url + spec.health_path)
             found = None if answer is None else _read_answer(answer, url, spec, dialect)
             if found is not None and gate.announcement is None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -400,10 +400,11 @@
 
     async def _is_server_up(self):
         announcement = self.announcement
-        if announcement is None or not announcement.health_path:
+        if announcement is None or not announcement.health_url:
             return False
-        url = announcement.url + announcement.health_path
-        return await self._health_client.ask_if_up(url, LIVENESS_TIMEOUT_S)
+        return await self._health_client.ask_if_up(
+            announcement.health_url, LIVENESS_TIMEOUT_S
+        )
 
     def _find_closed_reason(self):
         closed = _CLOSED_REASONS.get(self.state)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -170,7 +170,7 @@
         while True:
             announcement = self._registration.announcement
             interval_s = 0.0
-            if announcement is not None and announcement.health_path:
+            if announcement is not None and announcement.health_url:
                 interval_s = self._get_interval_s(announcement.service)
             if not interval_s or self._registration.lease_expired:
                 await asyncio.sleep(DISABLED_CHECK_S)
@@ -209,6 +209,5 @@
         return max(interval_s, limited_s)
 
     async def _poll(self, announcement: Announcement) -> SelfReport | None:
-        url = announcement.url + announcement.health_path
-        result = await self._client.fetch(url)
+        result = await self._client.fetch(announcement.health_url)
         return None if result is None else self._dialect.read_report(result)
--- a/packages/sapphireway-coordination/tests/test_discovery.py
+++ b/packages/sapphireway-coordination/tests/test_discovery.py
@@ -80,6 +80,13 @@
     assert not found and not fetched
 
 
+def test_server_with_one_connection_is_not_polled():
+    # The connection would stay open, and the server accept none for requests.
+    spec = msgspec.structs.replace(SPEC, connections_max=1)
+    found, _, fetched = run_discovery(spec=spec)
+    assert not found and not fetched
+
+
 def test_announcement_of_discovered_server_is_no_restart():
     async def announce(bench):
         bench.announce()
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -209,22 +209,25 @@
 
 
 class HealthServer:
-    """Answers health checks on real connections, but for those in `unanswered`.
+    """Answers on real connections, but not the requests in `unanswered`.
 
     Attributes
     ----------
     asked : int
-        Health checks that arrived.
+        Requests that arrived, health checks included.
     unanswered : set of int
-        Numbers of the checks that get no answer, nor do later ones on the connection.
+        Numbers of those that get no answer, nor do later ones on the connection.
     connections : int
         Open now.
+    connections_max : int
+        The server closes those beyond.
     """
 
-    def __init__(self, *unanswered):
+    def __init__(self, *unanswered, connections_max=200):
         self.asked = 0
         self.unanswered = set(unanswered)
         self.connections = 0
+        self.connections_max = connections_max
 
     @contextlib.asynccontextmanager
     async def listen(self):
@@ -233,6 +236,9 @@
             yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def _handle(self, reader, writer):
+        if self.connections >= self.connections_max:
+            writer.transport.abort()
+            return
         self.connections += 1
         try:
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -308,3 +314,50 @@
             health.close()
 
     asyncio.run(main())
+
+
+def test_requests_use_the_only_connection_that_a_server_accepts():
+    # The kept connection of the health checks was the only one, so each request broke.
+    async def main():
+        server = HealthServer(connections_max=1)
+        health = HealthClient(CurlServerClient(1), "Attempt")
+        client = CurlServerClient()
+        async with server.listen() as url:
+            bench = Bench(
+                policy=Policy(health_interval_ms=20),
+                announced=False,
+                health_client=health,
+            )
+            bench.gate._client = bench.gate._runner._client = client
+            bench.announce(
+                url=url, cold_s=0.0, connections_max=1, health_path="/health"
+            )
+            await asyncio.sleep(0.1)
+            outcomes = [(await bench.call(name)).outcome for name in "abc"]
+            assert outcomes == ["answered"] * 3
+            bench.gate.close()
+            client.close()
+            health.close()
+
+    asyncio.run(main())
+
+
+def test_server_with_one_connection_is_not_asked_for_its_health():
+    async def main():
+        health = RecordingClient()
+        bench = Bench(
+            policy=Policy(health_interval_ms=50),
+            announced=False,
+            health_client=HealthClient(health),
+        )
+        bench.announce(cold_s=0.0, connections_max=1, health_path="/health")
+        await asyncio.sleep(1.0)
+        assert not await bench.gate._is_server_up()
+        assert health.requests == []
+        assert bench.server.connections_max == 1
+        bench.announce(cold_s=0.0, connections_max=2, health_path="/health")
+        await asyncio.sleep(1.0)
+        assert health.requests
+        assert bench.server.connections_max == 1
+
+    run_paused(main())
--- a/packages/sapphireway-state/src/sapphireway_state/_routes.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_routes.py
@@ -109,7 +109,9 @@
     name : str
     health_path : str
     connections_max : int
-        Maximum number of connections that a server accepts in total.
+        Maximum number of connections that a server accepts in total. One is kept for
+        health checks, so fewer than its slots + 1 leave slots unused; with 1, it is
+        not asked for its health.
     cold_start_ms : float
         How long a server counts as cold after its start.
     cold_rate_per_s : float
