--- a/tests/platform_adapter/test_operator_api.py
+++ b/tests/platform_adapter/test_operator_api.py
@@ -3,10 +3,7 @@
 
 import pytest
 import tornado.httpclient
-import tornado.httpserver
-import tornado.web
 
-from sapphireway._logs import EventLog
 from sapphireway.hosting import (
     EditRefused,
     Publisher,
@@ -14,7 +11,6 @@
     Unavailable,
 )
 from sapphireway.memory import MemoryControlClient
-from sapphireway_platform._main import _make_operator_routes
 from sapphireway_state import (
     CurrentTable,
     Published,
@@ -23,6 +19,7 @@
     Unpublishable,
 )
 from sapphireway_state._problems import Problem
+from tests.platform_adapter.operator_server import listen
 from tests.platform_adapter.test_tables import make_document
 
 
@@ -58,16 +55,6 @@
     return FakeNode()
 
 
-def listen(node):
-    """Return a server of the operator's interface and its port."""
-    routes = _make_operator_routes(node, EventLog(lambda: 0.0))
-    server = tornado.httpserver.HTTPServer(
-        tornado.web.Application(routes, log_function=lambda handler: None)
-    )
-    server.listen(0, "127.0.0.1")
-    return server, next(iter(server._sockets.values())).getsockname()[1]
-
-
 def send(node, *requests):
     """Send requests in sequence and return the answers."""
 
--- a/tests/platform_adapter/test_rollouts.py
+++ b/tests/platform_adapter/test_rollouts.py
@@ -3,15 +3,12 @@
 
 import pytest
 import tornado.httpclient
-import tornado.httpserver
-import tornado.web
 
-from sapphireway._logs import EventLog
 from sapphireway.hosting import RolloutOrders, StallWatch
 from sapphireway.memory import MemoryControlClient
 from sapphireway_coordination import ROLLOUT_PREFIX
-from sapphireway_platform._main import _make_operator_routes
 from sapphireway_state import EndRollout, RolloutState, encode_rollout_command
+from tests.platform_adapter.operator_server import listen
 
 START = "/Rollouts.Start"
 READ = "/Rollouts.Read/ledger"
@@ -39,16 +36,6 @@
     return FakeNode()
 
 
-def listen(node):
-    """Return a server of the operator's interface and its port."""
-    routes = _make_operator_routes(node, EventLog(lambda: 0.0))
-    server = tornado.httpserver.HTTPServer(
-        tornado.web.Application(routes, log_function=lambda handler: None)
-    )
-    server.listen(0, "127.0.0.1")
-    return server, next(iter(server._sockets.values())).getsockname()[1]
-
-
 def send(node, *requests):
     """Send requests, each a path and an order or None; return status and content."""
 
