Take any content that can't be decoded as malformed

Cause: decoders of untrusted content caught `MsgspecError`, some also `ValueError` or `RecursionError`, each its own choice. A reading of a peer's clock that is no number was kept for good. A peer name that is no address raised in the task that sends to it.

Change: `DECODE_ERRORS` lists what a decoder raises for content that isn't a valid value, and all decoders of outside content use it. Edits that nest more deeply than any tree aren't edits, on every host alike.

All four machines refused any odd command before, too.

--- a/packages/sapphirectl/src/sapphirectl/_client.py
+++ b/packages/sapphirectl/src/sapphirectl/_client.py
@@ -11,6 +11,7 @@
 from sapphirectl._exits import ExitCode, Failure
 from sapphirectl._http import NoResponse, Response, send_request
 from sapphirectl._options import Connection, EditOptions
+from sapphireway_protocol import DECODE_ERRORS
 from sapphireway_state import (
     Accepted,
     Answer,
@@ -238,7 +239,7 @@
         return Failure(ExitCode.UNAUTHORIZED, detail)
     try:
         answer = msgspec.json.decode(response.body, type=Answer)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Failure(ExitCode.REFUSED, f"{node}: {_decode_error(response).detail}")
     if isinstance(answer, Accepted):
         return answer
@@ -308,12 +309,12 @@
 def _decode(node, response, result_type):
     try:
         return msgspec.json.decode(response.body, type=result_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(ExitCode.ERROR, f"{node}: cannot decode the answer: {error}")
 
 
 def _decode_error(response):
     try:
         return msgspec.json.decode(response.body, type=ErrorReply)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return ErrorReply("unknown", f"HTTP status {response.status}")
--- a/packages/sapphirectl/src/sapphirectl/_timelines.py
+++ b/packages/sapphirectl/src/sapphirectl/_timelines.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from sapphireway_protocol import DECODE_ERRORS
+
 STATE_WINDOW = timedelta(seconds=2)  # earlier state changes show in the decisions
 STATE_EVENTS = frozenset(
     (
@@ -135,9 +137,12 @@
     prefix, brace, body = text.partition("{")
     try:
         fields = json.loads(brace + body)
-        time = datetime.fromisoformat(fields["time"])
+        # Only times without a zone can be compared with each other.
+        time = datetime.fromisoformat(fields["time"]).replace(tzinfo=None)
         event = fields["event"]
-    except (ValueError, KeyError, TypeError):
+    except (KeyError, *DECODE_ERRORS):
+        return None
+    if not isinstance(event, str):
         return None
     return LogLine(prefix.strip() or name, time, event, fields)
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_controller.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_controller.py
@@ -23,6 +23,7 @@
     ClaimGroup,
     GroupHolder,
     Peers,
+    decode_msgpack,
 )
 
 LOSSES_MAX = 1
@@ -291,8 +292,8 @@
         encoded = await self._propose(command)
         accepted = False
         if encoded is not None:
-            result = msgspec.msgpack.decode(encoded, type=GroupChangeResult)
-            accepted = result.accepted
+            result = decode_msgpack(encoded, GroupChangeResult)
+            accepted = result is not None and result.accepted
         if accepted:
             self._changed_s[change.group_name] = self._now()
         self._observe(
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_group.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_group.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sapphireway_protocol import ClaimGroup, GroupHolder
+from sapphireway_protocol import DECODE_ERRORS, ClaimGroup, GroupHolder
 
 GROUP_SIZE_MAX = 5
 
@@ -70,7 +70,7 @@
         """
         try:
             change = msgspec.msgpack.decode(command, type=GroupChange)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return _encode_refusal(None, "malformed command")
         group = self._groups.get(change.group_name)
         reason = _find_refusal_reason(group, change)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_data_folder.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_data_folder.py
@@ -4,6 +4,7 @@
 
 from sapphireway_coordination.quorum._replica import Replica
 from sapphireway_state import (
+    SNAPSHOT_NAME,
     Journal,
     JournalDamaged,
     VoteRecord,
@@ -65,11 +66,20 @@
     problem = await journal.open()
     if problem is None:
         problem = await journal.append_missing(replica.journal)
+    if problem is None and not _can_restore(replica, journal.snapshot):
+        problem = JournalDamaged(SNAPSHOT_NAME, 0)
     if problem is None:
         replica.replace_journal(journal)
     return problem
 
 
+def _can_restore(replica, snapshot):
+    """Return whether the state machine can use a snapshot, if it needs it."""
+    if snapshot.index <= replica.applied_index:
+        return True
+    return replica.machine.can_restore(snapshot.data)
+
+
 async def _save_vote(replica, vote):
     failure = await save_vote(replica.disk, vote)
     if failure is None:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_follower.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_follower.py
@@ -90,7 +90,9 @@
             incoming = _collect_chunk(replica, message, envelope.body)
             if len(incoming.data) == message.total_bytes:
                 replica.incoming_snapshot = None
-                if not await _install_snapshot(replica, bytes(incoming.data)):
+                if not await _install_snapshot(
+                    replica, message.index, bytes(incoming.data)
+                ):
                     return
                 installed = True
         offset = len(replica.incoming_snapshot.data) if replica.incoming_snapshot else 0
@@ -177,10 +179,14 @@
     return incoming
 
 
-async def _install_snapshot(replica, data):
+async def _install_snapshot(replica, index, data):
     """Save and restore a complete snapshot; return False if that fails."""
     snapshot = decode_snapshot(data)
-    if snapshot is None:
+    if (
+        snapshot is None
+        or snapshot.index != index
+        or not replica.machine.can_restore(snapshot.data)
+    ):
         replica.detail = "the snapshot received from the leader is damaged"
         return False
     failure = await replica.journal.save_snapshot(snapshot)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -22,6 +22,9 @@
     def snapshot(self) -> bytes:
         """Serialize the complete state."""
 
+    def can_restore(self, data: bytes) -> bool:
+        """Return whether `data` is a snapshot; the state doesn't change."""
+
     def restore(self, data: bytes) -> None:
         """Replace the complete state with a snapshot."""
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_applied_state.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sapphireway_protocol import ClaimGroup, SettingsUpdate
+from sapphireway_protocol import DECODE_ERRORS, ClaimGroup, SettingsUpdate
 from sapphireway_state import (
     Rollout,
     RouteTable,
@@ -238,7 +238,7 @@
                 table = msgspec.msgpack.decode(update.routes, type=RouteTable)
                 return self._compare_routes(table, update.routes_version)
             change = msgspec.msgpack.decode(update.routes, type=RoutesPatch)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return None
         table, version = self.routes.table, self.routes.version
         for step in change.steps:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_machine.py
@@ -4,7 +4,7 @@
 
 from sapphireway_coordination.claims import ClaimGroupMachine
 from sapphireway_coordination.settings._applied_state import encode_routes
-from sapphireway_protocol import SettingsUpdate
+from sapphireway_protocol import DECODE_ERRORS, SettingsUpdate
 from sapphireway_state import (
     RolloutMachine,
     RouteMachine,
@@ -144,6 +144,14 @@
             )
         )
 
+    def can_restore(self, data: bytes) -> bool:
+        """Return whether `data` is a snapshot; the state doesn't change."""
+        try:
+            ControlMachine().restore(data)
+        except DECODE_ERRORS:
+            return False
+        return True
+
     def restore(self, data: bytes) -> None:
         """Replace the whole state with that of a snapshot."""
         snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_settings_channel.py
@@ -8,6 +8,7 @@
 
 from sapphireway_coordination.settings._applied_state import NO_VERSION, AppliedState
 from sapphireway_protocol import (
+    DECODE_ERRORS,
     Envelope,
     FetchSettings,
     FetchSettingsReply,
@@ -317,5 +318,5 @@
     try:
         content = decompressor.decompress(body, DECOMPRESSED_UPDATE_MAX_BYTES)
         return msgspec.msgpack.decode(content, type=SettingsUpdate)
-    except (zlib.error, msgspec.MsgspecError):
+    except (zlib.error, *DECODE_ERRORS):
         return None
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -35,6 +35,7 @@
 from sapphireway_protocol._clocks import PeerClock, PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_protocol._control_hosts import ControlHostState, ReadControlHost
+from sapphireway_protocol._decoding import DECODE_ERRORS, decode_msgpack
 from sapphireway_protocol._membership import (
     LeaseEntry,
     ListNodes,
@@ -106,6 +107,7 @@
 )
 
 __all__ = [
+    "DECODE_ERRORS",
     "AckedPosition",
     "Answered",
     "Append",
@@ -198,4 +200,5 @@
     "VersionReport",
     "VoteReply",
     "VoteRequest",
+    "decode_msgpack",
 ]
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_codec.py
@@ -1,5 +1,6 @@
 """Encoding of messages as msgpack frames."""
 
+import math
 from collections.abc import Sequence
 from typing import Any, Union
 
@@ -16,6 +17,7 @@
     _settings,
     _suspects,
 )
+from sapphireway_protocol._decoding import DECODE_ERRORS
 
 MESSAGES = (
     *_calls.MESSAGES,
@@ -106,8 +108,10 @@
             return None
         try:
             header = self._decoder.decode(frames[0])
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return None
+        if not math.isfinite(header.clock_s):
+            return None  # no clock could be compared with it
         return Envelope(
             header.message,
             frames[1] if len(frames) == 2 else b"",
--- a/packages/sapphireway-state/src/sapphireway_state/__init__.py
+++ b/packages/sapphireway-state/src/sapphireway_state/__init__.py
@@ -14,6 +14,7 @@
     find_request_error,
     leaves_too_few_voters,
 )
+from sapphireway_state._depth import exceeds_depth
 from sapphireway_state._edits import (
     Accepted,
     Answer,
@@ -40,6 +41,7 @@
     Journal,
     JournalDamaged,
     JournalLimits,
+    are_entries_valid,
     decode_members,
     encode_members,
 )
@@ -48,7 +50,6 @@
 from sapphireway_state._operations import (
     apply_operations,
     compare_trees,
-    exceeds_depth,
     list_operations,
     list_out_of_service,
 )
@@ -152,7 +153,12 @@
     Setting,
 )
 from sapphireway_state._service_loss import takes_out_of_service
-from sapphireway_state._snapshot import Snapshot, decode_snapshot, encode_snapshot
+from sapphireway_state._snapshot import (
+    SNAPSHOT_NAME,
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
 from sapphireway_state._table_patch import (
     TablePatch,
     apply_patch,
@@ -180,6 +186,7 @@
     "PROCESS_RULES",
     "SERVICE_MATCH",
     "SETTINGS",
+    "SNAPSHOT_NAME",
     "Accepted",
     "Answer",
     "CallerLimits",
@@ -272,6 +279,7 @@
     "Workspace",
     "apply_operations",
     "apply_patch",
+    "are_entries_valid",
     "check_file",
     "check_invariant",
     "check_process_settings",
--- a/packages/sapphireway-state/src/sapphireway_state/_edits.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_edits.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from sapphireway_protocol import decode_msgpack
+from sapphireway_state._depth import exceeds_depth
 from sapphireway_state._problems import Problem
 
 ANSWER_ITEMS_MAX = 50
@@ -147,9 +149,6 @@
 
 Answer = Accepted | Conflict | Refused | TooOld | ForceNeeded
 
-_edit_decoder = msgspec.msgpack.Decoder(Edit)
-_answer_decoder = msgspec.msgpack.Decoder(Answer)
-
 
 def encode_edit(edit: Edit) -> bytes:
     """Encode an edit as a journal command."""
@@ -158,10 +157,14 @@
 
 def decode_edit(command: bytes) -> Edit | None:
     """Return the edit, or None if `command` cannot be decoded."""
-    try:
-        return _edit_decoder.decode(command)
-    except (msgspec.MsgspecError, RecursionError, ValueError, TypeError):
+    edit = decode_msgpack(command, Edit)
+    if edit is None or any(map(_nests_too_deeply, edit.operations)):
         return None
+    return edit
+
+
+def _nests_too_deeply(operation):
+    return isinstance(operation, SetValue) and exceeds_depth(operation.value)
 
 
 def encode_answer(answer: Answer) -> bytes:
@@ -169,9 +172,9 @@
     return msgspec.msgpack.encode(answer)
 
 
-def decode_answer(content: bytes) -> Answer:
-    """Decode an answer of `SettingsMachine.apply`."""
-    return _answer_decoder.decode(content)
+def decode_answer(content: bytes) -> Answer | None:
+    """Return an answer of `SettingsMachine.apply`, or None if it is malformed."""
+    return decode_msgpack(content, Answer)
 
 
 def digest_edit(edit: Edit) -> bytes:
--- a/packages/sapphireway-state/src/sapphireway_state/_journal.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_journal.py
@@ -1,10 +1,16 @@
 """The durable journal (write-ahead log) of one control host."""
 
-from collections.abc import Sequence
+import re
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
-from sapphireway_protocol import JournalEntry, QuorumMember
+from sapphireway_protocol import (
+    EntryKind,
+    JournalEntry,
+    QuorumMember,
+    decode_msgpack,
+)
 from sapphireway_state._frame import encode_frame, scan_frames
 from sapphireway_state._invariants import check_invariant
 from sapphireway_state._snapshot import (
@@ -16,6 +22,7 @@
 from sapphireway_transport import Disk, DiskFailed
 
 SEGMENT_PREFIX = "journal-"
+_SEGMENT_NAME = re.compile(f"{SEGMENT_PREFIX}[0-9a-f]{{16}}")
 RECOVERY_ADVICE = (
     "re-seed this host from the others (docs/operate/replace-a-control-host.md)"
 )
@@ -141,7 +148,7 @@
             problem = await self._read_snapshot()
             if problem is not None:
                 return problem
-        segments = [name for name in names if name.startswith(SEGMENT_PREFIX)]
+        segments = [name for name in names if _SEGMENT_NAME.fullmatch(name)]
         for name in segments:
             problem = await self._read_segment(name, is_last=name == segments[-1])
             if problem is not None:
@@ -239,7 +246,7 @@
         if isinstance(names, DiskFailed):
             return self._record_failure(names)
         for name in names:
-            if name.startswith(SEGMENT_PREFIX) or name == SNAPSHOT_NAME:
+            if _SEGMENT_NAME.fullmatch(name) or name == SNAPSHOT_NAME:
                 failure = await self._disk.remove(name)
                 if failure is not None:
                     return self._record_failure(failure)
@@ -267,10 +274,9 @@
             return JournalDamaged(name, scan.end)
         segment = _Segment(name, scan.end)
         for payload in scan.payloads:
-            if not self._replay(payload, segment):
-                return JournalDamaged(
-                    name, 0, f"entries are missing; {RECOVERY_ADVICE}"
-                )
+            damage = self._replay(payload, segment)
+            if damage:
+                return JournalDamaged(name, 0, f"{damage}; {RECOVERY_ADVICE}")
         self._segments.append(segment)
         if not is_last:
             return None
@@ -280,16 +286,19 @@
         return await self._disk.replace(name, data[: scan.end])
 
     def _replay(self, payload, segment):
-        record = msgspec.msgpack.decode(payload, type=_AppendRecord)
+        """Add the entries of a record; return what is wrong with it, or ""."""
+        record = decode_msgpack(payload, _AppendRecord)
+        if record is None or not are_entries_valid(record.entries):
+            return "a record can't be decoded"
         base = self.snapshot.index
         segment.last_index = max(
             segment.last_index, record.first + len(record.entries) - 1
         )
-        if record.first > self.last_index + 1:
-            return False
+        if not 0 < record.first <= self.last_index + 1:
+            return "entries are missing"
         del self._entries[max(0, record.first - base - 1) :]
         self._entries.extend(record.entries[max(0, base + 1 - record.first) :])
-        return True
+        return ""
 
     async def _write(self, frame):
         if self.size_bytes + len(frame) > self.limits.journal_max_bytes:
@@ -336,5 +345,23 @@
 
 
 def decode_members(data: bytes) -> tuple[QuorumMember, ...]:
-    """Decode the quorum members that an entry sets."""
-    return tuple(msgspec.msgpack.decode(data, type=list[QuorumMember]))
+    """Decode the quorum members that an entry sets.
+
+    Raises
+    ------
+    ValueError
+        If `data` is malformed.
+    """
+    members = decode_msgpack(data, list[QuorumMember])
+    if members is None:
+        raise ValueError("the members of an entry can't be decoded")
+    return tuple(members)
+
+
+def are_entries_valid(entries: Iterable[JournalEntry]) -> bool:
+    """Return whether entries from another host or a disk can be decoded."""
+    return all(
+        entry.kind != EntryKind.MEMBERS
+        or decode_msgpack(entry.data, list[QuorumMember]) is not None
+        for entry in entries
+    )
--- a/packages/sapphireway-state/src/sapphireway_state/_operations.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_operations.py
@@ -3,14 +3,13 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
+from sapphireway_state._depth import DEPTH_MAX
 from sapphireway_state._edits import Change, Operation, SetValue, UnsetValue
 from sapphireway_state._problems import Problem
 
 DECLARED_DEPTHS = (2, 4)
 """Depths at which paths below ``services`` name services and kinds."""
 
-DEPTH_MAX = 8
-
 
 def apply_operations(
     tree: dict[str, Any], operations: Iterable[Operation]
@@ -72,18 +71,6 @@
     return {name for name, node in tree.get(level, {}).items() if node.get("out")}
 
 
-def exceeds_depth(value: Any, depth: int = DEPTH_MAX) -> bool:
-    """Return whether a value is nested more deeply than any valid tree.
-
-    Such values must not enter the journal: the recursion limits of decoders may
-    differ between hosts, but all hosts must decode an entry alike.
-    """
-    if not isinstance(value, (dict, list)):
-        return False
-    items = value.values() if isinstance(value, dict) else value
-    return depth == 0 or any(exceeds_depth(item, depth - 1) for item in items)
-
-
 def _apply_operation(tree, operation):
     path = operation.path
     if not path:
--- a/packages/sapphireway-state/src/sapphireway_state/_queries.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_queries.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sapphireway_protocol import DECODE_ERRORS, decode_msgpack
 from sapphireway_state._edits import Change
 
 DEFAULT_HISTORY_LIMIT = 100
@@ -110,7 +111,6 @@
 QueryResult = CurrentTree | History | Changes
 
 _query_decoder = msgspec.msgpack.Decoder(Query)
-_result_decoder = msgspec.msgpack.Decoder(QueryResult)
 
 
 def encode_query(query: Query) -> bytes:
@@ -122,10 +122,10 @@
     """Return the query, or None if `content` cannot be decoded."""
     try:
         return _query_decoder.decode(content)
-    except (msgspec.MsgspecError, ValueError):
+    except DECODE_ERRORS:
         return None
 
 
-def decode_result(content: bytes) -> QueryResult:
-    """Decode a result of `SettingsMachine.read`."""
-    return _result_decoder.decode(content)
+def decode_result(content: bytes) -> QueryResult | None:
+    """Return a result of `SettingsMachine.read`, or None if it is malformed."""
+    return decode_msgpack(content, QueryResult)
--- a/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_rollout_machine.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sapphireway_protocol import DECODE_ERRORS, decode_msgpack
 from sapphireway_state._invariants import check_invariant
 
 DURATION_MAX_MS = 7 * 24 * 3600 * 1000.0
@@ -234,10 +235,7 @@
 
 
 _command_decoder = msgspec.msgpack.Decoder(RolloutCommand)
-_result_decoder = msgspec.msgpack.Decoder(RolloutResult)
-_current_decoder = msgspec.msgpack.Decoder(CurrentRollout)
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
-_rollouts_decoder = msgspec.msgpack.Decoder(list[Rollout])
 
 
 def encode_rollout_command(command: RolloutCommand) -> bytes:
@@ -245,14 +243,14 @@
     return msgspec.msgpack.encode(command)
 
 
-def decode_rollout_result(content: bytes) -> RolloutResult:
-    """Decode an answer of `RolloutMachine.apply`."""
-    return _result_decoder.decode(content)
+def decode_rollout_result(content: bytes) -> RolloutResult | None:
+    """Return an answer of `RolloutMachine.apply`, or None if it is malformed."""
+    return decode_msgpack(content, RolloutResult)
 
 
-def decode_current_rollout(content: bytes) -> CurrentRollout:
-    """Decode an answer of `RolloutMachine.read`."""
-    return _current_decoder.decode(content)
+def decode_current_rollout(content: bytes) -> CurrentRollout | None:
+    """Return an answer of `RolloutMachine.read`, or None if it is malformed."""
+    return decode_msgpack(content, CurrentRollout)
 
 
 def encode_rollouts(rollouts: Collection[Rollout]) -> bytes:
@@ -262,12 +260,10 @@
 
 def decode_rollouts(content: bytes) -> dict[str, Rollout] | None:
     """Return the rollouts by service, or None if they cannot be decoded."""
-    try:
-        return {
-            rollout.service: rollout for rollout in _rollouts_decoder.decode(content)
-        }
-    except msgspec.MsgspecError:
+    rollouts = decode_msgpack(content, list[Rollout])
+    if rollouts is None:
         return None
+    return {rollout.service: rollout for rollout in rollouts}
 
 
 def find_order_error(service: str, version: str, duration_ms: float) -> str:
@@ -331,7 +327,7 @@
     def _apply(self, index, command, services):
         try:
             decoded = _command_decoder.decode(command)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return RolloutRefused(str(error))
         if isinstance(decoded, StartRollout):
             return self._start(index, decoded, services)
--- a/packages/sapphireway-state/src/sapphireway_state/_route_machine.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_route_machine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sapphireway_protocol import DECODE_ERRORS, decode_msgpack
 from sapphireway_state._invariants import check_invariant
 from sapphireway_state._problems import Problem
 from sapphireway_state._routes import RouteTable, check_table
@@ -63,8 +64,6 @@
 
 
 _publish_decoder = msgspec.msgpack.Decoder(Publish)
-_result_decoder = msgspec.msgpack.Decoder(PublishResult)
-_current_decoder = msgspec.msgpack.Decoder(CurrentTable)
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
 
 
@@ -73,14 +72,14 @@
     return msgspec.msgpack.encode(publish)
 
 
-def decode_publish_result(content: bytes) -> PublishResult:
-    """Decode an answer of `RouteMachine.apply`."""
-    return _result_decoder.decode(content)
+def decode_publish_result(content: bytes) -> PublishResult | None:
+    """Return an answer of `RouteMachine.apply`, or None if it is malformed."""
+    return decode_msgpack(content, PublishResult)
 
 
-def decode_current_table(content: bytes) -> CurrentTable:
-    """Decode an answer of `RouteMachine.read`."""
-    return _current_decoder.decode(content)
+def decode_current_table(content: bytes) -> CurrentTable | None:
+    """Return an answer of `RouteMachine.read`, or None if it is malformed."""
+    return decode_msgpack(content, CurrentTable)
 
 
 class RouteMachine:
@@ -128,7 +127,7 @@
     def _apply(self, index, command):
         try:
             publish = _publish_decoder.decode(command)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return Unpublishable([Problem("", str(error), "a publication")])
         number = self._accepted.get(publish.digest)
         if number is not None:
--- a/packages/sapphireway-state/src/sapphireway_state/_snapshot.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_snapshot.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sapphireway_protocol import QuorumMember
+from sapphireway_protocol import QuorumMember, decode_msgpack
 from sapphireway_state._frame import encode_frame, scan_frames
 
 SNAPSHOT_NAME = "snapshot"
@@ -37,4 +37,4 @@
     scan = scan_frames(data)
     if scan.end < len(data) or len(scan.payloads) != 1:
         return None
-    return msgspec.msgpack.decode(scan.payloads[0], type=Snapshot)
+    return decode_msgpack(scan.payloads[0], Snapshot)
--- a/packages/sapphireway-state/src/sapphireway_state/_updates.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_updates.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sapphireway_protocol import DECODE_ERRORS
 from sapphireway_state._edits import SetValue, UnsetValue
 
 
@@ -100,5 +101,5 @@
     """Return the update, or None if `content` cannot be decoded."""
     try:
         return _decoder.decode(content)
-    except (msgspec.MsgspecError, RecursionError, ValueError, TypeError):
+    except DECODE_ERRORS:
         return None
--- a/packages/sapphireway-state/src/sapphireway_state/_vote.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_vote.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sapphireway_protocol import QuorumMember
+from sapphireway_protocol import QuorumMember, decode_msgpack
 from sapphireway_state._frame import encode_frame, scan_frames
 from sapphireway_state._invariants import check_invariant
 from sapphireway_state._journal import JournalDamaged
@@ -67,7 +67,8 @@
     scan = scan_frames(data)
     if scan.end < len(data) or len(scan.payloads) != 1:
         return JournalDamaged(VOTE_NAME, scan.end)
-    return msgspec.msgpack.decode(scan.payloads[0], type=VoteRecord)
+    record = decode_msgpack(scan.payloads[0], VoteRecord)
+    return JournalDamaged(VOTE_NAME, 0) if record is None else record
 
 
 async def save_vote(disk: Disk, record: VoteRecord) -> DiskFailed | None:
--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -108,7 +108,11 @@
         self._context.term()
 
     def _open(self, peer):
-        """Return a new connection, or None if there is no descriptor left for it."""
+        """Return a new connection.
+
+        Returns None if there is no descriptor left for it, or if `peer`, which another
+        host may have named, is no address.
+        """
         try:
             socket = self._context.socket(zmq.DEALER)
         except zmq.ZMQError as error:
@@ -126,7 +130,11 @@
         # Without this limit, a connection to a host that lost power, or whose address
         # now belongs to another host, accepts messages for minutes and delivers none.
         socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
-        socket.connect(f"tcp://{peer}")
+        try:
+            socket.connect(f"tcp://{peer}")
+        except zmq.ZMQError:
+            socket.close(0)
+            return None
         connection = _Connection(socket)
         fd = socket.getsockopt(zmq.FD)
         self._loop.add_reader(fd, self._flush, connection)
--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -6,6 +6,7 @@
 import zmq
 
 from sapphireway_transport import ZmqEndpoint
+from sapphireway_transport._zmq import PENDING_MAX_S
 
 STANDARD_DESCRIPTORS = 3
 RECOVERY_MAX_MS = 3000  # a host must be reachable again within a lease time
@@ -131,3 +132,20 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
+
+
+@pytest.mark.parametrize("peer", ["", "a", "10.0.0.1:99999", "\0", "[::1"])
+def test_message_to_a_peer_without_a_valid_address_is_dropped(peer):
+    """Another host's list names the peers; the error ended the task that read it."""
+
+    async def run():
+        endpoint = ZmqEndpoint("127.0.0.1:0")
+        endpoint._loop = asyncio.get_running_loop()
+        endpoint.connect(peer)
+        endpoint.send(peer, [b"hello"])
+        await asyncio.sleep(PENDING_MAX_S + 0.1)
+        pending = [each.pending for each in endpoint._connections.values()]
+        endpoint.close()
+        return pending
+
+    assert not any(asyncio.run(run()))
--- a/packages/sapphireway/src/sapphireway/_operator.py
+++ b/packages/sapphireway/src/sapphireway/_operator.py
@@ -7,12 +7,14 @@
 from tornado.web import Application, Finish, RequestHandler
 
 from sapphireway._operator_backend import (
+    UNREADABLE_ANSWER,
     ChangeRefused,
     OperatorBackend,
     Unavailable,
 )
 from sapphireway._senders import Sender
 from sapphireway._stalls import StallWatch
+from sapphireway_protocol import DECODE_ERRORS
 from sapphireway_state import (
     Accepted,
     Conflict,
@@ -122,7 +124,10 @@
                 content.detail if content else "the control host runs an older version"
             )
             self.fail(503, "unavailable", detail)
-        return decode_result(content)
+        result = decode_result(content)
+        if result is None:
+            self.fail(503, "unavailable", UNREADABLE_ANSWER)
+        return result
 
     async def read_view(self) -> SettingsView:
         """Return the current tree, or with ``local=1`` the one in force here."""
@@ -177,19 +182,21 @@
         edit = await self._build_edit(self._parse_request())
         try:
             command = encode_edit(edit)
-        except (OverflowError, ValueError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.fail(400, "bad_request", str(error))
         content = await self.backend.propose(command)
         if isinstance(content, Unavailable):
             error = "unknown" if content.maybe_applied else "unavailable"
             self.fail(503, error, content.detail)
         answer = decode_answer(content)
+        if answer is None:
+            self.fail(503, "unknown", UNREADABLE_ANSWER)
         self.reply(answer, STATUS_BY_ANSWER[type(answer)])
 
     def _parse_request(self):
         try:
             request = msgspec.json.decode(self.request.body, type=EditRequest)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.fail(400, "bad_request", str(error))
         for operation in request.operations:
             if isinstance(operation, SetValue) and exceeds_depth(operation.value):
@@ -279,7 +286,7 @@
     def _parse_change(self):
         try:
             change = msgspec.json.decode(self.request.body, type=ControlHostsChange)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.fail(400, "bad_request", str(error))
         request_error = find_request_error(change)
         if request_error is not None:
--- a/packages/sapphireway/src/sapphireway/_operator_backend.py
+++ b/packages/sapphireway/src/sapphireway/_operator_backend.py
@@ -13,6 +13,8 @@
     StatusReport,
 )
 
+UNREADABLE_ANSWER = "a control host of another version sent a malformed answer"
+
 
 class Unavailable(msgspec.Struct, frozen=True):
     """Result: no quorum of control hosts answered.
--- a/packages/sapphireway/src/sapphireway/_publisher.py
+++ b/packages/sapphireway/src/sapphireway/_publisher.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sapphireway._operator_backend import Unavailable
+from sapphireway._operator_backend import UNREADABLE_ANSWER, Unavailable
 from sapphireway._short_tries import repeat_in_short_tries
 from sapphireway_coordination import (
     ROUTE_PREFIX,
@@ -16,6 +16,7 @@
     ControlClient,
     ReadResult,
 )
+from sapphireway_protocol import decode_msgpack
 from sapphireway_state import (
     Accepted,
     Conflict,
@@ -86,16 +87,19 @@
         """Publish a routing table; repeating a publication has the same result."""
         command = ROUTE_PREFIX + encode_publish(publish)
         result = await self._control_client.propose(command, PROPOSE_TIMEOUT_S)
-        if isinstance(result, Committed):
-            return decode_publish_result(result.result)
-        return Unavailable(result.detail, result.maybe_applied)
+        if not isinstance(result, Committed):
+            return Unavailable(result.detail, result.maybe_applied)
+        published = decode_publish_result(result.result)
+        if published is None:
+            return Unavailable(UNREADABLE_ANSWER, maybe_applied=True)
+        return published
 
     async def read_table(self, digest: bytes = b"") -> CurrentTable | Unavailable:
         """Return the newest table and whether the one with `digest` was accepted."""
         answer = await self._read(ROUTE_PREFIX + digest)
         if isinstance(answer, Unavailable):
             return answer
-        return decode_current_table(answer)
+        return decode_current_table(answer) or Unavailable(UNREADABLE_ANSWER)
 
     async def set_out(
         self, domain: str, out: bool, find_staleness: FindStaleness
@@ -156,6 +160,8 @@
                 return answer
             case Refused(problems=[first, *_]):
                 return EditRefused(format_problem(first))
+            case None:
+                return Unavailable(UNREADABLE_ANSWER, maybe_applied=True)
         return EditRefused(type(answer).__name__)
 
     async def _read_tree(self):
@@ -165,7 +171,8 @@
         )
         if not isinstance(result, ReadResult):
             return Unavailable(result.detail)
-        return msgspec.msgpack.decode(result.data, type=CurrentTree)
+        tree = decode_msgpack(result.data, CurrentTree)
+        return tree or Unavailable(UNREADABLE_ANSWER)
 
     async def _read(self, query):
         result = await self._control_client.read(query, READ_TIMEOUT_S)
--- a/packages/sapphireway/src/sapphireway/_rollout_api.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_api.py
@@ -6,6 +6,7 @@
 from sapphireway._operator_backend import OperatorBackend, Unavailable
 from sapphireway._rollout_orders import RolloutOrders
 from sapphireway._stalls import StallWatch
+from sapphireway_protocol import DECODE_ERRORS
 from sapphireway_state import (
     RolloutConflict,
     RolloutOrdered,
@@ -40,7 +41,7 @@
         self.require_token()
         try:
             request = msgspec.json.decode(self.request.body, type=RolloutRequest)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.fail(400, "bad_request", str(error))
         result = await self.orders.start(
             request.service,
--- a/packages/sapphireway/src/sapphireway/_rollout_orders.py
+++ b/packages/sapphireway/src/sapphireway/_rollout_orders.py
@@ -3,7 +3,11 @@
 import time
 from collections.abc import Callable
 
-from sapphireway._operator_backend import FindStaleness, Unavailable
+from sapphireway._operator_backend import (
+    UNREADABLE_ANSWER,
+    FindStaleness,
+    Unavailable,
+)
 from sapphireway._short_tries import repeat_in_short_tries
 from sapphireway_coordination import (
     ROLLOUT_PREFIX,
@@ -96,7 +100,9 @@
             return Unavailable(result.detail, result.maybe_applied)
         if not result.result:
             return Unavailable("the control hosts run an older version")
-        return decode_rollout_result(result.result)
+        return decode_rollout_result(result.result) or Unavailable(
+            UNREADABLE_ANSWER, maybe_applied=True
+        )
 
     async def read(self, service: str) -> Rollout | Unavailable | None:
         """Return the last rollout of a service, or None if there was none."""
@@ -109,4 +115,5 @@
             return Unavailable(result.detail)
         if not result.data:
             return Unavailable("the control hosts run an older version")
-        return decode_current_rollout(result.data).rollout
+        current = decode_current_rollout(result.data)
+        return Unavailable(UNREADABLE_ANSWER) if current is None else current.rollout
--- a/packages/sapphireway/src/sapphireway/_server_api.py
+++ b/packages/sapphireway/src/sapphireway/_server_api.py
@@ -6,6 +6,7 @@
 import tornado.web
 
 from sapphireway_coordination import AnnounceAccepted, Announcement, Gate
+from sapphireway_protocol import DECODE_ERRORS
 
 SERVER_PATH = r"/server/([A-Za-z0-9._-]{1,64})"
 BODY_MAX_BYTES = 4096
@@ -59,7 +60,7 @@
             return
         try:
             body = msgspec.json.decode(self.request.body, type=AnnounceBody)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             self._send_error(400, str(error))
             return
         result = self._gate.announce(
--- a/packages/sapphireway/src/sapphireway/_shared_state.py
+++ b/packages/sapphireway/src/sapphireway/_shared_state.py
@@ -26,7 +26,7 @@
     ReadResult,
     SettingsChannel,
 )
-from sapphireway_protocol import ClaimGroup, NodeEntry, Peers
+from sapphireway_protocol import ClaimGroup, NodeEntry, Peers, decode_msgpack
 from sapphireway_state import ProcessSettings
 from sapphireway_transport import FileDisk, ZmqEndpoint, read_instant
 
@@ -152,7 +152,7 @@
         answer = await control_client.read(query, CONTROL_READ_TIMEOUT_S)
         if not isinstance(answer, ReadResult):
             return None
-        return msgspec.msgpack.decode(answer.data, type=ClaimGroup | None)
+        return decode_msgpack(answer.data, ClaimGroup | None)
 
     return read_group
 
--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -14,7 +14,7 @@
     QuorumSettings,
     Role,
 )
-from sapphireway_protocol import Peers
+from sapphireway_protocol import Peers, decode_msgpack
 from sapphireway_state import JournalLimits
 from sapphireway_transport.memory import MemoryDisk, MemoryNetwork, PowerCutError
 
@@ -46,6 +46,9 @@
     def snapshot(self):
         return msgspec.msgpack.encode(self.commands)
 
+    def can_restore(self, data):
+        return decode_msgpack(data, list[bytes]) is not None
+
     def restore(self, data):
         self.commands = msgspec.msgpack.decode(data, type=list[bytes])
 
