Reject heartbeats that can't be of the server beside the node

Cause: a heartbeat was checked field by field only for its types. One with another address or service, a start or sequence number far in the future, more slots than any server has, or an id that no header can carry was applied: it made all heartbeats of the sound server late for good, replaced it, or ended its registration. Deep nesting raised `RecursionError`, which is no `ValueError`, and got 500. An unreadable departure was carried out.

Change: the gate checks an announcement as a whole against what the settings of the node tell of its server (`server_service`, `server_url`), in both dialects, and what is rejected changes nothing, neither positions nor versions. What remains possible, a plausible heartbeat with a larger position, lasts for seconds: the server's own heartbeats are applied again after LATE_MAX_S, draining is applied at any position of the same start, a silent later start gives way to an earlier one that is not silent, and an answer by another server (421) ends a registration at once.

Ruled out: to bound the step of `seq`, as every bound that lost heartbeats need lets another writer silence the server for as many beats.

The stand-in servers of two process tests now send `zone` and `version`, as the platform's servers do, and the node knows the address of theirs.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -6,6 +6,7 @@
     Announcement,
     AnnounceRefused,
     AnnounceResult,
+    Assignment,
 )
 from sapphireway_coordination.gate._discovery import (
     discover_local_server,
@@ -67,6 +68,7 @@
     "AnnounceRefused",
     "AnnounceResult",
     "Announcement",
+    "Assignment",
     "AttemptRefused",
     "AttemptRepeated",
     "AttemptServed",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -1,7 +1,16 @@
 """Announcements by which a server registers with the node beside it."""
 
+import re
+import urllib.parse
+
 import msgspec
 
+SLOTS_MAX = 100_000
+COLD_MAX_S = 3_600.0
+# A start after the present would order after all later starts of the server. The clocks
+# of server and node may differ by less than this.
+CLOCK_DIFFERENCE_MAX_S = 86_400.0
+_SERVER_ID = re.compile("[!-~]{1,200}")  # it is sent in a header
 HEALTH_CONNECTIONS_MAX = 1  # health checks share no connections with requests
 
 
@@ -73,6 +82,65 @@
         return other.start_id in ("", self.start_id)
 
 
+class Assignment(msgspec.Struct, frozen=True):
+    """Server that belongs to a node by its settings.
+
+    Attributes
+    ----------
+    service, url : str
+        "" if the settings leave it open.
+    """
+
+    service: str = ""
+    url: str = ""
+
+
+ANY_SERVER = Assignment()
+
+
+def find_announcement_error(
+    announcement: Announcement, assignment: Assignment, wall_clock_s: float
+) -> str:
+    """Return why an announcement can't be of the server of a node; "" if it can.
+
+    Parameters
+    ----------
+    announcement : Announcement
+    assignment : Assignment
+    wall_clock_s : float
+        Present Unix time.
+    """
+    if not _SERVER_ID.fullmatch(announcement.server):
+        return "the server's id has 1 to 200 printable ASCII characters"
+    if announcement.service != (assignment.service or announcement.service):
+        return f"the server of this node belongs to service {assignment.service!r}"
+    if announcement.url != (assignment.url or announcement.url):
+        return f"the server of this node is at {assignment.url}"
+    if not _is_base_url(announcement.url):
+        return f"{announcement.url!r} is not http://host:port"
+    if not 1 <= announcement.slots <= SLOTS_MAX:
+        return f"a server has 1 to {SLOTS_MAX} slots"
+    if not 0.0 <= (announcement.cold_s or 0.0) <= COLD_MAX_S:
+        return f"a server is cold for at most {COLD_MAX_S:.0f} s"
+    return find_start_error(announcement.started_s, wall_clock_s)
+
+
+def find_start_error(started_s: float, wall_clock_s: float) -> str:
+    """Return why a server's process can't have started at a Unix time, or ""."""
+    if started_s > wall_clock_s + CLOCK_DIFFERENCE_MAX_S:
+        return "the server's start is in the future"
+    return ""
+
+
+def _is_base_url(url):
+    try:
+        parts = urllib.parse.urlsplit(url)
+        port = parts.port  # raises ValueError if out of range
+    except ValueError:
+        return False
+    return bool(parts.hostname) and port != 0 and url == f"http://{parts.netloc}"
+
+
 class AnnounceAccepted(msgspec.Struct, frozen=True):
     """The node serves as the server's proxy.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -5,12 +5,21 @@
 import enum
 import math
 import random
+import time
 from collections.abc import Callable
 
 import msgspec
 
 from sapphireway_coordination.gate._admission import AdmissionQueue
-from sapphireway_coordination.gate._announcement import Announcement, AnnounceResult
+from sapphireway_coordination.gate._announcement import (
+    ANY_SERVER,
+    Announcement,
+    AnnounceRefused,
+    AnnounceResult,
+    Assignment,
+    find_announcement_error,
+    find_start_error,
+)
 from sapphireway_coordination.gate._attempt_job import AttemptJob
 from sapphireway_coordination.gate._attempt_memory import (
     RETENTION_S,
@@ -104,12 +113,17 @@
         Requests per second that a cold server may get beyond its rate.
     get_rollout : callable
         Returns the last rollout of a service, or None.
+    assignment : Assignment
+        What the node's settings tell of the server.
+    wall_clock : callable
+        Returns the Unix time.
     health_client : HealthClient, optional
         Its connections carry no requests. By default, `client` sends health checks
         too, which is meant for clients without connections.
     """
 
     __slots__ = (
+        "_assignment",
         "_client",
         "_cold_reserve_per_s",
         "_completions",
@@ -130,6 +144,7 @@
         "_runner",
         "_suspect_exchange",
         "_version_guard",
+        "_wall_clock",
     )
 
     def __init__(
@@ -145,7 +160,11 @@
         cold_reserve_per_s: float = 0.0,
         get_rollout: GetRollout = lambda service: None,
         health_client: HealthClient | None = None,
+        assignment: Assignment = ANY_SERVER,
+        wall_clock: Callable[[], float] = time.time,
     ):
+        self._assignment = assignment
+        self._wall_clock = wall_clock
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
         self._departure_s = math.inf
@@ -230,8 +249,24 @@
         """True once the server or this node has begun to stop."""
         return self._draining or self._registration.leaving
 
+    def find_announcement_error(self, announcement: Announcement) -> str:
+        """Return why an announcement can't be of this node's server; "" if it can."""
+        return find_announcement_error(
+            announcement, self._assignment, self._wall_clock()
+        )
+
+    def find_start_error(self, started_s: float) -> str:
+        """Return why a server can't have started at a Unix time; "" if it can."""
+        return find_start_error(started_s, self._wall_clock())
+
     def announce(self, announcement: Announcement) -> AnnounceResult:
-        """Register a server, or renew its registration."""
+        """Register a server, or renew its registration.
+
+        An announcement that is refused changes nothing.
+        """
+        error = self.find_announcement_error(announcement)
+        if error:
+            return AnnounceRefused(error)
         previous = self.announcement
         policy = self._get_policy(announcement.service, "")
         rate_per_s = announcement.cold_rate_per_s * policy.cold_rate_percent / PERCENT
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -61,6 +61,7 @@
     """
 
     __slots__ = (
+        "_announced_s",
         "_in_grace",
         "_lease_expired",
         "_lease_timer",
@@ -87,6 +88,7 @@
         make_update: Callable[[], UpdateLimit] = make_additive_update,
         on_change: Callable[[], None] = lambda: None,
     ):
+        self._announced_s = -math.inf
         self._on_change = on_change
         self._in_grace = False
         self._lease_expired = False
@@ -138,7 +140,7 @@
                 f"server {announcement.server} has left; restart it to register again"
             )
         current = self.announcement
-        if current is not None and announcement.started_s < current.started_s:
+        if self._is_overtaken(announcement):
             return AnnounceRefused(
                 f"a later start of server {current.server} is registered at this node"
             )
@@ -160,8 +162,17 @@
         self._left_start_id = None
         self._lease_expired = False
         self._renew_lease()
+        self._announced_s = self._loop.time()
         return AnnounceAccepted(RENEW_S, self.capacity.limit)
 
+    def _is_overtaken(self, announcement):
+        # A later start that has fallen silent, while an earlier one has not, was
+        # announced by another writer.
+        current = self.announcement
+        if current is None or self._lease_expired:
+            return False
+        return announcement.started_s < current.started_s
+
     def leave(self, server: str) -> bool:
         """Stop new work for the server; False if it is not registered."""
         current = self.announcement
@@ -217,6 +228,8 @@
         if capacity is None:
             return
         if report.server is not None and report.server != self.announcement.server:
+            if sent_s > self._announced_s:
+                self._expire()
             return
         if source is ReportSource.ANSWER:
             self.last_answer_report = report
@@ -302,6 +315,11 @@
             self._lease_timer = self._loop.call_at(check_s, self._check_lease)
             return
         self._lease_timer = None
+        self._expire()
+
+    def _expire(self):
+        if self._lease_expired:
+            return
         self._lease_expired = True
         self._refuse_waiting(NotRunReason.NO_SERVER)
         if not self.leaving:
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -23,6 +23,7 @@
 from sapphireway_coordination import (
     HEALTH_CONNECTIONS_MAX,
     RETRY_TOKENS_MAX,
+    Assignment,
     AttemptServed,
     Choose,
     Claimant,
@@ -141,6 +142,7 @@
         cold_reserve_per_s=settings.cold_reserve_per_s,
         get_rollout=applied.get_rollout,
         health_client=health_client,
+        assignment=Assignment(settings.server_service, settings.server_url),
     )
     reporter = make_version_reporter(
         gate, applied.get_rollout, make_report_sender(peers, shared.control_hosts)
--- a/packages/sapphireway/tests/test_server_api.py
+++ b/packages/sapphireway/tests/test_server_api.py
@@ -195,3 +195,20 @@
         process.kill()
         results = await asyncio.gather(*pending)
         assert all(isinstance(r, Broken) and r.disconnected for r in results)
+
+
+@with_api
+async def test_odd_announcement_changes_nothing(api):
+    """Deep nesting got 500, and a port out of range an address for every request."""
+    await api.fetch("PUT", "/server/s1", VALID_ANNOUNCEMENT)
+    before = api.gate.announcement
+    nested = "[" * 4000
+    for body in (nested, '{"service":' + nested, '{"x":' + nested):
+        answer = await tornado.httpclient.AsyncHTTPClient().fetch(
+            api.url + "/server/s1", method="PUT", body=body, raise_error=False
+        )
+        assert answer.code == 400
+    for url in ("http://127.0.0.1:99999", "http://127.0.0.1:0", "http://:9001"):
+        odd = VALID_ANNOUNCEMENT | {"url": url}
+        assert (await api.fetch("PUT", "/server/s1", odd))[0] == 409
+    assert api.gate.announcement is before and api.gate.available
--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -4,9 +4,14 @@
 import pytest
 
 from sapphireway._logs import EventLog
-from sapphireway_coordination import AnnounceAccepted
+from sapphireway_coordination import AnnounceAccepted, AnnounceRefused, Assignment
+from sapphireway_coordination.gate._announcement import (
+    find_announcement_error,
+    find_start_error,
+)
 from sapphireway_platform._heartbeats import (
     BODY_MAX_BYTES,
+    LATE_MAX_S,
     ServerRegistrar,
     decode_departure,
     decode_heartbeat,
@@ -30,13 +35,27 @@
 }
 
 
+ASSIGNMENT = Assignment("ledger", "http://10.128.0.9:8080")
+WALL_CLOCK_S = 2_000.0
+HUGE = 2**53
+
+
 class RecordingGate:
     """Records the calls of a gate."""
 
     def __init__(self):
         self.calls = []
+        self.refuse = False
+
+    def find_announcement_error(self, announcement):
+        return find_announcement_error(announcement, ASSIGNMENT, WALL_CLOCK_S)
+
+    def find_start_error(self, started_s):
+        return find_start_error(started_s, WALL_CLOCK_S)
 
     def announce(self, announcement):
+        if self.refuse:
+            return AnnounceRefused("it is refused")
         self.calls.append(announcement)
         return AnnounceAccepted(2.0, 1)
 
@@ -53,13 +72,32 @@
 TABLE = RouteTable(1, (ServiceSpec("ledger", "/h", 220, 3000.0, 17.0),))
 
 
+class Clock:
+    """A clock that tests advance."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def make_registrar(gate, get_routes, clock):
+    return ServerRegistrar(gate, get_routes, EventLog(lambda: 0.0), clock)
+
+
 @pytest.fixture
-def registrar(gate):
-    return ServerRegistrar(gate, lambda: RouteView(TABLE, 1), EventLog(lambda: 0.0))
+def registrar(gate, clock):
+    return make_registrar(gate, lambda: RouteView(TABLE, 1), clock)
 
 
 def send_heartbeat(registrar, server="i-1", **changes):
-    registrar.handle_heartbeat(
+    return registrar.handle_heartbeat(
         server, decode_heartbeat(server, json.dumps(HEARTBEAT | changes).encode())
     )
 
@@ -107,10 +145,10 @@
     assert versions == ["v1", "v1", "v2", ""]
 
 
-def test_heartbeat_waits_until_its_service_is_known(gate):
+def test_heartbeat_waits_until_its_service_is_known(gate, clock):
     """The rate of a cold server is known from the table only."""
     views = [RouteView(RouteTable(0, ()), 0)]
-    registrar = ServerRegistrar(gate, lambda: views[-1], EventLog(lambda: 0.0))
+    registrar = make_registrar(gate, lambda: views[-1], clock)
     send_heartbeat(registrar)
     registrar.announce_pending()
     assert gate.calls == []
@@ -120,9 +158,9 @@
     assert [announced.cold_rate_per_s for announced in gate.calls] == [17.0]
 
 
-def test_server_that_left_before_its_service_is_known_is_not_announced(gate):
+def test_server_that_left_before_its_service_is_known_is_not_announced(gate, clock):
     views = [RouteView(RouteTable(0, ()), 0)]
-    registrar = ServerRegistrar(gate, lambda: views[-1], EventLog(lambda: 0.0))
+    registrar = make_registrar(gate, lambda: views[-1], clock)
     send_heartbeat(registrar)
     send_heartbeat(registrar, state="draining", seq=5)
     views.append(RouteView(TABLE, 1))
@@ -200,6 +238,13 @@
     assert ("i-1 leaves" in gate.calls) == left
 
 
+def test_departure_of_a_start_in_the_future_changes_nothing(registrar, gate):
+    send_heartbeat(registrar)
+    body = json.dumps({"born": HUGE}).encode()
+    assert registrar.handle_departure("i-1", decode_departure(body))
+    assert "i-1 leaves" not in gate.calls
+
+
 @pytest.mark.parametrize("body", [b"{", b"[]", b'{"born": "soon"}', b"\xff"])
 def test_malformed_departure_is_an_error(body):
     with pytest.raises(msgspec.MsgspecError):
@@ -222,3 +267,103 @@
     body = json.dumps(HEARTBEAT | {"cold_remaining": cold_remaining}).encode()
     with pytest.raises(ValueError, match="is not a duration"):
         decode_heartbeat("i-1", body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"x":' + b"[" * 100_000,
+        b'{"service":' + b"[" * 100_000,
+        b'{"version":' + b'{"x":' * 100_000,
+        b"[" * 100_000,
+    ],
+    ids=["unknown-field", "service", "version", "all"],
+)
+def test_deeply_nested_message_is_malformed(body):
+    """The error of the decoder is no `ValueError`, and was answered with 500."""
+    body = body[: BODY_MAX_BYTES - 1]
+    with pytest.raises(ValueError):
+        decode_heartbeat("i-1", body)
+    with pytest.raises(ValueError):
+        decode_departure(body)
+
+
+ODD_FIELDS = [
+    {"service": "quotes"},
+    {"address": "10.128.0.9:99999"},
+    {"address": "10.128.0.9:8081"},
+    {"address": "10.128.0.8:8080"},
+    {"address": ""},
+    {"address": "10.128.0.9:8080/x"},
+    {"capacity_slots": HUGE},
+    {"born": HUGE},
+    {"cold_remaining": "99999999s"},
+]
+
+
+@pytest.mark.parametrize("state", ["ready", "draining"])
+@pytest.mark.parametrize("server", ["i-1", "i-2", "i-1\r\nX: 1", "i" * 201])
+@pytest.mark.parametrize("odd", ODD_FIELDS, ids=str)
+def test_heartbeat_of_another_writer_changes_nothing(
+    registrar, gate, server, odd, state
+):
+    """It ended the registration of the server, or made its heartbeats late."""
+    send_heartbeat(registrar)
+    assert send_heartbeat(registrar, server, seq=HUGE, state=state, **odd)
+    send_heartbeat(registrar, seq=5)
+    assert [announced.server for announced in gate.calls] == ["i-1", "i-1"]
+
+
+@pytest.mark.parametrize("server", ["i 1", "i-\u00e9", "i-1\r\nX: 1", "i" * 201])
+def test_id_that_no_header_can_carry_is_rejected(registrar, gate, server):
+    assert send_heartbeat(registrar, server)
+    assert gate.calls == []
+
+
+@pytest.mark.parametrize(
+    "large", [{"seq": HUGE}, {"born": 1001, "seq": HUGE}], ids=["seq", "born"]
+)
+def test_server_is_announced_again_soon_after_a_larger_position(
+    registrar, gate, clock, large
+):
+    """All its heartbeats counted as late for good."""
+    send_heartbeat(registrar)
+    send_heartbeat(registrar, **large)
+    for seq in range(5, 15):
+        clock.now_s += 1.5
+        send_heartbeat(registrar, seq=seq)
+    seen_s = [1.5 * (seq - 4) for seq in range(5, 15)]
+    in_time = sum(at_s >= LATE_MAX_S for at_s in seen_s)
+    assert len(gate.calls) == 2 + in_time
+    assert gate.calls[-1].start_id == "i-1@1000"
+
+
+def test_server_drains_also_behind_a_larger_position(registrar, gate):
+    """Its acknowledgement promises that it gets no more work."""
+    send_heartbeat(registrar)
+    send_heartbeat(registrar, seq=HUGE)
+    send_heartbeat(registrar, seq=5, state="draining")
+    assert gate.calls[2:] == ["i-1 leaves"]
+
+
+def test_refused_announcement_does_not_make_later_ones_late(registrar, gate):
+    """The position of a server that the gate refuses replaced that of its own."""
+    send_heartbeat(registrar, seq=9)
+    gate.refuse = True
+    send_heartbeat(registrar, "i-2", seq=HUGE)
+    gate.refuse = False
+    send_heartbeat(registrar, seq=8)
+    assert [announced.server for announced in gate.calls] == ["i-1"]
+
+
+def test_departure_of_another_server_keeps_the_one_that_waits(gate, clock):
+    views = [RouteView(RouteTable(0, ()), 0)]
+    registrar = make_registrar(gate, lambda: views[-1], clock)
+    send_heartbeat(registrar)
+    registrar.leave("i-2")
+    views.append(RouteView(TABLE, 1))
+    registrar.announce_pending()
+    assert [getattr(call, "server", call) for call in gate.calls] == [
+        "i-2 leaves",
+        "i-1",
+    ]
--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -135,7 +135,7 @@
                 "ready": f"{self.node_host}:8141",
                 "control_plane": f"{self.node_host}:8144",
             },
-            "application_address": None,
+            "application_address": "{}:{}".format(*self.server.server_address),
         }
         self.start("control", CONTROL | common | control)
         self.start("node", NODE | common | node)
@@ -149,6 +149,8 @@
         heartbeat = {
             "service": "huvo11a",
             "address": f"{host}:{port}",
+            "zone": "rincon",
+            "version": "v1",
             "capacity_slots": 4,
             "state": "ready",
             "seq": 1,
--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -143,6 +143,8 @@
         heartbeat = {
             "service": "huvo11a",
             "address": f"{host}:{port}",
+            "zone": "rincon",
+            "version": "v1",
             "capacity_slots": 64,
             "state": "ready",
             "seq": 1,
