--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -85,6 +85,7 @@
     QuorumStatus,
     ReadResult,
     Role,
+    SnapshotNotSaved,
     StateMachine,
     Unavailable,
 )
@@ -269,6 +270,7 @@
     "ServerView",
     "ServerWarmed",
     "SettingsChannel",
+    "SnapshotNotSaved",
     "StateMachine",
     "SuspectChange",
     "SuspectMarked",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/__init__.py
@@ -15,6 +15,7 @@
     QuorumStatus,
     ReadResult,
     Role,
+    SnapshotNotSaved,
     StateMachine,
     Unavailable,
 )
@@ -33,6 +34,7 @@
     "QuorumStatus",
     "ReadResult",
     "Role",
+    "SnapshotNotSaved",
     "StateMachine",
     "Unavailable",
 ]
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -31,6 +31,7 @@
     QuorumSettings,
     QuorumStatus,
     Role,
+    SnapshotNotSaved,
     StateMachine,
     Unavailable,
 )
@@ -54,9 +55,9 @@
 QUEUED_PROPOSALS_MAX = 4_096
 CONCURRENT_REQUESTS_MAX = 1_024
 INBOX_MESSAGES_MAX = 64
-# After a failed write the host takes no part until its folder is opened again. So a
-# snapshot for which a disk has no room must not be tried often.
-SNAPSHOT_RETRY_S = 30.0
+# Each try encodes and writes the whole state, while other writes wait. Short, as a full
+# journal accepts no commands until it is compacted.
+SNAPSHOT_RETRY_S = 3.0
 
 _HANDLERS = {
     Append: handle_append,
@@ -88,7 +89,7 @@
         are empty.
     observe : callable
         Called with each `EntriesUnanswered`, `DiskFailureSeen`, `DiskReopened`,
-        `MembersProposed` and `JoinAnswered`.
+        `SnapshotNotSaved`, `MembersProposed` and `JoinAnswered`.
     compute_read_delay : callable
         Returns how many seconds ago a message that is read now can have arrived.
 
@@ -363,7 +364,9 @@
             members = list(replica.configurations[0].members)
             snapshot = Snapshot(index, term, members, replica.machine.snapshot())
             failure = await replica.journal.save_snapshot(snapshot)
-            if failure is not None:
-                replica.fail_disk(failure)
+            if replica.journal.failure is not None:
+                replica.fail_disk(replica.journal.failure)
+            elif failure is not None:
+                replica.observe(SnapshotNotSaved(len(snapshot.data), failure.detail))
         if failure is not None:
             await asyncio.sleep(SNAPSHOT_RETRY_S)
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -69,6 +69,8 @@
         # The folder names no members that could tell whether it is up to date. It
         # holds no entries, so a new identity loses nothing.
         await reset_identity(replica)
+        if replica.disk_problem:
+            return
     while replica.members and not await _try_verify_disk(replica):
         await _wait_before_retry(replica)
     if replica.journal.snapshot.index > replica.applied_index:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_types.py
@@ -150,6 +150,22 @@
     failed_s: float
 
 
+class SnapshotNotSaved(msgspec.Struct, frozen=True):
+    """Event: the disk refused the snapshot that would have compacted the journal.
+
+    The host goes on, and tries again until the disk has room for it.
+
+    Attributes
+    ----------
+    size_bytes : int
+        Size of the state in the snapshot.
+    detail : str
+    """
+
+    size_bytes: int
+    detail: str
+
+
 class MembersProposed(msgspec.Struct, frozen=True):
     """Event: the leader proposes a change of the members that nobody ordered.
 
--- a/packages/sapphireway-state/src/sapphireway_state/_journal.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_journal.py
@@ -189,7 +189,8 @@
         if self.failure is not None:
             return self.failure
         payload = self._encoder.encode(_AppendRecord(first, list(entries)))
-        failure = await self._write(encode_frame(payload))
+        frame = encode_frame(payload)
+        failure = self._find_lack_of_room(frame, entries) or await self._write(frame)
         if failure is not None:
             return failure
         segment = self._segments[-1]
@@ -213,7 +214,8 @@
                 return failure
         failure = await self._disk.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
         if failure is not None:
-            return self._record_failure(failure)
+            # The entries are still there, whichever snapshot the disk now has.
+            return failure
         covered = snapshot.index - self.snapshot.index
         self.snapshot = snapshot
         del self._entries[:covered]
@@ -300,13 +302,20 @@
         self._entries.extend(record.entries[max(0, base + 1 - record.first) :])
         return ""
 
+    def _find_lack_of_room(self, frame, entries):
+        # Without the first entry of its term, a leader could commit nothing, and the
+        # journal could not be compacted.
+        if all(entry.kind != EntryKind.COMMAND for entry in entries):
+            return None
+        if self.size_bytes + len(frame) <= self.limits.journal_max_bytes:
+            return None
+        return DiskFailed(
+            "append",
+            "",
+            "the journal has reached its maximum size, journal_max_bytes",
+        )
+
     async def _write(self, frame):
-        if self.size_bytes + len(frame) > self.limits.journal_max_bytes:
-            return DiskFailed(
-                "append",
-                "",
-                "the journal has reached its maximum size, journal_max_bytes",
-            )
         if not self._segments or self._segments[-1].size >= self.limits.segment_bytes:
             self._segments.append(_Segment(self._name_next_segment()))
         segment = self._segments[-1]
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -37,6 +37,7 @@
     QuotaOwner,
     Role,
     RolloutController,
+    SnapshotNotSaved,
 )
 from sapphireway_protocol import ListNodes, NodeList, Peers, SettingsUpdate
 from sapphireway_state import (
@@ -63,6 +64,7 @@
     EntriesUnanswered: "entries_unanswered",
     JoinAnswered: "join_answered",
     MembersProposed: "members_proposed",
+    SnapshotNotSaved: "snapshot_not_saved",
 }
 
 
