Reject a body without a length that holds a further answer

Cause: an answer without a length ends with its connection. If the server writes an answer twice, or a late copy of another one, the copy was passed on as a part of the body: a success with the signature and a body that isn't the server's (MIXED).

Change: in such a body, a head that names a request, or that the end of the body cuts, is a further answer, and the whole counts as broken.

Ruled out: the same for bodies with a length, where the copy fills up an answer that was cut while its connection stayed open. A body may quote a head, and there the server's own length speaks for it; this case stays open.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -46,6 +46,7 @@
 _INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
+_HEAD = re.compile(rb"HTTP/\d\.\d \d{3}[^\r\n]*\r?\n((?:[^\r\n]+\r?\n)*)(\r?\n)?")
 _BODILESS_STATUSES = frozenset({204, 304})
 _CONNECTION_HEADERS = frozenset(
     {
@@ -361,7 +362,22 @@
             return True
         if self._has_length:
             return self._bytes_received == self._length
-        return self._close_delimited_allowed
+        return self._close_delimited_allowed and not self._holds_extra_answer()
+
+    def _holds_extra_answer(self):
+        """Tell whether a body that ends with its connection holds a further answer.
+
+        A server may send an answer twice. Only the id in its head tells that it is
+        none of the body.
+        """
+        if self._expected_echo is None:
+            return False
+        body = b"".join(self._chunks)
+        name = self._expected_echo[0].lower().encode("latin-1")
+        return any(
+            _has_field(head[1].lower(), name) or head.end() == len(body)
+            for head in _HEAD.finditer(body)
+        )
 
     def _describe_progress(self):
         if not self._status:
@@ -723,6 +739,10 @@
             future.set_result(result)
 
 
+def _has_field(fields, name):
+    return fields.startswith(name + b":") or b"\n" + name + b":" in fields
+
+
 def _parse_length(text):
     """Return the number of bytes, or None if it can't be read.
 
