Read a first line that is no status line as a broken answer

Cause: libcurl passes on the first line of an answer also if it is empty or a close cut it. The status was then read from a line without one; the error was raised in the callback, where pycurl prints a traceback and goes on. The request ended as broken, but without its reason, and the log had a traceback for each.

Change: a line that is no status line ends the transfer.

Found by the property test of any bytes in place of an answer, which failed with b"\r".

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -417,7 +417,8 @@
             self._echo_fault = "the head of another answer was cut before this one"
             return -1
         if not self._in_head:
-            self._begin_head(text)
+            if not self._begin_head(text):
+                return -1
         elif text:
             if not self._receive_field(text):
                 return -1
@@ -431,8 +432,13 @@
         self._head_bytes += len(line)
         return None
 
-    def _begin_head(self, status_line):
-        self._status = int(status_line.split(None, 2)[1])
+    def _begin_head(self, line):
+        """Begin with a status line; return False if `line` is none."""
+        # libcurl also passes on a first line that a close cut.
+        match = _STATUS_LINE.match(line)
+        if match is None:
+            return False
+        self._status = int(match[0][-3:])
         self._head_bytes = 0
         self._headers = []
         self._echoed = False
@@ -440,6 +446,7 @@
         self._is_chunked = False
         self._length = None
         self._in_head = True
+        return True
 
     def _joins_heads(self, text):
         """Tell whether a line may begin in an earlier, cut head and end in the next.
