--- a/tests/platform_adapter/test_peer_processes.py
+++ b/tests/platform_adapter/test_peer_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from urllib.parse import quote
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -32,6 +33,7 @@
     "seq": 2**53,
     "born": 4,
 }
+ORDER = {"service": "huvo11a", "target_version": "v2", "duration": "60s"}
 
 _frames = st.one_of(
     st.lists(st.binary(max_size=40), min_size=1, max_size=2),
@@ -117,8 +119,12 @@
         st.lists(_frames, min_size=1, max_size=20),
         make_odd_json(HEARTBEAT),
         make_odd_json(make_configuration([])),
+        make_odd_json(ORDER),
+        st.one_of(
+            st.sampled_from(["a/b", "..", "\n", "x" * 9_000]), st.text(max_size=9)
+        ),
     )
-    def send_batch(batch, heartbeat, configuration):
+    def send_batch(batch, heartbeat, configuration, order, domain):
         send_messages(system, batch)
         node, operator = f"{system.node_host}:8144", system.operator
         path = "/Instances.Heartbeat/i-2"
@@ -128,6 +134,11 @@
             headers = {"Base-Version": "99"}
             answer = exchange(operator, "POST", path, headers, configuration)
             assert answer is None or answer[0] in (200, 400, 412, 503)
+        path = "/Evacuation.Start/" + quote(domain, safe="")
+        answer = exchange(operator, "POST", path)
+        assert answer is None or answer[0] in (200, 400, 404, 503)
+        answer = exchange(operator, "POST", "/Rollouts.Start", body=order)
+        assert answer is None or answer[0] in (200, 400, 409, 503)
         system.announce_server()
         check_system(system)
 
