Bound the time for which a server can report to be cold

A report of 0 ends no cold time, as it may be older than another one, so one large number limited a warm server to its cold rate for as long.

Change: the time is reduced to twice that for which servers of the service are cold after a start, by the table in force; to an hour where that isn't known.

Ruled out: to reject such heartbeats, as the setting may have been reduced after a start.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/__init__.py
@@ -7,6 +7,7 @@
     AnnounceRefused,
     AnnounceResult,
     Assignment,
+    compute_cold_max,
 )
 from sapphireway_coordination.gate._discovery import (
     discover_local_server,
@@ -91,6 +92,7 @@
     "ServerLeft",
     "ServerLimited",
     "ServerWarmed",
+    "compute_cold_max",
     "compute_drain_time",
     "compute_serve_time",
     "discover_local_server",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_announcement.py
@@ -7,6 +7,9 @@
 
 SLOTS_MAX = 100_000
 COLD_MAX_S = 3_600.0
+# Of the time that servers of a service are cold for after a start. A setting that was
+# reduced lately may not have been in force when the server started.
+COLD_MAX_FACTOR = 2.0
 # A start after the present would order after all later starts of the server. The clocks
 # of server and node may differ by less than this.
 CLOCK_DIFFERENCE_MAX_S = 86_400.0
@@ -46,6 +49,9 @@
         A server that accepts `HEALTH_CONNECTIONS_MAX` connections is not asked.
     version : str
         Version of the server's software; "" if unknown.
+    cold_max_s : float
+        Longest time for which the server can be cold; what it reports beyond it is
+        reduced to this.
     """
 
     server: str
@@ -60,6 +66,7 @@
     cold_rate_per_s: float = 0.0
     health_path: str = ""
     version: str = ""
+    cold_max_s: float = COLD_MAX_S
 
     @property
     def health_url(self) -> str:
@@ -82,6 +89,19 @@
         return other.start_id in ("", self.start_id)
 
 
+def compute_cold_max(cold_start_s: float) -> float:
+    """Return the longest time for which a server can be cold.
+
+    Parameters
+    ----------
+    cold_start_s : float
+        Time for which servers of its service are cold after a start; 0 if not known.
+    """
+    if not cold_start_s:
+        return COLD_MAX_S
+    return min(COLD_MAX_FACTOR * cold_start_s, COLD_MAX_S)
+
+
 class Assignment(msgspec.Struct, frozen=True):
     """Server that belongs to a node by its settings.
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -233,6 +233,8 @@
         """Set how much longer the server is cold, as it reports itself."""
         now_s = self._get_time()
         rate_per_s = self.announcement.cold_rate_per_s
+        # Reports of 0 may be older than others, so that none ends a time too long.
+        cold_s = min(cold_s, self.announcement.cold_max_s)
         if cold_s > 0.0 and rate_per_s:
             if not self._cold_rate.is_cold(now_s):
                 self._observe(ServerCold(self.announcement.server, cold_s, rate_per_s))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
@@ -11,12 +11,14 @@
 from sapphireway_coordination.gate._announcement import (
     HEALTH_CONNECTIONS_MAX,
     Announcement,
+    compute_cold_max,
 )
 from sapphireway_coordination.gate._gate import Gate
 from sapphireway_coordination.gate._server_dialect import ServerDialect
 from sapphireway_state import ServiceSpec
 from sapphireway_transport import Responded
 
+MS_PER_S = 1000
 POLL_INTERVAL_S = 0.1
 DISCOVERY_TIMEOUT_S = 5.0  # the server's own announcement is due by then
 
@@ -80,4 +82,5 @@
         cold_s=report.cold_s,
         cold_rate_per_s=spec.cold_rate_per_s,
         health_path=spec.health_path,
+        cold_max_s=compute_cold_max(spec.cold_start_ms / MS_PER_S),
     )
--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -415,6 +415,20 @@
     run_paused(main())
 
 
+def test_reported_time_of_a_cold_server_is_bounded():
+    """Reports that it is warm end no cold time, as they may be older."""
+
+    async def main():
+        bench = Bench(announced=False)
+        bench.announce(cold_s=3000.0, cold_rate_per_s=20.0, cold_max_s=6.0)
+        await asyncio.sleep(5.9)
+        limited = bench.gate.get_load().starts_per_s
+        await asyncio.sleep(0.2)
+        return limited, bench.gate.get_load().starts_per_s
+
+    assert run_paused(main()) == (20.0, 0.0)
+
+
 @pytest.mark.parametrize(("rate_per_s", "limit_per_s"), [(20.0, 25.0), (0.0, 0.0)])
 def test_cold_reserve_comes_on_top_of_a_known_rate(rate_per_s, limit_per_s):
     async def main():
--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -367,3 +367,14 @@
         "i-2 leaves",
         "i-1",
     ]
+
+
+@pytest.mark.parametrize(("spec_ms", "cold_max_s"), [(3000.0, 6.0), (0.0, 3600.0)])
+def test_time_of_a_cold_server_is_bounded_by_that_of_its_service(
+    gate, clock, spec_ms, cold_max_s
+):
+    """A large number would have limited the rate of a warm server for that long."""
+    table = RouteTable(1, (ServiceSpec("ledger", "/h", 220, spec_ms, 17.0),))
+    registrar = make_registrar(gate, lambda: RouteView(table, 1), clock)
+    send_heartbeat(registrar, cold_remaining="3000s")
+    assert gate.calls[0].cold_max_s == cold_max_s
--- a/tests/test_malformed_content.py
+++ b/tests/test_malformed_content.py
@@ -22,6 +22,7 @@
 )
 from sapphireway_coordination.settings import _settings_channel
 from sapphireway_platform._rollouts import decode_order
+from sapphireway_platform._server_reports import read_report
 from sapphireway_platform._settings import load_settings
 from sapphireway_platform._tables import decode_patch, decode_table, encode_table
 from sapphireway_protocol import (
@@ -64,6 +65,7 @@
     parse_process_settings,
 )
 from sapphireway_state._frame import encode_frame
+from sapphireway_transport import Responded
 from sapphireway_transport.memory import MemoryDisk, run_paused
 from tests.malformed import NESTED_DEEPLY, make_odd_json, make_odd_msgpack
 from tests.messages import make_values
@@ -335,3 +337,37 @@
 @given(st.one_of(st.binary(max_size=40), st.just(NESTED_JSON)))
 def test_any_answer_to_the_command_line_is_read_or_reported(body):
     assert _decode("n", Response(200, body), StatusReport) is not None
+
+
+REPORT_HEADERS = (
+    "Server-Load",
+    "Cold-Remaining-Ms",
+    "Instance-Id",
+    "Server-Limit",
+    "Server-Leaving",
+)
+
+
+@run_quickly
+@given(
+    st.integers(100, 599),
+    st.lists(
+        st.tuples(
+            st.sampled_from(REPORT_HEADERS),
+            st.one_of(
+                st.text(max_size=20),
+                st.sampled_from(["9" * 400, "1e400", "nan", "-1", "1,2,3,4,5", ",,,"]),
+                st.lists(st.integers(-1, 2**70), max_size=5).map(
+                    lambda numbers: ",".join(map(str, numbers))
+                ),
+            ),
+        ),
+        max_size=6,
+    ),
+)
+def test_any_headers_of_a_server_are_a_report(status, headers):
+    report = read_report(Responded(status, tuple(headers), b""))
+    assert report.cold_s is None or 0.0 <= report.cold_s < 10**9
+    assert report.slowness is None or 0.0 <= report.slowness < 10**9
+    assert report.slots is None or 0 <= report.slots < 10**9
+    assert report.requests_per_s is None or 0.0 <= report.requests_per_s < 10**10
