Decode JSON of other writers in one place

decode_json raises ValueError whatever the decoder raised; the adapter's three decoders each turned the errors over by themselves.

--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -35,7 +35,11 @@
 from sapphireway_protocol._clocks import PeerClock, PeerClocks
 from sapphireway_protocol._codec import Codec, Envelope
 from sapphireway_protocol._control_hosts import ControlHostState, ReadControlHost
-from sapphireway_protocol._decoding import DECODE_ERRORS, decode_msgpack
+from sapphireway_protocol._decoding import (
+    DECODE_ERRORS,
+    decode_json,
+    decode_msgpack,
+)
 from sapphireway_protocol._membership import (
     LeaseEntry,
     ListNodes,
@@ -200,5 +204,6 @@
     "VersionReport",
     "VoteReply",
     "VoteRequest",
+    "decode_json",
     "decode_msgpack",
 ]
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_decoding.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_decoding.py
@@ -14,6 +14,22 @@
 """What a decoder raises for content that isn't a valid value of its type."""
 
 
+def decode_json(content: bytes, content_type: Any) -> Any:
+    """Return the decoded value.
+
+    Raises
+    ------
+    ValueError
+        If `content` isn't a valid value of the type.
+    """
+    try:
+        return msgspec.json.decode(content, type=content_type)
+    except ValueError:
+        raise
+    except DECODE_ERRORS as error:
+        raise ValueError(str(error)) from error
+
+
 def decode_msgpack(content: bytes, content_type: Any) -> Any:
     """Return the decoded value, or None if `content` isn't a valid one."""
     try:
--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -74,9 +74,11 @@
         has the newest table refuses requests with keys. 0 if no proof is needed.
     server_url : str
         Base URL of the local server, whose health the node queries at startup to
-        register it; empty if the server must announce itself first.
+        register it; empty if the server must announce itself first. Announcements of
+        another URL are refused.
     server_service : str
-        Service of the server at `server_url`.
+        Service of the server at `server_url`. Announcements of another service are
+        refused.
     initial_tree : str or None
         File with the initial settings tree of a new cluster.
     seed : int or None
