--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -378,3 +378,15 @@
     registrar = make_registrar(gate, lambda: RouteView(table, 1), clock)
     send_heartbeat(registrar, cold_remaining="3000s")
     assert gate.calls[0].cold_max_s == cold_max_s
+
+
+def test_heartbeat_that_waited_and_was_refused_is_not_announced_later(gate, clock):
+    views = [RouteView(RouteTable(0, ()), 0)]
+    registrar = make_registrar(gate, lambda: views[-1], clock)
+    send_heartbeat(registrar)
+    views.append(RouteView(TABLE, 1))
+    gate.refuse = True
+    registrar.announce_pending()
+    gate.refuse = False
+    registrar.announce_pending()
+    assert gate.calls == []
