--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -1,5 +1,6 @@
 """API keys at real processes on the platform: what servers, callers and logs get."""
 
+import contextlib
 import http.client
 import http.server
 import json
@@ -178,9 +179,10 @@
         self.server.server_close()
 
 
-@pytest.fixture
-def system(tmp_path, request):
-    system = System(tmp_path)
+@contextlib.contextmanager
+def run_system(folder, request, name):
+    """Run a system; keep its evidence under `name` if a test fails."""
+    system = System(folder)
     failed = request.session.testsfailed
     try:
         system.start_all()
@@ -188,7 +190,13 @@
     finally:
         system.stop()
         if request.session.testsfailed > failed:
-            print(keep_evidence(tmp_path, "keys", system.timeline))
+            print(keep_evidence(folder, name, system.timeline))
+
+
+@pytest.fixture
+def system(tmp_path, request):
+    with run_system(tmp_path, request, "keys") as system:
+        yield system
 
 
 def test_keys_are_checked_and_written_nowhere(system):
--- a/tests/platform_adapter/test_peer_processes.py
+++ b/tests/platform_adapter/test_peer_processes.py
@@ -11,13 +11,12 @@
 from sapphireway_protocol import Codec, Envelope
 from sapphireway_protocol._codec import MESSAGES
 from sapphireway_transport import ZmqEndpoint
-from tests.evidence import keep_evidence
 from tests.malformed import make_odd_json, make_odd_msgpack
 from tests.messages import make_values
 from tests.platform_adapter.test_key_processes import (
-    System,
     exchange,
     make_configuration,
+    run_system,
     wait_until,
 )
 
@@ -53,15 +52,8 @@
 
 @pytest.fixture
 def system(tmp_path, request):
-    system = System(tmp_path)
-    failed = request.session.testsfailed
-    try:
-        system.start_all()
+    with run_system(tmp_path, request, "peers") as system:
         yield system
-    finally:
-        system.stop()
-        if request.session.testsfailed > failed:
-            print(keep_evidence(tmp_path, "peers", system.timeline))
 
 
 def send_messages(system, batch):
