--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -1,13 +1,18 @@
 """Hypothesis strategies for content that other writers send."""
 
 import json
+import os
 
 import msgspec
+from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 
 NESTED_DEEPLY = 10_000  # beyond the recursion limit, within the limits of size
 HUGE = 10**30
 
+# Without it, runs repeat the same examples. Times the examples of a run, drawn anew.
+MORE_EXAMPLES = int(os.environ.get("SAPPHIREWAY_EXAMPLES", "0"))
+
 ODD_SCALARS = (
     None,
     True,
@@ -35,6 +40,23 @@
 ODD_JSON = (*ODD_SCALARS, HUGE, 10**400)
 
 
+def make_settings(examples):
+    """Return the settings of a property test.
+
+    Parameters
+    ----------
+    examples : int
+        Number of examples in a run that repeats the last one.
+    """
+    return settings(
+        derandomize=not MORE_EXAMPLES,
+        max_examples=examples * max(1, MORE_EXAMPLES),
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
 def replace_part(document, values):
     """Return a strategy of copies of a document in which one part is replaced.
 
