Test what announcements a gate refuses, and who comes back after a silence

The refused ones leave announcement and load as they were; an earlier start is registered again once a later one is silent.

--- a/packages/sapphireway-coordination/tests/test_gate.py
+++ b/packages/sapphireway-coordination/tests/test_gate.py
@@ -12,6 +12,7 @@
     RelapseCause,
     RelapseSeen,
 )
+from sapphireway_coordination.gate._registration import LEASE_GRACE_S, LEASE_S
 from sapphireway_protocol import (
     Cancel,
     NotRunReason,
@@ -415,6 +416,52 @@
     run_paused(main())
 
 
+def test_earlier_start_is_registered_once_a_later_one_is_silent():
+    """An announcement of another writer took the server out of use for good."""
+
+    async def main():
+        bench = Bench(announced=False)
+        bench.announce(started_s=1000.0)
+        bench.announce(server="s2", started_s=2000.0, start_id="later")
+        refused = bench.announce(started_s=1000.0)
+        await asyncio.sleep(LEASE_S + LEASE_GRACE_S + 0.1)
+        accepted = bench.announce(started_s=1000.0)
+        return refused, accepted, bench.gate.announcement.server
+
+    refused, accepted, server = run_paused(main())
+    assert isinstance(refused, AnnounceRefused)
+    assert isinstance(accepted, AnnounceAccepted) and server == "s1"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"server": "s 1"},
+        {"server": ""},
+        {"server": "s" * 201},
+        {"url": "http://s1:99999"},
+        {"url": "http://s1:0"},
+        {"url": "ftp://s1"},
+        {"url": "http://s1/path"},
+        {"slots": 0},
+        {"slots": 2**53},
+        {"cold_s": -1.0},
+        {"cold_s": float("inf")},
+        {"started_s": 1e15},
+    ],
+    ids=str,
+)
+def test_announcement_that_no_server_makes_changes_nothing(changes):
+    async def main():
+        bench = Bench()
+        before = bench.gate.announcement, bench.gate.get_load()
+        refused = bench.announce(**changes)
+        assert isinstance(refused, AnnounceRefused)
+        assert (bench.gate.announcement, bench.gate.get_load()) == before
+
+    run_paused(main())
+
+
 def test_reported_time_of_a_cold_server_is_bounded():
     """Reports that it is warm end no cold time, as they may be older."""
 
