Send any body to the interfaces of operators and servers

Properties for /v1/edits, /v1/control-hosts and PUT /server/ID in the default dialect: a status of their own, never 500, and the next request is answered; a refused announcement changes nothing. The last one failed at first with 413, the status of an announcement of more than 4,096 bytes, which it now counts among the answers; nothing else failed.

--- a/packages/sapphireway/tests/test_operator.py
+++ b/packages/sapphireway/tests/test_operator.py
@@ -2,6 +2,9 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.malformed import make_odd_json, make_settings
 
 from sapphireway._operator_backend import ChangeRefused, Unavailable
 from sapphireway_state import (
@@ -222,3 +225,42 @@
     assert (status, reply["error"]) == (400, "bad_request")
     assert ask("POST", "/v1/control-hosts", body, "wrong")[0] == 401
     assert not operator_node.state.changes
+
+
+VALID_BODIES = {
+    "/v1/edits": {
+        "edit_id": "a",
+        "base": 0,
+        "operations": [SET_WEIGHT],
+        "operator": "an",
+        "reason": "",
+        "force": False,
+    },
+    "/v1/control-hosts": {
+        "add": ["10.0.0.1:7400"],
+        "remove": [],
+        "operator": "an",
+        "reason": "",
+        "force": False,
+    },
+}
+
+
+def test_any_body_is_answered_and_the_interface_goes_on(ask, operator_node):
+    @make_settings(60)
+    @given(st.sampled_from(sorted(VALID_BODIES)), st.data())
+    def send(path, data):
+        body = data.draw(make_odd_json(VALID_BODIES[path]))
+        status, _ = ask("POST", path, body.decode("latin-1"), operator_node.token)
+        assert status in (200, 400, 409, 412, 422, 503)
+        assert ask("GET", "/v1/settings")[0] == 200
+
+    send()
+
+
+@pytest.mark.parametrize("path", ["settings", "history", "changes", "traces"])
+@pytest.mark.parametrize(
+    "query", ["path=%ff", "path=//", "limit=-1", "since=" + "9" * 5000, "limit=%D9%A3"]
+)
+def test_odd_query_is_answered(ask, path, query):
+    assert ask("GET", f"/v1/{path}?{query}")[0] in (200, 400, 404)
--- a/packages/sapphireway/tests/test_server_api.py
+++ b/packages/sapphireway/tests/test_server_api.py
@@ -9,6 +9,9 @@
 import tornado.httpserver
 import tornado.testing
 import tornado.web
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.malformed import make_odd_json, make_settings
 
 from sapphireway._server_api import make_server_routes
 from sapphireway_coordination import Gate, GateState
@@ -212,3 +215,24 @@
         odd = VALID_ANNOUNCEMENT | {"url": url}
         assert (await api.fetch("PUT", "/server/s1", odd))[0] == 409
     assert api.gate.announcement is before and api.gate.available
+
+
+def test_server_stays_registered_beside_any_announcement():
+    @make_settings(40)
+    @given(st.sampled_from(["s1", "s2"]), make_odd_json(VALID_ANNOUNCEMENT))
+    def send(server, body):
+        @with_api
+        async def exchange(api):
+            await api.fetch("PUT", "/server/s1", VALID_ANNOUNCEMENT)
+            before = api.gate.announcement
+            answer = await tornado.httpclient.AsyncHTTPClient().fetch(
+                f"{api.url}/server/{server}", method="PUT", body=body, raise_error=False
+            )
+            assert answer.code in (200, 400, 409, 413)
+            if answer.code != 200:
+                assert api.gate.announcement is before
+            assert api.gate.available
+
+        exchange()
+
+    send()
