--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""The core is killed right after it has acknowledged the first tenants."""
+"""A few clients of one machine upload bodies of nearly the allowed size at once."""
 
 import asyncio
 import sys
@@ -7,76 +7,76 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from small_system import Server, SmallSystem, make_route, run_case  # noqa: E402
+from small_system import SmallSystem, make_route, run_case  # noqa: E402
 
-KEY, UNKNOWN_KEY = "key-north-1", "key-of-nobody"
-TENANTS = [{"name": "north", "api_keys": [KEY]}]
-FIRST_REQUEST_S = 0.7  # after the acknowledgement; nodes ask for news each 0.4 s
-RESTART_S = 0.6  # processes that are killed are back within a second
-REQUESTS = 10  # at each machine, half of them with a key that nobody holds
-INTERVAL_S = 0.1
-BOUNDS = {"revocation": "5000ms", "revocation_strict": True}
+UPLOADS = 3
+UPLOAD_BYTES = 60 * 1024 * 1024  # the configuration allows 64 MiB
+SMALL_UPLOAD_BYTES = 60_000
+DEADLINE_MS = 5000
+KEPT_CONNECTIONS = 10
+WORK_S = 0.25
+LOST_MAX = 3  # of the rule
 
 
-async def run(trouble):
-    """Return 1 if a key reached a server or a request ran with an unknown one."""
-    system = SmallSystem(FOLDER, ["matching"] * 3, bounds=BOUNDS)
-    system.restart_s = RESTART_S
-    received = []
+async def repeat_requests(system, side, lost, stopped):
+    """Send one request after the other on kept connections.
 
-    class KeyServer(Server):
-        """Notes the key and the tenant of each request that it runs."""
+    Notes those whose connection is closed without an answer although they ran.
+    """
+    while not stopped.is_set():
+        connection = await system.connect(side)
+        if connection is None:
+            await asyncio.sleep(0.1)
+            continue
+        sent = 0
+        while not stopped.is_set():
+            answer = await connection.send("POST", "/confirm/x", b"x" * 200, 2000)
+            sent += 1
+            if answer.status == 0:
+                if sent > 1 and system.count_runs(answer.name):
+                    lost.append(answer.name)
+                break
+        connection.close()
 
-        async def _answer(self, request, reader, writer):
-            await super()._answer(request, reader, writer)
-            if request.target != "/health":
-                fields = (
-                    request.headers.get("api-key"),
-                    request.headers.get("tenant-name"),
-                )
-                received.append((request.target, *fields))
-                system.record.write(
-                    f"{self.name} has run {request.target}: Api-Key {fields[0]}, "
-                    f"Tenant-Name {fields[1]}"
-                )
 
+async def run(trouble):
+    """Return 1 if more requests were lost than the rule allows."""
+    system = SmallSystem(FOLDER, ["matching", "ledger", "ledger", "matching"])
     try:
-        await system.start(make_server=KeyServer)
-        routes = [make_route("get", "idempotent", "matching", 2000)]
-        if await system.publish(routes, ["matching"]) != 200:
+        await system.start(work_s=WORK_S)
+        routes = [
+            make_route("up", "upload", "ledger", DEADLINE_MS),
+            make_route("confirm", "non_idempotent", "matching", 2000),
+        ]
+        if await system.publish(routes, ["matching", "ledger"]) != 200:
             return 2
         if not await system.wait_until_ready():
             return 2
         await asyncio.sleep(4.0)
-        status = await system.publish(routes, ["matching"], tenants=TENANTS)
-        if status != 200:
-            return 2
-        if trouble:
-            for core in system.cores:
-                core.kill()
-        await asyncio.sleep(FIRST_REQUEST_S)
-        sends = []
-        for i in range(REQUESTS):
-            key = (KEY, UNKNOWN_KEY)[i % 2]
-            for side in system.sides:
-                path = f"/get/{key}/{side.name}/{i}"
-                headers = (("Api-Key", key),)
-                send = system.send(side, "GET", path, b"", 2000, headers=headers)
-                sends.append(asyncio.create_task(send))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*sends)
-        leaked = [each for each in received if each[1] is not None]
-        nameless = [each for each in received if KEY in each[0] and each[2] != "north"]
-        unknown = [each for each in received if UNKNOWN_KEY in each[0]]
-        served = len(received)
+        side, lost, stopped = system.sides[0], [], asyncio.Event()
+        clients = [
+            asyncio.create_task(repeat_requests(system, side, lost, stopped))
+            for _ in range(KEPT_CONNECTIONS)
+        ]
+        await asyncio.sleep(2.0)
+        body = b"b" * (UPLOAD_BYTES if trouble else SMALL_UPLOAD_BYTES)
+        uploads = [
+            system.send(side, "POST", f"/up/{i}", body, DEADLINE_MS)
+            for i in range(UPLOADS)
+        ]
+        answers = await asyncio.gather(*uploads)
+        await asyncio.sleep(1.0)
+        stopped.set()
+        await asyncio.gather(*clients)
         line = (
-            f"{served} requests ran; the key reached the server in {len(leaked)}, "
-            f"{len(nameless)} had a tenant's key and not its name, "
-            f"{len(unknown)} had a key that no configuration ever held"
+            f"uploads of {len(body)} bytes: {[a.status for a in answers]}; "
+            f"{side.name} used {side.peak_mb:.0f} MB of {side.memory_mb} MB and ended "
+            f"by itself {len(side.exits)} times; {len(lost)} requests on kept "
+            "connections ran and got no answer"
         )
         system.record.write(line)
         print(line)
-        return 1 if leaked or nameless or unknown else 0
+        return 1 if len(lost) > LOST_MAX else 0
     finally:
         await system.close()
 
