--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Clients that offer another protocol send requests with a body."""
+"""The core is killed right after it has acknowledged the first tenants."""
 
 import asyncio
 import sys
@@ -9,63 +9,74 @@
 
 from small_system import Server, SmallSystem, make_route, run_case  # noqa: E402
 
-REQUESTS = 40
+KEY, UNKNOWN_KEY = "key-north-1", "key-of-nobody"
+TENANTS = [{"name": "north", "api_keys": [KEY]}]
+FIRST_REQUEST_S = 0.7  # after the acknowledgement; nodes ask for news each 0.4 s
+RESTART_S = 0.6  # processes that are killed are back within a second
+REQUESTS = 10  # at each machine, half of them with a key that nobody holds
 INTERVAL_S = 0.1
-BODY = b'{"offer": 4711, "hours": 2}'
-# As clients send it that speak HTTP/2 without TLS where the peer takes it, and go on
-# with HTTP/1.1 where it doesn't.
-OFFER = (
-    ("Connection", "Upgrade, HTTP2-Settings"),
-    ("Upgrade", "h2c"),
-    ("HTTP2-Settings", "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA"),
-)
+BOUNDS = {"revocation": "5000ms", "revocation_strict": True}
 
 
 async def run(trouble):
-    """Return 1 if a request ran with another body than its client sent."""
-    system = SmallSystem(FOLDER, ["matching"] * 2)
-    bodies = {}
+    """Return 1 if a key reached a server or a request ran with an unknown one."""
+    system = SmallSystem(FOLDER, ["matching"] * 3, bounds=BOUNDS)
+    system.restart_s = RESTART_S
+    received = []
 
-    class BodyServer(Server):
-        """Notes the body of each request."""
+    class KeyServer(Server):
+        """Notes the key and the tenant of each request that it runs."""
 
         async def _answer(self, request, reader, writer):
-            if request.target != "/health":
-                name = request.headers.get("request-id", "")
-                bodies[name] = request.body
-                size = len(request.body)
-                system.record.write(f"{self.name} gets {name} with {size} bytes")
             await super()._answer(request, reader, writer)
+            if request.target != "/health":
+                fields = (
+                    request.headers.get("api-key"),
+                    request.headers.get("tenant-name"),
+                )
+                received.append((request.target, *fields))
+                system.record.write(
+                    f"{self.name} has run {request.target}: Api-Key {fields[0]}, "
+                    f"Tenant-Name {fields[1]}"
+                )
 
     try:
-        await system.start(make_server=BodyServer)
-        routes = [make_route("confirm", "non_idempotent", "matching")]
+        await system.start(make_server=KeyServer)
+        routes = [make_route("get", "idempotent", "matching", 2000)]
         if await system.publish(routes, ["matching"]) != 200:
             return 2
         if not await system.wait_until_ready():
             return 2
         await asyncio.sleep(4.0)
-        headers = OFFER if trouble else ()
+        status = await system.publish(routes, ["matching"], tenants=TENANTS)
+        if status != 200:
+            return 2
+        if trouble:
+            for core in system.cores:
+                core.kill()
+        await asyncio.sleep(FIRST_REQUEST_S)
         sends = []
         for i in range(REQUESTS):
-            side = system.sides[i % 2]
-            path = f"/confirm/{i}"
-            send = system.send(side, "POST", path, BODY, 1000, headers=headers)
-            sends.append(asyncio.create_task(send))
+            key = (KEY, UNKNOWN_KEY)[i % 2]
+            for side in system.sides:
+                path = f"/get/{key}/{side.name}/{i}"
+                headers = (("Api-Key", key),)
+                send = system.send(side, "GET", path, b"", 2000, headers=headers)
+                sends.append(asyncio.create_task(send))
             await asyncio.sleep(INTERVAL_S)
-        answers = await asyncio.gather(*sends)
-        changed = [
-            answer.status
-            for answer in answers
-            if system.count_runs(answer.name) and bodies[answer.name] != BODY
-        ]
+        await asyncio.gather(*sends)
+        leaked = [each for each in received if each[1] is not None]
+        nameless = [each for each in received if KEY in each[0] and each[2] != "north"]
+        unknown = [each for each in received if UNKNOWN_KEY in each[0]]
+        served = len(received)
         line = (
-            f"{len(changed)} of {len(answers)} requests ran with another body than "
-            f"was sent; {changed.count(200)} of these were answered with 200"
+            f"{served} requests ran; the key reached the server in {len(leaked)}, "
+            f"{len(nameless)} had a tenant's key and not its name, "
+            f"{len(unknown)} had a key that no configuration ever held"
         )
         system.record.write(line)
         print(line)
-        return 1 if changed else 0
+        return 1 if leaked or nameless or unknown else 0
     finally:
         await system.close()
 
