Remember on the control hosts which servers have left

Cause: only the process beside a server knew that it had left.

Change: a majority of the control hosts remembers a departure, by server and start, in memory and on disk, before it is acknowledged; a process registers a start that it doesn't know only after a majority has told what it remembers. Without a majority a departure stops work and gets 503. Departures are kept by start, so that an earlier start stays gone and the next one needn't wait 10 s.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/__init__.py
@@ -23,6 +23,10 @@
     ProposeCommand,
     ReadGroup,
 )
+from sapphireway_coordination.departures import (
+    DepartureClient,
+    DepartureStore,
+)
 from sapphireway_coordination.gate import (
     ANSWER_TIME_S,
     CANCELLED_DETAIL,
@@ -208,7 +212,9 @@
     "ControlMachine",
     "Current",
     "DenyReason",
+    "DepartureClient",
     "DepartureNotified",
+    "DepartureStore",
     "Directory",
     "DiskFailureSeen",
     "DiskReopened",
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_discovery.py
@@ -54,9 +54,10 @@
         if spec is not None and spec.connections_max > HEALTH_CONNECTIONS_MAX:
             answer = await fetch(url + spec.health_path)
             found = None if answer is None else _read_answer(answer, url, spec, dialect)
+            if found is not None:
+                await gate.check_departures(found.server, found.start_id)
             if found is not None and gate.announcement is None:
                 gate.announce(found)
-                break
         await asyncio.sleep(POLL_INTERVAL_S)
     return gate.announcement is not None
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sapphireway_coordination.departures import DepartureClient
 from sapphireway_coordination.gate._admission import AdmissionQueue
 from sapphireway_coordination.gate._announcement import (
     ANY_SERVER,
@@ -120,6 +121,8 @@
     health_client : HealthClient, optional
         Its connections carry no requests. By default, `client` sends health checks
         too, which is meant for clients without connections.
+    departures : DepartureClient, optional
+        By default, departures are forgotten when the process ends.
     """
 
     __slots__ = (
@@ -129,6 +132,7 @@
         "_completions",
         "_departure_notice",
         "_departure_s",
+        "_departures",
         "_draining",
         "_get_policy",
         "_health",
@@ -162,12 +166,14 @@
         health_client: HealthClient | None = None,
         assignment: Assignment = ANY_SERVER,
         wall_clock: Callable[[], float] = time.time,
+        departures: DepartureClient | None = None,
     ):
         self._assignment = assignment
         self._wall_clock = wall_clock
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
         self._departure_s = math.inf
+        self._departures = departures or DepartureClient(peers, lambda: ())
         self._draining = False
         self._get_policy = get_policy
         self._last_run_s = {}
@@ -179,6 +185,7 @@
         self._peers = peers
         self._registration = Registration(
             observe,
+            self._departures,
             lambda: self._runner.dispatch(),
             lambda reason: self._runner.refuse_all(reason),
             make_update,
@@ -284,12 +291,37 @@
         self.apply_rollout()
         return result
 
-    def leave(self, server: str) -> bool:
+    async def check_departures(self, server: str, start_id: str) -> None:
+        """Learn whether a start of a server has left before this process started.
+
+        Its announcement is refused until this is known. Returns after `WAIT_S` at most,
+        and at once if it is known.
+        """
+        await self._departures.check(server, start_id)
+
+    def leave(self, server: str, start_id: str = "") -> bool:
         """Stop sending work to the server; False if the server is not known.
 
         Requests in flight are not aborted.
+
+        Parameters
+        ----------
+        server : str
+        start_id : str, default=""
+            The start that leaves, if it is known; otherwise the registered one does.
+        """
+        return self._registration.leave(server, start_id)
+
+    async def confirm_departure(self, server: str) -> bool:
+        """Wait until a departure outlives this process.
+
+        Returns
+        -------
+        bool
+            False if a majority of the control hosts doesn't remember it in time, so
+            that the server's request must not be acknowledged yet.
         """
-        return self._registration.leave(server)
+        return await self._departures.wait_until_recorded(server)
 
     def set_out(self, out: bool) -> None:
         """Stop or resume accepting work for an operator; requests in flight finish."""
@@ -423,6 +455,7 @@
         self._runner.close()
         self._suspect_exchange.close()
         self._registration.close()
+        self._departures.close()
 
     def _get_server_state(self, capacity):
         if self.leaving:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable
 
+from sapphireway_coordination.departures import DepartureClient
 from sapphireway_coordination.gate._announcement import (
     AnnounceAccepted,
     Announcement,
@@ -29,9 +30,6 @@
 # announcements that arrived meanwhile.
 LEASE_GRACE_S = 0.5
 SLOWNESS_TOLERANCE = 0.25  # smaller changes would not redirect any request
-# How long announcements are refused after the departure of a server whose start was not
-# known: they may have been sent before it.
-UNKNOWN_DEPARTURE_S = 10.0
 
 
 class Registration:
@@ -40,6 +38,8 @@
     Parameters
     ----------
     observe : callable
+    departures : DepartureClient
+        Remembers which starts have left.
     wake : callable
         Called without arguments when a slot may have become free.
     refuse_waiting : callable
@@ -62,17 +62,17 @@
 
     __slots__ = (
         "_announced_s",
+        "_departures",
         "_in_grace",
         "_lease_expired",
         "_lease_timer",
         "_lease_until_s",
-        "_left_start_id",
+        "_leaving",
         "_loop",
         "_make_update",
         "_observe",
         "_on_change",
         "_refuse_waiting",
-        "_unknown_departures",
         "_unreadable",
         "_wake",
         "capacity",
@@ -83,6 +83,7 @@
     def __init__(
         self,
         observe: ObserveGate,
+        departures: DepartureClient,
         wake: Callable[[], None],
         refuse_waiting: Callable[[NotRunReason], None],
         make_update: Callable[[], UpdateLimit] = make_additive_update,
@@ -94,12 +95,12 @@
         self._lease_expired = False
         self._lease_timer = None
         self._lease_until_s = 0.0
-        self._left_start_id = None
+        self._departures = departures
+        self._leaving = False
         self._loop = asyncio.get_running_loop()
         self._make_update = make_update
         self._observe = observe
         self._refuse_waiting = refuse_waiting
-        self._unknown_departures = {}
         self._unreadable = ()
         self._wake = wake
         self.capacity = None
@@ -114,7 +115,7 @@
     @property
     def leaving(self) -> bool:
         """True once the server has announced that it stops."""
-        return self._left_start_id is not None
+        return self._leaving
 
     @property
     def lease_expired(self) -> bool:
@@ -135,9 +136,18 @@
 
     def announce(self, announcement: Announcement, cold_limit: int) -> AnnounceResult:
         """Register a server, or renew its registration."""
-        if self._has_left(announcement):
+        server, start_id = announcement.server, announcement.start_id
+        if self._departures.has_left(server, start_id):
+            if self.is_registered(announcement):
+                # It was registered before the control hosts could be asked.
+                self.leave(server)
             return AnnounceRefused(
-                f"server {announcement.server} has left; restart it to register again"
+                f"server {server} has left; restart it to register again"
+            )
+        if not self._departures.is_checked(server, start_id):
+            return AnnounceRefused(
+                "no majority of the control hosts has told yet whether this start of "
+                f"server {server} has left; announce it again"
             )
         current = self.announcement
         if self._is_overtaken(announcement):
@@ -159,7 +169,7 @@
             )
         else:
             self._renew(announcement, cold_limit)
-        self._left_start_id = None
+        self._leaving = False
         self._lease_expired = False
         self._renew_lease()
         self._announced_s = self._loop.time()
@@ -173,33 +183,31 @@
             return False
         return announcement.started_s < current.started_s
 
-    def leave(self, server: str) -> bool:
-        """Stop new work for the server; False if it is not registered."""
+    def leave(self, server: str, start_id: str = "") -> bool:
+        """Stop new work for the server; False if it is not registered.
+
+        Parameters
+        ----------
+        server : str
+        start_id : str, default=""
+            The start that leaves, if it is known; otherwise the registered one does.
+        """
         current = self.announcement
+        if start_id:
+            self._departures.record(server, start_id)
         if current is None or current.server != server:
-            self._record_unknown_departure(server)
+            if not start_id:
+                self._departures.record(server, "")
             return False
         if not self.leaving:
-            self._left_start_id = current.start_id
-            if not current.start_id:
-                self._record_unknown_departure(server)
+            self._leaving = True
+            if current.start_id or not start_id:
+                self._departures.record(server, current.start_id)
             self._refuse_waiting(NotRunReason.DRAINING)
             self._observe(ServerLeft(server, current.service, False))
             self._on_change()
         return True
 
-    def _record_unknown_departure(self, server):
-        now_s = self._loop.time()
-        recent = self._unknown_departures.items()
-        self._unknown_departures = {s: at_s for s, at_s in recent if at_s > now_s}
-        self._unknown_departures[server] = now_s + UNKNOWN_DEPARTURE_S
-
-    def _has_left(self, announcement):
-        if announcement.start_id == self._left_start_id:
-            return True
-        until_s = self._unknown_departures.get(announcement.server, -math.inf)
-        return self._loop.time() < until_s
-
     def is_registered(self, announcement: Announcement) -> bool:
         """Tell whether the start that made an announcement is still registered."""
         current = self.announcement
--- a/packages/sapphireway-coordination/tests/test_departure.py
+++ b/packages/sapphireway-coordination/tests/test_departure.py
@@ -11,7 +11,7 @@
     SelfReport,
     ServerLeft,
 )
-from sapphireway_coordination.gate._registration import UNKNOWN_DEPARTURE_S
+from sapphireway_coordination.departures import UNKNOWN_START_S
 from sapphireway_protocol import LoadUpdate, NotRunReason
 from sapphireway_transport.memory import run_paused
 
@@ -88,9 +88,9 @@
         if known:
             bench.announce(start_id="")
         assert bench.gate.leave("s1") == known
-        await asyncio.sleep(0.6 * UNKNOWN_DEPARTURE_S)
+        await asyncio.sleep(0.6 * UNKNOWN_START_S)
         assert isinstance(bench.announce(), AnnounceRefused)
-        await asyncio.sleep(0.6 * UNKNOWN_DEPARTURE_S)
+        await asyncio.sleep(0.6 * UNKNOWN_START_S)
         assert isinstance(bench.announce(), AnnounceAccepted)
 
     run_paused(check())
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -40,6 +40,13 @@
     decode_json,
     decode_msgpack,
 )
+from sapphireway_protocol._departures import (
+    Departure,
+    DepartureList,
+    DepartureRecorded,
+    ListDepartures,
+    RecordDeparture,
+)
 from sapphireway_protocol._membership import (
     LeaseEntry,
     ListNodes,
@@ -142,6 +149,9 @@
     "ControlReply",
     "Departed",
     "DepartedAck",
+    "Departure",
+    "DepartureList",
+    "DepartureRecorded",
     "EntryKind",
     "Envelope",
     "Failed",
@@ -157,6 +167,7 @@
     "JournalEntry",
     "KindCounts",
     "LeaseEntry",
+    "ListDepartures",
     "ListNodes",
     "ListSuspects",
     "LoadReport",
@@ -179,6 +190,7 @@
     "QuorumMember",
     "ReachableDirectory",
     "ReadControlHost",
+    "RecordDeparture",
     "Renew",
     "Renewed",
     "Reply",
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -23,6 +23,7 @@
     ConfirmationSource,
     ControlHostList,
     ControlMachine,
+    DepartureStore,
     Directory,
     DiskFailureSeen,
     DiskReopened,
@@ -49,7 +50,7 @@
     UpdateResult,
     load_tree,
 )
-from sapphireway_transport import read_instant
+from sapphireway_transport import Disk, read_instant
 
 INITIAL_EDIT_ID = "initial-tree"
 INITIAL_OPERATOR = "bootstrap"
@@ -86,11 +87,14 @@
     hosts : ControlHostList
         Updated whenever the quorum's members change.
     watch : StallWatch
+    disk : Disk or None
+        Keeps the departures of servers across restarts.
     """
 
     __slots__ = (
         "_apply_update",
         "_confirmation_source",
+        "_departure_store",
         "_directory",
         "_disk",
         "_group_controller",
@@ -117,6 +121,7 @@
         log: EventLog,
         hosts: ControlHostList,
         watch: StallWatch,
+        disk: Disk | None = None,
     ):
         self._hosts = hosts
         self._peers = peers
@@ -128,6 +133,7 @@
         self._directory = Directory(
             peers, hosts, lambda: make_control_host_state(self._quorum.get_status())
         )
+        self._departure_store = DepartureStore(peers, lambda: hosts.addresses, disk)
         self._machine = ControlMachine(self._journal_changed.set)
         self._disk = make_journal_disk(settings)
         self._quorum = Quorum(
@@ -192,6 +198,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._directory.run())
+                group.create_task(self._departure_store.run())
                 group.create_task(self._group_controller.run())
                 group.create_task(self._rollout_controller.run())
                 group.create_task(self._confirmation_source.run())
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -27,6 +27,7 @@
     AttemptServed,
     Choose,
     Claimant,
+    DepartureClient,
     Dispatcher,
     Gate,
     HealthClient,
@@ -143,6 +144,7 @@
         get_rollout=applied.get_rollout,
         health_client=health_client,
         assignment=Assignment(settings.server_service, settings.server_url),
+        departures=DepartureClient(peers, lambda: shared.control_hosts.addresses),
     )
     reporter = make_version_reporter(
         gate, applied.get_rollout, make_report_sender(peers, shared.control_hosts)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -382,6 +382,7 @@
             self._log,
             shared.control_hosts,
             self._stall_watch,
+            shared.disk,
         )
 
     async def _discover_local_server(self):
--- a/packages/sapphireway/src/sapphireway/_server_api.py
+++ b/packages/sapphireway/src/sapphireway/_server_api.py
@@ -53,7 +53,7 @@
         """Store the gate of the server."""
         self._gate = gate
 
-    def put(self, server: str) -> None:
+    async def put(self, server: str) -> None:
         """Announce the server or renew its announcement."""
         if len(self.request.body) > BODY_MAX_BYTES:
             self._send_error(413, f"an announcement has at most {BODY_MAX_BYTES} bytes")
@@ -63,6 +63,7 @@
         except DECODE_ERRORS as error:
             self._send_error(400, str(error))
             return
+        await self._gate.check_departures(server, body.start_id)
         result = self._gate.announce(
             Announcement(server, **msgspec.structs.asdict(body))
         )
@@ -71,13 +72,19 @@
         else:
             self._send_error(409, result.detail)
 
-    def delete(self, server: str) -> None:
+    async def delete(self, server: str) -> None:
         """Stop sending requests to the server; running ones are finished."""
-        if not self._gate.leave(server):
+        known = self._gate.leave(server)
+        if not await self._gate.confirm_departure(server):
+            detail = "no majority of the control hosts remembers the departure yet"
+            self._send_error(503, f"{detail}; send it again")
+            return
+        if not known:
             self._send_error(404, f"server {server} is not known here")
             return
         load = self._gate.get_load()
-        self._send_json(200, {"in_flight": load.in_flight})
+        in_flight = 0 if load is None else load.in_flight
+        self._send_json(200, {"in_flight": in_flight})
 
     def _send_error(self, status, detail):
         self._send_json(status, {"error": detail})
--- a/tests/platform_adapter/test_heartbeats.py
+++ b/tests/platform_adapter/test_heartbeats.py
@@ -59,7 +59,7 @@
         self.calls.append(announcement)
         return AnnounceAccepted(2.0, 1)
 
-    def leave(self, server):
+    def leave(self, server, start_id=""):
         self.calls.append(f"{server} leaves")
         return True
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,13 +21,14 @@
     "sapphirectl",
 }
 SUBPACKAGES = {
+    "departures": set(),
     "membership": set(),
     "quorum": set(),
     "suspects": set(),
     "rollouts": {"membership"},
     "routing": {"membership"},
     "claims": {"membership", "routing"},
-    "gate": {"routing", "suspects"},
+    "gate": {"departures", "routing", "suspects"},
     "quotas": {"membership", "quorum"},
     "settings": {"claims", "membership", "quorum"},
 }
