Take no key for absent on the word of an old table

Cause: keys were read only while the table in force had workspaces.

Change: a table without workspaces counts as one in which each key is unknown; a request with a key is run by it only under a recent proof that no newer table was acknowledged. Where callers may have keys (new setting expects_keys, implied by a bound on revocation) the headers with key and workspace are removed whatever the table says. A key that can't be judged is no longer dropped on an open route: the rule on the workspace that servers get names no exception for them, so test_unconfirmed_table_still_serves_open_routes_ without_identity and one line of test_keys_are_checked_and_written_nowhere are replaced by tests that such a request isn't run and that one without a key is.

Ruled out: a proof for every request (all service would end with the control hosts), removing the headers in deployments without keys, 401 before the first workspaces.

--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -68,6 +68,10 @@
         node has a fixed reserve of its own.
     cold_reserve_per_s : float
         Requests per second that a cold server may get beyond its rate.
+    expects_keys : bool
+        Whether routing tables may name workspaces. API keys are then never sent to
+        servers, and a request with a key is not run by a table that may be out of date
+        about all keys, such as one without workspaces.
     key_revocation_ms : int
         Time after the acknowledgement of a routing table after which requests with
         API keys that it removed are never run. A node without a recent proof that it
@@ -119,6 +123,7 @@
     stop_grace_ms: int = 0
     retry_reserve: int = 0
     cold_reserve_per_s: float = 0.0
+    expects_keys: bool = False
     key_revocation_ms: int = 0
     server_url: str = ""
     server_service: str = ""
@@ -156,6 +161,7 @@
     "stop_grace_ms": make_integer(0, 600_000, "ms"),
     "retry_reserve": make_integer(0, 1_000_000),
     "cold_reserve_per_s": make_number(0, 1_000, "per second"),
+    "expects_keys": make_boolean(),
     "key_revocation_ms": make_integer(0, 600_000, "ms"),
     "server_url": _URL,
     "server_service": make_name(),
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -106,8 +106,7 @@
     override_headers : tuple of (str, str)
         Headers set on every request in place of the caller's own.
     access_header : str
-        Header with the caller's API key; read while the routing table has workspaces,
-        and then not sent to servers.
+        Header with the caller's API key; not sent to servers where callers have keys.
     workspace_header : str
         Header that tells servers the caller's workspace, whatever the caller sent.
     """
@@ -126,7 +125,6 @@
     kind: str
     policy: Policy
     arrival: Arrival
-    open_access: bool
 
 
 class CallerApi:
@@ -150,7 +148,9 @@
         matched by it instead of the tree.
     dialect : CallerDialect
     identify : Identify
-        Identifies callers while the routing table has workspaces.
+    expects_keys : bool, default=False
+        Whether callers may have API keys although the routing table in force has no
+        workspaces. Without this they are identified only while it has some.
 
     Attributes
     ----------
@@ -170,6 +170,7 @@
         "_domain",
         "_ended",
         "_execute_call",
+        "_expects_keys",
         "_get_fences",
         "_get_routes",
         "_get_settings",
@@ -196,6 +197,7 @@
         get_routes: Callable[[], RouteView] = lambda: NO_ROUTES,
         dialect: CallerDialect | None = None,
         identify: Identify | None = None,
+        expects_keys: bool = False,
     ):
         self._dialect = dialect or CallerDialect(render_outcome)
         self._identify = identify or make_identify(
@@ -210,6 +212,7 @@
         self._outcomes_if_ended = {}
         self._create_call_id = create_call_id
         self._execute_call = execute_call
+        self._expects_keys = expects_keys
         self._domain = domain
         self._get_settings = get_settings
         self._log = log
@@ -224,32 +227,32 @@
         matched = self._match(request)
         if matched is None:
             return UNMATCHED_BODY_MAX_BYTES
-        service, kind, policy, open_access = matched
+        service, kind, policy = matched
         key = self._read_key(request)
         fences = None
         if key is not None and is_valid_key(key):
             fences = self._get_fences(service, key)
         # A request whose headers arrived before the stop counts as in flight.
         arrival = Arrival(fences, self.stopping)
-        request.route = _MatchedRoute(service, kind, policy, arrival, open_access)
+        request.route = _MatchedRoute(service, kind, policy, arrival)
         return policy.body_max_bytes
 
     def _match(self, request):
-        """Return service, kind, policy and open access of a request, or None."""
+        """Return service, kind and policy of a request, or None."""
         settings = self._get_settings()
         routes = self._get_routes()
         if not routes.version:
             matched = settings.match(request.method, request.target, request.headers)
             if matched is None:
                 return None
-            return *matched, settings.resolve(self._domain, *matched), True
+            return *matched, settings.resolve(self._domain, *matched)
         route = routes.match(request.get_header("Host") or "", request.target)
         if route is None:
             return None
         service = routes.choose_service(route)
         policy = settings.resolve(self._domain, service, route.name)
         policy = make_route_policy(policy, route, routes.table.limits)
-        return service, route.name, policy, route.open_access
+        return service, route.name, policy
 
     def _read_key(self, request):
         header = self._dialect.key_header
@@ -324,7 +327,7 @@
             else NotRun(NotRunReason.STOPPING)
         )
         try:
-            if self._get_routes().table.workspaces:
+            if self._expects_keys or self._get_routes().table.workspaces:
                 return await self._handle_identified(call, request, arrival)
             return await self._execute(call, arrival)
         except asyncio.CancelledError:
@@ -344,7 +347,7 @@
     async def _handle_identified(self, call, request, arrival):
         """Execute a call if its API key allows it."""
         key = decode_access_key(request.get_header(self._dialect.access_header))
-        identified = await self._identify(call, key, request.route.open_access)
+        identified = await self._identify(call, key, lambda: self._is_open(request))
         if isinstance(identified, KeyRefused):
             return self._refuse_key(identified, request.remote)
         if isinstance(identified, Unadmitted):
@@ -359,6 +362,14 @@
             call = identified
         return await self._execute(call, arrival)
 
+    def _is_open(self, request):
+        """Tell whether a request's route needs no API key by the table in force."""
+        routes = self._get_routes()
+        if not routes.version:
+            return True
+        route = routes.match(request.get_header("Host") or "", request.target)
+        return route is not None and route.open_access
+
     def _refuse_stopping(self):
         self.stop_refusals += 1
         return self._dialect.render(NotRun(NotRunReason.STOPPING), True)
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -173,6 +173,7 @@
             admit,
             observe,
         ),
+        settings.expects_keys or settings.key_revocation_ms > 0,
     )
     listener = HttpListener(
         callers.handle,
--- a/packages/sapphireway/src/sapphireway/_identity.py
+++ b/packages/sapphireway/src/sapphireway/_identity.py
@@ -84,9 +84,12 @@
     refusal: NotRun
 
 
-Identify = Callable[[Call, str | None, bool], Awaitable[Call | Unadmitted | KeyRefused]]
-"""Called with a call, its API key and whether its route is open.
+Identify = Callable[
+    [Call, str | None, Callable[[], bool]], Awaitable[Call | Unadmitted | KeyRefused]
+]
+"""Called with a call, its API key, and a function that tells whether its route is open.
 
+The function is called again after each pause, as another table may be in force then.
 Returns the call as the server gets it, or why it is refused.
 """
 
@@ -109,7 +112,10 @@
     admit: Admit = admit_all,
     observe: Callable[[Any], None] = lambda event: None,
 ) -> Identify:
-    """Return a function that identifies callers while the table has workspaces.
+    """Return a function that identifies callers by their keys.
+
+    A table without workspaces needs no key. Like an unknown key, it may only be older
+    than the key, so a request with one is not run until the table is confirmed.
 
     Parameters
     ----------
@@ -145,9 +151,12 @@
         return Unadmitted(call, not_run)
 
     async def identify(
-        call: Call, key: str | None, open_access: bool
+        call: Call, key: str | None, is_open: Callable[[], bool]
     ) -> Call | Unadmitted | KeyRefused:
-        if not key and not open_access:
+        def needs_key():
+            return bool(get_routes().table.workspaces) and not is_open()
+
+        if not key and needs_key():
             return refuse_key(call, KeyProblem.MISSING, "")
         workspace = None
         if key:
@@ -155,15 +164,13 @@
             # The key is looked up after the confirmation, which holds for the table
             # that is in force now, but maybe not for the one before the wait.
             workspace = get_routes().find_workspace(key)
-            if workspace is None and not unconfirmed and not open_access:
+            if workspace is None and not unconfirmed:
                 # A node that was cut off lately may not know a new key yet.
                 unconfirmed = await confirm(call.deadline_s, True)
                 workspace = get_routes().find_workspace(key)
-            if open_access:
-                workspace = None if unconfirmed else workspace
-            elif unconfirmed:
+            if unconfirmed:
                 return refuse_call(call, workspace, unconfirmed)
-            elif workspace is None:
+            if workspace is None and needs_key():
                 return refuse_key(call, KeyProblem.UNKNOWN, digest_access_key(key))
         if workspace is not None:
             not_admitted = await admit(workspace, call.deadline_s)
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -38,6 +38,7 @@
 END_WAIT_S = 0.03  # for calls to end by themselves at the end of a stop
 CLAIMS_HANDOVER_MAX_S = 3.0
 SPANS_MAX = 1000
+UNKNOWN_KEY_PROOF_MS = 5000  # kept so long without a bound on removed keys
 MS_PER_S = 1000
 # Callers may have sent requests before the signal that a busy process reads only later.
 # The gate refuses work of other nodes for as long before its links close.
@@ -102,7 +103,7 @@
             observe,
             rng,
             self._tracer,
-            confirm_all if self._confirmation is None else self._confirmation.confirm,
+            self._make_confirm(),
             self._shared.quotas.admit,
         )
         self.add_settings_callback(self._data_path.apply_rollouts)
@@ -348,15 +349,32 @@
         exporter = JsonLinesExporter(self._settings.trace_file, self._spans.append)
         return CallTracer(self._settings.address, exporter, rng)
 
+    def _make_confirm(self):
+        """Return what confirms the routing table before an API key is judged."""
+        if self._confirmation is None:
+            return confirm_all
+        confirm = self._confirmation.confirm
+        if self._settings.key_revocation_ms:
+            return confirm
+
+        async def confirm_unknown(deadline_s, recent):
+            # A known key is served also if it may have been removed.
+            return await confirm(deadline_s, recent) if recent else None
+
+        return confirm_unknown
+
     def _build_confirmation(self, observe, rng):
-        if not self._settings.key_revocation_ms:
-            return None
+        bound_ms = self._settings.key_revocation_ms
+        if not bound_ms:
+            if not self._settings.expects_keys:
+                return None
+            bound_ms = UNKNOWN_KEY_PROOF_MS
         shared = self._shared
         return Confirmation(
             shared.peers,
             shared.control_hosts,
             lambda: shared.applied.routes.version,
-            self._settings.key_revocation_ms / MS_PER_S,
+            bound_ms / MS_PER_S,
             rng,
             read_instant,
             observe,
--- a/packages/sapphireway/tests/test_identity.py
+++ b/packages/sapphireway/tests/test_identity.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from sapphireway._callers import CallerApi, CallerDialect, render_outcome
@@ -58,7 +59,7 @@
 class Entry:
     """A callers' interface whose confirmation and admission a test decides."""
 
-    def __init__(self, table, observe=None):
+    def __init__(self, table, observe=None, expects_keys=False):
         self.calls = []
         self.arrivals = []
         self.events = []
@@ -88,6 +89,7 @@
                 self._admit,
                 observe or self.events.append,
             ),
+            expects_keys,
         )
 
     async def _execute(self, call, arrival):
@@ -209,9 +211,72 @@
     assert entry.send("/keyed/1", with_key(key)).status == status
 
 
-def test_unconfirmed_table_still_serves_open_routes_without_identity(entry):
+@pytest.mark.parametrize("confirmed", [False, True])
+@pytest.mark.parametrize("key", ["key-n", "key-secret"])
+def test_table_without_workspaces_passes_no_key_on(key, confirmed):
+    """A node without the first workspaces passed keys on and ran unknown ones."""
+    entry = Entry(make_table(()), expects_keys=True)
+    entry.not_recent = None if confirmed else UNCONFIRMED
+    headers = (with_key(key), ("sapphireway_workspace", "other"))
+    answer = entry.send("/keyed/1", *headers)
+    assert entry.admitted == []
+    if confirmed:
+        (call,) = entry.calls
+        assert (answer.status, call.workspace) == (200, "")
+        assert call.headers == (("Host", "a"),)
+    else:
+        assert answer.status == 503 and entry.calls == []
+
+
+def test_table_without_workspaces_needs_no_proof_for_requests_without_keys():
+    entry = Entry(make_table(()), expects_keys=True)
+    entry.unconfirmed = UNCONFIRMED
+    claimed = ("Sapphireway-Workspace", "other")
+    assert entry.send("/keyed/1", claimed).status == 200
+    assert entry.calls[0].headers == (("Host", "a"),)
+
+
+@pytest.mark.parametrize(("key", "status"), [("key-n", 200), ("key-secret", 401)])
+def test_first_workspaces_that_arrive_during_the_proof_are_used(key, status):
+    entry = Entry(make_table(()), expects_keys=True)
+
+    def publish():
+        entry.routes = RouteView(make_table(), 2)
+
+    entry.during_confirm = publish
+    assert entry.send("/keyed/1", with_key(key)).status == status
+    assert [call.workspace for call in entry.calls] == ["north"] * (status == 200)
+
+
+def test_route_that_is_closed_during_the_proof_needs_a_known_key(entry):
+    closed = tuple(make_route(name) for name in ("keyed", "open"))
+    table = msgspec.structs.replace(make_table(), routes=closed)
+
+    def publish():
+        entry.routes = RouteView(table, 2)
+
+    entry.during_confirm = publish
+    assert entry.send("/open/1", with_key("key-secret")).status == 401
+    assert entry.calls == []
+
+
+@pytest.mark.parametrize("key", ["key-n", "key-secret"])
+def test_unconfirmed_key_is_not_dropped_on_an_open_route(entry, key):
+    """The server took the request of a workspace for one without."""
+    entry.unconfirmed = UNCONFIRMED
+    assert entry.send("/open/1", with_key(key)).status == 503
+    assert entry.calls == []
+
+
+@pytest.mark.parametrize(("key", "status"), [("key-n", 200), ("key-secret", 503)])
+def test_unknown_key_on_an_open_route_needs_a_recent_confirmation(entry, key, status):
+    entry.not_recent = UNCONFIRMED
+    assert entry.send("/open/1", with_key(key)).status == status
+
+
+def test_open_route_is_served_without_a_key_by_an_unconfirmed_table(entry):
     entry.unconfirmed = UNCONFIRMED
-    assert entry.send("/open/1", with_key("key-n")).status == 200
+    assert entry.send("/open/1").status == 200
     assert entry.calls[0].workspace == ""
 
 
--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -248,7 +248,8 @@
     status, headers, body = system.send("/keyed/1", KEYS[1])
     assert status == 503 and "unconfirmed" in body
     assert float(headers["Retry-After"]) > 0
-    assert system.send("/open/1", KEYS[1])[0] == 200
+    assert system.send("/open/1", KEYS[1])[0] == 503
+    assert system.send("/open/1")[0] == 200
     outputs += [body, exchange(f"{system.node_host}:9400", "GET", "/metrics")[2]]
     system.stop()
 
@@ -257,3 +258,52 @@
     assert digest_access_key(KEYS[3]) in written
     assert "confirmation_lost" in written and "call_unadmitted" in written
     assert [key for key in KEYS if key in written] == []
+
+
+@pytest.mark.parametrize("killed", ["control", "node"])
+@pytest.mark.parametrize("change", ["first", "last"])
+def test_key_is_not_passed_on_by_a_node_without_the_newest_tenants(
+    system, killed, change
+):
+    """Nodes passed keys on, and ran unknown ones, until they had the first tenants."""
+    replace = "/Configuration.Replace"
+    tenants = [{"name": "north", "api_keys": KEYS[:1]}]
+    before, after = ([], tenants) if change == "first" else (tenants, [])
+
+    def publish():
+        answer = system.publish(replace, make_configuration(before), 0)
+        return answer is not None and answer[0] == 200
+
+    wait_until(publish, "accepted configuration")
+    wait_until(system.announce_server, "announced server")
+
+    def is_served():
+        answer = system.send("/keyed/1", KEYS[0])
+        return answer is not None and answer[0] == 200
+
+    wait_until(is_served, "answer for a key")
+    del system.received[:]
+    document = make_configuration(after) | {"version": 2}
+    assert system.publish(replace, document, 1)[0] == 200
+    settings = json.loads((system.folder / f"{killed}.json").read_text())
+    system.kill(killed)
+    statuses = set()
+    for _ in range(5):
+        for key in (KEYS[0], KEYS[3]):
+            answer = system.send("/keyed/2", key, **{"Tenant-Name": "other"})
+            statuses.add(answer and answer[0])
+    assert 401 not in statuses or change == "last"
+    system.start(killed, settings | {"initial_bootstrap": False})
+    wait_until(system.announce_server, "announced server")
+
+    def has_newest_tenants():
+        status = (system.send("/keyed/2", KEYS[3]) or [0])[0]
+        return status == (401 if change == "first" else 200)
+
+    wait_until(has_newest_tenants, "newest tenants")
+    wait_until(is_served, "answer for a key")
+    names = [{k.lower(): v for k, v in each.items()} for each in system.received]
+    assert [each for each in names if "api-key" in each] == []
+    assert "other" not in [each.get("tenant-name") for each in names]
+    last = names[-1].get("tenant-name")
+    assert last == ("north" if change == "first" else None)
