Bound what small pieces cost a node in memory and time

Cause: each chunk of a body was kept as an object of its own, of some 40 bytes beside its content, and only the content was counted; each chunk, header and pipelined request cost a callback, and as many were handled at once as had arrived. One client that uploaded in chunks of 2 bytes, or one server that answered so, ended a node for its memory or kept all other clients waiting. 60 MiB uploads at once were bounded one by one only.

Change: bodies are collected in one piece without a copy. One budget for requests and answers of a process counts what is held, heads and objects included; a request that doesn't fit gets 503 with Retry-After before its body is read. A connection is parsed in slices and pauses after 256 pieces, for longer the more connections pause; libcurl pauses a transfer likewise and joins its chunks meanwhile. Heads of an answer have 512 lines and 64 kB in all, interim ones and trailers included. Operators' and servers' interfaces share the budget; sapphirectl ends a response that has no end.

Ruled out: rejecting small chunks (proper clients may send them), reading less at once (each turn would still be used up), a limit on callbacks by time (depends on the host).

--- a/packages/sapphirectl/src/sapphirectl/_http.py
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -1,10 +1,17 @@
 """HTTP requests to the admin address of a node."""
 
+import contextlib
 import http.client
+import io
 import ipaddress
+import socket
+import threading
 from dataclasses import dataclass
 
 RESPONSE_MAX_BYTES = 64 * 1024 * 1024
+READ_MAX_BYTES = 64 * 1024
+# For a whole response, which may be large; the timeout only limits each wait.
+RESPONSE_TIMEOUTS_MAX = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,20 +56,63 @@
     try:
         connection.connect()
         sent = True
-        connection.request(method, path, body, _make_headers(token))
-        response = connection.getresponse()
-        has_end = response.chunked or response.length is not None
-        content = response.read(RESPONSE_MAX_BYTES)
+        with _limit_time(connection, RESPONSE_TIMEOUTS_MAX * timeout_s) as has_ended:
+            connection.request(method, path, body, _make_headers(token))
+            response = connection.getresponse()
+            has_end = response.chunked or response.length is not None
+            content = _read_content(response)
+        if has_ended.is_set():
+            return NoResponse(f"{address}: the response has no end", sent)
         # `read` with a limit reports no error if the connection ends early.
-        if not has_end or response.length:
+        if not has_end or response.length or content is None:
             return NoResponse(f"{address}: the response is incomplete", sent)
-    except (OSError, http.client.HTTPException) as error:
+    except (OSError, ValueError, http.client.HTTPException) as error:
         return NoResponse(f"{address}: {error or type(error).__name__}", sent)
     finally:
         connection.close()
     return Response(response.status, content)
 
 
+@contextlib.contextmanager
+def _limit_time(connection, limit_s):
+    """End the connection after a time; yields an event that is set then.
+
+    `http.client` follows interim responses and trailers for as long as they come.
+    """
+    has_ended = threading.Event()
+    open_socket = connection.sock
+
+    def end():
+        has_ended.set()
+        with contextlib.suppress(OSError):
+            open_socket.shutdown(socket.SHUT_RDWR)
+
+    timer = threading.Timer(limit_s, end)
+    timer.daemon = True
+    timer.start()
+    try:
+        yield has_ended
+    finally:
+        timer.cancel()
+
+
+def _read_content(response):
+    """Return the content; None if it is larger than allowed.
+
+    `read` would collect the chunks in a list, in which small ones take many times their
+    size. `read1` returns each as it comes, but needs not notice the end of a response
+    with a length.
+    """
+    read = response.read1 if response.chunked else response.read
+    content = io.BytesIO()
+    while content.tell() <= RESPONSE_MAX_BYTES:
+        piece = read(READ_MAX_BYTES)
+        if not piece:
+            return content.getvalue()
+        content.write(piece)
+    return None
+
+
 def _make_headers(token):
     headers = {"Accept": "application/json", "Content-Type": "application/json"}
     if token:
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -22,6 +22,7 @@
     read_instant,
     shift_back,
 )
+from sapphireway_transport._memory_budget import MemoryBudget, make_body_budget
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
@@ -59,6 +60,7 @@
     "HttpListener",
     "HttpRequest",
     "Instant",
+    "MemoryBudget",
     "NeedsEcho",
     "NotSent",
     "ReadInstant",
@@ -70,6 +72,7 @@
     "ServerResult",
     "ZmqEndpoint",
     "compute_age",
+    "make_body_budget",
     "needs_no_echo",
     "read_instant",
     "shift_back",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import io
 import math
 import re
 import select
@@ -15,6 +17,8 @@
 import msgspec
 import pycurl
 
+from sapphireway_transport._memory_budget import OBJECT_BYTES, MemoryBudget
+from sapphireway_transport._read_share import PIECES_MAX, ReadShare
 from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
     Broken,
@@ -35,6 +39,9 @@
 # All answers that are being received; the smallest hosts have 200 MB, of which a node
 # takes up to 50 MB and a single answer may take 64 MB.
 ANSWERS_MAX_BYTES = 64 * 1024 * 1024
+# Of all heads of one answer, interim ones and trailers included.
+HEAD_LINES_MAX = 512
+HEAD_MAX_BYTES = 64 * 1024
 # libcurl drops chunk extensions without a callback. It reads up to 160 KB at an event,
 # so this ends an endless one after some 40 MB.
 FRUITLESS_READS_MAX = 256
@@ -105,6 +112,8 @@
     Parameters
     ----------
     max_bytes : int
+    budget : MemoryBudget
+        Of all that the process holds.
 
     Attributes
     ----------
@@ -113,22 +122,43 @@
     used_bytes : int
     has_progress : bool
         Whether a part of an answer has arrived since the flag was last reset.
+    read_number : int
+        Increased whenever the event loop lets a connection read.
     """
 
-    __slots__ = ("_max_bytes", "has_progress", "transfers", "used_bytes")
+    __slots__ = (
+        "_budget",
+        "_max_bytes",
+        "has_progress",
+        "read_number",
+        "transfers",
+        "used_bytes",
+    )
 
-    def __init__(self, max_bytes: int):
+    def __init__(self, max_bytes: int, budget: MemoryBudget):
+        self._budget = budget
         self._max_bytes = max_bytes
         self.has_progress = False
+        self.read_number = 0
         self.transfers = 0
         self.used_bytes = 0
 
+    def add(self, size: int) -> None:
+        """Count bytes that are held from now on."""
+        self.used_bytes += size
+        self._budget.add(size)
+
+    def release(self, size: int) -> None:
+        """Count bytes that are held no longer."""
+        self.used_bytes -= size
+        self._budget.release(size)
+
     def is_exceeded_by(self, answer_bytes: int) -> bool:
         """Return whether an answer of this size takes more than the memory allows.
 
         If all answers together are too large, those above the average are.
         """
-        if self.used_bytes <= self._max_bytes:
+        if self.used_bytes <= self._max_bytes and not self._budget.is_exceeded:
             return False
         return answer_bytes * self.transfers >= self.used_bytes
 
@@ -211,9 +241,9 @@
     """One easy handle and its current exchange."""
 
     __slots__ = (
+        "_body",
         "_body_max_bytes",
         "_bytes_received",
-        "_chunks",
         "_close_delimited_allowed",
         "_echo_fault",
         "_echoed",
@@ -221,7 +251,10 @@
         "_has_length",
         "_head_bytes",
         "_head_ended",
+        "_head_lines",
         "_headers",
+        "_heads_bytes",
+        "_held_bytes",
         "_in_head",
         "_is_chunked",
         "_is_head_request",
@@ -229,8 +262,11 @@
         "_memory",
         "_needs_echo",
         "_on_keep_alive",
+        "_on_pause",
         "_on_send",
         "_opened_fds",
+        "_pieces",
+        "_read_number",
         "_sockets",
         "_status",
         "_too_large",
@@ -240,12 +276,16 @@
         "send_count",
     )
 
-    def __init__(self, on_keep_alive, on_send, memory, sockets):
+    def __init__(self, on_keep_alive, on_send, on_pause, memory, sockets):
         self._on_keep_alive = on_keep_alive
+        self._on_pause = on_pause
         self._on_send = on_send
         self._memory = memory
         self._sockets = sockets
         self._bytes_received = 0
+        self._held_bytes = 0
+        self._pieces = 0
+        self._read_number = 0
         self.easy = easy = pycurl.Curl()
         self.future = None
         self.send_count = 0
@@ -280,8 +320,9 @@
         self.future = future
         self.send_count = 0
         self._body_max_bytes = request.body_max_bytes
+        # Holds many small chunks in one piece; `getvalue` doesn't copy.
+        self._body = io.BytesIO()
         self._bytes_received = 0
-        self._chunks = []
         self._expected_echo = request.echo_header
         self._echo_fault = ""
         self._echoed = False
@@ -292,10 +333,13 @@
         self._is_chunked = False
         self._is_head_request = request.method == "HEAD"
         self._head_bytes = 0
+        self._head_lines = 0
+        self._heads_bytes = 0
         self._headers = []
         self._head_ended = False
         self._in_head = False
         self._length = None
+        self._pieces = 0
         self._status = 0
         self._too_large = False
         self._close_delimited_allowed = request.close_delimited_allowed
@@ -330,7 +374,7 @@
         if code == pycurl.E_OK and self._status:
             if self._is_complete():
                 headers = tuple(self._headers)
-                return Responded(self._status, headers, b"".join(self._chunks))
+                return Responded(self._status, headers, self._body.getvalue())
             detail = f"the answer may be incomplete; {self._describe_progress()}"
             return Broken(detail, disconnected=not self._head_ended)
         message = message or f"libcurl error {code}"
@@ -344,9 +388,10 @@
     def release(self) -> None:
         """Drop references to the last exchange."""
         self.future = None
-        self._memory.used_bytes -= self._bytes_received
+        self._memory.release(self._held_bytes)
+        self._held_bytes = 0
         self._bytes_received = 0
-        self._chunks = []
+        self._body = None
         self._headers = []
         # Otherwise the handle keeps the last body in memory.
         self.easy.setopt(pycurl.POSTFIELDS, b"")
@@ -372,7 +417,7 @@
         """
         if self._expected_echo is None:
             return False
-        body = b"".join(self._chunks)
+        body = self._body.getvalue()
         name = self._expected_echo[0].lower().encode("latin-1")
         return any(
             _has_field(head[1].lower(), name) or head.end() == len(body)
@@ -410,6 +455,12 @@
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
         self._memory.has_progress = True
+        self._head_lines += 1
+        self._heads_bytes += len(line)
+        self._hold(len(line) + OBJECT_BYTES)
+        if self._head_lines > HEAD_LINES_MAX or self._heads_bytes > HEAD_MAX_BYTES:
+            self._too_large = True
+            return -1
         if self._head_ended:
             return None  # a trailer
         text = line.decode("latin-1").rstrip("\r\n")
@@ -503,16 +554,29 @@
     def _receive_body(self, chunk):
         memory = self._memory
         memory.has_progress = True
-        memory.used_bytes += len(chunk)
+        if self._read_number != memory.read_number:
+            self._read_number = memory.read_number
+            self._pieces = 0
+        self._pieces += 1
+        if self._pieces > PIECES_MAX:
+            # While it pauses, libcurl joins the chunks that it has read already.
+            self._on_pause(self, self._pieces)
+            self._pieces = 0
+            return pycurl.WRITEFUNC_PAUSE
+        self._hold(len(chunk))
         self._bytes_received += len(chunk)
         if self._bytes_received > self._body_max_bytes or memory.is_exceeded_by(
-            self._bytes_received
+            self._held_bytes
         ):
             self._too_large = True
             return 0
-        self._chunks.append(chunk)
+        self._body.write(chunk)
         return len(chunk)
 
+    def _hold(self, size):
+        self._held_bytes += size
+        self._memory.add(size)
+
 
 class CurlServerClient:
     """Sends requests to servers, each at most once.
@@ -527,6 +591,8 @@
     sent_ids_max : int, default=8192
         Values of `ServerRequest.echo_header` of which all are remembered. Older
         connections are not used again.
+    budget : MemoryBudget, optional
+        Of all that the process holds for requests and answers.
     get_time : callable, default=time.monotonic
         Returns the time in seconds, as libcurl measures the ages of connections. By a
         clock that counts suspensions of the host, a connection could be used again
@@ -544,6 +610,8 @@
         "_loop",
         "_memory",
         "_multi",
+        "_pauses",
+        "_read_share",
         "_sent_ids",
         "_sockets",
         "_timer",
@@ -555,12 +623,16 @@
         answers_max_bytes: int = ANSWERS_MAX_BYTES,
         sent_ids_max: int = SENT_IDS_MAX,
         get_time: Callable[[], float] = time.monotonic,
+        budget: MemoryBudget | None = None,
     ):
         self._active_transfers = {}
         self._fruitless_reads = {}
         self._get_time = get_time
         self._has_closed = False
-        self._memory = _AnswerMemory(answers_max_bytes)
+        budget = budget or MemoryBudget(answers_max_bytes)
+        self._memory = _AnswerMemory(answers_max_bytes, budget)
+        self._pauses = {}
+        self._read_share = ReadShare()
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
         self._loop = None
@@ -598,7 +670,11 @@
             self._idle_transfers.pop()
             if self._idle_transfers
             else _Transfer(
-                self._handle_keep_alive, self._record_id, self._memory, self._sockets
+                self._handle_keep_alive,
+                self._record_id,
+                self._pause,
+                self._memory,
+                self._sockets,
             )
         )
         future = self._loop.create_future()
@@ -667,7 +743,28 @@
                 IDLE_CONNECTION_MIN_S, timeout_s - IDLE_MARGIN_S
             )
 
+    def _pause(self, transfer, pieces):
+        """Let a transfer rest whose answer arrives in many small pieces."""
+        pause_s = self._read_share.compute_pause(pieces)
+        self._read_share.paused += 1
+        self._pauses[transfer] = self._loop.call_later(pause_s, self._resume, transfer)
+
+    def _resume(self, transfer):
+        self._end_pause(transfer)
+        self._memory.read_number += 1
+        # libcurl reports an answer that was rejected meanwhile by its own message.
+        with contextlib.suppress(pycurl.error):
+            transfer.easy.pause(pycurl.PAUSE_CONT)
+        self._perform(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _end_pause(self, transfer):
+        timer = self._pauses.pop(transfer, None)
+        if timer is not None:
+            timer.cancel()
+            self._read_share.paused -= 1
+
     def _detach(self, transfer):
+        self._end_pause(transfer)
         # libcurl closes the connection of an unfinished handle that is removed.
         del self._active_transfers[transfer.easy]
         self._memory.transfers = len(self._active_transfers)
@@ -706,6 +803,7 @@
 
     def _read(self, fd):
         self._memory.has_progress = False
+        self._memory.read_number += 1
         self._perform(fd, pycurl.CSELECT_IN)
         if self._memory.has_progress or fd not in self._interests:
             self._fruitless_reads.pop(fd, None)
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -19,6 +19,7 @@
     Prepare,
     Reject,
 )
+from sapphireway_transport._memory_budget import MemoryBudget, make_body_budget
 
 BACKLOG_CONNECTIONS = 1024  # a full queue drops SYNs, which delays callers by seconds
 FINISH_CHECK_INTERVAL_S = 0.02
@@ -37,6 +38,8 @@
         Returns the answer to a request that cannot be read.
     get_limits : callable
         Returns the `HttpLimits` in force.
+    budget : MemoryBudget, optional
+        Of all that the process holds for requests and answers.
     """
 
     __slots__ = ("_server", "_state")
@@ -47,8 +50,10 @@
         prepare: Prepare,
         reject: Reject,
         get_limits: Callable[[], HttpLimits],
+        budget: MemoryBudget | None = None,
     ):
-        self._state = ListenerState(handle, prepare, reject, get_limits)
+        budget = budget or make_body_budget()
+        self._state = ListenerState(handle, prepare, reject, get_limits, budget=budget)
         self._server = None
 
     @property
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import io
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -17,7 +18,22 @@
     Reject,
     RejectedRequest,
 )
-
+from sapphireway_transport._memory_budget import (
+    OBJECT_BYTES,
+    MemoryBudget,
+    make_body_budget,
+)
+from sapphireway_transport._read_share import ReadShare
+
+READ_MAX_BYTES = 64 * 1024
+# What is parsed before the work and the memory for a connection are looked at again. A
+# head of 1 kB may be that of some fifty pipelined requests.
+HEAD_SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 16 * 1024
+REQUEST_PIECES = 16  # a request costs about as much as so many chunks
+FULL_RETRY_S = 1.0  # large bodies take about as long to arrive and to be answered
+# After this time a body that hasn't arrived no longer keeps memory from others.
+RESERVATION_S = 5.0
 PIPELINED_MAX = 32  # pending requests on one connection before reading pauses
 LINGER_S = 1.0  # time for the caller to read the last answer without a reset
 BODY_TIME_MAX_S = 600.0  # the longest timeout of a route
@@ -43,6 +59,11 @@
     connections : set of HttpConnection
     answer_count : int
         Answers that connections have begun to send.
+    budget : MemoryBudget
+        Of all that is held for requests until they are answered.
+    share : ReadShare
+    read_buffer : memoryview
+        Into which all connections read, one after the other.
     """
 
     handle: Handle
@@ -54,6 +75,11 @@
     reading: dict["_Exchange", "HttpConnection"] = msgspec.field(default_factory=dict)
     connections: set["HttpConnection"] = msgspec.field(default_factory=set)
     answer_count: int = 0
+    budget: MemoryBudget = msgspec.field(default_factory=make_body_budget)
+    share: ReadShare = msgspec.field(default_factory=ReadShare)
+    read_buffer: memoryview = msgspec.field(
+        default_factory=lambda: memoryview(bytearray(READ_MAX_BYTES))
+    )
 
 
 class _Exchange(msgspec.Struct, eq=False):
@@ -65,6 +91,15 @@
         Chunk sizes, chunk extensions and trailers of the request.
     body_deadline_s : float
         Loop time by which the body must have arrived.
+    body : BytesIO or None
+        Holds many small chunks in one piece, and `getvalue` doesn't copy. None once the
+        request is complete.
+    held_bytes : int
+        Taken from the budget until the request is answered.
+    unfilled_bytes : int
+        Those of them that are reserved for the rest of a body of known length.
+    began_s : float
+        Loop time at which the headers had arrived.
     """
 
     request: HttpRequest
@@ -72,31 +107,42 @@
     body_bytes: int = 0
     framing_bytes: int = 0
     body_deadline_s: float = 0.0
-    chunks: list[bytes] = msgspec.field(default_factory=list)
+    body: io.BytesIO | None = msgspec.field(default_factory=io.BytesIO)
+    held_bytes: int = 0
+    unfilled_bytes: int = 0
+    began_s: float = 0.0
     is_last: bool = False
     task: asyncio.Task | None = None
     answer: HttpAnswer | None = None
 
 
-class HttpConnection(asyncio.Protocol):
-    """Parses requests, handles each in a task, and writes the answers in order."""
+class HttpConnection(asyncio.BufferedProtocol):
+    """Parses requests, handles each in a task, and writes the answers in order.
+
+    A connection that brings many small pieces pauses after some of them, so that others
+    are served meanwhile.
+    """
 
     __slots__ = (
         "_deadline_s",
         "_exchanges",
         "_header_bytes",
         "_headers",
+        "_headers_held_bytes",
         "_ignores_input",
         "_in_headers",
         "_limits",
         "_loop",
         "_parser",
+        "_pause",
+        "_pieces",
         "_reading",
         "_remote",
         "_state",
         "_target",
         "_timer",
         "_transport",
+        "_unparsed",
     )
 
     def __init__(self, state: ListenerState):
@@ -109,10 +155,14 @@
         self._remote = ""
         self._target = b""
         self._headers = []
+        self._headers_held_bytes = 0
         self._header_bytes = 0
         self._in_headers = False
         self._ignores_input = False
+        self._pause = None
+        self._pieces = 0
         self._timer = None
+        self._unparsed = b""
         self._limits = state.get_limits()
         self._deadline_s = 0.0
 
@@ -130,6 +180,7 @@
             not self._exchanges
             and self._reading is None
             and not self._ignores_input
+            and not self._unparsed
             and not self.is_sending
         )
 
@@ -150,18 +201,92 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._end_pause()
+        self._drop_unparsed()
+        self._release_headers()
         if self._reading is not None:
+            self._release(self._reading)
             del self._state.reading[self._reading]
             self._reading = None
         for exchange in self._exchanges:
+            self._release(exchange)
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
 
-    def data_received(self, data):
-        """Parse received data."""
+    def get_buffer(self, sizehint):
+        """Return the buffer for the next read."""
+        return self._state.read_buffer
+
+    def buffer_updated(self, size):
+        """Parse received data, or keep it until the connection may go on."""
         if self._ignores_input:
             return
+        data = self._state.read_buffer[:size]
+        if self._unparsed or self._pause is not None:
+            self._keep_unparsed(bytes(data))
+            return
+        self._parse(data)
+
+    def _parse(self, data):
+        """Parse data until the connection has to pause."""
+        begin, end = 0, len(data)
+        self._pieces = 0
+        while begin < end and not self._ignores_input:
+            in_body = self._reading is not None
+            size = BODY_SLICE_BYTES if in_body else HEAD_SLICE_BYTES
+            # The parser keeps references to parts of bytes only.
+            self._parse_slice(bytes(data[begin : begin + size]))
+            begin += size
+            if self._ignores_input or not self._must_wait():
+                continue
+            pause_s = self._state.share.compute_pause(self._pieces)
+            if pause_s:
+                self._begin_pause(pause_s)
+            self._transport.pause_reading()
+            if begin < end:
+                self._keep_unparsed(bytes(data[begin:]))
+            return
+
+    def _must_wait(self):
+        is_full = len(self._exchanges) >= PIPELINED_MAX
+        return is_full or self._state.share.compute_pause(self._pieces) > 0.0
+
+    def _keep_unparsed(self, data):
+        self._unparsed += data
+        self._state.budget.add(len(data))
+
+    def _drop_unparsed(self):
+        self._state.budget.release(len(self._unparsed))
+        self._unparsed = b""
+
+    def _begin_pause(self, pause_s):
+        self._state.share.paused += 1
+        self._pause = self._loop.call_later(pause_s, self._go_on)
+
+    def _end_pause(self):
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
+            self._state.share.paused -= 1
+
+    def _go_on(self):
+        """Parse what was kept, and read on once it is parsed."""
+        self._end_pause()
+        self._parse_unparsed()
+
+    def _parse_unparsed(self):
+        if self._pause is not None or self._transport.is_closing():
+            return
+        if self._unparsed and not self._ignores_input:
+            data = self._unparsed
+            self._drop_unparsed()
+            self._parse(memoryview(data))
+        may_read = self._pause is None and not self._unparsed
+        if may_read and len(self._exchanges) < PIPELINED_MAX:
+            self._transport.resume_reading()
+
+    def _parse_slice(self, data):
         if self._in_headers:
             self._header_bytes += len(data)
         elif self._reading is not None:
@@ -183,8 +308,6 @@
             self._reject_headers()
         elif reading is not None and reading is self._reading:
             self._check_framing(reading, len(data) - (reading.body_bytes - body_bytes))
-        if len(self._exchanges) >= PIPELINED_MAX and not self._ignores_input:
-            self._transport.pause_reading()
 
     def close(self):
         """Close immediately; pending requests are cancelled."""
@@ -203,6 +326,7 @@
     def on_message_begin(self):
         """Start the header timeout."""
         self._limits = self._state.get_limits()
+        self._pieces += REQUEST_PIECES
         self._target = b""
         self._headers = []
         self._header_bytes = 0
@@ -215,6 +339,14 @@
 
     def on_header(self, name, value):
         """Collect one header."""
+        self._pieces += 1
+        if self._ignores_input:
+            return
+        size = len(name) + len(value) + OBJECT_BYTES
+        if not self._state.budget.reserve(size):
+            self._reject_full()
+            return
+        self._headers_held_bytes += size
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -236,29 +368,39 @@
             self._reject_headers()
             return
         exchange = _Exchange(request, is_last=not self._parser.should_keep_alive())
+        exchange.held_bytes, self._headers_held_bytes = self._headers_held_bytes, 0
         exchange.body_max_bytes = self._state.prepare(request)
         self._reading = exchange
         self._state.reading[exchange] = self
-        exchange.body_deadline_s = self._loop.time() + BODY_TIME_MAX_S
+        exchange.began_s = self._loop.time()
+        exchange.body_deadline_s = exchange.began_s + BODY_TIME_MAX_S
         self._start_body_timeout()
         declared = request.get_header("Content-Length") or "0"
-        if (
-            declared.isascii()
-            and declared.isdigit()
-            and int(declared) > exchange.body_max_bytes
-        ):
+        if not (declared.isascii() and declared.isdigit()):
+            return
+        if int(declared) > exchange.body_max_bytes:
             self._reject_body()
+        elif not self._reserve(exchange, int(declared)):
+            self._reject_full()
+        else:
+            exchange.unfilled_bytes = int(declared)
 
     def on_body(self, body):
         """Collect a part of the body."""
         exchange = self._reading
         if self._ignores_input or exchange is None:
             return
+        self._pieces += 1
         exchange.body_bytes += len(body)
         if exchange.body_bytes > exchange.body_max_bytes:
             self._reject_body()
             return
-        exchange.chunks.append(body)
+        filled = min(exchange.unfilled_bytes, len(body))
+        exchange.unfilled_bytes -= filled
+        if not self._reserve(exchange, len(body) - filled):
+            self._reject_full()
+            return
+        exchange.body.write(body)
 
     def on_message_complete(self):
         """Start a task that handles the request."""
@@ -267,8 +409,8 @@
             return
         self._reading = None
         del self._state.reading[exchange]
-        exchange.request.body = b"".join(exchange.chunks)
-        exchange.chunks.clear()
+        exchange.request.body = exchange.body.getvalue()
+        exchange.body = None
         self._exchanges.append(exchange)
         self._stop_timeout()
         # Data after the last request of a connection is ignored.
@@ -278,6 +420,35 @@
         self._state.tasks.add(task)
         task.add_done_callback(lambda task: self._complete(exchange, task))
 
+    # Memory.
+
+    def _reserve(self, exchange, size):
+        """Take memory for a body; return False if there is none left."""
+        budget, total = self._state.budget, exchange.held_bytes + size
+        if not budget.reserve(size, total):
+            self._reclaim_reservations()
+            if not budget.reserve(size, total):
+                return False
+        exchange.held_bytes += size
+        return True
+
+    def _reclaim_reservations(self):
+        """Take back what is reserved for bodies that arrive slowly."""
+        oldest_s = self._loop.time() - RESERVATION_S
+        for exchange in self._state.reading:
+            if exchange.began_s < oldest_s:
+                self._state.budget.release(exchange.unfilled_bytes)
+                exchange.held_bytes -= exchange.unfilled_bytes
+                exchange.unfilled_bytes = 0
+
+    def _release(self, exchange):
+        self._state.budget.release(exchange.held_bytes)
+        exchange.held_bytes = exchange.unfilled_bytes = 0
+
+    def _release_headers(self):
+        self._state.budget.release(self._headers_held_bytes)
+        self._headers_held_bytes = 0
+
     # Answers.
 
     def _complete(self, exchange, task):
@@ -300,6 +471,7 @@
     def _flush(self):
         while self._exchanges and self._exchanges[0].answer is not None:
             exchange = self._exchanges.popleft()
+            self._release(exchange)
             # Later requests may have run, so only the last answer ends the connection.
             close_wanted = (
                 self._state.closing or exchange.is_last or _asks_close(exchange)
@@ -313,10 +485,14 @@
                 self._close_gracefully()
                 return
         if not self._ignores_input and len(self._exchanges) < PIPELINED_MAX:
-            self._transport.resume_reading()
+            self._parse_unparsed()
         if not self._exchanges and self._reading is None and not self._in_headers:
             self._start_timeout(self._limits.idle_timeout_s)
 
+    def _reject_full(self):
+        detail = "this node has no memory left for the request"
+        self._reject(503, detail, FULL_RETRY_S)
+
     def _reject_headers(self):
         limit = self._limits.header_max_bytes
         self._reject(431, f"headers are larger than {limit} bytes")
@@ -331,17 +507,23 @@
         if exchange.framing_bytes > framing_max + self._limits.header_max_bytes:
             self._reject(400, "chunk extensions and trailers are too large")
 
-    def _reject(self, status, detail):
+    def _reject(self, status, detail, retry_after_s=0.0):
         """Answer a request that was not read completely and close the connection."""
         if not self._ignores_input:
-            rejected = RejectedRequest(status, detail, self._remote)
+            request = None if self._reading is None else self._reading.request
+            rejected = RejectedRequest(
+                status, detail, self._remote, retry_after_s, request
+            )
             self._end_reading(self._state.reject(rejected))
 
     def _end_reading(self, answer):
         """Read no further request; answer the one that is incomplete."""
         self._ignores_input = True
         self._in_headers = False
+        self._drop_unparsed()
+        self._release_headers()
         if self._reading is not None:
+            self._release(self._reading)
             del self._state.reading[self._reading]
             self._reading = None
         # An earlier request may still be at work.
@@ -353,6 +535,8 @@
     def _close_gracefully(self):
         """Close after the last answer, without a reset that could discard it."""
         self._ignores_input = True
+        self._end_pause()
+        self._drop_unparsed()
         # Bytes that are not read would cause a reset.
         self._transport.resume_reading()
         if self._transport.can_write_eof():
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_messages.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_messages.py
@@ -53,15 +53,21 @@
     ----------
     status : int
         400 for malformed HTTP, 408 for a request that arrives too slowly, 413 for a
-        body and 431 for headers that are too large.
+        body and 431 for headers that are too large, 503 if there is no memory for it.
     detail : str
         One line for humans.
     remote : str
+    retry_after_s : float, default=0
+        When the caller may come back, for 503.
+    request : HttpRequest or None
+        Without its body; None if its headers are not complete.
     """
 
     status: int
     detail: str
     remote: str
+    retry_after_s: float = 0.0
+    request: HttpRequest | None = None
 
 
 class HttpLimits(msgspec.Struct, frozen=True):
--- a/packages/sapphireway/src/sapphireway/_admin.py
+++ b/packages/sapphireway/src/sapphireway/_admin.py
@@ -7,6 +7,7 @@
 
 import tornado.httpserver
 
+from sapphireway._bounded_server import make_bounded_server
 from sapphireway._control_hosts import ControlHostManager
 from sapphireway._decisions import DecisionLog
 from sapphireway._logs import EventLog
@@ -21,6 +22,7 @@
 from sapphireway._stalls import StallWatch
 from sapphireway_coordination import Gate
 from sapphireway_state import ProcessSettings
+from sapphireway_transport import MemoryBudget
 
 CONTROL_SILENCE_MAX_S = 5.0
 
@@ -34,6 +36,7 @@
     log: EventLog,
     list_spans: Callable[[str | None, int], list[dict[str, Any]]],
     watch: StallWatch,
+    budget: MemoryBudget,
 ) -> tornado.httpserver.HTTPServer:
     """Return the server of the admin address, which does not listen yet.
 
@@ -48,6 +51,8 @@
     list_spans : callable
         Returns the spans of a trace, or of all if it is None, up to a limit.
     watch : StallWatch
+    budget : MemoryBudget
+        Of all that the process holds for requests and answers.
     """
     operations = Operations(
         shared.peers, shared.control_client, settings.control_hosts, shared.applied
@@ -76,9 +81,7 @@
     application.add_handlers(".*", make_server_routes(gate))
     rollout_routes = make_rollout_routes(backend, shared.rollout_orders, watch)
     application.add_handlers(".*", rollout_routes)
-    return tornado.httpserver.HTTPServer(
-        application, max_body_size=OPERATOR_BODY_MAX_BYTES
-    )
+    return make_bounded_server(application, OPERATOR_BODY_MAX_BYTES, budget)
 
 
 def _list_faults(shared):
--- a/packages/sapphireway/src/sapphireway/_callers.py
+++ b/packages/sapphireway/src/sapphireway/_callers.py
@@ -259,9 +259,28 @@
         return request.get_header(header) if header else None
 
     def reject(self, rejected: RejectedRequest) -> HttpAnswer:
-        """Return the answer to a request that was too large to be read."""
+        """Return the answer to a request that was not read completely."""
+        if rejected.status == 503:
+            return self._refuse_full(rejected)
         return self._refuse(rejected.status, rejected.detail, rejected.remote)
 
+    def _refuse_full(self, rejected):
+        self._metrics.count("sapphireway_bad_requests_total", status="503")
+        self._log.warning("no_memory", detail=rejected.detail, remote=rejected.remote)
+        request = rejected.request
+        if request is not None and self._may_have_run(request):
+            return self._dialect.render(Unknown(rejected.detail), True)
+        not_run = NotRun(
+            NotRunReason.OVERLOADED, rejected.retry_after_s, rejected.detail
+        )
+        return self._dialect.render(not_run, True)
+
+    def _may_have_run(self, request):
+        """Return whether an earlier request with the same key may have run."""
+        if request.route is None:
+            return self._read_key(request) is not None
+        return self._is_claimed(request)
+
     def refuse_unread(self, request: HttpRequest) -> HttpAnswer | None:
         """Refuse a request that can't run any more, although its body is incomplete.
 
@@ -272,10 +291,7 @@
             claim can tell whether an earlier one with its key has run.
         """
         route, now_s = request.route, asyncio.get_running_loop().time()
-        if route is None:
-            is_claimed = self._read_key(request) is not None
-        else:
-            is_claimed = self._is_claimed(request)
+        is_claimed = self._may_have_run(request)
         if now_s >= self.end_s:
             if not is_claimed:
                 return self._refuse_stopping()
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -41,7 +41,9 @@
     CurlServerClient,
     HttpLimits,
     HttpListener,
+    MemoryBudget,
     ServerClient,
+    make_body_budget,
 )
 
 RETRY_TOKENS_MIN = 1.0  # lets a rarely called service retry at all
@@ -63,6 +65,8 @@
     listener : HttpListener
     versions : VersionSplit
     version_reporter : VersionReporter
+    budget : MemoryBudget
+        Of all that the process holds for requests and answers.
     """
 
     dispatcher: Dispatcher
@@ -74,6 +78,7 @@
     listener: HttpListener
     versions: VersionSplit
     version_reporter: VersionReporter
+    budget: MemoryBudget
 
     def apply_rollouts(self) -> None:
         """Act on the rollouts in force, after they or the server have changed."""
@@ -126,9 +131,11 @@
         versions,
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
-    client = _build_client(tracer)
+    budget = make_body_budget()
+    client = _build_client(tracer, budget)
     health_client = HealthClient(
-        CurlServerClient(HEALTH_CONNECTIONS_MAX), dialects.server.echo_header
+        CurlServerClient(HEALTH_CONNECTIONS_MAX, budget=budget),
+        dialects.server.echo_header,
     )
     gate = Gate(
         peers,
@@ -180,6 +187,7 @@
         callers.prepare,
         callers.reject,
         _make_http_limits(settings, applied),
+        budget,
     )
     return DataPath(
         dispatcher,
@@ -191,6 +199,7 @@
         listener,
         versions,
         reporter,
+        budget,
     )
 
 
@@ -230,8 +239,8 @@
     return observe_gate
 
 
-def _build_client(tracer):
-    client = CurlServerClient()
+def _build_client(tracer, budget):
+    client = CurlServerClient(budget=budget)
     if tracer is None:
         return client
     from sapphireway._traces import TracedServerClient
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -31,7 +31,7 @@
     discover_local_server,
 )
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import read_instant
+from sapphireway_transport import MemoryBudget, read_instant
 
 CLAIMS_CHECK_INTERVAL_S = 0.1
 UNREAD_CHECK_INTERVAL_S = 0.02
@@ -117,6 +117,7 @@
             log,
             self._list_spans,
             self._stall_watch,
+            self.body_budget,
         )
         register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
@@ -172,6 +173,11 @@
         """Orders rollouts of services and reads their state."""
         return self._shared.rollout_orders
 
+    @property
+    def body_budget(self) -> MemoryBudget:
+        """Memory of all that the process holds for requests and answers."""
+        return self._data_path.budget
+
     @property
     def stall_watch(self) -> StallWatch:
         """Measures how old requests can be that this process has just read."""
--- a/packages/sapphireway/src/sapphireway/hosting.py
+++ b/packages/sapphireway/src/sapphireway/hosting.py
@@ -1,5 +1,6 @@
 """Public interface for adapters that run a node with their own HTTP dialects."""
 
+from sapphireway._bounded_server import make_bounded_server
 from sapphireway._callers import CallerDialect, filter_headers, render_outcome
 from sapphireway._dialects import Dialects
 from sapphireway._logs import EventLog, configure_logs
@@ -24,6 +25,7 @@
     "Unavailable",
     "configure_logs",
     "filter_headers",
+    "make_bounded_server",
     "render_outcome",
     "run_node",
 ]
