Bound orders, peers' messages and responses to sapphirectl; answer refused uploads

Cause: the interfaces of operators and servers had a limit of 64 MiB for each body and none together; a message of a peer could have any number of frames, and sapphirectl kept small chunks one by one and followed a response for as long as it came.

--- a/packages/sapphirectl/tests/test_http.py
+++ b/packages/sapphirectl/tests/test_http.py
@@ -1,12 +1,15 @@
 import contextlib
 import socket
 import threading
+import time
+from pathlib import Path
 
 import pytest
 
 from sapphirectl._http import NoResponse, Response, send_request
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+ENDLESS_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -27,6 +30,10 @@
         thread.join()
 
 
+def read_memory_mb():
+    return int(Path("/proc/self/statm").read_text().split()[1]) * 4096 / 2**20
+
+
 def send_to(address):
     return send_request(address, "GET", "/", None, None, 5.0)
 
@@ -46,3 +53,36 @@
 def test_whole_response_is_returned(whole):
     with serve_bytes(whole) as address:
         assert send_to(address) == Response(200, b"{}")
+
+
+@pytest.mark.parametrize(
+    ("begin", "piece"),
+    [
+        (ENDLESS_CHUNKS, b"1\r\nx\r\n"),
+        (ENDLESS_CHUNKS, b"2\r\nxx\r\n"),
+        (ENDLESS_CHUNKS + b"0\r\n", b"A: b\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    ],
+    ids=["1 byte", "2 bytes", "trailers", "interim", "headers", "no length"],
+)
+def test_response_without_end_is_given_up(begin, piece):
+    """The command ran until it was ended, or took all memory."""
+
+    def flood(server):
+        connection, _ = server.accept()
+        with contextlib.suppress(OSError):
+            connection.recv(65536)
+            connection.sendall(begin)
+            while True:
+                connection.sendall(piece * 10_000)
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        threading.Thread(target=flood, args=(server,), daemon=True).start()
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        began_mb, began_s = read_memory_mb(), time.monotonic()
+        response = send_request(address, "GET", "/", None, None, 0.2)
+        assert isinstance(response, NoResponse)
+        assert time.monotonic() - began_s < 10.0
+        assert read_memory_mb() - began_mb < 100.0
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -36,6 +36,7 @@
 RESERVATION_S = 5.0
 PIPELINED_MAX = 32  # pending requests on one connection before reading pauses
 LINGER_S = 1.0  # time for the caller to read the last answer without a reset
+LINGER_MAX_S = 5.0  # while the rest of a refused body still arrives
 BODY_TIME_MAX_S = 600.0  # the longest timeout of a route
 # Chunks of a single byte have 5 bytes of framing; extensions and trailers come on top,
 # up to the limit on headers.
@@ -132,6 +133,7 @@
         "_ignores_input",
         "_in_headers",
         "_limits",
+        "_linger_end_s",
         "_loop",
         "_parser",
         "_pause",
@@ -159,6 +161,7 @@
         self._header_bytes = 0
         self._in_headers = False
         self._ignores_input = False
+        self._linger_end_s = 0.0
         self._pause = None
         self._pieces = 0
         self._timer = None
@@ -221,6 +224,10 @@
     def buffer_updated(self, size):
         """Parse received data, or keep it until the connection may go on."""
         if self._ignores_input:
+            # Many callers read the answer only once they have sent everything.
+            linger_s = min(LINGER_S, self._linger_end_s - self._loop.time())
+            if linger_s > 0.0:
+                self._start_timeout(linger_s)
             return
         data = self._state.read_buffer[:size]
         if self._unparsed or self._pause is not None:
@@ -369,7 +376,9 @@
             return
         exchange = _Exchange(request, is_last=not self._parser.should_keep_alive())
         exchange.held_bytes, self._headers_held_bytes = self._headers_held_bytes, 0
-        exchange.body_max_bytes = self._state.prepare(request)
+        exchange.body_max_bytes = min(
+            self._state.prepare(request), self._state.budget.body_max_bytes
+        )
         self._reading = exchange
         self._state.reading[exchange] = self
         exchange.began_s = self._loop.time()
@@ -541,6 +550,7 @@
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
+        self._linger_end_s = self._loop.time() + LINGER_MAX_S
         self._start_timeout(LINGER_S)
 
     # Timeouts. Each connection has one timer, rescheduled when it fires too early.
--- a/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
@@ -5,6 +5,7 @@
 BODIES_MAX_BYTES = 76 * 1024 * 1024
 # Kept free for requests with small bodies while large ones take the rest.
 SMALL_RESERVE_BYTES = 8 * 1024 * 1024
+HEADS_SHARE = 64  # one part in so many is left for heads beside the largest body
 LARGE_BODY_BYTES = 256 * 1024
 # What a header or another small object takes beside its bytes.
 OBJECT_BYTES = 200
@@ -31,6 +32,12 @@
         self._small_reserve_bytes = small_reserve_bytes
         self.used_bytes = 0
 
+    @property
+    def body_max_bytes(self) -> int:
+        """Size of a body that fits while little else is held."""
+        room = self._max_bytes // HEADS_SHARE
+        return self._max_bytes - self._small_reserve_bytes - room
+
     @property
     def is_exceeded(self) -> bool:
         """Whether more is held than allowed."""
--- a/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_zmq.py
@@ -8,8 +8,10 @@
 import zmq
 
 from sapphireway_transport._endpoint import Receiver
+from sapphireway_transport._memory_budget import BODIES_MAX_BYTES
 
-FRAME_MAX_BYTES = 1024 * 1024 * 1024  # largest body that the settings allow
+FRAME_MAX_BYTES = 2 * BODIES_MAX_BYTES  # nodes and servers take no larger bodies
+FRAMES_MAX = 8  # a message has two
 QUEUE_MESSAGES_MAX = 2000
 RECONNECT_MIN_MS = 20
 RECONNECT_MAX_MS = 200  # a healed link recovers within this and a round trip
@@ -185,7 +187,10 @@
                 # Polling is cheaper than an exception for every drained queue.
                 if self._router is None or not self._has_message():
                     return
-                sender, *frames = self._router.recv_multipart(zmq.NOBLOCK)
+                frames = self._receive_frames()
+                if frames is None:
+                    continue
+                sender, *frames = frames
                 if not sender.startswith(GENERATED_IDENTITY_PREFIX):
                     self._receive(sender.decode(errors="replace"), frames)
         except Exception:
@@ -194,6 +199,17 @@
             raise
         self._loop.call_soon(self._drain)
 
+    def _receive_frames(self):
+        """Return the frames of a message, sender first; None if it has too many."""
+        frames = [self._router.recv(zmq.NOBLOCK)]
+        is_kept = True
+        while self._router.getsockopt(zmq.RCVMORE):
+            frame = self._router.recv(zmq.NOBLOCK)
+            is_kept = is_kept and len(frames) <= FRAMES_MAX
+            if is_kept:
+                frames.append(frame)
+        return frames if is_kept else None
+
     def _has_message(self):
         return self._router.getsockopt(zmq.EVENTS) & zmq.POLLIN
 
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -1,9 +1,16 @@
 import asyncio
+import contextlib
 import socket
 
 import pytest
 
-from sapphireway_transport import HttpAnswer, HttpLimits, HttpListener
+from sapphireway_transport import (
+    HttpAnswer,
+    HttpLimits,
+    HttpListener,
+    MemoryBudget,
+    _http_connection,
+)
 
 BODY_MAX_BYTES = 1000
 HEADER_MAX_BYTES = 2000
@@ -412,3 +419,138 @@
     unsent, waited, length, elapsed_s = asyncio.run(run())
     assert unsent and waited and length == size
     assert elapsed_s < 2.0
+
+
+def make_bounded_listener(budget, bodies):
+    async def answer(request):
+        bodies.append(len(request.body))
+        return HttpAnswer(200, (), b"ok")
+
+    def reject(rejected):
+        headers = (("Retry-After", str(rejected.retry_after_s)),)
+        return HttpAnswer(rejected.status, headers, b"full")
+
+    limits = HttpLimits(16 * 1024, 3.0, 15.0)
+    return HttpListener(answer, lambda request: 2**30, reject, lambda: limits, budget)
+
+
+async def open_listener(listener):
+    await listener.listen("127.0.0.1", 0)
+    return listener._server.sockets[0].getsockname()[1]
+
+
+async def upload(port, size, chunked=False):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head, body = b"Content-Length: %d\r\n\r\n" % size, b"x" * size
+    if chunked:
+        head = b"Transfer-Encoding: chunked\r\n\r\n"
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+    with contextlib.suppress(ConnectionError):
+        writer.write(POST + head + body)
+        await writer.drain()
+    answer = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_uploads_together_stay_within_the_budget(chunked):
+    """Uploads that were allowed one by one ended a node for its memory."""
+    size, bodies = 6 * 2**20, []
+
+    async def run():
+        budget = MemoryBudget(20 * 2**20, 2**20)
+        listener = make_bounded_listener(budget, bodies)
+        port = await open_listener(listener)
+        peaks = []
+
+        async def watch():
+            while True:
+                peaks.append(budget.used_bytes)
+                await asyncio.sleep(0)
+
+        watching = asyncio.create_task(watch())
+        answers = await asyncio.gather(*(upload(port, size, chunked) for _ in range(8)))
+        watching.cancel()
+        alone = await upload(port, size, chunked)
+        await asyncio.sleep(0.05)
+        await listener.close()
+        return answers, alone, max(peaks), budget.used_bytes
+
+    answers, alone, peak, left = asyncio.run(run())
+    statuses = [answer.split()[1] for answer in answers]
+    assert (
+        set(statuses) == {b"200", b"503"} and len(bodies) == statuses.count(b"200") + 1
+    )
+    assert all(b"Retry-After" in a for a in answers if a.split()[1] == b"503")
+    assert alone.split()[1] == b"200"
+    assert peak <= 20 * 2**20 and left == 0
+
+
+def test_slow_upload_does_not_keep_memory_from_others(monkeypatch):
+    """One client that declared a large body, and sent none, refused all others."""
+    monkeypatch.setattr(_http_connection, "RESERVATION_S", 0.2)
+    size, bodies = 8 * 2**20, []
+
+    async def run():
+        listener = make_bounded_listener(MemoryBudget(10 * 2**20, 2**20), bodies)
+        port = await open_listener(listener)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: %d\r\n\r\nx" % size)
+        await wait_until(lambda: listener._state.reading)
+        first = await upload(port, size)
+        await asyncio.sleep(0.3)
+        second = await upload(port, size)
+        writer.close()
+        await listener.close()
+        return first, second
+
+    first, second = asyncio.run(run())
+    assert (first.split()[1], second.split()[1]) == (b"503", b"200")
+
+
+def test_small_requests_are_taken_beside_a_large_upload():
+    async def run():
+        bodies = []
+        listener = make_bounded_listener(MemoryBudget(10 * 2**20, 2**20), bodies)
+        port = await open_listener(listener)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: %d\r\n\r\nx" % (8 * 2**20))
+        await wait_until(lambda: listener._state.reading)
+        answers = [await upload(port, 100_000) for _ in range(5)]
+        writer.close()
+        await listener.close()
+        return answers
+
+    assert {answer.split()[1] for answer in asyncio.run(run())} == {b"200"}
+
+
+def test_body_that_can_never_fit_is_too_large():
+    async def run():
+        listener = make_bounded_listener(MemoryBudget(10 * 2**20), [])
+        port = await open_listener(listener)
+        answer = await upload(port, 11 * 2**20)
+        await listener.close()
+        return answer
+
+    assert asyncio.run(run()).split()[1] == b"413"
+
+
+def test_refused_upload_gets_its_answer_once_it_has_sent_everything():
+    """The answer was lost in a reset while the caller still sent its body."""
+
+    async def run():
+        listener = make_bounded_listener(MemoryBudget(64_000), [])
+        port = await open_listener(listener)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(30):
+            writer.write(b"2800\r\n" + b"x" * 0x2800 + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.08)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        await listener.close()
+        return answer
+
+    assert asyncio.run(run()).split()[1] == b"413"
--- a/packages/sapphireway-transport/tests/test_zmq.py
+++ b/packages/sapphireway-transport/tests/test_zmq.py
@@ -1,14 +1,35 @@
 import asyncio
 import resource
 import socket
+import subprocess
+import sys
 
 import pytest
 import zmq
+from tests.flood import Watch
 
 from sapphireway_transport import ZmqEndpoint
 from sapphireway_transport._zmq import PENDING_MAX_S
 
 STANDARD_DESCRIPTORS = 3
+# A peer of protocol ZMTP 3.0 without security, byte by byte: one message, and then
+# frames of one that has no end.
+ENDLESS_PEER = """
+import socket, sys, time
+peer = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+signature, mechanism = b"\\xff" + bytes(7) + b"\\x01\\x7f", b"NULL".ljust(20, b"\\0")
+peer.sendall(signature + b"\\x03\\x00" + mechanism + bytes(32))
+time.sleep(0.2)
+peer.sendall(
+    b"\\x04\\x2d\\x05READY\\x0bSocket-Type\\x00\\x00\\x00\\x06DEALER"
+    b"\\x08Identity\\x00\\x00\\x00\\x04peer"
+)
+time.sleep(0.2)
+peer.sendall(b"\\x00\\x05hello")
+for _ in range(128):
+    peer.sendall(b"\\x01\\x02xx" * 16_384)
+time.sleep(10.0)
+"""
 RECOVERY_MAX_MS = 3000  # a host must be reachable again within a lease time
 
 
@@ -149,3 +170,50 @@
         return pending
 
     assert not any(asyncio.run(run()))
+
+
+def test_message_of_many_frames_is_dropped_and_others_are_received():
+    async def run():
+        address = f"127.0.0.1:{find_free_port()}"
+        endpoint = ZmqEndpoint(address)
+        received = []
+        endpoint.start(lambda sender, frames: received.append(frames))
+        context = zmq.Context()
+        try:
+            dealer = context.socket(zmq.DEALER)
+            dealer.setsockopt(zmq.IDENTITY, b"peer")
+            dealer.connect(f"tcp://{address}")
+            dealer.send_multipart([b"xx"] * 20_000)
+            dealer.send_multipart([b"head", b"body"])
+            async with asyncio.timeout(5.0):
+                while not received:
+                    await asyncio.sleep(0.01)
+        finally:
+            context.destroy(linger=0)
+            endpoint.close()
+        return received
+
+    assert asyncio.run(run()) == [[b"head", b"body"]]
+
+
+def test_message_without_end_takes_a_bounded_share_of_memory():
+    """Libzmq collects all frames of a message before it hands over the first."""
+
+    async def run():
+        address = f"127.0.0.1:{find_free_port()}"
+        endpoint = ZmqEndpoint(address)
+        received = []
+        endpoint.start(lambda sender, frames: received.append(frames))
+        watch = Watch()
+        watching = asyncio.create_task(watch.run())
+        port = address.rpartition(":")[2]
+        process = subprocess.Popen([sys.executable, "-c", ENDLESS_PEER, port])
+        await asyncio.sleep(3.0)
+        process.kill()
+        process.wait()
+        watching.cancel()
+        endpoint.close()
+        assert received == [[b"hello"]]
+        watch.check()
+
+    asyncio.run(run())
