Save departures once a disk has room, and log what a disk refuses

Change: a failed save is logged (departures_disk_failed) and tried again after 2 s; a hanging disk delays an acknowledgement by 0.1 s; names of 400 characters and 64 starts of a server at most; the store's tasks end with the control role.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_client.py
@@ -26,7 +26,7 @@
 # Without a majority for this long, a server is registered all the same: it would get no
 # work as long as the control hosts are away.
 UNCHECKED_MAX_S = 5.0
-CHECKED_MAX = 64
+STARTS_KEPT = 64  # a node has one server at a time
 
 GetHosts = Callable[[], Sequence[str]]
 """Returns the addresses of the control hosts."""
@@ -83,7 +83,7 @@
             for host in self._get_hosts()
         }
         self._recordings[departure] = tasks
-        if len(self._recordings) > CHECKED_MAX:
+        if len(self._recordings) > STARTS_KEPT:
             oldest = next(iter(self._recordings))
             for task in self._recordings.pop(oldest).values():
                 task.cancel()
@@ -111,7 +111,7 @@
         start = server, start_id
         if start in self._checked or self._table.has_left(server, start_id):
             return
-        if len(self._unchecked_since_s) > CHECKED_MAX:
+        if len(self._unchecked_since_s) > STARTS_KEPT:
             self._unchecked_since_s.clear()
         self._unchecked_since_s.setdefault(start, self._loop.time())
         end_s = self._loop.time() + WAIT_S
@@ -122,9 +122,9 @@
             # A question to a host that is down fails at once.
             await asyncio.sleep(next_s - self._loop.time())
             next_s += TRY_S
-        del self._unchecked_since_s[start]
+        self._unchecked_since_s.pop(start, None)
         self._checked[start] = True
-        if len(self._checked) > CHECKED_MAX:
+        if len(self._checked) > STARTS_KEPT:
             del self._checked[next(iter(self._checked))]
 
     def is_checked(self, server: str, start_id: str) -> bool:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_store.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_store.py
@@ -1,6 +1,7 @@
 """Control host's part in remembering departures."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,9 +20,10 @@
 
 DEPARTURES_FILE = "departures"
 # The other hosts remember a departure too, so a disk that hangs delays no server.
-DISK_WAIT_S = 0.2
+DISK_WAIT_S = 0.1  # below the time in which nodes expect a reply
 COPY_TRIES = 5
 COPY_TRY_S = 0.5
+SAVE_RETRY_S = 2.0
 
 
 class DepartureStore:
@@ -34,46 +36,70 @@
         Returns the addresses of the control hosts.
     disk : Disk or None
         Keeps the departures across restarts.
+    on_disk_failed : callable
+        Called with `DiskFailed` if they can't be read or saved.
     """
 
     __slots__ = (
         "_disk",
         "_get_hosts",
         "_has_unsaved",
+        "_on_disk_failed",
         "_peers",
         "_replies",
+        "_retry",
         "_save",
         "_table",
     )
 
-    def __init__(self, peers: Peers, get_hosts: GetHosts, disk: Disk | None = None):
+    def __init__(
+        self,
+        peers: Peers,
+        get_hosts: GetHosts,
+        disk: Disk | None = None,
+        on_disk_failed: Callable[[DiskFailed], None] = lambda failed: None,
+    ):
         self._disk = disk
         self._get_hosts = get_hosts
         self._has_unsaved = False
+        self._on_disk_failed = on_disk_failed
         self._peers = peers
         self._replies = set()
+        self._retry = None
         self._save = None
         self._table = DepartureTable(asyncio.get_running_loop().time)
         peers.handle(RecordDeparture, self._handle_record)
 
     async def run(self) -> None:
-        """Load the saved departures, answer questions, and copy those of a host."""
-        await self._load()
-        # A majority must not count a host that has not read its own departures yet.
-        self._peers.handle(ListDepartures, self._handle_list)
-        for _ in range(COPY_TRIES):
-            if await self._copy_from_others():
-                return
+        """Load, copy, save and list departures until cancelled."""
+        try:
+            await self._load()
+            # A majority must not count a host that hasn't read its departures yet.
+            self._peers.handle(ListDepartures, self._handle_list)
+            for _ in range(COPY_TRIES):
+                if await self._copy_from_others():
+                    break
+            await asyncio.Event().wait()
+        finally:
+            self._disk = None
+            self._cancel_retry()
+            if self._save is not None:
+                self._save.cancel()
 
     async def _load(self):
         if self._disk is None:
             return
+        names = await self._disk.list()
+        if not isinstance(names, DiskFailed) and DEPARTURES_FILE not in names:
+            return
         content = await self._disk.read(DEPARTURES_FILE)
         if isinstance(content, DiskFailed):
+            self._on_disk_failed(content)
             return
         try:
             departures = msgspec.msgpack.decode(content, type=list[Departure])
-        except DECODE_ERRORS:
+        except DECODE_ERRORS as error:
+            self._on_disk_failed(DiskFailed("decode", DEPARTURES_FILE, str(error)))
             return
         for departure in departures:
             # The time for which this host was down is not known.
@@ -99,10 +125,7 @@
         return bool(lists) or not others
 
     def _handle_record(self, sender, envelope):
-        departure = envelope.message.departure
-        if not departure.server:
-            return
-        self._table.record(departure)
+        self._table.record(envelope.message.departure)
         self._start_saving()
         if self._save is None:
             self._peers.reply(sender, envelope, DepartureRecorded())
@@ -127,8 +150,19 @@
         if self._save is None or self._save.done():
             self._save = asyncio.get_running_loop().create_task(self._save_latest())
 
+    def _cancel_retry(self):
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+
     async def _save_latest(self):
+        self._cancel_retry()
         while self._has_unsaved:
             self._has_unsaved = False
             content = msgspec.msgpack.encode(self._table.list_departures())
-            await self._disk.replace(DEPARTURES_FILE, content)
+            failed = await self._disk.replace(DEPARTURES_FILE, content)
+            if failed is not None:
+                self._on_disk_failed(failed)
+                loop = asyncio.get_running_loop()
+                self._retry = loop.call_later(SAVE_RETRY_S, self._start_saving)
+                return
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_table.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_table.py
@@ -8,6 +8,8 @@
 # before arrive late; this is far above both.
 RETENTION_S = 600.0
 DEPARTURES_MAX = 4096
+STARTS_MAX = 64  # of one server
+NAME_MAX_CHARACTERS = 400  # of a server or a start
 # How long announcements are refused after the departure of a server whose start was not
 # known: they may have been sent before it.
 UNKNOWN_START_S = 10.0
@@ -30,6 +32,9 @@
 
     def record(self, departure: Departure) -> None:
         """Remember a departure; the earliest of one start counts."""
+        names = departure.server, departure.start_id
+        if max(map(len, names)) > NAME_MAX_CHARACTERS or not departure.server:
+            return
         if not 0.0 <= departure.age_s < RETENTION_S:
             return
         now_s = self._get_time()
@@ -39,7 +44,10 @@
             left_s = min(left_s, starts.get(departure.start_id, left_s))
         else:
             left_s = max(left_s, starts.get("", left_s))
+        starts.pop(departure.start_id, None)
         starts[departure.start_id] = left_s
+        if len(starts) > STARTS_MAX:
+            del starts[next(iter(starts))]
         self._departures[departure.server] = starts
         self._forget_old(now_s)
 
--- a/packages/sapphireway-coordination/tests/test_departures.py
+++ b/packages/sapphireway-coordination/tests/test_departures.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from sapphireway_coordination import (
@@ -17,6 +18,7 @@
 from sapphireway_coordination.departures._table import (
     DEPARTURES_MAX,
     RETENTION_S,
+    STARTS_MAX,
     UNKNOWN_START_S,
     DepartureTable,
 )
@@ -88,9 +90,7 @@
 
     async def announce(self, start_id="start-1"):
         await self.gate.check_departures("s1", start_id)
-        announcement = ANNOUNCEMENT.__class__(
-            "s1", "ledger", "http://s1", 6, 200, start_id
-        )
+        announcement = msgspec.structs.replace(ANNOUNCEMENT, start_id=start_id)
         return self.gate.announce(announcement)
 
     async def leave(self, start_id=""):
@@ -206,10 +206,12 @@
     run_script(script)
 
 
-def test_full_disk_delays_no_departure():
+@pytest.mark.parametrize("fault", ["full", "hangs"])
+def test_faulty_disks_delay_no_departure(fault):
     async def script(fleet):
         for disk in fleet.disks.values():
-            disk.capacity_bytes = 0
+            disk.capacity_bytes = 0 if fault == "full" else None
+            disk.sync_delay_s = 100.0 if fault == "hangs" else 0.0
         assert isinstance(await fleet.announce(), AnnounceAccepted)
         assert await fleet.leave()
         fleet.restart_node()
@@ -255,6 +257,50 @@
     assert table.has_left(f"s{DEPARTURES_MAX + 9}", "a")
 
 
+def test_concurrent_checks_of_one_start_agree():
+    async def script(fleet):
+        results = await asyncio.gather(*(fleet.announce() for _ in range(3)))
+        assert [type(result) for result in results] == [AnnounceAccepted] * 3
+
+    run_script(script)
+
+
+def test_departure_is_saved_once_a_full_disk_has_room():
+    async def script(fleet):
+        for disk in fleet.disks.values():
+            disk.capacity_bytes = 0
+        assert isinstance(await fleet.announce(), AnnounceAccepted)
+        assert await fleet.leave()
+        for disk in fleet.disks.values():
+            disk.capacity_bytes = None
+        await asyncio.sleep(5.0)
+        for host in HOSTS:
+            fleet.kill_host(host)
+            fleet.start_host(host)
+        await asyncio.sleep(1.0)
+        fleet.restart_node()
+        assert isinstance(await fleet.announce(), AnnounceRefused)
+
+    run_script(script)
+
+
+@pytest.mark.parametrize(
+    "departure",
+    [Departure("", "a"), Departure("s" * 401, "a"), Departure("s", "a" * 401)],
+)
+def test_departure_of_an_odd_name_is_not_recorded(departure):
+    table = DepartureTable(lambda: 0.0)
+    table.record(departure)
+    assert table.list_departures() == []
+
+
+def test_table_keeps_the_latest_starts_of_a_server():
+    table = DepartureTable(lambda: 0.0)
+    for number in range(STARTS_MAX + 1):
+        table.record(Departure("s", str(number)))
+    assert not table.has_left("s", "0") and table.has_left("s", "1")
+
+
 @pytest.mark.parametrize("age_s", [float("nan"), float("inf"), RETENTION_S])
 def test_departure_of_an_odd_age_is_not_recorded(age_s):
     table = DepartureTable(lambda: 0.0)
--- a/packages/sapphireway/src/sapphireway/_control.py
+++ b/packages/sapphireway/src/sapphireway/_control.py
@@ -133,7 +133,9 @@
         self._directory = Directory(
             peers, hosts, lambda: make_control_host_state(self._quorum.get_status())
         )
-        self._departure_store = DepartureStore(peers, lambda: hosts.addresses, disk)
+        self._departure_store = DepartureStore(
+            peers, lambda: hosts.addresses, disk, self._log_departures_failure
+        )
         self._machine = ControlMachine(self._journal_changed.set)
         self._disk = make_journal_disk(settings)
         self._quorum = Quorum(
@@ -219,6 +221,11 @@
         name = _QUORUM_EVENT_NAMES[type(event)]
         self._log.warning(name, **msgspec.structs.asdict(event))
 
+    def _log_departures_failure(self, failed):
+        self._log.warning(
+            "departures_disk_failed", operation=failed.operation, detail=failed.detail
+        )
+
     async def _watch_quorum(self):
         logged = logged_members = None
         while True:
