Keep nothing of an order once it has ended

Cause, found in a reading of: the interfaces of operators and servers kept an entry for each request until its handler had finished. One that was broken off, refused or malformed has none, and neither has the next request that a kept connection waits for, so that each such connection left some hundred bytes for good.

Change: the entry lasts from the headers of a request until nothing is held for it.

--- a/packages/sapphireway/src/sapphireway/_bounded_server.py
+++ b/packages/sapphireway/src/sapphireway/_bounded_server.py
@@ -12,16 +12,30 @@
 
 
 class _BoundedRequest(tornado.httputil.HTTPMessageDelegate):
-    """Passes one request on while the budget has room for its body."""
+    """Passes one request on while the budget has room for its body.
 
-    def __init__(self, delegate, connection, budget):
+    From its headers until nothing is held for it, it is in ``requests``, by connection.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_connection",
+        "_delegate",
+        "_held_bytes",
+        "_is_refused",
+        "_requests",
+    )
+
+    def __init__(self, delegate, connection, budget, requests):
         self._budget = budget
         self._connection = connection
         self._delegate = delegate
         self._is_refused = False
-        self.held_bytes = 0
+        self._requests = requests
+        self._held_bytes = 0
 
     def headers_received(self, start_line, headers):
+        self._requests[self._connection] = self
         declared = headers.get("Content-Length", "0")
         size = int(declared) if declared.isascii() and declared.isdigit() else 0
         # Not taken yet, as it may never arrive.
@@ -38,7 +52,7 @@
         if not self._budget.reserve(size):
             self._refuse()
             return None
-        self.held_bytes += size
+        self._held_bytes += size
         return self._delegate.data_received(chunk)
 
     def finish(self):
@@ -51,8 +65,9 @@
 
     def release(self):
         """Give back what is held for the request."""
-        self._budget.release(self.held_bytes)
-        self.held_bytes = 0
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
+        self._requests.pop(self._connection, None)
 
     def _refuse(self):
         self._is_refused = True
@@ -72,6 +87,8 @@
 class _BoundedServer(tornado.httputil.HTTPServerConnectionDelegate):
     """Wraps the requests of an application."""
 
+    __slots__ = ("_application", "_budget", "_requests")
+
     def __init__(self, application, budget):
         self._application = application
         self._budget = budget
@@ -79,15 +96,13 @@
 
     def start_request(self, server_conn, request_conn):
         delegate = self._application.start_request(server_conn, request_conn)
-        request = _BoundedRequest(delegate, request_conn, self._budget)
-        self._requests[request_conn] = request
-        return request
+        return _BoundedRequest(delegate, request_conn, self._budget, self._requests)
 
     def on_close(self, server_conn):
         self._application.on_close(server_conn)
 
     def end_request(self, handler: tornado.web.RequestHandler) -> None:
-        request = self._requests.pop(handler.request.connection, None)
+        request = self._requests.get(handler.request.connection)
         if request is not None:
             request.release()
 
--- a/packages/sapphireway/tests/test_bounded_server.py
+++ b/packages/sapphireway/tests/test_bounded_server.py
@@ -74,17 +74,28 @@
     assert (alone, left) == (200, 0)
 
 
-def test_memory_of_an_order_that_is_broken_off_is_given_back():
+@pytest.mark.parametrize("end", ["broken off", "malformed", "refused", "answered"])
+def test_nothing_is_kept_of_an_order_that_has_ended(end):
+    """Each order that was broken off left an entry for good."""
+
     async def main():
-        budget = MemoryBudget(10 * BODY_MAX_BYTES)
+        budget = MemoryBudget(COPIES * 0x2000)
         server, port = open_server(budget)
-        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(POST + b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
         async with asyncio.timeout(5):
             while not budget.used_bytes:
                 await asyncio.sleep(0.01)
+            if end == "malformed":
+                writer.write(b"no size\r\n")
+            elif end == "refused":
+                writer.write(b"2000\r\n" + b"x" * 0x2000 + b"\r\n")
+            elif end == "answered":
+                writer.write(b"0\r\n\r\n")
+            if end != "broken off":
+                await reader.readline()
             writer.close()
-            while budget.used_bytes:
+            while budget.used_bytes or server.request_callback._requests:
                 await asyncio.sleep(0.01)
         server.stop()
 
