--- a/tests/flood.py
+++ b/tests/flood.py
@@ -70,7 +70,7 @@
 class Watch:
     """Measures the longest turn of the event loop and the growth of memory.
 
-    A turn is measured in processor time, as a short one may take long on a busy machine.
+    A turn is measured in processor time, as others may run during a short one.
     """
 
     def __init__(self):
