Tell control hosts again of a departure that they could not be told

A second departure without a start was taken for the first. The start of a server that was discovered matched no departure, so it went on getting work.

Change: each wait for a majority tells the hosts that don't remember a departure yet; the age told is that since the departure; work stops whichever way the start was registered.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/departures/_client.py
@@ -9,7 +9,10 @@
 import math
 from collections.abc import Callable, Sequence
 
-from sapphireway_coordination.departures._table import DepartureTable
+from sapphireway_coordination.departures._table import (
+    UNKNOWN_START_S,
+    DepartureTable,
+)
 from sapphireway_protocol import (
     Departure,
     DepartureList,
@@ -22,7 +25,9 @@
 TRY_S = 0.2  # until the hosts are asked again
 WAIT_S = 0.6  # a server waits one second for its acknowledgement
 STRAGGLER_WAIT_S = 0.1  # for the other hosts once a majority has answered
-RECORD_TIME_S = 10.0  # for which hosts that don't answer are told again
+# For which hosts that don't answer are told again; then only once the server says again
+# that it leaves.
+RECORD_TIME_S = 10.0
 # Without a majority for this long, a server is registered all the same: it would get no
 # work as long as the control hosts are away.
 UNCHECKED_MAX_S = 5.0
@@ -32,6 +37,29 @@
 """Returns the addresses of the control hosts."""
 
 
+class _Recording:
+    """A departure that the control hosts are told.
+
+    Attributes
+    ----------
+    left_s : float
+        Loop time of the departure.
+    tasks : dict of str to Task
+        By control host; their result is whether it remembers the departure.
+    """
+
+    __slots__ = ("left_s", "tasks")
+
+    def __init__(self, left_s: float):
+        self.left_s = left_s
+        self.tasks = {}
+
+    def cancel(self) -> None:
+        """Cancel all tasks."""
+        for task in self.tasks.values():
+            task.cancel()
+
+
 class DepartureClient:
     """Records departures at the control hosts and checks starts against them.
 
@@ -63,9 +91,8 @@
 
     def close(self) -> None:
         """Cancel all background tasks."""
-        for tasks in self._recordings.values():
-            for task in tasks.values():
-                task.cancel()
+        for recording in self._recordings.values():
+            recording.cancel()
 
     def has_left(self, server: str, start_id: str) -> bool:
         """Tell whether a start is known to have left."""
@@ -75,34 +102,45 @@
         """Remember a departure, and begin to tell the control hosts."""
         departure = Departure(server, start_id)
         self._table.record(departure)
-        known = self._recordings.get(departure, {})
-        if any(not task.done() or task.result() for task in known.values()):
-            return
-        tasks = {
-            host: self._loop.create_task(self._record_at(host, departure))
-            for host in self._get_hosts()
-        }
-        self._recordings[departure] = tasks
+        known = self._recordings.get(departure)
+        now_s = self._loop.time()
+        if known is None or (not start_id and now_s - known.left_s > UNKNOWN_START_S):
+            self._recordings[departure] = _Recording(now_s)
+        self._tell_hosts(departure)
         if len(self._recordings) > STARTS_KEPT:
             oldest = next(iter(self._recordings))
-            for task in self._recordings.pop(oldest).values():
-                task.cancel()
+            self._recordings.pop(oldest).cancel()
+
+    def _tell_hosts(self, departure):
+        """Tell a departure to the control hosts that don't remember it yet."""
+        recording = self._recordings[departure]
+        for host in self._get_hosts():
+            task = recording.tasks.get(host)
+            if task is None or (task.done() and not _has_succeeded(task)):
+                recording.tasks[host] = self._loop.create_task(
+                    self._record_at(host, departure, recording.left_s)
+                )
 
     async def wait_until_recorded(self, server: str) -> bool:
         """Wait until a majority remembers the departures of a server.
 
+        Hosts that could not be told before are told again.
+
         Returns
         -------
         bool
             False if it does not in `WAIT_S`.
         """
-        recordings = [
-            list(tasks.values())
-            for departure, tasks in self._recordings.items()
-            if departure.server == server
-        ]
+        departures = [each for each in self._recordings if each.server == server]
+        for departure in departures:
+            self._tell_hosts(departure)
+        hosts = self._get_hosts()
+        recordings = [self._recordings[each].tasks for each in departures]
         results = await asyncio.gather(
-            *(self._wait_for_majority(tasks, WAIT_S) for tasks in recordings)
+            *(
+                self._wait_for_majority([tasks[host] for host in hosts], WAIT_S)
+                for tasks in recordings
+            )
         )
         return all(results)
 
@@ -154,11 +192,11 @@
             self._table.record(departure)
         return True
 
-    async def _record_at(self, host, departure):
-        began_s = self._loop.time()
-        while (age_s := self._loop.time() - began_s) < RECORD_TIME_S:
+    async def _record_at(self, host, departure, left_s):
+        end_s = self._loop.time() + RECORD_TIME_S
+        while (now_s := self._loop.time()) < end_s:
             message = RecordDeparture(
-                Departure(departure.server, departure.start_id, age_s)
+                Departure(departure.server, departure.start_id, now_s - left_s)
             )
             reply = await self._peers.request(host, message, TRY_S)
             if reply is not None and isinstance(reply.message, DepartureRecorded):
@@ -179,5 +217,9 @@
         return not tasks or _count_successes(tasks) > len(tasks) // 2
 
 
+def _has_succeeded(task):
+    return task.done() and not task.cancelled() and task.result()
+
+
 def _count_successes(tasks):
-    return sum(t.done() and not t.cancelled() and t.result() for t in tasks)
+    return sum(map(_has_succeeded, tasks))
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_registration.py
@@ -137,10 +137,12 @@
     def announce(self, announcement: Announcement, cold_limit: int) -> AnnounceResult:
         """Register a server, or renew its registration."""
         server, start_id = announcement.server, announcement.start_id
+        current = self.announcement
         if self._departures.has_left(server, start_id):
-            if self.is_registered(announcement):
+            is_current = current is not None and current.server == server
+            if is_current and announcement.is_same_start(current):
                 # It was registered before the control hosts could be asked.
-                self.leave(server)
+                self._stop_work()
             return AnnounceRefused(
                 f"server {server} has left; restart it to register again"
             )
@@ -149,7 +151,6 @@
                 "no majority of the control hosts has told yet whether this start of "
                 f"server {server} has left; announce it again"
             )
-        current = self.announcement
         if self._is_overtaken(announcement):
             return AnnounceRefused(
                 f"a later start of server {current.server} is registered at this node"
@@ -199,15 +200,20 @@
             if not start_id:
                 self._departures.record(server, "")
             return False
-        if not self.leaving:
-            self._leaving = True
-            if current.start_id or not start_id:
-                self._departures.record(server, current.start_id)
-            self._refuse_waiting(NotRunReason.DRAINING)
-            self._observe(ServerLeft(server, current.service, False))
-            self._on_change()
+        if not self.leaving and (current.start_id or not start_id):
+            self._departures.record(server, current.start_id)
+        self._stop_work()
         return True
 
+    def _stop_work(self):
+        if self.leaving:
+            return
+        self._leaving = True
+        self._refuse_waiting(NotRunReason.DRAINING)
+        current = self.announcement
+        self._observe(ServerLeft(current.server, current.service, False))
+        self._on_change()
+
     def is_registered(self, announcement: Announcement) -> bool:
         """Tell whether the start that made an announcement is still registered."""
         current = self.announcement
--- a/packages/sapphireway-coordination/tests/test_departures.py
+++ b/packages/sapphireway-coordination/tests/test_departures.py
@@ -14,7 +14,11 @@
     DepartureStore,
     Gate,
 )
-from sapphireway_coordination.departures._client import UNCHECKED_MAX_S, WAIT_S
+from sapphireway_coordination.departures._client import (
+    RECORD_TIME_S,
+    UNCHECKED_MAX_S,
+    WAIT_S,
+)
 from sapphireway_coordination.departures._table import (
     DEPARTURES_MAX,
     RETENTION_S,
@@ -206,6 +210,67 @@
     run_script(script)
 
 
+@pytest.mark.parametrize("cut", [HOSTS[:2], HOSTS])
+def test_departure_is_confirmed_after_a_long_outage(cut):
+    """A host that was away for longer than the tries was never told again."""
+
+    async def script(fleet):
+        assert isinstance(await fleet.announce(), AnnounceAccepted)
+        fleet.cut_off(cut)
+        assert not await fleet.leave()
+        await asyncio.sleep(2 * RECORD_TIME_S)
+        fleet.network.heal_all()
+        assert await fleet.leave()
+        fleet.restart_node()
+        assert isinstance(await fleet.announce(), AnnounceRefused)
+
+    run_script(script)
+
+
+def test_departure_that_failed_does_not_hold_up_that_of_the_next_start():
+    async def script(fleet):
+        assert isinstance(await fleet.announce(), AnnounceAccepted)
+        fleet.cut_off(HOSTS)
+        assert not await fleet.leave()
+        await asyncio.sleep(2 * RECORD_TIME_S)
+        fleet.network.heal_all()
+        assert isinstance(await fleet.announce("start-2"), AnnounceAccepted)
+        assert await fleet.leave()
+
+    run_script(script)
+
+
+def test_each_departure_of_an_unknown_start_is_recorded():
+    async def script(fleet):
+        assert await fleet.leave()
+        await asyncio.sleep(6 * UNKNOWN_START_S)
+        assert await fleet.leave()
+        fleet.restart_node()
+        assert isinstance(await fleet.announce(), AnnounceRefused)
+        await asyncio.sleep(UNKNOWN_START_S)
+        assert isinstance(await fleet.announce(), AnnounceAccepted)
+
+    run_script(script)
+
+
+def test_discovered_server_stops_once_its_departure_is_known():
+    """The start of a server that was discovered is not known."""
+
+    async def script(fleet):
+        assert isinstance(await fleet.announce(), AnnounceAccepted)
+        assert await fleet.leave()
+        fleet.cut_off(HOSTS)
+        fleet.restart_node()
+        assert isinstance(await fleet.announce(""), AnnounceRefused)
+        await asyncio.sleep(UNCHECKED_MAX_S)
+        assert isinstance(await fleet.announce(""), AnnounceAccepted)
+        fleet.network.heal_all()
+        assert isinstance(await fleet.announce(), AnnounceRefused)
+        assert fleet.gate.leaving
+
+    run_script(script)
+
+
 @pytest.mark.parametrize("fault", ["full", "hangs"])
 def test_faulty_disks_delay_no_departure(fault):
     async def script(fleet):
