Give back the memory of a request's trailers with its answer

Cause, found in a reading of: trailers were counted after the headers had been taken over by their request, so that they were given back only with the next request of the connection, or its end.

Measured: test_memory_of_a_request_with_trailers_is_given_back_with_its_answer failed before (202 bytes kept) and passes.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -30,8 +30,8 @@
 # head of 1 kB may be that of some fifty pipelined requests.
 HEAD_SLICE_BYTES = 1024
 BODY_SLICE_BYTES = 16 * 1024
-REQUEST_PIECES = 16  # a request costs about as much as so many chunks
-FULL_RETRY_S = 1.0  # large bodies take about as long to arrive and to be answered
+REQUEST_PIECES = 16  # to parse and start a request costs as much as so many chunks
+FULL_RETRY_S = 1.0
 # After this time a body that hasn't arrived no longer keeps memory from others.
 RESERVATION_S = 5.0
 PIPELINED_MAX = 32  # pending requests on one connection before reading pauses
@@ -418,6 +418,9 @@
             return
         self._reading = None
         del self._state.reading[exchange]
+        # Of trailers, which come after the headers were counted.
+        exchange.held_bytes += self._headers_held_bytes
+        self._headers_held_bytes = 0
         exchange.request.body = exchange.body.getvalue()
         exchange.body = None
         self._exchanges.append(exchange)
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -554,3 +554,20 @@
         return answer
 
     assert asyncio.run(run()).split()[1] == b"413"
+
+
+def test_memory_of_a_request_with_trailers_is_given_back_with_its_answer():
+    async def run():
+        budget = MemoryBudget(10 * 2**20)
+        listener = make_bounded_listener(budget, [])
+        port = await open_listener(listener)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + b"1\r\nx\r\n0\r\nA: b\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\nok")
+        kept = budget.used_bytes
+        writer.close()
+        await listener.close()
+        return kept
+
+    assert asyncio.run(run()) == 0
