Claim no more than was measured, and look for unknown keys that ran

test_key_is_not_passed_on_by_a_node_without_the_newest_tenants didn't look for requests with an unknown key that ran, and its check of 401 was wrong for a node that had got the new tenants before the kill. It now checks, once the last proof is too old, that no such request runs and that a known key's has its tenant.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
@@ -1,7 +1,9 @@
-"""Memory that requests and answers may take in one process, all together."""
+"""Memory for callers' requests, and for answers that a process is receiving.
 
-# The smallest hosts have 200 MB, of which a node takes up to 55 MB. A body of 64 MB
-# must fit, and the copy that a link makes of it.
+Copies that links to other nodes make, and bodies that these send, are not counted.
+"""
+
+# A body of 64 MB must fit, on the smallest hosts with the copy that a link makes of it.
 BODIES_MAX_BYTES = 76 * 1024 * 1024
 # Kept free for requests with small bodies while large ones take the rest.
 SMALL_RESERVE_BYTES = 8 * 1024 * 1024
@@ -12,7 +14,7 @@
 
 
 class MemoryBudget:
-    """Bytes that are held for requests and answers.
+    """Bytes that are held for requests, and for answers while they arrive.
 
     Parameters
     ----------
@@ -70,5 +72,5 @@
 
 
 def make_body_budget() -> MemoryBudget:
-    """Return the budget of a process for all requests and answers."""
+    """Return the budget that the listeners and clients of a process share."""
     return MemoryBudget(BODIES_MAX_BYTES, SMALL_RESERVE_BYTES)
--- a/packages/sapphireway-transport/src/sapphireway_transport/_read_share.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_read_share.py
@@ -5,9 +5,9 @@
 loop busy with little else.
 """
 
-# Pieces that are handled at once; some milliseconds of work on a slow host.
-PIECES_MAX = 256
-# Pause for each piece above that, 10 to 20 times as long as the work.
+PIECES_MAX = 256  # that are handled without a pause
+# Many times the work for a piece, so that connections that pause together leave most
+# of the loop's time to others.
 PAUSE_PER_PIECE_S = 40e-6
 PAUSE_MAX_S = 1.0
 
--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).parents[2]
 TIMEOUT_S = 20.0
 BOUND_S = 1.5
+PROOF_MAX_S = 1.2  # a table without tenants is used under a proof as old as this
 KEYS = ["secret-north-1", "secret-north-2", "secret-south", "secret-unknown"]
 
 
@@ -282,22 +283,20 @@
         return answer is not None and answer[0] == 200
 
     wait_until(is_served, "answer for a key")
-    del system.received[:]
     document = make_configuration(after) | {"version": 2}
     assert system.publish(replace, document, 1)[0] == 200
     settings = json.loads((system.folder / f"{killed}.json").read_text())
     system.kill(killed)
-    statuses = set()
+    del system.received[:]
+    time.sleep(PROOF_MAX_S)
     for _ in range(5):
         for key in (KEYS[0], KEYS[3]):
-            answer = system.send("/keyed/2", key, **{"Tenant-Name": "other"})
-            statuses.add(answer and answer[0])
-    assert 401 not in statuses or change == "last"
+            system.send("/keyed/2", key, **{"Tenant-Name": "other", "X-Sent": key})
     system.start(killed, settings | {"initial_bootstrap": False})
     wait_until(system.announce_server, "announced server")
 
     def has_newest_tenants():
-        status = (system.send("/keyed/2", KEYS[3]) or [0])[0]
+        status = (system.send("/keyed/2", KEYS[3], **{"X-Sent": KEYS[3]}) or [0])[0]
         return status == (401 if change == "first" else 200)
 
     wait_until(has_newest_tenants, "newest tenants")
@@ -305,5 +304,9 @@
     names = [{k.lower(): v for k, v in each.items()} for each in system.received]
     assert [each for each in names if "api-key" in each] == []
     assert "other" not in [each.get("tenant-name") for each in names]
+    if change == "first":
+        assert [each for each in names if each.get("x-sent") == KEYS[3]] == []
+        with_key = [each for each in names if each.get("x-sent") == KEYS[0]]
+        assert {each["tenant-name"] for each in with_key} <= {"north"}
     last = names[-1].get("tenant-name")
     assert last == ("north" if change == "first" else None)
