--- a/tests/platform_adapter/test_departure_processes.py
+++ b/tests/platform_adapter/test_departure_processes.py
@@ -18,11 +18,6 @@
         yield system
 
 
-def call_node(system, path, document):
-    body = json.dumps(document)
-    return exchange(f"{system.node_host}:8144", "POST", path, body=body)
-
-
 def restart(system, name):
     document = json.loads((system.folder / f"{name}.json").read_text())
     system.kill(name)
@@ -30,18 +25,7 @@
 
 
 def send_heartbeat(system, born, seq):
-    host, port = system.server.server_address
-    heartbeat = {
-        "service": "huvo11a",
-        "address": f"{host}:{port}",
-        "zone": "rincon",
-        "version": "v1",
-        "capacity_slots": 4,
-        "state": "ready",
-        "seq": seq,
-        "born": born,
-    }
-    answer = call_node(system, "/Instances.Heartbeat/i-1", heartbeat)
+    answer = system.announce_server(born=born, seq=seq)
     return answer is not None and answer[0] == 200
 
 
@@ -67,7 +51,7 @@
     wait_until(lambda: send_heartbeat(system, 1000, 1), "announced server")
     wait_until(lambda: is_served(system), "answer of the server")
     departure = {"born": 1000}
-    assert call_node(system, "/Instances.Deregister/i-1", departure)[0] == 200
+    assert system.call_node("/Instances.Deregister/i-1", departure)[0] == 200
     for name in killed:
         restart(system, name)
     wait_until(lambda: is_ready(system), "readiness")
--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -146,7 +146,8 @@
         headers = {"Base-Version": str(base)}
         return exchange(self.operator, "POST", path, headers, json.dumps(document))
 
-    def announce_server(self):
+    def announce_server(self, **fields):
+        """Send a heartbeat, with these fields in place of its own."""
         host, port = self.server.server_address
         heartbeat = {
             "service": "huvo11a",
@@ -157,8 +158,10 @@
             "state": "ready",
             "seq": 1,
         }
-        body = json.dumps(heartbeat)
-        path = "/Instances.Heartbeat/i-1"
+        return self.call_node("/Instances.Heartbeat/i-1", heartbeat | fields)
+
+    def call_node(self, path, document):
+        body = json.dumps(document)
         return exchange(f"{self.node_host}:8144", "POST", path, body=body)
 
     def send(self, path, key=None, **headers):
