Take a stall of its own for no loss of the quorum

Cause: the time without a leader counts the stall.

test_host_that_has_stalled_waits_for_its_leader failed before.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_quorum.py
@@ -245,8 +245,13 @@
         return self._replica.find_leader()
 
     def has_lost_quorum(self) -> bool:
-        """Whether this voter has had no leader for longer than an election takes."""
-        return self._replica.has_lost_quorum()
+        """Whether this voter has had no leader for longer than an election takes.
+
+        False right after a stall, while the leader's messages are still to be read.
+        """
+        replica = self._replica
+        stalled = self._compute_read_delay() > replica.settings.heartbeat_s
+        return replica.has_lost_quorum() and not stalled
 
     def _make_refusal(self):
         replica = self._replica
--- a/packages/sapphireway-coordination/tests/test_control_client.py
+++ b/packages/sapphireway-coordination/tests/test_control_client.py
@@ -194,6 +194,20 @@
     run_paused(run())
 
 
+def test_host_that_has_stalled_waits_for_its_leader():
+    async def run():
+        cluster = await start_cluster(5)
+        stalled = next(a for a in cluster.addresses if a != cluster.leader())
+        client = cluster.open_host_client(stalled)
+        cluster.isolate(stalled)
+        await asyncio.sleep(CONTACT_WINDOW_S)
+        cluster.network.heal_all()
+        cluster.stalls_s[stalled] = CONTACT_WINDOW_S
+        assert isinstance(await client.propose(b"a", 4.0), Committed)
+
+    run_paused(run())
+
+
 def test_order_waits_for_the_first_leader_after_all_hosts_were_started_again():
     async def run():
         cluster = await start_cluster(5)
