--- a/tests/quorum_cluster.py
+++ b/tests/quorum_cluster.py
@@ -89,7 +89,7 @@
             rng = random.Random(self.rng.random())
             incarnation = f"{self.rng.random()}"
             host.peers = Peers(self.network.open_endpoint(address), incarnation)
-            host.machine = ListMachine(self.applied_commands, self.seed)
+            host.machine = self.make_machine()
             host.quorum = Quorum(
                 host.peers,
                 host.disk,
@@ -108,6 +108,9 @@
             except PowerCutError:
                 self.crash(address)
 
+    def make_machine(self):
+        return ListMachine(self.applied_commands, self.seed)
+
     def record_event(self, address, event):
         self.events.append((address, event))
 
