--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -38,6 +38,12 @@
         self.end_headers()
         self.wfile.write(b"ok")
 
+    def do_POST(self):
+        left = int(self.headers.get("Content-Length", 0))
+        while left:
+            left -= len(self.rfile.read(min(left, 65536)))
+        self.do_GET()
+
     def log_message(self, *args):
         pass
 
