Keep no head of a request that was refused or answered

Callers saw: crowds that send heads, requests or trailers of thousands of short lines ended a node for memory; others got no answer.

Cause: a refused connection lingers for up to 5 s with its headers, and an idle one keeps those of its last request, though the budget had got their memory back. Trailers were collected though nobody reads them. A line that the parser still collects, and what waits to be parsed, were not limited by the budget.

Change: headers go with their request, and are dropped on a refusal; trailers are counted and dropped; unfinished lines and unparsed input need room in the budget.

Ruled out: a smaller limit on heads, which the users set.

test_refused_or_idle_connection_keeps_no_headers failed before and passes.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -260,8 +260,10 @@
         return is_full or self._state.share.compute_pause(self._pieces) > 0.0
 
     def _keep_unparsed(self, data):
-        self._unparsed += data
-        self._state.budget.add(len(data))
+        if self._state.budget.reserve(len(data)):
+            self._unparsed += data
+        else:
+            self._reject_full()
 
     def _drop_unparsed(self):
         self._state.budget.release(len(self._unparsed))
@@ -296,6 +298,10 @@
     def _parse_slice(self, data):
         if self._in_headers:
             self._header_bytes += len(data)
+            # The parser keeps a line until its end.
+            if not self._reserve_headers(len(data)):
+                self._reject_full()
+                return
         elif self._reading is not None:
             self._start_body_timeout()
         reading = self._reading
@@ -345,15 +351,13 @@
         self._target += url
 
     def on_header(self, name, value):
-        """Collect one header."""
+        """Collect one header; trailers are dropped."""
         self._pieces += 1
-        if self._ignores_input:
+        if self._ignores_input or self._reading is not None:
             return
-        size = len(name) + len(value) + OBJECT_BYTES
-        if not self._state.budget.reserve(size):
+        if not self._reserve_headers(len(name) + len(value) + OBJECT_BYTES):
             self._reject_full()
             return
-        self._headers_held_bytes += size
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -376,6 +380,7 @@
             return
         exchange = _Exchange(request, is_last=not self._parser.should_keep_alive())
         exchange.held_bytes, self._headers_held_bytes = self._headers_held_bytes, 0
+        self._headers, self._target = [], b""
         exchange.body_max_bytes = min(
             self._state.prepare(request), self._state.budget.body_max_bytes
         )
@@ -418,9 +423,6 @@
             return
         self._reading = None
         del self._state.reading[exchange]
-        # Of trailers, which come after the headers were counted.
-        exchange.held_bytes += self._headers_held_bytes
-        self._headers_held_bytes = 0
         exchange.request.body = exchange.body.getvalue()
         exchange.body = None
         self._exchanges.append(exchange)
@@ -457,9 +459,17 @@
         self._state.budget.release(exchange.held_bytes)
         exchange.held_bytes = exchange.unfilled_bytes = 0
 
+    def _reserve_headers(self, size):
+        """Take memory for a part of a head; return False if there is none left."""
+        if not self._state.budget.reserve(size):
+            return False
+        self._headers_held_bytes += size
+        return True
+
     def _release_headers(self):
         self._state.budget.release(self._headers_held_bytes)
         self._headers_held_bytes = 0
+        self._headers, self._target = [], b""
 
     # Answers.
 
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -571,3 +571,27 @@
         return kept
 
     assert asyncio.run(run()) == 0
+
+
+def test_refused_or_idle_connection_keeps_no_headers(port):
+    # Guards against heads that a connection keeps after the budget got them back.
+    async def run():
+        listener = make_listener(idle_timeout_s=30.0)
+        await listener.listen("127.0.0.1", port)
+        lines = b"a:\r\n" * 100
+        whole = b"GET /x HTTP/1.1\r\nHost: a\r\n" + lines + b"\r\n"
+        endless = b"GET /x HTTP/1.1\r\nHost: a\r\n" + lines * 10
+        opened = []
+        for sent in (whole, endless):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(sent)
+            await reader.readuntil(b"\r\n\r\n")
+            opened.append(writer)
+        assert len(listener._state.connections) == 2
+        assert [c._headers for c in listener._state.connections] == [[], []]
+        assert listener._state.budget.used_bytes == 0
+        for writer in opened:
+            writer.close()
+        await listener.close()
+
+    asyncio.run(run())
