Send no more answers to a caller that reads none

Cause: the connection didn't follow the transport's flow control, and answers that wait for their caller were in no budget.

Change: reading pauses while the transport asks for it; answers that wait are counted until the caller has read them; a connection of which nothing was read for the idle timeout is aborted.

test_caller_that_reads_nothing_is_not_sent_answers_without_end failed before and passes.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -132,6 +132,8 @@
         "_headers_held_bytes",
         "_ignores_input",
         "_in_headers",
+        "_is_unread",
+        "_left_bytes",
         "_limits",
         "_linger_end_s",
         "_loop",
@@ -145,6 +147,7 @@
         "_timer",
         "_transport",
         "_unparsed",
+        "_unsent_bytes",
     )
 
     def __init__(self, state: ListenerState):
@@ -161,11 +164,14 @@
         self._header_bytes = 0
         self._in_headers = False
         self._ignores_input = False
+        self._is_unread = False
         self._linger_end_s = 0.0
         self._pause = None
         self._pieces = 0
         self._timer = None
         self._unparsed = b""
+        self._unsent_bytes = 0
+        self._left_bytes = 0  # unsent when the connection was to be closed
         self._limits = state.get_limits()
         self._deadline_s = 0.0
 
@@ -207,6 +213,8 @@
         self._end_pause()
         self._drop_unparsed()
         self._release_headers()
+        self._state.budget.release(self._unsent_bytes)
+        self._unsent_bytes = 0
         if self._reading is not None:
             self._release(self._reading)
             del self._state.reading[self._reading]
@@ -217,6 +225,19 @@
                 exchange.task.cancel()
         self._exchanges.clear()
 
+    def pause_writing(self):
+        """Read no more requests while the caller doesn't read its answers."""
+        self._is_unread = True
+        if not self._ignores_input:
+            self._transport.pause_reading()
+
+    def resume_writing(self):
+        """Go on with the requests that have arrived meanwhile."""
+        self._is_unread = False
+        self._count_unsent()
+        if not self._ignores_input:
+            self._parse_unparsed()
+
     def get_buffer(self, sizehint):
         """Return the buffer for the next read."""
         return self._state.read_buffer
@@ -256,7 +277,7 @@
             return
 
     def _must_wait(self):
-        is_full = len(self._exchanges) >= PIPELINED_MAX
+        is_full = self._is_unread or len(self._exchanges) >= PIPELINED_MAX
         return is_full or self._state.share.compute_pause(self._pieces) > 0.0
 
     def _keep_unparsed(self, data):
@@ -285,13 +306,13 @@
         self._parse_unparsed()
 
     def _parse_unparsed(self):
-        if self._pause is not None or self._transport.is_closing():
+        if self._pause is not None or self._transport.is_closing() or self._is_unread:
             return
         if self._unparsed and not self._ignores_input:
             data = self._unparsed
             self._drop_unparsed()
             self._parse(memoryview(data))
-        may_read = self._pause is None and not self._unparsed
+        may_read = self._pause is None and not self._unparsed and not self._is_unread
         if may_read and len(self._exchanges) < PIPELINED_MAX:
             self._transport.resume_reading()
 
@@ -455,6 +476,13 @@
                 exchange.held_bytes -= exchange.unfilled_bytes
                 exchange.unfilled_bytes = 0
 
+    def _count_unsent(self):
+        """Take memory for what the caller hasn't read yet; return its size."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._state.budget.add(unsent_bytes - self._unsent_bytes)
+        self._unsent_bytes = unsent_bytes
+        return unsent_bytes
+
     def _release(self, exchange):
         self._state.budget.release(exchange.held_bytes)
         exchange.held_bytes = exchange.unfilled_bytes = 0
@@ -488,6 +516,10 @@
             )
             return
         exchange.answer = task.result()
+        # Of answers that wait for those before them.
+        answer_bytes = len(exchange.answer.body)
+        self._state.budget.add(answer_bytes)
+        exchange.held_bytes += answer_bytes
         self._flush()
 
     def _flush(self):
@@ -502,6 +534,7 @@
             if self._transport.is_closing():
                 return
             self._transport.write(_serialize(exchange, closes))
+            self._count_unsent()
             self._state.answer_count += 1
             if closes:
                 self._close_gracefully()
@@ -591,7 +624,18 @@
         elif self._in_headers or self._reading is not None:
             self._reject(408, "the request did not arrive in time")
         else:
-            self._transport.close()
+            self._close_when_read()
+
+    def _close_when_read(self):
+        """Close once the caller has read its answers, or has stopped reading."""
+        unsent_bytes = self._count_unsent()
+        if unsent_bytes and unsent_bytes == self._left_bytes:
+            self._transport.abort()
+            return
+        self._left_bytes = unsent_bytes
+        self._transport.close()
+        if unsent_bytes:
+            self._start_timeout(self._limits.idle_timeout_s)
 
 
 def _asks_close(exchange):
--- a/packages/sapphireway-transport/tests/test_http.py
+++ b/packages/sapphireway-transport/tests/test_http.py
@@ -16,6 +16,7 @@
 HEADER_MAX_BYTES = 2000
 HEADER_TIMEOUT_S = 0.2
 IDLE_TIMEOUT_S = 0.4
+ANSWER_BYTES = 300_000  # more than the kernel takes while nobody reads
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
 POST = GET.replace(b"GET", b"POST")
 
@@ -573,6 +574,33 @@
     assert asyncio.run(run()) == 0
 
 
+def test_caller_that_reads_nothing_is_not_sent_answers_without_end(port):
+    # Guards against memory for answers that nobody reads, and their connections.
+    async def answer_long(request):
+        return HttpAnswer(200, (), bytes(ANSWER_BYTES))
+
+    async def run():
+        listener = make_listener(answer_long)
+        await listener.listen("127.0.0.1", port)
+        unread = socket.create_connection(("127.0.0.1", port))
+        unread.setblocking(False)
+        request = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(2000):
+                unread.send(request)
+        await asyncio.sleep(IDLE_TIMEOUT_S / 2)
+        assert listener.answer_count <= 2 * _http_connection.PIPELINED_MAX
+        connection = next(iter(listener._state.connections))
+        assert connection.is_sending
+        async with asyncio.timeout(10 * IDLE_TIMEOUT_S):
+            while listener._state.connections:
+                await asyncio.sleep(0.02)
+        unread.close()
+        await listener.close()
+
+    asyncio.run(run())
+
+
 def test_refused_or_idle_connection_keeps_no_headers(port):
     # Guards against heads that a connection keeps after the budget got them back.
     async def run():
