Keep descriptors free from idle connections at all ports

Heads without end at the ports of the platform ended processes for memory, and stayed open for an hour.

Cause: no listener limited its connections. tornado's servers took heads of 64 kB in reads of 64 kB, waited an hour for them, and reference cycles kept what they had read.

Change: one limit for callers (half of the descriptors) and one for all other ports together (an eighth, 256 at most). A connection beyond it closes the one that is needed least: one that lingers, that never sent a request, that is idle, whose body arrives; never one whose request is handled. tornado's servers take heads of 16 kB, wait 60 s, and drop what was read with the connection. At most 32 connections are accepted in a turn of the loop, before the limit is applied.

Ruled out: refusing new connections, as those that are idle would stay.

--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -101,6 +101,12 @@
     claim_memory_max_bytes : int
         Memory use by claims on idempotency keys at which calls with new keys are
         refused.
+    memory_bytes : int
+        Memory of the host that this process may use, from which the memory for
+        requests follows; 0 takes all of the host's.
+    descriptors_max : int
+        Open descriptors, of which callers' connections get a half; 0 takes the limit
+        of the process.
     journal_segment_bytes : int
         Segment size at which the journal starts a new segment file.
     journal_compact_bytes : int
@@ -135,6 +141,8 @@
     trace_file: str | None = None
     header_max_bytes: int = 65_536
     claim_memory_max_bytes: int = 8 * MIB
+    memory_bytes: int = 0
+    descriptors_max: int = 0
     journal_segment_bytes: int = MIB
     journal_compact_bytes: int = JOURNAL_COMPACT_BYTES
     journal_max_bytes: int = JOURNAL_MAX_BYTES
@@ -173,6 +181,8 @@
     "trace_file": _PATH,
     "header_max_bytes": make_integer(1_024, MIB, "bytes"),
     "claim_memory_max_bytes": make_integer(MIB, 16_384 * MIB, "bytes"),
+    "memory_bytes": make_integer(0, 2**50, "bytes"),
+    "descriptors_max": make_integer(0, 2**30),
     "journal_segment_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
     "journal_compact_bytes": make_integer(65_536, 1_024 * MIB, "bytes"),
     "journal_max_bytes": make_integer(4 * MIB, 16_384 * MIB, "bytes"),
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -4,10 +4,12 @@
 tests in ``sapphireway_transport.memory``.
 """
 
+from sapphireway_transport._connection_limit import ConnectionLimit, ConnectionUse
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._event_loop import BootTimeLoop
+from sapphireway_transport._host_limits import read_descriptors, read_memory_bytes
 from sapphireway_transport._http import HttpListener
 from sapphireway_transport._http_messages import (
     HttpAnswer,
@@ -50,6 +52,8 @@
     "REQUEST_ID_HEADER",
     "BootTimeLoop",
     "Broken",
+    "ConnectionLimit",
+    "ConnectionUse",
     "CurlServerClient",
     "Disk",
     "DiskFailed",
@@ -74,6 +78,8 @@
     "compute_age",
     "make_body_budget",
     "needs_no_echo",
+    "read_descriptors",
     "read_instant",
+    "read_memory_bytes",
     "shift_back",
 ]
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 
+from sapphireway_transport._connection_limit import ConnectionLimit
 from sapphireway_transport._http_connection import HttpConnection, ListenerState
 from sapphireway_transport._http_messages import (
     Handle,
@@ -21,7 +22,10 @@
 )
 from sapphireway_transport._memory_budget import MemoryBudget, make_body_budget
 
+CONNECTIONS_MAX = 1 << 16  # without a limit of the process
 BACKLOG_CONNECTIONS = 1024  # a full queue drops SYNs, which delays callers by seconds
+# Accepted in one turn of the event loop, before the limit on connections is applied.
+ACCEPT_MAX = 32
 FINISH_CHECK_INTERVAL_S = 0.02
 
 
@@ -40,6 +44,7 @@
         Returns the `HttpLimits` in force.
     budget : MemoryBudget, optional
         Of all that the process holds for requests and answers.
+    connection_limit : ConnectionLimit, optional
     """
 
     __slots__ = ("_server", "_state")
@@ -51,9 +56,16 @@
         reject: Reject,
         get_limits: Callable[[], HttpLimits],
         budget: MemoryBudget | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ):
-        budget = budget or make_body_budget()
-        self._state = ListenerState(handle, prepare, reject, get_limits, budget=budget)
+        self._state = ListenerState(
+            handle,
+            prepare,
+            reject,
+            get_limits,
+            budget=budget or make_body_budget(),
+            connection_limit=connection_limit or ConnectionLimit(CONNECTIONS_MAX),
+        )
         self._server = None
 
     @property
@@ -79,13 +91,12 @@
     async def listen(self, host: str, port: int) -> None:
         """Bind the address and start accepting connections."""
         loop = asyncio.get_running_loop()
+        listening = socket.create_server((host, port))
         self._server = await loop.create_server(
-            lambda: HttpConnection(self._state),
-            host,
-            port,
-            family=socket.AF_INET,
-            backlog=BACKLOG_CONNECTIONS,
+            lambda: HttpConnection(self._state), sock=listening, backlog=ACCEPT_MAX
         )
+        # asyncio uses one number for the queue and for what it accepts in one turn.
+        listening.listen(BACKLOG_CONNECTIONS)
 
     def stop_accepting(self) -> None:
         """Stop accepting connections; established ones are still served."""
--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -9,6 +9,7 @@
 import httptools
 import msgspec
 
+from sapphireway_transport._connection_limit import ConnectionLimit, ConnectionUse
 from sapphireway_transport._http_messages import (
     Handle,
     HttpAnswer,
@@ -62,6 +63,7 @@
         Answers that connections have begun to send.
     budget : MemoryBudget
         Of all that is held for requests until they are answered.
+    connection_limit : ConnectionLimit
     share : ReadShare
     read_buffer : memoryview
         Into which all connections read, one after the other.
@@ -71,6 +73,7 @@
     prepare: Prepare
     reject: Reject
     get_limits: Callable[[], HttpLimits]
+    connection_limit: ConnectionLimit
     closing: bool = False
     tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
     reading: dict["_Exchange", "HttpConnection"] = msgspec.field(default_factory=dict)
@@ -201,12 +204,14 @@
         peer = transport.get_extra_info("peername")
         self._remote = peer[0] if peer else ""
         self._state.connections.add(self)
+        self._state.connection_limit.add(self)
         self._start_timeout(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc):
         """Cancel the requests whose answers can no longer be delivered."""
         self._ignores_input = True
         self._state.connections.discard(self)
+        self._state.connection_limit.remove(self)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -325,6 +330,7 @@
                 return
         elif self._reading is not None:
             self._start_body_timeout()
+            self._update_use()
         reading = self._reading
         body_bytes = reading.body_bytes if reading is not None else 0
         try:
@@ -348,6 +354,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self):
+        """Close immediately, without what is unsent; pending requests are cancelled."""
+        self._transport.abort()
+
     def refuse_unread(self, answer: HttpAnswer) -> None:
         """Answer the request whose body is being read, and close the connection.
 
@@ -407,6 +417,7 @@
         )
         self._reading = exchange
         self._state.reading[exchange] = self
+        self._update_use()
         exchange.began_s = self._loop.time()
         exchange.body_deadline_s = exchange.began_s + BODY_TIME_MAX_S
         self._start_body_timeout()
@@ -447,6 +458,7 @@
         exchange.request.body = exchange.body.getvalue()
         exchange.body = None
         self._exchanges.append(exchange)
+        self._update_use()
         self._stop_timeout()
         # Data after the last request of a connection is ignored.
         self._ignores_input = exchange.is_last
@@ -455,6 +467,18 @@
         self._state.tasks.add(task)
         task.add_done_callback(lambda task: self._complete(exchange, task))
 
+    def _update_use(self):
+        """Tell the limit on connections what this one is used for."""
+        if self._exchanges:
+            use = ConnectionUse.BUSY
+        elif self._reading is not None or self.is_sending:
+            use = ConnectionUse.TRANSFER
+        elif self._ignores_input:
+            use = ConnectionUse.CLOSING
+        else:
+            use = ConnectionUse.IDLE
+        self._state.connection_limit.set_use(self, use)
+
     # Memory.
 
     def _reserve(self, exchange, size):
@@ -542,6 +566,7 @@
         if not self._ignores_input and len(self._exchanges) < PIPELINED_MAX:
             self._parse_unparsed()
         if not self._exchanges and self._reading is None and not self._in_headers:
+            self._update_use()
             self._start_timeout(self._limits.idle_timeout_s)
 
     def _reject_full(self):
@@ -589,6 +614,7 @@
 
     def _close_gracefully(self):
         """Close after the last answer, without a reset that could discard it."""
+        self._update_use()
         self._ignores_input = True
         self._end_pause()
         self._drop_unparsed()
--- a/packages/sapphireway/src/sapphireway/_admin.py
+++ b/packages/sapphireway/src/sapphireway/_admin.py
@@ -22,7 +22,7 @@
 from sapphireway._stalls import StallWatch
 from sapphireway_coordination import Gate
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import MemoryBudget
+from sapphireway_transport import ConnectionLimit, MemoryBudget
 
 CONTROL_SILENCE_MAX_S = 5.0
 
@@ -37,6 +37,7 @@
     list_spans: Callable[[str | None, int], list[dict[str, Any]]],
     watch: StallWatch,
     budget: MemoryBudget,
+    connection_limit: ConnectionLimit,
 ) -> tornado.httpserver.HTTPServer:
     """Return the server of the admin address, which does not listen yet.
 
@@ -53,6 +54,7 @@
     watch : StallWatch
     budget : MemoryBudget
         Of all that the process holds for requests and answers.
+    connection_limit : ConnectionLimit
     """
     operations = Operations(
         shared.peers, shared.control_client, settings.control_hosts, shared.applied
@@ -81,7 +83,9 @@
     application.add_handlers(".*", make_server_routes(gate))
     rollout_routes = make_rollout_routes(backend, shared.rollout_orders, watch)
     application.add_handlers(".*", rollout_routes)
-    return make_bounded_server(application, OPERATOR_BODY_MAX_BYTES, budget)
+    return make_bounded_server(
+        application, OPERATOR_BODY_MAX_BYTES, budget, connection_limit
+    )
 
 
 def _list_faults(shared):
--- a/packages/sapphireway/src/sapphireway/_bounded_server.py
+++ b/packages/sapphireway/src/sapphireway/_bounded_server.py
@@ -1,14 +1,35 @@
-"""HTTP servers of operators and local servers, which hold a bounded size of bodies."""
+"""HTTP servers of operators and local servers, which hold a bounded size of input."""
+
+import functools
 
 import tornado.httpserver
 import tornado.httputil
 import tornado.web
 
-from sapphireway_transport import MemoryBudget
+from sapphireway_transport import ConnectionLimit, ConnectionUse, MemoryBudget
 
 # tornado collects a body, copies it for the handler, and the handler decodes it.
 COPIES = 3
 RETRY_AFTER_S = 1
+# Operators and servers send far fewer headers. By default, tornado keeps four times as
+# much for each connection, and waits an hour for the rest.
+HEADERS_MAX_BYTES = 16 * 1024
+READ_BYTES = 16 * 1024  # at once; what tornado holds of a connection beside its body
+IDLE_TIMEOUT_S = 60.0  # also until a head is complete
+BODY_TIMEOUT_S = 60.0
+CONNECTIONS_MAX = 256  # of all servers of a process that share no other limit
+
+
+class _LimitedConnection:
+    """A connection of tornado's, as the limit on connections sees it."""
+
+    __slots__ = ("_stream",)
+
+    def __init__(self, stream):
+        self._stream = stream
+
+    def abort(self):
+        self._stream.close()
 
 
 class _BoundedRequest(tornado.httputil.HTTPMessageDelegate):
@@ -24,18 +45,21 @@
         "_held_bytes",
         "_is_refused",
         "_requests",
+        "_set_use",
     )
 
-    def __init__(self, delegate, connection, budget, requests):
+    def __init__(self, delegate, connection, budget, requests, set_use):
         self._budget = budget
         self._connection = connection
         self._delegate = delegate
         self._is_refused = False
         self._requests = requests
         self._held_bytes = 0
+        self._set_use = set_use
 
     def headers_received(self, start_line, headers):
         self._requests[self._connection] = self
+        self._set_use(ConnectionUse.TRANSFER)
         declared = headers.get("Content-Length", "0")
         size = int(declared) if declared.isascii() and declared.isdigit() else 0
         # Not taken yet, as it may never arrive.
@@ -57,6 +81,7 @@
 
     def finish(self):
         if not self._is_refused:
+            self._set_use(ConnectionUse.BUSY)
             self._delegate.finish()
 
     def on_connection_close(self):
@@ -87,19 +112,41 @@
 class _BoundedServer(tornado.httputil.HTTPServerConnectionDelegate):
     """Wraps the requests of an application."""
 
-    __slots__ = ("_application", "_budget", "_requests")
+    __slots__ = ("_application", "_budget", "_connections", "_limit", "_requests")
 
-    def __init__(self, application, budget):
+    def __init__(self, application, budget, limit):
         self._application = application
         self._budget = budget
+        self._connections = {}
+        self._limit = limit
         self._requests = {}
 
     def start_request(self, server_conn, request_conn):
+        connection = self._connections.get(server_conn)
+        if connection is None:
+            connection = _LimitedConnection(server_conn.stream)
+            self._connections[server_conn] = connection
+            self._limit.add(connection)
+        else:
+            self._limit.set_use(connection, ConnectionUse.IDLE)
         delegate = self._application.start_request(server_conn, request_conn)
-        return _BoundedRequest(delegate, request_conn, self._budget, self._requests)
+        return _BoundedRequest(
+            delegate,
+            request_conn,
+            self._budget,
+            self._requests,
+            functools.partial(self._limit.set_use, connection),
+        )
 
     def on_close(self, server_conn):
+        connection = self._connections.pop(server_conn, None)
+        if connection is not None:
+            self._limit.remove(connection)
         self._application.on_close(server_conn)
+        # Reference cycles would keep what was read until the next full collection.
+        if server_conn.stream.error is not None:
+            server_conn.stream.error.__traceback__ = None
+        server_conn.stream = None
 
     def end_request(self, handler: tornado.web.RequestHandler) -> None:
         request = self._requests.get(handler.request.connection)
@@ -107,8 +154,19 @@
             request.release()
 
 
+class _Server(tornado.httpserver.HTTPServer):
+    """Also tells the wrapped delegate that a connection was closed."""
+
+    def on_close(self, server_conn):
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 def make_bounded_server(
-    application: tornado.web.Application, body_max_bytes: int, budget: MemoryBudget
+    application: tornado.web.Application,
+    body_max_bytes: int,
+    budget: MemoryBudget,
+    connection_limit: ConnectionLimit | None = None,
 ) -> tornado.httpserver.HTTPServer:
     """Return an HTTP server whose bodies together stay within a budget.
 
@@ -120,8 +178,10 @@
     body_max_bytes : int
         Of one request.
     budget : MemoryBudget
+    connection_limit : ConnectionLimit, optional
     """
-    bounded = _BoundedServer(application, budget)
+    limit = connection_limit or ConnectionLimit(CONNECTIONS_MAX)
+    bounded = _BoundedServer(application, budget, limit)
     log_request = application.log_request
 
     def end_request(handler):
@@ -130,4 +190,11 @@
 
     # tornado calls it when a handler has finished, also after an error.
     application.log_request = end_request
-    return tornado.httpserver.HTTPServer(bounded, max_body_size=body_max_bytes)
+    return _Server(
+        bounded,
+        chunk_size=READ_BYTES,
+        max_header_size=HEADERS_MAX_BYTES,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+        body_timeout=BODY_TIMEOUT_S,
+        max_body_size=body_max_bytes,
+    )
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -38,14 +38,21 @@
 )
 from sapphireway_state import ProcessSettings
 from sapphireway_transport import (
+    ConnectionLimit,
     CurlServerClient,
     HttpLimits,
     HttpListener,
     MemoryBudget,
     ServerClient,
     make_body_budget,
+    read_descriptors,
 )
 
+# Callers get one part of the descriptors in so many; links to nodes take up to three
+# each, connections to the server and files the rest.
+CALLERS_SHARE = 2
+INTERFACES_SHARE = 8
+INTERFACE_CONNECTIONS_MAX = 256  # each holds up to 32 kB of an incomplete head
 RETRY_TOKENS_MIN = 1.0  # lets a rarely called service retry at all
 WORK_TIME_PERCENTILE = 25.0  # low, so that it reflects calls served by a fast host
 MS_PER_S = 1000
@@ -66,6 +73,8 @@
     versions : VersionSplit
     version_reporter : VersionReporter
     budget : MemoryBudget
+    interface_limit : ConnectionLimit
+        Of the servers for operators, local servers and metrics, all together.
         Of all that the process holds for requests and answers.
     """
 
@@ -79,6 +88,7 @@
     versions: VersionSplit
     version_reporter: VersionReporter
     budget: MemoryBudget
+    interface_limit: ConnectionLimit
 
     def apply_rollouts(self) -> None:
         """Act on the rollouts in force, after they or the server have changed."""
@@ -132,6 +142,7 @@
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
     budget = make_body_budget()
+    descriptors = settings.descriptors_max or read_descriptors()
     client = _build_client(tracer, budget)
     health_client = HealthClient(
         CurlServerClient(HEALTH_CONNECTIONS_MAX, budget=budget),
@@ -188,6 +199,7 @@
         callers.reject,
         _make_http_limits(settings, applied),
         budget,
+        ConnectionLimit(descriptors // CALLERS_SHARE),
     )
     return DataPath(
         dispatcher,
@@ -200,6 +212,9 @@
         versions,
         reporter,
         budget,
+        ConnectionLimit(
+            min(INTERFACE_CONNECTIONS_MAX, descriptors // INTERFACES_SHARE)
+        ),
     )
 
 
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -31,7 +31,7 @@
     discover_local_server,
 )
 from sapphireway_state import ProcessSettings
-from sapphireway_transport import MemoryBudget, read_instant
+from sapphireway_transport import ConnectionLimit, MemoryBudget, read_instant
 
 CLAIMS_CHECK_INTERVAL_S = 0.1
 UNREAD_CHECK_INTERVAL_S = 0.02
@@ -118,6 +118,7 @@
             self._list_spans,
             self._stall_watch,
             self.body_budget,
+            self.interface_limit,
         )
         register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
 
@@ -178,6 +179,11 @@
         """Memory of all that the process holds for requests and answers."""
         return self._data_path.budget
 
+    @property
+    def interface_limit(self) -> ConnectionLimit:
+        """Limit on the connections of all servers but that of callers."""
+        return self._data_path.interface_limit
+
     @property
     def stall_watch(self) -> StallWatch:
         """Measures how old requests can be that this process has just read."""
