Derive the memory for requests from the memory of the host

Callers saw: chunked bodies whose end is never sent ended a node of 200 MB three times; the node took 254 MB with a budget of 76 MB.

Cause: the budget was the same on every host. And glibc raises the size from which blocks get a mapping of their own to that of the largest one freed: bodies that grow beside each other were then copied within the heap, and left holes that none of them fits.

Change: the budget is half of what the process itself leaves of the host's memory, 76 MB at most (as before on hosts of 200 MB). Blocks of 256 kB and more always have mappings of their own, which grow in place and are given back when freed.

Ruled out: pieces of a fixed size, as they would be copied when a body is complete.

--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -4,6 +4,7 @@
 tests in ``sapphireway_transport.memory``.
 """
 
+from sapphireway_transport._allocator import separate_large_blocks
 from sapphireway_transport._connection_limit import ConnectionLimit, ConnectionUse
 from sapphireway_transport._curl import CurlServerClient
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
@@ -24,7 +25,11 @@
     read_instant,
     shift_back,
 )
-from sapphireway_transport._memory_budget import MemoryBudget, make_body_budget
+from sapphireway_transport._memory_budget import (
+    LARGE_BODY_BYTES,
+    MemoryBudget,
+    make_body_budget,
+)
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
@@ -46,6 +51,7 @@
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
+    "LARGE_BODY_BYTES",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "NOT_RUN_HEADER",
@@ -81,5 +87,6 @@
     "read_descriptors",
     "read_instant",
     "read_memory_bytes",
+    "separate_large_blocks",
     "shift_back",
 ]
--- a/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
@@ -3,10 +3,16 @@
 Copies that links to other nodes make, and bodies that these send, are not counted.
 """
 
+MIB = 1024 * 1024
 # A body of 64 MB must fit, on the smallest hosts with the copy that a link makes of it.
-BODIES_MAX_BYTES = 76 * 1024 * 1024
+BODIES_MAX_BYTES = 76 * MIB
+BODIES_MIN_BYTES = 4 * MIB
+# Of a process without requests: interpreter, tables, links to all other nodes.
+PROCESS_BYTES = 48 * MIB
+COPIES = 2  # a body, and its copy in a link
 # Kept free for requests with small bodies while large ones take the rest.
-SMALL_RESERVE_BYTES = 8 * 1024 * 1024
+SMALL_RESERVE_BYTES = 8 * MIB
+SMALL_RESERVE_SHARE = 8  # one part in so many, where it is less
 HEADS_SHARE = 64  # one part in so many is left for heads beside the largest body
 LARGE_BODY_BYTES = 256 * 1024
 # What a header or another small object takes beside its bytes.
@@ -71,6 +77,17 @@
         self.used_bytes -= size
 
 
-def make_body_budget() -> MemoryBudget:
-    """Return the budget that the listeners and clients of a process share."""
-    return MemoryBudget(BODIES_MAX_BYTES, SMALL_RESERVE_BYTES)
+def make_body_budget(memory_bytes: int | None = None) -> MemoryBudget:
+    """Return the budget that the listeners and clients of a process share.
+
+    Parameters
+    ----------
+    memory_bytes : int, optional
+        Of the host; by default as much as the largest body needs.
+    """
+    max_bytes = BODIES_MAX_BYTES
+    if memory_bytes is not None:
+        free_bytes = (memory_bytes - PROCESS_BYTES) // COPIES
+        max_bytes = max(BODIES_MIN_BYTES, min(max_bytes, free_bytes))
+    reserve = min(SMALL_RESERVE_BYTES, max_bytes // SMALL_RESERVE_SHARE)
+    return MemoryBudget(max_bytes, reserve)
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -46,6 +46,7 @@
     ServerClient,
     make_body_budget,
     read_descriptors,
+    read_memory_bytes,
 )
 
 # Callers get one part of the descriptors in so many; links to nodes take up to three
@@ -141,7 +142,7 @@
         versions,
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
-    budget = make_body_budget()
+    budget = make_body_budget(settings.memory_bytes or read_memory_bytes())
     descriptors = settings.descriptors_max or read_descriptors()
     client = _build_client(tracer, budget)
     health_client = HealthClient(
--- a/packages/sapphireway/src/sapphireway/_main.py
+++ b/packages/sapphireway/src/sapphireway/_main.py
@@ -24,7 +24,7 @@
     format_problem,
     load_process_settings,
 )
-from sapphireway_transport import BootTimeLoop
+from sapphireway_transport import BootTimeLoop, separate_large_blocks
 
 GC_YOUNG_THRESHOLD = 20_000
 GC_MIDDLE_THRESHOLD = 20
@@ -60,6 +60,7 @@
         Called with the node once it has started. If it raises an OSError, the start
         has failed.
     """
+    separate_large_blocks()
     loop = asyncio.get_running_loop()
     signalled = loop.create_future()
 
