Ask a node for memory before a large body is sent to it

Callers saw: uploads through three nodes to one server took 285 MB at its node (128 MB allowed), as each node limits only what its own callers send.

Cause: a body from another node was in no budget, and when it has arrived it has taken its memory already.

Change: before a body of more than 256 kB is sent, its node is asked for the memory (ReserveBody); a refusal sends the request to the next server, or ends it as not run. Bodies from other nodes are counted until their attempt has ended, and one for which there is no memory is refused. A node that doesn't answer gets the body: it may run an older version.

Ruled out: refusing after the arrival alone, as several bodies may arrive at once.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_gate.py
@@ -28,6 +28,7 @@
     AttemptMemory,
     AttemptState,
 )
+from sapphireway_coordination.gate._body_memory import BodyMemory
 from sapphireway_coordination.gate._completion import CompletionHandler
 from sapphireway_coordination.gate._departure import DepartureNotice
 from sapphireway_coordination.gate._events import (
@@ -63,7 +64,7 @@
     ServerState,
 )
 from sapphireway_state import Policy, check_invariant
-from sapphireway_transport import ServerClient
+from sapphireway_transport import MemoryBudget, ServerClient, make_body_budget
 
 MS_PER_S = 1000
 PERCENT = 100
@@ -123,10 +124,13 @@
         too, which is meant for clients without connections.
     departures : DepartureClient, optional
         By default, departures are forgotten when the process ends.
+    budget : MemoryBudget, optional
+        Memory for the bodies that other nodes send.
     """
 
     __slots__ = (
         "_assignment",
+        "_bodies",
         "_client",
         "_cold_reserve_per_s",
         "_completions",
@@ -167,8 +171,10 @@
         assignment: Assignment = ANY_SERVER,
         wall_clock: Callable[[], float] = time.time,
         departures: DepartureClient | None = None,
+        budget: MemoryBudget | None = None,
     ):
         self._assignment = assignment
+        self._bodies = BodyMemory(peers, budget or make_body_budget())
         self._wall_clock = wall_clock
         self._client = client
         self._cold_reserve_per_s = cold_reserve_per_s
@@ -529,9 +535,16 @@
         target_s = math.inf
         if run.target_ms is not None:
             target_s = now_s + run.target_ms / MS_PER_S
+        size = len(body)
+        if not self._bodies.take(sender, run, size):
+            refusal, body, size = NotRunReason.OVERLOADED, b"", 0
         job = AttemptJob(sender, run, body, policy, record, now_s, deadline_s, target_s)
         job.refusal = refusal
         self._runner.submit(job)
+        if size:
+            job.task.add_done_callback(
+                lambda task: self._bodies.give_back(sender, size)
+            )
 
     def _handle_cancel(self, sender, envelope):
         attempt = envelope.message.attempt
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_call_run.py
@@ -274,9 +274,23 @@
                 return False
             load = self._choose(fresh, self._loop.time())
             self._tried.append(load)
+            if not await self._reserve_body(load):
+                continue
+            if cause is not AttemptCause.FIRST and not self._is_still_due(cause):
+                return False
             if self._send_to(load, cause, len(candidates)):
                 return True
 
+    async def _reserve_body(self, load):
+        """Return whether the node beside a server takes the call's body."""
+        granted = await self._dispatcher.reserve_body(
+            load.member.node, self._call, self._get_deadline()
+        )
+        if not granted:
+            detail = "no memory for the body"
+            self._outcomes.append(NotRun(NotRunReason.OVERLOADED, 0.0, detail))
+        return granted
+
     def _is_still_due(self, cause):
         """Return whether another attempt is still allowed and needed after a wait."""
         answered = cause is AttemptCause.HEDGE and self._mailbox.has_changes
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_dispatch.py
@@ -20,12 +20,22 @@
 from sapphireway_coordination.routing._routing import Choose, choose_predicted
 from sapphireway_coordination.routing._services import ServiceTable
 from sapphireway_coordination.routing._version_split import VersionSplit
-from sapphireway_protocol import LoadReport, LoadUpdate, Outcome, Peers, ProbeReply
+from sapphireway_protocol import (
+    BodyReserved,
+    LoadReport,
+    LoadUpdate,
+    Outcome,
+    Peers,
+    ProbeReply,
+    ReserveBody,
+)
 from sapphireway_state import Policy
+from sapphireway_transport import LARGE_BODY_BYTES
 
 CLOCK_AGE_MAX_S = 60.0
 PROBE_TIMEOUT_MIN_S = 0.01
 PROBE_TIMEOUT_ROUND_TRIPS = 3
+RESERVE_WAIT_S = 1.0
 
 
 def _ignore_event(event):
@@ -155,6 +165,21 @@
         """Return an attempt id that is unique among all nodes."""
         return f"{self._peers.incarnation}-{next(self._attempt_ids):x}"
 
+    async def reserve_body(self, node: str, call: Call, deadline_s: float) -> bool:
+        """Ask a node for the memory of a large body; False if it has none.
+
+        A node that doesn't answer gets the body: it may run an older version.
+        """
+        size = len(call.body)
+        if size <= LARGE_BODY_BYTES or node == self._peers.address:
+            return True
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        request = ReserveBody(call.call_id, size, left_s)
+        reply = await self._peers.request(node, request, min(RESERVE_WAIT_S, left_s))
+        if reply is None or not isinstance(reply.message, BodyReserved):
+            return True
+        return reply.message.granted
+
     def check_liveness(self, load: ServerLoad, policy: Policy) -> None:
         """Probe a server without recent reports; eject it if it stays silent."""
         loop = asyncio.get_running_loop()
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -8,12 +8,14 @@
 from sapphireway_coordination.routing._events import DenyReason, RetryDenied
 from sapphireway_protocol import (
     Answered,
+    BodyReserved,
     Cancel,
     LoadReport,
     LoadUpdate,
     NotRun,
     Peers,
     Reply,
+    ReserveBody,
     Revoke,
     Revoked,
     Run,
@@ -21,6 +23,7 @@
     Unknown,
 )
 from sapphireway_state import Policy
+from sapphireway_transport import LARGE_BODY_BYTES
 from sapphireway_transport.memory import MemoryNetwork, run_paused
 
 POLICY = Policy(hedge_percentile=0.0)
@@ -130,6 +133,40 @@
     return run_paused(main())
 
 
+@pytest.mark.parametrize("granted", [True, False, None])
+def test_large_body_goes_to_a_node_that_has_memory_for_it(network, granted):
+    async def main():
+        nodes = [ScriptedNode(network, f"n{i}", answer) for i in range(2)]
+        asked = []
+        for node, grant in zip(nodes, (granted, True), strict=True):
+
+            def handle(sender, envelope, node=node, grant=grant):
+                asked.append(envelope.message.size_bytes)
+                if grant is not None:
+                    node.peers.reply(sender, envelope, BodyReserved(grant))
+
+            node.peers.handle(ReserveBody, handle)
+        peers = Peers(network.open_endpoint("entry"), "e")
+        peers.start()
+        members = [make_member("n0"), make_member("n1")]
+        dispatcher = Dispatcher(
+            peers, lambda service: members, random.Random(2), choose=choose_first
+        )
+        body = bytes(LARGE_BODY_BYTES + 1)
+        outcome = await dispatcher.dispatch(
+            msgspec.structs.replace(make_call(), body=body)
+        )
+        assert isinstance(outcome, Answered)
+        # A node without an answer may run a version that has no such message.
+        taken_by = 1 if granted is False else 0
+        assert [len(node.runs) for node in nodes] == [1 - taken_by, taken_by]
+        assert set(asked) == {len(body)}
+        await dispatcher.dispatch(make_call(call_id="small"))
+        assert len(asked) == 1 + taken_by
+
+    run_paused(main())
+
+
 @pytest.mark.parametrize(
     ("on_revoke", "outcome"), [(reply_started, Unknown), (reply_never_runs, NotRun)]
 )
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -1,6 +1,7 @@
 """Typed messages between nodes, their codec, and the outcomes of a call."""
 
 from sapphireway_protocol._calls import (
+    BodyReserved,
     Cancel,
     Departed,
     DepartedAck,
@@ -9,6 +10,7 @@
     Probe,
     ProbeReply,
     Reply,
+    ReserveBody,
     Revoke,
     Revoked,
     Run,
@@ -126,6 +128,7 @@
     "AskConfirmation",
     "AskRerun",
     "AskTokens",
+    "BodyReserved",
     "Bootstrap",
     "BootstrapReply",
     "Cancel",
@@ -194,6 +197,7 @@
     "Renew",
     "Renewed",
     "Reply",
+    "ReserveBody",
     "ReturnRerun",
     "ReturnedTokens",
     "Revoke",
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_calls.py
@@ -146,6 +146,28 @@
     server_ms: float = 0.0
 
 
+class ReserveBody(msgspec.Struct, frozen=True, tag="reserve_body", array_like=True):
+    """Request for the memory of a large body before it is sent.
+
+    Attributes
+    ----------
+    call : str
+    size_bytes : int
+    hold_s : float
+        Time after which the body won't come any more.
+    """
+
+    call: str
+    size_bytes: int
+    hold_s: float
+
+
+class BodyReserved(msgspec.Struct, frozen=True, tag="body_reserved", array_like=True):
+    """Answer to `ReserveBody`; the body must not be sent if it isn't granted."""
+
+    granted: bool
+
+
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
     """Notice that the caller no longer needs the answer of an attempt."""
 
@@ -246,4 +268,6 @@
     ProbeReply,
     Departed,
     DepartedAck,
+    ReserveBody,
+    BodyReserved,
 )
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -164,6 +164,7 @@
         health_client=health_client,
         assignment=Assignment(settings.server_service, settings.server_url),
         departures=DepartureClient(peers, lambda: shared.control_hosts.addresses),
+        budget=budget,
     )
     reporter = make_version_reporter(
         gate, applied.get_rollout, make_report_sender(peers, shared.control_hosts)
