Count what a request takes beside its head and body

Change: 8 kB of the budget until the request is answered. Connections of the platform's ports are counted when they are accepted, before the next one is: idle connections at five ports at once used up 256 descriptors (test_idle_connections_at_all_ports_* was red with the limit applied a turn later, and passes).

--- a/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_http_connection.py
@@ -21,6 +21,7 @@
 )
 from sapphireway_transport._memory_budget import (
     OBJECT_BYTES,
+    REQUEST_BYTES,
     MemoryBudget,
     make_body_budget,
 )
@@ -409,6 +410,9 @@
         if header_bytes + len(request.target) > self._limits.header_max_bytes:
             self._reject_headers()
             return
+        if not self._reserve_headers(REQUEST_BYTES):
+            self._reject_full()
+            return
         exchange = _Exchange(request, is_last=not self._parser.should_keep_alive())
         exchange.held_bytes, self._headers_held_bytes = self._headers_held_bytes, 0
         self._headers, self._target = [], b""
--- a/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_memory_budget.py
@@ -17,6 +17,9 @@
 LARGE_BODY_BYTES = 256 * 1024
 # What a header or another small object takes beside its bytes.
 OBJECT_BYTES = 200
+# What a request takes beside its head and body until it is answered: its task, its
+# attempts, and what is noted of them.
+REQUEST_BYTES = 8 * 1024
 
 
 class MemoryBudget:
@@ -43,7 +46,7 @@
     @property
     def body_max_bytes(self) -> int:
         """Size of a body that fits while little else is held."""
-        room = self._max_bytes // HEADS_SHARE
+        room = self._max_bytes // HEADS_SHARE + REQUEST_BYTES
         return self._max_bytes - self._small_reserve_bytes - room
 
     @property
--- a/packages/sapphireway/src/sapphireway/_bounded_server.py
+++ b/packages/sapphireway/src/sapphireway/_bounded_server.py
@@ -21,12 +21,19 @@
 
 
 class _LimitedConnection:
-    """A connection of tornado's, as the limit on connections sees it."""
+    """A connection of tornado's, as the limit on connections sees it.
 
-    __slots__ = ("_stream",)
+    Attributes
+    ----------
+    is_used : bool
+        Whether tornado has begun to read from it.
+    """
+
+    __slots__ = ("_stream", "is_used")
 
     def __init__(self, stream):
         self._stream = stream
+        self.is_used = False
 
     def abort(self):
         self._stream.close()
@@ -121,14 +128,20 @@
         self._limit = limit
         self._requests = {}
 
+    def accept(self, stream):
+        """Count a new connection; return False if there is no room for it."""
+        connection = self._connections[stream] = _LimitedConnection(stream)
+        self._limit.add(connection)
+        if stream.closed():
+            del self._connections[stream]
+            return False
+        return True
+
     def start_request(self, server_conn, request_conn):
-        connection = self._connections.get(server_conn)
-        if connection is None:
-            connection = _LimitedConnection(server_conn.stream)
-            self._connections[server_conn] = connection
-            self._limit.add(connection)
-        else:
+        connection = self._connections[server_conn.stream]
+        if connection.is_used:
             self._limit.set_use(connection, ConnectionUse.IDLE)
+        connection.is_used = True
         delegate = self._application.start_request(server_conn, request_conn)
         return _BoundedRequest(
             delegate,
@@ -139,9 +152,7 @@
         )
 
     def on_close(self, server_conn):
-        connection = self._connections.pop(server_conn, None)
-        if connection is not None:
-            self._limit.remove(connection)
+        self._limit.remove(self._connections.pop(server_conn.stream))
         self._application.on_close(server_conn)
         # Reference cycles would keep what was read until the next full collection.
         if server_conn.stream.error is not None:
@@ -155,7 +166,12 @@
 
 
 class _Server(tornado.httpserver.HTTPServer):
-    """Also tells the wrapped delegate that a connection was closed."""
+    """Also tells the wrapped delegate of new and closed connections."""
+
+    def handle_stream(self, stream, address):
+        # Before tornado accepts the next one, so that descriptors never run out.
+        if self.request_callback.accept(stream):
+            super().handle_stream(stream, address)
 
     def on_close(self, server_conn):
         super().on_close(server_conn)
