Name what a reader asked for, and show closed connections and held memory as gauges

Without the gauges, on-call engineers can't tell a crowd of idle connections from callers that leave. Renamed: leader_known_s to leaderless_since_s.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_replica.py
@@ -41,6 +41,12 @@
     """Shared state of one control host.
 
     `lock` must be held to change the journal, the term or the vote.
+
+    Attributes
+    ----------
+    leaderless_since_s : float
+        Loop time from which this host may expect an election, unless a leader has made
+        contact later.
     """
 
     __slots__ = (
@@ -63,7 +69,7 @@
         "leader",
         "leader_contact_s",
         "leader_departed",
-        "leader_known_s",
+        "leaderless_since_s",
         "lock",
         "machine",
         "observe",
@@ -111,7 +117,7 @@
         self.leader = None
         self.leader_contact_s = float("-inf")
         self.leader_departed = asyncio.Event()
-        self.leader_known_s = asyncio.get_running_loop().time()
+        self.leaderless_since_s = asyncio.get_running_loop().time()
         self.lock = asyncio.Lock()
         self.machine = machine
         self.observe = observe
@@ -210,9 +216,9 @@
         if not (self.can_participate and self.is_voter) or self.has_recent_leader():
             return False
         settings = self.settings
-        last_s = max(self.leader_contact_s, self.leader_known_s)
+        since_s = max(self.leader_contact_s, self.leaderless_since_s)
         election_s = settings.election_max_s + VOTE_HEARTBEATS * settings.heartbeat_s
-        return self.now() - last_s > election_s
+        return self.now() - since_s > election_s
 
     def handle_departure(self, peer: str) -> None:
         """Let an election begin if `peer` led and has stopped gracefully.
@@ -223,7 +229,7 @@
         if led and self.peers.clocks.has_departed(peer):
             self.leader = None
             self.leader_contact_s = float("-inf")
-            self.leader_known_s = self.now()
+            self.leaderless_since_s = self.now()
             self.leader_departed.set()
 
     def is_quorum(self, disk_ids) -> bool:
@@ -270,7 +276,7 @@
             if self.role == Role.LEADER:
                 self.leader = None
                 # Without contact for the time after which a leader steps down.
-                self.leader_known_s = self.now() - self.settings.election_min_s
+                self.leaderless_since_s = self.now() - self.settings.election_min_s
             self.role = Role.FOLLOWER
         self.notify()
 
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/quorum/_start.py
@@ -76,7 +76,7 @@
     if replica.journal.snapshot.index > replica.applied_index:
         replica.restore(replica.journal.snapshot)
     replica.disk_verified = True
-    replica.leader_known_s = replica.now()  # it can take part in elections from now on
+    replica.leaderless_since_s = replica.now()
     replica.role = Role.FOLLOWER
     replica.notify()
     while replica.vote.founding and not await _try_finish_bootstrap(replica):
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/settings/_control_client.py
@@ -129,9 +129,9 @@
             if self._has_lost_quorum():
                 detail = "this control host hears no leader; send it to another one"
                 return Unavailable(detail, maybe_applied, lost_quorum=True)
-            host, timeout_s = self._choose_host(hosts, asked, attempt_timeout_max_s)
+            host, wait_s = self._choose_host(hosts, asked, attempt_timeout_max_s)
             asked.add(host)
-            attempt_timeout_s = min(remaining_s, timeout_s)
+            attempt_timeout_s = min(remaining_s, wait_s)
             attempt = msgspec.structs.replace(request, timeout_s=attempt_timeout_s)
             sent_s = loop.time()
             reply = await self._peers.request(host, attempt, attempt_timeout_s, body)
@@ -160,12 +160,12 @@
                 await asyncio.sleep(RETRY_WAIT_S * self._rng.uniform(0.5, 1.5))
         return Unavailable(detail, maybe_applied)
 
-    def _choose_host(self, hosts, asked, timeout_s):
+    def _choose_host(self, hosts, asked, wait_s):
         """Return the next host to ask in this round, and for how long to wait."""
         leader = self._find_leader()
         if leader is not None and leader not in asked:
-            return leader, max(timeout_s, ATTEMPT_TIMEOUT_S)
-        return next(host for host in hosts if host not in asked), timeout_s
+            return leader, max(wait_s, ATTEMPT_TIMEOUT_S)
+        return next(host for host in hosts if host not in asked), wait_s
 
     def _shuffle_hosts(self):
         hosts = list(self._control_hosts.addresses)
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -74,6 +74,7 @@
     versions : VersionSplit
     version_reporter : VersionReporter
     budget : MemoryBudget
+    caller_limit : ConnectionLimit
     interface_limit : ConnectionLimit
         Of the servers for operators, local servers and metrics, all together.
         Of all that the process holds for requests and answers.
@@ -89,6 +90,7 @@
     versions: VersionSplit
     version_reporter: VersionReporter
     budget: MemoryBudget
+    caller_limit: ConnectionLimit
     interface_limit: ConnectionLimit
 
     def apply_rollouts(self) -> None:
@@ -144,6 +146,7 @@
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
     budget = make_body_budget(settings.memory_bytes or read_memory_bytes())
     descriptors = settings.descriptors_max or read_descriptors()
+    caller_limit = ConnectionLimit(descriptors // CALLERS_SHARE)
     client = _build_client(tracer, budget)
     health_client = HealthClient(
         CurlServerClient(HEALTH_CONNECTIONS_MAX, budget=budget),
@@ -201,7 +204,7 @@
         callers.reject,
         _make_http_limits(settings, applied),
         budget,
-        ConnectionLimit(descriptors // CALLERS_SHARE),
+        caller_limit,
     )
     return DataPath(
         dispatcher,
@@ -214,6 +217,7 @@
         versions,
         reporter,
         budget,
+        caller_limit,
         ConnectionLimit(
             min(INTERFACE_CONNECTIONS_MAX, descriptors // INTERFACES_SHARE)
         ),
--- a/packages/sapphireway/src/sapphireway/_node.py
+++ b/packages/sapphireway/src/sapphireway/_node.py
@@ -120,7 +120,9 @@
             self.body_budget,
             self.interface_limit,
         )
-        register_gauges(self._metrics, self._shared, self.gate, self._confirmation)
+        register_gauges(
+            self._metrics, self._shared, self._data_path, self._confirmation
+        )
 
     async def start(self) -> None:
         """Bind the addresses and start all background tasks.
