Bound servers that don't report their load by their knee

Cause: no limit is learnt for a server that tells when it is cold, as it may use all its slots, and its knee was learnt and applied only while it reported how slow its host is.

Change: the knee bounds these servers too. Their run times can't be corrected for the slowness of the host, and a slow host has more requests in flight, so the fastest twelfth is compared in place of the fastest fifth.

Tests: test_server_that_reports_no_load_is_bounded_by_its_knee failed before (at all six slots; a bound of 4 finishes more); the bound finishes no less than all slots in 24 cases.

--- a/benchmarks/experiment/_scenario.py
+++ b/benchmarks/experiment/_scenario.py
@@ -59,6 +59,8 @@
         Factor by which work takes longer with all slots in use.
     knee_step : bool
         Whether the full factor applies at once above the knee, instead of rising to it.
+    reports_load : bool
+        Whether answers tell how slow the host is and for how long the server is cold.
     """
 
     servers: int
@@ -67,6 +69,7 @@
     knee: float = 1.0
     knee_times: float = 1.0
     knee_step: bool = False
+    reports_load: bool = True
 
 
 class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/benchmarks/experiment/_server.py
+++ b/benchmarks/experiment/_server.py
@@ -202,6 +202,8 @@
         return 1.0 + excess * (self._service.knee_times - 1.0)
 
     def _respond(self, status, headers=()):
+        if not self._service.reports_load:
+            return Responded(status, tuple(headers), b"")
         report_headers = (
             (SLOWNESS_HEADER, str(self._get_slowness())),
             (COLD_HEADER, str(self.get_cold_s())),
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -185,12 +185,18 @@
     @property
     def limit(self) -> int:
         """Maximum number of requests in flight."""
-        bound = self._knee.allowed if self.slowness else self._limit.ceiling
+        bound = self._knee.allowed if self._is_bounded_by_knee else self._limit.ceiling
         if self._inherited and self._get_time() >= self._inherited_until_s:
             self._inherited = 0
         free = self._limit.ceiling - self._inherited
         return max(0, min(self._limit.value, free, bound))
 
+    @property
+    def _is_bounded_by_knee(self):
+        # Without the knee, nothing but its slots would bound a server that tells when
+        # it is cold, as no limit is learnt for it.
+        return self.slowness > 0.0 or self.announcement.cold_s is not None
+
     @property
     def cold(self) -> bool:
         """True until the server has warmed up."""
@@ -292,6 +298,7 @@
     def update_slowness(self, slowness: float) -> None:
         """Update the slowness of the server's host and the length of slow periods."""
         now_s = self._get_time()
+        self._knee.reported = slowness > 0.0
         self._advance_load_clock()
         if slowness > self.slowness:
             self._slow_since_s = now_s
@@ -448,7 +455,7 @@
 
     def _record_run(self, running, *, finished):
         # Work takes longer on a cold server, whatever its load.
-        if not self.slowness or self.cold:
+        if not self._is_bounded_by_knee or self.cold:
             return
         start, end = running.reading, self._load_clock.read()
         if end.at_s > start.at_s:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_knee.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_knee.py
@@ -9,6 +9,8 @@
 The fastest fifth of the requests is compared: the others may have waited for calls that
 the server made meanwhile, or were ended at a time limit. Only the work slows down above
 a knee, and such waits do not, so the part of the run time that is work counts as well.
+If the server doesn't report how slow its host is, only the very fastest are compared:
+a slow host has more requests in flight, so that its slowness looks like a knee.
 """
 
 import collections
@@ -26,6 +28,7 @@
 ASSUMED_WEIGHT = 5.0
 SLOWDOWN_MAX = 10.0  # of a level at which most requests were ended at a time limit
 QUANTILE = 0.2
+UNREPORTED_QUANTILE = 0.08  # if the slowness of the host is not reported
 MEAN_TO_QUANTILE = 1.3  # mean work of a kind, relative to that of the fastest fifth
 SAMPLES_MAX = 24  # that are kept of each level
 USUAL_SAMPLES_MAX = 40  # that are kept of each kind at low load
@@ -49,7 +52,7 @@
     samples : deque of float
         Logarithms of the latest run times; infinite for requests ended at a time limit.
     quantile : float
-        Value that a `QUANTILE` of the samples does not exceed.
+        Value that the given share of the samples does not exceed.
     run_s, work_s : float
         Sum of the run times of those that finished, and how much of it was work.
     """
@@ -61,10 +64,10 @@
         self.quantile = math.inf
         self.run_s = self.work_s = 0.0
 
-    def add(self, log_work: float) -> None:
-        """Add one request."""
+    def add(self, log_work: float, share: float) -> None:
+        """Add one request; `share` is that of the fastest that are compared."""
         self.samples.append(log_work)
-        self.quantile = find_quantile(self.samples)
+        self.quantile = find_quantile(self.samples, share)
         finished = [math.exp(x) for x in self.samples if x != math.inf]
         self.run_s = self.work_s = sum(finished)
         if self.quantile != math.inf:
@@ -84,6 +87,9 @@
     ----------
     allowed : int
         How many requests may be in flight now: the bound, or the level on trial.
+    reported : bool
+        Whether the server reports how slow its host is, so that run times are those on
+        an undisturbed host.
     """
 
     __slots__ = (
@@ -99,15 +105,21 @@
         "_usual",
         "_work_share",
         "allowed",
+        "reported",
     )
 
     def __init__(self, slots: int):
+        self.reported = False
         self._usual = {}
         self._last_usual_s = -math.inf
         self._work_share = 1.0
         self._slots = 0
         self.set_slots(slots)
 
+    @property
+    def _quantile(self):
+        return QUANTILE if self.reported else UNREPORTED_QUANTILE
+
     @property
     def bound(self) -> int:
         """Number of requests in flight that the server is fastest with, by now."""
@@ -208,7 +220,7 @@
             if len(self._usual) >= KINDS_MAX:
                 return
             usual = self._usual[kind] = UsualTimes()
-        usual.add(log_work)
+        usual.add(log_work, self._quantile)
         self._last_usual_s = now_s
 
     def _estimate_slowdown(self, level):
@@ -218,7 +230,8 @@
         assumed = ASSUMED_WEIGHT * math.log(SLOWDOWN_ASSUMED)
         if not samples:
             return assumed / ASSUMED_WEIGHT
-        slowdown = min(find_quantile(samples), math.log(SLOWDOWN_MAX))
+        slowest = math.log(SLOWDOWN_MAX)
+        slowdown = min(find_quantile(samples, self._quantile), slowest)
         weight = ASSUMED_WEIGHT + len(samples)
         return (assumed + len(samples) * slowdown) / weight
 
@@ -241,9 +254,9 @@
         return self._levels[index] / (1.0 + self._work_share * (slowdown - 1.0))
 
 
-def find_quantile(samples: Sequence[float]) -> float:
-    """Return the value that a `QUANTILE` of the samples does not exceed."""
-    return sorted(samples)[int(QUANTILE * len(samples))]
+def find_quantile(samples: Sequence[float], share: float) -> float:
+    """Return the value that a share of the samples does not exceed."""
+    return sorted(samples)[int(share * len(samples))]
 
 
 def list_levels(slots: int) -> list[int]:
--- a/packages/sapphireway-coordination/tests/test_knee.py
+++ b/packages/sapphireway-coordination/tests/test_knee.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 import random
+import statistics
 
 import pytest
 
@@ -41,13 +42,17 @@
 class Server:
     """Runs requests of one kind, on a host that is slow a quarter of the time."""
 
-    def __init__(self, seed, slots, slow_down, bound, calls_wait_s=0.0):
+    def __init__(
+        self, seed, slots, slow_down, bound, calls_wait_s=0.0, *, reports_slowness=True
+    ):
         self.rng = random.Random(seed)
         self.slots = slots
         self.slow_down = slow_down
         self.fixed_bound = bound
         self.calls_wait_s = calls_wait_s
+        self.reports_slowness = reports_slowness
         self.knee = KneeEstimator(slots)
+        self.knee.reported = reports_slowness
         self.clock = LoadClock(0.0)
         self.running = []
         self.now_s = 0.0
@@ -70,7 +75,8 @@
             else:
                 run[0] -= STEP_S / factor
         self.now_s += STEP_S
-        self.clock.advance(self.now_s, len(self.running), slowness)
+        reported = slowness if self.reports_slowness else 0.0
+        self.clock.advance(self.now_s, len(self.running), reported)
         for run in [run for run in self.running if run[0] <= 0.0]:
             self.running.remove(run)
             self._record(run[2])
@@ -83,9 +89,9 @@
         self.finished += self.now_s > LEARNING_S
 
 
-def play(seed, slots, slow_down, rate_per_s, bound=None, calls_wait_s=0.0):
+def play(seed, slots, slow_down, rate_per_s, bound=None, calls_wait_s=0.0, **options):
     """Return how many requests were finished after the time for learning."""
-    server = Server(seed, slots, slow_down, bound, calls_wait_s)
+    server = Server(seed, slots, slow_down, bound, calls_wait_s, **options)
     rng = random.Random(seed)
     waiting, slowness = 0, 1.0
     for tick in range(round(DURATION_S / STEP_S)):
@@ -145,9 +151,11 @@
     assert learnt >= GOODPUT_GOAL * best
 
 
-def test_waiting_for_nested_calls_is_not_taken_for_a_knee():
+@pytest.mark.parametrize("reported", [True, False])
+def test_waiting_for_nested_calls_is_not_taken_for_a_knee(reported):
     """Calls wait longer under load, which says nothing of the caller's own slots."""
     knee = KneeEstimator(6)
+    knee.reported = reported
     rng = random.Random(1)
     for _ in range(40):
         wait_s = 0.2 if rng.random() < 0.7 else 0.0
@@ -158,9 +166,11 @@
     assert knee.bound == 6
 
 
-def test_requests_that_end_at_a_time_limit_count_as_slow():
+@pytest.mark.parametrize("reported", [True, False])
+def test_requests_that_end_at_a_time_limit_count_as_slow(reported):
     """A server that answers nothing in time at all slots must not be kept there."""
     knee = KneeEstimator(6)
+    knee.reported = reported
     for _ in range(20):
         knee.record(1.0, "kind", 0.2, 4.0)
     for _ in range(20):
@@ -168,44 +178,63 @@
     assert knee.bound == 4
 
 
+async def run_request(capacity, attempt, rng, slowdown):
+    now_s = asyncio.get_running_loop().time()
+    capacity.start(RunningRequest(attempt, "kind", "", now_s, False, False))
+    over = capacity.in_flight > 4
+    await asyncio.sleep(rng.uniform(0.1, 0.2) * (slowdown if over else 1.0))
+    capacity.end(attempt, Responded(200, (), b""))
+
+
+async def keep_busy(reported_slowness, slowdown):
+    """Return the bound, and the median of the requests in flight, at six slots."""
+    rng = random.Random(1)
+    loop = asyncio.get_running_loop()
+    announcement = Announcement("s", "x", "http://s", 6, 100, "1", 0, cold_s=0.0)
+    capacity = ServerCapacity(
+        announcement, 6, loop.time, lambda event: None, lambda: None
+    )
+    if reported_slowness:
+        capacity.update_slowness(reported_slowness)
+    tasks = set()
+    numbers = itertools.count()
+    in_flight = []
+    while loop.time() < 60.0:
+        while capacity.has_room():
+            request = run_request(capacity, f"a{next(numbers)}", rng, slowdown)
+            tasks.add(asyncio.create_task(request))
+            await asyncio.sleep(0)
+        in_flight.append(capacity.in_flight)
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*tasks)
+    capacity.close()
+    return capacity._knee.bound, statistics.median(in_flight)
+
+
 @pytest.mark.parametrize("slowdown, bound", [(2.0, 4), (1.0, 6)])
 def test_server_kept_busy_is_bounded_without_exceeding_its_limit(slowdown, bound):
     """A trial that began between the check for room and the start broke the limit."""
+    assert run_paused(keep_busy(1.0, slowdown)) == (bound, bound)
+
 
-    async def run_request(capacity, attempt, rng):
-        capacity.start(
-            RunningRequest(attempt, "kind", "", capacity_time(), False, False)
-        )
-        over = capacity.in_flight > 4
-        await asyncio.sleep(rng.uniform(0.1, 0.2) * (slowdown if over else 1.0))
-        capacity.end(attempt, Responded(200, (), b""))
-
-    def capacity_time():
-        return asyncio.get_running_loop().time()
-
-    async def main():
-        rng = random.Random(1)
-        capacity = ServerCapacity(
-            Announcement("s", "x", "http://s", 6, 100, "1", 0, cold_s=0.0),
-            6,
-            capacity_time,
-            lambda event: None,
-            lambda: None,
-        )
-        capacity.update_slowness(1.0)
-        tasks = set()
-        numbers = itertools.count()
-        while capacity_time() < 60.0:
-            while capacity.has_room():
-                request = run_request(capacity, f"a{next(numbers)}", rng)
-                tasks.add(asyncio.create_task(request))
-                await asyncio.sleep(0)
-            await asyncio.sleep(0.01)
-        await asyncio.gather(*tasks)
-        capacity.close()
-        return capacity._knee.bound
-
-    assert run_paused(main()) == bound
+@pytest.mark.parametrize("slowdown, bound", [(2.0, 4), (1.0, 6)])
+def test_server_that_reports_no_load_is_bounded_by_its_knee(slowdown, bound):
+    assert run_paused(keep_busy(None, slowdown)) == (bound, bound)
+
+
+@pytest.mark.parametrize("load", [1.3, 2.0])
+@pytest.mark.parametrize("slots", [3, 6, 12])
+@pytest.mark.parametrize("knee", KNEES)
+def test_bound_without_load_reports_finishes_no_less_than_all_slots(knee, slots, load):
+    """The host is slow at times, which nothing tells."""
+    slow_down = KNEES[knee](slots)
+    args = (slots, slow_down, compute_rate(slots, slow_down, load))
+    learnt, unbounded = (
+        sum(play(seed, *args, bound, reports_slowness=False) for seed in SEEDS)
+        for bound in (None, slots)
+    )
+    goal = GOODPUT_GOAL if knee == "none" else 1.0
+    assert learnt >= goal * unbounded
 
 
 @pytest.mark.parametrize(
