Take an answer with a status that HTTP doesn't have for no answer

Cause: the status line was read as any three digits, and libcurl and http.client refuse only what is below 100. Replies of other nodes and stored answers were not looked at.

Change: below 100 and above 599 there is no answer: at a server the request may have run, its connection is closed; a reply of a node or a stored answer of an earlier version is unknown; sapphirectl has no response.

Ruled out: the answer of an upload that is reset before the upload ends.

--- a/packages/sapphirectl/src/sapphirectl/_http.py
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -8,6 +8,7 @@
 import threading
 from dataclasses import dataclass
 
+STATUS_MAX = 599  # `http.client` accepts up to 999
 RESPONSE_MAX_BYTES = 64 * 1024 * 1024
 READ_MAX_BYTES = 64 * 1024
 # For a whole response, which may be large; the timeout only limits each wait.
@@ -59,6 +60,9 @@
         with _limit_time(connection, RESPONSE_TIMEOUTS_MAX * timeout_s) as has_ended:
             connection.request(method, path, body, _make_headers(token))
             response = connection.getresponse()
+            if response.status > STATUS_MAX:
+                detail = f"{address}: status {response.status} is none of HTTP"
+                return NoResponse(detail, sent)
             has_end = response.chunked or response.length is not None
             content = _read_content(response)
         if has_ended.is_set():
--- a/packages/sapphirectl/tests/test_http.py
+++ b/packages/sapphirectl/tests/test_http.py
@@ -55,6 +55,18 @@
         assert send_to(address) == Response(200, b"{}")
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_status_that_http_does_not_have_is_no_response(status):
+    with serve_bytes(SIZED.replace(b"200", status)) as address:
+        response = send_to(address)
+    assert isinstance(response, NoResponse) and response.sent
+
+
+def test_response_without_length_that_is_reset_is_no_response():
+    with serve_bytes(b"HTTP/1.1 200 OK\r\n\r\n{}") as address:
+        assert isinstance(send_to(address), NoResponse)
+
+
 @pytest.mark.parametrize(
     ("begin", "piece"),
     [
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_outcomes.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/claims/_outcomes.py
@@ -14,6 +14,7 @@
     OutcomeKind,
     StoredOutcome,
     Unknown,
+    read_answer,
 )
 
 CONFLICT_RETRY_AFTER_S = 0.1
@@ -60,7 +61,7 @@
     """Convert a stored outcome to the one that a resend gets."""
     match stored.kind:
         case OutcomeKind.ANSWERED:
-            outcome = Answered(stored.status, stored.headers, stored.body)
+            outcome = read_answer(stored.status, stored.headers, stored.body)
         case OutcomeKind.FAILED:
             outcome = Failed(stored.detail)
         case OutcomeKind.ANSWER_DROPPED:
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/routing/_attempts.py
@@ -8,7 +8,6 @@
 from sapphireway_coordination.routing._events import AttemptCause
 from sapphireway_coordination.routing._loads import ServerLoad
 from sapphireway_protocol import (
-    Answered,
     Cancel,
     Envelope,
     Failed,
@@ -23,6 +22,7 @@
     Revoked,
     Run,
     Unknown,
+    read_answer,
 )
 
 
@@ -311,7 +311,7 @@
     reply = envelope.message
     if reply.outcome == "answered":
         headers = tuple((name, value) for name, value in reply.headers)
-        return Answered(reply.status, headers, envelope.body)
+        return read_answer(reply.status, headers, envelope.body)
     if reply.outcome == "not_run":
         try:
             reason = NotRunReason(reply.reason)
--- a/packages/sapphireway-coordination/tests/test_claim_votes.py
+++ b/packages/sapphireway-coordination/tests/test_claim_votes.py
@@ -1,5 +1,6 @@
 import pytest
 
+from sapphireway_coordination.claims._outcomes import load_outcome
 from sapphireway_coordination.claims._votes import Decision, tally_votes
 from sapphireway_protocol import (
     ClaimGroup,
@@ -8,6 +9,7 @@
     GroupHolder,
     OutcomeKind,
     StoredOutcome,
+    Unknown,
 )
 
 GROUP = ClaimGroup("s", 1, tuple(GroupHolder(n, n, n) for n in "abc"))
@@ -50,3 +52,9 @@
 def test_tally_votes_decision(replies, decision, is_settled):
     votes = tally_votes(GROUP, dict(zip(GROUP.holders, replies, strict=False)))
     assert (votes.decision, votes.is_settled) == (decision, is_settled)
+
+
+@pytest.mark.parametrize("status", [0, 99, 600, 999])
+def test_stored_answer_of_a_status_that_http_does_not_have_is_unknown(status):
+    stored = StoredOutcome(OutcomeKind.ANSWERED, status)
+    assert isinstance(load_outcome(stored), Unknown)
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -394,6 +394,15 @@
     assert isinstance(outcome, Answered)
 
 
+@pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+def test_reply_of_a_status_that_http_does_not_have_is_no_answer(network, status):
+    def answer_oddly(run):
+        return [(Reply(run.attempt, "answered", status), b"")]
+
+    outcome, _ = dispatch(network, [answer_oddly])
+    assert isinstance(outcome, Unknown)
+
+
 def test_failed_call_is_unknown_and_not_retried(network):
     outcome, nodes = dispatch(network, [fail, answer])
     assert isinstance(outcome, Unknown)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/__init__.py
@@ -69,6 +69,7 @@
     NotRunReason,
     Outcome,
     Unknown,
+    read_answer,
 )
 from sapphireway_protocol._peers import Peers
 from sapphireway_protocol._quorum import (
@@ -222,4 +223,5 @@
     "VoteRequest",
     "decode_json",
     "decode_msgpack",
+    "read_answer",
 ]
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+from sapphireway_transport import STATUS_MAX
+
+FINAL_STATUS_MIN = 200
+
 
 class NotRunReason(enum.StrEnum):
     """Why a request was not run by any server."""
@@ -87,3 +91,15 @@
 
 
 Outcome = Answered | NotRun | Failed | Unknown
+
+
+def read_answer(
+    status: int, headers: tuple[tuple[str, str], ...], body: bytes
+) -> Answered | Unknown:
+    """Return an answer that another process passed on or stored.
+
+    An earlier version of the program accepted any status of three digits.
+    """
+    if not FINAL_STATUS_MIN <= status <= STATUS_MAX:
+        return Unknown(f"the answer has status {status}, which is none of HTTP")
+    return Answered(status, headers, body)
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -21,6 +21,8 @@
 from sapphireway_transport._read_share import PIECES_MAX, ReadShare
 from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
+    STATUS_MAX,
+    STATUS_MIN,
     Broken,
     NotSent,
     Responded,
@@ -241,11 +243,11 @@
     """One easy handle and its current exchange."""
 
     __slots__ = (
+        "_answer_fault",
         "_body",
         "_body_max_bytes",
         "_bytes_received",
         "_close_delimited_allowed",
-        "_echo_fault",
         "_echoed",
         "_expected_echo",
         "_has_length",
@@ -324,7 +326,7 @@
         self._body = io.BytesIO()
         self._bytes_received = 0
         self._expected_echo = request.echo_header
-        self._echo_fault = ""
+        self._answer_fault = ""
         self._echoed = False
         self._needs_echo = request.needs_echo
         self._opened_fds = []
@@ -369,8 +371,8 @@
         """Return the result of the request after libcurl ended with `code`."""
         if self._too_large:
             return Broken("the answer is larger than allowed")
-        if self._echo_fault:
-            return Broken(self._echo_fault)
+        if self._answer_fault:
+            return Broken(self._answer_fault)
         if code == pycurl.E_OK and self._status:
             if self._is_complete():
                 headers = tuple(self._headers)
@@ -465,7 +467,7 @@
             return None  # a trailer
         text = line.decode("latin-1").rstrip("\r\n")
         if self._joins_heads(text):
-            self._echo_fault = "the head of another answer was cut before this one"
+            self._answer_fault = "the head of another answer was cut before this one"
             return -1
         if not self._in_head:
             if not self._begin_head(text):
@@ -478,7 +480,7 @@
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
             if self._head_ended and self._lacks_echo():
-                self._echo_fault = "the answer names no request"
+                self._answer_fault = "the answer names no request"
                 return -1
         self._head_bytes += len(line)
         return None
@@ -489,7 +491,11 @@
         match = _STATUS_LINE.match(line)
         if match is None:
             return False
-        self._status = int(match[0][-3:])
+        status = int(match[0][-3:])
+        if not STATUS_MIN <= status <= STATUS_MAX:
+            self._answer_fault = f"status {match[0][-3:]} is none of HTTP"
+            return False
+        self._status = status
         self._head_bytes = 0
         self._headers = []
         self._echoed = False
@@ -526,7 +532,7 @@
             if not self._is_expected_echo(value.strip()):
                 # A second, late answer to an earlier request of the connection.
                 # Later answers on it could not be attributed either.
-                self._echo_fault = "the answer belongs to another request"
+                self._answer_fault = "the answer belongs to another request"
                 return False
             self._echoed = True
         if lowered == "keep-alive":
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -11,6 +11,9 @@
 NOT_RUN_HEADER = "Sapphireway-Not-Run"
 LIMIT_HEADER = "Sapphireway-Limit-Per-S"
 LEAVING_HEADER = "Sapphireway-Leaving"
+# Statuses of HTTP; any other is no answer.
+STATUS_MIN = 100
+STATUS_MAX = 599
 
 
 class Responded(msgspec.Struct, frozen=True):
--- a/packages/sapphireway-transport/tests/test_answer_faults.py
+++ b/packages/sapphireway-transport/tests/test_answer_faults.py
@@ -8,6 +8,8 @@
 import contextlib
 import os
 import random
+import socket
+import struct
 
 import pytest
 from hypothesis import example, given
@@ -291,3 +293,44 @@
     assert isinstance(first, Responded | Broken)
     assert isinstance(second, Responded) and second.body == b"ok"
     assert "Traceback" not in capfd.readouterr().err
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+def test_status_that_http_does_not_have_is_no_answer(status):
+    answer = SAMPLE.replace(b" 200 ", f" {status} ".encode())
+    first, second = asyncio.run(exchange(answer))
+    assert isinstance(first, Broken) and not first.disconnected
+    assert isinstance(second, Responded)
+
+
+async def upload(size, version, delay_s):
+    """Return the result of an upload that a server answers in part, and resets."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/{version} 200 OK\r\n{ID_HEADER}: 1\r\n\r\npart".encode())
+        await writer.drain()
+        await asyncio.sleep(delay_s)
+        # A close without lingering resets the connection, whatever has been read.
+        connection = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    client = CurlServerClient()
+    url = get_url(server)
+    headers, body = ((ID_HEADER, "1"),), bytes(size)
+    result = await client.send(
+        ServerRequest(url, "POST", headers, body, 2.0, 10_000, None, True)
+    )
+    client.close()
+    server.close()
+    return result
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("size", [3_000, 2_000_000, 20_000_000])
+def test_early_answer_without_length_that_is_reset_is_broken(size, version, delay_s):
+    assert isinstance(asyncio.run(upload(size, version, delay_s)), Broken)
