Keep descriptors free where the settings tell more than the process may open

Cause: the number that the settings tell was taken as it is, and callers' connections got half of it.

Change: the smaller of both counts; a process without a limit counts as allowed a million, where -1 made no room at all.

Test: test_idle_connections_leave_descriptors_if_settings_tell_too_many (400 idle connections, 256 descriptors allowed, 4,100 told) failed before and passes.

--- a/packages/sapphireway-state/src/sapphireway_state/_process.py
+++ b/packages/sapphireway-state/src/sapphireway_state/_process.py
@@ -106,7 +106,7 @@
         requests follows; 0 takes all of the host's.
     descriptors_max : int
         Open descriptors, of which callers' connections get a half; 0 takes the limit
-        of the process.
+        of the process, which also bounds larger numbers.
     journal_segment_bytes : int
         Segment size at which the journal starts a new segment file.
     journal_compact_bytes : int
--- a/packages/sapphireway-transport/src/sapphireway_transport/_host_limits.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_host_limits.py
@@ -5,6 +5,7 @@
 
 MEMORY_FILE = Path("/proc/meminfo")
 UNKNOWN_MEMORY_BYTES = 1 << 40
+UNLIMITED_DESCRIPTORS = 1 << 20
 
 
 def read_memory_bytes() -> int:
@@ -20,6 +21,15 @@
     return UNKNOWN_MEMORY_BYTES
 
 
-def read_descriptors() -> int:
-    """Return how many descriptors this process may have open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+def read_descriptors(told: int = 0) -> int:
+    """Return how many descriptors this process may have open.
+
+    Parameters
+    ----------
+    told : int
+        Number that the settings allow; 0 for the limit of the process.
+    """
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if limit == resource.RLIM_INFINITY:
+        limit = UNLIMITED_DESCRIPTORS
+    return min(told or limit, limit)
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -145,7 +145,7 @@
     )
     claimant = Claimant(peers, applied.get_group, rng, observe=observe)
     budget = make_body_budget(settings.memory_bytes or read_memory_bytes())
-    descriptors = settings.descriptors_max or read_descriptors()
+    descriptors = read_descriptors(settings.descriptors_max)
     caller_limit = ConnectionLimit(descriptors // CALLERS_SHARE)
     client = _build_client(tracer, budget)
     health_client = HealthClient(
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -20,6 +20,7 @@
 MEMORY_MB = 128
 DESCRIPTORS = 1024
 FEW_DESCRIPTORS = 256
+TOLD_DESCRIPTORS = 4_100
 BODY_MAX_BYTES = 16 * 2**20
 CROWD_S = 5.0
 SAMPLE_S = 0.1
@@ -35,14 +36,15 @@
 class SmallSystem(System):
     """A system whose processes have little memory and few descriptors."""
 
-    def __init__(self, folder, descriptors):
+    def __init__(self, folder, descriptors, told_descriptors=None):
         super().__init__(folder)
         self.descriptors = descriptors
+        self.told_descriptors = told_descriptors or descriptors
 
     def start(self, name, document):
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, hard))
-        limits = {"memory_mb": MEMORY_MB, "file_descriptors": self.descriptors}
+        limits = {"memory_mb": MEMORY_MB, "file_descriptors": self.told_descriptors}
         try:
             super().start(name, document | {"limits": limits})
         finally:
@@ -102,9 +104,9 @@
 
 
 @contextlib.contextmanager
-def run_small_system(folder, request, descriptors):
+def run_small_system(folder, request, *descriptors):
     """Run a system that serves; keep its evidence if a test fails."""
-    system = SmallSystem(folder, descriptors)
+    system = SmallSystem(folder, *descriptors)
     failed = request.session.testsfailed
     try:
         system.start_all()
@@ -136,6 +138,13 @@
         yield system
 
 
+@pytest.fixture
+def wrongly_told_system(tmp_path, request):
+    descriptors = (FEW_DESCRIPTORS, TOLD_DESCRIPTORS)
+    with run_small_system(tmp_path, request, *descriptors) as system:
+        yield system
+
+
 def is_served(system):
     system.announce_server()
     answer = system.send("/open/1")
@@ -228,6 +237,18 @@
     check(scarce_system)
 
 
+def test_idle_connections_leave_descriptors_if_settings_tell_too_many(
+    wrongly_told_system,
+):
+    system = wrongly_told_system
+    with run_crowd(system.entry, 400, CROWD_S, b"", b"", 0) as crowd:
+        time.sleep(CROWD_S / 4)
+        wait_until(lambda: is_served(system), "answer beside idle connections")
+        assert crowd.poll() is None, "no answer while the crowd was there"
+        watch(system, crowd)
+    check(system)
+
+
 def test_idle_connections_at_all_ports_leave_descriptors_for_callers(scarce_system):
     ports = ("outbound", "ready", "control_plane", "metrics", "admin")
     with contextlib.ExitStack() as crowds:
