--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -298,7 +298,7 @@
     def update_slowness(self, slowness: float) -> None:
         """Update the slowness of the server's host and the length of slow periods."""
         now_s = self._get_time()
-        self._knee.reported = slowness > 0.0
+        self._knee.slowness_reported = slowness > 0.0
         self._advance_load_clock()
         if slowness > self.slowness:
             self._slow_since_s = now_s
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_knee.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_knee.py
@@ -87,7 +87,7 @@
     ----------
     allowed : int
         How many requests may be in flight now: the bound, or the level on trial.
-    reported : bool
+    slowness_reported : bool
         Whether the server reports how slow its host is, so that run times are those on
         an undisturbed host.
     """
@@ -105,11 +105,11 @@
         "_usual",
         "_work_share",
         "allowed",
-        "reported",
+        "slowness_reported",
     )
 
     def __init__(self, slots: int):
-        self.reported = False
+        self.slowness_reported = False
         self._usual = {}
         self._last_usual_s = -math.inf
         self._work_share = 1.0
@@ -118,7 +118,7 @@
 
     @property
     def _quantile(self):
-        return QUANTILE if self.reported else UNREPORTED_QUANTILE
+        return QUANTILE if self.slowness_reported else UNREPORTED_QUANTILE
 
     @property
     def bound(self) -> int:
--- a/packages/sapphireway-coordination/tests/test_knee.py
+++ b/packages/sapphireway-coordination/tests/test_knee.py
@@ -52,7 +52,7 @@
         self.calls_wait_s = calls_wait_s
         self.reports_slowness = reports_slowness
         self.knee = KneeEstimator(slots)
-        self.knee.reported = reports_slowness
+        self.knee.slowness_reported = reports_slowness
         self.clock = LoadClock(0.0)
         self.running = []
         self.now_s = 0.0
@@ -155,7 +155,7 @@
 def test_waiting_for_nested_calls_is_not_taken_for_a_knee(reported):
     """Calls wait longer under load, which says nothing of the caller's own slots."""
     knee = KneeEstimator(6)
-    knee.reported = reported
+    knee.slowness_reported = reported
     rng = random.Random(1)
     for _ in range(40):
         wait_s = 0.2 if rng.random() < 0.7 else 0.0
@@ -170,7 +170,7 @@
 def test_requests_that_end_at_a_time_limit_count_as_slow(reported):
     """A server that answers nothing in time at all slots must not be kept there."""
     knee = KneeEstimator(6)
-    knee.reported = reported
+    knee.slowness_reported = reported
     for _ in range(20):
         knee.record(1.0, "kind", 0.2, 4.0)
     for _ in range(20):
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -4,9 +4,7 @@
 
 import msgspec
 
-from sapphireway_transport import STATUS_MAX
-
-FINAL_STATUS_MIN = 200
+from sapphireway_transport import FINAL_STATUS_MIN, STATUS_MAX
 
 
 class NotRunReason(enum.StrEnum):
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -33,6 +33,7 @@
 from sapphireway_transport._server import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
+    FINAL_STATUS_MIN,
     LEAVING_HEADER,
     LIMIT_HEADER,
     NOT_RUN_HEADER,
@@ -52,6 +53,7 @@
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "DEADLINE_HEADER",
+    "FINAL_STATUS_MIN",
     "LARGE_BODY_BYTES",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -21,6 +21,7 @@
 from sapphireway_transport._read_share import PIECES_MAX, ReadShare
 from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
+    FINAL_STATUS_MIN,
     STATUS_MAX,
     STATUS_MIN,
     Broken,
@@ -37,7 +38,6 @@
 IDLE_CONNECTION_LIMIT_S = 3600  # a server may send any number
 COUNT_DIGITS_MAX = 9
 LENGTH_DIGITS_MAX = 18  # libcurl ignores lengths beyond 64 bits
-FINAL_STATUS_MIN = 200
 # All answers that are being received; the smallest hosts have 200 MB, of which a node
 # takes up to 50 MB and a single answer may take 64 MB.
 ANSWERS_MAX_BYTES = 64 * 1024 * 1024
--- a/packages/sapphireway-transport/src/sapphireway_transport/_server.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_server.py
@@ -13,6 +13,7 @@
 LEAVING_HEADER = "Sapphireway-Leaving"
 # Statuses of HTTP; any other is no answer.
 STATUS_MIN = 100
+FINAL_STATUS_MIN = 200  # those below are of interim answers
 STATUS_MAX = 599
 
 
