Bound a cold server that reports no load by the rate of its starts alone

Cause: bounded such servers by their knee while they were cold too, where the rate of starts bounds them already. What the queue expects of a trial with all slots was then refused late.

The use of the knee changes only with a check for room, so the limit does not fall between a check and its start.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_capacity.py
@@ -116,6 +116,7 @@
         "_inherited",
         "_inherited_until_s",
         "_knee",
+        "_knee_applies",
         "_limit",
         "_lingering",
         "_load_clock",
@@ -172,8 +173,10 @@
         self._limit.set_ceiling(self._get_ceiling())
         self._knee = KneeEstimator(self._limit.ceiling)
         self._load_clock = LoadClock(get_time())
+        self._knee_applies = False
         self.relapse(RelapseCause.ANNOUNCED)
         self.update_cold_time(announcement.cold_s or 0.0)
+        self._update_knee_use()
         if self._inherited:
             self._schedule(wait_s, wake)
 
@@ -185,18 +188,12 @@
     @property
     def limit(self) -> int:
         """Maximum number of requests in flight."""
-        bound = self._knee.allowed if self._is_bounded_by_knee else self._limit.ceiling
+        bound = self._knee.allowed if self._knee_applies else self._limit.ceiling
         if self._inherited and self._get_time() >= self._inherited_until_s:
             self._inherited = 0
         free = self._limit.ceiling - self._inherited
         return max(0, min(self._limit.value, free, bound))
 
-    @property
-    def _is_bounded_by_knee(self):
-        # Without the knee, nothing but its slots would bound a server that tells when
-        # it is cold, as no limit is learnt for it.
-        return self.slowness > 0.0 or self.announcement.cold_s is not None
-
     @property
     def cold(self) -> bool:
         """True until the server has warmed up."""
@@ -227,6 +224,7 @@
     def has_room(self) -> bool:
         """Tell whether one more request may be sent to the server."""
         self._knee.update_allowed(self._get_time(), self.in_flight)
+        self._update_knee_use()
         if self.reserved is not None or self.in_flight >= self.limit:
             return False
         return self._check_start_rate()
@@ -259,6 +257,16 @@
             self._inherited = left
             self._wake()
 
+    def _update_knee_use(self):
+        # The limit must not fall between a check for room and the start, so that the
+        # end of a cold time counts from the next check.
+        if self.slowness:
+            self._knee_applies = True
+        elif self.announcement.cold_s is None:
+            self._knee_applies = False  # the learnt limit bounds it
+        else:
+            self._knee_applies = not self.cold  # the cold rate bounds it while cold
+
     def _check_start_rate(self):
         wait_s = self.estimate_rate_wait_s(0)
         if wait_s > 0.0 and self._rate_timer is None:
@@ -307,6 +315,7 @@
             gain = SPAN_SMOOTHING if self.slow_span_s else 1.0
             self.slow_span_s += gain * (span_s - self.slow_span_s)
         self.slowness = slowness
+        self._update_knee_use()
 
     def estimate_run_s(self, kind: str) -> float:
         """Return the expected service time of a request of a kind."""
@@ -455,7 +464,7 @@
 
     def _record_run(self, running, *, finished):
         # Work takes longer on a cold server, whatever its load.
-        if not self._is_bounded_by_knee or self.cold:
+        if not self._knee_applies or self.cold:
             return
         start, end = running.reading, self._load_clock.read()
         if end.at_s > start.at_s:
--- a/packages/sapphireway-coordination/tests/test_knee.py
+++ b/packages/sapphireway-coordination/tests/test_knee.py
@@ -222,6 +222,28 @@
     assert run_paused(keep_busy(None, slowdown)) == (bound, bound)
 
 
+def test_server_that_reports_no_load_is_not_bounded_by_its_knee_while_cold():
+    """The rate of starts bounds it then, and the knee bounds it from the next check."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        announcement = Announcement(
+            "s", "x", "http://s", 6, 100, "1", 0, cold_s=1.0, cold_rate_per_s=17.0
+        )
+        capacity = ServerCapacity(
+            announcement, 6, loop.time, lambda event: None, lambda: None
+        )
+        while_cold = capacity.limit
+        await asyncio.sleep(1.5)
+        unchecked = capacity.limit
+        capacity.has_room()
+        limits = while_cold, unchecked, capacity.limit
+        capacity.close()
+        return limits
+
+    assert run_paused(main()) == (6, 6, 4)
+
+
 @pytest.mark.parametrize("load", [1.3, 2.0])
 @pytest.mark.parametrize("slots", [3, 6, 12])
 @pytest.mark.parametrize("knee", KNEES)
