Run the systems of two process tests by one fixture, and show that their checks can fail

The fixture stood three times. sapphirectl's case of a reset closed without one; real nodes pass on an answer without a length whose connection is closed, which tells it from the one that is reset.

--- a/packages/sapphirectl/tests/test_http.py
+++ b/packages/sapphirectl/tests/test_http.py
@@ -1,5 +1,6 @@
 import contextlib
 import socket
+import struct
 import threading
 import time
 from pathlib import Path
@@ -14,7 +15,7 @@
 
 
 @contextlib.contextmanager
-def serve_bytes(sent):
+def serve_bytes(sent, *, resets=False):
     """Yield the address of a server that sends these bytes and closes."""
 
     def serve():
@@ -22,6 +23,9 @@
         with connection:
             connection.recv(4096)
             connection.sendall(sent)
+            if resets:
+                linger = struct.pack("ii", 1, 0)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     with socket.create_server(("127.0.0.1", 0)) as listener:
         thread = threading.Thread(target=serve)
@@ -62,8 +66,10 @@
     assert isinstance(response, NoResponse) and response.sent
 
 
-def test_response_without_length_that_is_reset_is_no_response():
-    with serve_bytes(b"HTTP/1.1 200 OK\r\n\r\n{}") as address:
+@pytest.mark.parametrize("resets", [True, False])
+def test_response_without_length_is_no_response(resets):
+    sent = b"HTTP/1.1 200 OK\r\n\r\n{}"
+    with serve_bytes(sent, resets=resets) as address:
         assert isinstance(send_to(address), NoResponse)
 
 
--- a/tests/platform_adapter/test_answer_processes.py
+++ b/tests/platform_adapter/test_answer_processes.py
@@ -7,11 +7,12 @@
 
 import pytest
 
-from tests.evidence import keep_evidence
+from tests.platform_adapter.test_key_processes import run_system
 from tests.platform_adapter.test_stop_processes import StoppedSystem
 
 TIMEOUT_S = 2.0
 EARLY_PATH = "early"
+CLOSED_PATH = "closed"
 SIZES = (3_000, 3_000_000)
 PIECE_BYTES = 50_000
 
@@ -31,6 +32,9 @@
                 self._reset()
                 return
             self.rfile.read(int(fields.get("content-length", 0)))
+            if last == CLOSED_PATH:
+                self.wfile.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nwhole".encode())
+                return
             status = last if last.isdigit() and len(last) == 3 else "200"
             answer = f"HTTP/1.1 {status} x\r\n{lines}Content-Length: 2\r\n\r\nok"
             self.wfile.write(answer.encode())
@@ -47,18 +51,16 @@
         self.request.close()
 
 
+def make_system(folder):
+    system = StoppedSystem(folder)
+    system.server.RequestHandlerClass = _Handler
+    return system
+
+
 @pytest.fixture
 def system(tmp_path, request):
-    system = StoppedSystem(tmp_path)
-    system.server.RequestHandlerClass = _Handler
-    failed = request.session.testsfailed
-    try:
-        system.start_all()
+    with run_system(tmp_path, request, "answers", make_system) as system:
         yield system
-    finally:
-        system.stop()
-        if request.session.testsfailed > failed:
-            print(keep_evidence(tmp_path, "answers", system.timeline))
 
 
 async def call(system, name, path, size=0, version="1.1", chunked=False):
@@ -93,6 +95,9 @@
         path = f"/upload/{EARLY_PATH}"
         status, _ = asyncio.run(call(system, f"u{number}", path, *case))
         assert status in (502, 504), case
+    # An answer without a length that ends with a close is complete.
+    answer = asyncio.run(call(system, "closed", f"/upload/{CLOSED_PATH}", SIZES[0]))
+    assert answer == (200, b"whole")
 
 
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
--- a/tests/platform_adapter/test_key_processes.py
+++ b/tests/platform_adapter/test_key_processes.py
@@ -190,9 +190,9 @@
 
 
 @contextlib.contextmanager
-def run_system(folder, request, name):
+def run_system(folder, request, name, make_system=System):
     """Run a system; keep its evidence under `name` if a test fails."""
-    system = System(folder)
+    system = make_system(folder)
     failed = request.session.testsfailed
     try:
         system.start_all()
--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -13,8 +13,12 @@
 
 import pytest
 
-from tests.evidence import keep_evidence
-from tests.platform_adapter.test_key_processes import System, exchange, wait_until
+from tests.platform_adapter.test_key_processes import (
+    System,
+    exchange,
+    run_system,
+    wait_until,
+)
 from tests.platform_adapter.test_settings import CONTROL, NODE
 
 GRACE_S = 2.0
@@ -223,16 +227,13 @@
 
 @pytest.fixture
 def system(tmp_path, request):
-    system = StoppedSystem(tmp_path)
-    system.grace_s = getattr(request, "param", GRACE_S)
-    failed = request.session.testsfailed
-    try:
-        system.start_all()
+    def make_system(folder):
+        system = StoppedSystem(folder)
+        system.grace_s = getattr(request, "param", GRACE_S)
+        return system
+
+    with run_system(tmp_path, request, "stops", make_system) as system:
         yield system
-    finally:
-        system.stop()
-        if request.session.testsfailed > failed:
-            print(keep_evidence(tmp_path, "stops", system.timeline))
 
 
 def test_upload_read_late_in_a_stop_is_not_cut_after_it_was_passed_on(system):
