--- a/benchmarks/experiment/_run.py
+++ b/benchmarks/experiment/_run.py
@@ -154,7 +154,7 @@
             deadline_ms=timeout_ms,
             deadline_max_ms=timeout_ms,
             target_latency_ms=int(kind.target_ms),
-            weight=max(1, min(100, int(kind.worth * WEIGHT_PER_WORTH))),
+            weight=kind.weight or max(1, min(100, int(kind.worth * WEIGHT_PER_WORTH))),
             hedge_percentile=scenario.hedge_percentile,
             retry_budget_percent=scenario.retry_budget_percent,
             crossing_ms_per_kb=scenario.crossing_ms_per_kb,
--- a/benchmarks/experiment/_scenario.py
+++ b/benchmarks/experiment/_scenario.py
@@ -98,6 +98,8 @@
         Number of such calls, made at the same time; the request fails if one fails.
     calls_share : float
         Share of the requests that make calls.
+    weight : int
+        Priority that nodes give it; 0 derives it from `worth`.
     """
 
     service: str
@@ -115,6 +117,7 @@
     calls: str = ""
     calls_times: int = 1
     calls_share: float = 1.0
+    weight: int = 0
 
 
 class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
