Keep the bytes 85 and a0 at the ends of a value in an answer

Callers got a value in UTF-8 that ends with "à" (c3 a0) without its last byte.

Cause: values are decoded as Latin-1, in which both bytes are blanks to `str.strip`. HTTP allows only blanks and tabs around a value (RFC 9110, section 5.5); bytes above 7f are part of it.

Change: only blanks and tabs are removed, at the client and where the id is taken that an answer must name, so that both still compare equal.

Tests: test_value_loses_only_blanks_and_tabs_at_its_ends failed before. The second one is of the id, and would fail if only the client had changed.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_exchange.py
@@ -58,7 +58,7 @@
     if not echo_header:
         return None
     lowered = echo_header.lower()
-    found = ((n, v.strip()) for n, v in headers if n.lower() == lowered)
+    found = ((n, v.strip(" \t")) for n, v in headers if n.lower() == lowered)
     return next(found, (echo_header, ""))
 
 
--- a/packages/sapphireway-coordination/tests/test_server_dialect.py
+++ b/packages/sapphireway-coordination/tests/test_server_dialect.py
@@ -66,5 +66,14 @@
     assert request.echo_header == ("Request-Id", "")
 
 
+def test_id_that_an_answer_must_name_loses_only_blanks_and_tabs_at_its_ends():
+    """The client reads the answer's fields so; an id of other bytes never matched."""
+    dialect = msgspec.structs.replace(DEFAULT_SERVER_DIALECT, echo_header="Request-Id")
+    headers = [("Request-Id", "\t \x85id\xa0 ")]
+    run = Run("a-1", "c", "s", "k", "GET", "/", headers, True, 1, "", 500.0)
+    request = make_request(run, b"", run_paused(_announce()), 0.5, 1000, dialect)
+    assert request.echo_header == ("Request-Id", "\x85id\xa0")
+
+
 async def _announce():
     return Bench().gate.announcement
--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -524,12 +524,14 @@
     def _receive_field(self, text):
         """Record a header field; return False if it belongs to another request."""
         name, _, value = text.partition(":")
+        # Without an argument, `strip` also removes bytes that belong to a value.
+        value = value.strip(" \t")
         lowered = name.lower()
         if (
             self._expected_echo is not None
             and lowered == self._expected_echo[0].lower()
         ):
-            if not self._is_expected_echo(value.strip()):
+            if not self._is_expected_echo(value):
                 # A second, late answer to an earlier request of the connection.
                 # Later answers on it could not be attributed either.
                 self._answer_fault = "the answer belongs to another request"
@@ -541,11 +543,11 @@
             self._has_length = True
             self._length = _parse_length(value)
         elif lowered == "transfer-encoding":
-            self._is_chunked = value.strip().lower() == "chunked"
+            self._is_chunked = value.lower() == "chunked"
         if lowered not in _CONNECTION_HEADERS or (
             self._is_head_request and lowered[0] == "c"
         ):
-            self._headers.append((name, value.strip()))
+            self._headers.append((name, value))
         return True
 
     def _is_expected_echo(self, value):
--- a/packages/sapphireway-transport/tests/test_curl.py
+++ b/packages/sapphireway-transport/tests/test_curl.py
@@ -339,6 +339,16 @@
     assert await server.send() == Responded(200, (("X-A", "1"),), b"ok")
 
 
+@run_against(
+    b"HTTP/1.1 200 OK\r\nX-A: \t voil\xc3\xa0 \t\r\nX-B: \x85b\xa0\r\n"
+    b"Content-Length: 2\r\n\r\nok"
+)
+async def test_value_loses_only_blanks_and_tabs_at_its_ends(server):
+    """Bytes 85 and a0 were cut off: the last one of a letter in UTF-8, for example."""
+    result = await server.send()
+    assert result.headers == (("X-A", "voil\xc3\xa0"), ("X-B", "\x85b\xa0"))
+
+
 @run_against(b"HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n")
 async def test_bodiless_answer_is_complete(server):
     assert await server.send() == Responded(204, (("X-A", "1"),), b"")
