Take an answer with a malformed field line for no answer

Callers got answers of a server in trouble in whose head a name held a blank, a tab, a control byte or nothing, with that line passed on. With "Transfer-Encoding :" in place of the coding they got the raw chunks as the body of a 200, and a 503 with such a line was believed when it said that the request had not run.

Cause: two readers of one head. libcurl splits the lines and decides the framing, our client took whatever stands before the first colon for a name, and neither checks names. libcurl does not know "Transfer-Encoding " and reads until the connection ends.

Change: `_head_lines.py` defines a well-formed field line (RFC 9110, sections 5.1, 5.5 and 5.6.2), and the client reads each line of a head by it, interim heads included. At the first malformed one the transfer ends, so that libcurl closes the connection. The result is `Broken` and no disconnection: the request may have run, it is not sent again unless it is idempotent, nothing in the head counts, and the detail in the log names the line and the byte, without any value. It fixes the cause as what follows in the head, and the framing that libcurl chose, are not used once one line is not understood.

Ruled out: a parser that reads the whole answer beside libcurl, as its framing would be a third opinion. A line that a close cut is not judged: it is no line yet, and the end counts as a disconnection as before.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -17,6 +17,7 @@
 import msgspec
 import pycurl
 
+from sapphireway_transport._head_lines import Malformed, decode_line, read_field_line
 from sapphireway_transport._memory_budget import OBJECT_BYTES, MemoryBudget
 from sapphireway_transport._read_share import PIECES_MAX, ReadShare
 from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
@@ -465,17 +466,19 @@
             return -1
         if self._head_ended:
             return None  # a trailer
-        text = line.decode("latin-1").rstrip("\r\n")
+        text = decode_line(line)
         if self._joins_heads(text):
             self._answer_fault = "the head of another answer was cut before this one"
             return -1
         if not self._in_head:
             if not self._begin_head(text):
                 return -1
+        elif not line.endswith(b"\n"):
+            pass  # libcurl also passes on a line that a close cut
         elif text:
             if not self._receive_field(text):
                 return -1
-        elif line.endswith(b"\n"):  # libcurl also passes on a line that a close cut
+        else:
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
@@ -522,10 +525,16 @@
         return self._needs_echo(Responded(self._status, tuple(self._headers), b""))
 
     def _receive_field(self, text):
-        """Record a header field; return False if it belongs to another request."""
-        name, _, value = text.partition(":")
-        # Without an argument, `strip` also removes bytes that belong to a value.
-        value = value.strip(" \t")
+        """Record a header field; return False if this can't be the answer."""
+        field = read_field_line(text)
+        if isinstance(field, Malformed):
+            # libcurl reads such lines in its own way, so that neither the content of
+            # the answer nor its framing is known.
+            self._answer_fault = (
+                f"malformed answer, line {self._head_lines} of its head: {field.detail}"
+            )
+            return False
+        name, value = field
         lowered = name.lower()
         if (
             self._expected_echo is not None
