Take an answer with a malformed status line for no answer

Callers got a signed 200 from a server that sent `HTTP/1.1 2000 OK`, `HTTP/1.1 200OK`, `HTTP/1.1 200<tab>OK`, `HTTP/2.0 200 OK`, or a control byte in the reason.

Cause: the client matched the beginning of the line only, and libcurl, which refuses some of these lines itself, does not look at what follows three digits.

Change: `read_status_line` reads the whole line (RFC 9112, section 4) beside the field lines, and checks the range of the status, which was done in the client before. No or an empty reason, bytes above 7f in it and HTTP/1.0 stay valid. A beginning that a close cut gets no fault of its own, as before. `_joins_heads` keeps the loose match, renamed: it looks for what may begin a status line.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -17,14 +17,17 @@
 import msgspec
 import pycurl
 
-from sapphireway_transport._head_lines import Malformed, decode_line, read_field_line
+from sapphireway_transport._head_lines import (
+    Malformed,
+    decode_line,
+    read_field_line,
+    read_status_line,
+)
 from sapphireway_transport._memory_budget import OBJECT_BYTES, MemoryBudget
 from sapphireway_transport._read_share import PIECES_MAX, ReadShare
 from sapphireway_transport._sent_ids import SENT_IDS_MAX, SentIds
 from sapphireway_transport._server import (
     FINAL_STATUS_MIN,
-    STATUS_MAX,
-    STATUS_MIN,
     Broken,
     NotSent,
     Responded,
@@ -55,7 +58,7 @@
 
 _INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
-_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
+_STATUS_LINE_BEGIN = re.compile(r"HTTP/\d\.\d \d{3}")
 _HEAD = re.compile(rb"HTTP/\d\.\d \d{3}[^\r\n]*\r?\n((?:[^\r\n]+\r?\n)*)(\r?\n)?")
 _BODILESS_STATUSES = frozenset({204, 304})
 _CONNECTION_HEADERS = frozenset(
@@ -470,11 +473,13 @@
         if self._joins_heads(text):
             self._answer_fault = "the head of another answer was cut before this one"
             return -1
+        # libcurl also passes on a line that a close cut.
+        is_whole = line.endswith(b"\n")
         if not self._in_head:
-            if not self._begin_head(text):
+            if not self._begin_head(text, is_whole):
                 return -1
-        elif not line.endswith(b"\n"):
-            pass  # libcurl also passes on a line that a close cut
+        elif not is_whole:
+            pass
         elif text:
             if not self._receive_field(text):
                 return -1
@@ -488,15 +493,12 @@
         self._head_bytes += len(line)
         return None
 
-    def _begin_head(self, line):
+    def _begin_head(self, line, is_whole):
         """Begin with a status line; return False if `line` is none."""
-        # libcurl also passes on a first line that a close cut.
-        match = _STATUS_LINE.match(line)
-        if match is None:
-            return False
-        status = int(match[0][-3:])
-        if not STATUS_MIN <= status <= STATUS_MAX:
-            self._answer_fault = f"status {match[0][-3:]} is none of HTTP"
+        status = read_status_line(line)
+        if isinstance(status, Malformed):
+            if is_whole:
+                self._reject_line(status)
             return False
         self._status = status
         self._head_bytes = 0
@@ -508,6 +510,13 @@
         self._in_head = True
         return True
 
+    def _reject_line(self, malformed):
+        # libcurl may read such a line in another way than we do, so neither the content
+        # of the answer nor its framing is known.
+        self._answer_fault = (
+            f"malformed answer, line {self._head_lines} of its head: {malformed.detail}"
+        )
+
     def _joins_heads(self, text):
         """Tell whether a line may begin in an earlier, cut head and end in the next.
 
@@ -516,7 +525,7 @@
         """
         if self._opened_fds or (self._in_head and self._echoed):
             return False
-        return _STATUS_LINE.search(text, 0 if self._in_head else 1) is not None
+        return _STATUS_LINE_BEGIN.search(text, 0 if self._in_head else 1) is not None
 
     def _lacks_echo(self):
         """Tell whether the answer may be that of an earlier request."""
@@ -528,11 +537,7 @@
         """Record a header field; return False if this can't be the answer."""
         field = read_field_line(text)
         if isinstance(field, Malformed):
-            # libcurl reads such lines in its own way, so that neither the content of
-            # the answer nor its framing is known.
-            self._answer_fault = (
-                f"malformed answer, line {self._head_lines} of its head: {field.detail}"
-            )
+            self._reject_line(field)
             return False
         name, value = field
         lowered = name.lower()
--- a/packages/sapphireway-transport/src/sapphireway_transport/_head_lines.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_head_lines.py
@@ -7,6 +7,12 @@
 
 import msgspec
 
+from sapphireway_transport._server import STATUS_MAX, STATUS_MIN
+
+# RFC 9112, section 4. Many servers leave out the blank before an empty reason.
+_STATUS_LINE = re.compile(
+    r"HTTP/1\.[01] (\d{3})(?: [\t\x20-\x7e\x80-\xff]*)?", re.ASCII
+)
 # RFC 9110, sections 5.6.2 and 5.5. A value may hold tabs and bytes above 0x7f.
 _NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
@@ -30,6 +36,17 @@
     return line.decode("latin-1").removesuffix("\n").removesuffix("\r")
 
 
+def read_status_line(line: str) -> int | Malformed:
+    """Return the status of a status line without its end."""
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        return Malformed("no status line of HTTP/1.0 or 1.1")
+    status = int(match[1])
+    if not STATUS_MIN <= status <= STATUS_MAX:
+        return Malformed(f"status {match[1]} is none of HTTP")
+    return status
+
+
 def read_field_line(line: str) -> tuple[str, str] | Malformed:
     """Return name and value of a field line.
 
--- a/packages/sapphireway-transport/tests/test_malformed_heads.py
+++ b/packages/sapphireway-transport/tests/test_malformed_heads.py
@@ -69,6 +69,34 @@
     "long value": (b"X-A", b"x" * 20_000),
 }
 
+MALFORMED_STATUS_LINES = {
+    "four digits": b"HTTP/1.1 2000 OK",
+    "two digits": b"HTTP/1.1 20 OK",
+    "no blank after the status": b"HTTP/1.1 200OK",
+    "tab after the status": b"HTTP/1.1 200\tOK",
+    "two blanks before the status": b"HTTP/1.1  200 OK",
+    "tab before the status": b"HTTP/1.1\t200 OK",
+    "sign": b"HTTP/1.1 +20 OK",
+    "no status": b"HTTP/1.1 OK",
+    "version of another protocol": b"HTTP/2.0 200 OK",
+    "version without a minor one": b"HTTP/2 200 OK",
+    "unknown minor version": b"HTTP/1.2 200 OK",
+    "lower case": b"http/1.1 200 OK",
+    "other name": b"ICY 200 OK",
+    "SOH in the reason": b"HTTP/1.1 200 O\x01K",
+    "DEL in the reason": b"HTTP/1.1 200 O\x7fK",
+    "CR in the reason": b"HTTP/1.1 200 O\rK",
+    "NUL in the reason": b"HTTP/1.1 200 O\0K",
+}
+VALID_STATUS_LINES = {
+    "no reason": b"HTTP/1.1 200",
+    "empty reason": b"HTTP/1.1 200 ",
+    "letter above 7f in the reason": b"HTTP/1.1 200 d\xe9j\xe0",
+    "tab in the reason": b"HTTP/1.1 200 O\tK",
+    "status in the reason": b"HTTP/1.1 200 404 2000",
+    "HTTP/1.0": b"HTTP/1.0 200 OK",
+}
+
 
 def make_answer(line, framing, status_line=OK, *, first=False, end=b"\r\n"):
     """Return an answer, with `line` as the first one after the status line or later."""
@@ -223,6 +251,28 @@
     asyncio.run(check_is_no_answer(answer, detail, REQUESTS[:1]))
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("name", MALFORMED_STATUS_LINES)
+def test_malformed_status_line_is_no_answer(name, framing):
+    """A status of four digits was passed on as its first three."""
+    answer = make_answer(b"X-A: 1", framing, MALFORMED_STATUS_LINES[name])
+    asyncio.run(check_is_no_answer(answer, ""))
+
+
+@pytest.mark.parametrize(
+    "line", [b"HTTP/1.1 1030 Hints", b"HTTP/1.1 103 H\x01", b"HTTP/2.0 103 Hints"]
+)
+def test_malformed_status_line_of_an_interim_answer_is_no_answer(line):
+    interim = line + b"\r\nLink: a\r\n\r\n"
+    asyncio.run(check_is_no_answer(interim + WHOLE, ""))
+
+
+def test_malformed_status_line_is_named():
+    answer = make_answer(b"X-A: 1", "length", b"HTTP/1.1 2000 OK")
+    detail = "line 1 of its head: no status line of HTTP/1.0 or 1.1"
+    asyncio.run(check_is_no_answer(answer, detail, REQUESTS[:1]))
+
+
 async def check_is_answer(answer, headers, methods=("GET", "HEAD", "POST")):
     for method in methods:
         async with HeadServer(answer) as server:
@@ -245,6 +295,12 @@
         asyncio.run(check_is_answer(answer, fields))
 
 
+@pytest.mark.parametrize("name", VALID_STATUS_LINES)
+def test_valid_odd_status_line_is_an_answer(name):
+    answer = make_answer(b"X-A: 1", "length", VALID_STATUS_LINES[name])
+    asyncio.run(check_is_answer(answer, [("Attempt", "1"), ("X-A", "1")]))
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_lines_that_end_with_lf_alone_are_an_answer(framing):
     answer = make_answer(b"X-A: 1", framing, end=b"\n")
@@ -311,3 +367,46 @@
         )
     else:
         assert isinstance(result, Broken), result
+
+
+STATUS_LINES = st.builds(
+    lambda *parts: b"".join(parts),
+    st.sampled_from([b"HTTP/1.1", b"HTTP/1.0", b"HTTP/2.0", b"HTTP/1.", b"HTTP/11"]),
+    st.sampled_from([b" ", b" ", b"  ", b"\t", b""]),
+    st.sampled_from([b"200", b"404", b"2000", b"20", b"600", b"000", b"2 0", b"-20"]),
+    st.sampled_from([b" ", b" ", b"", b"\t", b"x", b"0"]),
+    st.binary(max_size=3).filter(lambda reason: b"\n" not in reason),
+)
+
+
+def is_status_line(line):
+    """Tell by RFC 9112, byte by byte, whether a line is the status line of an answer.
+
+    A blank after the status may be missing where the reason is.
+    """
+    version, status, reason = line[:9], line[9:12], line[12:]
+    return (
+        version in (b"HTTP/1.0 ", b"HTTP/1.1 ")
+        and len(status) == 3
+        and status.isdigit()
+        and 200 <= int(status) <= 599
+        and (not reason or reason.startswith(b" "))
+        and all(byte == 0x09 or 0x20 <= byte != 0x7F for byte in reason)
+    )
+
+
+@make_settings(300)
+@given(STATUS_LINES)
+@example(b"HTTP/1.1 200 \x85")
+@example(b"HTTP/1.1 200\xa0")
+def test_any_status_line_is_a_valid_one_or_no_answer(line):
+    async def exchange():
+        answer = make_answer(b"", "length", line)
+        async with HeadServer(answer) as server:
+            return await server.send()
+
+    result = asyncio.run(exchange())
+    if is_status_line(line):
+        assert result == Responded(int(line[9:12]), (("Attempt", "1"),), BODY)
+    else:
+        assert isinstance(result, Broken), result
--- a/tests/platform_adapter/test_malformed_head_processes.py
+++ b/tests/platform_adapter/test_malformed_head_processes.py
@@ -44,8 +44,15 @@
     "failed": FAILED + b"X A: 1\r\n" + LENGTH,
     "full": FULL + b"X A: 1\r\n" + LENGTH,
     "interim": HINTS + b"X A: 1\r\n\r\n" + OK + LENGTH,
+    "four-digits": OK.replace(b"200", b"2000") + LENGTH,
+    "no-blank": OK.replace(b"200 ", b"200") + LENGTH,
+    "version": OK.replace(b"1.1", b"2.0") + LENGTH,
+    "reason": OK.replace(b"OK", b"O\x01K") + LENGTH,
 }
 VALID = {
+    "no-reason": OK.replace(b" OK", b"") + LENGTH,
+    "high-reason": OK.replace(b"OK", b"\xe9") + LENGTH,
+    "old": OK.replace(b"1.1", b"1.0") + LENGTH,
     "token": OK + b"!#$%&'*+-.^_`|~0aZ: 1\r\n" + LENGTH,
     "high": OK + b"X-A: \xe9\t\r\n" + LENGTH,
     "empty": OK + b"X-A:\r\n" + LENGTH,
@@ -145,7 +152,7 @@
     + [("non_idempotent", size) for size in UPLOAD_SIZES]
     + [("upload", size) for size in UPLOAD_SIZES],
 )
-def test_malformed_field_line_reaches_no_caller(system, kind, size):
+def test_malformed_head_reaches_no_caller(system, kind, size):
     """Callers got the line, raw chunks as the body, or an unproved refusal."""
     system.serve({kind: TIMEOUT_S})
     assert not list_faults(system, kind, size, MALFORMED)
@@ -159,5 +166,5 @@
         for entry in list_entries(system):
             path = f"/non_idempotent/{name}"
             status, head, body = asyncio.run(call(entry, f"{name}-{entry}", path, 1))
-            assert status == int(begin.rpartition(b"HTTP/1.1 ")[2][:3]), (name, head)
+            assert status == int(begin.rpartition(b"HTTP/1.")[2][2:5]), (name, head)
             assert b"Response-Signature: s" in head and body == BODY, (name, head)
