Take an answer whose head names two ends of its body for no answer

Callers got an answer with `Transfer-Encoding: chunked` beside a `Content-Length`, or with chunks named twice, read as chunks once.

Cause: libcurl drops the length, and takes a coding named twice for one; the client noted only the last line. Which of both the server meant is not known, so neither is where the body ends and the next answer begins. RFC 9112 calls both errors (sections 6.1 and 6.3).

Change: the client keeps all codings of a head. At the end of the final head, chunks named twice or beside a length end the transfer like a malformed line does.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -55,6 +55,7 @@
 IDLE_MARGIN_S = 2  # close an idle connection before the server does
 MS_PER_S = 1000
 CLOSED_DETAIL = "the client closed"
+CHUNKED = "chunked"
 
 _INTERNET_FAMILIES = frozenset({socket.AF_INET, socket.AF_INET6})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -252,6 +253,7 @@
         "_body_max_bytes",
         "_bytes_received",
         "_close_delimited_allowed",
+        "_codings",
         "_echoed",
         "_expected_echo",
         "_has_length",
@@ -262,7 +264,6 @@
         "_heads_bytes",
         "_held_bytes",
         "_in_head",
-        "_is_chunked",
         "_is_head_request",
         "_length",
         "_memory",
@@ -336,7 +337,7 @@
         self._opened_fds = []
         self.found_input = False
         self._has_length = False
-        self._is_chunked = False
+        self._codings = []
         self._is_head_request = request.method == "HEAD"
         self._head_bytes = 0
         self._head_lines = 0
@@ -409,7 +410,7 @@
             return False
         if self._is_head_request or self._status in _BODILESS_STATUSES:
             return True
-        if self._is_chunked:
+        if self._codings[-1:] == [CHUNKED]:
             return True
         if self._has_length:
             return self._bytes_received == self._length
@@ -487,6 +488,11 @@
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
+            if self._head_ended and self._has_ambiguous_end():
+                self._answer_fault = (
+                    "malformed answer: its head names more than one end of the body"
+                )
+                return -1
             if self._head_ended and self._lacks_echo():
                 self._answer_fault = "the answer names no request"
                 return -1
@@ -505,7 +511,7 @@
         self._headers = []
         self._echoed = False
         self._has_length = False
-        self._is_chunked = False
+        self._codings = []
         self._length = None
         self._in_head = True
         return True
@@ -527,6 +533,11 @@
             return False
         return _STATUS_LINE_BEGIN.search(text, 0 if self._in_head else 1) is not None
 
+    def _has_ambiguous_end(self):
+        # RFC 9112, sections 6.1 and 6.3: an error. libcurl drops the other line.
+        chunked_count = self._codings.count(CHUNKED)
+        return chunked_count > 1 or (chunked_count == 1 and self._has_length)
+
     def _lacks_echo(self):
         """Tell whether the answer may be that of an earlier request."""
         if self._expected_echo is None or self._echoed or self._opened_fds:
@@ -557,7 +568,7 @@
             self._has_length = True
             self._length = _parse_length(value)
         elif lowered == "transfer-encoding":
-            self._is_chunked = value.lower() == "chunked"
+            self._codings += [part.strip(" \t") for part in value.lower().split(",")]
         if lowered not in _CONNECTION_HEADERS or (
             self._is_head_request and lowered[0] == "c"
         ):
--- a/packages/sapphireway-transport/tests/test_malformed_heads.py
+++ b/packages/sapphireway-transport/tests/test_malformed_heads.py
@@ -273,6 +273,45 @@
     asyncio.run(check_is_no_answer(answer, detail, REQUESTS[:1]))
 
 
+CHUNKED_LINE = FRAMINGS["chunks"][0]
+AMBIGUOUS_FRAMINGS = {
+    "length before the chunks": FRAMINGS["length"][0] + CHUNKED_LINE,
+    "length after the chunks": CHUNKED_LINE + FRAMINGS["length"][0],
+    "length of zero": CHUNKED_LINE + b"Content-Length: 0\r\n",
+    "chunks in two lines": CHUNKED_LINE * 2,
+    "chunks twice in a line": b"Transfer-Encoding: chunked, Chunked\r\n",
+    "chunks, other, chunks": CHUNKED_LINE + b"Transfer-Encoding: identity, chunked\r\n",
+}
+
+
+@pytest.mark.parametrize("name", AMBIGUOUS_FRAMINGS)
+def test_answer_with_an_ambiguous_end_is_no_answer(name):
+    """It was read as chunks, whatever the server meant by the other line."""
+    head = OK + b"\r\nAttempt: 1\r\n" + AMBIGUOUS_FRAMINGS[name]
+    asyncio.run(check_is_no_answer(head + b"\r\n" + CHUNKS, ""))
+
+
+@pytest.mark.parametrize("name", ["length before the chunks", "chunks in two lines"])
+def test_answer_with_an_ambiguous_end_is_named(name):
+    head = OK + b"\r\nAttempt: 1\r\n" + AMBIGUOUS_FRAMINGS[name]
+    detail = "malformed answer: its head names more than one end of the body"
+    answer = head + b"\r\n" + CHUNKS
+    asyncio.run(check_is_no_answer(answer, detail, REQUESTS[:1]))
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        FRAMINGS["length"][0] * 2,
+        b"Content-Length: %d, %d\r\n" % (len(BODY), len(BODY)),
+        b"Content-Length: \t%d \r\n" % len(BODY),
+    ],
+)
+def test_answer_that_names_its_length_twice_is_an_answer(head):
+    answer = OK + b"\r\n" + head + b"\r\n" + BODY
+    asyncio.run(check_is_answer(answer, [], ("GET", "POST")))
+
+
 async def check_is_answer(answer, headers, methods=("GET", "HEAD", "POST")):
     for method in methods:
         async with HeadServer(answer) as server:
--- a/tests/platform_adapter/test_malformed_head_processes.py
+++ b/tests/platform_adapter/test_malformed_head_processes.py
@@ -18,6 +18,7 @@
 BODY = b"some text of a server"
 CHUNKS = b"9\r\nsome text\r\nc\r\n of a server\r\n0\r\n\r\n"
 LENGTH = b"Content-Length: %d\r\n" % len(BODY)
+CODING = b"Transfer-Encoding: chunked\r\n"
 SIGNED = b"<signed>"  # stands for the lines by which an answer counts
 OK = b"HTTP/1.1 200 OK\r\n" + SIGNED
 FULL = b"HTTP/1.1 503 Full\r\n" + SIGNED + b"Request-Not-Executed: 1\r\n"
@@ -48,6 +49,8 @@
     "no-blank": OK.replace(b"200 ", b"200") + LENGTH,
     "version": OK.replace(b"1.1", b"2.0") + LENGTH,
     "reason": OK.replace(b"OK", b"O\x01K") + LENGTH,
+    "chunks-and-length": OK + CODING + LENGTH,
+    "chunks-twice": OK + CODING * 2,
 }
 VALID = {
     "no-reason": OK.replace(b" OK", b"") + LENGTH,
@@ -58,7 +61,7 @@
     "empty": OK + b"X-A:\r\n" + LENGTH,
     "lf": (OK + b"X-A: 1\r\n" + LENGTH).replace(b"\r\n", b"\n"),
     "hints": HINTS + b"Link: a\r\n\r\n" + OK + LENGTH,
-    "chunks": OK + b"Transfer-Encoding: chunked\r\n",
+    "chunks": OK + CODING,
     "failure": FAILED + LENGTH,
 }
 ANSWERS = MALFORMED | VALID
@@ -157,7 +160,7 @@
     system.serve({kind: TIMEOUT_S})
     assert not list_faults(system, kind, size, MALFORMED)
     log = (system.folder / "beside.log").read_text()
-    assert log.count("of its head: ") >= 2 * len(MALFORMED)
+    assert log.count("malformed answer") >= 2 * len(MALFORMED)
 
 
 def test_valid_odd_head_reaches_its_caller(system):
