Take a reply or a stored answer with a malformed field for unknown

Callers got such fields also after the node beside the server was updated: from the reply of a node that was not yet, and from answers that were stored under a key before.

Cause: `read_answer`, which reads both, checked the status alone.

Change: it reads the fields by the same definition as the client. The request may have run, so the outcome is unknown, it is not sent again, and its detail names the fault.

Evidence, on the code before: 14 new cases failed (nine replies of a node, five stored answers); the four valid odd ones passed and still do.

--- a/packages/sapphireway-coordination/tests/test_claim_votes.py
+++ b/packages/sapphireway-coordination/tests/test_claim_votes.py
@@ -3,6 +3,7 @@
 from sapphireway_coordination.claims._outcomes import load_outcome
 from sapphireway_coordination.claims._votes import Decision, tally_votes
 from sapphireway_protocol import (
+    Answered,
     ClaimGroup,
     ClaimReply,
     ClaimStatus,
@@ -58,3 +59,18 @@
 def test_stored_answer_of_a_status_that_http_does_not_have_is_unknown(status):
     stored = StoredOutcome(OutcomeKind.ANSWERED, status)
     assert isinstance(load_outcome(stored), Unknown)
+
+
+@pytest.mark.parametrize(
+    "field", [("X A", "1"), ("X-A ", "1"), ("", "1"), ("X\x01", "1"), ("X", "\x7f")]
+)
+def test_stored_answer_with_a_malformed_field_is_unknown(field):
+    """Holders of an earlier version kept such fields, and callers got them."""
+    stored = StoredOutcome(OutcomeKind.ANSWERED, 200, (("X", "1"), field), b"ok")
+    assert isinstance(load_outcome(stored), Unknown)
+
+
+def test_stored_answer_with_valid_odd_fields_is_returned():
+    fields = (("!#$%&'*+-.^_`|~0aZ", "1"), ("X", "\xe9\t"), ("X", ""))
+    stored = StoredOutcome(OutcomeKind.ANSWERED, 200, fields, b"ok")
+    assert load_outcome(stored) == Answered(200, fields, b"ok")
--- a/packages/sapphireway-coordination/tests/test_dispatch.py
+++ b/packages/sapphireway-coordination/tests/test_dispatch.py
@@ -403,6 +403,41 @@
     assert isinstance(outcome, Unknown)
 
 
+MALFORMED_FIELDS = [
+    ("X A", "1"),
+    ("X-A ", "1"),
+    (" X-A", "1"),
+    ("", "1"),
+    ("X\x01", "1"),
+    ("X\xa0", "1"),
+    ("X-A", "1\x01"),
+    ("X-A", "1\r\nX-B: 2"),
+    ("X-A", "\u2713"),
+]
+VALID_FIELDS = [("!#$%&'*+-.^_`|~0aZ", "1"), ("X-A", "\xe9\t"), ("X-A", "")]
+
+
+@pytest.mark.parametrize("field", MALFORMED_FIELDS)
+def test_reply_with_a_malformed_field_is_no_answer(network, field):
+    """A node of an earlier version passed such fields on, and so did the entry node."""
+
+    def answer_oddly(run):
+        return [(Reply(run.attempt, "answered", 200, [("X", "1"), field]), b"")]
+
+    outcome, nodes = dispatch(network, [answer_oddly, answer])
+    assert isinstance(outcome, Unknown) and "the answer has " in outcome.detail
+    assert nodes[1].runs == []
+
+
+@pytest.mark.parametrize("field", VALID_FIELDS)
+def test_reply_with_a_valid_odd_field_is_an_answer(network, field):
+    def answer_oddly(run):
+        return [(Reply(run.attempt, "answered", 200, [field]), b"")]
+
+    outcome, _ = dispatch(network, [answer_oddly])
+    assert outcome == Answered(200, (field,), b"")
+
+
 def test_failed_call_is_unknown_and_not_retried(network):
     outcome, nodes = dispatch(network, [fail, answer])
     assert isinstance(outcome, Unknown)
--- a/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
+++ b/packages/sapphireway-protocol/src/sapphireway_protocol/_outcomes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sapphireway_transport import FINAL_STATUS_MIN, STATUS_MAX
+from sapphireway_transport import FINAL_STATUS_MIN, STATUS_MAX, find_field_fault
 
 
 class NotRunReason(enum.StrEnum):
@@ -96,8 +96,13 @@
 ) -> Answered | Unknown:
     """Return an answer that another process passed on or stored.
 
-    An earlier version of the program accepted any status of three digits.
+    An earlier version of the program accepted any status of three digits, and fields
+    that are malformed.
     """
     if not FINAL_STATUS_MIN <= status <= STATUS_MAX:
         return Unknown(f"the answer has status {status}, which is none of HTTP")
+    for name, value in headers:
+        fault = find_field_fault(name, value)
+        if fault:
+            return Unknown(f"the answer has {fault}")
     return Answered(status, headers, body)
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -10,6 +10,7 @@
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._event_loop import BootTimeLoop
+from sapphireway_transport._head_lines import find_field_fault
 from sapphireway_transport._host_limits import read_descriptors, read_memory_bytes
 from sapphireway_transport._http import HttpListener
 from sapphireway_transport._http_messages import (
@@ -86,6 +87,7 @@
     "ServerResult",
     "ZmqEndpoint",
     "compute_age",
+    "find_field_fault",
     "make_body_budget",
     "needs_no_echo",
     "read_descriptors",
