Take a response with a malformed head at sapphirectl for none

An operator's command took a response for valid whose head had an empty name, a blank first line, a continuation line, a control byte in a value or in the reason, two blanks before the status, a status such as `2_00`, or a malformed line in the head of a 100. Other malformed lines were reported as a response that is incomplete, or by the line alone.

Cause: `http.client` reads the head by rules of its own. It converts the status with `int`, parses fields as those of a mail, which skips some lines and ends at others, and does not look at the fields of a 100.

Change: while the heads are read, each line passes `read_status_line` or `read_field_line`, the definition of the client of servers. The first malformed one ends the exchange as no response to a request that was sent, with the line's number and fault. The range of the status is checked there too, so the check of its own is gone.

Evidence, on the code before: all 34 new cases of malformed heads failed, 20 of them as the response was taken for valid, the others for their detail; the 14 valid odd ones passed and still do.

--- a/packages/sapphirectl/src/sapphirectl/_http.py
+++ b/packages/sapphirectl/src/sapphirectl/_http.py
@@ -8,7 +8,13 @@
 import threading
 from dataclasses import dataclass
 
-STATUS_MAX = 599  # `http.client` accepts up to 999
+from sapphireway_transport import (
+    Malformed,
+    decode_line,
+    read_field_line,
+    read_status_line,
+)
+
 RESPONSE_MAX_BYTES = 64 * 1024 * 1024
 READ_MAX_BYTES = 64 * 1024
 # For a whole response, which may be large; the timeout only limits each wait.
@@ -38,6 +44,51 @@
     sent: bool
 
 
+class _HeadReader:
+    """Passes on the lines of a response's heads, each only if it is well-formed."""
+
+    __slots__ = ("_file", "_in_head", "_line_count")
+
+    def __init__(self, file):
+        self._file = file
+        self._in_head = False
+        self._line_count = 0
+
+    def readline(self, limit):
+        line = self._file.readline(limit)
+        self._line_count += 1
+        if line.endswith(b"\n"):  # otherwise it is cut or too long
+            self._check(decode_line(line))
+        return line
+
+    def close(self):
+        self._file.close()
+
+    def _check(self, line):
+        if self._in_head and not line:
+            self._in_head = False
+            return
+        result = read_field_line(line) if self._in_head else read_status_line(line)
+        self._in_head = True
+        if isinstance(result, Malformed):
+            raise http.client.HTTPException(
+                f"malformed response, line {self._line_count}: {result.detail}"
+            )
+
+
+class _CheckedResponse(http.client.HTTPResponse):
+    """Rejects malformed lines, of which `http.client` passes over some."""
+
+    def begin(self):
+        file = self.fp
+        self.fp = _HeadReader(file)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:  # the response has not ended
+                self.fp = file
+
+
 def send_request(
     address: str,
     method: str,
@@ -53,6 +104,7 @@
     connection = http.client.HTTPConnection(
         _strip_brackets(host), int(port), timeout=timeout_s
     )
+    connection.response_class = _CheckedResponse
     sent = False
     try:
         connection.connect()
@@ -60,9 +112,6 @@
         with _limit_time(connection, RESPONSE_TIMEOUTS_MAX * timeout_s) as has_ended:
             connection.request(method, path, body, _make_headers(token))
             response = connection.getresponse()
-            if response.status > STATUS_MAX:
-                detail = f"{address}: status {response.status} is none of HTTP"
-                return NoResponse(detail, sent)
             has_end = response.chunked or response.length is not None
             content = _read_content(response)
         if has_ended.is_set():
--- a/packages/sapphirectl/tests/test_http.py
+++ b/packages/sapphirectl/tests/test_http.py
@@ -66,6 +66,57 @@
     assert isinstance(response, NoResponse) and response.sent
 
 
+MALFORMED_HEADS = {
+    "blank in a name": b"HTTP/1.1 200 OK\r\nX A: 1\r\n",
+    "SOH in a name": b"HTTP/1.1 200 OK\r\nX\x01A: 1\r\n",
+    "a0 in a name": b"HTTP/1.1 200 OK\r\nX\xa0A: 1\r\n",
+    "parenthesis in a name": b"HTTP/1.1 200 OK\r\nX(A): 1\r\n",
+    "blank before the colon": b"HTTP/1.1 200 OK\r\nX : 1\r\n",
+    "no name": b"HTTP/1.1 200 OK\r\n: 1\r\n",
+    "blank first line": b"HTTP/1.1 200 OK\r\n X: 1\r\n",
+    "continuation": b"HTTP/1.1 200 OK\r\nX: 1\r\n 2\r\n",
+    "no colon": b"HTTP/1.1 200 OK\r\nX\r\n",
+    "SOH in a value": b"HTTP/1.1 200 OK\r\nX: \x01\r\n",
+    "CR in a value": b"HTTP/1.1 200 OK\r\nX: 1\r2\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "sign in the status": b"HTTP/1.1 +20 OK\r\n",
+    "underscore in the status": b"HTTP/1.1 2_00 OK\r\n",
+    "two blanks before the status": b"HTTP/1.1  200 OK\r\n",
+    "unknown minor version": b"HTTP/1.2 200 OK\r\n",
+    "SOH in the reason": b"HTTP/1.1 200 O\x01\r\n",
+}
+VALID_HEADS = {
+    "token characters": b"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0aZ: 1\r\n",
+    "letter above 7f in a value": b"HTTP/1.1 200 OK\r\nX: \xe9\t\r\n",
+    "no value": b"HTTP/1.1 200 OK\r\nX:\r\n",
+    "no reason": b"HTTP/1.1 200\r\n",
+    "letter above 7f in the reason": b"HTTP/1.1 200 \xe9\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "LF alone": b"HTTP/1.1 200 OK\nX: 1\n",
+}
+FRAMED = {
+    "length": b"Content-Length: 2\r\n\r\n{}",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("framing", FRAMED)
+@pytest.mark.parametrize("name", MALFORMED_HEADS)
+def test_malformed_head_is_no_response(name, framing):
+    """Some were taken for a response, others for one that was cut."""
+    with serve_bytes(MALFORMED_HEADS[name] + FRAMED[framing]) as address:
+        response = send_to(address)
+    assert isinstance(response, NoResponse) and response.sent
+    assert "malformed response, line " in response.detail
+
+
+@pytest.mark.parametrize("framing", FRAMED)
+@pytest.mark.parametrize("name", VALID_HEADS)
+def test_valid_odd_head_is_a_response(name, framing):
+    with serve_bytes(VALID_HEADS[name] + FRAMED[framing]) as address:
+        assert send_to(address) == Response(200, b"{}")
+
+
 @pytest.mark.parametrize("resets", [True, False])
 def test_response_without_length_is_no_response(resets):
     sent = b"HTTP/1.1 200 OK\r\n\r\n{}"
--- a/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/__init__.py
@@ -10,7 +10,13 @@
 from sapphireway_transport._disk import Disk, DiskFailed, FileDisk
 from sapphireway_transport._endpoint import Endpoint, Receiver
 from sapphireway_transport._event_loop import BootTimeLoop
-from sapphireway_transport._head_lines import find_field_fault
+from sapphireway_transport._head_lines import (
+    Malformed,
+    decode_line,
+    find_field_fault,
+    read_field_line,
+    read_status_line,
+)
 from sapphireway_transport._host_limits import read_descriptors, read_memory_bytes
 from sapphireway_transport._http import HttpListener
 from sapphireway_transport._http_messages import (
@@ -75,6 +81,7 @@
     "HttpListener",
     "HttpRequest",
     "Instant",
+    "Malformed",
     "MemoryBudget",
     "NeedsEcho",
     "NotSent",
@@ -87,12 +94,15 @@
     "ServerResult",
     "ZmqEndpoint",
     "compute_age",
+    "decode_line",
     "find_field_fault",
     "make_body_budget",
     "needs_no_echo",
     "read_descriptors",
+    "read_field_line",
     "read_instant",
     "read_memory_bytes",
+    "read_status_line",
     "separate_large_blocks",
     "shift_back",
 ]
