Log why a health check got no answer

But a server whose health answers are no answers was out of use without a line in any log.

Cause: the health client dropped the detail of each result that is no answer.

Change: it reports a fault of the answer as `HealthUnreadable`, which is logged and counted: the first one, and each that differs from the one before or follows a good answer. Checks that get no answer in time or lose their connection are not reported; the detail of these differs each time, and they say nothing of the content.

--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_events.py
@@ -197,6 +197,19 @@
     detail: str
 
 
+class HealthUnreadable(msgspec.Struct, frozen=True):
+    """What a server sent to a health check is no answer; it proves nothing.
+
+    Attributes
+    ----------
+    url : str
+    detail : str
+    """
+
+    url: str
+    detail: str
+
+
 class ServerWarmed(msgspec.Struct, frozen=True):
     """The server's limit has reached its slots after a cold start."""
 
@@ -267,6 +280,7 @@
     | ServerCold
     | ServerLimited
     | ReportUnreadable
+    | HealthUnreadable
     | ServerWarmed
     | ServerAnnounced
     | ServerLeft
--- a/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
+++ b/packages/sapphireway-coordination/src/sapphireway_coordination/gate/_health.py
@@ -18,11 +18,12 @@
 from collections.abc import Callable
 
 from sapphireway_coordination.gate._announcement import Announcement
+from sapphireway_coordination.gate._events import HealthUnreadable, ObserveGate
 from sapphireway_coordination.gate._registration import Registration
 from sapphireway_coordination.gate._self_report import SelfReport
 from sapphireway_coordination.gate._server_dialect import ServerDialect
 from sapphireway_coordination.gate._server_limit import ReportSource
-from sapphireway_transport import Responded, ServerClient, ServerRequest
+from sapphireway_transport import Broken, Responded, ServerClient, ServerRequest
 
 HEALTH_TIMEOUT_S = 1.0
 IDLE_INTERVAL_S = 0.5
@@ -43,13 +44,30 @@
     echo_header : str, default=""
         Header of the id that each check carries; "" for none. An answer with another
         id is dropped, one without an id is accepted.
+    observe : callable, optional
+        Called with a `HealthUnreadable` if what the server sends is no answer.
     """
 
-    __slots__ = ("_client", "_echo_header", "_lock", "_numbers", "_polls")
+    __slots__ = (
+        "_client",
+        "_echo_header",
+        "_fault",
+        "_lock",
+        "_numbers",
+        "_observe",
+        "_polls",
+    )
 
-    def __init__(self, client: ServerClient, echo_header: str = ""):
+    def __init__(
+        self,
+        client: ServerClient,
+        echo_header: str = "",
+        observe: ObserveGate = lambda event: None,
+    ):
         self._client = client
         self._echo_header = echo_header
+        self._fault = ""
+        self._observe = observe
         self._lock = asyncio.Lock()  # held during a check
         self._numbers = itertools.count(1)
         self._polls = set()  # timeouts of the calls of `fetch`, to end them early
@@ -111,7 +129,18 @@
         )
         async with self._lock:
             result = await self._client.send(request)
-        return result if isinstance(result, Responded) else None
+        if isinstance(result, Responded):
+            self._fault = ""
+            return result
+        if isinstance(result, Broken) and not (result.timed_out or result.disconnected):
+            self._report_fault(url, result.detail)
+        return None
+
+    def _report_fault(self, url, fault):
+        # A server in trouble has the same fault in each answer.
+        if fault != self._fault:
+            self._fault = fault
+            self._observe(HealthUnreadable(url, fault))
 
 
 class HealthPoller:
--- a/packages/sapphireway-coordination/tests/test_health.py
+++ b/packages/sapphireway-coordination/tests/test_health.py
@@ -182,6 +182,72 @@
     run_paused(main())
 
 
+MALFORMED_HEADS = [
+    b"HTTP/1.1 200 OK\r\nX A: 1\r\n",
+    b"HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
+    b"HTTP/1.1 200 OK\r\nAttempt : 1\r\n",
+    b"HTTP/1.1 2000 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+]
+
+
+async def serve_malformed(reader, writer):
+    """Answer the checks of a connection by the number at the end of their path."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            number = int(head.split()[1].rpartition(b"/")[2])
+            begin = [*MALFORMED_HEADS, b"HTTP/1.1 200 OK\r\n"][number]
+            writer.write(begin + b"Content-Length: 2\r\n\r\nok")
+    writer.close()
+
+
+async def check_health(numbers, observe=None):
+    """Return the answers of health checks, each as polled and as asked by the gate."""
+    server = await asyncio.start_server(serve_malformed, "127.0.0.1", 0)
+    client = CurlServerClient(1)
+    health = HealthClient(client, "Attempt", *([observe] if observe else []))
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/health/"
+    answers = []
+    for number in numbers:
+        answers.append(await health.fetch(f"{url}{number}"))
+        answers.append(await health.ask_if_up(f"{url}{number}", 1.0))
+    health.close()
+    server.close()
+    return answers
+
+
+def test_malformed_answer_to_a_health_check_is_not_believed():
+    """Its head was, so that a server in trouble counted as sound."""
+    count = len(MALFORMED_HEADS)
+    answers = asyncio.run(check_health(range(count)))
+    assert answers == [None, False] * count
+    answer, is_up = asyncio.run(check_health([count]))
+    assert answer.status == 200 and is_up
+
+
+def test_fault_of_an_answer_to_a_health_check_is_reported_once():
+    events = []
+    asyncio.run(check_health([0, 0, 1, len(MALFORMED_HEADS), 1], events.append))
+    assert [event.detail.partition("head: ")[2] for event in events] == [
+        "0x20 in a field name, after 'X'",
+        "0x01 in a field name, after 'X'",
+        "0x01 in a field name, after 'X'",
+    ]
+
+
+def test_silent_health_check_reports_no_fault_of_an_answer():
+    async def main():
+        events = []
+        results = Broken("late", timed_out=True), Broken("cut", disconnected=True)
+        health = HealthClient(RecordingClient(*results), "Attempt", events.append)
+        assert await health.fetch("http://s1/health") is None
+        assert await health.fetch("http://s1/health") is None
+        assert events == []
+
+    run_paused(main())
+
+
 def test_health_check_without_echo_carries_no_id():
     async def main():
         client = RecordingClient()
--- a/packages/sapphireway/src/sapphireway/_data_path.py
+++ b/packages/sapphireway/src/sapphireway/_data_path.py
@@ -151,6 +151,7 @@
     health_client = HealthClient(
         CurlServerClient(HEALTH_CONNECTIONS_MAX, budget=budget),
         dialects.server.echo_header,
+        observe,
     )
     gate = Gate(
         peers,
