Take an answer with a continuation line in its head for no answer

Callers got a field whose value held the next line, when a server in trouble sent a line that began with a blank or a tab: `X-A: 1 X-B: 2`. A blank before `Transfer-Encoding` hid the coding, and the raw chunks were the body of a signed 200; one before the length hid where the body ends.

Cause: libcurl 8.23 joins such a line to the one before, in its callbacks and in its debug output alike, so the check of lines never saw it. RFC 9112, section 5.2, lets a gateway join it or discard the answer; a line that begins with a blank by mistake can't be told from one that is meant to continue.

Change: before the client lets libcurl read from a connection whose answer has not passed the end of its head, it peeks at what has arrived and looks for a line that begins with a blank or a tab. What libcurl holds back of a line tells whether a line begins where one read ends, so a head that comes in any pieces is covered. Found once, the answer ends like one with another malformed line. Only the lines of heads are looked at, never the body.

Left: libcurl also reads when one of its own timers ends. A part of a head that arrives just then is read without a look; a continuation line there stays joined, as the RFC allows. Ruled out: an own reader of answers in place of libcurl's, which is more than this fault needs; refusing values that look like a field, as values of sound servers do too.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -17,6 +17,7 @@
 import msgspec
 import pycurl
 
+from sapphireway_transport._continuations import ContinuationFinder, peek
 from sapphireway_transport._head_lines import (
     Malformed,
     decode_line,
@@ -187,6 +188,10 @@
         if len(self._fds) > SOCKETS_MAX:
             del self._fds[next(iter(self._fds))]
 
+    def get(self, port: int) -> int | None:
+        """Return the descriptor of the connection from a port, if it is known."""
+        return self._fds.get(port)
+
     def has_input(self, port: int) -> bool:
         """Tell whether a connection may have something to read, or be closed."""
         fd = self._fds.get(port)
@@ -254,8 +259,10 @@
         "_bytes_received",
         "_close_delimited_allowed",
         "_codings",
+        "_continuations",
         "_echoed",
         "_expected_echo",
+        "_fd",
         "_has_length",
         "_head_bytes",
         "_head_ended",
@@ -277,18 +284,21 @@
         "_sockets",
         "_status",
         "_too_large",
+        "_unread_heads",
         "easy",
         "found_input",
         "future",
         "send_count",
     )
 
-    def __init__(self, on_keep_alive, on_send, on_pause, memory, sockets):
+    def __init__(self, on_keep_alive, on_send, on_pause, memory, sockets, unread_heads):
         self._on_keep_alive = on_keep_alive
         self._on_pause = on_pause
         self._on_send = on_send
         self._memory = memory
         self._sockets = sockets
+        self._unread_heads = unread_heads
+        self._fd = None
         self._bytes_received = 0
         self._held_bytes = 0
         self._pieces = 0
@@ -338,6 +348,7 @@
         self.found_input = False
         self._has_length = False
         self._codings = []
+        self._continuations = ContinuationFinder()
         self._is_head_request = request.method == "HEAD"
         self._head_bytes = 0
         self._head_lines = 0
@@ -395,6 +406,7 @@
     def release(self) -> None:
         """Drop references to the last exchange."""
         self.future = None
+        self._end_head()
         self._memory.release(self._held_bytes)
         self._held_bytes = 0
         self._bytes_received = 0
@@ -453,8 +465,21 @@
             return pycurl.PREREQFUNC_ABORT
         if self._expected_echo is not None:
             self._on_send(self._expected_echo[1])
+        self._fd = self._sockets.get(local_port)
+        if self._fd is not None:
+            self._unread_heads[self._fd] = self
         return pycurl.PREREQFUNC_OK
 
+    def search_continuations(self, data: memoryview) -> None:
+        """Reject the answer if `data`, which is read next, continues a field line."""
+        if self._continuations.search(data, self._heads_bytes):
+            self._answer_fault = "malformed answer: its head has a continuation line"
+
+    def _end_head(self):
+        if self._unread_heads.get(self._fd) is self:
+            del self._unread_heads[self._fd]
+        self._fd = None
+
     def _note_new_connection(self, fd, purpose):
         self._opened_fds.append(fd)
         return pycurl.SOCKOPT_OK
@@ -462,6 +487,8 @@
     def _receive_header(self, line):
         # Any return value but None makes libcurl close the connection.
         self._memory.has_progress = True
+        if self._answer_fault:
+            return -1
         self._head_lines += 1
         self._heads_bytes += len(line)
         self._hold(len(line) + OBJECT_BYTES)
@@ -488,6 +515,8 @@
             self._in_head = False
             # The head of an interim answer is followed by another one.
             self._head_ended = self._status >= FINAL_STATUS_MIN
+            if self._head_ended:
+                self._end_head()
             if self._head_ended and self._has_ambiguous_end():
                 self._answer_fault = (
                     "malformed answer: its head names more than one end of the body"
@@ -644,10 +673,12 @@
         "_memory",
         "_multi",
         "_pauses",
+        "_peeked",
         "_read_share",
         "_sent_ids",
         "_sockets",
         "_timer",
+        "_unread_heads",
     )
 
     def __init__(
@@ -665,6 +696,7 @@
         budget = budget or MemoryBudget(answers_max_bytes)
         self._memory = _AnswerMemory(answers_max_bytes, budget)
         self._pauses = {}
+        self._peeked = bytearray(HEAD_MAX_BYTES)
         self._read_share = ReadShare()
         self._idle_transfers = []
         self._idle_connection_max_s = IDLE_CONNECTION_MAX_S
@@ -672,6 +704,7 @@
         self._sent_ids = SentIds(get_time(), sent_ids_max)
         self._sockets = _OpenSockets()
         self._timer = None
+        self._unread_heads = {}  # transfers by the descriptors of their connections
         self._interests = {}
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_PIPELINING, pycurl.PIPE_NOTHING)
@@ -708,6 +741,7 @@
                 self._pause,
                 self._memory,
                 self._sockets,
+                self._unread_heads,
             )
         )
         future = self._loop.create_future()
@@ -837,6 +871,9 @@
     def _read(self, fd):
         self._memory.has_progress = False
         self._memory.read_number += 1
+        transfer = self._unread_heads.get(fd)
+        if transfer is not None:
+            transfer.search_continuations(peek(fd, self._peeked))
         self._perform(fd, pycurl.CSELECT_IN)
         if self._memory.has_progress or fd not in self._interests:
             self._fruitless_reads.pop(fd, None)
--- a/packages/sapphireway-transport/tests/test_malformed_heads.py
+++ b/packages/sapphireway-transport/tests/test_malformed_heads.py
@@ -23,6 +23,7 @@
 }
 OK = b"HTTP/1.1 200 OK"
 UPLOAD_SIZES = (3_000, 300_000)
+PIECE_INTERVAL_S = 0.002  # so that each piece is read by itself
 TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~" + string.digits + string.ascii_letters
 
 MALFORMED_FIELDS = {
@@ -111,7 +112,8 @@
 class HeadServer:
     """Sends an answer from a list to each request; the last one to all that follow.
 
-    Connections stay open, unless the connection delimits the answer.
+    Connections stay open, unless the connection delimits the answer. An answer that is
+    a list of pieces is sent piece by piece.
     """
 
     def __init__(self, *answers):
@@ -146,6 +148,11 @@
                 await reader.readexactly(int(length.split("\r\n")[0] or 0))
                 answer = self.answers.pop(0) if len(self.answers) > 1 else None
                 answer = self.answers[0] if answer is None else answer
+                if isinstance(answer, list):
+                    for piece in answer[:-1]:
+                        writer.write(piece)
+                        await asyncio.sleep(PIECE_INTERVAL_S)
+                    answer = answer[-1]
                 if method == "head":
                     answer = answer.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
                 writer.write(answer)
@@ -251,6 +258,82 @@
     asyncio.run(check_is_no_answer(answer, detail, REQUESTS[:1]))
 
 
+CONTINUATIONS = {
+    "blank": b"X-A: 1\r\n 2",
+    "tab": b"X-A: 1\r\n\t2",
+    "of an empty value": b"X-A:\r\n 1",
+    "of blanks alone": b"X-A: 1\r\n  \t",
+    "LF alone": b"X-A: 1\n 2",
+    "two": b"X-A: 1\r\n 2\r\n 3",
+    "blank before a name": b"X-A: 1\r\n X-B: 2",
+    "blank before the length": b"X-A: 1\r\n Content-Length: 3",
+    "blank before the coding": b"X-A: 1\r\n Transfer-Encoding: chunked",
+    "length": b"Content-Length:\r\n 21",
+}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("name", CONTINUATIONS)
+def test_continuation_line_is_no_answer(name, framing):
+    """The line became part of the field before, or hid the framing of the body."""
+    answer = make_answer(CONTINUATIONS[name], framing)
+    asyncio.run(check_is_no_answer(answer, "its head has a continuation line"))
+
+
+def test_continuation_line_of_an_interim_answer_is_no_answer():
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: b\r\n c\r\n\r\n"
+    detail = "its head has a continuation line"
+    asyncio.run(check_is_no_answer(interim + WHOLE, detail))
+    # One after a sound interim answer.
+    sound = b"HTTP/1.1 103 Early Hints\r\nLink: b\r\n\r\n"
+    answer = sound * 2 + make_answer(b"X-A: 1\r\n 2", "length")
+    requests = [each for each in REQUESTS if each[0] != "HEAD"]
+    asyncio.run(check_is_no_answer(answer, detail, requests))
+
+
+def cut(answer, positions):
+    """Return the pieces of an answer between sorted positions."""
+    ends = [*positions, len(answer)]
+    pieces = [answer[begin:end] for begin, end in zip([0, *ends], ends, strict=False)]
+    return [piece for piece in pieces if piece]
+
+
+def exchange_pieces(pieces):
+    async def exchange():
+        # Connections stay open, as the last piece may hold no framing.
+        async with HeadServer(pieces) as server:
+            return await server.send()
+
+    return asyncio.run(exchange())
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_continuation_line_is_no_answer_wherever_the_head_is_cut(framing):
+    answer = make_answer(b"X-A: 1\r\n 2", framing)
+    for position in range(1, answer.index(b"\r\n\r\n") + 4):
+        result = exchange_pieces(cut(answer, [position]))
+        assert isinstance(result, Broken), (position, result)
+    lines = answer.replace(b"\r\n", b"\r\n|").split(b"|")
+    assert isinstance(exchange_pieces(lines), Broken)
+    end = answer.index(b"\r\n\r\n")
+    assert isinstance(exchange_pieces(cut(answer, range(1, end))), Broken)
+
+
+BLANK_BODY = b" \r\n x\n\n y\r\n\tz: 1"
+
+
+@make_settings(120)
+@given(st.data(), st.sampled_from([b"\r\n", b"\n"]), st.booleans())
+def test_body_that_begins_lines_with_blanks_is_passed_on(data, end, has_interim):
+    """No line of a body is taken for one of the head, wherever the answer is cut."""
+    lines = [b"HTTP/1.1 103 Early Hints", b"Link: a", b""] * has_interim
+    lines += [OK, b"Attempt: 1", b"Content-Length: %d" % len(BLANK_BODY), b"", b""]
+    answer = end.join(lines) + BLANK_BODY
+    positions = st.lists(st.integers(1, len(answer) - 1), max_size=4).map(sorted)
+    result = exchange_pieces(cut(answer, data.draw(positions)))
+    assert result == Responded(200, (("Attempt", "1"),), BLANK_BODY)
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("name", MALFORMED_STATUS_LINES)
 def test_malformed_status_line_is_no_answer(name, framing):
--- a/tests/platform_adapter/test_malformed_head_processes.py
+++ b/tests/platform_adapter/test_malformed_head_processes.py
@@ -51,6 +51,9 @@
     "reason": OK.replace(b"OK", b"O\x01K") + LENGTH,
     "chunks-and-length": OK + CODING + LENGTH,
     "chunks-twice": OK + CODING * 2,
+    "continued": OK + b"X-A: 1\r\n X-B: 2\r\n" + LENGTH,
+    "continued-id": OK + LENGTH + b"\tX-A: 1\r\n",
+    "coding-continued": b"HTTP/1.1 200 OK\r\nX-A: 1\r\n " + CODING + SIGNED,
 }
 VALID = {
     "no-reason": OK.replace(b" OK", b"") + LENGTH,
