Look for a continuation line also while an upload is being written

An answer that came before the end of a large upload got past the search: libcurl reads when the socket can be written, too, and the client looked only before it lets libcurl read.

Change: it looks before both.

Evidence: the new cases are answers with a malformed line before the end of an upload of 3 kB and 20 MB.

--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -850,7 +850,7 @@
                 self._loop.remove_reader(fd)
         if after.writes != before.writes:
             if after.writes:
-                self._loop.add_writer(fd, self._perform, fd, pycurl.CSELECT_OUT)
+                self._loop.add_writer(fd, self._write, fd)
             else:
                 self._loop.remove_writer(fd)
         if after is _NO_INTEREST:
@@ -871,9 +871,7 @@
     def _read(self, fd):
         self._memory.has_progress = False
         self._memory.read_number += 1
-        transfer = self._unread_heads.get(fd)
-        if transfer is not None:
-            transfer.search_continuations(peek(fd, self._peeked))
+        self._search_continuations(fd)
         self._perform(fd, pycurl.CSELECT_IN)
         if self._memory.has_progress or fd not in self._interests:
             self._fruitless_reads.pop(fd, None)
@@ -883,6 +881,16 @@
         if reads >= FRUITLESS_READS_MAX:
             self._give_up(fd)
 
+    def _write(self, fd):
+        # libcurl reads too, as a server may answer before it has read all of a body.
+        self._search_continuations(fd)
+        self._perform(fd, pycurl.CSELECT_OUT)
+
+    def _search_continuations(self, fd):
+        transfer = self._unread_heads.get(fd)
+        if transfer is not None:
+            transfer.search_continuations(peek(fd, self._peeked))
+
     def _give_up(self, fd):
         """End the request whose connection delivers bytes, but no part of an answer."""
         for transfer in list(self._active_transfers.values()):
--- a/packages/sapphireway-transport/tests/test_malformed_heads.py
+++ b/packages/sapphireway-transport/tests/test_malformed_heads.py
@@ -121,6 +121,7 @@
         self.paths = []
         self.connections = 0
         self.ended = 0  # connections
+        self.answers_early = False  # before the body of a request is read
         self._writers = []
 
     async def __aenter__(self):
@@ -145,7 +146,8 @@
                 method, path, _ = head.split(" ", 2)
                 self.paths.append(path)
                 _, _, length = head.partition("content-length: ")
-                await reader.readexactly(int(length.split("\r\n")[0] or 0))
+                if not self.answers_early:
+                    await reader.readexactly(int(length.split("\r\n")[0] or 0))
                 answer = self.answers.pop(0) if len(self.answers) > 1 else None
                 answer = self.answers[0] if answer is None else answer
                 if isinstance(answer, list):
@@ -156,6 +158,8 @@
                 if method == "head":
                     answer = answer.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
                 writer.write(answer)
+                while self.answers_early and await reader.read(65536):
+                    pass
                 if FRAMINGS["length"][0] not in answer and CHUNKS not in answer:
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -232,6 +236,23 @@
     asyncio.run(check_is_no_answer(answer, ""))
 
 
+@pytest.mark.parametrize(
+    "line", [b"X A: 1", b"X-A : 1", b"X-A: 1\r\n 2"], ids=["name", "colon", "continued"]
+)
+@pytest.mark.parametrize("size", [3_000, 20_000_000])
+def test_malformed_answer_before_the_end_of_an_upload_is_no_answer(size, line):
+    async def upload():
+        async with HeadServer(make_answer(line, "length")) as server:
+            server.answers_early = True
+            result = await server.send("POST", "/malformed", bytes(size))
+            await server.wait_for_end()
+            return result, server.paths
+
+    result, paths = asyncio.run(upload())
+    assert isinstance(result, Broken) and "malformed answer" in result.detail, result
+    assert paths == ["/malformed"]
+
+
 def test_malformed_field_line_of_a_refusal_is_no_refusal():
     answer = make_answer(
         b"Not-Run: 1\r\nX A: 1", "length", b"HTTP/1.1 503 Service Unavailable"
