--- a/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_curl.py
@@ -406,7 +406,7 @@
     def release(self) -> None:
         """Drop references to the last exchange."""
         self.future = None
-        self._end_head()
+        self._end_search()
         self._memory.release(self._held_bytes)
         self._held_bytes = 0
         self._bytes_received = 0
@@ -475,7 +475,7 @@
         if self._continuations.search(data, self._heads_bytes):
             self._answer_fault = "malformed answer: its head has a continuation line"
 
-    def _end_head(self):
+    def _end_search(self):
         if self._unread_heads.get(self._fd) is self:
             del self._unread_heads[self._fd]
         self._fd = None
@@ -502,32 +502,19 @@
             self._answer_fault = "the head of another answer was cut before this one"
             return -1
         # libcurl also passes on a line that a close cut.
-        is_whole = line.endswith(b"\n")
-        if not self._in_head:
-            if not self._begin_head(text, is_whole):
-                return -1
-        elif not is_whole:
-            pass
-        elif text:
-            if not self._receive_field(text):
-                return -1
-        else:
-            self._in_head = False
-            # The head of an interim answer is followed by another one.
-            self._head_ended = self._status >= FINAL_STATUS_MIN
-            if self._head_ended:
-                self._end_head()
-            if self._head_ended and self._has_ambiguous_end():
-                self._answer_fault = (
-                    "malformed answer: its head names more than one end of the body"
-                )
-                return -1
-            if self._head_ended and self._lacks_echo():
-                self._answer_fault = "the answer names no request"
-                return -1
+        if not self._receive_line(text, line.endswith(b"\n")):
+            return -1
         self._head_bytes += len(line)
         return None
 
+    def _receive_line(self, text, is_whole):
+        """Read a line of a head; return False if this can't be the answer."""
+        if not self._in_head:
+            return self._begin_head(text, is_whole)
+        if not is_whole:
+            return True
+        return self._receive_field(text) if text else self._finish_head()
+
     def _begin_head(self, line, is_whole):
         """Begin with a status line; return False if `line` is none."""
         status = read_status_line(line)
@@ -545,6 +532,23 @@
         self._in_head = True
         return True
 
+    def _finish_head(self):
+        """End a head; return False if it can't be that of the answer."""
+        self._in_head = False
+        if self._status < FINAL_STATUS_MIN:
+            return True  # the head of an interim answer is followed by another one
+        self._head_ended = True
+        self._end_search()
+        if self._has_ambiguous_end():
+            self._answer_fault = (
+                "malformed answer: its head names more than one end of the body"
+            )
+            return False
+        if self._lacks_echo():
+            self._answer_fault = "the answer names no request"
+            return False
+        return True
+
     def _reject_line(self, malformed):
         # libcurl may read such a line in another way than we do, so neither the content
         # of the answer nor its framing is known.
