--- a/packages/sapphireway-transport/tests/test_malformed_heads.py
+++ b/packages/sapphireway-transport/tests/test_malformed_heads.py
@@ -148,8 +148,8 @@
                 _, _, length = head.partition("content-length: ")
                 if not self.answers_early:
                     await reader.readexactly(int(length.split("\r\n")[0] or 0))
-                answer = self.answers.pop(0) if len(self.answers) > 1 else None
-                answer = self.answers[0] if answer is None else answer
+                is_last = len(self.answers) == 1
+                answer = self.answers[0] if is_last else self.answers.pop(0)
                 if isinstance(answer, list):
                     for piece in answer[:-1]:
                         writer.write(piece)
@@ -198,7 +198,7 @@
 REQUESTS += [("POST", bytes(size)) for size in UPLOAD_SIZES]
 
 
-async def check_is_no_answer(answer, detail, requests=REQUESTS):
+async def check_is_no_answer(answer, detail="", requests=REQUESTS):
     """Send requests that get `answer`, each on a new and on a used connection."""
     for method, body in requests:
         for reused in (False, True):
@@ -226,14 +226,14 @@
     """The lines were passed on; a hidden coding left the chunks as the body."""
     for first in (False, True):
         answer = make_answer(MALFORMED_FIELDS[name], framing, first=first)
-        asyncio.run(check_is_no_answer(answer, ""))
+        asyncio.run(check_is_no_answer(answer))
 
 
 @pytest.mark.parametrize("first", [b" X: 1", b"\tX: 1", b" X", b" "])
 def test_blank_before_the_first_field_is_no_answer(first):
     """No line is there that it could continue."""
     answer = make_answer(first, "length", first=True)
-    asyncio.run(check_is_no_answer(answer, ""))
+    asyncio.run(check_is_no_answer(answer))
 
 
 @pytest.mark.parametrize(
@@ -360,7 +360,7 @@
 def test_malformed_status_line_is_no_answer(name, framing):
     """A status of four digits was passed on as its first three."""
     answer = make_answer(b"X-A: 1", framing, MALFORMED_STATUS_LINES[name])
-    asyncio.run(check_is_no_answer(answer, ""))
+    asyncio.run(check_is_no_answer(answer))
 
 
 @pytest.mark.parametrize(
@@ -368,7 +368,7 @@
 )
 def test_malformed_status_line_of_an_interim_answer_is_no_answer(line):
     interim = line + b"\r\nLink: a\r\n\r\n"
-    asyncio.run(check_is_no_answer(interim + WHOLE, ""))
+    asyncio.run(check_is_no_answer(interim + WHOLE))
 
 
 def test_malformed_status_line_is_named():
@@ -392,7 +392,7 @@
 def test_answer_with_an_ambiguous_end_is_no_answer(name):
     """It was read as chunks, whatever the server meant by the other line."""
     head = OK + b"\r\nAttempt: 1\r\n" + AMBIGUOUS_FRAMINGS[name]
-    asyncio.run(check_is_no_answer(head + b"\r\n" + CHUNKS, ""))
+    asyncio.run(check_is_no_answer(head + b"\r\n" + CHUNKS))
 
 
 @pytest.mark.parametrize("name", ["length before the chunks", "chunks in two lines"])
