--- a/packages/sapphireway-transport/src/sapphireway_transport/_continuations.py
+++ b/packages/sapphireway-transport/src/sapphireway_transport/_continuations.py
@@ -16,8 +16,9 @@
 class ContinuationFinder:
     """Looks for continuation lines in the bytes that libcurl reads next.
 
-    Bytes that libcurl has read before they were looked at are passed over, as when one
-    of its timers ends while they arrive. A continuation line there stays joined.
+    Bytes that libcurl has read before they were looked at are passed over: it reads
+    once right after it has sent a request. A continuation line that has arrived by then
+    stays joined.
     """
 
     __slots__ = ("_last_line", "_seen_bytes")
